--- a/packages/wagtailusher_core/src/wagtailusher_core/__init__.py
+++ b/packages/wagtailusher_core/src/wagtailusher_core/__init__.py
@@ -19,6 +19,7 @@
     WorkspaceId,
 )
 from wagtailusher_core.outcomes import Outcome, OutcomeTracker
+from wagtailusher_core.published import PublishedState, PublishedVm
 from wagtailusher_core.rendezvous import first_by_rendezvous, rank_by_rendezvous
 from wagtailusher_core.revision import Revision
 
@@ -32,6 +33,8 @@
     "Outcome",
     "OutcomeTracker",
     "PoolId",
+    "PublishedState",
+    "PublishedVm",
     "RequestId",
     "Revision",
     "VmId",
