Add HTTP on both sides over h11

Cause: callers, endpoints and peers are met by HTTP. A task owns each socket; a request may be withdrawn right before its first byte; a stream ends with its end marker or visibly broken. Before: nothing. After: 7 tests against raw bytes pass, malformed, oversized and unfinished requests each get a code. Conclusion: enough for the thin path; cost is not measured yet.

--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -1,1 +1,40 @@
 """HTTP on both sides as asyncio tasks over h11."""
+
+from __future__ import annotations
+
+from wagtailusher_http.client import ClientAnswer, HttpClient
+from wagtailusher_http.const import ClientLimits, HttpLimits
+from wagtailusher_http.exceptions import (
+    AnswerError,
+    AnswerTruncatedError,
+    BodyTooLargeError,
+    ConnectError,
+    HttpError,
+    SendVetoedError,
+    SilentConnectionError,
+)
+from wagtailusher_http.headers import Headers
+from wagtailusher_http.messages import Request, Response, error_response, json_response
+from wagtailusher_http.server import Handler, HttpServer, async_serve
+
+__all__ = [
+    "AnswerError",
+    "AnswerTruncatedError",
+    "BodyTooLargeError",
+    "ClientAnswer",
+    "ClientLimits",
+    "ConnectError",
+    "Handler",
+    "Headers",
+    "HttpClient",
+    "HttpError",
+    "HttpLimits",
+    "HttpServer",
+    "Request",
+    "Response",
+    "SendVetoedError",
+    "SilentConnectionError",
+    "async_serve",
+    "error_response",
+    "json_response",
+]
--- /dev/null
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -0,0 +1,168 @@
+"""The calling side: requests over fresh or pooled connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import ssl
+from typing import Self
+
+import h11
+
+from wagtailusher_core import callback
+from wagtailusher_http.client_connection import ClientConnection
+from wagtailusher_http.const import (
+    DEFAULT_HEAD_TIMEOUT_MS,
+    DEFAULT_SILENCE_TIMEOUT_MS,
+    MS_PER_S,
+    ClientLimits,
+)
+from wagtailusher_http.exceptions import BodyTooLargeError, SendVetoedError
+from wagtailusher_http.headers import Headers
+
+_HOP_HEADERS = frozenset({"host", "content-length", "transfer-encoding", "connection"})
+
+MaySend = Callable[[], bool]
+
+
+class ClientAnswer:
+    """An answer whose head has arrived; its body is read by its owner."""
+
+    def __init__(
+        self, client: HttpClient, connection: ClientConnection, head: h11.Response
+    ) -> None:
+        """Wrap a connection on which a head was read."""
+        self._client = client
+        self._connection = connection
+        self.status: int = head.status_code
+        self.headers = Headers.from_raw(head.headers)
+
+    async def iter_chunks(
+        self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS
+    ) -> AsyncIterator[bytes]:
+        """Yield the body; raise AnswerError when it breaks or goes silent."""
+        whole = False
+        try:
+            async for chunk in self._connection.async_iter_body(silence_timeout_ms):
+                yield chunk
+            whole = True
+        finally:
+            self._client.release(self._connection, whole=whole)
+
+    async def async_read(self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS) -> bytes:
+        """Return the whole body."""
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in self.iter_chunks(silence_timeout_ms):
+            size += len(chunk)
+            if size > self._client.limits.max_answer_bytes:
+                raise BodyTooLargeError("the answer is larger than allowed")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    @callback
+    def abort(self) -> None:
+        """Break the exchange off."""
+        self._connection.abort()
+
+
+class HttpClient:
+    """Sends requests; idle connections are kept for a while and used last-in first-out."""
+
+    def __init__(
+        self, limits: ClientLimits | None = None, ssl_context: ssl.SSLContext | None = None
+    ) -> None:
+        """Start with no connection."""
+        self.limits = limits or ClientLimits()
+        self._ssl_context = ssl_context
+        self._idle: dict[str, list[ClientConnection]] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        self.close()
+
+    async def async_request(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        *,
+        may_send: MaySend | None = None,
+        fresh: bool = False,
+        head_timeout_ms: int = DEFAULT_HEAD_TIMEOUT_MS,
+    ) -> ClientAnswer:
+        """Send a request to `host:port` and return the answer once its head is there.
+
+        `may_send` is asked right before the first byte; when it says no, SendVetoedError is
+        raised and nothing was sent. `fresh` demands a new connection. Raises ConnectError when
+        nothing was sent and AnswerError when something may have been.
+        """
+        head = h11.Request(
+            method=method, target=target, headers=_request_headers(address, headers, body)
+        )
+        connection = None if fresh else self._take_idle(address)
+        if connection is None:
+            connection = await ClientConnection.async_open(address, self.limits, self._ssl_context)
+        if may_send is not None and not may_send():
+            connection.abort()
+            raise SendVetoedError(f"the request to {address} was withdrawn before it was sent")
+        try:
+            await connection.async_send(head, body)
+            answer_head = await connection.async_receive_head(head_timeout_ms)
+        except BaseException:
+            connection.abort()
+            raise
+        return ClientAnswer(self, connection, answer_head)
+
+    def _take_idle(self, address: str) -> ClientConnection | None:
+        """Return an idle connection that is young and open."""
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            age_ms = _loop_now_ms() - connection.idle_since_ms
+            if connection.is_reusable and age_ms <= self.limits.max_idle_age_ms:
+                connection.start_next_cycle()
+                return connection
+            connection.close()
+        return None
+
+    @callback
+    def release(self, connection: ClientConnection, *, whole: bool) -> None:
+        """Keep a connection for later, or drop it when its exchange was not whole."""
+        if not whole:
+            connection.abort()
+            return
+        idle = self._idle.setdefault(connection.address, [])
+        if not connection.is_reusable or len(idle) >= self.limits.idle_per_address:
+            connection.close()
+            return
+        connection.idle_since_ms = _loop_now_ms()
+        idle.append(connection)
+
+    @callback
+    def close(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
+
+
+def _loop_now_ms() -> int:
+    """Return the event loop's time."""
+    return int(asyncio.get_running_loop().time() * MS_PER_S)
+
+
+def _request_headers(
+    address: str, headers: Headers | None, body: bytes
+) -> list[tuple[bytes, bytes]]:
+    """Return a request's header fields with those of this hop."""
+    kept = headers.without(_HOP_HEADERS).raw if headers is not None else []
+    fields = [(b"host", address.encode("ascii")), *kept]
+    if body:
+        fields.append((b"content-length", str(len(body)).encode("ascii")))
+    return fields
--- /dev/null
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -0,0 +1,148 @@
+"""One connection to an endpoint or peer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import ssl
+
+import h11
+
+from wagtailusher_core import callback
+from wagtailusher_http.const import MS_PER_S, READ_SIZE_BYTES, ClientLimits
+from wagtailusher_http.exceptions import (
+    AnswerError,
+    AnswerProtocolError,
+    AnswerTruncatedError,
+    ConnectError,
+    SilentConnectionError,
+)
+
+
+class ClientConnection:
+    """Owns a socket and carries one exchange at a time."""
+
+    def __init__(
+        self,
+        address: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        limits: ClientLimits,
+    ) -> None:
+        """Take over a connected socket."""
+        self.address = address
+        self.idle_since_ms = 0
+        self._reader = reader
+        self._writer = writer
+        self._limits = limits
+        self._http = self._new_state()
+
+    def _new_state(self) -> h11.Connection:
+        """Return fresh protocol state."""
+        return h11.Connection(h11.CLIENT, max_incomplete_event_size=self._limits.max_head_bytes)
+
+    @classmethod
+    async def async_open(
+        cls, address: str, limits: ClientLimits, ssl_context: ssl.SSLContext | None
+    ) -> ClientConnection:
+        """Connect to `host:port`; raise ConnectError when that fails."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(limits.connect_timeout_ms / MS_PER_S):
+                reader, writer = await asyncio.open_connection(host, int(port), ssl=ssl_context)
+        except (OSError, ValueError) as err:
+            raise ConnectError(f"no connection to {address}: {err}") from err
+        return cls(address, reader, writer, limits)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tell whether another exchange may follow on this connection."""
+        if self._reader.at_eof() or self._writer.is_closing():
+            return False
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    @callback
+    def start_next_cycle(self) -> None:
+        """Prepare for another exchange."""
+        self._http.start_next_cycle()
+
+    @callback
+    def close(self) -> None:
+        """Close the socket; an unfinished exchange is broken off."""
+        self._writer.close()
+
+    @callback
+    def abort(self) -> None:
+        """Drop the socket at once."""
+        self._writer.transport.abort()
+
+    async def async_send(self, head: h11.Request, body: bytes) -> None:
+        """Send a whole request."""
+        parts = [self._http.send(head)]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        try:
+            self._writer.write(b"".join(part for part in parts if part))
+            async with asyncio.timeout(self._limits.send_timeout_ms / MS_PER_S):
+                await self._writer.drain()
+        except (OSError, TimeoutError) as err:
+            raise AnswerError(f"sending to {self.address} failed: {err}") from err
+
+    async def async_receive_head(self, timeout_ms: int) -> h11.Response:
+        """Read the answer's head."""
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if event is h11.NEED_DATA:
+                await self._async_read(timeout_ms)
+            elif not isinstance(event, h11.InformationalResponse):
+                raise AnswerTruncatedError(f"{self.address} closed before its answer")
+
+    async def async_iter_body(self, silence_timeout_ms: int) -> AsyncIterator[bytes]:
+        """Yield the body; data that arrived together is joined."""
+        while True:
+            pieces, ended = self._take_pieces()
+            if pieces:
+                yield pieces[0] if len(pieces) == 1 else b"".join(pieces)
+            if ended:
+                return
+            await self._async_read(silence_timeout_ms)
+
+    def _take_pieces(self) -> tuple[list[bytes], bool]:
+        """Return the parsed body data at hand and whether the answer is whole."""
+        pieces: list[bytes] = []
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                pieces.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return pieces, True
+            elif event is h11.NEED_DATA:
+                return pieces, False
+            else:
+                raise AnswerTruncatedError(f"{self.address} closed within its answer")
+
+    def _next_event(self) -> object:
+        """Return the parser's next event."""
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as err:
+            if self._reader.at_eof():
+                raise AnswerTruncatedError(f"{self.address} closed within its answer") from err
+            raise AnswerProtocolError(f"{self.address} broke the protocol: {err}") from err
+
+    async def _async_read(self, timeout_ms: int) -> None:
+        """Read what there is; raise SilentConnectionError when nothing comes."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                data = await self._reader.read(READ_SIZE_BYTES)
+        except TimeoutError as err:
+            raise SilentConnectionError(f"{self.address} was silent for {timeout_ms} ms") from err
+        except OSError as err:
+            raise AnswerTruncatedError(f"connection to {self.address} broke: {err}") from err
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as err:
+            raise AnswerProtocolError(f"{self.address} broke the protocol: {err}") from err
--- /dev/null
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -0,0 +1,45 @@
+"""Limits of HTTP connections."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+READ_SIZE_BYTES = 65536
+MS_PER_S = 1000
+
+DEFAULT_MAX_HEAD_BYTES = 32 * 1024
+DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024
+DEFAULT_MAX_CONNECTIONS = 4096
+DEFAULT_IDLE_TIMEOUT_MS = 75_000
+DEFAULT_RECEIVE_TIMEOUT_MS = 10_000
+DEFAULT_SEND_TIMEOUT_MS = 20_000
+DEFAULT_CONNECT_TIMEOUT_MS = 1_000
+DEFAULT_HEAD_TIMEOUT_MS = 30_000
+DEFAULT_SILENCE_TIMEOUT_MS = 5_000
+DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+DEFAULT_IDLE_PER_ADDRESS = 32
+DEFAULT_MAX_IDLE_AGE_MS = 15_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpLimits:
+    """Limits of the serving side."""
+
+    max_head_bytes: int = DEFAULT_MAX_HEAD_BYTES
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
+    idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
+    receive_timeout_ms: int = DEFAULT_RECEIVE_TIMEOUT_MS
+    send_timeout_ms: int = DEFAULT_SEND_TIMEOUT_MS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClientLimits:
+    """Limits of the calling side."""
+
+    max_head_bytes: int = DEFAULT_MAX_HEAD_BYTES
+    max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES
+    connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
+    send_timeout_ms: int = DEFAULT_SEND_TIMEOUT_MS
+    idle_per_address: int = DEFAULT_IDLE_PER_ADDRESS
+    max_idle_age_ms: int = DEFAULT_MAX_IDLE_AGE_MS
--- /dev/null
+++ b/packages/wagtailusher_http/src/wagtailusher_http/headers.py
@@ -0,0 +1,60 @@
+"""Ordered header fields with names that ignore case."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+RawHeader = tuple[bytes, bytes]
+
+
+class Headers:
+    """Header fields in order; names are kept in lower case."""
+
+    __slots__ = ("_raw",)
+
+    def __init__(self, items: Iterable[tuple[str, str]] = ()) -> None:
+        """Encode the given fields."""
+        self._raw: list[RawHeader] = [
+            (name.lower().encode("ascii"), value.encode("latin-1")) for name, value in items
+        ]
+
+    @classmethod
+    def from_raw(cls, raw: Iterable[RawHeader]) -> Headers:
+        """Take over fields as a parser gives them, with lower-case names."""
+        headers = cls()
+        headers._raw = [(bytes(name), bytes(value)) for name, value in raw]
+        return headers
+
+    @property
+    def raw(self) -> list[RawHeader]:
+        """Return the fields as bytes."""
+        return self._raw
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the first value of a field."""
+        wanted = name.lower().encode("ascii")
+        for key, value in self._raw:
+            if key == wanted:
+                return value.decode("latin-1")
+        return default
+
+    def without(self, names: frozenset[str]) -> Headers:
+        """Return a copy without the named fields; names are given in lower case."""
+        unwanted = {name.encode("ascii") for name in names}
+        return Headers.from_raw(item for item in self._raw if item[0] not in unwanted)
+
+    def with_field(self, name: str, value: str) -> Headers:
+        """Return a copy in which a field has only the given value."""
+        copy = self.without(frozenset({name.lower()}))
+        copy._raw.append((name.lower().encode("ascii"), value.encode("latin-1")))
+        return copy
+
+    def __iter__(self) -> Iterator[tuple[str, str]]:
+        for name, value in self._raw:
+            yield name.decode("ascii"), value.decode("latin-1")
+
+    def __contains__(self, name: str) -> bool:
+        return self.get(name) is not None
+
+    def __repr__(self) -> str:
+        return f"Headers({list(self)!r})"
--- /dev/null
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server.py
@@ -0,0 +1,108 @@
+"""The serving side: accepts connections and hands each to a task of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import logging
+import ssl
+
+from wagtailusher_core import callback
+from wagtailusher_http.const import MS_PER_S, HttpLimits
+from wagtailusher_http.messages import Request, Response
+from wagtailusher_http.server_connection import ServerConnection
+
+_LOGGER = logging.getLogger(__name__)
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class HttpServer:
+    """A listening socket and the tasks of its connections."""
+
+    def __init__(self, handler: Handler, limits: HttpLimits) -> None:
+        """Prepare a server that listens nowhere yet."""
+        self._handler = handler
+        self._limits = limits
+        self._server: asyncio.Server | None = None
+        self._connections: dict[ServerConnection, asyncio.Task[None]] = {}
+        self._draining = False
+
+    @property
+    def port(self) -> int:
+        """Return the port that the kernel gave."""
+        if self._server is None:
+            return 0
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    async def async_start(self, host: str, port: int, ssl_context: ssl.SSLContext | None) -> None:
+        """Listen on an address."""
+        self._server = await asyncio.start_server(
+            self._async_accept, host, port, ssl=ssl_context, backlog=1024
+        )
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until it ends."""
+        if self._draining or len(self._connections) >= self._limits.max_connections:
+            writer.close()
+            return
+        connection = ServerConnection(reader, writer, self._handler, self._limits)
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections[connection] = task
+        try:
+            await connection.async_run()
+        except asyncio.CancelledError:
+            # The stream callback of asyncio logs a cancelled task as an error.
+            _LOGGER.debug("HTTP server: connection from %s was ended", connection.peer)
+        finally:
+            self._connections.pop(connection, None)
+
+    @callback
+    def refuse_new(self) -> None:
+        """Stop accepting; connections close after the answer in progress."""
+        self._draining = True
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self._connections):
+            connection.close_when_idle()
+
+    async def async_drain(self, grace_ms: int) -> bool:
+        """Let answers in progress finish; return whether all did within the grace."""
+        self.refuse_new()
+        if not self._connections:
+            return True
+        _, pending = await asyncio.wait(
+            tuple(self._connections.values()), timeout=grace_ms / MS_PER_S
+        )
+        return not pending
+
+    async def async_close(self) -> None:
+        """End every connection at once."""
+        self.refuse_new()
+        tasks = tuple(self._connections.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def async_serve(
+    handler: Handler,
+    *,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    limits: HttpLimits | None = None,
+    ssl_context: ssl.SSLContext | None = None,
+) -> HttpServer:
+    """Serve a handler and return the listening server."""
+    server = HttpServer(handler, limits or HttpLimits())
+    await server.async_start(host, port, ssl_context)
+    return server
--- /dev/null
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -0,0 +1,251 @@
+"""One connection of a caller: a task that owns the socket and its HTTP state."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
+from http import HTTPStatus
+import logging
+
+import h11
+
+from wagtailusher_core import ErrorCode, WagtailusherError, callback
+from wagtailusher_http.const import MS_PER_S, READ_SIZE_BYTES, HttpLimits
+from wagtailusher_http.exceptions import BodyTooLargeError, RequestTimeoutError
+from wagtailusher_http.headers import Headers
+from wagtailusher_http.messages import Request, Response, error_response
+
+_LOGGER = logging.getLogger(__name__)
+
+_MAX_PIPELINED_BYTES = 65536
+
+
+class ServerConnection:
+    """Reads requests one after the other and writes their responses."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: Callable[[Request], Awaitable[Response]],
+        limits: HttpLimits,
+    ) -> None:
+        """Take over an accepted socket."""
+        self._reader = reader
+        self._writer = writer
+        self._handler = handler
+        self._limits = limits
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
+        self._closing = False
+        self._busy = False
+        peername = writer.get_extra_info("peername")
+        self.peer = f"{peername[0]}:{peername[1]}" if peername else "unknown"
+
+    @callback
+    def close_when_idle(self) -> None:
+        """Close now, or after the answer in progress."""
+        self._closing = True
+        if not self._busy:
+            self._writer.close()
+
+    async def async_run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while await self._async_serve_one():
+                self._http.start_next_cycle()
+        except (OSError, asyncio.IncompleteReadError):
+            _LOGGER.debug("HTTP server: connection from %s broke", self.peer)
+        finally:
+            self._writer.close()
+
+    async def _async_serve_one(self) -> bool:
+        """Serve one request; return whether the connection may carry another."""
+        try:
+            request = await self._async_receive()
+        except h11.RemoteProtocolError as err:
+            await self._async_refuse_malformed(err)
+            return False
+        except (BodyTooLargeError, RequestTimeoutError) as err:
+            await self._async_refuse(err)
+            return False
+        if request is None:
+            return False
+        self._busy = True
+        try:
+            await self._async_answer(request)
+        finally:
+            self._busy = False
+        if self._closing or self._http.our_state is not h11.DONE:
+            return False
+        return self._http.their_state is h11.DONE
+
+    async def _async_receive(self) -> Request | None:
+        """Read one whole request, or None when the caller is done."""
+        head = await self._async_receive_head()
+        if head is None:
+            return None
+        try:
+            async with asyncio.timeout(self._limits.receive_timeout_ms / MS_PER_S):
+                body = await self._async_receive_body()
+        except TimeoutError as err:
+            raise RequestTimeoutError("the request's body did not arrive in time") from err
+        if body is None:
+            return None
+        return Request(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("ascii"),
+            headers=Headers.from_raw(head.headers),
+            body=body,
+            peer=self.peer,
+        )
+
+    async def _async_receive_head(self) -> h11.Request | None:
+        """Read a request's head; an idle connection ends without an answer."""
+        try:
+            async with asyncio.timeout(self._limits.idle_timeout_ms / MS_PER_S):
+                event = await self._async_next_event()
+        except TimeoutError:
+            return None
+        return event if isinstance(event, h11.Request) else None
+
+    async def _async_receive_body(self) -> bytes | None:
+        """Read a body up to the limit, or None when the caller leaves within it."""
+        if self._http.they_are_waiting_for_100_continue:
+            await self._async_write(
+                h11.InformationalResponse(status_code=HTTPStatus.CONTINUE, headers=[])
+            )
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._async_next_event()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.max_body_bytes:
+                    raise BodyTooLargeError(
+                        f"the body is larger than {self._limits.max_body_bytes} bytes"
+                    )
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(chunks)
+            else:
+                return None
+
+    async def _async_next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next parsed event, reading as needed."""
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            self._http.receive_data(await self._reader.read(READ_SIZE_BYTES))
+
+    async def _async_answer(self, request: Request) -> None:
+        """Run the handler and send its response, unless the caller leaves first."""
+        answering = asyncio.create_task(self._async_handle_and_send(request))
+        watching = asyncio.create_task(self._async_watch_for_end())
+        try:
+            await asyncio.wait((answering, watching), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (answering, watching):
+                task.cancel()
+            await asyncio.gather(answering, watching, return_exceptions=True)
+
+    async def _async_watch_for_end(self) -> None:
+        """Return when the caller closes its side; keep what it pipelines."""
+        pipelined = 0
+        while pipelined < _MAX_PIPELINED_BYTES:
+            data = await self._reader.read(READ_SIZE_BYTES)
+            if not data:
+                return
+            pipelined += len(data)
+            self._http.receive_data(data)
+
+    async def _async_handle_and_send(self, request: Request) -> None:
+        """Send what the handler answers; an unforeseen error is answered with a code."""
+        try:
+            response = await self._handler(request)
+        except WagtailusherError as err:
+            response = error_response(HTTPStatus.INTERNAL_SERVER_ERROR, err.code, err.message)
+        except Exception:
+            _LOGGER.exception("HTTP server: handler of %s failed", request.path)
+            response = error_response(
+                HTTPStatus.INTERNAL_SERVER_ERROR, ErrorCode.INTERNAL, "unexpected error"
+            )
+        await self._async_send(response)
+
+    async def _async_send(self, response: Response) -> None:
+        """Send a response."""
+        if isinstance(response.body, bytes):
+            await self._async_send_whole(response, response.body)
+            return
+        await self._async_send_stream(response, response.body)
+
+    async def _async_send_whole(self, response: Response, body: bytes) -> None:
+        """Send a response with a known length."""
+        headers = response.headers.with_field("content-length", str(len(body)))
+        head = h11.Response(status_code=response.status, headers=self._final(headers).raw)
+        parts = [self._http.send(head), self._http.send(h11.Data(data=body))]
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self._writer.write(b"".join(part for part in parts if part))
+        await self._async_drain()
+
+    async def _async_send_stream(self, response: Response, chunks: AsyncIterator[bytes]) -> None:
+        """Send a stream; when it raises, close without the end marker."""
+        head = h11.Response(status_code=response.status, headers=self._final(response.headers).raw)
+        try:
+            await self._async_write(head)
+            async for chunk in chunks:
+                await self._async_write(h11.Data(data=chunk))
+            await self._async_write(h11.EndOfMessage())
+        except WagtailusherError as err:
+            _LOGGER.info("HTTP server: stream to %s was broken off: %s", self.peer, err.code)
+            self._closing = True
+        finally:
+            aclose = getattr(chunks, "aclose", None)
+            if aclose is not None:
+                await aclose()
+
+    def _final(self, headers: Headers) -> Headers:
+        """Return the headers, marked when the connection is about to close."""
+        return headers.with_field("connection", "close") if self._closing else headers
+
+    async def _async_write(self, event: h11.Event) -> None:
+        """Write one event."""
+        data = self._http.send(event)
+        if data:
+            self._writer.write(data)
+            await self._async_drain()
+
+    async def _async_drain(self) -> None:
+        """Wait until the caller has taken enough; one that takes nothing is cut off."""
+        if not self._writer.transport.get_write_buffer_size():
+            return
+        try:
+            async with asyncio.timeout(self._limits.send_timeout_ms / MS_PER_S):
+                await self._writer.drain()
+        except TimeoutError:
+            _LOGGER.info("HTTP server: %s stopped reading", self.peer)
+            self._writer.transport.abort()
+            raise ConnectionAbortedError from None
+
+    async def _async_refuse_malformed(self, err: h11.RemoteProtocolError) -> None:
+        """Answer what could not be parsed."""
+        status = err.error_status_hint
+        code = ErrorCode.BAD_REQUEST
+        if status == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+            code = ErrorCode.HEADERS_TOO_LARGE
+        await self._async_send_last(error_response(status, code, str(err)))
+
+    async def _async_refuse(self, err: WagtailusherError) -> None:
+        """Answer a request that was too large or too slow."""
+        too_large = err.code is ErrorCode.BODY_TOO_LARGE
+        status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE if too_large else HTTPStatus.REQUEST_TIMEOUT
+        await self._async_send_last(error_response(status, err.code, err.message))
+
+    async def _async_send_last(self, response: Response) -> None:
+        """Send a response after which the connection closes."""
+        self._closing = True
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        with suppress(h11.LocalProtocolError, OSError):
+            await self._async_send(response)
--- /dev/null
+++ b/tests/wagtailusher_http/test_server.py
@@ -0,0 +1,134 @@
+"""Tests of the serving side against raw bytes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import json
+import unittest
+
+from wagtailusher_core import ErrorCode, WagtailusherError
+from wagtailusher_http import (
+    AnswerTruncatedError,
+    ConnectError,
+    HttpClient,
+    HttpLimits,
+    HttpServer,
+    Request,
+    Response,
+    SendVetoedError,
+    SilentConnectionError,
+    async_serve,
+    json_response,
+)
+
+LIMITS = HttpLimits(max_head_bytes=2048, max_body_bytes=4096, receive_timeout_ms=300)
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """Each bad input gets a coded answer and the server lives on."""
+
+    async def asyncSetUp(self) -> None:
+        self.cancelled = asyncio.Event()
+        self.entered = asyncio.Event()
+        self.server: HttpServer = await async_serve(self._async_handle, limits=LIMITS)
+        self.address = f"127.0.0.1:{self.server.port}"
+        self.client = HttpClient()
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        await self.server.async_close()
+
+    async def _async_handle(self, request: Request) -> Response:
+        self.entered.set()
+        if request.path == "/hang":
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                self.cancelled.set()
+                raise
+        if request.path == "/stream":
+            return Response(body=self._async_stream(broken="broken" in request.query))
+        if request.path == "/bug":
+            raise ZeroDivisionError
+        return json_response(200, {"path": request.path, "size": len(request.body)})
+
+    async def _async_stream(self, *, broken: bool) -> AsyncIterator[bytes]:
+        for number in range(3):
+            yield f"part {number};".encode()
+            await asyncio.sleep(0)
+        if broken:
+            raise WagtailusherError("upstream broke")
+
+    async def _async_raw(self, data: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(data)
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    async def _async_error_code(self, data: bytes) -> str:
+        answer = await self._async_raw(data)
+        code: str = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]["code"]
+        return code
+
+    async def test_malformed_input_gets_codes(self) -> None:
+        oversized_head = b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 5000
+        oversized_body = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9999\r\n\r\n" + b"z" * 9999
+        unfinished = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc"
+        cases = {
+            b"\x00\xff garbage\r\n\r\n": ErrorCode.BAD_REQUEST,
+            b"GET / HTTP/1.1\r\n\r\n": ErrorCode.BAD_REQUEST,
+            oversized_head: ErrorCode.HEADERS_TOO_LARGE,
+            oversized_body: ErrorCode.BODY_TOO_LARGE,
+            unfinished: ErrorCode.BAD_REQUEST,
+            b"GET /bug HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n": ErrorCode.INTERNAL,
+        }
+        for data, expected in cases.items():
+            with self.subTest(data=data[:30]):
+                self.assertEqual(await self._async_error_code(data), expected)
+        answer = await self.client.async_request(self.address, "GET", "/alive")
+        self.assertEqual(json.loads(await answer.async_read())["path"], "/alive")
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        one = b"GET /%d HTTP/1.1\r\nhost: a\r\n%s\r\n"
+        data = one % (1, b"") + one % (2, b"") + one % (3, b"connection: close\r\n")
+        answer = await self._async_raw(data)
+        self.assertEqual([answer.count(b'"/%d"' % n) for n in (1, 2, 3)], [1, 1, 1])
+
+    async def test_caller_that_leaves_cancels_the_handler(self) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GET /hang HTTP/1.1\r\nhost: a\r\n\r\n")
+        await self.entered.wait()
+        writer.close()
+        await asyncio.wait_for(self.cancelled.wait(), 5)
+
+    async def test_drain_waits_for_the_answer_in_progress(self) -> None:
+        request = asyncio.create_task(self.client.async_request(self.address, "GET", "/hang"))
+        await self.entered.wait()
+        self.assertFalse(await self.server.async_drain(grace_ms=20))
+        with self.assertRaises(ConnectError):
+            await HttpClient().async_request(self.address, "GET", "/late")
+        request.cancel()
+
+    async def test_stream_is_whole_or_broken(self) -> None:
+        answer = await self.client.async_request(self.address, "GET", "/stream")
+        self.assertEqual(await answer.async_read(), b"part 0;part 1;part 2;")
+        answer = await self.client.async_request(self.address, "GET", "/stream?broken=1")
+        with self.assertRaises(AnswerTruncatedError):
+            await answer.async_read()
+
+    async def test_client_reuses_and_vetoes(self) -> None:
+        for _ in range(3):
+            await (await self.client.async_request(self.address, "GET", "/a")).async_read()
+        self.assertEqual(self.server.connection_count, 1)
+        with self.assertRaises(SendVetoedError):
+            await self.client.async_request(self.address, "GET", "/a", may_send=lambda: False)
+
+    async def test_silence_is_found(self) -> None:
+        with self.assertRaises(SilentConnectionError):
+            await self.client.async_request(self.address, "GET", "/hang", head_timeout_ms=30)
+
+
+if __name__ == "__main__":
+    unittest.main()
