Add stand-ins of a model engine and a booking service

Cause: outside systems are met through their published protocol. Before: nothing to route to. After: an engine with batching, cold start, crash, silence, resume, cancel and garbage, and a booking service that counts executions. Conclusion: the thin path can be run against them.

--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, on real sockets."""
--- /dev/null
+++ b/tests/standins/booking.py
@@ -0,0 +1,71 @@
+"""A stand-in of a plain booking service that counts what it executes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+import json
+
+from wagtailusher_core import ErrorCode
+from wagtailusher_http import (
+    HttpServer,
+    Request,
+    Response,
+    async_serve,
+    error_response,
+    json_response,
+)
+
+MS_PER_S = 1000
+
+
+@dataclass(slots=True, kw_only=True)
+class BookingBehaviour:
+    """How the service behaves; a test changes it while the service runs."""
+
+    service_ms: int = 10
+    silent_after_execution: bool = False
+
+
+class BookingStandin:
+    """Executes bookings, without any check of its own against repeats."""
+
+    def __init__(self, service_id: str, behaviour: BookingBehaviour | None = None) -> None:
+        """Prepare a service that does not listen yet."""
+        self.service_id = service_id
+        self.behaviour = behaviour or BookingBehaviour()
+        self.executions: Counter[str] = Counter()
+        self._server: HttpServer | None = None
+        self._port = 0
+
+    @property
+    def address(self) -> str:
+        """Return the address as `host:port`."""
+        return f"127.0.0.1:{self._port}"
+
+    async def async_start(self) -> None:
+        """Listen, after a stop on the same port."""
+        self._server = await async_serve(self._async_handle, port=self._port)
+        self._port = self._server.port
+
+    async def async_stop(self) -> None:
+        """Break every connection off."""
+        if self._server is not None:
+            await self._server.async_close()
+
+    async def _async_handle(self, request: Request) -> Response:
+        """Execute a booking or report the executions."""
+        if request.path == "/executions":
+            return json_response(200, dict(self.executions))
+        if request.path == "/load":
+            return json_response(200, {"running": 0, "waiting": 0, "cold": False})
+        try:
+            booking_id = str(json.loads(request.body)["booking_id"])
+        except (ValueError, KeyError, TypeError):
+            return error_response(400, ErrorCode.BAD_REQUEST, "a booking needs a booking_id")
+        self.executions[booking_id] += 1
+        if self.behaviour.silent_after_execution:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.behaviour.service_ms / MS_PER_S)
+        return json_response(200, {"booked": booking_id})
--- /dev/null
+++ b/tests/standins/engine.py
@@ -0,0 +1,290 @@
+"""A stand-in of a model engine: streams tokens at a set pace over its published HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+import json
+import time
+
+from wagtailusher_core import ErrorCode, WagtailusherError
+from wagtailusher_http import (
+    Headers,
+    HttpServer,
+    Request,
+    Response,
+    async_serve,
+    error_response,
+    json_response,
+)
+
+MS_PER_S = 1000
+END_MARKER = b"data: [DONE]\n\n"
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineBehaviour:
+    """How the engine behaves; a test changes it while the engine runs."""
+
+    first_token_ms: int = 20
+    between_tokens_ms: int = 5
+    default_tokens: int = 8
+    concurrency_limit: int = 8
+    cold: bool = False
+    cold_limit: int = 1
+    cold_requests_left: int = 0
+    silent_after_tokens: int | None = None
+    garbage: bool = False
+    stop_after_tokens: int | None = None
+    crossed: bool = False
+    crash_word: str | None = None
+    report_lag_ms: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineCounters:
+    """What the engine saw."""
+
+    started: int = 0
+    completed: int = 0
+    cancelled: int = 0
+    resumed: int = 0
+    crashes: int = 0
+    collapsed: int = 0
+    most_in_flight: int = 0
+    most_in_flight_cold: int = 0
+    started_at_ms: list[int] = field(default_factory=list)
+
+
+class Generation:
+    """The events of one answer, which any number of connections may read."""
+
+    def __init__(self, request_id: str) -> None:
+        """Start without events."""
+        self.request_id = request_id
+        self.cancelled = False
+        self._events: list[bytes] = []
+        self._changed = asyncio.Condition()
+
+    async def async_append(self, event: bytes) -> None:
+        """Add an event and wake the readers."""
+        async with self._changed:
+            self._events.append(event)
+            self._changed.notify_all()
+
+    async def async_events(self, offset: int) -> AsyncIterator[bytes]:
+        """Yield the events from an offset on, as they appear, up to the end marker."""
+        while True:
+            async with self._changed:
+                while len(self._events) <= offset:
+                    await self._changed.wait()
+            event = self._events[offset]
+            yield event
+            if event == END_MARKER:
+                return
+            offset += 1
+
+
+class EngineStandin:
+    """An engine that batches continuously, and collapses under load while it is cold."""
+
+    def __init__(self, engine_id: str, behaviour: EngineBehaviour | None = None) -> None:
+        """Prepare an engine that does not listen yet."""
+        self.engine_id = engine_id
+        self.behaviour = behaviour or EngineBehaviour()
+        self.counters = EngineCounters()
+        self.incarnation = 1
+        self._generations: dict[str, Generation] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._in_flight = 0
+        self._server: HttpServer | None = None
+        self._port = 0
+
+    @property
+    def address(self) -> str:
+        """Return the address as `host:port`."""
+        return f"127.0.0.1:{self._port}"
+
+    async def async_start(self, port: int = 0) -> None:
+        """Listen; after a crash on the same port."""
+        self._server = await async_serve(self._async_handle, port=port or self._port)
+        self._port = self._server.port
+
+    async def async_stop(self) -> None:
+        """Break every connection off, as a crash does."""
+        if self._server is not None:
+            await self._server.async_close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._in_flight = 0
+        self._generations.clear()
+
+    async def async_crash(self, down_ms: int = 200) -> None:
+        """Crash and come back cold."""
+        self.counters.crashes += 1
+        await self.async_stop()
+        await asyncio.sleep(down_ms / MS_PER_S)
+        self.incarnation += 1
+        self.behaviour.cold = True
+        await self.async_start()
+
+    async def _async_handle(self, request: Request) -> Response:
+        """Serve one request of the published interface."""
+        if request.path == "/v1/chat/completions":
+            return await self._async_complete(request)
+        if request.path == "/load":
+            return json_response(200, self._load())
+        parts = request.path.strip("/").split("/")
+        if parts[:2] == ["v1", "requests"] and parts[3:] == ["cancel"]:
+            self._cancel(parts[2])
+            return json_response(200, {"cancelled": parts[2]})
+        if parts[:2] == ["v1", "requests"] and parts[3:] == ["stream"]:
+            return self._resume(parts[2], int(request.query.get("offset", "0")))
+        return error_response(404, ErrorCode.BAD_REQUEST, "no such path")
+
+    def _cancel(self, request_id: str) -> None:
+        """Stop a generation before its next token."""
+        generation = self._generations.get(request_id)
+        if generation is not None:
+            generation.cancelled = True
+
+    def _load(self) -> dict[str, object]:
+        """Return the load report."""
+        limit = self.behaviour.concurrency_limit
+        return {
+            "running": min(self._in_flight, limit),
+            "waiting": max(0, self._in_flight - limit),
+            "kv_used_share": min(1.0, self._in_flight / limit),
+            "cold": self.behaviour.cold,
+            "incarnation": self.incarnation,
+            "age_ms": self.behaviour.report_lag_ms,
+        }
+
+    async def _async_complete(self, request: Request) -> Response:
+        """Run one chat completion."""
+        value = json.loads(request.body)
+        request_id = request.headers.get("x-request-id") or "none"
+        self._count_start()
+        if self._collapses() or self._crashes_on(value):
+            asyncio.get_running_loop().create_task(self.async_crash())
+            await asyncio.Event().wait()
+        if self.behaviour.garbage:
+            return Response(body=b"\x00garbage", headers=Headers([("content-type", "x/y")]))
+        tokens = int(value.get("max_tokens") or self.behaviour.default_tokens)
+        echoed = "someone-else" if self.behaviour.crossed else request_id
+        headers = Headers([("x-request-id", echoed)])
+        stream = self._async_first_stream(self._start_generation(request_id, tokens))
+        if value.get("stream"):
+            headers = headers.with_field("content-type", "text/event-stream")
+            return Response(headers=headers, body=stream)
+        text = "".join([_text_of(chunk) async for chunk in stream])
+        return json_response(200, _whole_answer(request_id, text, tokens), headers)
+
+    def _count_start(self) -> None:
+        """Count a request that reached the engine."""
+        self._in_flight += 1
+        counters = self.counters
+        counters.started += 1
+        counters.started_at_ms.append(int(time.monotonic() * MS_PER_S))
+        counters.most_in_flight = max(counters.most_in_flight, self._in_flight)
+        if self.behaviour.cold:
+            counters.most_in_flight_cold = max(counters.most_in_flight_cold, self._in_flight)
+
+    def _collapses(self) -> bool:
+        """Tell whether a cold engine falls over under this load."""
+        if not self.behaviour.cold or self._in_flight <= self.behaviour.cold_limit:
+            return False
+        self.counters.collapsed += 1
+        return True
+
+    def _crashes_on(self, value: dict[str, object]) -> bool:
+        """Tell whether this request crashes the engine."""
+        word = self.behaviour.crash_word
+        return word is not None and word in json.dumps(value)
+
+    def _start_generation(self, request_id: str, tokens: int) -> Generation:
+        """Start a generation, which goes on whatever becomes of the connection."""
+        generation = Generation(request_id)
+        self._generations[request_id] = generation
+        task = asyncio.get_running_loop().create_task(self._async_generate(generation, tokens))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return generation
+
+    async def _async_generate(self, generation: Generation, tokens: int) -> None:
+        """Append events at the engine's pace until done or cancelled."""
+        try:
+            await asyncio.sleep(self.behaviour.first_token_ms / MS_PER_S)
+            for number in range(tokens):
+                if generation.cancelled:
+                    self.counters.cancelled += 1
+                    return
+                await generation.async_append(_event(generation.request_id, f"t{number} "))
+                await asyncio.sleep(self._between_tokens_ms() / MS_PER_S)
+            self._warm_up()
+            self.counters.completed += 1
+            await generation.async_append(END_MARKER)
+        finally:
+            self._in_flight = max(0, self._in_flight - 1)
+
+    def _between_tokens_ms(self) -> float:
+        """Return the pace, slower above the concurrency limit."""
+        crowding = max(1.0, self._in_flight / self.behaviour.concurrency_limit)
+        return self.behaviour.between_tokens_ms * crowding
+
+    def _warm_up(self) -> None:
+        """Count a completed request towards the end of the cold start."""
+        behaviour = self.behaviour
+        if not behaviour.cold:
+            return
+        behaviour.cold_requests_left = max(0, behaviour.cold_requests_left - 1)
+        behaviour.cold = behaviour.cold_requests_left > 0
+
+    def _resume(self, request_id: str, offset: int) -> Response:
+        """Stream an answer again from an event number."""
+        generation = self._generations.get(request_id)
+        if generation is None:
+            return error_response(404, ErrorCode.BAD_REQUEST, "no such request")
+        self.counters.resumed += 1
+        headers = Headers([("x-request-id", request_id), ("content-type", "text/event-stream")])
+        return Response(headers=headers, body=generation.async_events(offset))
+
+    async def _async_first_stream(self, generation: Generation) -> AsyncIterator[bytes]:
+        """Yield a new answer's events, with the faults of this connection."""
+        number = 0
+        async for event in generation.async_events(0):
+            if number == self.behaviour.silent_after_tokens:
+                await asyncio.Event().wait()
+            if number == self.behaviour.stop_after_tokens:
+                raise WagtailusherError("the engine stopped halfway")
+            yield event
+            number += 1
+
+
+def _event(request_id: str, text: str) -> bytes:
+    """Return one server-sent event of a stream."""
+    value = {
+        "id": request_id,
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": text}}],
+    }
+    return b"data: " + json.dumps(value, separators=(",", ":")).encode() + b"\n\n"
+
+
+def _text_of(event: bytes) -> str:
+    """Return the text that an event carries."""
+    if event == END_MARKER:
+        return ""
+    text: str = json.loads(event.removeprefix(b"data: "))["choices"][0]["delta"]["content"]
+    return text
+
+
+def _whole_answer(request_id: str, text: str, tokens: int) -> dict[str, object]:
+    """Return the answer of a request that does not stream."""
+    return {
+        "id": request_id,
+        "object": "chat.completion",
+        "choices": [{"index": 0, "message": {"role": "assistant", "content": text}}],
+        "usage": {"completion_tokens": tokens},
+    }
