--- a/packages/wagtailusher_placement/src/wagtailusher_placement/__init__.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/__init__.py
@@ -1,1 +1,52 @@
 """Endpoint choice, stewards, leases, cold start and stragglers, without sockets."""
+
+from __future__ import annotations
+
+from wagtailusher_placement.baselines import (
+    Chooser,
+    choose_least_in_flight,
+    choose_least_reported,
+    choose_random,
+    choose_round_robin,
+)
+from wagtailusher_placement.decider import PlacementDecider
+from wagtailusher_placement.endpoints import (
+    CandidateScore,
+    Choice,
+    EndOfWork,
+    EndpointInfo,
+    EndpointKind,
+    EndpointState,
+    EndpointView,
+    PlacementRequest,
+)
+from wagtailusher_placement.leases import LeaseGrant, LeaseLimits, LeaseRecall, LeaseRequest
+from wagtailusher_placement.reports import CacheEvent, LoadReport
+from wagtailusher_placement.scoring import choose_by_score
+from wagtailusher_placement.steward import StewardDecider, steward_of
+
+__all__ = [
+    "CacheEvent",
+    "CandidateScore",
+    "Choice",
+    "Chooser",
+    "EndOfWork",
+    "EndpointInfo",
+    "EndpointKind",
+    "EndpointState",
+    "EndpointView",
+    "LeaseGrant",
+    "LeaseLimits",
+    "LeaseRecall",
+    "LeaseRequest",
+    "LoadReport",
+    "PlacementDecider",
+    "PlacementRequest",
+    "StewardDecider",
+    "choose_by_score",
+    "choose_least_in_flight",
+    "choose_least_reported",
+    "choose_random",
+    "choose_round_robin",
+    "steward_of",
+]
--- /dev/null
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/leases.py
@@ -0,0 +1,73 @@
+"""Messages between the holders of leases and an endpoint's steward."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from wagtailusher_core import EndpointId, VmId
+from wagtailusher_placement.const import (
+    DEFAULT_CLOCK_MARGIN_MS,
+    DEFAULT_LEASE_LIFETIME_MS,
+    DEFAULT_LEASE_RENEWAL_MS,
+    DEFAULT_LIST_LAG_MS,
+    DEFAULT_PAUSE_TOLERANCE_MS,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseLimits:
+    """The times that leases depend on; every VM of a fleet uses the same."""
+
+    lifetime_ms: int = DEFAULT_LEASE_LIFETIME_MS
+    renewal_ms: int = DEFAULT_LEASE_RENEWAL_MS
+    list_lag_ms: int = DEFAULT_LIST_LAG_MS
+    pause_tolerance_ms: int = DEFAULT_PAUSE_TOLERANCE_MS
+    clock_margin_ms: int = DEFAULT_CLOCK_MARGIN_MS
+
+    @property
+    def settling_ms(self) -> int:
+        """Return the time after which no lease of an earlier steward can be valid."""
+        return self.list_lag_ms + self.pause_tolerance_ms + self.lifetime_ms + self.clock_margin_ms
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseRequest:
+    """A holder's renewal: what it holds, uses and could use at one endpoint.
+
+    `confirms` is the sequence of the last grant that the holder applied. `list_version` is the
+    version of the published list that the holder goes by, 0 where there is none.
+    """
+
+    node_id: VmId
+    endpoint_id: EndpointId
+    held: int
+    in_flight: int
+    demand_by_tier: tuple[int, ...]
+    sequence: int
+    confirms: int = 0
+    suspects_cold: bool = False
+    good_first_tokens: int = 0
+    list_version: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseGrant:
+    """A steward's answer; `sequence` is that of the request, from whose sending the lease runs."""
+
+    steward_id: VmId
+    endpoint_id: EndpointId
+    credits: int
+    lifetime_ms: int
+    cold: bool
+    sequence: int
+    steward_epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseRecall:
+    """A steward's word that an endpoint turned cold: leases on it are void at once."""
+
+    steward_id: VmId
+    node_id: VmId
+    endpoint_id: EndpointId
+    steward_epoch: int
