Parse and resolve the tree of settings

The deciders need effective values per class, and operators need every fault of a document at once. Faults carry key, line and column. SettingsKeeper keeps the highest valid revision and refuses another content under the revision in force.

--- /dev/null
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/keeper.py
@@ -0,0 +1,127 @@
+"""The accepted settings of one process, which never go back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from wagtailusher_core import ErrorCode, Revision
+from wagtailusher_settings.errors import Problem, SettingsError
+from wagtailusher_settings.parse import parse_settings
+from wagtailusher_settings.settings import Settings
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """The document is in force."""
+
+    settings: Settings
+    at_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """The document is not in force; the last good one stays."""
+
+    code: ErrorCode
+    problems: tuple[Problem, ...]
+    revision: Revision | None
+    at_ms: int
+    count: int = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ignored:
+    """The document is what is in force already, or older; `stale` tells which."""
+
+    revision: Revision
+    stale: bool
+
+
+class SettingsKeeper:
+    """Takes documents in any order and keeps the highest valid revision."""
+
+    def __init__(self) -> None:
+        """Start without settings."""
+        self._current: Settings | None = None
+        self._applied_ms: int | None = None
+        self._refusal: Refused | None = None
+        self._refused_digest: bytes | None = None
+
+    @property
+    def current(self) -> Settings | None:
+        """Return the settings in force."""
+        return self._current
+
+    @property
+    def applied_ms(self) -> int | None:
+        """Return when the settings in force were applied."""
+        return self._applied_ms
+
+    @property
+    def refusal(self) -> Refused | None:
+        """Return the last refusal, until a newer document is applied."""
+        return self._refusal
+
+    def offer(self, content: bytes, now_ms: int) -> Applied | Refused | Ignored:
+        """Apply a document if it is valid and higher than the one in force."""
+        digest = blake2b(content, digest_size=16).digest()
+        current = self._current
+        if current is not None and digest == current.content_digest:
+            return Ignored(revision=current.revision, stale=False)
+        if self._refusal is not None and digest == self._refused_digest:
+            return self._refuse_again(self._refusal, now_ms)
+        try:
+            offered = parse_settings(content, previous=current)
+        except SettingsError as error:
+            return self._refuse(error.code, error.problems, None, digest, now_ms)
+        if current is not None and offered.revision < current.revision:
+            return Ignored(revision=offered.revision, stale=True)
+        if current is not None and offered.revision == current.revision:
+            return self._refuse_twin(offered, digest, now_ms)
+        self._current = offered
+        self._applied_ms = now_ms
+        self._refusal = None
+        self._refused_digest = None
+        return Applied(settings=offered, at_ms=now_ms)
+
+    def _refuse_twin(self, offered: Settings, digest: bytes, now_ms: int) -> Refused | Ignored:
+        """Refuse a document that has the revision in force and another content."""
+        current = self._current
+        if current is not None and _same_tree(offered, current):
+            return Ignored(revision=offered.revision, stale=False)
+        reason = f"revision {offered.revision} is in force with another content"
+        problem = Problem(key="revision", reason=reason)
+        code = ErrorCode.SETTINGS_STALE
+        return self._refuse(code, (problem,), offered.revision, digest, now_ms)
+
+    def _refuse(
+        self,
+        code: ErrorCode,
+        problems: tuple[Problem, ...],
+        revision: Revision | None,
+        digest: bytes,
+        now_ms: int,
+    ) -> Refused:
+        """Keep a refusal for operators."""
+        refusal = Refused(code=code, problems=problems, revision=revision, at_ms=now_ms)
+        self._refusal = refusal
+        self._refused_digest = digest
+        return refusal
+
+    def _refuse_again(self, refusal: Refused, now_ms: int) -> Refused:
+        """Count one more offer of the document that was refused last."""
+        again = Refused(
+            code=refusal.code,
+            problems=refusal.problems,
+            revision=refusal.revision,
+            at_ms=now_ms,
+            count=refusal.count + 1,
+        )
+        self._refusal = again
+        return again
+
+
+def _same_tree(one: Settings, other: Settings) -> bool:
+    """Return whether two documents of unlike form say the same."""
+    return one.fleet_node == other.fleet_node and dict(one.workspaces) == dict(other.workspaces)
--- /dev/null
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/parse.py
@@ -0,0 +1,185 @@
+"""From the bytes of a document to settings, with every problem at once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Any, TypeVar
+
+import msgspec
+from pydantic import BaseModel, ValidationError
+
+from wagtailusher_core import Revision, WorkspaceId
+from wagtailusher_settings.checks import Fault, check_api_keys, check_fleet, check_workspace
+from wagtailusher_settings.const import MAX_DOCUMENT_BYTES, MAX_REPORTED_PROBLEMS
+from wagtailusher_settings.document import (
+    Path,
+    format_path,
+    is_json,
+    load_document,
+    load_json,
+    locate,
+)
+from wagtailusher_settings.errors import Problem, SettingsError
+from wagtailusher_settings.schema import (
+    FleetModel,
+    HeaderModel,
+    NameModel,
+    WorkspaceModel,
+)
+from wagtailusher_settings.settings import Settings
+from wagtailusher_settings.tree import FleetNode, WorkspaceNode, build_fleet, build_workspace
+
+ModelT = TypeVar("ModelT", bound=BaseModel)
+
+_HEADER_KEYS = frozenset(HeaderModel.model_fields)
+_TOP_KEYS = _HEADER_KEYS | {"fleet", "workspaces"}
+
+
+@dataclass(slots=True, kw_only=True)
+class _Sections:
+    """The parts of a document; workspaces are raw bytes where it is canonical JSON."""
+
+    header: dict[str, Any]
+    fleet: Any
+    workspaces: Mapping[str, Any]
+    fleet_digest: bytes | None = None
+    digests: dict[WorkspaceId, bytes] = field(default_factory=dict)
+    faults: list[Fault] = field(default_factory=list)
+
+
+def parse_settings(content: bytes, *, previous: Settings | None = None) -> Settings:
+    """Return the settings of a document; unchanged workspaces are taken from `previous`."""
+    if len(content) > MAX_DOCUMENT_BYTES:
+        raise SettingsError([Problem(key="", reason=f"larger than {MAX_DOCUMENT_BYTES} bytes")])
+    sections = _split_canonical(content) or _split_loaded(content)
+    faults = sections.faults
+    header = _validate(HeaderModel, sections.header, (), faults)
+    fleet_model = _validate(FleetModel, sections.fleet, ("fleet",), faults)
+    workspaces = dict(_build_workspaces(sections, previous, faults))
+    fleet = FleetNode() if fleet_model is None else build_fleet(fleet_model)
+    if not faults:
+        faults.extend(_check_tree(fleet, workspaces, sections, previous))
+    if faults or header is None:
+        raise SettingsError(_report(content, faults))
+    return Settings(
+        revision=Revision(epoch=header.epoch, number=header.revision),
+        fleet=fleet,
+        workspaces=workspaces,
+        digests=sections.digests,
+        fleet_digest=sections.fleet_digest,
+        content_digest=_digest(content),
+    )
+
+
+def _split_canonical(content: bytes) -> _Sections | None:
+    """Return the parts of compact JSON without decoding workspaces, or None for other text."""
+    if not is_json(content):
+        return None
+    try:
+        top = msgspec.json.decode(content, type=dict[str, msgspec.Raw])
+        raw = msgspec.json.decode(top.get("workspaces", b"{}"), type=dict[str, msgspec.Raw])
+        copy = msgspec.json.encode({**top, "workspaces": raw} if "workspaces" in top else top)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
+    if copy != content or not top.keys() <= _TOP_KEYS:
+        return None
+    try:
+        header = {key: load_json(bytes(top[key])) for key in _HEADER_KEYS & top.keys()}
+        fleet = load_json(bytes(top.get("fleet", b"{}")))
+    except SettingsError:
+        return None
+    return _Sections(
+        header=header,
+        fleet=fleet,
+        workspaces=raw,
+        fleet_digest=_digest(bytes(top.get("fleet", b"{}"))),
+        digests={WorkspaceId(name): _digest(bytes(value)) for name, value in raw.items()},
+    )
+
+
+def _split_loaded(content: bytes) -> _Sections:
+    """Return the parts of any document."""
+    document = load_document(content)
+    if not isinstance(document, dict):
+        raise SettingsError([Problem(key="", reason="a document is a mapping")])
+    faults: list[Fault] = [((key,), "unknown key") for key in document if key not in _TOP_KEYS]
+    workspaces = document.get("workspaces", {})
+    if not isinstance(workspaces, dict):
+        faults.append((("workspaces",), "a mapping is needed"))
+        workspaces = {}
+    return _Sections(
+        header={key: document[key] for key in _HEADER_KEYS & document.keys()},
+        fleet=document.get("fleet", {}),
+        workspaces=workspaces,
+        faults=faults,
+    )
+
+
+def _build_workspaces(
+    sections: _Sections, previous: Settings | None, faults: list[Fault]
+) -> Iterator[tuple[WorkspaceId, WorkspaceNode]]:
+    """Yield the nodes of all valid workspaces; faults are collected."""
+    known = {} if previous is None else previous.digests
+    for name, value in sections.workspaces.items():
+        workspace_id = WorkspaceId(name)
+        digest = sections.digests.get(workspace_id)
+        if previous is not None and digest is not None and digest == known.get(workspace_id):
+            yield workspace_id, previous.workspaces[workspace_id]
+            continue
+        path: Path = ("workspaces", name)
+        _validate(NameModel, {"name": name}, path, faults)
+        try:
+            plain = load_json(bytes(value)) if isinstance(value, msgspec.Raw) else value
+        except SettingsError as error:
+            faults.extend((path, problem.reason) for problem in error.problems)
+            continue
+        model = _validate(WorkspaceModel, plain, path, faults)
+        if model is not None:
+            yield workspace_id, build_workspace(model)
+
+
+def _check_tree(
+    fleet: FleetNode,
+    workspaces: Mapping[WorkspaceId, WorkspaceNode],
+    sections: _Sections,
+    previous: Settings | None,
+) -> Iterator[Fault]:
+    """Yield the faults between places; what was checked before is not checked again."""
+    yield from check_fleet(fleet)
+    yield from check_api_keys(workspaces)
+    checked: Mapping[WorkspaceId, WorkspaceNode] = {}
+    same_fleet = sections.fleet_digest is not None
+    if previous is not None and same_fleet and previous.fleet_digest == sections.fleet_digest:
+        checked = previous.workspaces
+    for workspace_id, node in workspaces.items():
+        if checked.get(workspace_id) is not node:
+            yield from check_workspace(workspace_id, node, fleet)
+
+
+def _validate(model: type[ModelT], value: Any, path: Path, faults: list[Fault]) -> ModelT | None:
+    """Return a validated part, or None after its faults were collected."""
+    try:
+        return model.model_validate(value)
+    except ValidationError as error:
+        for item in error.errors(include_url=False, include_context=False, include_input=False):
+            reason = item["msg"].replace("Extra inputs are not permitted", "unknown key")
+            faults.append(((*path, *item["loc"]), reason))
+        return None
+
+
+def _report(content: bytes, faults: list[Fault]) -> Iterator[Problem]:
+    """Yield the problems with their places, bounded in number."""
+    shown = faults[:MAX_REPORTED_PROBLEMS]
+    places = locate(content, [path for path, _ in shown])
+    for (path, reason), place in zip(shown, places, strict=True):
+        line, column = place or (None, None)
+        yield Problem(key=format_path(path), reason=reason, line=line, column=column)
+    if len(faults) > len(shown):
+        yield Problem(key="", reason=f"{len(faults) - len(shown)} more problems")
+
+
+def _digest(content: bytes) -> bytes:
+    """Return a short digest that tells contents apart."""
+    return blake2b(content, digest_size=16).digest()
