Add tickets, the at-most-once decider and the quarantine decider

A request that may not be repeated needs one place that may start it, and a request that crashes endpoints needs evidence of the whole fleet. Tickets name one incarnation of a VM, which alone keeps the request's record; a key without a ticket runs only at a home whose ownership settled before the key's first sending. Crashes are a set of events that merges in any order.

--- a/packages/wagtailusher_once/src/wagtailusher_once/__init__.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/__init__.py
@@ -1,1 +1,51 @@
 """At-most-once execution by ticket and home node, and quarantine, without sockets."""
+
+from __future__ import annotations
+
+from wagtailusher_once.answers import (
+    AlreadyRefused,
+    AnswerEvicted,
+    Conflict,
+    ForwardTo,
+    InProgress,
+    OutcomeUnknown,
+    Replay,
+    RunHere,
+    StoredAnswer,
+    Submission,
+)
+from wagtailusher_once.decider import OnceDecider, OnceLimits
+from wagtailusher_once.errors import OnceError, TicketExpiredError, TicketInvalidError
+from wagtailusher_once.evidence import Verdict
+from wagtailusher_once.quarantine import (
+    QuarantineDecider,
+    QuarantineEntry,
+    QuarantineLimits,
+    QuarantineSummary,
+)
+from wagtailusher_once.ticket import Ticket, TicketMint
+
+__all__ = [
+    "AlreadyRefused",
+    "AnswerEvicted",
+    "Conflict",
+    "ForwardTo",
+    "InProgress",
+    "OnceDecider",
+    "OnceError",
+    "OnceLimits",
+    "OutcomeUnknown",
+    "QuarantineDecider",
+    "QuarantineEntry",
+    "QuarantineLimits",
+    "QuarantineSummary",
+    "Replay",
+    "RunHere",
+    "StoredAnswer",
+    "Submission",
+    "Ticket",
+    "TicketExpiredError",
+    "TicketInvalidError",
+    "TicketMint",
+    "Verdict",
+]
--- /dev/null
+++ b/packages/wagtailusher_once/src/wagtailusher_once/decider.py
@@ -0,0 +1,247 @@
+"""Decides whether a request that may not be repeated runs, and at which node."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from wagtailusher_core import ErrorCode, Incarnation, PublishedVm, VmId, WorkspaceId
+from wagtailusher_once.answers import (
+    AlreadyRefused,
+    Conflict,
+    ForwardTo,
+    OutcomeUnknown,
+    RunHere,
+    StoredAnswer,
+    Submission,
+)
+from wagtailusher_once.const import (
+    DEFAULT_KEY_LIFETIME_MS,
+    DEFAULT_MAX_ANSWER_BYTES,
+    DEFAULT_MAX_ANSWERS_BYTES,
+    DEFAULT_MAX_CLOCK_SKEW_MS,
+    DEFAULT_MAX_LIST_LAG_MS,
+    DEFAULT_MAX_RECORDS,
+)
+from wagtailusher_once.key_homes import KeyHomes, first_sent_of, hash_key_of
+from wagtailusher_once.records import AnswerStore, Floor, RecordStore, RunRecord, RunState
+from wagtailusher_once.ticket import Ticket
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OnceLimits:
+    """Bounds in time and memory of the at-most-once decider."""
+
+    max_records: int = DEFAULT_MAX_RECORDS
+    max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES
+    max_answers_bytes: int = DEFAULT_MAX_ANSWERS_BYTES
+    max_clock_skew_ms: int = DEFAULT_MAX_CLOCK_SKEW_MS
+    key_lifetime_ms: int = DEFAULT_KEY_LIFETIME_MS
+    max_list_lag_ms: int = DEFAULT_MAX_LIST_LAG_MS
+
+    @property
+    def settling_ms(self) -> int:
+        """Return how long a VM must have been a key's home before it may run the key."""
+        return 2 * (self.max_list_lag_ms + self.max_clock_skew_ms)
+
+
+class OnceDecider:
+    """Records what this incarnation ran, and lets each request start once."""
+
+    def __init__(
+        self, *, vm_id: VmId, incarnation: Incarnation, limits: OnceLimits | None = None
+    ) -> None:
+        """Start without records: an earlier incarnation of the VM took its own with it."""
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._limits = limits or OnceLimits()
+        self._records = RecordStore(max_records=self._limits.max_records)
+        self._answers = AnswerStore(
+            max_answer_bytes=self._limits.max_answer_bytes,
+            max_total_bytes=self._limits.max_answers_bytes,
+        )
+        self._ticket_floor = Floor()
+        self._key_floor = Floor()
+        self._homes = KeyHomes(
+            vm_id=vm_id, memory_ms=self._limits.settling_ms + self._limits.key_lifetime_ms
+        )
+
+    @property
+    def record_count(self) -> int:
+        """Return the number of requests on record."""
+        return len(self._records)
+
+    @property
+    def answer_bytes(self) -> int:
+        """Return the size of all kept answers."""
+        return self._answers.total_bytes
+
+    def submit(self, ticket: Ticket, body_digest: bytes, now_ms: int) -> Submission:
+        """Decide about an attempt that carries a ticket."""
+        if ticket.home_id != self._vm_id:
+            return ForwardTo(home_id=ticket.home_id, incarnation=ticket.incarnation)
+        if ticket.incarnation != self._incarnation:
+            return OutcomeUnknown(code=ErrorCode.HOME_GONE)
+        self.expire(now_ms)
+        known = self._records.get(ticket.ticket_id)
+        if known is not None:
+            return _answer_repeat(known, body_digest)
+        if self._ticket_floor.covers(ticket.expires_wall_ms):
+            return OutcomeUnknown(code=ErrorCode.TICKET_EXPIRED)
+        run_until_ms = now_ms + ticket.remaining_ms
+        return self._accept(
+            RunRecord(
+                ticket_id=ticket.ticket_id,
+                body_digest=body_digest,
+                run_until_ms=run_until_ms,
+                keep_until_ms=max(now_ms, run_until_ms) + 2 * self._limits.max_clock_skew_ms,
+                floor=self._ticket_floor,
+                stamp_wall_ms=ticket.expires_wall_ms,
+            ),
+            now_ms,
+        )
+
+    def submit_key(
+        self,
+        workspace_id: WorkspaceId,
+        key: str,
+        body_digest: bytes,
+        published_vms: Iterable[PublishedVm],
+        now_ms: int,
+        *,
+        now_wall_ms: int | None = None,
+        first_sent_wall_ms: int | None = None,
+        first_attempt: bool = False,
+        published_observed_ms: int | None = None,
+    ) -> Submission:
+        """Decide about an attempt that carries only an idempotency key.
+
+        The key's first sending is told by the caller or is part of a UUID of version 7. Without
+        it, without the wall time or without the time at which the list was read, no key runs.
+        """
+        self._homes.observe(published_vms, now_ms, observed_ms=published_observed_ms)
+        if first_sent_wall_ms is None:
+            first_sent_wall_ms = first_sent_of(key)
+        if now_wall_ms is None or first_sent_wall_ms is None:
+            return AlreadyRefused(code=ErrorCode.TICKET_REQUIRED)
+        self.expire(now_ms)
+        hash_key = hash_key_of(workspace_id, key)
+        known = self._records.get(hash_key)
+        if known is not None:
+            return _answer_repeat(known, body_digest)
+        home_id = self._homes.home_of(hash_key)
+        if home_id is not None and home_id != self._vm_id:
+            return ForwardTo(home_id=home_id)
+        first_sent_ms = now_ms - (now_wall_ms - first_sent_wall_ms)
+        if not self._may_run_key(hash_key, first_sent_wall_ms, first_sent_ms, now_ms):
+            return self._refuse_key(first_attempt)
+        run_until_ms = first_sent_ms + self._limits.key_lifetime_ms
+        return self._accept(
+            RunRecord(
+                ticket_id=hash_key,
+                body_digest=body_digest,
+                run_until_ms=run_until_ms,
+                keep_until_ms=run_until_ms + 2 * self._limits.max_clock_skew_ms,
+                floor=self._key_floor,
+                stamp_wall_ms=first_sent_wall_ms,
+            ),
+            now_ms,
+        )
+
+    def dispatch(self, ticket_id: str, now_ms: int) -> bool:
+        """Return True once, when the request may be sent to one endpoint."""
+        record = self._records.get(ticket_id)
+        if record is None or record.state is not RunState.ACCEPTED:
+            return False
+        if now_ms >= record.run_until_ms:
+            _set_refused(record, ErrorCode.TICKET_EXPIRED)
+            return False
+        record.state = RunState.DISPATCHED
+        return True
+
+    def may_send(self, ticket_id: str, now_ms: int) -> bool:
+        """Return whether a dispatched request is still in its lifetime; changes nothing."""
+        record = self._records.get(ticket_id)
+        if record is None or record.state is not RunState.DISPATCHED:
+            return False
+        return now_ms < record.run_until_ms
+
+    def complete(self, ticket_id: str, answer: StoredAnswer, now_ms: int) -> None:
+        """Store the whole answer of a dispatched request."""
+        self.expire(now_ms)
+        record = self._records.get(ticket_id)
+        if record is None or record.state is not RunState.DISPATCHED:
+            return
+        record.state = RunState.COMPLETED
+        self._answers.keep(record, answer)
+
+    def fail(self, ticket_id: str, now_ms: int) -> None:
+        """Note that a dispatched request's outcome will stay unknown."""
+        self.expire(now_ms)
+        record = self._records.get(ticket_id)
+        if record is not None and record.state is RunState.DISPATCHED:
+            record.state = RunState.FAILED
+
+    def refuse(self, ticket_id: str, now_ms: int, code: ErrorCode = ErrorCode.SHED) -> bool:
+        """Bar the request for good and return whether `not_run` may be said."""
+        self.expire(now_ms)
+        record = self._records.get(ticket_id)
+        if record is None:
+            return False
+        if record.state is RunState.ACCEPTED:
+            _set_refused(record, code)
+        return record.state is RunState.REFUSED
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the records whose requests can't be run again by anyone."""
+        while (record := self._records.pop_expired(now_ms)) is not None:
+            record.floor.raise_to(record.stamp_wall_ms)
+            self._answers.drop(record.ticket_id)
+
+    def _accept(self, record: RunRecord, now_ms: int) -> Submission:
+        """Record a new request, or refuse it for good."""
+        if self._records.is_full:
+            record.floor.raise_to(record.stamp_wall_ms)
+            return AlreadyRefused(ticket_id=record.ticket_id, code=ErrorCode.QUEUE_FULL)
+        self._records.add(record)
+        if now_ms < record.run_until_ms:
+            return RunHere(ticket_id=record.ticket_id)
+        _set_refused(record, ErrorCode.TICKET_EXPIRED)
+        return AlreadyRefused(ticket_id=record.ticket_id, code=ErrorCode.TICKET_EXPIRED)
+
+    def _may_run_key(
+        self, hash_key: str, first_sent_wall_ms: int, first_sent_ms: int, now_ms: int
+    ) -> bool:
+        """Return whether no other node can ever have run, or run later, this key."""
+        if self._key_floor.covers(first_sent_wall_ms):
+            return False
+        list_age_ms = self._homes.age_ms(now_ms)
+        if list_age_ms is None or list_age_ms > self._limits.max_list_lag_ms:
+            return False
+        since_ms = self._homes.settling_since_ms(hash_key)
+        if since_ms is None or first_sent_ms < since_ms + self._limits.settling_ms:
+            return False
+        oldest_ms = now_ms - self._limits.key_lifetime_ms
+        newest_ms = now_ms + self._limits.max_clock_skew_ms
+        return oldest_ms < first_sent_ms <= newest_ms
+
+    def _refuse_key(self, first_attempt: bool) -> Submission:
+        """Return the truthful refusal of a key that this node may not run."""
+        if first_attempt:
+            return AlreadyRefused(
+                code=ErrorCode.KEY_NOT_SETTLED, retry_after_ms=self._limits.settling_ms
+            )
+        return OutcomeUnknown(code=ErrorCode.KEY_NOT_SETTLED)
+
+
+def _answer_repeat(record: RunRecord, body_digest: bytes) -> Submission:
+    """Return the answer to an attempt whose request is on record."""
+    if record.body_digest != body_digest:
+        return Conflict(ticket_id=record.ticket_id)
+    return record.describe()
+
+
+def _set_refused(record: RunRecord, code: ErrorCode) -> None:
+    """Bar a request that was not dispatched."""
+    record.state = RunState.REFUSED
+    record.refusal_code = code
--- /dev/null
+++ b/packages/wagtailusher_once/src/wagtailusher_once/key_homes.py
@@ -0,0 +1,91 @@
+"""Which VM is the home of an idempotency key, and since when."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from uuid import UUID
+
+from wagtailusher_core import (
+    PublishedState,
+    PublishedVm,
+    VmId,
+    WorkspaceId,
+    first_by_rendezvous,
+    rank_by_rendezvous,
+)
+
+_KEY_SEPARATOR = "\0"
+_TIMED_UUID_VERSION = 7
+_TIMED_UUID_SHIFT = 80
+
+
+def hash_key_of(workspace_id: WorkspaceId, key: str) -> str:
+    """Return the text that decides a key's home."""
+    return f"{workspace_id}{_KEY_SEPARATOR}{key}"
+
+
+def first_sent_of(key: str) -> int | None:
+    """Return the wall time in milliseconds that a UUID of version 7 carries, or None."""
+    try:
+        parsed = UUID(key)
+    except ValueError:
+        return None
+    return parsed.int >> _TIMED_UUID_SHIFT if parsed.version == _TIMED_UUID_VERSION else None
+
+
+class KeyHomes:
+    """Homes by rendezvous over the live VMs of the published list."""
+
+    def __init__(self, *, vm_id: VmId, memory_ms: int) -> None:
+        """Remember departed VMs for as long as their keys may matter."""
+        self._vm_id = vm_id
+        self._memory_ms = memory_ms
+        self._published: tuple[PublishedVm, ...] = ()
+        self._live: frozenset[VmId] = frozenset()
+        self._departed_ms: dict[VmId, int] = {}
+        self._joined_ms: int | None = None
+        self._observed_ms: int | None = None
+
+    def observe(self, vms: Iterable[PublishedVm], now_ms: int, *, observed_ms: int | None) -> None:
+        """Take in the published list; without the time of its reading it counts as old."""
+        published = tuple(vms)
+        if observed_ms is not None:
+            self._observed_ms = max(observed_ms, self._observed_ms or observed_ms)
+        if published == self._published:
+            return
+        self._published = published
+        live = frozenset(vm.vm_id for vm in published if vm.state is PublishedState.LIVE)
+        for vm_id in self._live - live:
+            self._departed_ms[vm_id] = now_ms
+        if self._vm_id not in live:
+            self._joined_ms = None
+        elif self._joined_ms is None:
+            self._joined_ms = now_ms
+        self._live = live
+        self._forget(now_ms)
+
+    def age_ms(self, now_ms: int) -> int | None:
+        """Return the age of the newest list, or None before the first one."""
+        return None if self._observed_ms is None else now_ms - self._observed_ms
+
+    def home_of(self, hash_key: str) -> VmId | None:
+        """Return the home of a key under the newest list."""
+        home = first_by_rendezvous(hash_key, self._live)
+        return None if home is None else VmId(home)
+
+    def settling_since_ms(self, hash_key: str) -> int | None:
+        """Return since when this VM, a key's home now, has been its home, or None."""
+        if self._joined_ms is None:
+            return None
+        ranked = rank_by_rendezvous(hash_key, [self._vm_id, *self._departed_ms])
+        preferred = ranked[: ranked.index(self._vm_id)]
+        left_ms = (self._departed_ms[VmId(vm_id)] for vm_id in preferred)
+        return max((self._joined_ms, *left_ms))
+
+    def _forget(self, now_ms: int) -> None:
+        """Drop the VMs whose departure no longer matters."""
+        self._departed_ms = {
+            vm_id: left_ms
+            for vm_id, left_ms in self._departed_ms.items()
+            if now_ms - left_ms < self._memory_ms and vm_id not in self._live
+        }
--- /dev/null
+++ b/packages/wagtailusher_once/src/wagtailusher_once/quarantine.py
@@ -0,0 +1,246 @@
+"""Refuses requests that crash endpoints, by the evidence of the whole fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from wagtailusher_core import EndpointId
+from wagtailusher_once.const import (
+    DEFAULT_EAGER_SENDS,
+    DEFAULT_EVIDENCE_LIFETIME_MS,
+    DEFAULT_EXPIRY_GRACE_MS,
+    DEFAULT_MAX_FINGERPRINTS,
+    DEFAULT_QUARANTINE_LIFETIME_MS,
+    DEFAULT_SPREAD_MS,
+    DEFAULT_SUMMARY_ENTRIES,
+)
+from wagtailusher_once.evidence import Crash, Evidence, Verdict, is_alone_in_two
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineLimits:
+    """Bounds in time and memory of the quarantine decider."""
+
+    quarantine_lifetime_ms: int = DEFAULT_QUARANTINE_LIFETIME_MS
+    evidence_lifetime_ms: int = DEFAULT_EVIDENCE_LIFETIME_MS
+    spread_ms: int = DEFAULT_SPREAD_MS
+    max_fingerprints: int = DEFAULT_MAX_FINGERPRINTS
+    summary_entries: int = DEFAULT_SUMMARY_ENTRIES
+    eager_sends: int = DEFAULT_EAGER_SENDS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineEntry:
+    """One crash of one fingerprint, or its quarantine."""
+
+    fingerprint: str
+    endpoint_ids: tuple[EndpointId, ...]
+    quarantined: bool
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineSummary:
+    """What one VM tells another about requests that crash endpoints."""
+
+    entries: tuple[QuarantineEntry, ...] = ()
+
+
+@dataclass(slots=True)
+class _Item:
+    """One piece of evidence that can be sent."""
+
+    evidence: Evidence
+    crash: Crash | None
+
+    @property
+    def sends(self) -> int:
+        """Return how often this VM sent the item."""
+        return self.evidence.quarantine_sends if self.crash is None else self.crash.sends
+
+    @property
+    def stamp_ms(self) -> int:
+        """Return when the item arose."""
+        if self.crash is not None:
+            return self.crash.crashed_ms
+        return self.evidence.quarantined_ms or 0
+
+    def send(self, now_ms: int) -> QuarantineEntry:
+        """Count one sending and return the message's entry."""
+        if self.crash is None:
+            self.evidence.quarantine_sends += 1
+        else:
+            self.crash.sends += 1
+        return QuarantineEntry(
+            fingerprint=self.evidence.fingerprint,
+            endpoint_ids=() if self.crash is None else (self.crash.endpoint_id,),
+            quarantined=self.crash is None,
+            age_ms=max(0, now_ms - self.stamp_ms),
+        )
+
+
+class QuarantineDecider:
+    """Refuses a request once two crashes have only it in common."""
+
+    def __init__(self, *, limits: QuarantineLimits | None = None) -> None:
+        """Start without evidence."""
+        self._limits = limits or QuarantineLimits()
+        self._evidence: dict[str, Evidence] = {}
+
+    def crashed(self, fingerprint: str, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Note that an endpoint crashed while it ran a request of this fingerprint."""
+        evidence = self._evidence_of(fingerprint, now_ms)
+        if evidence.add_crash(endpoint_id, now_ms):
+            self._judge(evidence, now_ms)
+
+    def succeeded(self, fingerprint: str, now_ms: int) -> None:
+        """Note that a request of this fingerprint was answered whole."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is not None and self.verdict(fingerprint, now_ms) is not Verdict.QUARANTINED:
+            evidence.clear(now_ms)
+
+    def verdict(self, fingerprint: str, now_ms: int) -> Verdict:
+        """Return how a request of this fingerprint is to be treated now."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None:
+            return Verdict.CLEAR
+        self._settle(evidence, now_ms)
+        if evidence.quarantined_ms is not None:
+            return Verdict.QUARANTINED
+        if evidence.held_ms is not None:
+            return Verdict.HELD
+        return Verdict.SUSPECT if evidence.recent(self._since_ms(now_ms)) else Verdict.CLEAR
+
+    def is_quarantined(self, fingerprint: str, now_ms: int) -> bool:
+        """Return whether a request of this fingerprint must not start now."""
+        return self.verdict(fingerprint, now_ms) in (Verdict.HELD, Verdict.QUARANTINED)
+
+    def suspects(self, fingerprint: str, now_ms: int) -> frozenset[EndpointId]:
+        """Return the endpoints that crashed while they ran a request of this fingerprint."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None:
+            return frozenset()
+        recent = evidence.recent(self._since_ms(now_ms))
+        return frozenset(crash.endpoint_id for crash in recent)
+
+    def may_share(self, fingerprint: str, others: Iterable[str], now_ms: int) -> bool:
+        """Return whether a request may join others on an endpoint.
+
+        Two suspects never share one, so that the next crash tells them apart.
+        """
+        if self.verdict(fingerprint, now_ms) is Verdict.CLEAR:
+            return True
+        return all(
+            other == fingerprint or self.verdict(other, now_ms) is Verdict.CLEAR for other in others
+        )
+
+    def summary(self, now_ms: int) -> QuarantineSummary:
+        """Return the evidence to send next: what was sent least often goes first."""
+        self._expire(now_ms)
+        items = sorted(self._items(now_ms), key=lambda item: (item.sends, -item.stamp_ms))
+        chosen = items[: self._limits.summary_entries]
+        return QuarantineSummary(entries=tuple(item.send(now_ms) for item in chosen))
+
+    def has_news(self, now_ms: int) -> bool:
+        """Return whether some evidence was not yet sent often enough to reach all."""
+        return any(item.sends < self._limits.eager_sends for item in self._items(now_ms))
+
+    def merge(self, summary: QuarantineSummary, now_ms: int) -> None:
+        """Take in another VM's evidence; the order and number of merges do not matter."""
+        grown = [
+            evidence
+            for entry in summary.entries
+            if (evidence := self._merge_entry(entry, now_ms)) is not None
+        ]
+        for evidence in grown:
+            self._judge(evidence, now_ms)
+
+    def _merge_entry(self, entry: QuarantineEntry, now_ms: int) -> Evidence | None:
+        """Take in one entry and return its evidence when that grew."""
+        stamp_ms = now_ms - entry.age_ms
+        if entry.quarantined:
+            if entry.age_ms < self._limits.quarantine_lifetime_ms:
+                self._quarantine(self._evidence_of(entry.fingerprint, now_ms), stamp_ms)
+            return None
+        if entry.age_ms >= self._limits.evidence_lifetime_ms:
+            return None
+        evidence = self._evidence_of(entry.fingerprint, now_ms)
+        added = [evidence.add_crash(endpoint_id, stamp_ms) for endpoint_id in entry.endpoint_ids]
+        return evidence if any(added) else None
+
+    def _judge(self, evidence: Evidence, now_ms: int) -> None:
+        """Hold a fingerprint that two crashes have alone in common, as far as is known."""
+        self._settle(evidence, now_ms)
+        if evidence.quarantined_ms is not None or evidence.held_ms is not None:
+            return
+        if self._is_alone(evidence, now_ms):
+            evidence.held_ms = now_ms
+
+    def _settle(self, evidence: Evidence, now_ms: int) -> None:
+        """Turn a hold into its verdict once other VMs had the time to explain the crashes."""
+        quarantined_ms = evidence.quarantined_ms
+        if quarantined_ms is not None:
+            if now_ms - quarantined_ms >= self._limits.quarantine_lifetime_ms:
+                evidence.clear(now_ms)
+                evidence.quarantined_ms = None
+            return
+        if evidence.held_ms is None or now_ms - evidence.held_ms < self._limits.spread_ms:
+            return
+        evidence.held_ms = None
+        if self._is_alone(evidence, now_ms):
+            self._quarantine(evidence, now_ms)
+
+    def _quarantine(self, evidence: Evidence, stamp_ms: int) -> None:
+        """Refuse a fingerprint from a time on, unless that quarantine is already over."""
+        if evidence.cleared_ms is not None and stamp_ms <= evidence.cleared_ms:
+            return
+        if evidence.quarantined_ms is None:
+            evidence.quarantined_ms = stamp_ms
+            evidence.quarantine_sends = 0
+
+    def _is_alone(self, evidence: Evidence, now_ms: int) -> bool:
+        """Return whether two crashes have this fingerprint alone in common."""
+        others = (other for other in self._evidence.values() if other is not evidence)
+        return is_alone_in_two(evidence, others, self._since_ms(now_ms))
+
+    def _items(self, now_ms: int) -> Iterator[_Item]:
+        """Yield everything that other VMs may have to know."""
+        since_ms = self._since_ms(now_ms)
+        for evidence in self._evidence.values():
+            if evidence.quarantined_ms is not None:
+                yield _Item(evidence, None)
+                continue
+            for crash in evidence.recent(since_ms):
+                yield _Item(evidence, crash)
+
+    def _since_ms(self, now_ms: int) -> int:
+        """Return the time after which a crash counts."""
+        return now_ms - self._limits.evidence_lifetime_ms
+
+    def _evidence_of(self, fingerprint: str, now_ms: int) -> Evidence:
+        """Return a fingerprint's evidence, in place of the least telling one when full."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is not None:
+            return evidence
+        if len(self._evidence) >= self._limits.max_fingerprints:
+            self._expire(now_ms)
+        if len(self._evidence) >= self._limits.max_fingerprints:
+            del self._evidence[min(self._evidence.values(), key=_weight).fingerprint]
+        evidence = Evidence(fingerprint)
+        self._evidence[fingerprint] = evidence
+        return evidence
+
+    def _expire(self, now_ms: int) -> None:
+        """Drop what no other VM can still send as news."""
+        oldest_ms = self._since_ms(now_ms) - DEFAULT_EXPIRY_GRACE_MS
+        for fingerprint, evidence in list(self._evidence.items()):
+            self._settle(evidence, now_ms)
+            if evidence.quarantined_ms is None and evidence.newest_ms <= oldest_ms:
+                del self._evidence[fingerprint]
+
+
+def _weight(evidence: Evidence) -> tuple[bool, int, int]:
+    """Return how much is lost by forgetting a fingerprint; the least goes first."""
+    is_refused = evidence.quarantined_ms is not None or evidence.held_ms is not None
+    return (is_refused, len(evidence.crashes), evidence.newest_ms)
