Add admission: tiers, shares, fairness, deadlines, quotas

Cause: the router needs one decider that queues, orders and refuses requests. Strict tiers with a bounded queue; each waiting class has one place of its own and a due share of the starts; workspaces of a tier share by weight, the earliest deadline first; FAIL_FAST and SERVE_LATE; quota per workspace and class.

--- /dev/null
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/decider.py
@@ -0,0 +1,171 @@
+"""The decider that admits, queues, orders and refuses requests."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from wagtailusher_admission.const import TIER_COUNT
+from wagtailusher_admission.entry import Entry, EntryState
+from wagtailusher_admission.errors import AdmissionError, DuplicateRequestError, UnknownRequestError
+from wagtailusher_admission.heap import LazyHeap
+from wagtailusher_admission.pool import PoolQueue
+from wagtailusher_admission.request import AdmissionLimits, PendingRequest, Refusal
+from wagtailusher_core import ClassKey, ErrorCode, PoolId, RequestId
+from wagtailusher_settings.policy import DeadlineBehaviour
+
+
+class AdmissionDecider:
+    """Holds the requests of one entry VM from their arrival to their end."""
+
+    def __init__(self, limits: AdmissionLimits | None = None) -> None:
+        """Start without requests."""
+        self._limits = limits or AdmissionLimits()
+        self._pools: dict[PoolId, PoolQueue] = {}
+        self._entries: dict[RequestId, Entry] = {}
+        self._local_quotas: dict[ClassKey, int] = {}
+        self._order = 0
+        self._deadlines: LazyHeap[Entry] = LazyHeap(
+            lambda _key, entry: entry.state is EntryState.IN_TIME
+        )
+
+    def offer(self, request: PendingRequest, now_ms: int) -> tuple[Refusal, ...]:
+        """Queue a request; return the refusals of itself or of those that it displaces."""
+        if request.request_id in self._entries:
+            raise DuplicateRequestError(f"request {request.request_id} is held already")
+        self._order += 1
+        return self._enqueue(request, self._order, now_ms, keeps_place=False)
+
+    def requeue(self, request: PendingRequest, now_ms: int) -> tuple[Refusal, ...]:
+        """Queue a request that was started but not sent; it keeps its place."""
+        entry = self._entries.pop(request.request_id, None)
+        if entry is None:
+            return self.offer(request, now_ms)
+        self._leave(entry)
+        return self._enqueue(request, entry.order, now_ms, keeps_place=True)
+
+    def expire(self, now_ms: int) -> tuple[Refusal, ...]:
+        """Refuse or move behind the others what can't meet its target any more."""
+        refusals = []
+        while (entry := self._deadlines.peek()) and entry.request.deadline_ms < now_ms:
+            if entry.request.deadline_behaviour is DeadlineBehaviour.SERVE_LATE:
+                self._pool(entry.request.pool_id).turn_late(entry)
+                continue
+            refusals.append(self._drop(entry, ErrorCode.DEADLINE_UNREACHABLE))
+        return tuple(refusals)
+
+    def next_expiry_ms(self) -> int | None:
+        """Return when `expire` has something to do."""
+        entry = self._deadlines.peek()
+        return None if entry is None else entry.request.deadline_ms + 1
+
+    def candidates(self, pool_id: PoolId, now_ms: int) -> Iterator[PendingRequest]:
+        """Yield the requests that may start, in order of service."""
+        pool = self._pools.get(pool_id)
+        if pool is None:
+            return
+        for entry in pool.in_order():
+            request = entry.request
+            if request.deadline_ms >= now_ms or (
+                request.deadline_behaviour is DeadlineBehaviour.SERVE_LATE
+            ):
+                yield request
+
+    def start(self, request_id: RequestId, now_ms: int) -> None:
+        """Take a queued request into service."""
+        entry = self._entries.get(request_id)
+        if entry is None or not entry.is_queued:
+            raise UnknownRequestError(f"request {request_id} is not queued")
+        self._pool(entry.request.pool_id).start(entry, now_ms)
+
+    def finish(self, request_id: RequestId, now_ms: int) -> None:
+        """End the service of a request."""
+        entry = self._entries.get(request_id)
+        if entry is None or entry.state is not EntryState.STARTED:
+            raise UnknownRequestError(f"request {request_id} is not in service")
+        self._remove(entry)
+
+    def withdraw(self, request_id: RequestId, now_ms: int) -> None:
+        """Drop a request whose caller left, wherever it stands."""
+        entry = self._entries.get(request_id)
+        if entry is not None:
+            self._remove(entry)
+
+    def demand(self, pool_id: PoolId) -> Mapping[int, int]:
+        """Return the requests in service, or waiting and within quota, by tier."""
+        pool = self._pools.get(pool_id)
+        return {} if pool is None else pool.demand()
+
+    def demand_by_tier(self, pool_id: PoolId) -> tuple[int, ...]:
+        """Return the demand as a lease request carries it, the highest tier first."""
+        demand = self.demand(pool_id)
+        return tuple(demand.get(tier, 0) for tier in range(TIER_COUNT))
+
+    def queued(self, pool_id: PoolId) -> int:
+        """Return how many requests wait for a pool."""
+        pool = self._pools.get(pool_id)
+        return 0 if pool is None else pool.requests_ahead(TIER_COUNT - 1)
+
+    def pools(self) -> frozenset[PoolId]:
+        """Return the pools for which a request waits or is in service."""
+        return frozenset(pool_id for pool_id, pool in self._pools.items() if not pool.is_idle())
+
+    def _enqueue(
+        self, request: PendingRequest, order: int, now_ms: int, *, keeps_place: bool
+    ) -> tuple[Refusal, ...]:
+        """Queue a request, making room when needed."""
+        if not 0 <= request.tier < TIER_COUNT:
+            raise AdmissionError(f"tier {request.tier} is not one of {TIER_COUNT}")
+        pool = self._pool(request.pool_id)
+        holder = pool.pool_class(request)
+        late = request.deadline_ms < now_ms
+        if late and request.deadline_behaviour is DeadlineBehaviour.FAIL_FAST:
+            return (self._refuse(request, ErrorCode.DEADLINE_UNREACHABLE),)
+        if not keeps_place and len(holder.queued) >= max(1, request.queue_limit):
+            code = ErrorCode.QUEUE_FULL if holder.is_open else ErrorCode.QUOTA_EXCEEDED
+            return (self._refuse(request, code),)
+        refusals: tuple[Refusal, ...] = ()
+        if holder.queued and pool.shared_places >= self._limits.pool_queue_limit:
+            victim = pool.victim(holder, keeps_place=keeps_place)
+            if victim is None:
+                return (self._refuse(request, ErrorCode.SHED),)
+            refusals = (self._drop(victim, ErrorCode.SHED),)
+        entry = Entry(request, order, holder)
+        self._entries[request.request_id] = entry
+        pool.insert(entry, EntryState.LATE if late else EntryState.IN_TIME)
+        if not late:
+            self._deadlines.push(request.deadline_ms, order, entry)
+        pool.forget_idle_classes()
+        return refusals
+
+    def _drop(self, entry: Entry, code: ErrorCode) -> Refusal:
+        """Remove a queued entry and return its refusal."""
+        self._remove(entry)
+        return self._refuse(entry.request, code)
+
+    def _remove(self, entry: Entry) -> None:
+        del self._entries[entry.request.request_id]
+        self._leave(entry)
+
+    def _leave(self, entry: Entry) -> None:
+        """Take an entry out of the queue or of service."""
+        pool = self._pool(entry.request.pool_id)
+        if entry.is_queued:
+            pool.remove(entry, EntryState.GONE)
+        else:
+            pool.end_service(entry)
+
+    def _refuse(self, request: PendingRequest, code: ErrorCode) -> Refusal:
+        pool = self._pool(request.pool_id)
+        wait_ms = pool.drain_rate.wait_ms(pool.requests_ahead(request.tier))
+        retry_after_ms = min(self._limits.max_retry_after_ms, int(wait_ms))
+        return Refusal(
+            request_id=request.request_id,
+            code=code,
+            retry_after_ms=max(self._limits.min_retry_after_ms, retry_after_ms),
+        )
+
+    def _pool(self, pool_id: PoolId) -> PoolQueue:
+        pool = self._pools.get(pool_id)
+        if pool is None:
+            pool = self._pools[pool_id] = PoolQueue(self._limits)
+        return pool
