--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Measures membership, configuration spread and summaries in virtual time."""
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/member_node.py
@@ -0,0 +1,57 @@
+"""A node of the network that runs membership only."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from wagtailusher_bench.fleet.network import Outgoing, Place
+from wagtailusher_core import Incarnation, PublishedVm, VmId
+from wagtailusher_membership import Effect, MemberChanged, MembershipDecider, Send
+from wagtailusher_wire import MemberState, Message
+
+
+class MemberNode:
+    """Runs a membership decider and counts what it came to believe."""
+
+    def __init__(
+        self, place: Place, *, incarnation: int, seed: int, published: Iterable[PublishedVm]
+    ) -> None:
+        """Start a process at a place."""
+        self.place = place
+        self.changes: list[MemberChanged] = []
+        self.decider = MembershipDecider(
+            vm_id=place.vm_id,
+            address=f"10.{place.region}.0.1:80",
+            peer_address=place.address,
+            failure_domain_id=place.failure_domain_id,
+            incarnation=Incarnation(incarnation),
+            seed=seed,
+        )
+        self.decider.update_published(published, 0)
+
+    def tick(self, now_ms: int) -> Iterator[Outgoing]:
+        """Do what is due."""
+        return self.outgoing(self.decider.tick(now_ms))
+
+    def receive(
+        self, message: Message, now_ms: int, sender: VmId, address: str
+    ) -> Iterator[Outgoing]:
+        """Take a message in."""
+        return self.outgoing(self.decider.handle(message, now_ms, sender=sender, address=address))
+
+    def next_due_ms(self, now_ms: int) -> int:
+        """Return when to tick next."""
+        return self.decider.next_due_ms(now_ms)
+
+    def state_of(self, vm_id: VmId) -> MemberState | None:
+        """Return what this node believes of a VM."""
+        member = self.decider.members().get(vm_id)
+        return member.state if member is not None else None
+
+    def outgoing(self, effects: Iterable[Effect]) -> Iterator[Outgoing]:
+        """Yield the messages among effects, and keep the changes."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                yield Outgoing(address=effect.address, message=effect.message)
+            elif isinstance(effect, MemberChanged):
+                self.changes.append(effect)
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/network.py
@@ -0,0 +1,206 @@
+"""Channels between deciders in virtual time: delay, loss, duplicates, partitions and pauses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from random import Random
+from typing import Protocol
+
+from wagtailusher_core import FailureDomainId, VmId
+from wagtailusher_wire import Message, encode
+
+SEAL_AND_IP_BYTES = 1 + 1 + 8 + 8 + 16 + 28
+_MAX_BUFFERED_MESSAGES = 256
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Place:
+    """Where a node runs."""
+
+    vm_id: VmId
+    failure_domain_id: FailureDomainId
+    region: int
+
+    @property
+    def address(self) -> str:
+        """Return the peer address."""
+        return f"10.{self.region}.0.1:{self.vm_id}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChannelProfile:
+    """How the channels behave."""
+
+    loss: float = 0.0
+    duplicates: float = 0.0
+    near_ms: float = 1.5
+    far_ms: float = 60.0
+    jitter_ms: float = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Outgoing:
+    """A message that a node sends; a stream's isn't lost unless the peer can't be reached."""
+
+    address: str
+    message: Message
+    stream: bool = False
+
+
+class Node(Protocol):
+    """What the network runs."""
+
+    place: Place
+
+    def tick(self, now_ms: int) -> Iterable[Outgoing]:
+        """Do what is due."""
+
+    def receive(
+        self, message: Message, now_ms: int, sender: VmId, address: str
+    ) -> Iterable[Outgoing]:
+        """Take a message in."""
+
+    def next_due_ms(self, now_ms: int) -> int:
+        """Return when to tick next."""
+
+
+class Traffic:
+    """Bytes sent; sizes are taken from every so many messages' real encoding."""
+
+    def __init__(self, sample_every: int) -> None:
+        """Start at zero."""
+        self._sample_every = sample_every
+        self.messages = 0
+        self.bytes_by_node: dict[VmId, int] = {}
+        self.largest_datagram_bytes = 0
+
+    def reset(self) -> None:
+        """Start again at zero."""
+        self.messages = 0
+        self.bytes_by_node.clear()
+
+    def count(self, vm_id: VmId, outgoing: Outgoing) -> None:
+        """Count a sent message."""
+        self.messages += 1
+        if self.messages % self._sample_every:
+            return
+        size = len(encode(outgoing.message)) + len(vm_id) + SEAL_AND_IP_BYTES
+        if not outgoing.stream:
+            self.largest_datagram_bytes = max(self.largest_datagram_bytes, size)
+        counted = self.bytes_by_node.get(vm_id, 0)
+        self.bytes_by_node[vm_id] = counted + size * self._sample_every
+
+
+class Network:
+    """Runs nodes in virtual time."""
+
+    def __init__(self, *, seed: int, profile: ChannelProfile, sample_every: int = 7) -> None:
+        """Create an empty network at time 0."""
+        self.now_ms = 0
+        self.profile = profile
+        self.traffic = Traffic(sample_every)
+        self.blocked: Callable[[Place, Place], bool] = lambda a, b: False
+        self.nodes: dict[str, Node] = {}
+        self._rng = Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self._paused_until_ms: dict[str, int] = {}
+        self._buffered: dict[str, int] = {}
+
+    def at(self, time_ms: float, action: Callable[[], None]) -> None:
+        """Run an action at a time."""
+        self._count += 1
+        heappush(self._events, (time_ms, self._count, action))
+
+    def start(self, node: Node) -> None:
+        """Add a node, in place of an older process at its address."""
+        address = node.place.address
+        self.nodes[address] = node
+        self._paused_until_ms.pop(address, None)
+        self.at(self.now_ms, lambda: self._tick(node))
+
+    def stop(self, node: Node) -> None:
+        """End a node without a word."""
+        if self.nodes.get(node.place.address) is node:
+            del self.nodes[node.place.address]
+
+    def pause(self, node: Node, time_ms: int) -> None:
+        """Stop a node for a while; its socket keeps a bounded number of messages."""
+        self._paused_until_ms[node.place.address] = self.now_ms + time_ms
+
+    def run_until(self, end_ms: int, stop: Callable[[], bool] | None = None) -> bool:
+        """Run events until a time, or until the condition holds; return whether it held."""
+        checked_ms = -1
+        while self._events and self._events[0][0] <= end_ms:
+            time_ms, _, action = heappop(self._events)
+            self.now_ms = max(self.now_ms, int(time_ms))
+            action()
+            if stop is not None and self.now_ms >= checked_ms + 20:
+                checked_ms = self.now_ms
+                if stop():
+                    return True
+        self.now_ms = end_ms
+        return stop is not None and stop()
+
+    def send(self, node: Node, outgoing: Outgoing) -> None:
+        """Put a message on its way."""
+        place = node.place
+        self.traffic.count(place.vm_id, outgoing)
+        copies = 1 if outgoing.stream else self._draw_copies()
+        for _ in range(copies):
+            arrival_ms = self.now_ms + self._delay_ms(place, outgoing)
+            self.at(arrival_ms, lambda: self._deliver(place, outgoing))
+
+    def _draw_copies(self) -> int:
+        """Return how many copies of a datagram arrive."""
+        if self.profile.loss and self._rng.random() < self.profile.loss:
+            return 0
+        if self.profile.duplicates and self._rng.random() < self.profile.duplicates:
+            return 2
+        return 1
+
+    def _delay_ms(self, source: Place, outgoing: Outgoing) -> float:
+        """Return one way's delay; a stream needs a round trip more, and more under loss."""
+        target = self.nodes.get(outgoing.address)
+        near = target is not None and target.place.region == source.region
+        way_ms = self.profile.near_ms if near else self.profile.far_ms
+        delay_ms = way_ms + self._rng.expovariate(1 / self.profile.jitter_ms)
+        if not outgoing.stream:
+            return delay_ms
+        while self.profile.loss and self._rng.random() < self.profile.loss:
+            delay_ms += 200 + 2 * way_ms
+        return delay_ms + 2 * way_ms
+
+    def _deliver(self, source: Place, outgoing: Outgoing) -> None:
+        """Hand a message over, unless something is between the two."""
+        node = self.nodes.get(outgoing.address)
+        if node is None or self.blocked(source, node.place):
+            return
+        address = outgoing.address
+        wakes_ms = self._paused_until_ms.get(address, 0)
+        if wakes_ms > self.now_ms:
+            waiting = self._buffered.get(address, 0)
+            if waiting < _MAX_BUFFERED_MESSAGES:
+                self._buffered[address] = waiting + 1
+                self.at(wakes_ms, lambda: self._deliver(source, outgoing))
+            return
+        self._buffered.pop(address, None)
+        message = outgoing.message
+        for answer in node.receive(message, self.now_ms, source.vm_id, source.address):
+            self.send(node, answer)
+
+    def _tick(self, node: Node) -> None:
+        """Tick a node and plan its next tick."""
+        address = node.place.address
+        if self.nodes.get(address) is not node:
+            return
+        wakes_ms = self._paused_until_ms.get(address, 0)
+        if wakes_ms > self.now_ms:
+            self.at(wakes_ms, lambda: self._tick(node))
+            return
+        for outgoing in node.tick(self.now_ms):
+            self.send(node, outgoing)
+        due_ms = max(self.now_ms + 1, node.next_due_ms(self.now_ms))
+        self.at(due_ms, lambda: self._tick(node))
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/places.py
@@ -0,0 +1,37 @@
+"""Fleets of a given size over five regions."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from wagtailusher_bench.fleet.network import Place
+from wagtailusher_core import FailureDomainId, PublishedVm, VmId
+
+REGIONS = 5
+DOMAINS_BY_SIZE = {9: 5, 50: 10, 370: 20}
+
+
+def make_places(size: int) -> list[Place]:
+    """Return where the nodes of a fleet run."""
+    domains = DOMAINS_BY_SIZE.get(size, max(1, size // 5))
+    return [
+        Place(
+            vm_id=VmId(f"vm-{index:04d}"),
+            failure_domain_id=FailureDomainId(f"domain-{index % domains:02d}"),
+            region=index % domains % REGIONS,
+        )
+        for index in range(size)
+    ]
+
+
+def publish(places: Iterable[Place]) -> tuple[PublishedVm, ...]:
+    """Return the platform's list of VMs."""
+    return tuple(
+        PublishedVm(
+            vm_id=place.vm_id,
+            address=f"10.{place.region}.0.1:80",
+            peer_address=place.address,
+            failure_domain_id=place.failure_domain_id,
+        )
+        for place in places
+    )
--- /dev/null
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/core.py
@@ -0,0 +1,180 @@
+"""What the parts of membership share: the table, the queue, own statements and effects."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from math import ceil, log2
+from random import Random
+
+from wagtailusher_core import FailureDomainId, Incarnation, Revision, VmId
+from wagtailusher_membership.broadcast import BroadcastQueue, estimate_bytes
+from wagtailusher_membership.effects import Effect, MemberChanged, Send, Superseded
+from wagtailusher_membership.limits import MembershipLimits
+from wagtailusher_membership.member import Member
+from wagtailusher_membership.probes import ProbeOrder, sample
+from wagtailusher_membership.suspicion import LocalHealth, Suspicion
+from wagtailusher_membership.table import MemberTable
+from wagtailusher_wire import NO_REVISION, MemberState, MemberUpdate, Message
+
+
+class MembershipCore:
+    """One node's state of membership; every change of the table goes through here."""
+
+    def __init__(self, *, own: Member, seed: int, limits: MembershipLimits) -> None:
+        """Start with oneself as the only member."""
+        self.own_id = own.vm_id
+        self.limits = limits
+        self.rng = Random(seed)
+        self.table = MemberTable(max_members=limits.max_members, buckets=limits.sync_buckets)
+        self.queue = BroadcastQueue(max_updates=limits.max_queued_updates)
+        self.order = ProbeOrder(self.rng)
+        self.health = LocalHealth(limits.max_local_health)
+        self.suspicions: dict[VmId, Suspicion] = {}
+        self.revision: Revision = NO_REVISION
+        self._superseded_by: Incarnation | None = None
+        self._effects: list[Effect] = []
+        self._sequence = 0
+        self.table.put(own)
+        self.queue.add(own.to_update())
+
+    @property
+    def own(self) -> Member:
+        """Return the member that this node is."""
+        return self.table.view[self.own_id]
+
+    def drain(self) -> tuple[Effect, ...]:
+        """Return the effects since the last call."""
+        effects = tuple(self._effects)
+        self._effects.clear()
+        return effects
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect."""
+        self._effects.append(effect)
+
+    def send(self, member: Member, message: Message) -> None:
+        """Send a message to a member."""
+        self.send_to(member.vm_id, member.peer_address, message)
+
+    def send_to(self, vm_id: VmId, address: str, message: Message) -> None:
+        """Send a message to an address."""
+        if address and vm_id != self.own_id:
+            self._effects.append(Send(vm_id=vm_id, address=address, message=message))
+
+    def next_sequence(self) -> int:
+        """Return a number for a question."""
+        self._sequence += 1
+        return self._sequence
+
+    def sample(self, count: int, *excluded: VmId) -> list[Member]:
+        """Return random living members other than oneself."""
+        return sample(
+            self.rng, self.table.view, count, excluded=frozenset((self.own_id, *excluded))
+        )
+
+    def updates_for(self, vm_id: VmId) -> tuple[MemberUpdate, ...]:
+        """Return updates to piggyback, first what the receiver has to refute."""
+        budget = self.limits.updates_bytes
+        first: tuple[MemberUpdate, ...] = ()
+        member = self.table.view.get(vm_id)
+        if member is not None and member.state in (MemberState.SUSPECT, MemberState.DEAD):
+            first = (member.to_update(),)
+            budget -= estimate_bytes(first[0])
+        max_sends = self.limits.retransmit_factor * ceil(log2(len(self.table.view) + 1))
+        taken = self.queue.take(max_bytes=budget, max_sends=max(1, max_sends // 2))
+        return first + tuple(update for update in taken if update.vm_id != vm_id or not first)
+
+    def take_updates(self, updates: tuple[MemberUpdate, ...], now_ms: int) -> None:
+        """Merge updates from a message."""
+        for update in updates:
+            self.take_update(update, now_ms)
+
+    def take_update(self, update: MemberUpdate, now_ms: int) -> None:
+        """Merge one update, refute it, or count it as a confirmation."""
+        if update.vm_id == self.own_id:
+            self._hear_of_oneself(update)
+            return
+        known = update.vm_id in self.table.view
+        member = self.table.merge(update, now_ms)
+        if member is None:
+            self._confirm(update)
+            return
+        if not known:
+            self.order.add(member.vm_id)
+        self._follow_suspicion(member, update, now_ms)
+        self.queue.add(replace(member.to_update(), accuser=update.accuser))
+        self.emit(MemberChanged(member=member))
+
+    def restate(self, *, state: MemberState, leaving: bool, version: int) -> None:
+        """Make a new statement about oneself."""
+        own = self.table.put(replace(self.own, state=state, leaving=leaving, version=version))
+        self.queue.add(own.to_update())
+
+    def accuse(self, vm_id: VmId, now_ms: int) -> None:
+        """Suspect a member that didn't answer."""
+        member = self.table.view.get(vm_id)
+        if member is None or member.gone:
+            return
+        update = replace(member.to_update(), state=MemberState.SUSPECT, accuser=self.own_id)
+        self.take_update(update, now_ms)
+
+    def declare_dead(self, vm_id: VmId, now_ms: int) -> None:
+        """Declare a suspect dead whose time to refute is over."""
+        member = self.table.view.get(vm_id)
+        if member is not None and member.state is MemberState.SUSPECT:
+            self.take_update(replace(member.to_update(), state=MemberState.DEAD), now_ms)
+
+    def _hear_of_oneself(self, update: MemberUpdate) -> None:
+        """Refute what isn't so; a higher incarnation means that this process is the old one."""
+        own = self.own
+        if update.incarnation > own.incarnation:
+            if self._superseded_by is None or update.incarnation > self._superseded_by:
+                self._superseded_by = update.incarnation
+                self.emit(Superseded(incarnation=update.incarnation))
+            return
+        if own.state is MemberState.LEFT or update.incarnation < own.incarnation:
+            return
+        is_accusation = update.state in (MemberState.SUSPECT, MemberState.DEAD)
+        if is_accusation and update.version >= own.version:
+            self.health.worse()
+            self.restate(state=own.state, leaving=own.leaving, version=update.version + 1)
+
+    def _confirm(self, update: MemberUpdate) -> None:
+        """Count another accuser of a suspect, and pass the accusation on."""
+        suspicion = self.suspicions.get(update.vm_id)
+        if suspicion is None or update.state is not MemberState.SUSPECT or not update.accuser:
+            return
+        if suspicion.version == update.version and suspicion.confirm(update.accuser):
+            self.queue.add(update)
+
+    def _follow_suspicion(self, member: Member, update: MemberUpdate, now_ms: int) -> None:
+        """Start or end the suspicion of a member that changed."""
+        self.suspicions.pop(member.vm_id, None)
+        if member.state is not MemberState.SUSPECT:
+            return
+        suspicion = Suspicion(version=member.version, start_ms=now_ms, limits=self.limits)
+        if update.accuser:
+            suspicion.confirm(update.accuser)
+        self.suspicions[member.vm_id] = suspicion
+
+
+def own_member(
+    *,
+    vm_id: VmId,
+    address: str,
+    peer_address: str,
+    failure_domain_id: FailureDomainId,
+    incarnation: Incarnation,
+) -> Member:
+    """Return the member that a starting node is."""
+    return Member(
+        vm_id=vm_id,
+        incarnation=incarnation,
+        version=1,
+        state=MemberState.ALIVE,
+        leaving=False,
+        address=address,
+        peer_address=peer_address,
+        failure_domain_id=failure_domain_id,
+        since_ms=0,
+    )
--- /dev/null
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/member.py
@@ -0,0 +1,79 @@
+"""A member of the fleet and the order of statements about it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from wagtailusher_core import FailureDomainId, Incarnation, VmId
+from wagtailusher_wire import MemberState, MemberUpdate
+
+_ORDER = {
+    MemberState.ALIVE: 0,
+    MemberState.LEAVING: 0,
+    MemberState.SUSPECT: 1,
+    MemberState.DEAD: 2,
+    MemberState.LEFT: 3,
+}
+_GONE = frozenset((MemberState.DEAD, MemberState.LEFT))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """One VM's process as this node believes it to be.
+
+    An incarnation of 0 is a VM that only the platform's list tells of. Leaving stays set while
+    the member is suspected; unlisted_since_ms is set once the list stops naming it.
+    """
+
+    vm_id: VmId
+    incarnation: Incarnation
+    version: int
+    state: MemberState
+    leaving: bool
+    address: str
+    peer_address: str
+    failure_domain_id: FailureDomainId
+    since_ms: int
+    listed: bool = False
+    listed_leaving: bool = False
+    unlisted_since_ms: int | None = None
+
+    @property
+    def gone(self) -> bool:
+        """Return whether the process is believed to have ended."""
+        return self.state in _GONE
+
+    @property
+    def takes_work(self) -> bool:
+        """Return whether new work may be sent to it."""
+        return self.state is MemberState.ALIVE and not self.leaving and not self.listed_leaving
+
+    def supersedes(self, update: MemberUpdate) -> bool:
+        """Return whether what is known already says as much as an update, or more."""
+        if self.state is MemberState.LEFT and self.incarnation == update.incarnation:
+            return True
+        if update.state is MemberState.LEFT and self.incarnation == update.incarnation:
+            return False
+        known = (self.incarnation, self.version, _ORDER[self.state])
+        return known >= (update.incarnation, update.version, _ORDER[update.state])
+
+    def to_update(self) -> MemberUpdate:
+        """Return the statement to pass on; addresses go with the living only."""
+        if self.gone or self.state is MemberState.SUSPECT:
+            return MemberUpdate(
+                vm_id=self.vm_id,
+                incarnation=self.incarnation,
+                version=self.version,
+                state=self.state,
+                leaving=self.leaving,
+            )
+        return MemberUpdate(
+            vm_id=self.vm_id,
+            incarnation=self.incarnation,
+            version=self.version,
+            state=self.state,
+            leaving=self.leaving,
+            address=self.address,
+            peer_address=self.peer_address,
+            failure_domain_id=self.failure_domain_id,
+        )
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -24,6 +24,7 @@
   address @5 :Text;
   peerAddress @6 :Text;
   failureDomainId @7 :Text;
+  accuser @8 :Text;
 }
 
 struct Ping {
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -33,7 +33,8 @@
 class MemberUpdate:
     """One VM's state, as told by one that may have it from others.
 
-    The version counts the member's own statements within one incarnation.
+    The version counts the member's own statements within one incarnation; the accuser is who
+    missed an answer of a suspect.
     """
 
     vm_id: VmId
@@ -44,6 +45,7 @@
     address: str = ""
     peer_address: str = ""
     failure_domain_id: FailureDomainId = FailureDomainId("")
+    accuser: VmId = VmId("")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
