--- a/packages/wagtailusher_core/src/wagtailusher_core/errors.py
+++ b/packages/wagtailusher_core/src/wagtailusher_core/errors.py
@@ -30,6 +30,7 @@
     HOME_GONE = "home_gone"
     KEY_CONFLICT = "key_conflict"
     IN_PROGRESS = "in_progress"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     KEY_NOT_SETTLED = "key_not_settled"
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_PROTOCOL = "endpoint_protocol"
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answers.py
@@ -0,0 +1,89 @@
+"""HTTP answers for refusals and stored answers."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Any
+
+from wagtailusher_core import ErrorCode, Outcome
+from wagtailusher_http import Headers, Response, error_response
+from wagtailusher_once import StoredAnswer
+from wagtailusher_router import Refuse
+
+_STATUS = {
+    ErrorCode.UNAUTHORIZED: HTTPStatus.UNAUTHORIZED,
+    ErrorCode.UNKNOWN_WORKSPACE: HTTPStatus.NOT_FOUND,
+    ErrorCode.UNKNOWN_ROUTE: HTTPStatus.NOT_FOUND,
+    ErrorCode.UNKNOWN_CLASS: HTTPStatus.BAD_REQUEST,
+    ErrorCode.UNKNOWN_MODEL: HTTPStatus.NOT_FOUND,
+    ErrorCode.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+    ErrorCode.QUOTA_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.TICKET_INVALID: HTTPStatus.FORBIDDEN,
+    ErrorCode.TICKET_EXPIRED: HTTPStatus.GONE,
+    ErrorCode.TICKET_REQUIRED: HTTPStatus.PRECONDITION_REQUIRED,
+    ErrorCode.KEY_CONFLICT: HTTPStatus.CONFLICT,
+    ErrorCode.IN_PROGRESS: HTTPStatus.CONFLICT,
+    ErrorCode.QUARANTINED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    ErrorCode.ANSWER_NOT_KEPT: HTTPStatus.GONE,
+    ErrorCode.ENDPOINT_FAILED: HTTPStatus.BAD_GATEWAY,
+    ErrorCode.ENDPOINT_PROTOCOL: HTTPStatus.BAD_GATEWAY,
+    ErrorCode.ANSWER_TRUNCATED: HTTPStatus.BAD_GATEWAY,
+    ErrorCode.HOME_GONE: HTTPStatus.BAD_GATEWAY,
+    ErrorCode.PEER_UNAVAILABLE: HTTPStatus.BAD_GATEWAY,
+}
+
+_MESSAGES = {
+    ErrorCode.QUEUE_FULL: "the queue of this class is full",
+    ErrorCode.SHED: "the request was shed for higher tiers",
+    ErrorCode.QUOTA_EXCEEDED: "the quota of this class is used up",
+    ErrorCode.DEADLINE_UNREACHABLE: "the latency target can't be met any more",
+    ErrorCode.NO_ENDPOINT: "no endpoint takes this request",
+    ErrorCode.QUARANTINED: "the request crashed several endpoints and is refused",
+    ErrorCode.DRAINING: "this VM is leaving; use another address",
+    ErrorCode.TICKET_REQUIRED: "a request that may not be repeated needs a ticket",
+    ErrorCode.TICKET_EXPIRED: "the ticket's lifetime is over",
+    ErrorCode.HOME_GONE: "the VM that may run this request is gone",
+    ErrorCode.KEY_CONFLICT: "the ticket or key was used with another body",
+    ErrorCode.IN_PROGRESS: "an earlier attempt is in progress",
+    ErrorCode.KEY_NOT_SETTLED: "no VM can run this idempotency key safely yet",
+    ErrorCode.ANSWER_NOT_KEPT: "the request completed and its answer is no longer kept",
+    ErrorCode.ENDPOINT_FAILED: "the endpoint failed",
+    ErrorCode.CALLER_LEFT: "the caller left",
+}
+
+
+def status_of(code: ErrorCode) -> HTTPStatus:
+    """Return the HTTP status of an error code."""
+    return _STATUS.get(code, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def refusal_response(refusal: Refuse, extra: dict[str, Any] | None = None) -> Response:
+    """Return the answer to a request that ends without its endpoint's answer."""
+    return coded_response(
+        refusal.code, refusal.outcome, retry_after_ms=refusal.retry_after_ms, extra=extra
+    )
+
+
+def coded_response(
+    code: ErrorCode,
+    outcome: Outcome,
+    message: str | None = None,
+    *,
+    retry_after_ms: int | None = None,
+    extra: dict[str, Any] | None = None,
+) -> Response:
+    """Return the answer with a code and its usual status and message."""
+    return error_response(
+        status_of(code),
+        code,
+        message or _MESSAGES.get(code, str(code)),
+        outcome=outcome,
+        retry_after_ms=retry_after_ms,
+        extra=extra,
+    )
+
+
+def stored_response(answer: StoredAnswer, request_id: str) -> Response:
+    """Return a stored whole answer."""
+    headers = Headers(answer.headers).with_field("x-request-id", request_id)
+    return Response(status=answer.status, headers=headers, body=answer.body)
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -0,0 +1,162 @@
+"""The HTTP interface for callers and for requests that peers hand over."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+import logging
+
+from wagtailusher_core import ErrorCode, Outcome, VmId, WagtailusherError
+from wagtailusher_daemon.addresses import AddressBook
+from wagtailusher_daemon.answers import coded_response
+from wagtailusher_daemon.classify import Classified, Classifier
+from wagtailusher_daemon.clock import wall_ms
+from wagtailusher_daemon.const import (
+    PATH_ADDRESSES,
+    PATH_CHAT,
+    PATH_HEALTH,
+    PATH_MODELS,
+    PATH_READY,
+    PATH_SERVICES,
+    PATH_TICKETS,
+)
+from wagtailusher_daemon.exceptions import RefusedRequestError
+from wagtailusher_daemon.exchange import Exchange
+from wagtailusher_daemon.forwarding import Forwarder
+from wagtailusher_daemon.metrics import EntryMetrics
+from wagtailusher_daemon.node import RouterNode
+from wagtailusher_daemon.once_exchange import OnceExchange
+from wagtailusher_daemon.upstream import Upstream
+from wagtailusher_http import Request, Response, error_response, json_response
+from wagtailusher_once import TicketMint
+from wagtailusher_settings import Settings
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, kw_only=True)
+class CallerApi:
+    """Answers callers; requests that may not be repeated run in tasks of their own."""
+
+    node: RouterNode
+    upstream: Upstream
+    forwarder: Forwarder
+    classifier: Classifier
+    mint: TicketMint
+    addresses: AddressBook
+    metrics: EntryMetrics
+    settings: Callable[[], Settings | None]
+    is_ready: Callable[[], bool]
+    once_tasks: set[asyncio.Task[Response]] = field(default_factory=set)
+
+    async def async_handle(self, request: Request) -> Response:
+        """Answer one request."""
+        path = request.path
+        try:
+            if path == PATH_CHAT or path.startswith(PATH_SERVICES):
+                return await self._async_route(request)
+        except RefusedRequestError as err:
+            self.metrics.count_refusal(err.code, err.outcome)
+            return error_response(
+                err.status, err.code, err.message, retry_after_ms=err.retry_after_ms
+            )
+        except WagtailusherError as err:
+            self.metrics.count_refusal(err.code, Outcome.NOT_RUN)
+            return coded_response(err.code, Outcome.NOT_RUN, err.message)
+        return self._answer_plain(request)
+
+    def _answer_plain(self, request: Request) -> Response:
+        """Answer what needs no endpoint."""
+        path = request.path
+        if path == PATH_HEALTH:
+            return json_response(HTTPStatus.OK, {"status": "alive"})
+        if path == PATH_READY:
+            return self._answer_ready()
+        if path == PATH_MODELS:
+            return self._answer_models()
+        if path == PATH_ADDRESSES:
+            return json_response(HTTPStatus.OK, self.addresses.answer())
+        if path == PATH_TICKETS:
+            return self._answer_ticket()
+        return error_response(HTTPStatus.NOT_FOUND, ErrorCode.UNKNOWN_ROUTE, "no such path")
+
+    def _answer_ready(self) -> Response:
+        """Tell whether this VM takes requests."""
+        if self.is_ready():
+            return json_response(HTTPStatus.OK, {"status": "ready"})
+        return coded_response(ErrorCode.NOT_READY, Outcome.NOT_RUN, "not ready")
+
+    def _answer_models(self) -> Response:
+        """List the models."""
+        settings = self.settings()
+        model_ids = sorted(settings.model_ids) if settings is not None else []
+        models = [
+            {"id": model_id, "object": "model", "owned_by": "wagtailusher"}
+            for model_id in model_ids
+        ]
+        return json_response(HTTPStatus.OK, {"object": "list", "data": models})
+
+    def _answer_ticket(self) -> Response:
+        """Mint a ticket for one request that may not be repeated."""
+        if not self.is_ready():
+            return coded_response(ErrorCode.NOT_READY, Outcome.NOT_RUN, "not ready")
+        settings = self.settings()
+        lifetime_ms = settings.fleet.ticket_lifetime_ms if settings is not None else 0
+        value = {
+            "ticket": self.mint.mint(wall_ms()),
+            "lifetime_ms": lifetime_ms,
+            "address": self.addresses.own_address,
+        }
+        return json_response(HTTPStatus.OK, value)
+
+    async def _async_route(self, request: Request) -> Response:
+        """Classify a request and carry it."""
+        sender = self.forwarder.sender_of(request)
+        classified = self.classifier.classify(request, sender)
+        if classified.arrival.policy.repeatable:
+            return await self._new_exchange(request, classified).async_answer()
+        return await self._async_run_once(request, classified, sender)
+
+    def _new_exchange(self, request: Request, classified: Classified) -> Exchange:
+        """Start a repeatable request."""
+        return Exchange(
+            request,
+            classified,
+            node=self.node,
+            upstream=self.upstream,
+            forwarder=self.forwarder,
+            metrics=self.metrics,
+            silence_timeout_ms=self._silence_timeout_ms(),
+        )
+
+    async def _async_run_once(
+        self, request: Request, classified: Classified, sender: VmId | None
+    ) -> Response:
+        """Run a request that may not be repeated in a task that outlives its caller."""
+        exchange = OnceExchange(
+            request,
+            classified,
+            node=self.node,
+            upstream=self.upstream,
+            forwarder=self.forwarder,
+            metrics=self.metrics,
+            silence_timeout_ms=classified.arrival.policy.answer_target_ms
+            + self._silence_timeout_ms(),
+        )
+        task = asyncio.create_task(exchange.async_run())
+        self.once_tasks.add(task)
+        task.add_done_callback(self.once_tasks.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            _LOGGER.debug("Caller: left before %s ended", classified.arrival.request_id)
+            self.node.caller_left(classified.arrival.request_id)
+            raise
+
+    def _silence_timeout_ms(self) -> int:
+        """Return how long an endpoint may be silent within an answer."""
+        settings = self.settings()
+        assert settings is not None
+        return settings.fleet.silence_timeout_ms
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -0,0 +1,41 @@
+"""Names and defaults of the entry daemon."""
+
+from __future__ import annotations
+
+ENV_PREFIX = "WAGTAILUSHER_"
+
+PATH_CHAT = "/v1/chat/completions"
+PATH_MODELS = "/v1/models"
+PATH_ADDRESSES = "/v1/addresses"
+PATH_TICKETS = "/v1/tickets"
+PATH_SERVICES = "/services/"
+PATH_HEALTH = "/healthz"
+PATH_READY = "/readyz"
+PATH_METRICS = "/metrics"
+PATH_CONFIGURATION = "/peer/v1/configuration"
+
+HEADER_CLASS = "x-wagtailusher-class"
+HEADER_ROUTE = "x-wagtailusher-route"
+HEADER_TICKET = "x-wagtailusher-ticket"
+HEADER_FORWARDED = "x-wagtailusher-forwarded"
+HEADER_REVISION = "x-wagtailusher-revision"
+HEADER_KEY = "idempotency-key"
+HEADER_FIRST_SENT = "x-wagtailusher-first-sent-ms"
+HEADER_REQUEST_ID = "x-request-id"
+HEADER_TRACE = "traceparent"
+
+DEFAULT_ROUTE_CHAT = "chat"
+
+DEFAULT_LISTEN = "127.0.0.1:0"
+DEFAULT_LOG_LEVEL = "info"
+DEFAULT_LOG_FORMAT = "text"
+DEFAULT_TICK_INTERVAL_MS = 50
+DEFAULT_LOAD_POLL_INTERVAL_MS = 250
+DEFAULT_HEAD_TIMEOUT_MS = 60_000
+
+MS_PER_S = 1000
+BYTES_PER_TOKEN = 4
+PREFIX_BLOCK_BYTES = 1024
+MAX_PREFIX_BLOCKS = 16
+MAX_ADDRESSES = 4
+EXIT_USAGE = 2
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -0,0 +1,202 @@
+"""Carries one repeatable request through its attempts and relays its answer as it comes."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import logging
+
+from wagtailusher_core import ErrorCode, Outcome, WagtailusherError
+from wagtailusher_daemon.answers import refusal_response
+from wagtailusher_daemon.classify import Classified
+from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_daemon.const import HEADER_REQUEST_ID
+from wagtailusher_daemon.exceptions import BrokenAnswerError
+from wagtailusher_daemon.forwarding import Forwarder
+from wagtailusher_daemon.metrics import EntryMetrics
+from wagtailusher_daemon.node import Mailbox, RouterNode
+from wagtailusher_daemon.upstream import Upstream, end_of, end_of_status
+from wagtailusher_http import ClientAnswer, Headers, Request, Response
+from wagtailusher_integrations.engine import EventStream
+from wagtailusher_placement import EndOfWork
+from wagtailusher_router import Dispatch, Forward, Refuse
+
+_LOGGER = logging.getLogger(__name__)
+
+_HOP_HEADERS = frozenset(
+    {"connection", "transfer-encoding", "content-length", "keep-alive", "date", "server"}
+)
+_EVENTS = "text/event-stream"
+
+
+class Exchange:
+    """One request's task state."""
+
+    def __init__(
+        self,
+        request: Request,
+        classified: Classified,
+        *,
+        node: RouterNode,
+        upstream: Upstream,
+        forwarder: Forwarder,
+        metrics: EntryMetrics,
+        silence_timeout_ms: int,
+    ) -> None:
+        """Hand the request to the node."""
+        self._request = request
+        self._classified = classified
+        self._node = node
+        self._upstream = upstream
+        self._forwarder = forwarder
+        self._metrics = metrics
+        self._silence_timeout_ms = silence_timeout_ms
+        self._request_id = classified.arrival.request_id
+        self._started_ms = monotonic_ms()
+        self._first_token_ms: int | None = None
+        self._done = False
+        self._mailbox: Mailbox = node.arrive(classified.arrival)
+
+    async def async_answer(self) -> Response:
+        """Return the answer; its body relays what the endpoint sends."""
+        try:
+            return await self._async_attempts()
+        except BaseException:
+            self._end()
+            raise
+
+    async def _async_attempts(self) -> Response:
+        """Follow the node's messages until an answer begins."""
+        while True:
+            message = await self._mailbox.get()
+            if isinstance(message, Dispatch):
+                response = await self._async_attempt(message)
+                if response is not None:
+                    return response
+                continue
+            self._done = True
+            self._end()
+            if isinstance(message, Forward):
+                return await self._forwarder.async_forward(self._request, message)
+            assert isinstance(message, Refuse)
+            self._metrics.count_refusal(message.code, message.outcome)
+            return refusal_response(message)
+
+    async def _async_attempt(self, dispatch: Dispatch) -> Response | None:
+        """Open an answer and wait for its first part; None when the attempt failed."""
+        try:
+            answer = await self._async_open(dispatch)
+            failed = end_of_status(answer.status)
+            if failed is not None:
+                answer.abort()
+                self._fail(failed)
+                return None
+            parts = self._parts(answer)
+            first = await anext(parts, None)
+        except WagtailusherError as err:
+            self._log_failure(dispatch, err)
+            self._fail(end_of(err))
+            return None
+        headers = end_to_end_headers(answer).with_field(HEADER_REQUEST_ID, self._request_id)
+        return Response(status=answer.status, headers=headers, body=self._async_body(parts, first))
+
+    async def _async_open(self, dispatch: Dispatch) -> ClientAnswer:
+        """Send the request or resume its answer."""
+        return await self._upstream.async_open(
+            dispatch,
+            self._classified.call,
+            may_send=lambda: self._node.may_send(self._request_id),
+        )
+
+    async def _parts(self, answer: ClientAnswer) -> AsyncIterator[bytes]:
+        """Yield the answer in parts that may be relayed; raise when it is not whole."""
+        chunks = answer.iter_chunks(self._silence_timeout_ms)
+        if not (answer.headers.get("content-type") or "").startswith(_EVENTS):
+            async for chunk in chunks:
+                yield chunk
+            return
+        stream = EventStream()
+        seen = 0
+        async for chunk in chunks:
+            events = stream.feed(chunk)
+            if events:
+                yield events
+                self._node.progress(self._request_id, stream.event_count - seen)
+                seen = stream.event_count
+        if not stream.is_complete:
+            raise BrokenAnswerError("the stream ended without its end marker")
+
+    async def _async_body(
+        self, parts: AsyncIterator[bytes], first: bytes | None
+    ) -> AsyncIterator[bytes]:
+        """Relay the parts, resuming over a new connection where that is possible."""
+        try:
+            if first is not None:
+                self._note_first()
+                yield first
+            while True:
+                try:
+                    async for part in parts:
+                        yield part
+                    break
+                except WagtailusherError as err:
+                    parts = await self._async_resume(err)
+            self._done = True
+            self._node.complete(self._request_id)
+            self._count()
+        finally:
+            self._end()
+
+    async def _async_resume(self, err: WagtailusherError) -> AsyncIterator[bytes]:
+        """Return the parts of a resumed answer, or raise that the answer is broken."""
+        self._fail(end_of(err))
+        while True:
+            message = await self._mailbox.get()
+            if not isinstance(message, Dispatch) or message.resume_from is None:
+                self._done = True
+                outcome = message.outcome if isinstance(message, Refuse) else Outcome.UNKNOWN
+                self._metrics.count_refusal(ErrorCode.ANSWER_TRUNCATED, outcome)
+                raise BrokenAnswerError("the endpoint's answer broke off") from err
+            try:
+                return self._parts(await self._async_open(message))
+            except WagtailusherError as again:
+                self._log_failure(message, again)
+                self._fail(end_of(again))
+
+    def _note_first(self) -> None:
+        """Note when the answer began."""
+        self._first_token_ms = monotonic_ms() - self._started_ms
+        self._node.first_token(self._request_id)
+
+    def _fail(self, end: EndOfWork) -> None:
+        """Tell the node how the attempt ended."""
+        self._metrics.retries.inc({"end": str(end)})
+        self._node.attempt_failed(self._request_id, end)
+
+    def _log_failure(self, dispatch: Dispatch, err: WagtailusherError) -> None:
+        """Log a failed attempt."""
+        _LOGGER.info(
+            "Exchange: attempt %s of %s at %s failed: %s",
+            dispatch.attempt,
+            self._request_id,
+            dispatch.endpoint_id,
+            err.code,
+        )
+
+    def _count(self) -> None:
+        """Count a whole answer."""
+        policy = self._classified.arrival.policy
+        took_ms = self._first_token_ms or 0
+        target_ms = self._classified.arrival.start_target_ms
+        self._metrics.count_answer(policy.tier, took_ms, target_ms)
+
+    def _end(self) -> None:
+        """Close the mailbox; a request that is not done lost its caller."""
+        if not self._done:
+            self._done = True
+            self._node.caller_left(self._request_id)
+        self._node.close(self._request_id)
+
+
+def end_to_end_headers(answer: ClientAnswer) -> Headers:
+    """Return an answer's headers without those of one hop."""
+    return answer.headers.without(_HOP_HEADERS)
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/models.py
@@ -0,0 +1,17 @@
+"""Validated models of what callers send."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field
+
+
+class ChatRequest(BaseModel):
+    """The part of a chat completion request that routing needs; the rest is passed on."""
+
+    model_config = ConfigDict(extra="allow")
+
+    model: str = Field(min_length=1)
+    messages: list[Any] = Field(min_length=1)
+    stream: bool = False
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
@@ -0,0 +1,144 @@
+"""The owner of the router's decider: hands events in and messages out to their tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from wagtailusher_core import ErrorCode, RequestId, callback
+from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_once import StoredAnswer
+from wagtailusher_placement import EndOfWork, LeaseGrant, LeaseRequest, LoadReport
+from wagtailusher_router import (
+    Action,
+    Arrival,
+    Cancel,
+    Dispatch,
+    Forward,
+    Refuse,
+    ReplayAnswer,
+    RouterDecider,
+    SendLeaseGrant,
+    SendLeaseRequest,
+)
+
+RequestMessage = Dispatch | Refuse | Forward | ReplayAnswer
+PeerMessage = SendLeaseRequest | SendLeaseGrant
+Mailbox = asyncio.Queue[RequestMessage]
+
+
+class RouterNode:
+    """Owns the decider; each request's task has a mailbox here."""
+
+    def __init__(
+        self,
+        decider: RouterDecider,
+        *,
+        send_peer: Callable[[PeerMessage], None],
+        cancel: Callable[[Cancel], None],
+    ) -> None:
+        """Own a decider; peer messages and cancellations go to the given functions."""
+        self.decider = decider
+        self._send_peer = send_peer
+        self._cancel = cancel
+        self._mailboxes: dict[RequestId, Mailbox] = {}
+
+    @property
+    def held_count(self) -> int:
+        """Return the number of requests whose tasks are at work."""
+        return len(self._mailboxes)
+
+    @callback
+    def arrive(self, arrival: Arrival) -> Mailbox:
+        """Hand a request in and return the mailbox in which its messages arrive."""
+        mailbox: Mailbox = asyncio.Queue()
+        self._mailboxes[arrival.request_id] = mailbox
+        self.apply(self.decider.arrive(arrival, monotonic_ms()))
+        return mailbox
+
+    @callback
+    def close(self, request_id: RequestId) -> None:
+        """Forget a request's mailbox; its task is done."""
+        self._mailboxes.pop(request_id, None)
+
+    @callback
+    def may_send(self, request_id: RequestId) -> bool:
+        """Tell whether a request may go out, right before its first byte."""
+        return self.decider.may_send(request_id, monotonic_ms())
+
+    @callback
+    def first_token(self, request_id: RequestId) -> None:
+        """Note the beginning of an answer."""
+        self.decider.first_token(request_id, monotonic_ms())
+
+    @callback
+    def progress(self, request_id: RequestId, events: int) -> None:
+        """Note events that were relayed."""
+        self.decider.progress(request_id, events, monotonic_ms())
+
+    @callback
+    def complete(self, request_id: RequestId, answer: StoredAnswer | None = None) -> None:
+        """Note a whole answer."""
+        self.apply(self.decider.complete(request_id, answer, monotonic_ms()))
+
+    @callback
+    def attempt_failed(self, request_id: RequestId, end: EndOfWork) -> None:
+        """Note that an attempt failed; what follows arrives in the mailbox."""
+        self.apply(self.decider.attempt_failed(request_id, end, monotonic_ms()))
+
+    @callback
+    def caller_left(self, request_id: RequestId) -> None:
+        """Note that the caller left."""
+        self.apply(self.decider.caller_left(request_id, monotonic_ms()))
+
+    @callback
+    def observe_reports(self, reports: Iterable[LoadReport]) -> None:
+        """Hand load reports in."""
+        for report in reports:
+            self.apply(self.decider.observe_report(report, monotonic_ms()))
+
+    @callback
+    def lease_requested(self, request: LeaseRequest) -> None:
+        """Hand another node's lease request in."""
+        self.apply(self.decider.lease_requested(request, monotonic_ms()))
+
+    @callback
+    def lease_granted(self, grant: LeaseGrant) -> None:
+        """Hand a steward's grant in."""
+        self.apply(self.decider.lease_granted(grant, monotonic_ms()))
+
+    @callback
+    def tick(self) -> None:
+        """Let the decider see the time."""
+        self.apply(self.decider.tick(monotonic_ms()))
+
+    @callback
+    def apply(self, actions: Iterable[Action]) -> None:
+        """Pass the decider's actions on."""
+        for action in actions:
+            if isinstance(action, SendLeaseRequest | SendLeaseGrant):
+                self._send_peer(action)
+            elif isinstance(action, Cancel):
+                self._cancel(action)
+            else:
+                self._deliver(action)
+
+    @callback
+    def _deliver(self, message: RequestMessage) -> None:
+        """Put a message into a request's mailbox."""
+        mailbox = self._mailboxes.get(message.request_id)
+        if mailbox is not None:
+            mailbox.put_nowait(message)
+        elif isinstance(message, Dispatch):
+            self.attempt_failed(message.request_id, EndOfWork.CANCELLED)
+
+
+def is_late_refusal(code: ErrorCode) -> bool:
+    """Tell whether a refusal means overload, so that coming back later helps."""
+    return code in {
+        ErrorCode.QUEUE_FULL,
+        ErrorCode.SHED,
+        ErrorCode.QUOTA_EXCEEDED,
+        ErrorCode.DEADLINE_UNREACHABLE,
+        ErrorCode.NO_ENDPOINT,
+    }
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
@@ -0,0 +1,88 @@
+"""Flags and environment variables of the entry daemon."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Any
+
+from pydantic import Field, ValidationError, field_validator
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from wagtailusher_daemon.const import (
+    DEFAULT_LISTEN,
+    DEFAULT_LOAD_POLL_INTERVAL_MS,
+    DEFAULT_LOG_FORMAT,
+    DEFAULT_LOG_LEVEL,
+    DEFAULT_TICK_INTERVAL_MS,
+    ENV_PREFIX,
+)
+from wagtailusher_daemon.exceptions import OptionsError
+
+MIN_SECRET_CHARS = 16
+MAX_PORT = 65535
+
+
+class LogFormat(StrEnum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class EntryOptions(BaseSettings):
+    """Checked options; a flag wins over its environment variable."""
+
+    model_config = SettingsConfigDict(env_prefix=ENV_PREFIX, extra="forbid", frozen=True)
+
+    vm_id: str = Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")
+    failure_domain: str = Field(min_length=1, max_length=64)
+    fleet_secret: str = Field(min_length=MIN_SECRET_CHARS)
+    previous_fleet_secret: str = ""
+    config_service: str
+    vm_list: str
+    listen: str = DEFAULT_LISTEN
+    peer_listen: str = DEFAULT_LISTEN
+    operator_listen: str = DEFAULT_LISTEN
+    tls_certificate: str = ""
+    tls_key: str = ""
+    log_level: str = DEFAULT_LOG_LEVEL
+    log_format: LogFormat = LogFormat(DEFAULT_LOG_FORMAT)
+    trace_file: str = ""
+    otlp_address: str = ""
+    tick_interval_ms: int = Field(default=DEFAULT_TICK_INTERVAL_MS, ge=5, le=1000)
+    load_poll_interval_ms: int = Field(default=DEFAULT_LOAD_POLL_INTERVAL_MS, ge=20, le=10_000)
+
+    @field_validator("listen", "peer_listen", "operator_listen", "config_service", "vm_list")
+    @classmethod
+    def check_address(cls, value: str) -> str:
+        """Take `host:port` only."""
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or int(port) > MAX_PORT:
+            raise ValueError("expected host:port")
+        return value
+
+    @field_validator("log_level")
+    @classmethod
+    def check_log_level(cls, value: str) -> str:
+        """Take the levels of the logging library."""
+        if value.lower() not in {"debug", "info", "warning", "error"}:
+            raise ValueError("expected debug, info, warning or error")
+        return value.lower()
+
+
+def read_options(flags: dict[str, Any]) -> EntryOptions:
+    """Return the options from the given flags, then the environment, then the defaults."""
+    given = {name: value for name, value in flags.items() if value is not None}
+    try:
+        return EntryOptions(**given)
+    except ValidationError as err:
+        raise OptionsError(_describe(err)) from err
+
+
+def _describe(err: ValidationError) -> str:
+    """Return one line that names each bad option."""
+    parts = []
+    for problem in err.errors(include_url=False, include_input=False):
+        name = "-".join(str(part) for part in problem["loc"]).replace("_", "-")
+        parts.append(f"--{name}: {problem['msg']}")
+    return "; ".join(parts)
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
@@ -0,0 +1,94 @@
+"""Sends requests to endpoints and names how an attempt ended."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from wagtailusher_core import WagtailusherError, callback
+from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS
+from wagtailusher_http import (
+    AnswerTruncatedError,
+    ClientAnswer,
+    ConnectError,
+    HttpClient,
+    SendVetoedError,
+    SilentConnectionError,
+)
+from wagtailusher_integrations.engine import ChatCall, EngineCoordinator
+from wagtailusher_integrations.service import ServiceCall, ServiceCoordinator
+from wagtailusher_placement import EndOfWork
+from wagtailusher_router import Cancel, Dispatch
+
+_REFUSED_STATUSES = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
+
+
+class Upstream:
+    """The endpoints, whichever their kind."""
+
+    def __init__(self, client: HttpClient, address_of: Callable[[Cancel], str | None]) -> None:
+        """Use a client; cancellations look their address up."""
+        self.engines = EngineCoordinator(client)
+        self._services = ServiceCoordinator(client)
+        self._address_of = address_of
+
+    async def async_open(
+        self,
+        dispatch: Dispatch,
+        call: ChatCall | ServiceCall,
+        *,
+        may_send: Callable[[], bool],
+        head_timeout_ms: int = DEFAULT_HEAD_TIMEOUT_MS,
+    ) -> ClientAnswer:
+        """Send a request, or resume its answer, and return the answer."""
+        if isinstance(call, ServiceCall):
+            return await self._services.async_send(
+                dispatch.address,
+                call,
+                may_send=may_send,
+                fresh=dispatch.fresh,
+                head_timeout_ms=head_timeout_ms,
+            )
+        if dispatch.resume_from is not None:
+            return await self.engines.async_resume(
+                dispatch.address,
+                call.request_id,
+                dispatch.resume_from,
+                head_timeout_ms=head_timeout_ms,
+            )
+        return await self.engines.async_send(
+            dispatch.address,
+            call,
+            may_send=may_send,
+            fresh=dispatch.fresh,
+            head_timeout_ms=head_timeout_ms,
+        )
+
+    @callback
+    def cancel(self, action: Cancel) -> None:
+        """Tell an engine that nobody wants an answer."""
+        address = self._address_of(action)
+        if address is not None:
+            self.engines.cancel(address, action.request_id)
+
+
+def end_of(err: WagtailusherError) -> EndOfWork:
+    """Name the end of an attempt by its error."""
+    if isinstance(err, SendVetoedError):
+        return EndOfWork.CANCELLED
+    if isinstance(err, SilentConnectionError):
+        return EndOfWork.SILENT
+    if isinstance(err, AnswerTruncatedError):
+        return EndOfWork.CRASHED
+    if isinstance(err, ConnectError):
+        return EndOfWork.FAILED
+    return EndOfWork.FAILED
+
+
+def end_of_status(status: int) -> EndOfWork | None:
+    """Name the end of an attempt by its answer's status, or None when it is an answer."""
+    if status in _REFUSED_STATUSES:
+        return EndOfWork.REFUSED
+    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return EndOfWork.FAILED
+    return None
--- a/packages/wagtailusher_http/src/wagtailusher_http/messages.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 import json
@@ -42,12 +42,14 @@
     """A response with a whole body or a stream of chunks.
 
     A stream that raises ends the connection without an end marker, so that the caller sees a
-    broken answer instead of a short one.
+    broken answer instead of a short one. `on_end` is called once the response was sent or given
+    up, even when its stream was never begun.
     """
 
     status: int = HTTPStatus.OK
     headers: Headers = field(default_factory=Headers)
     body: bytes | AsyncIterator[bytes] = b""
+    on_end: Callable[[], None] | None = None
 
 
 def json_response(status: int, value: Any, headers: Headers | None = None) -> Response:
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -171,7 +171,11 @@
             response = error_response(
                 HTTPStatus.INTERNAL_SERVER_ERROR, ErrorCode.INTERNAL, "unexpected error"
             )
-        await self._async_send(response)
+        try:
+            await self._async_send(response)
+        finally:
+            if response.on_end is not None:
+                response.on_end()
 
     async def _async_send(self, response: Response) -> None:
         """Send a response."""
--- /dev/null
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/const.py
@@ -0,0 +1,19 @@
+"""Paths, headers and intervals of model engines."""
+
+from __future__ import annotations
+
+PATH_CHAT = "/v1/chat/completions"
+PATH_LOAD = "/load"
+PATH_CANCEL = "/v1/requests/{request_id}/cancel"
+PATH_RESUME = "/v1/requests/{request_id}/stream?offset={offset}"
+
+HEADER_REQUEST_ID = "x-request-id"
+HEADER_PRIORITY = "x-priority"
+
+CONTENT_TYPE_JSON = "application/json"
+CONTENT_TYPE_EVENTS = "text/event-stream"
+
+DEFAULT_POLL_INTERVAL_MS = 500
+DEFAULT_POLL_TIMEOUT_MS = 1_000
+DEFAULT_CANCEL_TIMEOUT_MS = 1_000
+MAX_POLLED_ENDPOINTS = 64
--- /dev/null
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -0,0 +1,136 @@
+"""Sends chat completions to engines and polls their load."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+import logging
+
+from pydantic import ValidationError
+
+from wagtailusher_core import RequestId, WagtailusherError, callback
+from wagtailusher_http import ClientAnswer, Headers, HttpClient
+from wagtailusher_integrations.engine.const import (
+    CONTENT_TYPE_JSON,
+    DEFAULT_CANCEL_TIMEOUT_MS,
+    DEFAULT_POLL_TIMEOUT_MS,
+    HEADER_PRIORITY,
+    HEADER_REQUEST_ID,
+    MAX_POLLED_ENDPOINTS,
+    PATH_CANCEL,
+    PATH_CHAT,
+    PATH_LOAD,
+    PATH_RESUME,
+)
+from wagtailusher_integrations.engine.exceptions import CrossedAnswerError, EngineError
+from wagtailusher_integrations.engine.models import ChatCall, LoadModel
+from wagtailusher_placement import EndpointInfo, LoadReport
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class EngineCoordinator:
+    """Speaks with the engines; lower priority numbers are more urgent to them."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Use a client for every engine."""
+        self._client = client
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    async def async_send(
+        self,
+        address: str,
+        call: ChatCall,
+        *,
+        may_send: Callable[[], bool],
+        fresh: bool,
+        head_timeout_ms: int,
+    ) -> ClientAnswer:
+        """Send a chat completion and return its answer, checked to be its own."""
+        headers = Headers(
+            (
+                ("content-type", CONTENT_TYPE_JSON),
+                (HEADER_REQUEST_ID, call.request_id),
+                (HEADER_PRIORITY, str(call.tier)),
+            )
+        )
+        answer = await self._client.async_request(
+            address,
+            "POST",
+            PATH_CHAT,
+            headers,
+            call.body,
+            may_send=may_send,
+            fresh=fresh,
+            head_timeout_ms=head_timeout_ms,
+        )
+        _check_own(answer, call.request_id)
+        return answer
+
+    async def async_resume(
+        self, address: str, request_id: RequestId, offset: int, *, head_timeout_ms: int
+    ) -> ClientAnswer:
+        """Ask over a new connection for the rest of a stream, from an event number on."""
+        answer = await self._client.async_request(
+            address,
+            "GET",
+            PATH_RESUME.format(request_id=request_id, offset=offset),
+            fresh=True,
+            head_timeout_ms=head_timeout_ms,
+        )
+        if answer.status != HTTPStatus.OK:
+            answer.abort()
+            raise EngineError(f"the engine at {address} does not hold the stream any more")
+        _check_own(answer, request_id)
+        return answer
+
+    @callback
+    def cancel(self, address: str, request_id: RequestId) -> None:
+        """Tell an engine, without waiting, that nobody wants an answer any more."""
+        task = asyncio.get_running_loop().create_task(self._async_cancel(address, request_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    async def _async_cancel(self, address: str, request_id: RequestId) -> None:
+        """Send a cancellation once."""
+        target = PATH_CANCEL.format(request_id=request_id)
+        try:
+            answer = await self._client.async_request(
+                address, "POST", target, head_timeout_ms=DEFAULT_CANCEL_TIMEOUT_MS
+            )
+            await answer.async_read()
+        except WagtailusherError as err:
+            _LOGGER.debug("Engine: cancel of %s failed: %s", request_id, err.code)
+
+    async def async_poll(
+        self, endpoints: Iterable[EndpointInfo], now_ms: Callable[[], int]
+    ) -> list[LoadReport]:
+        """Return the load of those endpoints that answer."""
+        chosen = tuple(endpoints)[:MAX_POLLED_ENDPOINTS]
+        reports = await asyncio.gather(
+            *(self._async_poll_one(endpoint, now_ms) for endpoint in chosen)
+        )
+        return [report for report in reports if report is not None]
+
+    async def _async_poll_one(
+        self, endpoint: EndpointInfo, now_ms: Callable[[], int]
+    ) -> LoadReport | None:
+        """Return one endpoint's load, or None when there is none to be had."""
+        try:
+            answer = await self._client.async_request(
+                endpoint.address, "GET", PATH_LOAD, head_timeout_ms=DEFAULT_POLL_TIMEOUT_MS
+            )
+            body = await answer.async_read(DEFAULT_POLL_TIMEOUT_MS)
+            return LoadModel.model_validate_json(body).to_report(endpoint.endpoint_id, now_ms())
+        except (WagtailusherError, ValidationError) as err:
+            _LOGGER.debug("Engine: no load from %s: %s", endpoint.endpoint_id, err)
+            return None
+
+
+def _check_own(answer: ClientAnswer, request_id: RequestId) -> None:
+    """Refuse an answer that names another request."""
+    echoed = answer.headers.get(HEADER_REQUEST_ID)
+    if echoed is not None and echoed != request_id:
+        answer.abort()
+        raise CrossedAnswerError(f"the answer to {request_id} names request {echoed}")
--- /dev/null
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/event_stream.py
@@ -0,0 +1,36 @@
+"""Whole events of a stream of server-sent events, cut from chunks of any size."""
+
+from __future__ import annotations
+
+from wagtailusher_integrations.engine.exceptions import EngineError
+
+_EVENT_END = b"\n\n"
+_END_MARKER = b"data: [DONE]\n\n"
+_MAX_EVENT_BYTES = 1024 * 1024
+
+
+class EventStream:
+    """Holds back the beginning of an event until the rest of it is there."""
+
+    __slots__ = ("_rest", "event_count", "is_complete")
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self._rest = b""
+        self.event_count = 0
+        self.is_complete = False
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Return the whole events at hand, possibly none."""
+        data = self._rest + chunk if self._rest else chunk
+        end = data.rfind(_EVENT_END) + len(_EVENT_END)
+        if end < len(_EVENT_END):
+            if len(data) > _MAX_EVENT_BYTES:
+                raise EngineError("an event of the stream is too large")
+            self._rest = data
+            return b""
+        self._rest = data[end:]
+        events = data[:end] if self._rest else data
+        self.event_count += events.count(_EVENT_END)
+        self.is_complete = events.endswith(_END_MARKER)
+        return events
--- /dev/null
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/exceptions.py
@@ -0,0 +1,21 @@
+"""Errors of model engines."""
+
+from __future__ import annotations
+
+from wagtailusher_core import ErrorCode, WagtailusherError
+
+
+class EngineError(WagtailusherError):
+    """An engine's answer can't be used."""
+
+    code = ErrorCode.ENDPOINT_PROTOCOL
+
+
+class CrossedAnswerError(EngineError):
+    """The answer belongs to another request."""
+
+
+class UnfinishedAnswerError(EngineError):
+    """The answer ended without its end marker."""
+
+    code = ErrorCode.ANSWER_TRUNCATED
--- /dev/null
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/service/__init__.py
@@ -0,0 +1,9 @@
+"""Plain HTTP services beside the model engines."""
+
+from __future__ import annotations
+
+from wagtailusher_integrations.service.coordinator import ServiceCoordinator
+from wagtailusher_integrations.service.exceptions import ServiceError
+from wagtailusher_integrations.service.models import ServiceCall
+
+__all__ = ["ServiceCall", "ServiceCoordinator", "ServiceError"]
--- /dev/null
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/service/coordinator.py
@@ -0,0 +1,41 @@
+"""Sends calls to plain services."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wagtailusher_http import ClientAnswer, HttpClient
+from wagtailusher_integrations.service.const import HEADER_REQUEST_ID, SECRET_HEADERS
+from wagtailusher_integrations.service.models import ServiceCall
+
+
+class ServiceCoordinator:
+    """Speaks with plain services; a caller's credentials are not passed on."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Use a client for every service."""
+        self._client = client
+
+    async def async_send(
+        self,
+        address: str,
+        call: ServiceCall,
+        *,
+        may_send: Callable[[], bool],
+        fresh: bool,
+        head_timeout_ms: int,
+    ) -> ClientAnswer:
+        """Send a call and return its answer."""
+        headers = call.headers.without(SECRET_HEADERS).with_field(
+            HEADER_REQUEST_ID, call.request_id
+        )
+        return await self._client.async_request(
+            address,
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            may_send=may_send,
+            fresh=fresh,
+            head_timeout_ms=head_timeout_ms,
+        )
--- a/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
@@ -1,1 +1,35 @@
 """The decider of one entry VM, composed of the other deciders, without sockets."""
+
+from __future__ import annotations
+
+from wagtailusher_router.actions import (
+    Action,
+    Cancel,
+    Dispatch,
+    Forward,
+    ForwardReason,
+    Refuse,
+    ReplayAnswer,
+    SendLeaseGrant,
+    SendLeaseRequest,
+)
+from wagtailusher_router.decider import RouterDecider, RouterParts
+from wagtailusher_router.errors import RouterError, UnknownFlightError
+from wagtailusher_router.events import Arrival
+
+__all__ = [
+    "Action",
+    "Arrival",
+    "Cancel",
+    "Dispatch",
+    "Forward",
+    "ForwardReason",
+    "Refuse",
+    "ReplayAnswer",
+    "RouterDecider",
+    "RouterError",
+    "RouterParts",
+    "SendLeaseGrant",
+    "SendLeaseRequest",
+    "UnknownFlightError",
+]
--- /dev/null
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -0,0 +1,374 @@
+"""The composed decider: admission, placement, at-most-once and quarantine for one entry VM."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from wagtailusher_admission import AdmissionDecider, PendingRequest, Refusal
+from wagtailusher_core import ErrorCode, FailureDomainId, Outcome, PoolId, PublishedVm, RequestId
+from wagtailusher_once import OnceDecider, QuarantineDecider, StoredAnswer
+from wagtailusher_placement import (
+    Choice,
+    EndOfWork,
+    EndpointInfo,
+    LeaseGrant,
+    LeaseRequest,
+    LoadReport,
+    PlacementDecider,
+    PlacementRequest,
+    StewardDecider,
+)
+from wagtailusher_router.actions import (
+    Action,
+    Cancel,
+    Dispatch,
+    Refuse,
+    ReplayAnswer,
+    SendLeaseGrant,
+)
+from wagtailusher_router.attempts import NextStep, next_step
+from wagtailusher_router.const import DEFAULT_RETRY_AFTER_MS, MAX_HEAD_SKIPS
+from wagtailusher_router.errors import UnknownFlightError
+from wagtailusher_router.events import Arrival
+from wagtailusher_router.flights import Flight, Phase
+from wagtailusher_router.leasing import LeaseExchange
+from wagtailusher_router.once_gate import OnceGate
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouterParts:
+    """The deciders that a router is composed of."""
+
+    admission: AdmissionDecider
+    placement: PlacementDecider
+    steward: StewardDecider
+    once: OnceDecider
+    quarantine: QuarantineDecider
+
+
+class RouterDecider:
+    """Takes events with the present time and returns the actions that follow."""
+
+    def __init__(self, parts: RouterParts) -> None:
+        """Start without requests."""
+        self._admission = parts.admission
+        self._placement = parts.placement
+        self._quarantine = parts.quarantine
+        self._leases = LeaseExchange(parts.placement, parts.steward)
+        self._gate = OnceGate(parts.once)
+        self._flights: dict[RequestId, Flight] = {}
+        self._resumable: frozenset[str] = frozenset()
+        self._draining = False
+
+    @property
+    def in_flight_count(self) -> int:
+        """Return the number of requests that are held."""
+        return len(self._flights)
+
+    # Views of the outside.
+
+    def update_endpoints(
+        self, endpoints: Iterable[EndpointInfo], now_ms: int
+    ) -> tuple[Action, ...]:
+        """Take over the published endpoints."""
+        infos = tuple(endpoints)
+        self._placement.update_endpoints(infos, now_ms)
+        self._leases.update_endpoints(infos, now_ms)
+        self._resumable = frozenset(info.endpoint_id for info in infos if info.resumes_streams)
+        return tuple(self._pump_all(now_ms))
+
+    def update_published(self, vms: Iterable[PublishedVm], now_ms: int) -> None:
+        """Take over the published list of entry VMs."""
+        published = tuple(vms)
+        self._leases.update_published(published, now_ms)
+        self._gate.update_published(published, now_ms)
+
+    def update_drained_domains(
+        self, domains: Iterable[FailureDomainId], now_ms: int
+    ) -> tuple[Action, ...]:
+        """Take over the failure domains that operators took out."""
+        self._placement.update_drained_domains(domains, now_ms)
+        return tuple(self._pump_all(now_ms))
+
+    def observe_report(self, report: LoadReport, now_ms: int) -> tuple[Action, ...]:
+        """Take over an endpoint's load report."""
+        self._placement.observe_report(report, now_ms)
+        self._leases.observe_report(report, now_ms)
+        return tuple(self._pump_all(now_ms))
+
+    def start_draining(self) -> None:
+        """Refuse new requests from now on; those that are held go on."""
+        self._draining = True
+
+    # Requests.
+
+    def arrive(self, arrival: Arrival, now_ms: int) -> tuple[Action, ...]:
+        """Take a classified request."""
+        refusal = self._refuse_at_once(arrival, now_ms)
+        if refusal is not None:
+            return (refusal,)
+        flight = Flight(arrival=arrival, pending=_pending_of(arrival, now_ms))
+        if not arrival.policy.repeatable:
+            answered = self._gate.submit(flight, now_ms)
+            if answered is not None:
+                return answered
+        self._flights[flight.request_id] = flight
+        refusals = self._admission.offer(flight.pending, now_ms)
+        actions = list(self._refuse_all(refusals, now_ms))
+        actions.extend(self._pump(arrival.pool_id, now_ms))
+        return tuple(actions)
+
+    def _refuse_at_once(self, arrival: Arrival, now_ms: int) -> Refuse | None:
+        """Return the refusal of a request that this node takes in no case."""
+        code: ErrorCode | None = None
+        if self._draining and arrival.forwarded_from is None:
+            code = ErrorCode.DRAINING
+        elif self._quarantine.is_quarantined(arrival.fingerprint, now_ms):
+            code = ErrorCode.QUARANTINED
+        if code is None:
+            return None
+        return Refuse(
+            request_id=arrival.request_id,
+            code=code,
+            outcome=Outcome.NOT_RUN,
+            retry_after_ms=DEFAULT_RETRY_AFTER_MS if code is ErrorCode.DRAINING else None,
+        )
+
+    def may_send(self, request_id: RequestId, now_ms: int) -> bool:
+        """Tell whether a dispatched request may go out; ask right before its first byte.
+
+        After True, the request counts as sent.
+        """
+        flight = self._flights.get(request_id)
+        if flight is None or flight.phase is not Phase.DISPATCHED:
+            return False
+        if not self._placement.may_send(request_id, now_ms):
+            return False
+        if flight.ticket_id is not None and not self._gate.dispatch(flight.ticket_id, now_ms):
+            flight.is_barred = True
+            return False
+        flight.phase = Phase.SENT
+        flight.ever_sent = True
+        return True
+
+    def first_token(self, request_id: RequestId, now_ms: int) -> None:
+        """Note that an answer began."""
+        self._placement.first_token(request_id, now_ms)
+
+    def progress(self, request_id: RequestId, events: int, now_ms: int) -> None:
+        """Note that further events of an answer were relayed to the caller."""
+        flight = self._flights.get(request_id)
+        if flight is not None:
+            flight.relayed_events += events
+        self._placement.progress(request_id, events, now_ms)
+
+    def complete(
+        self, request_id: RequestId, answer: StoredAnswer | None, now_ms: int
+    ) -> tuple[Action, ...]:
+        """Note that the whole answer arrived; `answer` is needed when it may not be repeated."""
+        flight = self._flight(request_id)
+        self._placement.finish(request_id, EndOfWork.COMPLETED, now_ms)
+        self._admission.finish(request_id, now_ms)
+        del self._flights[request_id]
+        actions: list[Action] = []
+        if flight.ticket_id is not None and answer is not None:
+            self._gate.complete(flight.ticket_id, answer, now_ms)
+            actions.extend(
+                ReplayAnswer(request_id=follower, answer=answer) for follower in flight.followers
+            )
+        actions.extend(self._pump(flight.pending.pool_id, now_ms))
+        return tuple(actions)
+
+    def attempt_failed(
+        self, request_id: RequestId, end: EndOfWork, now_ms: int
+    ) -> tuple[Action, ...]:
+        """Note that an attempt ended without a whole answer."""
+        flight = self._flight(request_id)
+        choice = flight.choice
+        if choice is None or flight.phase is Phase.QUEUED:
+            raise UnknownFlightError(f"request {request_id} has no attempt in progress")
+        if end is EndOfWork.CRASHED and flight.phase is Phase.SENT:
+            self._quarantine.crashed(flight.arrival.fingerprint, choice.endpoint_id, now_ms)
+        step = next_step(flight, end, resumable=choice.endpoint_id in self._resumable)
+        if step is NextStep.RESUME:
+            flight.resumes += 1
+            return (self._dispatch_of(flight, choice, resume=True),)
+        self._placement.finish(request_id, end, now_ms)
+        actions: list[Action] = []
+        if step is NextStep.RETRY_ELSEWHERE:
+            actions.extend(self._retry(flight, end, now_ms))
+        else:
+            code = ErrorCode.TICKET_EXPIRED if flight.is_barred else ErrorCode.ENDPOINT_FAILED
+            actions.extend(self._give_up(flight, code, now_ms))
+        actions.extend(self._pump(flight.pending.pool_id, now_ms))
+        return tuple(actions)
+
+    def caller_left(self, request_id: RequestId, now_ms: int) -> tuple[Action, ...]:
+        """Note that nobody waits any more; what may not be repeated goes on once it was sent."""
+        flight = self._flights.get(request_id)
+        if flight is None:
+            self._gate.unfollow(request_id)
+            return ()
+        flight.caller_left = True
+        if flight.followers or (flight.phase is Phase.SENT and not flight.may_repeat):
+            return ()
+        choice = flight.choice
+        sent = flight.phase is Phase.SENT
+        if flight.phase is not Phase.QUEUED:
+            self._placement.finish(request_id, EndOfWork.CANCELLED, now_ms)
+        self._admission.withdraw(request_id, now_ms)
+        self._drop(flight, ErrorCode.CALLER_LEFT, now_ms)
+        cancels: list[Action] = []
+        if sent and choice is not None:
+            cancels.append(Cancel(request_id=request_id, endpoint_id=choice.endpoint_id))
+        return (*cancels, *self._pump(flight.pending.pool_id, now_ms))
+
+    # Time and peers.
+
+    def tick(self, now_ms: int) -> tuple[Action, ...]:
+        """Let time pass: refuse what came too late, renew leases, start what may start."""
+        actions = list(self._refuse_all(self._admission.expire(now_ms), now_ms))
+        self._gate.expire(now_ms)
+        demand = {pool_id: self._admission.demand(pool_id) for pool_id in self._admission.pools()}
+        actions.extend(self._leases.renew(demand, now_ms))
+        actions.extend(self._pump_all(now_ms))
+        return tuple(actions)
+
+    def next_wake_ms(self) -> int | None:
+        """Return when `tick` is due at the latest because of a queued request."""
+        return self._admission.next_expiry_ms()
+
+    def lease_requested(self, request: LeaseRequest, now_ms: int) -> tuple[Action, ...]:
+        """Answer another node's request for credits."""
+        grant = self._leases.grant(request, now_ms)
+        if grant is None:
+            return ()
+        return (SendLeaseGrant(node_id=request.node_id, grant=grant),)
+
+    def lease_granted(self, grant: LeaseGrant, now_ms: int) -> tuple[Action, ...]:
+        """Take over a steward's credits."""
+        self._placement.apply_grant(grant, now_ms)
+        return tuple(self._pump_all(now_ms))
+
+    # Inside.
+
+    def _flight(self, request_id: RequestId) -> Flight:
+        """Return a held request."""
+        flight = self._flights.get(request_id)
+        if flight is None:
+            raise UnknownFlightError(f"request {request_id} is not held")
+        return flight
+
+    def _pump_all(self, now_ms: int) -> Iterator[Action]:
+        """Start what may start in every pool."""
+        for pool_id in self._admission.pools():
+            yield from self._pump(pool_id, now_ms)
+
+    def _pump(self, pool_id: PoolId, now_ms: int) -> Iterator[Action]:
+        """Start requests in order of service while an endpoint takes them."""
+        while (placed := self._place_next(pool_id, now_ms)) is not None:
+            yield placed
+
+    def _place_next(self, pool_id: PoolId, now_ms: int) -> Dispatch | None:
+        """Start the first request that an endpoint takes; only retries may be skipped."""
+        for skips, pending in enumerate(self._admission.candidates(pool_id, now_ms)):
+            flight = self._flights[pending.request_id]
+            request = _placement_request(flight)
+            choice = self._placement.choose(request, now_ms)
+            if choice is not None:
+                self._admission.start(flight.request_id, now_ms)
+                self._placement.start(choice, request, now_ms)
+                return self._dispatch_of(flight, choice, resume=False)
+            if not flight.excluded or skips >= MAX_HEAD_SKIPS:
+                return None
+        return None
+
+    def _dispatch_of(self, flight: Flight, choice: Choice, *, resume: bool) -> Dispatch:
+        """Return the order to send a request."""
+        flight.choice = choice
+        if not resume:
+            flight.attempt += 1
+            flight.phase = Phase.DISPATCHED
+        return Dispatch(
+            request_id=flight.request_id,
+            endpoint_id=choice.endpoint_id,
+            address=choice.address,
+            attempt=flight.attempt,
+            tier=flight.pending.tier,
+            choice=choice,
+            resume_from=flight.relayed_events if resume else None,
+            fresh=resume or not flight.may_repeat,
+        )
+
+    def _retry(self, flight: Flight, end: EndOfWork, now_ms: int) -> Iterator[Action]:
+        """Queue a request again for another endpoint."""
+        if flight.choice is not None and end is not EndOfWork.CANCELLED:
+            flight.excluded |= {flight.choice.endpoint_id}
+        if flight.phase is Phase.DISPATCHED:
+            flight.attempt -= end is EndOfWork.CANCELLED
+        flight.choice = None
+        flight.phase = Phase.QUEUED
+        yield from self._refuse_all(self._admission.requeue(flight.pending, now_ms), now_ms)
+
+    def _give_up(self, flight: Flight, code: ErrorCode, now_ms: int) -> Iterator[Action]:
+        """End a request that was started, without its answer."""
+        self._admission.finish(flight.request_id, now_ms)
+        yield from self._drop(flight, code, now_ms)
+
+    def _refuse_all(self, refusals: Iterable[Refusal], now_ms: int) -> Iterator[Action]:
+        """Turn admission's refusals into actions."""
+        for refusal in refusals:
+            flight = self._flights[refusal.request_id]
+            yield from self._drop(flight, refusal.code, now_ms, refusal.retry_after_ms)
+
+    def _drop(
+        self, flight: Flight, code: ErrorCode, now_ms: int, retry_after_ms: int | None = None
+    ) -> tuple[Action, ...]:
+        """Forget a request and return what it and those that follow it are told."""
+        self._flights.pop(flight.request_id, None)
+        if flight.ticket_id is not None:
+            self._gate.end_without_answer(flight, code, now_ms)
+        return tuple(
+            Refuse(
+                request_id=request_id,
+                code=code,
+                outcome=flight.outcome,
+                retry_after_ms=retry_after_ms,
+            )
+            for request_id in (flight.request_id, *flight.followers)
+        )
+
+
+def _pending_of(arrival: Arrival, now_ms: int) -> PendingRequest:
+    """Return a request as admission sees it."""
+    policy = arrival.policy
+    return PendingRequest(
+        request_id=arrival.request_id,
+        key=policy.key,
+        pool_id=arrival.pool_id,
+        tier=policy.tier,
+        arrived_ms=now_ms,
+        deadline_ms=now_ms + arrival.start_target_ms,
+        deadline_behaviour=policy.deadline_behaviour,
+        weight=policy.weight,
+        share=policy.share,
+        queue_limit=policy.queue_limit,
+        in_flight_quota=policy.in_flight_quota,
+        expected_service_ms=arrival.expected_service_ms,
+    )
+
+
+def _placement_request(flight: Flight) -> PlacementRequest:
+    """Return a request as placement sees it."""
+    arrival = flight.arrival
+    return PlacementRequest(
+        request_id=flight.request_id,
+        pool_id=arrival.pool_id,
+        tier=arrival.policy.tier,
+        key=arrival.policy.key,
+        prompt_tokens=arrival.prompt_tokens,
+        expected_output_tokens=arrival.expected_output_tokens,
+        prefix_hashes=arrival.prefix_hashes,
+        excluded=flight.excluded,
+    )
--- /dev/null
+++ b/packages/wagtailusher_router/src/wagtailusher_router/events.py
@@ -0,0 +1,43 @@
+"""What happens to the router's decider."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from wagtailusher_core import PoolId, RequestId, VmId
+from wagtailusher_once import Ticket
+from wagtailusher_settings import ClassPolicy
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """A classified request.
+
+    `fingerprint` names its content for the quarantine; `forwarded_from` is the VM that handed
+    it over, if one did. A request that may not be repeated has a ticket or an idempotency key;
+    the key's age is judged from when its caller first sent it and the present wall time.
+    """
+
+    request_id: RequestId
+    policy: ClassPolicy
+    pool_id: PoolId
+    fingerprint: str
+    body_digest: bytes = b""
+    streams_tokens: bool = True
+    prompt_tokens: int = 0
+    expected_output_tokens: int = 0
+    expected_service_ms: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    ticket: Ticket | None = None
+    idempotency_key: str | None = None
+    first_sent_wall_ms: int | None = None
+    now_wall_ms: int | None = None
+    forwarded_from: VmId | None = None
+
+    @property
+    def start_target_ms(self) -> int:
+        """Return how long after its arrival the request's start is still on target."""
+        policy = self.policy
+        if self.streams_tokens:
+            return policy.first_token_target_ms
+        return max(0, policy.answer_target_ms - self.expected_service_ms)
