--- a/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
@@ -5,6 +5,16 @@
 
 from __future__ import annotations
 
+from wagtailusher_settings.chunks import (
+    Bundle,
+    ChunkAssembler,
+    ChunkReference,
+    Manifest,
+    parse_manifest,
+    split_document,
+)
+from wagtailusher_settings.delta import apply_delta, canonical_bytes, make_delta
+from wagtailusher_settings.diff import Change, PolicyChange, diff_settings, reach_of_change
 from wagtailusher_settings.errors import Problem, SettingsError, UnknownKeyError
 from wagtailusher_settings.keeper import Applied, Ignored, Refused, SettingsKeeper
 from wagtailusher_settings.parse import parse_settings
@@ -13,17 +23,30 @@
 
 __all__ = [
     "Applied",
+    "Bundle",
+    "Change",
+    "ChunkAssembler",
+    "ChunkReference",
     "ClassPolicy",
     "DeadlineBehaviour",
     "FleetPolicy",
     "Ignored",
     "Inherited",
+    "Manifest",
     "MergedRoute",
+    "PolicyChange",
     "Problem",
     "Refused",
     "Settings",
     "SettingsError",
     "SettingsKeeper",
     "UnknownKeyError",
+    "apply_delta",
+    "canonical_bytes",
+    "diff_settings",
+    "make_delta",
+    "parse_manifest",
     "parse_settings",
+    "reach_of_change",
+    "split_document",
 ]
--- /dev/null
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/canonical.py
@@ -0,0 +1,98 @@
+"""Documents as compact JSON whose workspaces are handled without decoding them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any, Final
+
+import msgspec
+
+from wagtailusher_core import Revision
+from wagtailusher_settings.document import is_json, load_document
+from wagtailusher_settings.errors import Problem, SettingsError
+
+HEADER_KEYS: Final = ("epoch", "revision")
+TOP_KEYS: Final = frozenset(HEADER_KEYS) | {"fleet", "workspaces"}
+
+_EMPTY: Final = msgspec.Raw(b"{}")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CanonicalDocument:
+    """The raw JSON of each part of a document."""
+
+    header: Mapping[str, msgspec.Raw]
+    fleet: msgspec.Raw
+    workspaces: Mapping[str, msgspec.Raw]
+
+    def encode(self) -> bytes:
+        """Return the document with its keys in a set order."""
+        ordered = dict(sorted(self.workspaces.items()))
+        top = {**self.header, "fleet": self.fleet, "workspaces": ordered}
+        return msgspec.json.encode(top)
+
+
+def split_canonical(content: bytes) -> CanonicalDocument | None:
+    """Return the parts of compact JSON without duplicate keys, or None for other text."""
+    if not is_json(content):
+        return None
+    try:
+        top = msgspec.json.decode(content, type=dict[str, msgspec.Raw])
+        raw = msgspec.json.decode(top.get("workspaces", b"{}"), type=dict[str, msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
+    copy = {**top, "workspaces": raw} if "workspaces" in top else top
+    if msgspec.json.encode(copy) != content or not top.keys() <= TOP_KEYS:
+        return None
+    return CanonicalDocument(
+        header={key: top[key] for key in HEADER_KEYS if key in top},
+        fleet=top.get("fleet", _EMPTY),
+        workspaces=raw,
+    )
+
+
+def to_canonical(content: bytes) -> CanonicalDocument:
+    """Return the parts of a document of either form; only its outline is checked."""
+    canonical = split_canonical(content)
+    if canonical is not None:
+        return canonical
+    document = load_document(content)
+    check_outline(document)
+    workspaces = document.get("workspaces", {})
+    return CanonicalDocument(
+        header={key: _to_raw(document[key]) for key in HEADER_KEYS if key in document},
+        fleet=_to_raw(document.get("fleet", {})),
+        workspaces={name: _to_raw(value) for name, value in workspaces.items()},
+    )
+
+
+def check_outline(document: Any) -> None:
+    """Refuse a document without the outline of settings."""
+    if not isinstance(document, dict):
+        raise SettingsError([Problem(key="", reason="a document is a mapping")])
+    problems = [Problem(key=key, reason="unknown key") for key in document if key not in TOP_KEYS]
+    if not isinstance(document.get("workspaces", {}), dict):
+        problems.append(Problem(key="workspaces", reason="a mapping is needed"))
+    if problems:
+        raise SettingsError(problems)
+
+
+def read_revision(document: CanonicalDocument) -> Revision:
+    """Return the revision that a document says it has."""
+    try:
+        values = {key: msgspec.json.decode(raw, type=int) for key, raw in document.header.items()}
+    except msgspec.DecodeError as error:
+        raise SettingsError([Problem(key="revision", reason=str(error))]) from error
+    return Revision(epoch=values.get("epoch", 0), number=values.get("revision", 0))
+
+
+def digest(content: bytes) -> bytes:
+    """Return a short digest that tells contents apart."""
+    return blake2b(content, digest_size=16).digest()
+
+
+def _to_raw(value: Any) -> msgspec.Raw:
+    """Return a value's compact JSON."""
+    return msgspec.Raw(msgspec.json.encode(value))
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/checks.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/checks.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from typing import Final
 
 from wagtailusher_core import WorkspaceId
 from wagtailusher_settings.document import Path
-from wagtailusher_settings.policy import DEFAULT_POLICY, NO_OVERRIDES
-from wagtailusher_settings.settings import effective_values, merge_route
+from wagtailusher_settings.policy import DEFAULT_POLICY, NO_OVERRIDES, UNSET, PolicyOverrides, Unset
+from wagtailusher_settings.settings import merge_route
 from wagtailusher_settings.tree import EMPTY_ROUTE, FleetNode, RouteNode, WorkspaceNode
 
 Fault = tuple[Path, str]
 
+_CHECKED_KEYS: Final = ("share", "first_token_target_ms", "answer_target_ms")
 _NO_WORKSPACE = WorkspaceNode()
 
 
@@ -25,9 +27,8 @@
     workspace_id: WorkspaceId, node: WorkspaceNode, fleet: FleetNode
 ) -> Iterator[Fault]:
     """Yield the faults of a workspace that it doesn't merely inherit."""
-    if node.overrides is NO_OVERRIDES and not node.routes:
-        return
-    inherited = fleet.routes if node.overrides is not NO_OVERRIDES else {}
+    changes_checked_keys = any(getattr(node.overrides, name) is not UNSET for name in _CHECKED_KEYS)
+    inherited = fleet.routes if changes_checked_keys else {}
     for route_id in dict.fromkeys([*inherited, *node.routes]):
         yield from _check_route(("workspaces", workspace_id), route_id, fleet, node)
 
@@ -76,20 +77,28 @@
     """Yield the faults of effective values that depend on one another."""
     shares = 0.0
     for class_id in class_ids:
-        values = effective_values(
-            (
-                DEFAULT_POLICY,
-                fleet.overrides,
-                node.overrides,
-                base.overrides,
-                own.overrides,
-                base.classes.get(class_id, NO_OVERRIDES),
-                own.classes.get(class_id, NO_OVERRIDES),
-            )
+        levels = (
+            own.classes.get(class_id, NO_OVERRIDES),
+            base.classes.get(class_id, NO_OVERRIDES),
+            own.overrides,
+            base.overrides,
+            node.overrides,
+            fleet.overrides,
+            DEFAULT_POLICY,
         )
-        shares += values["share"]
-        if values["first_token_target_ms"] > values["answer_target_ms"]:
+        share, first_token_ms, answer_ms = (_first_set(name, levels) for name in _CHECKED_KEYS)
+        shares += share
+        if first_token_ms > answer_ms:
             key = (*path, "classes", class_id, "first_token_target_ms")
             yield key, "the effective value is above the effective answer_target_ms"
     if shares > 1.0 + 1e-9:
         yield (*path, "classes"), f"the shares of the classes add up to {shares:g}, above 1"
+
+
+def _first_set(name: str, levels: tuple[PolicyOverrides, ...]) -> float:
+    """Return a key's value at the first level that sets it."""
+    for overrides in levels:
+        value: float | Unset = getattr(overrides, name)
+        if not isinstance(value, Unset):
+            return value
+    raise LookupError(name)
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/document.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/document.py
@@ -38,7 +38,9 @@
 def load_json(content: bytes) -> Any:
     """Return the value of a JSON text; a key given twice is a fault."""
     try:
-        return json.loads(content, object_pairs_hook=_unique, parse_constant=_refuse_constant)
+        return json.loads(
+            content.decode(), object_pairs_hook=_unique, parse_constant=_refuse_constant
+        )
     except json.JSONDecodeError as error:
         raise SettingsError(
             [Problem(key="", reason=error.msg, line=error.lineno, column=error.colno)]
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/keeper.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/keeper.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from hashlib import blake2b
 
 from wagtailusher_core import ErrorCode, Revision
+from wagtailusher_settings.canonical import digest
 from wagtailusher_settings.errors import Problem, SettingsError
 from wagtailusher_settings.parse import parse_settings
 from wagtailusher_settings.settings import Settings
@@ -65,27 +65,27 @@
 
     def offer(self, content: bytes, now_ms: int) -> Applied | Refused | Ignored:
         """Apply a document if it is valid and higher than the one in force."""
-        digest = blake2b(content, digest_size=16).digest()
+        own_digest = digest(content)
         current = self._current
-        if current is not None and digest == current.content_digest:
+        if current is not None and own_digest == current.content_digest:
             return Ignored(revision=current.revision, stale=False)
-        if self._refusal is not None and digest == self._refused_digest:
+        if self._refusal is not None and own_digest == self._refused_digest:
             return self._refuse_again(self._refusal, now_ms)
         try:
             offered = parse_settings(content, previous=current)
         except SettingsError as error:
-            return self._refuse(error.code, error.problems, None, digest, now_ms)
+            return self._refuse(error.code, error.problems, None, own_digest, now_ms)
         if current is not None and offered.revision < current.revision:
             return Ignored(revision=offered.revision, stale=True)
         if current is not None and offered.revision == current.revision:
-            return self._refuse_twin(offered, digest, now_ms)
+            return self._refuse_twin(offered, own_digest, now_ms)
         self._current = offered
         self._applied_ms = now_ms
         self._refusal = None
         self._refused_digest = None
         return Applied(settings=offered, at_ms=now_ms)
 
-    def _refuse_twin(self, offered: Settings, digest: bytes, now_ms: int) -> Refused | Ignored:
+    def _refuse_twin(self, offered: Settings, own_digest: bytes, now_ms: int) -> Refused | Ignored:
         """Refuse a document that has the revision in force and another content."""
         current = self._current
         if current is not None and _same_tree(offered, current):
@@ -93,20 +93,20 @@
         reason = f"revision {offered.revision} is in force with another content"
         problem = Problem(key="revision", reason=reason)
         code = ErrorCode.SETTINGS_STALE
-        return self._refuse(code, (problem,), offered.revision, digest, now_ms)
+        return self._refuse(code, (problem,), offered.revision, own_digest, now_ms)
 
     def _refuse(
         self,
         code: ErrorCode,
         problems: tuple[Problem, ...],
         revision: Revision | None,
-        digest: bytes,
+        own_digest: bytes,
         now_ms: int,
     ) -> Refused:
         """Keep a refusal for operators."""
         refusal = Refused(code=code, problems=problems, revision=revision, at_ms=now_ms)
         self._refusal = refusal
-        self._refused_digest = digest
+        self._refused_digest = own_digest
         return refusal
 
     def _refuse_again(self, refusal: Refused, now_ms: int) -> Refused:
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/parse.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/parse.py
@@ -4,19 +4,18 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
-from hashlib import blake2b
 from typing import Any, TypeVar
 
 import msgspec
 from pydantic import BaseModel, ValidationError
 
 from wagtailusher_core import Revision, WorkspaceId
+from wagtailusher_settings.canonical import HEADER_KEYS, TOP_KEYS, digest, split_canonical
 from wagtailusher_settings.checks import Fault, check_api_keys, check_fleet, check_workspace
 from wagtailusher_settings.const import MAX_DOCUMENT_BYTES, MAX_REPORTED_PROBLEMS
 from wagtailusher_settings.document import (
     Path,
     format_path,
-    is_json,
     load_document,
     load_json,
     locate,
@@ -33,9 +32,6 @@
 
 ModelT = TypeVar("ModelT", bound=BaseModel)
 
-_HEADER_KEYS = frozenset(HeaderModel.model_fields)
-_TOP_KEYS = _HEADER_KEYS | {"fleet", "workspaces"}
-
 
 @dataclass(slots=True, kw_only=True)
 class _Sections:
@@ -53,7 +49,7 @@
     """Return the settings of a document; unchanged workspaces are taken from `previous`."""
     if len(content) > MAX_DOCUMENT_BYTES:
         raise SettingsError([Problem(key="", reason=f"larger than {MAX_DOCUMENT_BYTES} bytes")])
-    sections = _split_canonical(content) or _split_loaded(content)
+    sections = _split_raw(content) or _split_loaded(content)
     faults = sections.faults
     header = _validate(HeaderModel, sections.header, (), faults)
     fleet_model = _validate(FleetModel, sections.fleet, ("fleet",), faults)
@@ -69,33 +65,26 @@
         workspaces=workspaces,
         digests=sections.digests,
         fleet_digest=sections.fleet_digest,
-        content_digest=_digest(content),
+        content_digest=digest(content),
     )
 
 
-def _split_canonical(content: bytes) -> _Sections | None:
+def _split_raw(content: bytes) -> _Sections | None:
     """Return the parts of compact JSON without decoding workspaces, or None for other text."""
-    if not is_json(content):
-        return None
-    try:
-        top = msgspec.json.decode(content, type=dict[str, msgspec.Raw])
-        raw = msgspec.json.decode(top.get("workspaces", b"{}"), type=dict[str, msgspec.Raw])
-        copy = msgspec.json.encode({**top, "workspaces": raw} if "workspaces" in top else top)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        return None
-    if copy != content or not top.keys() <= _TOP_KEYS:
+    parts = split_canonical(content)
+    if parts is None:
         return None
     try:
-        header = {key: load_json(bytes(top[key])) for key in _HEADER_KEYS & top.keys()}
-        fleet = load_json(bytes(top.get("fleet", b"{}")))
+        header = {key: load_json(bytes(raw)) for key, raw in parts.header.items()}
+        fleet = load_json(bytes(parts.fleet))
     except SettingsError:
         return None
     return _Sections(
         header=header,
         fleet=fleet,
-        workspaces=raw,
-        fleet_digest=_digest(bytes(top.get("fleet", b"{}"))),
-        digests={WorkspaceId(name): _digest(bytes(value)) for name, value in raw.items()},
+        workspaces=parts.workspaces,
+        fleet_digest=digest(bytes(parts.fleet)),
+        digests={WorkspaceId(name): digest(bytes(raw)) for name, raw in parts.workspaces.items()},
     )
 
 
@@ -104,13 +93,13 @@
     document = load_document(content)
     if not isinstance(document, dict):
         raise SettingsError([Problem(key="", reason="a document is a mapping")])
-    faults: list[Fault] = [((key,), "unknown key") for key in document if key not in _TOP_KEYS]
+    faults: list[Fault] = [((key,), "unknown key") for key in document if key not in TOP_KEYS]
     workspaces = document.get("workspaces", {})
     if not isinstance(workspaces, dict):
         faults.append((("workspaces",), "a mapping is needed"))
         workspaces = {}
     return _Sections(
-        header={key: document[key] for key in _HEADER_KEYS & document.keys()},
+        header={key: document[key] for key in HEADER_KEYS if key in document},
         fleet=document.get("fleet", {}),
         workspaces=workspaces,
         faults=faults,
@@ -124,8 +113,8 @@
     known = {} if previous is None else previous.digests
     for name, value in sections.workspaces.items():
         workspace_id = WorkspaceId(name)
-        digest = sections.digests.get(workspace_id)
-        if previous is not None and digest is not None and digest == known.get(workspace_id):
+        own = sections.digests.get(workspace_id)
+        if previous is not None and own is not None and own == known.get(workspace_id):
             yield workspace_id, previous.workspaces[workspace_id]
             continue
         path: Path = ("workspaces", name)
@@ -178,8 +167,3 @@
         yield Problem(key=format_path(path), reason=reason, line=line, column=column)
     if len(faults) > len(shown):
         yield Problem(key="", reason=f"{len(faults) - len(shown)} more problems")
-
-
-def _digest(content: bytes) -> bytes:
-    """Return a short digest that tells contents apart."""
-    return blake2b(content, digest_size=16).digest()
--- /dev/null
+++ b/tests/wagtailusher_settings/test_chunks.py
@@ -0,0 +1,133 @@
+"""Documents in chunks and as deltas are whole or not there at all."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wagtailusher_settings import (
+    ChunkAssembler,
+    SettingsError,
+    apply_delta,
+    canonical_bytes,
+    diff_settings,
+    make_delta,
+    parse_manifest,
+    parse_settings,
+    reach_of_change,
+    split_document,
+)
+from wagtailusher_settings.measure import build_document
+
+
+def build_content(revision: int, weights: dict[int, float]) -> bytes:
+    """Return a canonical document of forty workspaces with some weights of their own."""
+    document = build_document(40, revision)
+    for index, weight in weights.items():
+        document["workspaces"][f"workspace-{index:05d}"]["weight"] = weight
+    return canonical_bytes(json.dumps(document).encode())
+
+
+WEIGHTS = st.dictionaries(st.integers(0, 39), st.floats(0.5, 9.0), max_size=4)
+
+
+class ChunksTest(unittest.TestCase):
+    """Manifests, chunks, deltas and differences."""
+
+    @settings(max_examples=25)
+    @given(st.lists(WEIGHTS, min_size=2, max_size=4), st.data())
+    def test_a_torn_read_never_makes_a_document(
+        self, revisions: list[dict[int, float]], data: st.DataObject
+    ) -> None:
+        contents = [build_content(index + 1, item) for index, item in enumerate(revisions)]
+        bundles = [split_document(content, chunk_bytes=2_000) for content in contents]
+        chunks = [chunk for bundle in bundles for chunk in bundle.chunks.values()]
+        assembler = ChunkAssembler()
+        for _ in range(3):
+            index = data.draw(st.integers(0, len(bundles) - 1))
+            manifest = parse_manifest(bundles[index].manifest)
+            assert manifest is not None
+            assembler.take_manifest(manifest)
+            for chunk in data.draw(st.permutations(chunks))[: len(chunks) // 2]:
+                assembler.take_chunk(chunk)
+                assembled = assembler.assemble()
+                self.assertIn(assembled, (None, contents[index]))
+            for chunk in chunks:
+                assembler.take_chunk(chunk)
+            self.assertEqual(assembler.assemble(), contents[index])
+
+    def test_one_change_rewrites_one_chunk(self) -> None:
+        old = split_document(build_content(1, {}), chunk_bytes=2_000)
+        new = split_document(build_content(2, {3: 8.0}), chunk_bytes=2_000)
+        self.assertGreater(len(old.chunks), 3)
+        self.assertEqual(len(new.chunks.keys() - old.chunks.keys()), 1)
+
+    def test_faulty_manifests_and_chunks_are_refused(self) -> None:
+        self.assertIsNone(parse_manifest(b"revision: 1"))
+        for content in (b"chunks: 3", b"revision: 1\nchunks: []", b'{"chunks": [{"key": "../x"}]}'):
+            with self.subTest(content=content), self.assertRaises(SettingsError):
+                parse_manifest(content)
+        for parts in ((b"{]", b"{}"), (b'{"workspaces":{"a":{}}}',) * 2, (b'{"epoch":1}', b"{}")):
+            with self.subTest(parts=parts), self.assertRaises(SettingsError):
+                self._assemble(parts)
+
+    @settings(max_examples=25)
+    @given(WEIGHTS, WEIGHTS)
+    def test_a_delta_gives_the_new_document_or_an_error(
+        self, first: dict[int, float], second: dict[int, float]
+    ) -> None:
+        old, new = build_content(1, first), build_content(2, second)
+        delta = make_delta(old, new)
+        self.assertEqual(apply_delta(old, delta), new)
+        with self.assertRaises(SettingsError):
+            apply_delta(build_content(1, {**first, 5: 77.0}), delta)
+        with self.assertRaises(SettingsError):
+            apply_delta(old, delta.replace(b'"revision":2', b'"revision":3'))
+
+    @settings(max_examples=25)
+    @given(WEIGHTS)
+    def test_reuse_of_the_previous_revision_changes_nothing(
+        self, weights: dict[int, float]
+    ) -> None:
+        previous = parse_settings(build_content(1, {}))
+        content = build_content(2, weights)
+        reused = parse_settings(content, previous=previous)
+        fresh = parse_settings(content)
+        self.assertEqual(list(reused.policies()), list(fresh.policies()))
+        found = {change.key for change in diff_settings(previous, reused)}
+        changed = {index for index, weight in weights.items() if weight != 1.0 + index % 3}
+        self.assertEqual(found, {f"workspaces.workspace-{index:05d}.weight" for index in changed})
+
+    def test_reach_of_a_change_at_the_root(self) -> None:
+        document = build_document(3)
+        old = parse_settings(json.dumps(document).encode())
+        document["fleet"]["routes"]["chat-0"]["classes"]["advice"]["first_token_target_ms"] = 500
+        document["fleet"]["routes"]["chat-1"]["classes"]["advice"]["tier"] = 4
+        document["workspaces"].pop("workspace-00002")
+        reached = list(reach_of_change(old, parse_settings(json.dumps(document).encode())))
+        kept = [(item.key, item.route_id) for item in reached if item.new is not None]
+        expected = [((f"workspace-0000{i}", "advice"), "chat-1") for i in range(2)]
+        self.assertEqual(kept, expected)
+        self.assertEqual(
+            {item.key.workspace_id for item in reached if item.new is None}, {"workspace-00002"}
+        )
+
+    def _assemble(self, parts: tuple[bytes, ...]) -> bytes | None:
+        """Return the document of some chunks under a manifest that names them."""
+        bundle = split_document(build_content(1, {}))
+        template = json.loads(bundle.manifest)
+        assembler = ChunkAssembler()
+        template["chunks"] = [
+            {"key": f"k{index}", "sha256": sha256(part).hexdigest(), "size_bytes": len(part)}
+            for index, part in enumerate(parts)
+        ]
+        manifest = parse_manifest(json.dumps(template).encode())
+        assert manifest is not None
+        assembler.take_manifest(manifest)
+        for part in parts:
+            assembler.take_chunk(part)
+        return assembler.assemble()
