Score endpoints, lease their concurrency and ramp cold ones

Cause: least own in-flight work ignores other nodes, prompt caches, stragglers and cold endpoints, and several nodes together pass an endpoint's limit. Choice is by expected delay among a few random open endpoints and the holders of the prompt's prefix. A node may send under a lease from the endpoint's steward, or under a safe local share when the steward is lost.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/__init__.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wagtailusher_placement.apportion import apportion
 from wagtailusher_placement.baselines import (
     Chooser,
     choose_least_in_flight,
@@ -21,9 +22,13 @@
     PlacementRequest,
 )
 from wagtailusher_placement.leases import LeaseGrant, LeaseLimits, LeaseRecall, LeaseRequest
+from wagtailusher_placement.lengths import LengthEstimator
+from wagtailusher_placement.prefix import PrefixIndex
 from wagtailusher_placement.reports import CacheEvent, LoadReport
+from wagtailusher_placement.retries import HedgePolicy, RetryBudget
 from wagtailusher_placement.scoring import choose_by_score
-from wagtailusher_placement.steward import StewardDecider, steward_of
+from wagtailusher_placement.steward import StewardDecider
+from wagtailusher_placement.stewardship import StewardTable, steward_epoch, steward_of
 
 __all__ = [
     "CacheEvent",
@@ -35,18 +40,25 @@
     "EndpointKind",
     "EndpointState",
     "EndpointView",
+    "HedgePolicy",
     "LeaseGrant",
     "LeaseLimits",
     "LeaseRecall",
     "LeaseRequest",
+    "LengthEstimator",
     "LoadReport",
     "PlacementDecider",
     "PlacementRequest",
+    "PrefixIndex",
+    "RetryBudget",
     "StewardDecider",
+    "StewardTable",
+    "apportion",
     "choose_by_score",
     "choose_least_in_flight",
     "choose_least_reported",
     "choose_random",
     "choose_round_robin",
+    "steward_epoch",
     "steward_of",
 ]
--- /dev/null
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/apportion.py
@@ -0,0 +1,59 @@
+"""Splits an endpoint's credits among nodes by the tiers of their demand."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from wagtailusher_core import VmId
+from wagtailusher_placement.const import TIER_COUNT
+
+
+def apportion(
+    limit: int,
+    demands: Mapping[VmId, tuple[int, ...]],
+    *,
+    guaranteed_tier: int | None = None,
+) -> dict[VmId, int]:
+    """Return the credits of each node: strictly by tier, then the surplus evenly.
+
+    One credit goes to `guaranteed_tier` before all others, so that callers that vary it over
+    time let every tier move.
+    """
+    credits = dict.fromkeys(sorted(demands), 0)
+    if not credits:
+        return credits
+    left = max(0, limit)
+    advance: tuple[VmId, int] | None = None
+    if guaranteed_tier is not None and left > 0:
+        node_id = max(credits, key=lambda node: _demand(demands[node], guaranteed_tier))
+        if _demand(demands[node_id], guaranteed_tier) > 0:
+            advance = (node_id, guaranteed_tier)
+            credits[node_id] += 1
+            left -= 1
+    for tier in range(TIER_COUNT):
+        wanted = {node: _demand(demands[node], tier) for node in credits}
+        if advance is not None and advance[1] == tier:
+            wanted[advance[0]] -= 1
+        for node, part in split_by_weight(left, wanted).items():
+            credits[node] += part
+            left -= part
+    even = split_by_weight(left, dict.fromkeys(credits, left))
+    return {node: amount + even[node] for node, amount in credits.items()}
+
+
+def split_by_weight(amount: int, wanted: Mapping[VmId, int]) -> dict[VmId, int]:
+    """Return each node's part, at most what it wants; scarcity is shared in proportion."""
+    total = sum(wanted.values())
+    if total <= amount:
+        return dict(wanted)
+    parts = {node: amount * want // total for node, want in wanted.items()}
+    left = amount - sum(parts.values())
+    by_remainder = sorted(wanted, key=lambda node: (-(amount * wanted[node] % total), node))
+    for node in by_remainder[:left]:
+        parts[node] += 1
+    return parts
+
+
+def _demand(demand_by_tier: tuple[int, ...], tier: int) -> int:
+    """Return a tier's demand, zero where the tuple is shorter."""
+    return max(0, demand_by_tier[tier]) if tier < len(demand_by_tier) else 0
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/baselines.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/baselines.py
@@ -55,4 +55,4 @@
 
 def _scored(item: TrackedEndpoint, score: float) -> CandidateScore:
     """Return a candidate with its score."""
-    return CandidateScore(endpoint_id=item.info.endpoint_id, score=score)
+    return CandidateScore(item.info.endpoint_id, score)
--- /dev/null
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
@@ -0,0 +1,135 @@
+"""One endpoint in its steward's charge: cold start, recalls and the split of its credits."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import zlib
+
+from wagtailusher_core import VmId
+from wagtailusher_placement.apportion import apportion
+from wagtailusher_placement.coldstart import ColdStart, Leftover
+from wagtailusher_placement.const import GUARANTEED_SLOTS, SWEEP_INTERVAL_MS, TIER_COUNT
+from wagtailusher_placement.endpoints import EndpointInfo
+from wagtailusher_placement.leases import LeaseLimits, LeaseRequest
+from wagtailusher_placement.ledger import LeaseLedger
+from wagtailusher_placement.reports import LoadReport
+
+
+class Charge:
+    """What a steward keeps for one endpoint; a new one is unsettled and cold."""
+
+    __slots__ = (
+        "_forced_cold",
+        "_leftover",
+        "_limits",
+        "_steward_id",
+        "_targets",
+        "_targets_at_ms",
+        "cold_start",
+        "epoch",
+        "info",
+        "ledger",
+        "recalls",
+        "settled_at_ms",
+    )
+
+    def __init__(
+        self,
+        info: EndpointInfo,
+        *,
+        steward_id: VmId,
+        epoch: int,
+        limits: LeaseLimits,
+        now_ms: int,
+    ) -> None:
+        """Start unsettled; only a report during the settling time proves the endpoint warm."""
+        self.info = info
+        self.epoch = epoch
+        self.ledger = LeaseLedger(lifetime_ms=limits.lifetime_ms)
+        self.cold_start = ColdStart(
+            cold_limit=info.cold_limit,
+            concurrency_limit=info.concurrency_limit,
+            cold=True,
+            now_ms=now_ms,
+        )
+        self.recalls: set[VmId] = set()
+        self._steward_id = steward_id
+        self._limits = limits
+        self._forced_cold = False
+        self._targets: dict[VmId, int] = {}
+        self._targets_at_ms = 0
+        self.settle(now_ms)
+
+    def settle(self, now_ms: int) -> None:
+        """Grant nothing until no other steward's lease can be valid."""
+        self.settled_at_ms = now_ms + self._limits.settling_ms
+        self._leftover = self._unknown_leftover(self.settled_at_ms)
+
+    def update(self, info: EndpointInfo, node_ids: Iterable[VmId], least: int, now_ms: int) -> None:
+        """Take over the published endpoint and the nodes, of which some list had the `least`."""
+        self.info = info
+        self.cold_start.update_limits(
+            cold_limit=info.cold_limit, concurrency_limit=info.concurrency_limit
+        )
+        share = info.concurrency_limit // max(1, least)
+        self.ledger.update_nodes(node_ids, share, now_ms)
+
+    def turn_cold(self, now_ms: int) -> None:
+        """Put the endpoint back to its cold limit."""
+        self._forced_cold = True
+        if self.cold_start.turn_cold(now_ms):
+            self._recall(now_ms)
+
+    def observe_report(self, report: LoadReport, now_ms: int) -> None:
+        """Take in the endpoint's load."""
+        self._leftover.observe_report(report)
+        if self.cold_start.observe_report(report, now_ms):
+            self._forced_cold = True
+            self._recall(now_ms)
+        if now_ms < self.settled_at_ms and not report.cold and not self._forced_cold:
+            self.cold_start.assume_warm()
+
+    def observe_holder(self, request: LeaseRequest, now_ms: int) -> None:
+        """Take in what a holder saw of the endpoint."""
+        is_own = request.node_id == self._steward_id
+        if request.suspects_cold and (is_own or not self.cold_start.cold):
+            self.turn_cold(now_ms)
+        if is_own and request.good_first_tokens and now_ms >= self.settled_at_ms:
+            self.cold_start.good_first_tokens(request.good_first_tokens, now_ms)
+
+    def cold_credits(self, node_id: VmId, now_ms: int) -> int:
+        """Return the whole cold allowance for the steward's own work and nothing for others."""
+        leftover = self._leftover.bound(now_ms)
+        if node_id != self._steward_id or leftover is None:
+            return 0
+        return max(0, self.cold_start.allowance - leftover)
+
+    def warm_credits(self, node_id: VmId, now_ms: int) -> int:
+        """Return a node's part of the concurrency limit."""
+        limit = self.info.concurrency_limit
+        room = self.ledger.room_for(node_id, limit, now_ms)
+        is_due = now_ms - self._targets_at_ms >= SWEEP_INTERVAL_MS
+        if is_due or node_id not in self._targets:
+            self._targets_at_ms = now_ms
+            demands = self.ledger.demands(now_ms)
+            tier = self._guaranteed_tier(now_ms)
+            self._targets = apportion(limit, demands, guaranteed_tier=tier)
+        return min(room, self._targets.get(node_id, 0))
+
+    def _recall(self, now_ms: int) -> None:
+        """Call back the other nodes' leases, and wait for their work to end."""
+        self.recalls.update(self.ledger.charged() - {self._steward_id})
+        self._leftover = self._unknown_leftover(
+            max(self.settled_at_ms, now_ms + self._limits.lifetime_ms)
+        )
+
+    def _unknown_leftover(self, from_ms: int) -> Leftover:
+        """Return an unknown leftover of leases that are valid until a time."""
+        return Leftover(from_ms=from_ms, wait_ms=self._limits.leftover_wait_ms)
+
+    def _guaranteed_tier(self, now_ms: int) -> int | None:
+        """Return the tier that goes first in this lease period, which is mostly none."""
+        period = now_ms // self._limits.lifetime_ms + zlib.crc32(self.info.endpoint_id.encode())
+        if period % GUARANTEED_SLOTS:
+            return None
+        return TIER_COUNT - 1 - (period // GUARANTEED_SLOTS) % TIER_COUNT
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/endpoints.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/endpoints.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import NamedTuple
 
 from wagtailusher_core import ClassKey, EndpointId, FailureDomainId, PoolId, RequestId
 
@@ -64,8 +65,7 @@
     excluded: frozenset[EndpointId] = frozenset()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CandidateScore:
+class CandidateScore(NamedTuple):
     """One compared endpoint with the parts of its score; the least score is chosen."""
 
     endpoint_id: EndpointId
--- /dev/null
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
@@ -0,0 +1,177 @@
+"""The endpoints and pools that a node knows, kept in line with what is published."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+from statistics import fmean, median
+
+from wagtailusher_core import EndpointId, FailureDomainId, PoolId, VmId
+from wagtailusher_placement.const import (
+    KV_PRESSURE_FROM_SHARE,
+    KV_PRESSURE_STEPS,
+    REMOTE_DOMAIN_STEPS,
+)
+from wagtailusher_placement.endpoints import EndpointInfo, EndpointState, EndpointView
+from wagtailusher_placement.holder import LeaseHolder
+from wagtailusher_placement.prefix import PrefixIndex
+from wagtailusher_placement.reports import LoadReport
+from wagtailusher_placement.stragglers import compare_with_peers
+from wagtailusher_placement.tracked import Pool, TrackedEndpoint
+
+
+class EndpointFleet:
+    """Holds the tracked endpoints by pool."""
+
+    def __init__(self, *, failure_domain_id: FailureDomainId, holder: LeaseHolder) -> None:
+        """Start empty."""
+        self._failure_domain_id = failure_domain_id
+        self._holder = holder
+        self._drained: frozenset[FailureDomainId] = frozenset()
+        self._has_list = False
+        self.prefixes = PrefixIndex()
+        self.tracked: dict[EndpointId, TrackedEndpoint] = {}
+        self.pools: dict[PoolId, Pool] = {}
+
+    def update_endpoints(self, endpoints: Iterable[EndpointInfo], now_ms: int) -> None:
+        """Take over the published list; endpoints that left it are kept while they work."""
+        infos = {info.endpoint_id: info for info in endpoints}
+        for endpoint_id, item in list(self.tracked.items()):
+            if endpoint_id in infos:
+                continue
+            item.published = False
+            item.update_service()
+            if item.in_flight == 0:
+                del self.tracked[endpoint_id]
+                self.prefixes.clear(endpoint_id)
+        for info in infos.values():
+            self._track(info, now_ms)
+        self._has_list = True
+        self.pools = {}
+        for item in self.tracked.values():
+            for pool_id in item.info.pool_ids if item.published else ():
+                self.pools.setdefault(pool_id, Pool(pool_id, self.prefixes)).add(item)
+
+    def update_drained_domains(self, domains: Iterable[FailureDomainId], now_ms: int) -> None:
+        """Take over the domains that are out; their endpoints come back cold."""
+        self._drained = frozenset(domains)
+        for item in self.tracked.values():
+            was_drained = item.drained
+            item.drained = item.info.failure_domain_id in self._drained
+            item.update_service()
+            if was_drained and not item.drained:
+                self._come_back(item, now_ms)
+
+    def update_stewards(self) -> None:
+        """Take over the stewards by the newest list of VMs."""
+        for item in self.tracked.values():
+            item.steward_id = self._holder.steward_of(item)
+
+    def observe_report(self, report: LoadReport, now_ms: int) -> None:
+        """Take in a report, unless a newer one is known."""
+        item = self.tracked.get(report.endpoint_id)
+        if item is None:
+            return
+        if item.report_at_ms is not None and report.reported_at_ms < item.report_at_ms:
+            return
+        item.report_at_ms = report.reported_at_ms
+        item.reported_count = report.running + report.waiting
+        others = max(0, item.reported_count - item.in_flight)
+        item.others_tokens = others * item.mean_work_tokens / 2
+        pressure = max(0.0, report.kv_used_share - KV_PRESSURE_FROM_SHARE)
+        item.kv_steps = KV_PRESSURE_STEPS * pressure / (1 - KV_PRESSURE_FROM_SHARE)
+        self._observe_warmth(item, report, now_ms)
+
+    def refresh(self, now_ms: int) -> None:
+        """Bring what depends on time and on peers up to date."""
+        self._holder.refresh(self.tracked.values(), now_ms)
+        for pool in self.pools.values():
+            pool.full_until_change = False
+            compare_with_peers(
+                {key: item.health for key, item in pool.members.items() if not item.cold}, now_ms
+            )
+            reported = [item.others_tokens for item in pool.items if item.report_at_ms is not None]
+            pool.mean_others_tokens = fmean(reported) if reported else 0.0
+            paces = [item.health.first_token.known() for item in pool.items if not item.cold]
+            known = [pace for pace in paces if pace is not None]
+            if known:
+                pool.typical_pace = median(known)
+
+    def mark_changed(self, item: TrackedEndpoint) -> None:
+        """Let the endpoint's pools be searched for room again."""
+        for pool_id in item.info.pool_ids:
+            pool = self.pools.get(pool_id)
+            if pool is not None:
+                pool.full_until_change = False
+
+    def steward_hint(self, pool_id: PoolId, own_id: VmId, generator: Random) -> VmId | None:
+        """Return the steward of one of the pool's endpoints, other than this node."""
+        pool = self.pools.get(pool_id)
+        if pool is None:
+            return None
+        stewards = [
+            item.steward_id
+            for item in pool.items
+            if item.in_service and item.steward_id not in (None, own_id)
+        ]
+        return stewards[int(generator.random() * len(stewards))] if stewards else None
+
+    def view(self, now_ms: int) -> tuple[EndpointView, ...]:
+        """Return the beliefs about every endpoint."""
+        return tuple(_view(item, now_ms) for item in self.tracked.values())
+
+    def _track(self, info: EndpointInfo, now_ms: int) -> None:
+        """Take over one published endpoint."""
+        item = self.tracked.get(info.endpoint_id)
+        if item is None:
+            item = self.tracked[info.endpoint_id] = TrackedEndpoint(info)
+            self._holder.first_seen(item, is_return=self._has_list, now_ms=now_ms)
+            comes_back = False
+        else:
+            was_out = not item.published or item.info.state is EndpointState.LEAVING
+            comes_back = was_out and info.state is EndpointState.LIVE
+        item.info = info
+        item.published = True
+        item.drained = info.failure_domain_id in self._drained
+        item.update_service()
+        item.remote_steps = 0.0
+        if info.failure_domain_id != self._failure_domain_id:
+            item.remote_steps = REMOTE_DOMAIN_STEPS
+        item.steward_id = self._holder.steward_of(item)
+        if comes_back:
+            self._come_back(item, now_ms)
+
+    def _come_back(self, item: TrackedEndpoint, now_ms: int) -> None:
+        """Treat an endpoint as just started."""
+        self.prefixes.clear(item.info.endpoint_id)
+        self._holder.turn_cold(item, now_ms)
+
+    def _observe_warmth(self, item: TrackedEndpoint, report: LoadReport, now_ms: int) -> None:
+        """Take in whether the endpoint restarted, and its own word of being cold."""
+        restarted = item.incarnation is not None and item.incarnation != report.incarnation
+        item.incarnation = report.incarnation
+        if item.local_start is not None:
+            item.local_start.observe_report(report, now_ms)
+        if restarted:
+            self.prefixes.clear(item.info.endpoint_id)
+        if restarted or (report.cold and not item.cold):
+            self._holder.turn_cold(item, now_ms)
+        elif not report.cold and item.cold is None:
+            item.cold = False
+
+
+def _view(item: TrackedEndpoint, now_ms: int) -> EndpointView:
+    """Return the belief about one endpoint."""
+    return EndpointView(
+        endpoint_id=item.info.endpoint_id,
+        failure_domain_id=item.info.failure_domain_id,
+        state=item.info.state,
+        in_flight=item.in_flight,
+        own_tokens=item.own_tokens,
+        allowed=item.allowed(now_ms),
+        cold=bool(item.cold),
+        drained=item.drained,
+        ejected=now_ms < item.health.ejected_until_ms,
+        slowness=item.health.slowness,
+        report_age_ms=None if item.report_at_ms is None else now_ms - item.report_at_ms,
+    )
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/leases.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/leases.py
@@ -9,26 +9,41 @@
     DEFAULT_CLOCK_MARGIN_MS,
     DEFAULT_LEASE_LIFETIME_MS,
     DEFAULT_LEASE_RENEWAL_MS,
+    DEFAULT_LEFTOVER_WAIT_MS,
     DEFAULT_LIST_LAG_MS,
     DEFAULT_PAUSE_TOLERANCE_MS,
+    DEFAULT_URGENT_RENEWAL_MS,
+    SWEEP_INTERVAL_MS,
 )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseLimits:
-    """The times that leases depend on; every VM of a fleet uses the same."""
+    """The times that leases depend on; every VM of a fleet uses the same.
+
+    `list_lag_ms` bounds the age of the published list that a running VM goes by. With
+    `max_list_age_ms`, a steward that did not read the list for so long lets cold endpoints wait.
+    """
 
     lifetime_ms: int = DEFAULT_LEASE_LIFETIME_MS
     renewal_ms: int = DEFAULT_LEASE_RENEWAL_MS
+    urgent_renewal_ms: int = DEFAULT_URGENT_RENEWAL_MS
     list_lag_ms: int = DEFAULT_LIST_LAG_MS
     pause_tolerance_ms: int = DEFAULT_PAUSE_TOLERANCE_MS
     clock_margin_ms: int = DEFAULT_CLOCK_MARGIN_MS
+    leftover_wait_ms: int = DEFAULT_LEFTOVER_WAIT_MS
+    max_list_age_ms: int | None = None
 
     @property
     def settling_ms(self) -> int:
         """Return the time after which no lease of an earlier steward can be valid."""
         return self.list_lag_ms + self.pause_tolerance_ms + self.lifetime_ms + self.clock_margin_ms
 
+    @property
+    def fallback_ms(self) -> int:
+        """Return how long a holder waits after a grant before it uses the local share."""
+        return 2 * self.lifetime_ms + SWEEP_INTERVAL_MS + self.clock_margin_ms
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseRequest:
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/scoring.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/scoring.py
@@ -1,16 +1,71 @@
-"""The project's own choice of an endpoint."""
+"""The project's own choice of an endpoint: the least expected delay among a few candidates."""
 
 from __future__ import annotations
 
+from operator import attrgetter
 from random import Random
 
-from wagtailusher_placement.baselines import choose_least_in_flight
+from wagtailusher_placement.const import (
+    PREFILL_STEPS_PER_TOKEN,
+    PREFIX_CANDIDATES,
+    REPORT_HALF_LIFE_MS,
+    SAMPLE_SIZE,
+)
 from wagtailusher_placement.endpoints import CandidateScore, PlacementRequest
-from wagtailusher_placement.tracked import Pool
+from wagtailusher_placement.tracked import Pool, TrackedEndpoint
+
+_by_score = attrgetter("score")
 
 
 def choose_by_score(
     pool: Pool, request: PlacementRequest, generator: Random, now_ms: int
 ) -> tuple[CandidateScore, ...]:
-    """Return the candidates by rising score."""
-    return choose_least_in_flight(pool, request, generator, now_ms)
+    """Compare a few random open endpoints and those that hold the prompt's prefix."""
+    if pool.full_until_change:
+        return ()
+    candidates = pool.sample(request, SAMPLE_SIZE, generator, now_ms)
+    if not candidates:
+        return ()
+    if request.prefix_hashes:
+        _add_prefix_holders(candidates, pool, request, now_ms)
+    scores = [_score(item, pool, request, now_ms) for item in candidates]
+    scores.sort(key=_by_score)
+    return tuple(scores)
+
+
+def _add_prefix_holders(
+    candidates: list[TrackedEndpoint], pool: Pool, request: PlacementRequest, now_ms: int
+) -> None:
+    """Add open endpoints that hold the longest known prefix."""
+    for endpoint_id in pool.prefixes.holders(request.prefix_hashes, PREFIX_CANDIDATES):
+        item = pool.members.get(endpoint_id)
+        if item is None or item in candidates or endpoint_id in request.excluded:
+            continue
+        if item.is_open(now_ms):
+            candidates.append(item)
+
+
+def _score(
+    item: TrackedEndpoint, pool: Pool, request: PlacementRequest, now_ms: int
+) -> CandidateScore:
+    """Return the expected delay at an endpoint in decoding steps.
+
+    An old report fades into the mean of the pool's reports, so that its endpoint looks neither
+    empty nor full.
+    """
+    info = item.info
+    others = pool.mean_others_tokens
+    if item.report_at_ms is not None:
+        trust = 0.5 ** (max(0, now_ms - item.report_at_ms) / REPORT_HALF_LIFE_MS)
+        others += trust * (item.others_tokens - others)
+    prompt = float(request.prompt_tokens)
+    cached = 0.0
+    if request.prefix_hashes:
+        cached = prompt * pool.prefixes.cached_share(info.endpoint_id, request.prefix_hashes)
+    prefill = (item.pending_prompt + prompt - cached) * PREFILL_STEPS_PER_TOKEN
+    queued = (item.own_tokens + others) / (info.concurrency_limit or 1)
+    slowness = item.health.slowness
+    score = (prefill + queued + 1.0) * slowness + item.kv_steps + item.remote_steps
+    return CandidateScore(
+        info.endpoint_id, score, item.own_tokens, others, prompt, cached, slowness
+    )
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
@@ -1,63 +1,175 @@
-"""The steward of an endpoint, which splits its concurrency among the entry VMs."""
+"""The steward of endpoints, which splits their concurrency among the entry VMs."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from wagtailusher_core import EndpointId, PublishedState, PublishedVm, VmId, first_by_rendezvous
-from wagtailusher_placement.endpoints import EndpointInfo
+from wagtailusher_core import EndpointId, FailureDomainId, Incarnation, PublishedVm, VmId
+from wagtailusher_placement.charge import Charge
+from wagtailusher_placement.endpoints import EndpointInfo, EndpointState
 from wagtailusher_placement.leases import LeaseGrant, LeaseLimits, LeaseRecall, LeaseRequest
+from wagtailusher_placement.published_window import PublishedWindow
 from wagtailusher_placement.reports import LoadReport
-
-
-def steward_of(endpoint: EndpointInfo, published_vms: Iterable[PublishedVm]) -> VmId | None:
-    """Return the live VM that is steward, from the endpoint's own failure domain if it has any."""
-    live = [vm for vm in published_vms if vm.state is PublishedState.LIVE]
-    near = [vm.vm_id for vm in live if vm.failure_domain_id == endpoint.failure_domain_id]
-    winner = first_by_rendezvous(endpoint.endpoint_id, near or [vm.vm_id for vm in live])
-    return None if winner is None else VmId(winner)
+from wagtailusher_placement.stewardship import StewardTable, steward_epoch
 
 
 class StewardDecider:
-    """Splits the credits of those endpoints whose steward this VM is."""
+    """Grants leases on those endpoints whose steward this VM is.
+
+    It grants nothing until the settling time is over, after which no earlier steward's lease can
+    be valid. A VM that was not called for longer than the pause tolerance settles anew, so call
+    `tick` more often than that.
+    """
 
-    def __init__(self, *, vm_id: VmId, limits: LeaseLimits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        vm_id: VmId,
+        limits: LeaseLimits | None = None,
+        incarnation: Incarnation | None = None,
+    ) -> None:
         """Start without endpoints."""
         self._vm_id = vm_id
         self._limits = limits or LeaseLimits()
-        self._vm_count = 1
-        self._endpoints: dict[EndpointId, EndpointInfo] = {}
+        self._incarnation = incarnation or Incarnation(0)
+        self._window = PublishedWindow(window_ms=self._limits.settling_ms)
+        self._charges: dict[EndpointId, Charge] = {}
+        self._known: dict[EndpointId, EndpointInfo] | None = None
+        self._drained: frozenset[FailureDomainId] = frozenset()
+        self._list_version = 0
+        self._list_read_at_ms = 0
+        self._awake_at_ms: int | None = None
 
     def update_published(
-        self, vms: Iterable[PublishedVm], endpoints: Iterable[EndpointInfo], now_ms: int
+        self,
+        vms: Iterable[PublishedVm],
+        endpoints: Iterable[EndpointInfo],
+        now_ms: int,
+        version: int = 0,
     ) -> None:
-        """Take over the published lists."""
+        """Take over the published lists; call it at every reading, also without a change."""
+        self._wake(now_ms)
         published = tuple(vms)
-        self._vm_count = max(1, len(published))
-        self._endpoints = {
-            info.endpoint_id: info
-            for info in endpoints
-            if steward_of(info, published) == self._vm_id
-        }
+        infos = {info.endpoint_id: info for info in endpoints}
+        self._list_version = version
+        self._list_read_at_ms = now_ms
+        self._window.update(published, now_ms)
+        table = StewardTable(published)
+        mine = [info for info in infos.values() if table.steward_of(info) == self._vm_id]
+        self._charges = {info.endpoint_id: self._take_charge(info, now_ms) for info in mine}
+        self._known = infos
+
+    def update_drained_domains(self, domains: Iterable[FailureDomainId], now_ms: int) -> None:
+        """Take over the domains that operators took out; those that come back are cold."""
+        self._wake(now_ms)
+        drained = frozenset(domains)
+        back = self._drained - drained
+        self._drained = drained
+        for charge in self._charges.values():
+            if charge.info.failure_domain_id in back:
+                charge.turn_cold(now_ms)
 
     def observe_report(self, report: LoadReport, now_ms: int) -> None:
         """Take in an endpoint's load."""
+        self._wake(now_ms)
+        charge = self._charges.get(report.endpoint_id)
+        if charge is not None:
+            charge.observe_report(report, now_ms)
 
     def request(self, request: LeaseRequest, now_ms: int) -> LeaseGrant | None:
-        """Answer a holder's request, or return None when this VM is not the steward."""
-        info = self._endpoints.get(request.endpoint_id)
-        if info is None:
+        """Answer a holder's request.
+
+        None means no grant: this VM is not the steward, has not settled, goes by an older list
+        than the holder, or a later request of the holder overtook this one.
+        """
+        self._wake(now_ms)
+        charge = self._charges.get(request.endpoint_id)
+        if charge is None or not charge.ledger.accept(request, now_ms):
             return None
+        charge.observe_holder(request, now_ms)
+        if now_ms < charge.settled_at_ms or request.list_version > self._list_version:
+            return None
+        credits = self._credits(charge, request.node_id, now_ms)
+        charge.ledger.record(request.node_id, request.sequence, credits, now_ms)
         return LeaseGrant(
             steward_id=self._vm_id,
             endpoint_id=request.endpoint_id,
-            credits=info.concurrency_limit // self._vm_count,
+            credits=credits,
             lifetime_ms=self._limits.lifetime_ms,
-            cold=False,
+            cold=charge.cold_start.cold,
             sequence=request.sequence,
-            steward_epoch=0,
+            steward_epoch=charge.epoch,
         )
 
     def tick(self, now_ms: int) -> tuple[LeaseRecall, ...]:
-        """Let time pass; the results are to be sent to the holders."""
-        return ()
+        """Let time pass; the results are to be sent to their nodes at once."""
+        self._wake(now_ms)
+        if self._window.prune(now_ms):
+            for charge in self._charges.values():
+                self._update_charge(charge, charge.info, now_ms)
+        recalls: list[LeaseRecall] = []
+        for charge in self._charges.values():
+            recalls.extend(self._recall(charge, node_id) for node_id in sorted(charge.recalls))
+            charge.recalls.clear()
+        return tuple(recalls)
+
+    def epochs(self, now_ms: int) -> dict[EndpointId, int]:
+        """Return the epochs of the endpoints for which this VM may act as steward now."""
+        self._wake(now_ms)
+        return {
+            endpoint_id: charge.epoch
+            for endpoint_id, charge in self._charges.items()
+            if now_ms >= charge.settled_at_ms
+        }
+
+    def _wake(self, now_ms: int) -> None:
+        """Settle anew after a pause in which another VM may have become steward."""
+        before_ms = self._awake_at_ms
+        self._awake_at_ms = now_ms
+        if before_ms is None or now_ms - before_ms <= self._limits.pause_tolerance_ms:
+            return
+        for charge in self._charges.values():
+            charge.settle(now_ms)
+
+    def _take_charge(self, info: EndpointInfo, now_ms: int) -> Charge:
+        """Return the state of an endpoint that this VM is steward of."""
+        charge = self._charges.get(info.endpoint_id)
+        if charge is None:
+            epoch = steward_epoch(list_version=self._list_version, incarnation=self._incarnation)
+            charge = Charge(
+                info, steward_id=self._vm_id, epoch=epoch, limits=self._limits, now_ms=now_ms
+            )
+        before = None if self._known is None else self._known.get(info.endpoint_id)
+        is_new = self._known is not None and before is None
+        was_leaving = before is not None and before.state is EndpointState.LEAVING
+        if is_new or (was_leaving and info.state is EndpointState.LIVE):
+            charge.turn_cold(now_ms)
+        self._update_charge(charge, info, now_ms)
+        return charge
+
+    def _update_charge(self, charge: Charge, info: EndpointInfo, now_ms: int) -> None:
+        """Adjust the nodes and shares to the lists that may still be in use."""
+        charge.update(info, self._window.vm_ids, self._window.least_count, now_ms)
+
+    def _recall(self, charge: Charge, node_id: VmId) -> LeaseRecall:
+        """Return the message that voids a node's lease."""
+        return LeaseRecall(
+            steward_id=self._vm_id,
+            node_id=node_id,
+            endpoint_id=charge.info.endpoint_id,
+            steward_epoch=charge.epoch,
+        )
+
+    def _credits(self, charge: Charge, node_id: VmId, now_ms: int) -> int:
+        """Return the credits that a node gets now."""
+        info = charge.info
+        if info.state is EndpointState.LEAVING or info.failure_domain_id in self._drained:
+            return 0
+        if not charge.cold_start.cold:
+            return charge.warm_credits(node_id, now_ms)
+        return 0 if self._is_list_old(now_ms) else charge.cold_credits(node_id, now_ms)
+
+    def _is_list_old(self, now_ms: int) -> bool:
+        """Return whether another VM may have become steward without this one's notice."""
+        max_age_ms = self._limits.max_list_age_ms
+        return max_age_ms is not None and now_ms - self._list_read_at_ms > max_age_ms
