--- /dev/null
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/const.py
@@ -0,0 +1,21 @@
+"""Paths, headers and intervals of the platform's configuration service."""
+
+from __future__ import annotations
+
+from typing import Final
+
+PATH_VALUE: Final = "/v1/values/{key}"
+HEADER_VERSION: Final = "x-version"
+HEADER_RETRY_AFTER: Final = "retry-after"
+
+DEFAULT_KEY: Final = "settings"
+DEFAULT_WAIT_MS: Final = 2_000
+"""How long a watch waits; with the margin it bounds the blindness of a silent connection."""
+DEFAULT_WAIT_MARGIN_MS: Final = 800
+DEFAULT_READ_TIMEOUT_MS: Final = 2_000
+DEFAULT_MIN_INTERVAL_MS: Final = 100
+DEFAULT_BACKOFF_BASE_MS: Final = 200
+DEFAULT_BACKOFF_LIMIT_MS: Final = 5_000
+
+MS_PER_S: Final = 1_000
+MAX_RETRY_AFTER_MS: Final = 60_000
--- /dev/null
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/models.py
@@ -0,0 +1,56 @@
+"""What is read from the configuration service, and how reading goes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from wagtailusher_core import ErrorCode, Revision
+from wagtailusher_integrations.config_service.const import (
+    DEFAULT_BACKOFF_BASE_MS,
+    DEFAULT_BACKOFF_LIMIT_MS,
+    DEFAULT_MIN_INTERVAL_MS,
+    DEFAULT_READ_TIMEOUT_MS,
+    DEFAULT_WAIT_MARGIN_MS,
+    DEFAULT_WAIT_MS,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LongPollLimits:
+    """How long calls wait and how often they are made."""
+
+    wait_ms: int = DEFAULT_WAIT_MS
+    wait_margin_ms: int = DEFAULT_WAIT_MARGIN_MS
+    read_timeout_ms: int = DEFAULT_READ_TIMEOUT_MS
+    min_interval_ms: int = DEFAULT_MIN_INTERVAL_MS
+    backoff_base_ms: int = DEFAULT_BACKOFF_BASE_MS
+    backoff_limit_ms: int = DEFAULT_BACKOFF_LIMIT_MS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PolledValue:
+    """A value and the service's version of it."""
+
+    version: int
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceContent:
+    """A whole settings document, not yet validated."""
+
+    revision: Revision
+    content: bytes
+    read_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PollStatus:
+    """How reading goes, for operators and metrics."""
+
+    calls: int
+    throttled: int
+    failures_in_a_row: int
+    last_answer_ms: int | None
+    problem_code: ErrorCode | None
+    problem: str | None
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from wagtailusher_settings.canonical import peek_revision
 from wagtailusher_settings.chunks import (
     Bundle,
     ChunkAssembler,
@@ -47,6 +48,7 @@
     "make_delta",
     "parse_manifest",
     "parse_settings",
+    "peek_revision",
     "reach_of_change",
     "split_document",
 ]
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/canonical.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/canonical.py
@@ -88,6 +88,11 @@
     return Revision(epoch=values.get("epoch", 0), number=values.get("revision", 0))
 
 
+def peek_revision(content: bytes) -> Revision:
+    """Return the revision of a document that is not validated otherwise."""
+    return read_revision(to_canonical(content))
+
+
 def digest(content: bytes) -> bytes:
     """Return a short digest that tells contents apart."""
     return blake2b(content, digest_size=16).digest()
--- /dev/null
+++ b/tests/wagtailusher_integrations/config_service/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration service's reader."""
--- /dev/null
+++ b/tests/wagtailusher_integrations/vm_list/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the VM list's reader."""
