--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration.py
@@ -0,0 +1,183 @@
+"""Measurements of configuration spread."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from random import Random
+from time import perf_counter
+
+from numpy import percentile
+
+from wagtailusher_bench.fleet.configuration_node import ConfigurationNode
+from wagtailusher_bench.fleet.network import ChannelProfile, Network
+from wagtailusher_bench.fleet.places import DOMAINS_BY_SIZE, make_places, publish
+from wagtailusher_bench.fleet.service import ConfigurationService
+from wagtailusher_core import Revision
+from wagtailusher_membership import ConfigurationLimits
+from wagtailusher_membership.delta import apply_delta, make_delta
+from wagtailusher_wire import NO_REVISION, ContentAnswer, encode
+
+_SETTLE_MS = 10_000
+_CHANGE_INTERVAL_MS = 7_000
+_LINES = 1_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationSpread:
+    """How long changes took until they were in force at each node."""
+
+    measure: str
+    nodes: int
+    failure_domains: int
+    loss: float
+    service: str
+    changes: int
+    p50_ms: float
+    p99_ms: float
+    max_ms: int
+    missing: int
+    max_service_calls_per_s: int
+    service_calls_bound_per_s: float
+    bytes_per_change_and_node: float
+    idle_bytes_per_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeltaCost:
+    """What a small change of a large configuration costs."""
+
+    measure: str
+    content_bytes: int
+    changed_places: int
+    delta_bytes: int
+    make_ms: float
+    apply_ms: float
+
+
+class ConfigurationFleet:
+    """A network of nodes around one service."""
+
+    def __init__(self, size: int, *, seed: int, loss: float) -> None:
+        """Start all nodes and let them settle."""
+        self.places = make_places(size)
+        self.published = publish(self.places)
+        self.network = Network(
+            seed=seed, profile=ChannelProfile(loss=loss, duplicates=loss / 10), sample_every=1
+        )
+        self.service = ConfigurationService(self.network)
+        self.service.publish(Revision(number=1), make_content(_LINES, 0))
+        self.nodes = [
+            self.start(index, seed=seed * 10_000 + index) for index in range(len(self.places))
+        ]
+        self.network.run_until(_SETTLE_MS)
+
+    def start(self, index: int, *, seed: int) -> ConfigurationNode:
+        """Start a process, in place of an older one of the same VM."""
+        node = ConfigurationNode(
+            self.places[index],
+            network=self.network,
+            service=self.service,
+            published=self.published,
+            seed=seed,
+        )
+        self.network.start(node)
+        return node
+
+
+def make_content(lines: int, change: int) -> bytes:
+    """Return a configuration in which one line follows the change's number."""
+    return b"".join(
+        b"workspace-%05d: {weight: %d, quota: %d}\n"
+        % (line, line % 7, change if line == change * 37 % lines else 100)
+        for line in range(lines)
+    )
+
+
+def measure_spread(size: int, *, seed: int, loss: float, changes: int) -> ConfigurationSpread:
+    """Return how long changes take to be in force everywhere."""
+    fleet = ConfigurationFleet(size, seed=seed, loss=loss)
+    rng = Random(seed)
+    network = fleet.network
+    idle_bytes_per_s = _idle_bytes_per_s(fleet)
+    network.traffic.reset()
+    fleet.service.calls_by_second.clear()
+    starts: dict[Revision, int] = {}
+    start_ms = network.now_ms
+    for change in range(2, changes + 2):
+        network.run_until(network.now_ms + _CHANGE_INTERVAL_MS + rng.randrange(1_000))
+        revision = Revision(number=change)
+        starts[revision] = network.now_ms
+        fleet.service.publish(revision, make_content(_LINES, change))
+    network.run_until(network.now_ms + _CHANGE_INTERVAL_MS)
+    delays = [
+        applied_ms - starts[revision]
+        for node in fleet.nodes
+        for applied_ms, revision in node.applied
+        if revision in starts
+    ]
+    sent = sum(network.traffic.bytes_by_node.values()) / size
+    idle = idle_bytes_per_s * (network.now_ms - start_ms) / 1_000
+    domains = DOMAINS_BY_SIZE[size]
+    return ConfigurationSpread(
+        measure="configuration_spread",
+        nodes=size,
+        failure_domains=domains,
+        loss=loss,
+        service="up",
+        changes=changes,
+        p50_ms=round(float(percentile(delays, 50)), 1),
+        p99_ms=round(float(percentile(delays, 99)), 1),
+        max_ms=max(delays),
+        missing=size * changes - len(delays),
+        max_service_calls_per_s=max(fleet.service.calls_by_second.values()),
+        service_calls_bound_per_s=ConfigurationLimits().service_calls_per_s(domains),
+        bytes_per_change_and_node=round((sent - idle) / changes, 1),
+        idle_bytes_per_s=round(idle_bytes_per_s, 1),
+    )
+
+
+def measure_delta(lines: int, places: int) -> DeltaCost:
+    """Return the size and time of a delta with a few changed places."""
+    base = make_content(lines, 0)
+    parts = base.splitlines(keepends=True)
+    for place in range(places):
+        parts[place * lines // places] = b"workspace-changed: {}\n"
+    content = b"".join(parts)
+    start_s = perf_counter()
+    steps = make_delta(base, content)
+    made_s = perf_counter()
+    rebuilt = apply_delta(base, steps, max_bytes=2 * len(content))
+    applied_s = perf_counter()
+    if rebuilt != content:
+        raise ValueError("Delta doesn't rebuild the content")
+    answer = ContentAnswer(
+        sequence=1, revision=Revision(number=2), digest=1, base=NO_REVISION, steps=steps
+    )
+    return DeltaCost(
+        measure="configuration_delta",
+        content_bytes=len(content),
+        changed_places=places,
+        delta_bytes=len(encode(answer)),
+        make_ms=round((made_s - start_s) * 1_000, 2),
+        apply_ms=round((applied_s - made_s) * 1_000, 2),
+    )
+
+
+def measure_configuration(
+    sizes: list[int], *, seed: int, loss: float, changes: int
+) -> Iterator[dict[str, object]]:
+    """Yield every measurement of configuration spread, one object each."""
+    for places in (1, 10, 100):
+        yield asdict(measure_delta(26_000, places))
+    for size in sizes:
+        yield asdict(measure_spread(size, seed=seed, loss=loss, changes=changes))
+
+
+def _idle_bytes_per_s(fleet: ConfigurationFleet) -> float:
+    """Return what a node sends while nothing changes."""
+    fleet.network.traffic.reset()
+    start_ms = fleet.network.now_ms
+    fleet.network.run_until(start_ms + _SETTLE_MS)
+    sent = sum(fleet.network.traffic.bytes_by_node.values())
+    return sent / len(fleet.nodes) / (_SETTLE_MS / 1_000)
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration_node.py
@@ -0,0 +1,110 @@
+"""A node of the network that runs configuration spread only, with members from the list."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from wagtailusher_bench.fleet.network import Network, Outgoing, Place
+from wagtailusher_bench.fleet.service import ConfigurationService
+from wagtailusher_core import PublishedVm, Revision, VmId
+from wagtailusher_membership import (
+    Apply,
+    ConfigurationDecider,
+    ConfigurationEffect,
+    Fetch,
+    ReadService,
+    Send,
+    Settled,
+)
+from wagtailusher_membership.table import MemberTable
+from wagtailusher_wire import ContentAnswer, ContentRequest, Message
+
+
+def accept_all(revision: Revision, content: bytes) -> str | None:
+    """Find every configuration valid but those that say they aren't."""
+    return "marked invalid" if content.startswith(b"invalid") else None
+
+
+class ConfigurationNode:
+    """Runs a configuration decider and records what it put in force."""
+
+    def __init__(
+        self,
+        place: Place,
+        *,
+        network: Network,
+        service: ConfigurationService,
+        published: Iterable[PublishedVm],
+        seed: int,
+    ) -> None:
+        """Start a process at a place."""
+        self.place = place
+        self.applied: list[tuple[int, Revision]] = []
+        self.settled: Settled | None = None
+        self.effects: list[ConfigurationEffect] = []
+        self._network = network
+        self._service = service
+        table = MemberTable(max_members=2_048, buckets=1)
+        for _ in table.publish(published, 0):
+            pass
+        self.decider = ConfigurationDecider(
+            vm_id=place.vm_id,
+            failure_domain_id=place.failure_domain_id,
+            members=table.view,
+            validate=accept_all,
+            seed=seed,
+        )
+
+    def tick(self, now_ms: int) -> Iterator[Outgoing]:
+        """Do what is due."""
+        return self._carry_out(self.decider.tick(now_ms))
+
+    def receive(
+        self, message: Message, now_ms: int, sender: VmId, address: str
+    ) -> Iterator[Outgoing]:
+        """Take a message in."""
+        if isinstance(message, ContentRequest):
+            answer = self.decider.answer(message, now_ms, sender=sender)
+            if answer is not None:
+                yield Outgoing(address=address, message=answer, stream=True)
+            return
+        if isinstance(message, ContentAnswer):
+            yield from self._carry_out(self.decider.fetched(message, now_ms, sender=sender))
+            return
+        effects = self.decider.handle(message, now_ms, sender=sender, address=address)
+        yield from self._carry_out(effects)
+
+    def next_due_ms(self, now_ms: int) -> int:
+        """Return when to tick next."""
+        return self.decider.next_due_ms(now_ms)
+
+    def _carry_out(self, effects: Iterable[ConfigurationEffect]) -> Iterator[Outgoing]:
+        """Yield the messages among effects, and do the others."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                yield Outgoing(address=effect.address, message=effect.message)
+            elif isinstance(effect, Fetch):
+                yield Outgoing(address=effect.address, message=effect.request, stream=True)
+            elif isinstance(effect, ReadService):
+                self._service.read(effect.since, self._answered, self._failed)
+            elif isinstance(effect, Apply):
+                self.applied.append((self._network.now_ms, effect.revision))
+            elif isinstance(effect, Settled):
+                self.settled = effect
+            else:
+                self.effects.append(effect)
+
+    def _answered(self, revision: Revision | None, content: bytes) -> None:
+        """Hand the service's answer over, if the process still runs."""
+        if self._network.nodes.get(self.place.address) is not self:
+            return
+        if revision is None:
+            self.decider.service_unchanged(self._network.now_ms)
+            return
+        now_ms = self._network.now_ms
+        for outgoing in self._carry_out(self.decider.offer_from_service(revision, content, now_ms)):
+            self._network.send(self, outgoing)
+
+    def _failed(self) -> None:
+        """Tell that the service failed."""
+        self.decider.service_failed(self._network.now_ms)
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/membership.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/membership.py
@@ -14,6 +14,7 @@
 from wagtailusher_wire import MemberState
 
 _WARM_UP_MS = 15_000
+_MAX_WARM_UP_MS = 120_000
 _GIVE_UP_MS = 90_000
 _QUIET_MS = 30_000
 _PAUSE_MS = 5_000
@@ -74,6 +75,11 @@
             for index, place in enumerate(self.places)
         ]
         self.network.run_until(_WARM_UP_MS)
+        self.network.run_until(_MAX_WARM_UP_MS, self._is_quiet)
+
+    def _is_quiet(self) -> bool:
+        """Return whether all agree on all incarnations and have nothing to pass on."""
+        return not any(node.decider.waiting_updates for node in self.nodes)
 
     def start(self, place: Place, *, incarnation: int, seed: int) -> MemberNode:
         """Start a process."""
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/__init__.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/__init__.py
@@ -2,6 +2,18 @@
 
 from __future__ import annotations
 
+from wagtailusher_membership.configuration import ConfigurationDecider
+from wagtailusher_membership.configuration_effects import (
+    Apply,
+    ConfigurationConflict,
+    ConfigurationEffect,
+    ConfigurationRefused,
+    Fetch,
+    ReadService,
+    ServiceBehind,
+    Settled,
+)
+from wagtailusher_membership.configuration_limits import ConfigurationLimits
 from wagtailusher_membership.decider import MembershipDecider
 from wagtailusher_membership.effects import (
     Effect,
@@ -12,14 +24,26 @@
 )
 from wagtailusher_membership.limits import MembershipLimits
 from wagtailusher_membership.member import Member
+from wagtailusher_membership.verdicts import Validate
 
 __all__ = [
+    "Apply",
+    "ConfigurationConflict",
+    "ConfigurationDecider",
+    "ConfigurationEffect",
+    "ConfigurationLimits",
+    "ConfigurationRefused",
     "Effect",
+    "Fetch",
     "Member",
     "MemberChanged",
     "MembershipDecider",
     "MembershipLimits",
+    "ReadService",
     "RevisionHint",
     "Send",
+    "ServiceBehind",
+    "Settled",
     "Superseded",
+    "Validate",
 ]
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/broadcast.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/broadcast.py
@@ -33,32 +33,45 @@
         """Create an empty queue."""
         self._max_updates = max_updates
         self._sent: dict[VmId, int] = {}
-        self._updates: dict[VmId, MemberUpdate] = {}
+        self._by_sent: dict[int, dict[VmId, MemberUpdate]] = {}
 
     def __len__(self) -> int:
         """Return how many updates wait."""
-        return len(self._updates)
+        return len(self._sent)
 
     def add(self, update: MemberUpdate) -> None:
         """Queue an update in place of an older one of the same member."""
-        if update.vm_id not in self._updates and len(self._updates) >= self._max_updates:
-            self._discard(max(self._sent, key=self._sent.__getitem__))
-        self._updates[update.vm_id] = update
-        self._sent[update.vm_id] = 0
+        self._discard(update.vm_id)
+        if len(self._sent) >= self._max_updates:
+            self._discard(next(iter(self._by_sent[max(self._by_sent)])))
+        self._put(update, 0)
 
     def take(self, *, max_bytes: int, max_sends: int) -> tuple[MemberUpdate, ...]:
         """Return updates that fit and count them as sent."""
-        if not self._updates:
-            return ()
-        order = sorted(self._updates, key=self._sent.__getitem__)
-        taken = tuple(take_within((self._updates[vm_id] for vm_id in order), max_bytes))
+        taken = tuple(take_within(self._in_order(), max_bytes))
         for update in taken:
-            self._sent[update.vm_id] += 1
-            if self._sent[update.vm_id] >= max_sends:
-                self._discard(update.vm_id)
+            sent = self._discard(update.vm_id) + 1
+            if sent < max_sends:
+                self._put(update, sent)
         return taken
 
-    def _discard(self, vm_id: VmId) -> None:
-        """Drop a member's update."""
-        del self._updates[vm_id]
-        del self._sent[vm_id]
+    def _in_order(self) -> Iterator[MemberUpdate]:
+        """Yield the updates, least often sent first."""
+        for sent in sorted(self._by_sent):
+            yield from self._by_sent[sent].values()
+
+    def _put(self, update: MemberUpdate, sent: int) -> None:
+        """Store an update among those sent as often."""
+        self._sent[update.vm_id] = sent
+        self._by_sent.setdefault(sent, {})[update.vm_id] = update
+
+    def _discard(self, vm_id: VmId) -> int:
+        """Drop a member's update where there is one; return how often it was sent."""
+        sent = self._sent.pop(vm_id, None)
+        if sent is None:
+            return 0
+        same = self._by_sent[sent]
+        del same[vm_id]
+        if not same:
+            del self._by_sent[sent]
+        return sent
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/core.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/core.py
@@ -81,7 +81,7 @@
             first = (member.to_update(),)
             budget -= estimate_bytes(first[0])
         max_sends = self.limits.retransmit_factor * ceil(log2(len(self.table.view) + 1))
-        taken = self.queue.take(max_bytes=budget, max_sends=max(1, max_sends // 2))
+        taken = self.queue.take(max_bytes=budget, max_sends=max_sends)
         return first + tuple(update for update in taken if update.vm_id != vm_id or not first)
 
     def take_updates(self, updates: tuple[MemberUpdate, ...], now_ms: int) -> None:
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/decider.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/decider.py
@@ -80,6 +80,11 @@
         """Return how slow this node finds itself; 0 is healthy."""
         return self._core.health.score
 
+    @property
+    def waiting_updates(self) -> int:
+        """Return how many updates wait to be passed on."""
+        return len(self._core.queue)
+
     def set_revision(self, revision: Revision) -> None:
         """Set the configuration's revision that pings and acknowledgements carry."""
         self._core.revision = revision
