Decode capnp from segments, as the packed reader ends the process

Cause: the fuzz test of mutated bytes ended the process: pycapnp's packed reader throws from a destructor ("Premature EOF") on some malformed input. Ruled out: catching KjException, which is never raised. Seen as well: RuntimeError "Member was null" for an unknown enum value. Lease requests gain the fields that placement uses, and a lease recall is added.

--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -67,7 +67,7 @@
         ValueError,
         TypeError,
         OverflowError,
-        RecursionError,
+        RuntimeError,
         MemoryError,
     ) as err:
         raise MalformedMessageError("Message can't be decoded") from err
@@ -80,19 +80,22 @@
 
 
 def _encode_capnp(message: Message) -> bytes:
-    """Return the packed body."""
+    """Return the body as segments.
+
+    The packed form is not used: its reader ends the whole process on some malformed input.
+    """
     struct = getattr(_schema(), type(message).__name__)
-    return cast(bytes, struct.new_message(**to_plain(message)).to_bytes_packed())
+    return cast(bytes, struct.new_message(**to_plain(message)).to_bytes())
 
 
 def _decode_capnp(cls: type[Message], body: bytes) -> Message:
-    """Return the message from a packed body; what it may unfold to is bounded."""
+    """Return the message from a body; what its pointers may unfold to is bounded."""
     struct = getattr(_schema(), cls.__name__)
     limit = max(_MIN_TRAVERSAL_WORDS, 2 * len(body) // _WORD_BYTES)
-    reader = struct.from_bytes_packed(
+    with struct.from_bytes(
         body, traversal_limit_in_words=limit, nesting_limit=MAX_NESTING
-    )
-    return cast(Message, from_plain(cls, reader.to_dict()))
+    ) as reader:
+        return cast(Message, from_plain(cls, reader.to_dict()))
 
 
 def _encode_msgpack(message: Message) -> bytes:
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -105,6 +105,10 @@
   inFlight @3 :UInt32;
   demandByTier @4 :List(UInt32);
   sequence @5 :UInt64;
+  confirms @6 :UInt64;
+  suspectsCold @7 :Bool;
+  goodFirstTokens @8 :UInt32;
+  listVersion @9 :UInt64;
 }
 
 struct LeaseGrant {
@@ -117,6 +121,13 @@
   stewardEpoch @6 :UInt64;
 }
 
+struct LeaseRecall {
+  stewardId @0 :Text;
+  nodeId @1 :Text;
+  endpointId @2 :Text;
+  stewardEpoch @3 :UInt64;
+}
+
 struct QuarantineEntry {
   fingerprint @0 :Text;
   endpointIds @1 :List(Text);
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -165,6 +165,10 @@
     in_flight: int
     demand_by_tier: tuple[int, ...]
     sequence: int
+    confirms: int = 0
+    suspects_cold: bool = False
+    good_first_tokens: int = 0
+    list_version: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -180,6 +184,16 @@
     steward_epoch: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseRecall:
+    """Voids a lease on an endpoint that turned cold."""
+
+    steward_id: VmId
+    node_id: VmId
+    endpoint_id: EndpointId
+    steward_epoch: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuarantineEntry:
     """The endpoints that one request's fingerprint has crashed."""
@@ -264,6 +278,7 @@
     | LeaseGrant
     | QuarantineSummary
     | SummaryGossip
+    | LeaseRecall
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -282,5 +297,6 @@
     LeaseGrant,
     QuarantineSummary,
     SummaryGossip,
+    LeaseRecall,
 )
 """In the order of their numbers on the wire; only appended to."""
--- a/tests/wagtailusher_wire/test_codec.py
+++ b/tests/wagtailusher_wire/test_codec.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+from random import Random
 from unittest import TestCase
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wagtailusher_core import ErrorCode, Revision, VmId
+from wagtailusher_core import ErrorCode, Incarnation, Revision, VmId
 from wagtailusher_wire import (
     MESSAGE_TYPES,
     Codec,
     ContentAnswer,
     DeltaStep,
     MalformedMessageError,
+    MemberState,
+    MemberUpdate,
     Message,
     Nack,
+    Ping,
     WireError,
     decode,
     encode,
@@ -39,6 +43,20 @@
 _CODECS = st.sampled_from(Codec)
 
 
+def _mutate(generator: Random, content: bytearray) -> bytes:
+    """Return a body with changed bytes, cut short, prolonged or replaced behind the header."""
+    for _ in range(generator.randrange(1, 5)):
+        content[generator.randrange(1, len(content))] = generator.randrange(256)
+    way = generator.randrange(4)
+    if way == 0:
+        return bytes(content[: generator.randrange(len(content))])
+    if way == 1:
+        return bytes(content) + generator.randbytes(generator.randrange(30))
+    if way == 2:
+        return bytes(content[:2]) + generator.randbytes(generator.randrange(100))
+    return bytes(content)
+
+
 class CodecTest(TestCase):
     """Messages survive both codecs, and no other bytes do harm."""
 
@@ -92,3 +110,19 @@
         self.assertEqual(decode(content), answer)
         with self.assertRaises(MalformedMessageError):
             decode(content, max_bytes=1_000)
+
+    def test_many_mutations_of_nested_messages(self) -> None:
+        generator = Random(5)
+        update = MemberUpdate(
+            vm_id=VmId("b"), incarnation=Incarnation(5), version=1, state=MemberState.ALIVE
+        )
+        originals = (
+            encode(Ping(sequence=1, target=VmId("x"), updates=(update, update))),
+            encode(Nack(sequence=1, subject=VmId("x"))),
+        )
+        for _ in range(20_000):
+            content = _mutate(generator, bytearray(generator.choice(originals)))
+            try:
+                decode(content)
+            except WireError as err:
+                self.assertIn(err.code, (ErrorCode.WIRE_MALFORMED, ErrorCode.WIRE_VERSION))
