Add the operators' command

Operators check a tree before it is published, see which ancestor set a value and what a change near the root would reach, and ask running daemons where a request went, what was refused and whether a failure domain is safe to switch off. What is not known holds a drain up. Advice on endpoints adds up the peaks of all VMs, which is never too little. Answers are validated; fields that daemons add later are ignored. Exit codes are 0 fine, 1 problem, 2 usage, 3 unreachable.

--- /dev/null
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/client.py
@@ -0,0 +1,63 @@
+"""Asks the operator interfaces of several entry daemons at once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Generic, TypeVar
+
+from pydantic import ValidationError
+
+from wagtailusher_cli.const import CALL_TIMEOUT_MS
+from wagtailusher_cli.exceptions import UnreachableError
+from wagtailusher_cli.models import Answer
+from wagtailusher_http import ClientLimits, HttpClient, HttpError
+
+AnswerT = TypeVar("AnswerT", bound=Answer)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply(Generic[AnswerT]):
+    """What one daemon replied; `answer` lacks when it doesn't know or couldn't be asked."""
+
+    address: str
+    answer: AnswerT | None
+    problem: str | None = None
+
+
+async def async_ask(
+    client: HttpClient, address: str, path: str, model: type[AnswerT]
+) -> Reply[AnswerT]:
+    """Ask one daemon; nothing that it does raises."""
+    try:
+        answer = await client.async_request(address, "GET", path, head_timeout_ms=CALL_TIMEOUT_MS)
+        body = await answer.async_read(CALL_TIMEOUT_MS)
+    except HttpError as error:
+        return Reply(address=address, answer=None, problem=error.message)
+    if answer.status == HTTPStatus.NOT_FOUND:
+        return Reply(address=address, answer=None)
+    if answer.status != HTTPStatus.OK:
+        return Reply(address=address, answer=None, problem=f"status {answer.status}")
+    try:
+        return Reply(address=address, answer=model.model_validate_json(body))
+    except ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        key = ".".join(map(str, first["loc"]))
+        return Reply(address=address, answer=None, problem=f"{key}: {first['msg']}")
+
+
+async def async_ask_all(
+    addresses: Sequence[str], path: str, model: type[AnswerT]
+) -> list[Reply[AnswerT]]:
+    """Ask all daemons at once; raise UnreachableError when none could be asked."""
+    limits = ClientLimits(connect_timeout_ms=CALL_TIMEOUT_MS)
+    async with HttpClient(limits) as client:
+        replies = await asyncio.gather(
+            *(async_ask(client, address, path, model) for address in addresses)
+        )
+    if all(reply.problem is not None for reply in replies):
+        problems = "; ".join(f"{reply.address}: {reply.problem}" for reply in replies)
+        raise UnreachableError(problems)
+    return list(replies)
--- /dev/null
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/const.py
@@ -0,0 +1,33 @@
+"""Exit codes, paths and intervals of the operators' command."""
+
+from __future__ import annotations
+
+from typing import Final
+
+EXIT_OK: Final = 0
+EXIT_PROBLEM: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_UNREACHABLE: Final = 3
+
+ENV_ADDRESS: Final = "WAGTAILUSHER_OPERATOR_ADDRESS"
+
+PATH_FLEET: Final = "/operator/v1/fleet"
+PATH_ENDPOINTS: Final = "/operator/v1/endpoints"
+PATH_SETTINGS: Final = "/operator/v1/settings"
+PATH_QUARANTINE: Final = "/operator/v1/quarantine"
+PATH_REFUSALS: Final = "/operator/v1/refusals"
+PATH_REQUEST: Final = "/operator/v1/requests/{trace_id}"
+PATH_DRAIN: Final = "/operator/v1/drains/{failure_domain}"
+PATH_BOOKS: Final = "/operator/v1/books"
+
+CALL_TIMEOUT_MS: Final = 3_000
+MS_PER_S: Final = 1_000
+
+DEFAULT_WATCH_INTERVAL_MS: Final = 1_000
+DEFAULT_WATCH_TIMEOUT_S: Final = 900
+SETTLING_TIME_MS: Final = 3_000
+"""How long no VM may have started work in a failure domain before it counts as drained."""
+
+TARGET_ATTAINMENT: Final = 0.95
+MAX_USED_SHARE: Final = 0.8
+"""The share of a pool's concurrency that its peak may take after an endpoint has gone."""
--- /dev/null
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/live.py
@@ -0,0 +1,221 @@
+"""Commands that ask running entry daemons."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from urllib.parse import quote
+
+from wagtailusher_cli.advice import advise_removals
+from wagtailusher_cli.asking import ask
+from wagtailusher_cli.const import (
+    EXIT_OK,
+    EXIT_PROBLEM,
+    PATH_BOOKS,
+    PATH_ENDPOINTS,
+    PATH_FLEET,
+    PATH_QUARANTINE,
+    PATH_REFUSALS,
+    PATH_REQUEST,
+    PATH_SETTINGS,
+)
+from wagtailusher_cli.models import (
+    Answer,
+    BooksAnswer,
+    EndpointsAnswer,
+    FleetAnswer,
+    QuarantineAnswer,
+    RefusalsAnswer,
+    RequestAnswer,
+    SettingsAnswer,
+)
+from wagtailusher_cli.output import write_json, write_table
+from wagtailusher_cli.tables import name_state, write_fleet, write_request, write_settings
+
+
+def fleet(*, address: str | None = None, json: bool = False) -> int:
+    """Show the entry VMs as the asked ones see them, and their settings.
+
+    :param address: Operator addresses of entry VMs, separated by commas.
+    :param json: Write one JSON object instead of tables.
+    """
+    answers = ask(address, PATH_FLEET, FleetAnswer)
+    settings = ask(address, PATH_SETTINGS, SettingsAnswer)
+    if json:
+        write_json({"fleet": _dump(answers), "settings": _dump(settings)})
+    else:
+        write_fleet(answers)
+        write_settings(settings)
+    revisions = {answer.revision for answer in settings}
+    is_fine = len(revisions) == 1 and not any(answer.refusal for answer in settings)
+    return EXIT_OK if is_fine and all(item.ready for item in answers) else EXIT_PROBLEM
+
+
+def stewards(*, address: str | None = None, json: bool = False) -> int:
+    """Show which entry VM is each endpoint's steward, and the leases held.
+
+    :param address: Operator addresses of entry VMs, separated by commas.
+    :param json: Write one JSON object instead of tables.
+    """
+    answers = ask(address, PATH_ENDPOINTS, EndpointsAnswer)
+    if json:
+        write_json({"endpoints": _dump(answers)})
+        return EXIT_OK
+    for answer in answers:
+        rows = [
+            [
+                item.endpoint_id,
+                item.failure_domain_id,
+                name_state(item.state, item.cold, item.drained, item.ejected),
+                item.steward_id,
+                f"{item.in_flight}/{item.allowed}",
+                item.lease_credits,
+                item.lease_expires_in_ms,
+                item.report_age_ms,
+                item.slowness,
+            ]
+            for item in answer.endpoints
+        ]
+        columns = ["endpoint", "failure domain", "state", "steward", "in flight/allowed"]
+        columns += ["credits", "expires in ms", "report age ms", "slowness"]
+        write_table(f"endpoints as {answer.vm_id} sees them", columns, rows)
+    return EXIT_OK
+
+
+def drains(*, address: str | None = None, json: bool = False) -> int:
+    """Show the failure domains that are taken out, and what still runs there.
+
+    :param address: Operator addresses of entry VMs, separated by commas.
+    :param json: Write one JSON object instead of a table.
+    """
+    settings = ask(address, PATH_SETTINGS, SettingsAnswer)
+    endpoints = ask(address, PATH_ENDPOINTS, EndpointsAnswer)
+    in_flight: Counter[str] = Counter()
+    for answer in endpoints:
+        for item in answer.endpoints:
+            in_flight[item.failure_domain_id] += item.in_flight
+    domains = sorted({domain for answer in settings for domain in answer.drained_domains})
+    rows = [
+        [
+            domain,
+            f"{sum(domain in answer.drained_domains for answer in settings)}/{len(settings)}",
+            in_flight[domain],
+        ]
+        for domain in domains
+    ]
+    if json:
+        keys = ("failure_domain_id", "known_by", "in_flight")
+        write_json({"drains": [dict(zip(keys, row, strict=True)) for row in rows]})
+    else:
+        write_table("drains", ["failure domain", "in force on", "in flight"], rows)
+    return EXIT_OK
+
+
+def quarantine(*, address: str | None = None, json: bool = False) -> int:
+    """Show the requests that crashed endpoints.
+
+    :param address: Operator addresses of entry VMs, separated by commas.
+    :param json: Write one JSON object instead of a table.
+    """
+    answers = ask(address, PATH_QUARANTINE, QuarantineAnswer)
+    if json:
+        write_json({"quarantine": _dump(answers)})
+        return EXIT_OK
+    rows = [
+        [
+            answer.vm_id,
+            item.fingerprint,
+            item.quarantined,
+            ", ".join(item.endpoint_ids),
+            item.age_ms,
+            item.expires_in_ms,
+        ]
+        for answer in answers
+        for item in answer.fingerprints
+    ]
+    columns = ["known to", "fingerprint", "refused", "crashed", "age ms", "expires in ms"]
+    write_table("quarantine", columns, rows)
+    return EXIT_OK
+
+
+def refusals(*, address: str | None = None, json: bool = False) -> int:
+    """Show what was refused lately and why.
+
+    :param address: Operator addresses of entry VMs, separated by commas.
+    :param json: Write one JSON object instead of tables.
+    """
+    answers = ask(address, PATH_REFUSALS, RefusalsAnswer)
+    if json:
+        write_json({"refusals": _dump(answers)})
+        return EXIT_OK
+    counts: Counter[tuple[str, int | None]] = Counter()
+    for answer in answers:
+        for count in answer.counts:
+            counts[count.code, count.tier] += count.count
+    count_rows = [[code, tier, number] for (code, tier), number in counts.most_common()]
+    write_table("since the daemons started", ["code", "tier", "refusals"], count_rows)
+    rows = [
+        [
+            answer.vm_id,
+            item.age_ms,
+            item.code,
+            item.outcome,
+            item.tier,
+            item.workspace_id,
+            item.class_id,
+            item.trace_id,
+        ]
+        for answer in answers
+        for item in answer.refusals
+    ]
+    columns = ["at", "age ms", "code", "outcome", "tier", "workspace", "class", "trace"]
+    write_table("lately", columns, rows)
+    return EXIT_OK
+
+
+def explain(trace_id: str, *, address: str | None = None, json: bool = False) -> int:
+    """Explain where one request went and why.
+
+    :param trace_id: Trace identifier, as in the caller's traceparent header.
+    :param address: Operator addresses of entry VMs, separated by commas.
+    :param json: Write one JSON object instead of tables.
+    """
+    path = PATH_REQUEST.format(trace_id=quote(trace_id, safe=""))
+    answers = ask(address, path, RequestAnswer)
+    if json:
+        write_json({"requests": _dump(answers)})
+        return EXIT_OK
+    for answer in answers:
+        write_request(answer)
+    return EXIT_OK
+
+
+def advise(*, address: str | None = None, json: bool = False) -> int:
+    """Tell which endpoint could go with every target still met; nothing is changed.
+
+    :param address: Operator addresses of all entry VMs, separated by commas.
+    :param json: Write one JSON object instead of a table.
+    """
+    advice = advise_removals(ask(address, PATH_BOOKS, BooksAnswer))
+    if json:
+        write_json({"advice": list(advice)})
+        return EXIT_OK
+    rows = [
+        [
+            item.endpoint_id,
+            item.can_go,
+            item.margin,
+            item.used_share,
+            "; ".join(item.reasons),
+            ", ".join(item.classes_at_risk),
+        ]
+        for item in advice
+    ]
+    columns = ["endpoint", "could go", "margin", "used share", "against it", "classes at risk"]
+    write_table("advice", columns, rows)
+    return EXIT_OK
+
+
+def _dump(answers: Sequence[Answer]) -> list[dict[str, object]]:
+    """Return answers for JSON."""
+    return [answer.model_dump(mode="json") for answer in answers]
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
@@ -16,6 +16,7 @@
 )
 from wagtailusher_settings.delta import apply_delta, canonical_bytes, make_delta
 from wagtailusher_settings.diff import Change, PolicyChange, diff_settings, reach_of_change
+from wagtailusher_settings.document import load_document
 from wagtailusher_settings.errors import Problem, SettingsError, UnknownKeyError
 from wagtailusher_settings.keeper import Applied, Ignored, Refused, SettingsKeeper
 from wagtailusher_settings.parse import parse_settings
@@ -45,6 +46,7 @@
     "apply_delta",
     "canonical_bytes",
     "diff_settings",
+    "load_document",
     "make_delta",
     "parse_manifest",
     "parse_settings",
