Run the whole path: callers, two entry apps, engines and a booking service

Cause: the parts had not met on sockets. Conclusion: requests that may not be repeated still wait when their home has no credits.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -45,7 +45,7 @@
     forwarder: Forwarder
     classifier: Classifier
     mint: TicketMint
-    addresses: AddressBook
+    addresses: AddressBook | None
     metrics: EntryMetrics
     settings: Callable[[], Settings | None]
     is_ready: Callable[[], bool]
@@ -77,7 +77,7 @@
         if path == PATH_MODELS:
             return self._answer_models()
         if path == PATH_ADDRESSES:
-            return json_response(HTTPStatus.OK, self.addresses.answer())
+            return json_response(HTTPStatus.OK, self._addresses().answer())
         if path == PATH_TICKETS:
             return self._answer_ticket()
         return error_response(HTTPStatus.NOT_FOUND, ErrorCode.UNKNOWN_ROUTE, "no such path")
@@ -107,7 +107,7 @@
         value = {
             "ticket": self.mint.mint(wall_ms()),
             "lifetime_ms": lifetime_ms,
-            "address": self.addresses.own_address,
+            "address": self._addresses().own_address,
         }
         return json_response(HTTPStatus.OK, value)
 
@@ -155,6 +155,11 @@
             self.node.caller_left(classified.arrival.request_id)
             raise
 
+    def _addresses(self) -> AddressBook:
+        """Return the address book, which exists once the server listens."""
+        assert self.addresses is not None
+        return self.addresses
+
     def _silence_timeout_ms(self) -> int:
         """Return how long an endpoint may be silent within an answer."""
         settings = self.settings()
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -97,7 +97,12 @@
             self._fail(end_of(err))
             return None
         headers = end_to_end_headers(answer).with_field(HEADER_REQUEST_ID, self._request_id)
-        return Response(status=answer.status, headers=headers, body=self._async_body(parts, first))
+        return Response(
+            status=answer.status,
+            headers=headers,
+            body=self._async_body(parts, first),
+            on_end=self._end,
+        )
 
     async def _async_open(self, dispatch: Dispatch) -> ClientAnswer:
         """Send the request or resume its answer."""
@@ -129,22 +134,19 @@
         self, parts: AsyncIterator[bytes], first: bytes | None
     ) -> AsyncIterator[bytes]:
         """Relay the parts, resuming over a new connection where that is possible."""
-        try:
-            if first is not None:
-                self._note_first()
-                yield first
-            while True:
-                try:
-                    async for part in parts:
-                        yield part
-                    break
-                except WagtailusherError as err:
-                    parts = await self._async_resume(err)
-            self._done = True
-            self._node.complete(self._request_id)
-            self._count()
-        finally:
-            self._end()
+        if first is not None:
+            self._note_first()
+            yield first
+        while True:
+            try:
+                async for part in parts:
+                    yield part
+                break
+            except WagtailusherError as err:
+                parts = await self._async_resume(err)
+        self._done = True
+        self._node.complete(self._request_id)
+        self._count()
 
     async def _async_resume(self, err: WagtailusherError) -> AsyncIterator[bytes]:
         """Return the parts of a resumed answer, or raise that the answer is broken."""
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
@@ -0,0 +1,74 @@
+"""What this process knows of the platform: settings, entry VMs and endpoints."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import logging
+
+from wagtailusher_core import EndpointId, PublishedVm, VmId, callback
+from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_daemon.metrics import EntryMetrics
+from wagtailusher_daemon.node import RouterNode
+from wagtailusher_placement import EndpointInfo, EndpointKind
+from wagtailusher_settings import Applied, Refused, Settings, SettingsKeeper
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class FleetView:
+    """Keeps the last good word of the platform and hands changes to the decider."""
+
+    def __init__(self, node: RouterNode, metrics: EntryMetrics) -> None:
+        """Start knowing nothing."""
+        self._node = node
+        self._metrics = metrics
+        self.keeper = SettingsKeeper()
+        self.published: tuple[PublishedVm, ...] = ()
+        self.endpoints: dict[EndpointId, EndpointInfo] = {}
+
+    @property
+    def settings(self) -> Settings | None:
+        """Return the settings in force."""
+        return self.keeper.current
+
+    @property
+    def engines(self) -> tuple[EndpointInfo, ...]:
+        """Return the endpoints that report their load."""
+        return tuple(info for info in self.endpoints.values() if info.kind is EndpointKind.ENGINE)
+
+    @callback
+    def offer_settings(self, content: bytes) -> Applied | Refused | None:
+        """Take a settings document; a bad or older one changes nothing."""
+        now_ms = monotonic_ms()
+        result = self.keeper.offer(content, now_ms)
+        if isinstance(result, Refused):
+            _LOGGER.warning("Settings: refused: %s", "; ".join(map(str, result.problems)))
+            return result
+        if not isinstance(result, Applied):
+            return None
+        settings = result.settings
+        _LOGGER.info("Settings: revision %s is in force", settings.revision)
+        self._metrics.revision.set({}, settings.revision.number)
+        self._node.apply(
+            self._node.decider.update_drained_domains(settings.fleet.drained_domains, now_ms)
+        )
+        return result
+
+    @callback
+    def offer_published(
+        self, vms: Iterable[PublishedVm], endpoints: Iterable[EndpointInfo]
+    ) -> None:
+        """Take the platform's lists of entry VMs and endpoints."""
+        now_ms = monotonic_ms()
+        self.published = tuple(vms)
+        self.endpoints = {info.endpoint_id: info for info in endpoints}
+        self._node.decider.update_published(self.published, now_ms)
+        self._node.apply(self._node.decider.update_endpoints(self.endpoints.values(), now_ms))
+
+    def address_of_vm(self, vm_id: VmId) -> str | None:
+        """Return the address at which a VM serves callers."""
+        return next((vm.address for vm in self.published if vm.vm_id == vm_id), None)
+
+    def peer_address_of(self, vm_id: VmId) -> str | None:
+        """Return the address at which a VM's process receives datagrams."""
+        return next((vm.peer_address for vm in self.published if vm.vm_id == vm_id), None)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
@@ -5,26 +5,21 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from wagtailusher_core import ErrorCode, RequestId, callback
+from wagtailusher_core import RequestId, callback
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_once import StoredAnswer
-from wagtailusher_placement import EndOfWork, LeaseGrant, LeaseRequest, LoadReport
+from wagtailusher_placement import EndOfWork, LeaseGrant, LeaseRecall, LeaseRequest, LoadReport
 from wagtailusher_router import (
     Action,
     Arrival,
     Cancel,
     Dispatch,
-    Forward,
-    Refuse,
-    ReplayAnswer,
+    PeerAction,
+    RequestAction,
     RouterDecider,
-    SendLeaseGrant,
-    SendLeaseRequest,
 )
 
-RequestMessage = Dispatch | Refuse | Forward | ReplayAnswer
-PeerMessage = SendLeaseRequest | SendLeaseGrant
-Mailbox = asyncio.Queue[RequestMessage]
+Mailbox = asyncio.Queue[RequestAction]
 
 
 class RouterNode:
@@ -34,7 +29,7 @@
         self,
         decider: RouterDecider,
         *,
-        send_peer: Callable[[PeerMessage], None],
+        send_peer: Callable[[PeerAction], None],
         cancel: Callable[[Cancel], None],
     ) -> None:
         """Own a decider; peer messages and cancellations go to the given functions."""
@@ -107,6 +102,11 @@
         """Hand a steward's grant in."""
         self.apply(self.decider.lease_granted(grant, monotonic_ms()))
 
+    @callback
+    def lease_recalled(self, recall: LeaseRecall) -> None:
+        """Hand a steward's recall in."""
+        self.decider.lease_recalled(recall, monotonic_ms())
+
     @callback
     def tick(self) -> None:
         """Let the decider see the time."""
@@ -116,7 +116,7 @@
     def apply(self, actions: Iterable[Action]) -> None:
         """Pass the decider's actions on."""
         for action in actions:
-            if isinstance(action, SendLeaseRequest | SendLeaseGrant):
+            if isinstance(action, PeerAction):
                 self._send_peer(action)
             elif isinstance(action, Cancel):
                 self._cancel(action)
@@ -124,21 +124,10 @@
                 self._deliver(action)
 
     @callback
-    def _deliver(self, message: RequestMessage) -> None:
+    def _deliver(self, message: RequestAction) -> None:
         """Put a message into a request's mailbox."""
         mailbox = self._mailboxes.get(message.request_id)
         if mailbox is not None:
             mailbox.put_nowait(message)
         elif isinstance(message, Dispatch):
             self.attempt_failed(message.request_id, EndOfWork.CANCELLED)
-
-
-def is_late_refusal(code: ErrorCode) -> bool:
-    """Tell whether a refusal means overload, so that coming back later helps."""
-    return code in {
-        ErrorCode.QUEUE_FULL,
-        ErrorCode.SHED,
-        ErrorCode.QUOTA_EXCEEDED,
-        ErrorCode.DEADLINE_UNREACHABLE,
-        ErrorCode.NO_ENDPOINT,
-    }
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
@@ -9,10 +9,13 @@
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from wagtailusher_daemon.const import (
+    DEFAULT_LEASE_LIFETIME_MS,
+    DEFAULT_LIST_LAG_MS,
     DEFAULT_LISTEN,
     DEFAULT_LOAD_POLL_INTERVAL_MS,
     DEFAULT_LOG_FORMAT,
     DEFAULT_LOG_LEVEL,
+    DEFAULT_PAUSE_TOLERANCE_MS,
     DEFAULT_TICK_INTERVAL_MS,
     ENV_PREFIX,
 )
@@ -50,6 +53,9 @@
     trace_file: str = ""
     otlp_address: str = ""
     tick_interval_ms: int = Field(default=DEFAULT_TICK_INTERVAL_MS, ge=5, le=1000)
+    lease_lifetime_ms: int = Field(default=DEFAULT_LEASE_LIFETIME_MS, ge=100, le=60_000)
+    list_lag_ms: int = Field(default=DEFAULT_LIST_LAG_MS, ge=0, le=600_000)
+    pause_tolerance_ms: int = Field(default=DEFAULT_PAUSE_TOLERANCE_MS, ge=50, le=60_000)
     load_poll_interval_ms: int = Field(default=DEFAULT_LOAD_POLL_INTERVAL_MS, ge=20, le=10_000)
 
     @field_validator("listen", "peer_listen", "operator_listen", "config_service", "vm_list")
--- a/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
@@ -8,9 +8,12 @@
     Dispatch,
     Forward,
     ForwardReason,
+    PeerAction,
     Refuse,
     ReplayAnswer,
+    RequestAction,
     SendLeaseGrant,
+    SendLeaseRecall,
     SendLeaseRequest,
 )
 from wagtailusher_router.decider import RouterDecider, RouterParts
@@ -24,12 +27,15 @@
     "Dispatch",
     "Forward",
     "ForwardReason",
+    "PeerAction",
     "Refuse",
     "ReplayAnswer",
+    "RequestAction",
     "RouterDecider",
     "RouterError",
     "RouterParts",
     "SendLeaseGrant",
+    "SendLeaseRecall",
     "SendLeaseRequest",
     "UnknownFlightError",
 ]
--- a/packages/wagtailusher_router/src/wagtailusher_router/actions.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/actions.py
@@ -7,7 +7,7 @@
 
 from wagtailusher_core import EndpointId, ErrorCode, Outcome, RequestId, VmId
 from wagtailusher_once import StoredAnswer
-from wagtailusher_placement import Choice, LeaseGrant, LeaseRequest
+from wagtailusher_placement import Choice, LeaseGrant, LeaseRecall, LeaseRequest
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,4 +86,13 @@
     grant: LeaseGrant
 
 
-Action = Dispatch | Refuse | Cancel | Forward | ReplayAnswer | SendLeaseRequest | SendLeaseGrant
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendLeaseRecall:
+    """Void a node's lease on an endpoint that turned cold."""
+
+    recall: LeaseRecall
+
+
+PeerAction = SendLeaseRequest | SendLeaseGrant | SendLeaseRecall
+RequestAction = Dispatch | Refuse | Forward | ReplayAnswer
+Action = RequestAction | PeerAction | Cancel
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -4,15 +4,25 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from itertools import islice
 
 from wagtailusher_admission import AdmissionDecider, PendingRequest, Refusal
-from wagtailusher_core import ErrorCode, FailureDomainId, Outcome, PoolId, PublishedVm, RequestId
+from wagtailusher_core import (
+    ErrorCode,
+    FailureDomainId,
+    Outcome,
+    PoolId,
+    PublishedVm,
+    RequestId,
+    VmId,
+)
 from wagtailusher_once import OnceDecider, QuarantineDecider, StoredAnswer
 from wagtailusher_placement import (
     Choice,
     EndOfWork,
     EndpointInfo,
     LeaseGrant,
+    LeaseRecall,
     LeaseRequest,
     LoadReport,
     PlacementDecider,
@@ -23,15 +33,18 @@
     Action,
     Cancel,
     Dispatch,
+    Forward,
+    ForwardReason,
     Refuse,
     ReplayAnswer,
     SendLeaseGrant,
 )
 from wagtailusher_router.attempts import NextStep, next_step
-from wagtailusher_router.const import DEFAULT_RETRY_AFTER_MS, MAX_HEAD_SKIPS
+from wagtailusher_router.const import DEFAULT_RETRY_AFTER_MS, MAX_HANDOVERS_PER_TICK, MAX_HEAD_SKIPS
 from wagtailusher_router.errors import UnknownFlightError
 from wagtailusher_router.events import Arrival
 from wagtailusher_router.flights import Flight, Phase
+from wagtailusher_router.handover import Handover
 from wagtailusher_router.leasing import LeaseExchange
 from wagtailusher_router.once_gate import OnceGate
 
@@ -40,6 +53,7 @@
 class RouterParts:
     """The deciders that a router is composed of."""
 
+    vm_id: VmId
     admission: AdmissionDecider
     placement: PlacementDecider
     steward: StewardDecider
@@ -55,7 +69,8 @@
         self._admission = parts.admission
         self._placement = parts.placement
         self._quarantine = parts.quarantine
-        self._leases = LeaseExchange(parts.placement, parts.steward)
+        self._handover = Handover(parts.placement)
+        self._leases = LeaseExchange(parts.vm_id, parts.placement, parts.steward)
         self._gate = OnceGate(parts.once)
         self._flights: dict[RequestId, Flight] = {}
         self._resumable: frozenset[str] = frozenset()
@@ -75,20 +90,23 @@
         infos = tuple(endpoints)
         self._placement.update_endpoints(infos, now_ms)
         self._leases.update_endpoints(infos, now_ms)
+        self._handover.update_endpoints(infos)
         self._resumable = frozenset(info.endpoint_id for info in infos if info.resumes_streams)
         return tuple(self._pump_all(now_ms))
 
-    def update_published(self, vms: Iterable[PublishedVm], now_ms: int) -> None:
-        """Take over the published list of entry VMs."""
+    def update_published(self, vms: Iterable[PublishedVm], now_ms: int, version: int = 0) -> None:
+        """Take over the published list of entry VMs; call it at every reading."""
         published = tuple(vms)
-        self._leases.update_published(published, now_ms)
+        self._leases.update_published(published, version, now_ms)
         self._gate.update_published(published, now_ms)
 
     def update_drained_domains(
         self, domains: Iterable[FailureDomainId], now_ms: int
     ) -> tuple[Action, ...]:
         """Take over the failure domains that operators took out."""
-        self._placement.update_drained_domains(domains, now_ms)
+        drained = frozenset(domains)
+        self._placement.update_drained_domains(drained, now_ms)
+        self._leases.update_drained_domains(drained, now_ms)
         return tuple(self._pump_all(now_ms))
 
     def observe_report(self, report: LoadReport, now_ms: int) -> tuple[Action, ...]:
@@ -231,8 +249,10 @@
         actions = list(self._refuse_all(self._admission.expire(now_ms), now_ms))
         self._gate.expire(now_ms)
         demand = {pool_id: self._admission.demand(pool_id) for pool_id in self._admission.pools()}
+        actions.extend(self._leases.recalls(now_ms))
         actions.extend(self._leases.renew(demand, now_ms))
         actions.extend(self._pump_all(now_ms))
+        actions.extend(self._hand_over_waiting(now_ms))
         return tuple(actions)
 
     def next_wake_ms(self) -> int | None:
@@ -251,6 +271,10 @@
         self._placement.apply_grant(grant, now_ms)
         return tuple(self._pump_all(now_ms))
 
+    def lease_recalled(self, recall: LeaseRecall, now_ms: int) -> None:
+        """Give up a lease on an endpoint that its steward found cold."""
+        self._placement.apply_recall(recall, now_ms)
+
     # Inside.
 
     def _flight(self, request_id: RequestId) -> Flight:
@@ -284,6 +308,23 @@
                 return None
         return None
 
+    def _hand_over_waiting(self, now_ms: int) -> Iterator[Action]:
+        """Hand over what waits at the head of a pool that this node may not use."""
+        for pool_id in self._admission.pools():
+            heads = islice(self._admission.candidates(pool_id, now_ms), MAX_HANDOVERS_PER_TICK)
+            for pending in tuple(heads):
+                flight = self._flights[pending.request_id]
+                peer_id = self._handover.peer_instead_of_waiting(flight, now_ms)
+                if peer_id is None:
+                    break
+                self._admission.withdraw(flight.request_id, now_ms)
+                yield self._forward(flight, peer_id)
+
+    def _forward(self, flight: Flight, vm_id: VmId) -> Forward:
+        """Forget a request that a peer takes over."""
+        del self._flights[flight.request_id]
+        return Forward(request_id=flight.request_id, vm_id=vm_id, reason=ForwardReason.CREDITS)
+
     def _dispatch_of(self, flight: Flight, choice: Choice, *, resume: bool) -> Dispatch:
         """Return the order to send a request."""
         flight.choice = choice
@@ -320,6 +361,10 @@
         """Turn admission's refusals into actions."""
         for refusal in refusals:
             flight = self._flights[refusal.request_id]
+            peer_id = self._handover.peer_instead_of_refusal(flight, refusal.code, now_ms)
+            if peer_id is not None:
+                yield self._forward(flight, peer_id)
+                continue
             yield from self._drop(flight, refusal.code, now_ms, refusal.retry_after_ms)
 
     def _drop(
--- /dev/null
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -0,0 +1,198 @@
+"""Entry apps, engines and a booking service on loopback for the daemon's tests."""
+
+from __future__ import annotations
+
+import asyncio
+from hashlib import sha256
+import json
+from typing import Any
+
+from tests.standins.booking import BookingStandin
+from tests.standins.engine import EngineBehaviour, EngineStandin
+from wagtailusher_core import EndpointId, FailureDomainId, PoolId, PublishedVm, VmId
+from wagtailusher_daemon.app import EntryApp
+from wagtailusher_daemon.options import EntryOptions
+from wagtailusher_http import ClientAnswer, Headers, HttpClient
+from wagtailusher_placement import EndpointInfo, EndpointKind
+
+API_KEY = "member-key"
+FLEET_SECRET = "a-secret-of-the-test-fleet"
+MODEL = "coach-7b"
+
+
+def settings_document(revision: int = 1, **fleet: Any) -> bytes:
+    """Return a settings document with a chat route and two service routes."""
+    digest = sha256(API_KEY.encode()).hexdigest()
+    return json.dumps(
+        {
+            "revision": revision,
+            "fleet": {
+                "silence_timeout_ms": 400,
+                "shutdown_grace_ms": 3000,
+                "queue_limit": 100,
+                "routes": {
+                    "chat": {
+                        "models": [MODEL],
+                        "default_class": "advice",
+                        "classes": {
+                            "advice": {"tier": 2, "first_token_target_ms": 10000},
+                            "review": {"tier": 4, "deadline_behaviour": "serve_late"},
+                        },
+                    },
+                    "bookings": {
+                        "service": "bookings",
+                        "classes": {
+                            "booking": {
+                                "tier": 0,
+                                "repeatable": False,
+                                "answer_target_ms": 10000,
+                            }
+                        },
+                    },
+                },
+            }
+            | fleet,
+            "workspaces": {"members": {"api_key_sha256": [digest]}},
+        }
+    ).encode()
+
+
+class Fleet:
+    """A few apps that share engines and one booking service."""
+
+    def __init__(self, vm_count: int = 2, engine_count: int = 2) -> None:
+        """Prepare the parts; nothing listens yet."""
+        self.engines = [
+            EngineStandin(f"engine-{number}", EngineBehaviour()) for number in range(engine_count)
+        ]
+        self.booking = BookingStandin("booking-0")
+        self.apps = [new_app(number) for number in range(vm_count)]
+        self.client = HttpClient()
+
+    async def async_start(self) -> None:
+        """Start everything and publish it."""
+        for engine in self.engines:
+            await engine.async_start()
+        await self.booking.async_start()
+        for app in self.apps:
+            await app.async_start()
+        self.publish()
+        for app in self.apps:
+            app.view.offer_settings(settings_document())
+            app.node.tick()
+
+    async def async_stop(self) -> None:
+        """Stop everything."""
+        self.client.close()
+        await asyncio.gather(*(app.async_stop(grace_ms=100) for app in self.apps))
+        await asyncio.gather(*(engine.async_stop() for engine in self.engines))
+        await self.booking.async_stop()
+
+    def publish(self) -> None:
+        """Give every app the lists of VMs and endpoints."""
+        vms = [
+            PublishedVm(
+                vm_id=app.vm_id,
+                address=app.address,
+                peer_address=app.peer_address,
+                failure_domain_id=FailureDomainId(app.options.failure_domain),
+            )
+            for app in self.apps
+        ]
+        endpoints = [*map(engine_info, self.engines), service_info(self.booking)]
+        for app in self.apps:
+            app.view.offer_published(vms, endpoints)
+
+    async def async_replace(self, number: int) -> None:
+        """Kill an app and start another under the same VM's name."""
+        await self.apps[number].async_stop(grace_ms=0)
+        self.apps[number] = new_app(number)
+        await self.apps[number].async_start()
+        self.apps[number].view.offer_settings(settings_document())
+        self.publish()
+
+    async def async_post(
+        self, path: str, value: Any, *, vm: int = 0, headers: dict[str, str] | None = None
+    ) -> ClientAnswer:
+        """Post JSON to an app."""
+        fields = {"authorization": f"Bearer {API_KEY}"} | (headers or {})
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        return await self.client.async_request(
+            self.apps[vm].address, "POST", path, Headers(fields.items()), body
+        )
+
+    async def async_chat(
+        self, *, vm: int = 0, stream: bool = True, **extra: Any
+    ) -> tuple[int, bytes]:
+        """Ask for a chat completion and return the status and the whole body."""
+        value = {
+            "model": MODEL,
+            "stream": stream,
+            "messages": [{"role": "user", "content": "when is my rowing machine due"}],
+        } | extra
+        answer = await self.async_post("/v1/chat/completions", value, vm=vm)
+        return answer.status, await answer.async_read()
+
+    async def async_ticket(self, *, vm: int = 0) -> str:
+        """Ask an app for a ticket."""
+        answer = await self.async_post("/v1/tickets", {}, vm=vm)
+        ticket: str = json.loads(await answer.async_read())["ticket"]
+        return ticket
+
+    async def async_book(
+        self, booking_id: str, ticket: str, *, vm: int = 0
+    ) -> tuple[int, dict[str, Any]]:
+        """Book with a ticket and return the status and the answer."""
+        answer = await self.async_post(
+            "/services/bookings/new",
+            {"booking_id": booking_id},
+            vm=vm,
+            headers={"x-wagtailusher-ticket": ticket},
+        )
+        return answer.status, json.loads(await answer.async_read())
+
+
+def new_app(number: int) -> EntryApp:
+    """Return an app that does not listen yet."""
+    return EntryApp(
+        EntryOptions(
+            vm_id=f"entry-{number}",
+            failure_domain=f"domain-{number % 3}",
+            fleet_secret=FLEET_SECRET,
+            config_service="127.0.0.1:1",
+            vm_list="127.0.0.1:1",
+            lease_lifetime_ms=300,
+            list_lag_ms=0,
+            pause_tolerance_ms=200,
+            tick_interval_ms=20,
+            load_poll_interval_ms=50,
+        )
+    )
+
+
+def engine_info(engine: EngineStandin) -> EndpointInfo:
+    """Return an engine as the platform publishes it."""
+    return EndpointInfo(
+        endpoint_id=EndpointId(engine.engine_id),
+        pool_ids=frozenset({PoolId(MODEL)}),
+        failure_domain_id=FailureDomainId("domain-0"),
+        address=engine.address,
+        concurrency_limit=engine.behaviour.concurrency_limit,
+        resumes_streams=True,
+    )
+
+
+def service_info(service: BookingStandin) -> EndpointInfo:
+    """Return a service as the platform publishes it."""
+    return EndpointInfo(
+        endpoint_id=EndpointId(service.service_id),
+        pool_ids=frozenset({PoolId("bookings")}),
+        failure_domain_id=FailureDomainId("domain-0"),
+        address=service.address,
+        kind=EndpointKind.SERVICE,
+    )
+
+
+def vm_id(number: int) -> VmId:
+    """Return the identifier of an app's VM."""
+    return VmId(f"entry-{number}")
--- /dev/null
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -0,0 +1,127 @@
+"""Tests of the whole path: callers, two entry apps, engines and a booking service."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from tests.wagtailusher_daemon.fleet import MODEL, Fleet
+
+END_MARKER = b"data: [DONE]\n\n"
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """What a caller sees when everything works and when endpoints fail."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.async_start()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.async_stop()
+
+    async def test_chat_streams_and_answers_whole(self) -> None:
+        status, body = await self.fleet.async_chat()
+        self.assertEqual((status, body.count(b"data: ")), (200, 9))
+        self.assertTrue(body.endswith(END_MARKER))
+        status, body = await self.fleet.async_chat(vm=1, stream=False)
+        self.assertEqual(status, 200)
+        self.assertEqual(json.loads(body)["usage"]["completion_tokens"], 8)
+
+    async def test_many_chats_at_once_are_all_whole(self) -> None:
+        answers = await asyncio.gather(
+            *(self.fleet.async_chat(vm=number % 2) for number in range(40))
+        )
+        self.assertTrue(all(body.endswith(END_MARKER) for _, body in answers))
+
+    async def test_bad_requests_get_codes(self) -> None:
+        chat = {"model": MODEL, "messages": [{"role": "user", "content": "x"}]}
+        cases = [
+            (b"{broken", {}, 400, "bad_request"),
+            (chat | {"messages": []}, {}, 400, "bad_request"),
+            (chat | {"model": "none"}, {}, 404, "unknown_model"),
+            (chat, {"authorization": "Bearer wrong"}, 401, "unauthorized"),
+            (chat, {"x-wagtailusher-class": "none"}, 400, "unknown_class"),
+            (chat, {"x-wagtailusher-route": "none"}, 404, "unknown_route"),
+            (chat, {"x-wagtailusher-forwarded": "Zm9yZ2Vk.AAAA"}, 503, "peer_unauthenticated"),
+        ]
+        for value, headers, status, code in cases:
+            with self.subTest(code=code):
+                answer = await self.fleet.async_post("/v1/chat/completions", value, headers=headers)
+                error = json.loads(await answer.async_read())["error"]
+                self.assertEqual((answer.status, error["code"]), (status, code))
+                self.assertEqual(error["outcome"], "not_run")
+        self.assertEqual(sum(engine.counters.started for engine in self.fleet.engines), 0)
+
+    async def test_booking_runs_once_however_often_it_is_sent(self) -> None:
+        ticket = await self.fleet.async_ticket(vm=0)
+        answers = await asyncio.gather(
+            *(self.fleet.async_book("b1", ticket, vm=number % 2) for number in range(6))
+        )
+        self.assertEqual([status for status, _ in answers], [200] * 6)
+        self.assertEqual(self.fleet.booking.executions["b1"], 1)
+
+    async def test_booking_without_ticket_or_with_a_forged_one_is_not_run(self) -> None:
+        answer = await self.fleet.async_post("/services/bookings/new", {"booking_id": "b2"})
+        self.assertEqual(answer.status, 428)
+        await answer.async_read()
+        ticket = await self.fleet.async_ticket()
+        status, value = await self.fleet.async_book("b2", ticket[:-2] + "xx")
+        self.assertEqual((status, value["error"]["code"]), (403, "ticket_invalid"))
+        self.assertEqual(self.fleet.booking.executions["b2"], 0)
+
+    async def test_replaced_home_never_runs_the_booking_again(self) -> None:
+        ticket = await self.fleet.async_ticket(vm=0)
+        status, _ = await self.fleet.async_book("b3", ticket, vm=1)
+        self.assertEqual(status, 200)
+        await self.fleet.async_replace(0)
+        for vm in (0, 1):
+            _, value = await self.fleet.async_book("b3", ticket, vm=vm)
+            self.assertEqual(value["error"]["outcome"], "unknown")
+        self.assertEqual(self.fleet.booking.executions["b3"], 1)
+
+    async def test_silent_stream_is_resumed_over_a_new_connection(self) -> None:
+        for engine in self.fleet.engines:
+            engine.behaviour.silent_after_tokens = 3
+        status, body = await self.fleet.async_chat()
+        self.assertEqual((status, body.count(b"data: ")), (200, 9))
+        texts = [f"t{number} ".encode() for number in range(8)]
+        self.assertEqual([body.count(text) for text in texts], [1] * 8)
+
+    async def test_stream_that_stops_halfway_is_visibly_broken(self) -> None:
+        for engine in self.fleet.engines:
+            engine.behaviour.stop_after_tokens = 3
+        with self.assertRaises(Exception) as caught:
+            await self.fleet.async_chat()
+        self.assertEqual(getattr(caught.exception, "code", None), "answer_truncated")
+
+    async def test_garbage_and_crossed_answers_are_not_relayed(self) -> None:
+        first, second = self.fleet.engines
+        first.behaviour.crossed = True
+        second.behaviour.crossed = True
+        status, body = await self.fleet.async_chat()
+        self.assertEqual((status, json.loads(body)["error"]["code"]), (502, "endpoint_failed"))
+        second.behaviour.crossed = False
+        status, body = await self.fleet.async_chat()
+        self.assertTrue(body.endswith(END_MARKER))
+
+    async def test_caller_that_leaves_cancels_the_engine(self) -> None:
+        task = asyncio.create_task(self.fleet.async_chat(max_tokens=1000))
+        await self._async_until("started")
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await self._async_until("cancelled")
+        self.assertEqual(self.fleet.apps[0].node.decider.in_flight_count, 0)
+
+    async def _async_until(self, counter: str) -> None:
+        """Wait until some engine counted one."""
+        for _ in range(1000):
+            if any(getattr(engine.counters, counter) for engine in self.fleet.engines):
+                return
+            await asyncio.sleep(0.01)
+        self.fail(f"no engine counted {counter}")
+
+
+if __name__ == "__main__":
+    unittest.main()
