Add the measurement of decisions in virtual time

Cause: the policy has to be compared with plain balancers under load and faults before it can be improved. Fakes of engines and services, both users' mixes, several nodes on late views; one JSON line a case.

--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/results.py
@@ -0,0 +1,170 @@
+"""What a run is measured by."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import asdict, dataclass
+import json
+
+from wagtailusher_bench.decisions.calls import Call, Ending
+from wagtailusher_bench.decisions.mixes import Mix
+from wagtailusher_bench.fakes import FakeEngine
+
+_DIGITS = 4
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CaseResult:
+    """One case; shares are parts of one, goodput is a part of the machines' capacity.
+
+    Goodput counts the work of answers that met their target, or came late where that still has
+    worth. Starvation is the longest time between two starts of a class.
+    """
+
+    seed: int
+    mix: str
+    policy: str
+    load: float
+    fault: str
+    offered: int
+    attainment_by_class: dict[str, float]
+    attainment_by_tier: dict[str, float]
+    highest_tier_attainment: float
+    goodput: float
+    wasted_work_share: float
+    refused_by_tier: dict[str, int]
+    refused_by_code: dict[str, int]
+    left_by_tier: dict[str, int]
+    failed: int
+    longest_wait_ms_by_class: dict[str, int]
+    max_starvation_ms_by_class: dict[str, int]
+    cold_excess: int
+    crashes: int
+    repeated_executions: int
+
+    def to_json(self) -> str:
+        """Return the case as one line."""
+        return json.dumps(asdict(self), sort_keys=True, separators=(",", ":"))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkDone:
+    """The work that the endpoints had done at some time."""
+
+    useful_ms: float
+    wasted_ms: float
+
+    @classmethod
+    def of(cls, engines: Iterable[FakeEngine]) -> WorkDone:
+        """Sum the endpoints' work up."""
+        items = list(engines)
+        return cls(
+            useful_ms=sum(engine.useful_work_ms for engine in items),
+            wasted_ms=sum(engine.wasted_work_ms for engine in items),
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CaseKey:
+    """What tells cases apart."""
+
+    seed: int
+    mix: Mix
+    policy: str
+    load: float
+    fault: str
+
+
+def summarize(
+    key: CaseKey,
+    calls: Sequence[Call],
+    engines: Sequence[FakeEngine],
+    *,
+    start_ms: float,
+    end_ms: float,
+    before: WorkDone,
+    after: WorkDone,
+) -> CaseResult:
+    """Return the measures of the calls that arrived, and the work done, between two times."""
+    measured = [call for call in calls if start_ms <= call.arrived_ms < end_ms]
+    healthy = [call for call in measured if not call.crashes_endpoint]
+    refused = [call for call in healthy if call.ending is Ending.REFUSED]
+    left = [call for call in healthy if call.ending is Ending.LEFT]
+    by_tier = _attainment(healthy, lambda call: f"{call.traffic.tier}")
+    wasted_ms = after.wasted_ms - before.wasted_ms
+    total_ms = wasted_ms + after.useful_ms - before.useful_ms
+    return CaseResult(
+        seed=key.seed,
+        mix=key.mix.name,
+        policy=key.policy,
+        load=key.load,
+        fault=key.fault,
+        offered=len(measured),
+        attainment_by_class=_attainment(healthy, lambda call: call.traffic.class_id),
+        attainment_by_tier=by_tier,
+        highest_tier_attainment=by_tier[min(by_tier)] if by_tier else 1.0,
+        goodput=round(_goodput(key.mix, calls, start_ms, end_ms), _DIGITS),
+        wasted_work_share=round(wasted_ms / total_ms if total_ms else 0.0, _DIGITS),
+        refused_by_tier=_count(f"{call.traffic.tier}" for call in refused),
+        refused_by_code=_count(call.code for call in refused),
+        left_by_tier=_count(f"{call.traffic.tier}" for call in left),
+        failed=sum(call.ending is Ending.FAILED for call in healthy),
+        longest_wait_ms_by_class=_longest_waits(key.mix, measured),
+        max_starvation_ms_by_class=_starvation(key.mix, calls, start_ms, end_ms),
+        cold_excess=sum(engine.cold_excess for engine in engines),
+        crashes=sum(engine.crash_count for engine in engines),
+        repeated_executions=sum(
+            max(0, call.executions - 1) for call in calls if not call.traffic.is_repeatable
+        ),
+    )
+
+
+def _attainment(calls: Iterable[Call], label: Callable[[Call], str]) -> dict[str, float]:
+    """Return the part of the offered calls that met their target, by label."""
+    offered: Counter[str] = Counter()
+    met: Counter[str] = Counter()
+    for call in calls:
+        offered[label(call)] += 1
+        met[label(call)] += call.meets_target
+    return {name: round(met[name] / offered[name], _DIGITS) for name in sorted(offered)}
+
+
+def _goodput(mix: Mix, calls: Iterable[Call], start_ms: float, end_ms: float) -> float:
+    """Return the useful work that ended within the time, as a part of the capacity."""
+    work_ms = 0.0
+    for call in calls:
+        if call.ended_ms is None or not start_ms <= call.ended_ms < end_ms or not call.is_useful:
+            continue
+        traits = mix.machines(call.traffic.pool_id).traits
+        work_ms += traits.work_ms(call.prompt_tokens, call.output_tokens, call.service_work_ms)
+    capacity = sum(pool.count * pool.traits.capacity for pool in mix.pools)
+    return work_ms / (capacity * (end_ms - start_ms))
+
+
+def _count(labels: Iterable[str]) -> dict[str, int]:
+    """Return how often each label occurs."""
+    return dict(sorted(Counter(labels).items()))
+
+
+def _longest_waits(mix: Mix, calls: Iterable[Call]) -> dict[str, int]:
+    """Return the longest time from arrival to start, by class."""
+    longest = {traffic.class_id: 0.0 for traffic in mix.classes}
+    for call in calls:
+        if call.started_ms is not None:
+            name = call.traffic.class_id
+            longest[name] = max(longest[name], call.started_ms - call.arrived_ms)
+    return {name: round(wait_ms) for name, wait_ms in longest.items()}
+
+
+def _starvation(mix: Mix, calls: Iterable[Call], start_ms: float, end_ms: float) -> dict[str, int]:
+    """Return the longest time without a start, by class."""
+    starts: dict[str, list[float]] = {traffic.class_id: [] for traffic in mix.classes}
+    for call in calls:
+        if call.started_ms is not None and start_ms <= call.started_ms < end_ms:
+            starts[call.traffic.class_id].append(call.started_ms)
+    gaps = {}
+    for name, times in starts.items():
+        edges = [start_ms, *sorted(times), end_ms]
+        gaps[name] = round(max(b - a for a, b in zip(edges, edges[1:], strict=False)))
+    return gaps
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/router_node.py
@@ -0,0 +1,273 @@
+"""An entry VM of the simulated fleet that runs the router's decider."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from wagtailusher_admission import AdmissionDecider, AdmissionLimits
+from wagtailusher_bench.decisions.calls import Call, Ending
+from wagtailusher_bench.decisions.const import (
+    NODE_TO_ENDPOINT_MS,
+    NODE_TO_NODE_MS,
+    WALL_OFFSET_MS,
+)
+from wagtailusher_bench.decisions.network import Network
+from wagtailusher_bench.fakes import JobEnd
+from wagtailusher_core import FailureDomainId, Incarnation, PublishedVm, RequestId, VmId
+from wagtailusher_once import OnceDecider, QuarantineDecider, StoredAnswer, Ticket
+from wagtailusher_placement import (
+    CacheEvent,
+    Chooser,
+    EndOfWork,
+    EndpointInfo,
+    LoadReport,
+    PlacementDecider,
+    StewardDecider,
+    choose_by_score,
+)
+from wagtailusher_router import (
+    Action,
+    Arrival,
+    Cancel,
+    Dispatch,
+    Forward,
+    Refuse,
+    ReplayAnswer,
+    RouterDecider,
+    RouterParts,
+    SendLeaseGrant,
+    SendLeaseRecall,
+    SendLeaseRequest,
+)
+
+PeerMessage = SendLeaseRequest | SendLeaseGrant | SendLeaseRecall
+
+_ANSWER = StoredAnswer(status=200)
+_INCARNATION = Incarnation(1)
+_TICKET_LIFETIME_MS = 600_000
+_ENDS = {
+    JobEnd.REFUSED: EndOfWork.REFUSED,
+    JobEnd.CRASHED: EndOfWork.CRASHED,
+}
+
+
+class RouterNode:
+    """Moves events and actions between the simulated fleet and a decider."""
+
+    def __init__(
+        self,
+        vm: PublishedVm,
+        network: Network,
+        *,
+        seed: int,
+        choose: Chooser = choose_by_score,
+        limits: AdmissionLimits | None = None,
+    ) -> None:
+        """Start with fresh deciders."""
+        self.vm_id = vm.vm_id
+        self._network = network
+        self._clock = network.clock
+        self._calls: dict[RequestId, Call] = {}
+        self._attempts: dict[RequestId, int] = {}
+        self.quarantine = QuarantineDecider()
+        self.admission = AdmissionDecider(limits)
+        self._placement = PlacementDecider(
+            vm_id=vm.vm_id, failure_domain_id=vm.failure_domain_id, seed=seed, choose=choose
+        )
+        self._decider = RouterDecider(
+            RouterParts(
+                vm_id=vm.vm_id,
+                admission=self.admission,
+                placement=self._placement,
+                steward=StewardDecider(vm_id=vm.vm_id),
+                once=OnceDecider(vm_id=vm.vm_id, incarnation=_INCARNATION),
+                quarantine=self.quarantine,
+            )
+        )
+
+    def arrive(self, call: Call, forwarded_from: VmId | None = None) -> None:
+        """Take a call; one that may not be repeated got its ticket here."""
+        request_id = RequestId(call.call_id)
+        self._calls[request_id] = call
+        traffic = call.traffic
+        arrival = Arrival(
+            request_id=request_id,
+            policy=traffic.policy(call.workspace_id),
+            pool_id=traffic.pool_id,
+            fingerprint=call.fingerprint,
+            streams_tokens=traffic.is_stream,
+            prompt_tokens=call.prompt_tokens,
+            prefix_hashes=call.prefix_hashes,
+            ticket=None if traffic.is_repeatable else self._ticket(call),
+            forwarded_from=forwarded_from,
+        )
+        self._apply(self._decider.arrive(arrival, self._clock.now_ms))
+
+    def caller_left(self, call: Call) -> None:
+        """Note that nobody waits for a call any more."""
+        request_id = RequestId(call.call_id)
+        if request_id not in self._calls:
+            return
+        self._apply(self._decider.caller_left(request_id, self._clock.now_ms))
+        if call.traffic.is_repeatable or call.started_ms is None:
+            self._calls.pop(request_id, None)
+
+    def observe_report(self, report: LoadReport) -> None:
+        """Take in a load report."""
+        self._apply(self._decider.observe_report(report, self._clock.now_ms))
+
+    def observe_cache_event(self, event: CacheEvent) -> None:
+        """Take in a cache event."""
+        self._placement.observe_cache_event(event, self._clock.now_ms)
+
+    def update_endpoints(self, endpoints: tuple[EndpointInfo, ...]) -> None:
+        """Take over the published endpoints."""
+        self._apply(self._decider.update_endpoints(endpoints, self._clock.now_ms))
+
+    def update_published(self, vms: tuple[PublishedVm, ...]) -> None:
+        """Take over the published VMs."""
+        self._decider.update_published(vms, self._clock.now_ms)
+
+    def update_drained_domains(self, domains: frozenset[FailureDomainId]) -> None:
+        """Take over the domains that are out."""
+        self._apply(self._decider.update_drained_domains(domains, self._clock.now_ms))
+
+    def tick(self) -> None:
+        """Let time pass."""
+        self._apply(self._decider.tick(self._clock.now_ms))
+
+    def share_quarantine(self) -> None:
+        """Send the quarantine's news to the other nodes."""
+        if not self.quarantine.has_news(self._clock.now_ms):
+            return
+        summary = self.quarantine.summary(self._clock.now_ms)
+        peers = [node for node in self._network.nodes.values() if isinstance(node, RouterNode)]
+
+        def merge() -> None:
+            for peer in peers:
+                if peer is not self:
+                    peer.quarantine.merge(summary, self._clock.now_ms)
+
+        self._clock.after(NODE_TO_NODE_MS, merge)
+
+    def _ticket(self, call: Call) -> Ticket:
+        return Ticket(
+            home_id=self.vm_id,
+            incarnation=_INCARNATION,
+            nonce=call.call_id,
+            expires_wall_ms=self._clock.now_ms + WALL_OFFSET_MS + _TICKET_LIFETIME_MS,
+            remaining_ms=_TICKET_LIFETIME_MS,
+        )
+
+    def _apply(self, actions: Iterable[Action]) -> None:
+        """Carry the decider's actions out."""
+        for action in actions:
+            if isinstance(action, Dispatch):
+                self._dispatch(action)
+            elif isinstance(action, Refuse):
+                self._end(action.request_id, Ending.REFUSED, str(action.code))
+            elif isinstance(action, ReplayAnswer):
+                self._end(action.request_id, Ending.COMPLETED)
+            elif isinstance(action, Cancel):
+                self._network.cancel(action.endpoint_id, self._job_id(action.request_id))
+            elif isinstance(action, Forward):
+                self._forward(action)
+            else:
+                self._send_peer(action)
+
+    def _send_peer(self, message: PeerMessage) -> None:
+        """Send a message about leases to its node."""
+        peer = self._network.nodes[_receiver(message)]
+        assert isinstance(peer, RouterNode)
+        self._clock.after(NODE_TO_NODE_MS, lambda: peer.receive(message))
+
+    def receive(self, message: PeerMessage) -> None:
+        """Take a message about leases from another node."""
+        now_ms = self._clock.now_ms
+        if isinstance(message, SendLeaseRequest):
+            self._apply(self._decider.lease_requested(message.request, now_ms))
+        elif isinstance(message, SendLeaseGrant):
+            self._apply(self._decider.lease_granted(message.grant, now_ms))
+        else:
+            self._decider.lease_recalled(message.recall, now_ms)
+
+    def _forward(self, action: Forward) -> None:
+        call = self._calls.pop(action.request_id)
+        peer = self._network.nodes[action.vm_id]
+        self._clock.after(NODE_TO_NODE_MS, lambda: peer.arrive(call, self.vm_id))
+
+    def _dispatch(self, action: Dispatch) -> None:
+        """Connect, then send."""
+        attempt = self._attempts.get(action.request_id, 0) + 1
+        self._attempts[action.request_id] = attempt
+        delay_ms = 2 * NODE_TO_ENDPOINT_MS if action.fresh else 0.0
+        self._clock.after(delay_ms, lambda: self._send(action, attempt))
+
+    def _send(self, action: Dispatch, attempt: int) -> None:
+        """Send a request's first byte if that is still allowed."""
+        request_id = action.request_id
+        if not self._is_current(request_id, attempt):
+            return
+        now_ms = self._clock.now_ms
+        call = self._calls[request_id]
+        if not self._network.engines[action.endpoint_id].is_up:
+            self._fail(request_id, EndOfWork.REFUSED)
+            return
+        if not self._decider.may_send(request_id, now_ms):
+            self._fail(request_id, EndOfWork.CANCELLED)
+            return
+        self._network.start(call)
+        self._network.submit(
+            call,
+            action.endpoint_id,
+            self._job_id(request_id),
+            priority=action.tier,
+            on_progress=lambda tokens: self._progress(request_id, attempt, tokens),
+            on_end=lambda end: self._job_ended(request_id, attempt, end),
+        )
+
+    def _progress(self, request_id: RequestId, attempt: int, tokens: int) -> None:
+        if not self._is_current(request_id, attempt):
+            return
+        call = self._calls[request_id]
+        if call.first_ms is None:
+            self._decider.first_token(request_id, self._clock.now_ms)
+            self._network.first_token(call)
+        if call.traffic.is_stream:
+            self._decider.progress(request_id, tokens, self._clock.now_ms)
+
+    def _job_ended(self, request_id: RequestId, attempt: int, end: JobEnd) -> None:
+        if end is JobEnd.CANCELLED or not self._is_current(request_id, attempt):
+            return
+        if end is not JobEnd.COMPLETED:
+            self._fail(request_id, _ENDS[end])
+            return
+        call = self._calls[request_id]
+        answer = None if call.traffic.is_repeatable else _ANSWER
+        actions = self._decider.complete(request_id, answer, self._clock.now_ms)
+        self._end(request_id, Ending.COMPLETED)
+        self._apply(actions)
+
+    def _fail(self, request_id: RequestId, end: EndOfWork) -> None:
+        self._apply(self._decider.attempt_failed(request_id, end, self._clock.now_ms))
+
+    def _end(self, request_id: RequestId, ending: Ending, code: str = "") -> None:
+        call = self._calls.pop(request_id, None)
+        self._attempts.pop(request_id, None)
+        if call is not None:
+            self._network.end(call, ending, code)
+
+    def _is_current(self, request_id: RequestId, attempt: int) -> bool:
+        return request_id in self._calls and self._attempts.get(request_id) == attempt
+
+    def _job_id(self, request_id: RequestId) -> str:
+        return f"{request_id}/{self._attempts.get(request_id, 0)}"
+
+
+def _receiver(message: PeerMessage) -> VmId:
+    """Return the node that a message about leases goes to."""
+    if isinstance(message, SendLeaseRequest):
+        return message.steward_id
+    if isinstance(message, SendLeaseGrant):
+        return message.node_id
+    return message.recall.node_id
