--- a/packages/wagtailusher_cli/src/wagtailusher_cli/drains.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/drains.py
@@ -74,8 +74,11 @@
 
 
 def _judge_endpoints(answers: Iterable[DrainAnswer]) -> Iterator[str]:
-    """Yield what endpoints hold up by their own reports."""
-    for answer in answers:
+    """Yield what endpoints hold up by their own reports; a mistyped name has none."""
+    known = list(answers)
+    if not any(answer.endpoints for answer in known):
+        yield "no endpoint is listed in this failure domain; check its name"
+    for answer in known:
         for endpoint in answer.endpoints:
             if endpoint.reported_running:
                 yield f"{endpoint.endpoint_id}: reports {endpoint.reported_running} running"
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/coordinator.py
@@ -20,6 +20,7 @@
     ChunkAssembler,
     ChunkReference,
     SettingsError,
+    canonical_bytes,
     parse_manifest,
     peek_revision,
 )
@@ -116,10 +117,10 @@
         return found
 
     async def _async_whole(self, content: bytes) -> bytes:
-        """Return a whole document; the chunks of a manifest are read first."""
+        """Return a whole document in canonical form; a manifest's chunks are read first."""
         manifest = parse_manifest(content)
         if manifest is None:
-            return content
+            return canonical_bytes(content)
         for chunk in self._assembler.take_manifest(manifest):
             await self._async_read_chunk(chunk)
         whole = self._assembler.assemble()
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from wagtailusher_settings.canonical import peek_revision
+from wagtailusher_settings.canonical import canonical_bytes, peek_revision
 from wagtailusher_settings.chunks import (
     Bundle,
     ChunkAssembler,
@@ -14,11 +14,10 @@
     parse_manifest,
     split_document,
 )
-from wagtailusher_settings.delta import apply_delta, canonical_bytes, make_delta
 from wagtailusher_settings.diff import Change, PolicyChange, diff_settings, reach_of_change
 from wagtailusher_settings.document import load_document
 from wagtailusher_settings.errors import Problem, SettingsError, UnknownKeyError
-from wagtailusher_settings.keeper import Applied, Ignored, Refused, SettingsKeeper
+from wagtailusher_settings.keeper import Applied, Ignored, Prepared, Refused, SettingsKeeper
 from wagtailusher_settings.parse import parse_settings
 from wagtailusher_settings.policy import ClassPolicy, DeadlineBehaviour, FleetPolicy
 from wagtailusher_settings.settings import Inherited, MergedRoute, Settings
@@ -37,17 +36,16 @@
     "Manifest",
     "MergedRoute",
     "PolicyChange",
+    "Prepared",
     "Problem",
     "Refused",
     "Settings",
     "SettingsError",
     "SettingsKeeper",
     "UnknownKeyError",
-    "apply_delta",
     "canonical_bytes",
     "diff_settings",
     "load_document",
-    "make_delta",
     "parse_manifest",
     "parse_settings",
     "peek_revision",
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/canonical.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/canonical.py
@@ -1,4 +1,4 @@
-"""Documents as compact JSON whose workspaces are handled without decoding them."""
+"""Documents as JSON in a canonical form whose workspaces are handled without decoding them."""
 
 from __future__ import annotations
 
@@ -28,14 +28,23 @@
     workspaces: Mapping[str, msgspec.Raw]
 
     def encode(self) -> bytes:
-        """Return the document with its keys in a set order."""
-        ordered = dict(sorted(self.workspaces.items()))
-        top = {**self.header, "fleet": self.fleet, "workspaces": ordered}
-        return msgspec.json.encode(top)
+        """Return the document with its keys in a set order and each workspace on its own line.
+
+        Deltas that compare lines then carry only the workspaces that changed.
+        """
+        parts = [_encode_entry(key, self.header[key]) for key in HEADER_KEYS if key in self.header]
+        parts.append(_encode_entry("fleet", self.fleet))
+        entries = [_encode_entry(name, raw) for name, raw in sorted(self.workspaces.items())]
+        parts.append(b'"workspaces":{\n' + b",\n".join(entries) + b"\n}")
+        return b"{" + b",\n".join(parts) + b"}\n"
 
 
 def split_canonical(content: bytes) -> CanonicalDocument | None:
-    """Return the parts of compact JSON without duplicate keys, or None for other text."""
+    """Return the parts of a document in canonical form, or None for any other text.
+
+    Only what gives the same bytes when it is written again is canonical, which rules out
+    duplicate keys.
+    """
     if not is_json(content):
         return None
     try:
@@ -43,14 +52,14 @@
         raw = msgspec.json.decode(top.get("workspaces", b"{}"), type=dict[str, msgspec.Raw])
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
-    copy = {**top, "workspaces": raw} if "workspaces" in top else top
-    if msgspec.json.encode(copy) != content or not top.keys() <= TOP_KEYS:
+    if not top.keys() <= TOP_KEYS:
         return None
-    return CanonicalDocument(
+    document = CanonicalDocument(
         header={key: top[key] for key in HEADER_KEYS if key in top},
         fleet=top.get("fleet", _EMPTY),
         workspaces=raw,
     )
+    return document if document.encode() == content else None
 
 
 def to_canonical(content: bytes) -> CanonicalDocument:
@@ -88,6 +97,11 @@
     return Revision(epoch=values.get("epoch", 0), number=values.get("revision", 0))
 
 
+def canonical_bytes(content: bytes) -> bytes:
+    """Return a document in the one form in which equal documents have equal bytes."""
+    return to_canonical(content).encode()
+
+
 def peek_revision(content: bytes) -> Revision:
     """Return the revision of a document that is not validated otherwise."""
     return read_revision(to_canonical(content))
@@ -101,3 +115,8 @@
 def _to_raw(value: Any) -> msgspec.Raw:
     """Return a value's compact JSON."""
     return msgspec.Raw(msgspec.json.encode(value))
+
+
+def _encode_entry(key: str, raw: msgspec.Raw) -> bytes:
+    """Return a key and its value."""
+    return msgspec.json.encode(key) + b":" + bytes(raw)
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/keeper.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/keeper.py
@@ -38,6 +38,15 @@
     stale: bool
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Prepared:
+    """A document after parsing; without settings and error it was known already."""
+
+    digest: bytes
+    settings: Settings | None = None
+    error: SettingsError | None = None
+
+
 class SettingsKeeper:
     """Takes documents in any order and keeps the highest valid revision."""
 
@@ -65,20 +74,36 @@
 
     def offer(self, content: bytes, now_ms: int) -> Applied | Refused | Ignored:
         """Apply a document if it is valid and higher than the one in force."""
+        return self.apply(self.prepare(content), now_ms)
+
+    def prepare(self, content: bytes) -> Prepared:
+        """Parse a document without taking it; safe to call in another thread."""
         own_digest = digest(content)
         current = self._current
-        if current is not None and own_digest == current.content_digest:
-            return Ignored(revision=current.revision, stale=False)
-        if self._refusal is not None and own_digest == self._refused_digest:
-            return self._refuse_again(self._refusal, now_ms)
+        is_known = current is not None and own_digest == current.content_digest
+        if is_known or own_digest == self._refused_digest:
+            return Prepared(digest=own_digest)
         try:
-            offered = parse_settings(content, previous=current)
+            return Prepared(digest=own_digest, settings=parse_settings(content, previous=current))
         except SettingsError as error:
-            return self._refuse(error.code, error.problems, None, own_digest, now_ms)
+            return Prepared(digest=own_digest, error=error)
+
+    def apply(self, prepared: Prepared, now_ms: int) -> Applied | Refused | Ignored:
+        """Apply a parsed document if it is valid and higher than the one in force."""
+        current = self._current
+        if current is not None and prepared.digest == current.content_digest:
+            return Ignored(revision=current.revision, stale=False)
+        if self._refusal is not None and prepared.digest == self._refused_digest:
+            return self._refuse_again(self._refusal, now_ms)
+        offered, error = prepared.settings, prepared.error
+        if error is not None:
+            return self._refuse(error.code, error.problems, None, prepared.digest, now_ms)
+        if offered is None:
+            return Ignored(revision=Revision(), stale=True)
         if current is not None and offered.revision < current.revision:
             return Ignored(revision=offered.revision, stale=True)
         if current is not None and offered.revision == current.revision:
-            return self._refuse_twin(offered, own_digest, now_ms)
+            return self._refuse_twin(offered, prepared.digest, now_ms)
         self._current = offered
         self._applied_ms = now_ms
         self._refusal = None
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/parse.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/parse.py
@@ -35,7 +35,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Sections:
-    """The parts of a document; workspaces are raw bytes where it is canonical JSON."""
+    """The parts of a document; workspaces are raw bytes where it is canonical."""
 
     header: dict[str, Any]
     fleet: Any
@@ -43,6 +43,7 @@
     fleet_digest: bytes | None = None
     digests: dict[WorkspaceId, bytes] = field(default_factory=dict)
     faults: list[Fault] = field(default_factory=list)
+    is_written_by_hand: bool = True
 
 
 def parse_settings(content: bytes, *, previous: Settings | None = None) -> Settings:
@@ -58,7 +59,7 @@
     if not faults:
         faults.extend(_check_tree(fleet, workspaces, sections, previous))
     if faults or header is None:
-        raise SettingsError(_report(content, faults))
+        raise SettingsError(_report(content if sections.is_written_by_hand else None, faults))
     return Settings(
         revision=Revision(epoch=header.epoch, number=header.revision),
         fleet=fleet,
@@ -70,7 +71,7 @@
 
 
 def _split_raw(content: bytes) -> _Sections | None:
-    """Return the parts of compact JSON without decoding workspaces, or None for other text."""
+    """Return the parts of a canonical document without decoding workspaces."""
     parts = split_canonical(content)
     if parts is None:
         return None
@@ -158,10 +159,11 @@
         return None
 
 
-def _report(content: bytes, faults: list[Fault]) -> Iterator[Problem]:
-    """Yield the problems with their places, bounded in number."""
+def _report(content: bytes | None, faults: list[Fault]) -> Iterator[Problem]:
+    """Yield the problems, bounded in number, with their places in what a person wrote."""
     shown = faults[:MAX_REPORTED_PROBLEMS]
-    places = locate(content, [path for path, _ in shown])
+    paths = [path for path, _ in shown]
+    places = [None] * len(paths) if content is None else list(locate(content, paths))
     for (path, reason), place in zip(shown, places, strict=True):
         line, column = place or (None, None)
         yield Problem(key=format_path(path), reason=reason, line=line, column=column)
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/schema.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/schema.py
@@ -63,7 +63,7 @@
 class FleetModel(PolicyModel):
     """The root of the tree."""
 
-    drained_domains: list[Name] = []
+    drained_domains: list[PoolName] = []
     shutdown_grace_ms: TimeMs = 1
     address_lifetime_ms: TimeMs = 1
     silence_timeout_ms: TimeMs = 1
--- a/tests/wagtailusher_settings/test_keeper.py
+++ b/tests/wagtailusher_settings/test_keeper.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import json
+from random import Random
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from wagtailusher_core import ErrorCode, Revision
-from wagtailusher_settings import Applied, Ignored, Refused, SettingsKeeper, canonical_bytes
+from wagtailusher_settings import (
+    Applied,
+    Ignored,
+    Prepared,
+    Refused,
+    SettingsKeeper,
+    canonical_bytes,
+)
 
 
 def build_content(epoch: int, number: int, tier: int = 2, *, spaced: bool = False) -> bytes:
@@ -74,3 +82,21 @@
         stale = keeper.offer(build_content(0, 4), 1)
         self.assertEqual(stale, Ignored(revision=Revision(number=4), stale=True))
         self.assertIsInstance(keeper.offer(build_content(1, 1), 2), Applied)
+
+    @given(OFFERS, st.randoms(use_true_random=False))
+    def test_documents_prepared_early_and_applied_late_never_revert(
+        self, offers: list[bytes], random: Random
+    ) -> None:
+        keeper = SettingsKeeper()
+        waiting: list[Prepared] = []
+        last = Revision()
+        for now_ms, content in enumerate(offers):
+            waiting.append(keeper.prepare(content))
+            if random.random() < 0.5:
+                continue
+            result = keeper.apply(waiting.pop(random.randrange(len(waiting))), now_ms)
+            if isinstance(result, Applied):
+                self.assertGreater(result.settings.revision, last)
+                last = result.settings.revision
+            if keeper.current is not None:
+                self.assertEqual(keeper.current.revision, last)
--- a/tests/wagtailusher_settings/test_parse.py
+++ b/tests/wagtailusher_settings/test_parse.py
@@ -134,6 +134,12 @@
             (b'{"revision": 1, "revision": 2}', "given twice"),
             (b'{"revision":1,"workspaces":{"a":{},"a":{}}}', "given twice"),
             (b'{"revision":1,"workspaces":{"a":{"tier":1,"tier":2}}}', "given twice"),
+            (
+                b'{"revision":1,\n"fleet":{},\n"workspaces":{\n"a":{"tier":1,"tier":2}\n}}\n',
+                "twice",
+            ),
+            (b'{"revision":1,\n"fleet":{},\n"workspaces":{\n"a":{},\n"a":{}\n}}\n', "twice"),
+            (b'{"revision":1,\n"fleet":{"tier":1,"tier":2},\n"workspaces":{\n\n}}\n', "twice"),
             (b"revision: 1\nrevision: 2\n", "given twice"),
             (b'{"revision": NaN}', "not a number"),
             (b"revision: 010", "valid integer"),
