Test membership and configuration spread under failures and random schedules

Cause: the promises of never going back and of not accusing after a pause have to hold at any order of restarts, partitions, loss and a stale or unreachable service.

80 random schedules check that no process goes back, that invalid configurations are never in force, that a restarted process takes no less than a reachable peer told, and that all converge after the heal. Three planted faults show that the checks notice. A stale service is watched from what it served last instead of being read again and again.

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration_node.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration_node.py
@@ -86,7 +86,8 @@
             elif isinstance(effect, Fetch):
                 yield Outgoing(address=effect.address, message=effect.request, stream=True)
             elif isinstance(effect, ReadService):
-                self._service.read(effect.since, self._answered, self._failed)
+                region = self.place.region
+                self._service.read(region, effect.since, self._answered, self._failed)
             elif isinstance(effect, Apply):
                 self.applied.append((self._network.now_ms, effect.revision))
             elif isinstance(effect, Settled):
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/places.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/places.py
@@ -8,12 +8,13 @@
 from wagtailusher_core import FailureDomainId, PublishedVm, VmId
 
 REGIONS = 5
+_MIN_DOMAINS = 3
 DOMAINS_BY_SIZE = {9: 5, 50: 10, 370: 20}
 
 
 def make_places(size: int) -> list[Place]:
     """Return where the nodes of a fleet run."""
-    domains = DOMAINS_BY_SIZE.get(size, max(1, size // 5))
+    domains = DOMAINS_BY_SIZE.get(size, max(_MIN_DOMAINS, size // 5))
     return [
         Place(
             vm_id=VmId(f"vm-{index:04d}"),
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/service.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/service.py
@@ -21,42 +21,50 @@
     def __init__(self, network: Network) -> None:
         """Start with an empty configuration."""
         self._network = network
-        self._watches: dict[int, tuple[Revision, Answer]] = {}
+        self._watches: dict[int, tuple[int, Answer]] = {}
         self._count = 0
         self.revision = Revision(number=1)
         self.content = b"first"
-        self.is_up = True
+        self.stale: dict[int, tuple[Revision, bytes]] = {}
+        self.down: set[int] = set()
         self.calls = 0
         self.calls_by_second: Counter[int] = Counter()
 
     def publish(self, revision: Revision, content: bytes) -> None:
         """Serve another configuration and tell those who wait."""
         self.revision, self.content = revision, content
-        waiting, self._watches = self._watches, {}
-        for _, answer in waiting.values():
-            self._reply(answer)
+        for number, (region, answer) in list(self._watches.items()):
+            if region not in self.stale and region not in self.down:
+                del self._watches[number]
+                self._reply(region, answer)
 
-    def read(self, since: Revision, answer: Answer, failed: Callable[[], None]) -> None:
+    def read(
+        self, region: int, since: Revision, answer: Answer, failed: Callable[[], None]
+    ) -> None:
         """Answer at once where the revision isn't this one, or else wait for a change."""
         self.calls += 1
         self.calls_by_second[self._network.now_ms // 1_000] += 1
-        if not self.is_up:
+        if region in self.down:
             self._network.at(self._network.now_ms + _READ_MS, failed)
-        elif since != self.revision:
-            self._reply(answer)
+        elif since != self._served(region)[0]:
+            self._reply(region, answer)
         else:
-            self._watch(since, answer)
+            self._watch(region, answer)
 
-    def _reply(self, answer: Answer) -> None:
+    def _served(self, region: int) -> tuple[Revision, bytes]:
+        """Return what a region is served; a stale replica serves what it last saw."""
+        return self.stale.get(region, (self.revision, self.content))
+
+    def _reply(self, region: int, answer: Answer) -> None:
         """Answer after the time of a read."""
-        revision, content = self.revision, self.content
+        revision, content = self._served(region)
         self._network.at(self._network.now_ms + _READ_MS, lambda: answer(revision, content))
 
-    def _watch(self, since: Revision, answer: Answer) -> None:
+    def _watch(self, region: int, answer: Answer) -> None:
         """Keep a watch for a bounded time."""
         self._count += 1
         number = self._count
-        self._watches[number] = (since, answer)
+        self._watches[number] = (region, answer)
 
         def end() -> None:
             if self._watches.pop(number, None) is not None:
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
@@ -92,6 +92,7 @@
             max_count=limits.history_count, max_bytes=limits.history_bytes
         )
         self._held = NO_REVISION
+        self._seen_at_service = NO_REVISION
         self._offer: _Offer | None = None
         self._whole_next = False
         self._sequence = 0
@@ -162,6 +163,7 @@
     ) -> tuple[ConfigurationEffect, ...]:
         """Take in what the service serves."""
         self._reads.answered(now_ms)
+        self._seen_at_service = revision
         if self._settling is not None:
             if self._offer is None or revision > self._offer.revision:
                 self._offer = _Offer(revision=revision, content=content)
@@ -261,14 +263,14 @@
         """Call the service, as a reader or as a node that no peer helps."""
         if self.is_reader(now_ms):
             if self._reads.may_read(now_ms):
-                self._effects.append(ReadService(since=self._held))
+                self._effects.append(ReadService(since=self._seen_at_service))
             return
         is_served = self._held != NO_REVISION and self._has_peers()
         if self._settling is not None or is_served:
             return
         listed = sum(member.listed for member in self._members.values())
         if self._reads.may_read_alone(now_ms, listed):
-            self._effects.append(ReadService(since=self._held))
+            self._effects.append(ReadService(since=self._seen_at_service))
 
     def _has_peers(self) -> bool:
         """Return whether any other member is believed to run."""
@@ -408,6 +410,7 @@
         if refusal is None:
             return True
         self._holders.forget_refused(self._verdicts.refused)
+        self._seen_at_service = NO_REVISION if revision != self._seen_at_service else revision
         self._effects.append(refusal)
         return False
 
--- /dev/null
+++ b/tests/wagtailusher_membership/test_configuration.py
@@ -0,0 +1,268 @@
+"""Tests of configuration spread over random schedules and in single cases."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+from unittest.mock import patch
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wagtailusher_bench.fleet.configuration import ConfigurationFleet, make_content
+from wagtailusher_bench.fleet.configuration_node import ConfigurationNode
+from wagtailusher_core import Revision, VmId
+from wagtailusher_membership import (
+    ConfigurationConflict,
+    ConfigurationLimits,
+    ConfigurationRefused,
+    ServiceBehind,
+)
+from wagtailusher_membership.holders import Holders
+from wagtailusher_membership.settling import Settling
+from wagtailusher_membership.verdicts import Verdicts
+
+_SIZE = 6
+_REGIONS = 3
+_CALM_MS = 2_600
+_ACTIONS = ("publish", "invalid", "restart", "partition", "heal", "stale", "down", "up", "raise")
+_STEPS = st.tuples(st.sampled_from(_ACTIONS), st.integers(0, _SIZE - 1), st.integers(0, 2_500))
+
+
+class Schedule:
+    """Runs actions on a small fleet and checks each node's applied revisions."""
+
+    def __init__(self, test: TestCase, *, loss: float, seed: int) -> None:
+        """Start a fleet."""
+        self.test = test
+        self.fleet = ConfigurationFleet(_SIZE, seed=seed, loss=loss)
+        test.assertEqual({place.region for place in self.fleet.places}, set(range(_REGIONS)))
+        self.published = [self.fleet.service.revision]
+        self.invalid: set[Revision] = set()
+        self.past: dict[VmId, list[Revision]] = {}
+        self.seed = seed
+
+    def run(self, action: str, number: int, wait_ms: int) -> None:
+        """Do one action, then let time pass."""
+        fleet, service, region = self.fleet, self.fleet.service, number % _REGIONS
+        highest = max(self.published)
+        if action in ("publish", "invalid"):
+            self.publish(Revision(epoch=highest.epoch, number=highest.number + 1), action)
+        elif action == "raise":
+            self.publish(Revision(epoch=highest.epoch + 1), action)
+        elif action == "restart":
+            self.restart(number, wait_ms)
+        elif action == "partition":
+            fleet.network.blocked = lambda a, b: (a.region == region) != (b.region == region)
+        elif action == "heal":
+            fleet.network.blocked = lambda a, b: False
+        elif action == "stale":
+            service.stale[region] = (service.revision, service.content)
+        elif action == "down":
+            service.down.add(region)
+        else:
+            service.stale.pop(region, None)
+            service.down.discard(region)
+        fleet.network.run_until(fleet.network.now_ms + wait_ms)
+        self.check()
+
+    def publish(self, revision: Revision, action: str) -> None:
+        """Let the service serve a new configuration."""
+        content = make_content(5, len(self.published))
+        if action == "invalid":
+            self.invalid.add(revision)
+            content = b"invalid " + content
+        self.published.append(revision)
+        self.fleet.service.publish(revision, content)
+
+    def restart(self, number: int, wait_ms: int) -> None:
+        """Replace a process; with a calm time after it, it must not go back."""
+        fleet = self.fleet
+        old = fleet.nodes[number]
+        applied = [revision for _, revision in old.applied]
+        past = self.past.setdefault(old.place.vm_id, [])
+        past += applied
+        peers = [
+            node
+            for node in fleet.nodes
+            if node is not old
+            and node.decider.is_settled
+            and not fleet.network.blocked(node.place, old.place)
+        ]
+        known = max((peer.decider.revision for peer in peers), default=Revision())
+        self.seed += 1
+        fleet.nodes[number] = new = fleet.start(number, seed=self.seed)
+        if wait_ms % 2:
+            fleet.network.run_until(fleet.network.now_ms + _CALM_MS)
+            if past and known >= max(past):
+                self.test.assertTrue(new.decider.is_settled)
+                for _, revision in new.applied:
+                    self.test.assertGreaterEqual(revision, max(past))
+
+    def check(self) -> None:
+        """Check that no process went back or applied an invalid configuration."""
+        for node in self.fleet.nodes:
+            applied = [revision for _, revision in node.applied]
+            self.test.assertEqual(applied, sorted(set(applied)))
+            self.test.assertFalse(self.invalid & set(applied))
+
+    def heal_and_converge(self) -> None:
+        """Mend everything; all must come to hold the highest valid configuration."""
+        self.fleet.network.blocked = lambda a, b: False
+        self.fleet.service.stale.clear()
+        self.fleet.service.down.clear()
+        self.fleet.network.run_until(self.fleet.network.now_ms + 15_000)
+        self.check()
+        held = {node.decider.revision for node in self.fleet.nodes}
+        self.test.assertEqual(len(held), 1)
+        served = self.fleet.service.revision
+        if served not in self.invalid:
+            self.test.assertGreaterEqual(max(held), served)
+
+
+class ScheduleTest(TestCase):
+    """Random schedules of restarts, partitions, loss and a stale or unreachable service."""
+
+    @settings(max_examples=80)
+    @given(st.lists(_STEPS, max_size=16), st.sampled_from((0.0, 0.1, 0.3)), st.integers(0, 999))
+    def test_never_goes_back_and_converges(
+        self, steps: list[tuple[str, int, int]], loss: float, seed: int
+    ) -> None:
+        schedule = Schedule(self, loss=loss, seed=seed)
+        for action, number, wait_ms in steps:
+            schedule.run(action, number, wait_ms)
+        schedule.heal_and_converge()
+
+
+class PlantedFaultTest(TestCase):
+    """The schedules' checks notice faults that are planted."""
+
+    def setUp(self) -> None:
+        """Let a region's service stay behind while peers bring the change there."""
+        self.schedule = Schedule(self, loss=0.0, seed=1)
+        for step in (("stale", 0, 0), ("publish", 0, 2_000), ("invalid", 0, 0)):
+            self.schedule.run(*step)
+
+    def _restart_all(self) -> None:
+        """Restart one after the other, each with a calm time."""
+        for number in range(_SIZE):
+            self.schedule.run("restart", number, 2_001)
+
+    def test_without_a_fault_the_schedule_passes(self) -> None:
+        self._restart_all()
+
+    def test_neither_waiting_for_peers_nor_for_a_witness_is_noticed(self) -> None:
+        with (
+            patch.object(Settling, "is_over", lambda *_: True),
+            patch.object(Holders, "count", lambda *_: 1),
+            self.assertRaises(AssertionError),
+        ):
+            self._restart_all()
+
+    def test_ignoring_what_peers_told_is_noticed(self) -> None:
+        with (
+            patch.object(Holders, "note", lambda *_: None),
+            self.assertRaises(AssertionError),
+        ):
+            self._restart_all()
+
+    def test_skipping_validation_is_noticed(self) -> None:
+        with (
+            patch.object(Verdicts, "refuse", lambda *_: None),
+            self.assertRaises(AssertionError),
+        ):
+            self._restart_all()
+
+
+def _revisions(nodes: list[ConfigurationNode]) -> set[Revision]:
+    """Return the revisions in force."""
+    return {node.decider.revision for node in nodes}
+
+
+class CaseTest(TestCase):
+    """Cases that the promise names."""
+
+    def setUp(self) -> None:
+        """Start a fleet that holds revision 5."""
+        self.fleet = ConfigurationFleet(20, seed=1, loss=0.1)
+        self.service = self.fleet.service
+        self.service.publish(Revision(number=5), b"five")
+        self._run(5_000)
+
+    def _run(self, time_ms: int) -> None:
+        """Let time pass."""
+        self.fleet.network.run_until(self.fleet.network.now_ms + time_ms)
+
+    def test_restored_backup_is_ignored_until_a_person_raises_the_epoch(self) -> None:
+        self.service.publish(Revision(number=3), b"three")
+        self._run(5_000)
+        self.fleet.nodes[4] = self.fleet.start(4, seed=77)
+        self._run(5_000)
+        self.assertEqual(_revisions(self.fleet.nodes), {Revision(number=5)})
+        told = {e for node in self.fleet.nodes for e in node.effects}
+        self.assertIn(ServiceBehind(offered=Revision(number=3), held=Revision(number=5)), told)
+        self.service.publish(Revision(epoch=1, number=3), b"three")
+        self._run(4_000)
+        self.assertEqual(_revisions(self.fleet.nodes), {Revision(epoch=1, number=3)})
+
+    def test_invalid_is_refused_and_the_last_good_stays(self) -> None:
+        self.service.publish(Revision(number=6), b"invalid")
+        self._run(5_000)
+        self.assertEqual(_revisions(self.fleet.nodes), {Revision(number=5)})
+        told = {e for node in self.fleet.nodes for e in node.effects}
+        refusal = ConfigurationRefused(revision=Revision(number=6), reason="marked invalid")
+        self.assertIn(refusal, told)
+
+    def test_service_down_for_all_new_nodes_get_it_from_peers(self) -> None:
+        self.service.down.update(range(5))
+        for index in range(10):
+            self.fleet.nodes[index] = self.fleet.start(index, seed=100 + index)
+        self._run(5_000)
+        self.assertEqual(_revisions(self.fleet.nodes), {Revision(number=5)})
+
+    def test_all_restarted_against_a_stale_service_take_what_it_serves(self) -> None:
+        self.service.publish(Revision(number=3), b"three")
+        for node in self.fleet.nodes:
+            self.fleet.network.stop(node)
+        self._run(2_000)
+        for index in range(20):
+            self.fleet.nodes[index] = self.fleet.start(index, seed=100 + index)
+        self._run(8_000)
+        self.assertEqual(_revisions(self.fleet.nodes), {Revision(number=3)})
+        self.assertFalse([n for n in self.fleet.nodes if n.settled is None or n.settled.confirmed])
+
+    def test_new_node_waits_rather_than_apply_less_than_a_lost_peer_told(self) -> None:
+        self.service.publish(Revision(number=3), b"three")
+        self.fleet.network.stop(self.fleet.nodes[0])
+        self._run(1_000)
+        self.fleet.nodes[0] = node = self.fleet.start(0, seed=100)
+        self._run(10)
+        node.decider.hint(
+            Revision(number=7), self.fleet.network.now_ms, sender=self.fleet.places[9].vm_id
+        )
+        self._run(8_000)
+        self.assertEqual((node.decider.is_settled, node.applied), (True, []))
+        self.assertEqual(node.decider.highest_known, Revision(number=7))
+        self.service.publish(Revision(number=8), b"eight")
+        self._run(4_000)
+        self.assertEqual(_revisions(self.fleet.nodes), {Revision(number=8)})
+
+    def test_two_contents_of_one_revision_are_told(self) -> None:
+        self.service.publish(Revision(number=4), b"four")
+        self._run(2_000)
+        self.service.publish(Revision(number=5), b"another five")
+        self._run(2_000)
+        told = {e for node in self.fleet.nodes for e in node.effects}
+        self.assertIn(ConfigurationConflict(revision=Revision(number=5), source=None), told)
+
+    def test_calls_on_the_service_stay_under_the_bound_while_it_fails(self) -> None:
+        bound = ConfigurationLimits().service_calls_per_s(len(set(self._domains())))
+        self.service.down.update(range(5))
+        self.service.calls_by_second.clear()
+        self._run(30_000)
+        self.service.down.clear()
+        self._run(10_000)
+        self.assertLessEqual(max(self.service.calls_by_second.values()), bound)
+
+    def _domains(self) -> list[str]:
+        """Return every node's failure domain."""
+        return [place.failure_domain_id for place in self.fleet.places]
--- /dev/null
+++ b/tests/wagtailusher_membership/test_decider.py
@@ -0,0 +1,214 @@
+"""Tests of membership under loss, pauses, partitions and restarts."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from wagtailusher_bench.fleet.member_node import MemberNode
+from wagtailusher_bench.fleet.membership import Fleet
+from wagtailusher_core import FailureDomainId, Incarnation, PublishedState, PublishedVm, VmId
+from wagtailusher_membership import MemberChanged, MembershipDecider, Send, Superseded
+from wagtailusher_wire import MAX_PAYLOAD_BYTES, Gossip, MemberState, MemberUpdate, encode
+
+
+def _decider(name: str = "a", incarnation: int = 5) -> MembershipDecider:
+    """Return a decider of a VM."""
+    return MembershipDecider(
+        vm_id=VmId(name),
+        address=f"10.0.0.1:{name}",
+        failure_domain_id=FailureDomainId("x"),
+        incarnation=Incarnation(incarnation),
+        seed=1,
+    )
+
+
+def _listed(*names: str, state: PublishedState = PublishedState.LIVE) -> list[PublishedVm]:
+    """Return a list of VMs."""
+    return [
+        PublishedVm(
+            vm_id=VmId(name),
+            address=f"10.0.1.1:{name}",
+            peer_address=f"10.0.0.1:{name}",
+            failure_domain_id=FailureDomainId("x"),
+            state=state,
+        )
+        for name in names
+    ]
+
+
+def _gossip(name: str, incarnation: int, version: int, state: MemberState) -> Gossip:
+    """Return a statement about a VM."""
+    update = MemberUpdate(
+        vm_id=VmId(name),
+        incarnation=Incarnation(incarnation),
+        version=version,
+        state=state,
+        peer_address=f"10.0.0.1:{name}",
+    )
+    return Gossip(updates=(update,))
+
+
+def _states(fleet: Fleet, vm_id: VmId) -> set[MemberState | None]:
+    """Return what the nodes of a fleet believe of a VM."""
+    return {node.state_of(vm_id) for node in fleet.nodes if node.place.vm_id != vm_id}
+
+
+def _accused(nodes: list[MemberNode]) -> set[tuple[VmId, MemberState]]:
+    """Return who was suspected or declared dead."""
+    return {
+        (change.member.vm_id, change.member.state)
+        for node in nodes
+        for change in node.changes
+        if change.member.state in (MemberState.SUSPECT, MemberState.DEAD)
+    }
+
+
+class OwnStatementTest(TestCase):
+    """A process answers what is said of it."""
+
+    def test_refutes_suspicion_and_death(self) -> None:
+        for state in (MemberState.SUSPECT, MemberState.DEAD):
+            decider = _decider()
+            decider.handle(_gossip("a", 5, 3, state), 0)
+            self.assertEqual((decider.own.state, decider.own.version), (MemberState.ALIVE, 4))
+
+    def test_older_incarnation_is_superseded_once(self) -> None:
+        decider = _decider()
+        effects = decider.handle(_gossip("a", 6, 1, MemberState.ALIVE), 0)
+        self.assertIn(Superseded(incarnation=Incarnation(6)), effects)
+        self.assertEqual(decider.handle(_gossip("a", 6, 1, MemberState.ALIVE), 0), ())
+        self.assertEqual(decider.own.incarnation, 5)
+
+    def test_leaving_is_final_and_ended_is_silent(self) -> None:
+        decider = _decider()
+        decider.update_published(_listed("a", "b"), 0)
+        sent = [effect for effect in decider.leave(0) if isinstance(effect, Send)]
+        self.assertEqual([effect.vm_id for effect in sent], ["b"])
+        decider.handle(_gossip("a", 5, 9, MemberState.SUSPECT), 0)
+        self.assertTrue(decider.own.leaving)
+        self.assertFalse(decider.own.takes_work)
+        decider.end(0)
+        self.assertEqual(decider.tick(60_000), ())
+
+
+class StatementOrderTest(TestCase):
+    """Only later statements change what is known of a member."""
+
+    def test_order(self) -> None:
+        steps = (
+            (1, 1, MemberState.ALIVE, MemberState.ALIVE),
+            (1, 1, MemberState.SUSPECT, MemberState.SUSPECT),
+            (1, 1, MemberState.ALIVE, MemberState.SUSPECT),
+            (1, 2, MemberState.ALIVE, MemberState.ALIVE),
+            (1, 1, MemberState.DEAD, MemberState.ALIVE),
+            (1, 2, MemberState.DEAD, MemberState.DEAD),
+            (1, 3, MemberState.LEFT, MemberState.LEFT),
+            (1, 9, MemberState.ALIVE, MemberState.LEFT),
+            (2, 1, MemberState.ALIVE, MemberState.ALIVE),
+            (1, 9, MemberState.DEAD, MemberState.ALIVE),
+        )
+        decider = _decider()
+        for incarnation, version, state, expected in steps:
+            decider.handle(_gossip("b", incarnation, version, state), 0)
+            self.assertEqual(decider.members()[VmId("b")].state, expected)
+
+
+class PublishedListTest(TestCase):
+    """The platform's list seeds, marks and forgets."""
+
+    def test_vm_gone_from_the_list_but_reachable_takes_no_work(self) -> None:
+        decider = _decider()
+        decider.update_published(_listed("a", "b"), 0)
+        decider.handle(_gossip("b", 1, 1, MemberState.ALIVE), 0)
+        decider.update_published(_listed("a"), 1_000)
+        decider.tick(2_000)
+        self.assertTrue(decider.members()[VmId("b")].takes_work)
+        decider.tick(40_000)
+        self.assertFalse(decider.members()[VmId("b")].takes_work)
+        self.assertIs(decider.members()[VmId("b")].state, MemberState.ALIVE)
+        decider.update_published(_listed("a", "b"), 41_000)
+        self.assertTrue(decider.members()[VmId("b")].takes_work)
+
+    def test_gone_and_unlisted_is_forgotten_and_not_taken_back(self) -> None:
+        decider = _decider()
+        decider.update_published(_listed("a", "b"), 0)
+        decider.handle(_gossip("b", 1, 1, MemberState.DEAD), 0)
+        decider.update_published(_listed("a"), 0)
+        effects = decider.tick(200_000)
+        removed = [e for e in effects if isinstance(e, MemberChanged) and e.removed]
+        self.assertEqual([effect.member.vm_id for effect in removed], ["b"])
+        decider.handle(_gossip("b", 1, 1, MemberState.DEAD), 200_000)
+        self.assertNotIn(VmId("b"), decider.members())
+
+
+class FailureTest(TestCase):
+    """A fleet keeps its view under loss, pauses and partitions."""
+
+    def test_pause_neither_kills_nor_accuses(self) -> None:
+        fleet = Fleet(20, seed=2, loss=0.05)
+        for node in fleet.nodes:
+            node.changes.clear()
+        paused = fleet.nodes[3]
+        fleet.network.pause(paused, 5_000)
+        fleet.network.run_until(fleet.network.now_ms + 30_000)
+        accused = _accused(fleet.nodes)
+        self.assertIn((paused.place.vm_id, MemberState.SUSPECT), accused)
+        self.assertFalse([vm_id for vm_id, state in accused if state is MemberState.DEAD])
+        self.assertEqual(_states(fleet, paused.place.vm_id), {MemberState.ALIVE})
+
+    def test_long_pause_ends_alive_and_accuses_nobody_else(self) -> None:
+        fleet = Fleet(20, seed=3)
+        for node in fleet.nodes:
+            node.changes.clear()
+        paused = fleet.nodes[3]
+        fleet.network.pause(paused, 60_000)
+        fleet.network.run_until(fleet.network.now_ms + 55_000)
+        self.assertEqual(_states(fleet, paused.place.vm_id), {MemberState.DEAD})
+        fleet.network.run_until(fleet.network.now_ms + 30_000)
+        self.assertEqual(_states(fleet, paused.place.vm_id), {MemberState.ALIVE})
+        self.assertEqual({vm_id for vm_id, _ in _accused(fleet.nodes)}, {paused.place.vm_id})
+
+    def test_partition_heals(self) -> None:
+        fleet = Fleet(20, seed=4, loss=0.05)
+        fleet.network.blocked = lambda a, b: (a.region == 0) != (b.region == 0)
+        fleet.network.run_until(fleet.network.now_ms + 60_000)
+        far = next(node for node in fleet.nodes if node.place.region == 0)
+        other = next(node for node in fleet.nodes if node.place.region == 1)
+        self.assertIs(other.state_of(far.place.vm_id), MemberState.DEAD)
+        fleet.network.blocked = lambda a, b: False
+        fleet.network.run_until(fleet.network.now_ms + 60_000)
+        for node in fleet.nodes:
+            self.assertFalse([m for m in node.decider.members().values() if m.gone])
+
+    def test_restarted_process_replaces_its_crashed_one(self) -> None:
+        fleet = Fleet(20, seed=5, loss=0.05)
+        old = fleet.nodes[7]
+        fleet.network.stop(old)
+        fleet.network.run_until(fleet.network.now_ms + 3_000)
+        new = fleet.start(old.place, incarnation=2, seed=99)
+        fleet.network.run_until(fleet.network.now_ms + 20_000)
+        for node in [n for n in fleet.nodes if n is not old] + [new]:
+            member = node.decider.members()[old.place.vm_id]
+            self.assertEqual((member.incarnation, member.state), (2, MemberState.ALIVE))
+
+    def test_datagrams_stay_small_with_the_longest_names(self) -> None:
+        decider = _decider()
+        for index in range(100):
+            update = MemberUpdate(
+                vm_id=VmId(f"{index:064d}"),
+                incarnation=Incarnation(2**63),
+                version=2**31,
+                state=MemberState.ALIVE,
+                address=f"[2001:db8:1234:5678:9abc:def0:1234:{index:04x}]:54321",
+                peer_address=f"[2001:db8:1234:5678:9abc:def0:1234:{index:04x}]:54322",
+                failure_domain_id=FailureDomainId(f"{index:064d}"),
+            )
+            decider.handle(Gossip(updates=(update,)), 0)
+        sizes = [
+            len(encode(effect.message))
+            for now_ms in range(0, 20_000, 100)
+            for effect in decider.tick(now_ms)
+            if isinstance(effect, Send)
+        ]
+        self.assertGreater(len(sizes), 100)
+        self.assertLessEqual(max(sizes), MAX_PAYLOAD_BYTES)
