Check at-most-once under random schedules and compare tickets with keys

The schedules showed two faults of the first key design: a node learned of its ownership only with the first key, and could miss another owner between two readings of the list far apart. The list is now taken in at each reading, and a gap starts the settling anew.

--- a/packages/wagtailusher_once/src/wagtailusher_once/decider.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/decider.py
@@ -20,6 +20,7 @@
     DEFAULT_MAX_ANSWER_BYTES,
     DEFAULT_MAX_ANSWERS_BYTES,
     DEFAULT_MAX_CLOCK_SKEW_MS,
+    DEFAULT_MAX_LIST_AGE_MS,
     DEFAULT_MAX_LIST_LAG_MS,
     DEFAULT_MAX_RECORDS,
 )
@@ -38,11 +39,12 @@
     max_clock_skew_ms: int = DEFAULT_MAX_CLOCK_SKEW_MS
     key_lifetime_ms: int = DEFAULT_KEY_LIFETIME_MS
     max_list_lag_ms: int = DEFAULT_MAX_LIST_LAG_MS
+    max_list_age_ms: int = DEFAULT_MAX_LIST_AGE_MS
 
     @property
     def settling_ms(self) -> int:
         """Return how long a VM must have been a key's home before it may run the key."""
-        return 2 * (self.max_list_lag_ms + self.max_clock_skew_ms)
+        return 2 * (self.max_list_lag_ms + self.max_list_age_ms + self.max_clock_skew_ms)
 
 
 class OnceDecider:
@@ -63,7 +65,9 @@
         self._ticket_floor = Floor()
         self._key_floor = Floor()
         self._homes = KeyHomes(
-            vm_id=vm_id, memory_ms=self._limits.settling_ms + self._limits.key_lifetime_ms
+            vm_id=vm_id,
+            memory_ms=self._limits.settling_ms + self._limits.key_lifetime_ms,
+            max_age_ms=self._limits.max_list_age_ms,
         )
 
     @property
@@ -101,6 +105,12 @@
             now_ms,
         )
 
+    def update_published(
+        self, vms: Iterable[PublishedVm], now_ms: int, *, observed_ms: int
+    ) -> None:
+        """Take in the platform's list, read at a time; to be told at each reading."""
+        self._homes.observe(vms, now_ms, observed_ms=observed_ms)
+
     def submit_key(
         self,
         workspace_id: WorkspaceId,
@@ -167,10 +177,10 @@
         return now_ms < record.run_until_ms
 
     def complete(self, ticket_id: str, answer: StoredAnswer, now_ms: int) -> None:
-        """Store the whole answer of a dispatched request."""
+        """Store the whole answer of a dispatched request, also when it comes after `fail`."""
         self.expire(now_ms)
         record = self._records.get(ticket_id)
-        if record is None or record.state is not RunState.DISPATCHED:
+        if record is None or record.state not in (RunState.DISPATCHED, RunState.FAILED):
             return
         record.state = RunState.COMPLETED
         self._answers.keep(record, answer)
@@ -215,8 +225,7 @@
         """Return whether no other node can ever have run, or run later, this key."""
         if self._key_floor.covers(first_sent_wall_ms):
             return False
-        list_age_ms = self._homes.age_ms(now_ms)
-        if list_age_ms is None or list_age_ms > self._limits.max_list_lag_ms:
+        if not self._homes.is_fresh(now_ms):
             return False
         since_ms = self._homes.settling_since_ms(hash_key)
         if since_ms is None or first_sent_ms < since_ms + self._limits.settling_ms:
--- a/packages/wagtailusher_once/src/wagtailusher_once/key_homes.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/key_homes.py
@@ -36,10 +36,11 @@
 class KeyHomes:
     """Homes by rendezvous over the live VMs of the published list."""
 
-    def __init__(self, *, vm_id: VmId, memory_ms: int) -> None:
+    def __init__(self, *, vm_id: VmId, memory_ms: int, max_age_ms: int) -> None:
         """Remember departed VMs for as long as their keys may matter."""
         self._vm_id = vm_id
         self._memory_ms = memory_ms
+        self._max_age_ms = max_age_ms
         self._published: tuple[PublishedVm, ...] = ()
         self._live: frozenset[VmId] = frozenset()
         self._departed_ms: dict[VmId, int] = {}
@@ -47,26 +48,43 @@
         self._observed_ms: int | None = None
 
     def observe(self, vms: Iterable[PublishedVm], now_ms: int, *, observed_ms: int | None) -> None:
-        """Take in the published list; without the time of its reading it counts as old."""
-        published = tuple(vms)
+        """Take in the published list; without the time of its reading it proves no ownership.
+
+        Between lists that were read too far apart another VM may have been the home unseen.
+        """
         if observed_ms is not None:
-            self._observed_ms = max(observed_ms, self._observed_ms or observed_ms)
-        if published == self._published:
-            return
-        self._published = published
+            if self._observed_ms is not None and observed_ms < self._observed_ms:
+                return
+            self._note_reading(observed_ms)
+        published = tuple(vms)
+        if published != self._published:
+            self._published = published
+            self._update_live(published, now_ms)
+        if observed_ms is not None and self._joined_ms is None and self._vm_id in self._live:
+            self._joined_ms = now_ms
+
+    def _note_reading(self, observed_ms: int) -> None:
+        """Note when a list was read, and start anew after a gap."""
+        last_ms = self._observed_ms
+        if last_ms is not None and observed_ms - last_ms > self._max_age_ms:
+            self._joined_ms = None
+        self._observed_ms = observed_ms
+
+    def _update_live(self, published: tuple[PublishedVm, ...], now_ms: int) -> None:
+        """Note which VMs left the list."""
         live = frozenset(vm.vm_id for vm in published if vm.state is PublishedState.LIVE)
         for vm_id in self._live - live:
             self._departed_ms[vm_id] = now_ms
         if self._vm_id not in live:
             self._joined_ms = None
-        elif self._joined_ms is None:
-            self._joined_ms = now_ms
         self._live = live
         self._forget(now_ms)
 
-    def age_ms(self, now_ms: int) -> int | None:
-        """Return the age of the newest list, or None before the first one."""
-        return None if self._observed_ms is None else now_ms - self._observed_ms
+    def is_fresh(self, now_ms: int) -> bool:
+        """Return whether the newest list was read a short time ago."""
+        if self._observed_ms is None:
+            return False
+        return now_ms - self._observed_ms <= self._max_age_ms
 
     def home_of(self, hash_key: str) -> VmId | None:
         """Return the home of a key under the newest list."""
--- /dev/null
+++ b/tests/wagtailusher_once/schedules/faults.py
@@ -0,0 +1,88 @@
+"""Faults that are planted to check that the schedules find them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from enum import StrEnum
+
+from wagtailusher_core import Incarnation, VmId
+from wagtailusher_once import OnceDecider, OnceLimits, StoredAnswer, Submission, Ticket
+
+
+class Fault(StrEnum):
+    """One way to break a node."""
+
+    NONE = "none"
+    HOME_CHECK_SKIPPED = "home_check_skipped"
+    DISPATCH_AFTER_SEND = "dispatch_after_send"
+    EVICTION_FORGETS = "eviction_forgets"
+    INCARNATION_REUSED = "incarnation_reused"
+    EXPIRY_FORGETS = "expiry_forgets"
+    SETTLING_SKIPPED = "settling_skipped"
+
+
+TICKET_FAULTS = (
+    Fault.HOME_CHECK_SKIPPED,
+    Fault.DISPATCH_AFTER_SEND,
+    Fault.EVICTION_FORGETS,
+    Fault.INCARNATION_REUSED,
+    Fault.EXPIRY_FORGETS,
+)
+KEY_FAULTS = (Fault.SETTLING_SKIPPED,)
+
+
+class _HomeCheckSkipped(OnceDecider):
+    """Takes every ticket for its own."""
+
+    def submit(self, ticket: Ticket, body_digest: bytes, now_ms: int) -> Submission:
+        """Decide as if this incarnation had minted the ticket."""
+        own = replace(ticket, home_id=self._vm_id, incarnation=self._incarnation)
+        return super().submit(own, body_digest, now_ms)
+
+
+class _EvictionForgets(OnceDecider):
+    """Drops the record together with its answer."""
+
+    def complete(self, ticket_id: str, answer: StoredAnswer, now_ms: int) -> None:
+        """Store the answer and forget the requests whose answers had to go."""
+        super().complete(ticket_id, answer, now_ms)
+        store = self._records
+        for known_id, record in list(store._records.items()):
+            if record.state == "completed" and record.answer is None:
+                del store._records[known_id]
+        store._expiries = [entry for entry in store._expiries if entry[1] in store._records]
+
+
+class _ExpiryForgets(OnceDecider):
+    """Drops expired records without raising the floor."""
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the records whose time is over."""
+        while self._records.pop_expired(now_ms) is not None:
+            pass
+
+
+class _SettlingSkipped(OnceDecider):
+    """Runs a key as soon as it is the key's home."""
+
+    def _may_run_key(
+        self, hash_key: str, first_sent_wall_ms: int, first_sent_ms: int, now_ms: int
+    ) -> bool:
+        """Return True whatever the ownership."""
+        return True
+
+
+_DECIDERS: dict[Fault, type[OnceDecider]] = {
+    Fault.HOME_CHECK_SKIPPED: _HomeCheckSkipped,
+    Fault.EVICTION_FORGETS: _EvictionForgets,
+    Fault.EXPIRY_FORGETS: _ExpiryForgets,
+    Fault.SETTLING_SKIPPED: _SettlingSkipped,
+}
+
+
+def make_decider(
+    fault: Fault, *, vm_id: VmId, incarnation: Incarnation, limits: OnceLimits
+) -> OnceDecider:
+    """Return the decider of a node with a fault."""
+    decider_type = _DECIDERS.get(fault, OnceDecider)
+    return decider_type(vm_id=vm_id, incarnation=incarnation, limits=limits)
--- /dev/null
+++ b/tests/wagtailusher_once/schedules/world.py
@@ -0,0 +1,77 @@
+"""Virtual time, processes that pause and die, and unreliable links between them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+from itertools import count
+from random import Random
+
+Step = Callable[[], None]
+
+FAST_MS = (1, 20)
+SLOW_MS = (200, 6_000)
+
+
+class World:
+    """Runs steps in the order of virtual time."""
+
+    def __init__(self, seed: int) -> None:
+        """Start at time zero."""
+        self.rng = Random(seed)
+        self.now_ms = 0
+        self.cut: set[frozenset[str]] = set()
+        self.loss = 0.0
+        self.slow_share = 0.0
+        self._order = count()
+        self._steps: list[tuple[int, int, Step]] = []
+
+    def after(self, delay_ms: int, step: Step) -> None:
+        """Run a step later."""
+        heapq.heappush(self._steps, (self.now_ms + delay_ms, next(self._order), step))
+
+    def run(self, until_ms: int) -> None:
+        """Run all steps up to a time."""
+        while self._steps and self._steps[0][0] <= until_ms:
+            self.now_ms, _, step = heapq.heappop(self._steps)
+            step()
+
+    def delay_ms(self) -> int:
+        """Return a delay that is now and then long enough to reorder anything."""
+        low_ms, high_ms = SLOW_MS if self.rng.random() < self.slow_share else FAST_MS
+        return int(low_ms + self.rng.random() * (high_ms - low_ms))
+
+    def send(self, source: str, target: str, step: Step, *, may_duplicate: bool = True) -> None:
+        """Deliver a message late, out of order, twice or never."""
+        if frozenset((source, target)) in self.cut or self.rng.random() < self.loss:
+            return
+        copies = 2 if may_duplicate and self.rng.random() < self.loss else 1
+        for _ in range(copies):
+            self.after(self.delay_ms(), step)
+
+
+class Process:
+    """A process whose steps wait while it is paused and vanish when it dies."""
+
+    def __init__(self, world: World) -> None:
+        """Start running."""
+        self.world = world
+        self.alive = True
+        self.paused_until_ms = 0
+
+    def step(self, delay_ms: int, step: Step) -> None:
+        """Run a step of this process later."""
+        self.world.after(delay_ms, lambda: self.run(step))
+
+    def run(self, step: Step) -> None:
+        """Run a step now, or once the process wakes."""
+        if not self.alive:
+            return
+        if self.world.now_ms < self.paused_until_ms:
+            self.world.after(self.paused_until_ms - self.world.now_ms, lambda: self.run(step))
+            return
+        step()
+
+    def pause(self, duration_ms: int) -> None:
+        """Stop all steps for a time."""
+        self.paused_until_ms = max(self.paused_until_ms, self.world.now_ms + duration_ms)
