Wire membership, configuration spread and the platform into the entry daemon

Cause: apps took settings and lists from their tests only. Before: no daemon process. After: the daemon reads the VM list, watches the configuration service when it is a reader, fetches from peers otherwise, gossips membership and quarantine; flags, environment, signals, exit codes.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -10,12 +10,28 @@
 import ssl
 
 from wagtailusher_admission import AdmissionDecider
-from wagtailusher_core import EndpointId, FailureDomainId, Incarnation, RequestId, VmId
+from wagtailusher_core import (
+    EndpointId,
+    ErrorCode,
+    FailureDomainId,
+    Incarnation,
+    Outcome,
+    RequestId,
+    VmId,
+)
 from wagtailusher_daemon.addresses import AddressBook
+from wagtailusher_daemon.answers import coded_response
 from wagtailusher_daemon.caller_api import CallerApi
 from wagtailusher_daemon.classify import Classifier
 from wagtailusher_daemon.clock import monotonic_ms, wall_ms
-from wagtailusher_daemon.const import MS_PER_S, RENEWALS_PER_LIFETIME
+from wagtailusher_daemon.configuration_stream import ConfigurationStream
+from wagtailusher_daemon.const import (
+    FLEET_TICK_INTERVAL_MS,
+    MS_PER_S,
+    QUARANTINE_INTERVAL_MS,
+    RENEWALS_PER_LIFETIME,
+)
+from wagtailusher_daemon.fleet_talk import FleetTalk, Identity
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.metrics import EntryMetrics
@@ -25,11 +41,13 @@
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.peers import Peers
 from wagtailusher_daemon.upstream import Upstream
-from wagtailusher_http import HttpClient, HttpServer, async_serve
+from wagtailusher_http import HttpClient, HttpServer, Request, Response, async_serve
+from wagtailusher_integrations.config_service import ConfigServiceCoordinator
+from wagtailusher_integrations.vm_list import VmList, VmListCoordinator
 from wagtailusher_once import OnceDecider, QuarantineDecider, TicketMint
 from wagtailusher_placement import LeaseLimits, PlacementDecider, StewardDecider
 from wagtailusher_router import Cancel, RouterDecider, RouterParts
-from wagtailusher_wire import Sealer
+from wagtailusher_wire import Message, Sealed, Sealer
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -51,7 +69,7 @@
         self._client = HttpClient()
         self._secrets = _secrets_of(options)
         self.upstream = Upstream(self._client, self._address_of_cancel)
-        self.peers = Peers(lambda vm_id: self.view.peer_address_of(vm_id))
+        self.peers = Peers(self._peer_address_of, self._receive)
         self.node = RouterNode(
             self._new_decider(), send_peer=self.peers.send, cancel=self.upstream.cancel
         )
@@ -60,11 +78,21 @@
         self.caller_server: HttpServer | None = None
         self.operator_server: HttpServer | None = None
         self.caller_api: CallerApi | None = None
+        self.talk: FleetTalk | None = None
+        self.stopping = asyncio.Event()
+        self._stream = ConfigurationStream(
+            self._client, vm_id=self.vm_id, incarnation=self.incarnation, secrets=self._secrets
+        )
+        self._service = ConfigServiceCoordinator(
+            self._client, options.config_service, seed=_new_seed()
+        )
+        self._vm_list = VmListCoordinator(
+            self._client, options.vm_list, seed=_new_seed(), on_list=self._take_list
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def _new_decider(self) -> RouterDecider:
         """Return the decider of this VM."""
-        seed = secrets.randbits(_SEED_BITS)
         limits = _lease_limits(self.options)
         parts = RouterParts(
             vm_id=self.vm_id,
@@ -72,7 +100,7 @@
             placement=PlacementDecider(
                 vm_id=self.vm_id,
                 failure_domain_id=FailureDomainId(self.options.failure_domain),
-                seed=seed,
+                seed=_new_seed(),
                 limits=limits,
                 incarnation=self.incarnation,
             ),
@@ -105,7 +133,9 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether requests are taken."""
-        return not self.is_draining and self.view.settings is not None
+        if self.is_draining or self.view.settings is None or self.talk is None:
+            return False
+        return self.talk.configuration.is_settled
 
     async def async_start(self) -> None:
         """Listen and start the periodic tasks."""
@@ -122,6 +152,10 @@
         self.operator_server = await async_serve(
             OperatorApi(self).async_handle, host=operator_host, port=operator_port
         )
+        self.talk = self._new_talk()
+        self._tasks.append(asyncio.create_task(self._vm_list.async_run()))
+        self._every(FLEET_TICK_INTERVAL_MS, self._async_tick_fleet)
+        self._every(QUARANTINE_INTERVAL_MS, self._async_spread_quarantine)
         self._every(options.tick_interval_ms, self._async_tick)
         self._every(options.load_poll_interval_ms, self._async_poll_load)
         _LOGGER.info("Daemon: %s serves callers at %s", self.vm_id, self.address)
@@ -130,6 +164,8 @@
         """Leave: refuse new work, let work in progress end; return whether all did."""
         self.is_draining = True
         self.node.decider.start_draining()
+        if self.talk is not None:
+            self.talk.leave()
         if grace_ms is None:
             settings = self.view.settings
             grace_ms = settings.fleet.shutdown_grace_ms if settings is not None else 0
@@ -141,6 +177,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.talk is not None:
+            await self.talk.async_end()
         if self.operator_server is not None:
             await self.operator_server.async_close()
         self.link.close()
@@ -169,7 +207,7 @@
             self._client,
             vm_id=self.vm_id,
             secrets=self._secrets,
-            address_of=self.view.address_of_vm,
+            address_of=self._address_of_vm,
             silence_timeout_ms=self._silence_timeout_ms,
         )
         return CallerApi(
@@ -182,6 +220,58 @@
             metrics=self.metrics,
             settings=lambda: self.view.settings,
             is_ready=lambda: self.is_ready,
+            answer_configuration=self._answer_configuration,
+        )
+
+    def _new_talk(self) -> FleetTalk:
+        """Return the owner of the fleet's protocols."""
+        identity = Identity(
+            vm_id=self.vm_id,
+            incarnation=self.incarnation,
+            failure_domain_id=FailureDomainId(self.options.failure_domain),
+            address=self.address,
+            peer_address=self.peer_address,
+        )
+        return FleetTalk(
+            identity,
+            seed=_new_seed(),
+            send=self.link.send,
+            node=self.node,
+            view=self.view,
+            service=self._service,
+            stream=self._stream,
+            superseded=self.stopping.set,
+        )
+
+    def _receive(self, message: Message, sealed: Sealed, address: str) -> None:
+        """Take a message that is not about leases."""
+        if self.talk is not None:
+            self.talk.receive(message, sealed, address)
+
+    def _take_list(self, vm_list: VmList) -> None:
+        """Take the platform's list in."""
+        self.view.offer_published(vm_list.entry_vms, vm_list.endpoints, vm_list.version)
+        if self.talk is not None:
+            self.talk.update_published(vm_list.entry_vms)
+
+    def _address_of_vm(self, vm_id: VmId) -> str | None:
+        """Return the address at which a VM serves callers."""
+        own = self.talk.member_address(vm_id) if self.talk is not None else None
+        return own or self.view.address_of_vm(vm_id)
+
+    def _peer_address_of(self, vm_id: VmId) -> str | None:
+        """Return the address at which a VM's process receives datagrams."""
+        own = self.talk.peer_address(vm_id) if self.talk is not None else None
+        return own or self.view.peer_address_of(vm_id)
+
+    def _answer_configuration(self, request: Request) -> Response:
+        """Answer a peer that asks for a configuration."""
+        if self.talk is None:
+            return coded_response(ErrorCode.NOT_READY, Outcome.NOT_RUN)
+        configuration = self.talk.configuration
+        return self._stream.answer(
+            request,
+            lambda asked, sender: configuration.answer(asked, monotonic_ms(), sender=sender),
         )
 
     def _new_address_book(self) -> AddressBook:
@@ -219,12 +309,27 @@
         self.node.tick()
         self.metrics.held.set({}, self.node.held_count)
 
+    async def _async_tick_fleet(self) -> None:
+        """Let the fleet's deciders see the time."""
+        assert self.talk is not None
+        self.talk.tick()
+
+    async def _async_spread_quarantine(self) -> None:
+        """Tell peers about requests that crash endpoints."""
+        assert self.talk is not None
+        self.talk.spread_quarantine()
+
     async def _async_poll_load(self) -> None:
         """Poll the engines' load."""
         reports = await self.upstream.engines.async_poll(self.view.engines, monotonic_ms)
         self.node.observe_reports(reports)
 
 
+def _new_seed() -> int:
+    """Return a seed for a decider of this process."""
+    return secrets.randbits(_SEED_BITS)
+
+
 async def _async_repeat(interval_ms: int, action: Callable[[], Awaitable[None]]) -> None:
     """Repeat an action; an unforeseen error is logged and the next turn is tried."""
     while True:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -16,6 +16,7 @@
 from wagtailusher_daemon.const import (
     PATH_ADDRESSES,
     PATH_CHAT,
+    PATH_CONFIGURATION,
     PATH_HEALTH,
     PATH_MODELS,
     PATH_READY,
@@ -49,6 +50,7 @@
     metrics: EntryMetrics
     settings: Callable[[], Settings | None]
     is_ready: Callable[[], bool]
+    answer_configuration: Callable[[Request], Response]
     once_tasks: set[asyncio.Task[Response]] = field(default_factory=set)
 
     async def async_handle(self, request: Request) -> Response:
@@ -78,6 +80,8 @@
             return self._answer_models()
         if path == PATH_ADDRESSES:
             return json_response(HTTPStatus.OK, self._addresses().answer())
+        if path == PATH_CONFIGURATION:
+            return self.answer_configuration(request)
         if path == PATH_TICKETS:
             return self._answer_ticket()
         return error_response(HTTPStatus.NOT_FOUND, ErrorCode.UNKNOWN_ROUTE, "no such path")
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
@@ -0,0 +1,31 @@
+"""Turns the deciders' messages into those on the wire and back."""
+
+from __future__ import annotations
+
+from dataclasses import fields
+from typing import Any, TypeVar
+
+from wagtailusher_once import QuarantineEntry, QuarantineSummary
+from wagtailusher_wire import QuarantineEntry as QuarantineEntryMessage
+from wagtailusher_wire import QuarantineSummary as QuarantineSummaryMessage
+
+ConvertedT = TypeVar("ConvertedT")
+
+
+def convert(message: Any, cls: type[ConvertedT]) -> ConvertedT:
+    """Return a message as the class with the same fields on the other side of the wire."""
+    return cls(**{field.name: getattr(message, field.name) for field in fields(message)})
+
+
+def quarantine_message(summary: QuarantineSummary) -> QuarantineSummaryMessage:
+    """Return a quarantine summary as it goes on the wire."""
+    return QuarantineSummaryMessage(
+        entries=tuple(convert(entry, QuarantineEntryMessage) for entry in summary.entries)
+    )
+
+
+def quarantine_summary(message: QuarantineSummaryMessage) -> QuarantineSummary:
+    """Return a quarantine summary as the decider knows it."""
+    return QuarantineSummary(
+        entries=tuple(convert(entry, QuarantineEntry) for entry in message.entries)
+    )
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
@@ -0,0 +1,97 @@
+"""The entry daemon's command: flags, environment, signals and exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+
+import defopt
+
+from wagtailusher_daemon.app import EntryApp
+from wagtailusher_daemon.const import EXIT_UNCLEAN, EXIT_USAGE
+from wagtailusher_daemon.exceptions import OptionsError
+from wagtailusher_daemon.logs import set_up_logs
+from wagtailusher_daemon.options import EntryOptions, read_options
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def entry(
+    *,
+    vm_id: str | None = None,
+    failure_domain: str | None = None,
+    fleet_secret: str | None = None,
+    previous_fleet_secret: str | None = None,
+    config_service: str | None = None,
+    vm_list: str | None = None,
+    listen: str | None = None,
+    peer_listen: str | None = None,
+    operator_listen: str | None = None,
+    tls_certificate: str | None = None,
+    tls_key: str | None = None,
+    log_level: str | None = None,
+    log_format: str | None = None,
+    trace_file: str | None = None,
+    otlp_address: str | None = None,
+    tick_interval_ms: str | None = None,
+    load_poll_interval_ms: str | None = None,
+    lease_lifetime_ms: str | None = None,
+    list_lag_ms: str | None = None,
+    pause_tolerance_ms: str | None = None,
+) -> None:
+    """Run the entry daemon on one VM.
+
+    Each flag may be set as an environment variable instead: WAGTAILUSHER_VM_ID for --vm-id and
+    so on. A flag wins over its variable.
+
+    :param vm_id: this VM's name in the platform's list (required)
+    :param failure_domain: the failure domain of this VM (required)
+    :param fleet_secret: the secret that the fleet's VMs share, 16 characters or more (required)
+    :param previous_fleet_secret: a secret that is accepted as well, for a rotation (none)
+    :param config_service: the configuration service as host:port (required)
+    :param vm_list: the platform's list of VMs as host:port (required)
+    :param listen: where callers are served, host:port; port 0 takes a free one (127.0.0.1:0)
+    :param peer_listen: where datagrams of other VMs arrive, host:port (127.0.0.1:0)
+    :param operator_listen: where operators and scrapers are served, host:port (127.0.0.1:0)
+    :param tls_certificate: file with the certificate chain for callers, PEM (no TLS)
+    :param tls_key: file with the certificate's key, PEM (in the certificate's file)
+    :param log_level: debug, info, warning or error (info)
+    :param log_format: text, or json for one object a line (text)
+    :param trace_file: file to which spans are written, one JSON object a line (none)
+    :param otlp_address: OTLP collector for spans as host:port (none)
+    :param tick_interval_ms: time between ticks of the decider, in ms (50)
+    :param load_poll_interval_ms: time between load polls of an endpoint, in ms (250)
+    :param lease_lifetime_ms: how long a lease on an endpoint lasts, in ms (2000)
+    :param list_lag_ms: the most that the platform's list lags, in ms (5000)
+    :param pause_tolerance_ms: the longest pause after which leases are still trusted, ms (1000)
+    """
+    try:
+        options = read_options(dict(locals()))
+    except OptionsError as err:
+        print(f"wagtailusher-entry: {err.message}", file=sys.stderr)  # noqa: T201
+        sys.exit(EXIT_USAGE)
+    set_up_logs(options.log_level, options.log_format)
+    sys.exit(asyncio.run(async_run(options)))
+
+
+async def async_run(options: EntryOptions) -> int:
+    """Run the daemon until a signal arrives; return the exit code."""
+    app = EntryApp(options)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, app.stopping.set)
+    try:
+        await app.async_start()
+    except OSError as err:
+        _LOGGER.error("Daemon: can't listen: %s", err)
+        return EXIT_USAGE
+    await app.stopping.wait()
+    _LOGGER.info("Daemon: %s is leaving", app.vm_id)
+    return 0 if await app.async_stop() else EXIT_UNCLEAN
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(entry)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exceptions.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exceptions.py
@@ -39,3 +39,9 @@
     """An answer broke off after its beginning had been relayed."""
 
     code = ErrorCode.ANSWER_TRUNCATED
+
+
+class PeerStreamError(DaemonError):
+    """A peer did not give what it was asked for."""
+
+    code = ErrorCode.PEER_UNAVAILABLE
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
@@ -0,0 +1,264 @@
+"""Membership, configuration spread and quarantine among the VMs' processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
+import logging
+import random
+
+from wagtailusher_core import (
+    FailureDomainId,
+    Incarnation,
+    PublishedVm,
+    Revision,
+    VmId,
+    WagtailusherError,
+    callback,
+)
+from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_daemon.configuration_stream import ConfigurationStream
+from wagtailusher_daemon.const import QUARANTINE_FANOUT
+from wagtailusher_daemon.conversion import quarantine_message, quarantine_summary
+from wagtailusher_daemon.fleet_view import FleetView
+from wagtailusher_daemon.node import RouterNode
+from wagtailusher_integrations.config_service import ConfigServiceCoordinator
+from wagtailusher_membership import (
+    Apply,
+    ConfigurationConflict,
+    ConfigurationDecider,
+    ConfigurationEffect,
+    ConfigurationRefused,
+    Effect,
+    Fetch,
+    Member,
+    MemberChanged,
+    MembershipDecider,
+    ReadService,
+    RevisionHint,
+    Send,
+    ServiceBehind,
+    Settled,
+    Superseded,
+)
+from wagtailusher_settings import SettingsError, parse_settings
+from wagtailusher_wire import (
+    ConfigurationAnnounce,
+    ConfigurationQuery,
+    Message,
+    QuarantineSummary,
+    Sealed,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Who this process is in the fleet; addresses are `host:port`."""
+
+    vm_id: VmId
+    incarnation: Incarnation
+    failure_domain_id: FailureDomainId
+    address: str
+    peer_address: str
+
+
+class FleetTalk:
+    """Owns the deciders of membership and configuration."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        *,
+        seed: int,
+        send: Callable[[str, Message], None],
+        node: RouterNode,
+        view: FleetView,
+        service: ConfigServiceCoordinator,
+        stream: ConfigurationStream,
+        superseded: Callable[[], None],
+    ) -> None:
+        """Start alone and without a configuration."""
+        self._send = send
+        self._node = node
+        self._view = view
+        self._service = service
+        self._stream = stream
+        self._superseded = superseded
+        self._generator = random.Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.membership = MembershipDecider(
+            vm_id=identity.vm_id,
+            address=identity.address,
+            peer_address=identity.peer_address,
+            failure_domain_id=identity.failure_domain_id,
+            incarnation=identity.incarnation,
+            seed=seed,
+        )
+        self.configuration = ConfigurationDecider(
+            vm_id=identity.vm_id,
+            failure_domain_id=identity.failure_domain_id,
+            members=self.membership.members(),
+            validate=_validate,
+            seed=seed + 1,
+        )
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the members, this process among them."""
+        return tuple(self.membership.members().values())
+
+    def member_address(self, vm_id: VmId) -> str | None:
+        """Return the address at which a member serves callers."""
+        member = self.membership.members().get(vm_id)
+        return member.address if member is not None and member.address else None
+
+    def peer_address(self, vm_id: VmId) -> str | None:
+        """Return the address at which a member receives datagrams."""
+        member = self.membership.members().get(vm_id)
+        return member.peer_address if member is not None and member.peer_address else None
+
+    @callback
+    def update_published(self, vms: Iterable[PublishedVm]) -> None:
+        """Take the platform's list in."""
+        self._carry_out(self.membership.update_published(vms, monotonic_ms()))
+
+    @callback
+    def tick(self) -> None:
+        """Let time pass."""
+        now_ms = monotonic_ms()
+        self._carry_out(self.membership.tick(now_ms))
+        self._carry_out(self.configuration.tick(now_ms))
+
+    @callback
+    def spread_quarantine(self) -> None:
+        """Tell a few members about requests that crash endpoints."""
+        summary = self._node.decider.quarantine_summary(monotonic_ms())
+        if not summary.entries:
+            return
+        message = quarantine_message(summary)
+        own_id = self.membership.own.vm_id
+        others = [member for member in self.members() if member.vm_id != own_id and not member.gone]
+        for member in self._generator.sample(others, min(QUARANTINE_FANOUT, len(others))):
+            self._send(member.peer_address, message)
+
+    @callback
+    def receive(self, message: Message, sealed: Sealed, address: str) -> None:
+        """Take a peer's message in."""
+        now_ms = monotonic_ms()
+        if isinstance(message, QuarantineSummary):
+            self._node.decider.merge_quarantine(quarantine_summary(message), now_ms)
+            return
+        if isinstance(message, ConfigurationAnnounce | ConfigurationQuery):
+            effects = self.configuration.handle(
+                message, now_ms, sender=sealed.vm_id, address=address
+            )
+            self._carry_out(effects)
+            return
+        self._carry_out(
+            self.membership.handle(message, now_ms, sender=sealed.vm_id, address=address)
+        )
+
+    @callback
+    def hint(self, revision: Revision) -> None:
+        """Take in a revision that a caller brought along."""
+        self._carry_out(self.configuration.hint(revision, monotonic_ms()))
+
+    @callback
+    def leave(self) -> None:
+        """Tell the fleet that this process takes no new work."""
+        self._carry_out(self.membership.leave(monotonic_ms()))
+
+    async def async_end(self) -> None:
+        """Tell the fleet that this process ends, and stop what is under way."""
+        self._carry_out(self.membership.end(monotonic_ms()))
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @callback
+    def _carry_out(self, effects: Iterable[Effect | ConfigurationEffect]) -> None:
+        """Do what the deciders ask."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect.address, effect.message)
+            elif isinstance(effect, Apply):
+                self._view.offer_settings(effect.content)
+                self.membership.set_revision(effect.revision)
+            elif isinstance(effect, ReadService):
+                self._spawn(self._async_read_service())
+            elif isinstance(effect, Fetch):
+                self._spawn(self._async_fetch(effect))
+            elif isinstance(effect, RevisionHint):
+                hints = self.configuration.hint(
+                    effect.revision, monotonic_ms(), sender=effect.vm_id
+                )
+                self._carry_out(hints)
+            elif isinstance(effect, Superseded):
+                _LOGGER.error("Fleet: a newer process of this VM is at work; this one ends")
+                self._superseded()
+            else:
+                _log_effect(effect)
+
+    async def _async_read_service(self) -> None:
+        """Watch the configuration service once."""
+        try:
+            found = await self._service.async_watch()
+        except WagtailusherError as err:
+            _LOGGER.info("Configuration: the service gave nothing: %s", err.code)
+            self.configuration.service_failed(monotonic_ms())
+            return
+        if found is None:
+            self.configuration.service_unchanged(monotonic_ms())
+            return
+        self._carry_out(
+            self.configuration.offer_from_service(found.revision, found.content, monotonic_ms())
+        )
+
+    async def _async_fetch(self, fetch: Fetch) -> None:
+        """Ask a peer for content."""
+        address = self.member_address(fetch.vm_id)
+        try:
+            answer = await self._stream.async_fetch(address, fetch.request)
+        except WagtailusherError as err:
+            _LOGGER.info("Configuration: %s gave nothing: %s", fetch.vm_id, err.code)
+            self._carry_out(self.configuration.fetch_failed(fetch.request.sequence, monotonic_ms()))
+            return
+        self._carry_out(self.configuration.fetched(answer, monotonic_ms(), sender=fetch.vm_id))
+
+    @callback
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run a piece of work in a task of its own."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _validate(revision: Revision, content: bytes) -> str | None:
+    """Return why a settings document is not valid, or None."""
+    try:
+        settings = parse_settings(content)
+    except SettingsError as err:
+        return err.message
+    if settings.revision != revision:
+        return f"the document says revision {settings.revision}, not {revision}"
+    return None
+
+
+def _log_effect(effect: object) -> None:
+    """Log what only operators need to know."""
+    if isinstance(effect, MemberChanged):
+        member = effect.member
+        state = "removed" if effect.removed else str(member.state)
+        _LOGGER.info("Fleet: %s is %s", member.vm_id, state)
+    elif isinstance(effect, ConfigurationRefused):
+        _LOGGER.warning("Configuration: %s refused: %s", effect.revision, effect.reason)
+    elif isinstance(effect, ServiceBehind):
+        _LOGGER.warning(
+            "Configuration: the service offers %s but %s is in force", effect.offered, effect.held
+        )
+    elif isinstance(effect, ConfigurationConflict):
+        _LOGGER.warning("Configuration: two contents of revision %s", effect.revision)
+    elif isinstance(effect, Settled):
+        _LOGGER.info("Configuration: settled, confirmed by a peer: %s", effect.confirmed)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
@@ -56,13 +56,13 @@
 
     @callback
     def offer_published(
-        self, vms: Iterable[PublishedVm], endpoints: Iterable[EndpointInfo]
+        self, vms: Iterable[PublishedVm], endpoints: Iterable[EndpointInfo], version: int
     ) -> None:
         """Take the platform's lists of entry VMs and endpoints."""
         now_ms = monotonic_ms()
         self.published = tuple(vms)
         self.endpoints = {info.endpoint_id: info for info in endpoints}
-        self._node.decider.update_published(self.published, now_ms)
+        self._node.decider.update_published(self.published, now_ms, version)
         self._node.apply(self._node.decider.update_endpoints(self.endpoints.values(), now_ms))
 
     def address_of_vm(self, vm_id: VmId) -> str | None:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/peers.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/peers.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import fields
-import logging
-from typing import Any, TypeVar
 
 from wagtailusher_core import VmId, callback
+from wagtailusher_daemon.conversion import convert
 from wagtailusher_daemon.node import RouterNode
-from wagtailusher_daemon.peer_link import PeerLink
+from wagtailusher_daemon.peer_link import PeerLink, Receive
 from wagtailusher_placement import LeaseGrant, LeaseRecall, LeaseRequest
 from wagtailusher_router import PeerAction, SendLeaseGrant, SendLeaseRequest
 from wagtailusher_wire import LeaseGrant as LeaseGrantMessage
@@ -17,17 +15,14 @@
 from wagtailusher_wire import LeaseRequest as LeaseRequestMessage
 from wagtailusher_wire import Message, Sealed
 
-_LOGGER = logging.getLogger(__name__)
-
-ConvertedT = TypeVar("ConvertedT")
-
 
 class Peers:
     """Turns the deciders' messages into those on the wire and back."""
 
-    def __init__(self, peer_address_of: Callable[[VmId], str | None]) -> None:
-        """Prepare without a socket; `attach` gives one."""
+    def __init__(self, peer_address_of: Callable[[VmId], str | None], others: Receive) -> None:
+        """Prepare without a socket; messages that are not about leases go to `others`."""
         self._peer_address_of = peer_address_of
+        self._others = others
         self._link: PeerLink | None = None
         self._node: RouterNode | None = None
 
@@ -41,11 +36,11 @@
     def send(self, action: PeerAction) -> None:
         """Send a lease message of the decider."""
         if isinstance(action, SendLeaseRequest):
-            self._send_to(action.steward_id, _convert(action.request, LeaseRequestMessage))
+            self._send_to(action.steward_id, convert(action.request, LeaseRequestMessage))
         elif isinstance(action, SendLeaseGrant):
-            self._send_to(action.node_id, _convert(action.grant, LeaseGrantMessage))
+            self._send_to(action.node_id, convert(action.grant, LeaseGrantMessage))
         else:
-            self._send_to(action.recall.node_id, _convert(action.recall, LeaseRecallMessage))
+            self._send_to(action.recall.node_id, convert(action.recall, LeaseRecallMessage))
 
     @callback
     def receive(self, message: Message, sealed: Sealed, address: str) -> None:
@@ -53,15 +48,15 @@
         assert self._node is not None
         if isinstance(message, LeaseRequestMessage):
             if message.node_id == sealed.vm_id:
-                self._node.lease_requested(_convert(message, LeaseRequest))
+                self._node.lease_requested(convert(message, LeaseRequest))
         elif isinstance(message, LeaseGrantMessage):
             if message.steward_id == sealed.vm_id:
-                self._node.lease_granted(_convert(message, LeaseGrant))
+                self._node.lease_granted(convert(message, LeaseGrant))
         elif isinstance(message, LeaseRecallMessage):
             if message.steward_id == sealed.vm_id:
-                self._node.lease_recalled(_convert(message, LeaseRecall))
+                self._node.lease_recalled(convert(message, LeaseRecall))
         else:
-            _LOGGER.debug("Peer: %s from %s is not handled", type(message).__name__, address)
+            self._others(message, sealed, address)
 
     @callback
     def _send_to(self, vm_id: VmId, message: Message) -> None:
@@ -69,8 +64,3 @@
         address = self._peer_address_of(vm_id)
         if address is not None and self._link is not None:
             self._link.send(address, message)
-
-
-def _convert(message: Any, cls: type[ConvertedT]) -> ConvertedT:
-    """Return a message as the class with the same fields on the other side of the wire."""
-    return cls(**{field.name: getattr(message, field.name) for field in fields(message)})
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/coordinator.py
@@ -85,6 +85,10 @@
         """Read once without waiting for a change; None when the value has not changed."""
         return await self._async_step(None)
 
+    async def async_watch(self) -> ServiceContent | None:
+        """Wait once for a change, up to the wait of a call; None when there was none."""
+        return await self._async_step(self._version)
+
     async def async_run(self) -> None:
         """Watch until cancelled."""
         while True:
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -16,7 +16,12 @@
     RequestId,
     VmId,
 )
-from wagtailusher_once import OnceDecider, QuarantineDecider, StoredAnswer
+from wagtailusher_once import (
+    OnceDecider,
+    QuarantineDecider,
+    QuarantineSummary,
+    StoredAnswer,
+)
 from wagtailusher_placement import (
     Choice,
     EndOfWork,
@@ -275,6 +280,14 @@
         """Give up a lease on an endpoint that its steward found cold."""
         self._placement.apply_recall(recall, now_ms)
 
+    def quarantine_summary(self, now_ms: int) -> QuarantineSummary:
+        """Return what the other VMs are to be told about requests that crash endpoints."""
+        return self._quarantine.summary(now_ms)
+
+    def merge_quarantine(self, summary: QuarantineSummary, now_ms: int) -> None:
+        """Take over what another VM knows about requests that crash endpoints."""
+        self._quarantine.merge(summary, now_ms)
+
     # Inside.
 
     def _flight(self, request_id: RequestId) -> Flight:
--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -8,7 +8,9 @@
 from typing import Any
 
 from tests.standins.booking import BookingStandin
+from tests.standins.config_service import ConfigService, async_wait_until
 from tests.standins.engine import EngineBehaviour, EngineStandin
+from tests.standins.vm_list import VmList as VmListService
 from wagtailusher_core import EndpointId, FailureDomainId, PoolId, PublishedVm, VmId
 from wagtailusher_daemon.app import EntryApp
 from wagtailusher_daemon.options import EntryOptions
@@ -66,7 +68,10 @@
             EngineStandin(f"engine-{number}", EngineBehaviour()) for number in range(engine_count)
         ]
         self.booking = BookingStandin("booking-0")
-        self.apps = [new_app(number) for number in range(vm_count)]
+        self.config_service = ConfigService()
+        self.vm_list = VmListService()
+        self.vm_count = vm_count
+        self.apps: list[EntryApp] = []
         self.client = HttpClient()
 
     async def async_start(self) -> None:
@@ -74,12 +79,14 @@
         for engine in self.engines:
             await engine.async_start()
         await self.booking.async_start()
+        await self.config_service.async_start()
+        await self.vm_list.async_start()
+        self.config_service.publish("settings", settings_document())
+        self.apps = [self._new_app(number) for number in range(self.vm_count)]
         for app in self.apps:
             await app.async_start()
         self.publish()
-        for app in self.apps:
-            app.view.offer_settings(settings_document())
-            app.node.tick()
+        await async_wait_until(lambda: all(app.is_ready for app in self.apps))
 
     async def async_stop(self) -> None:
         """Stop everything."""
@@ -87,9 +94,28 @@
         await asyncio.gather(*(app.async_stop(grace_ms=100) for app in self.apps))
         await asyncio.gather(*(engine.async_stop() for engine in self.engines))
         await self.booking.async_stop()
+        await self.config_service.async_close()
+        await self.vm_list.async_close()
+
+    def _new_app(self, number: int) -> EntryApp:
+        """Return an app that does not listen yet."""
+        return EntryApp(
+            EntryOptions(
+                vm_id=f"entry-{number}",
+                failure_domain=f"domain-{number % 3}",
+                fleet_secret=FLEET_SECRET,
+                config_service=self.config_service.address,
+                vm_list=self.vm_list.address,
+                lease_lifetime_ms=300,
+                list_lag_ms=0,
+                pause_tolerance_ms=200,
+                tick_interval_ms=20,
+                load_poll_interval_ms=50,
+            )
+        )
 
     def publish(self) -> None:
-        """Give every app the lists of VMs and endpoints."""
+        """Publish the lists of VMs and endpoints."""
         vms = [
             PublishedVm(
                 vm_id=app.vm_id,
@@ -100,16 +126,15 @@
             for app in self.apps
         ]
         endpoints = [*map(engine_info, self.engines), service_info(self.booking)]
-        for app in self.apps:
-            app.view.offer_published(vms, endpoints)
+        self.vm_list.publish_vms(vms, endpoints)
 
     async def async_replace(self, number: int) -> None:
         """Kill an app and start another under the same VM's name."""
         await self.apps[number].async_stop(grace_ms=0)
-        self.apps[number] = new_app(number)
+        self.apps[number] = self._new_app(number)
         await self.apps[number].async_start()
-        self.apps[number].view.offer_settings(settings_document())
         self.publish()
+        await async_wait_until(lambda: self.apps[number].is_ready)
 
     async def async_post(
         self, path: str, value: Any, *, vm: int = 0, headers: dict[str, str] | None = None
@@ -152,24 +177,6 @@
         return answer.status, json.loads(await answer.async_read())
 
 
-def new_app(number: int) -> EntryApp:
-    """Return an app that does not listen yet."""
-    return EntryApp(
-        EntryOptions(
-            vm_id=f"entry-{number}",
-            failure_domain=f"domain-{number % 3}",
-            fleet_secret=FLEET_SECRET,
-            config_service="127.0.0.1:1",
-            vm_list="127.0.0.1:1",
-            lease_lifetime_ms=300,
-            list_lag_ms=0,
-            pause_tolerance_ms=200,
-            tick_interval_ms=20,
-            load_poll_interval_ms=50,
-        )
-    )
-
-
 def engine_info(engine: EngineStandin) -> EndpointInfo:
     """Return an engine as the platform publishes it."""
     return EndpointInfo(
