Learn service times and the time to an answer in admission

Cause: callers of the decider don't know how long a request will be in service, so fairness counted requests instead of time, and a deadline that is a target for the answer let requests start too late to meet it. Both are learned from starts, answers and ends; `answer_by_ms` and `answered` are optional. Pools are listed in a steady order, so that the same events give the same actions in every process.

--- a/packages/wagtailusher_admission/src/wagtailusher_admission/decider.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/decider.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Set
 
 from wagtailusher_admission.const import TIER_COUNT
 from wagtailusher_admission.entry import Entry, EntryState
@@ -22,7 +22,6 @@
         self._limits = limits or AdmissionLimits()
         self._pools: dict[PoolId, PoolQueue] = {}
         self._entries: dict[RequestId, Entry] = {}
-        self._local_quotas: dict[ClassKey, int] = {}
         self._order = 0
         self._deadlines: HandleHeap[Entry] = HandleHeap()
 
@@ -44,7 +43,7 @@
     def expire(self, now_ms: int) -> tuple[Refusal, ...]:
         """Refuse or move behind the others what can't meet its target any more."""
         refusals = []
-        while (entry := self._deadlines.peek()) and entry.request.deadline_ms < now_ms:
+        while (entry := self._deadlines.peek()) and entry.deadline_ms < now_ms:
             if entry.request.deadline_behaviour is DeadlineBehaviour.SERVE_LATE:
                 self._forget_deadline(entry)
                 self._pool(entry.request.pool_id).turn_late(entry)
@@ -55,7 +54,7 @@
     def next_expiry_ms(self) -> int | None:
         """Return when `expire` has something to do."""
         entry = self._deadlines.peek()
-        return None if entry is None else entry.request.deadline_ms + 1
+        return None if entry is None else entry.deadline_ms + 1
 
     def candidates(self, pool_id: PoolId, now_ms: int) -> Iterator[PendingRequest]:
         """Yield the requests that may start, in order of service."""
@@ -64,7 +63,7 @@
             return
         for entry in pool.in_order():
             request = entry.request
-            if request.deadline_ms >= now_ms or (
+            if entry.deadline_ms >= now_ms or (
                 request.deadline_behaviour is DeadlineBehaviour.SERVE_LATE
             ):
                 yield request
@@ -77,12 +76,19 @@
         self._forget_deadline(entry)
         self._pool(entry.request.pool_id).start(entry, now_ms)
 
+    def answered(self, request_id: RequestId, now_ms: int) -> None:
+        """Learn from the beginning of an answer; unknown requests are ignored."""
+        entry = self._entries.get(request_id)
+        if entry is not None and entry.state is EntryState.STARTED:
+            entry.holder.lead.add(now_ms - entry.started_ms)
+
     def finish(self, request_id: RequestId, now_ms: int) -> None:
         """End the service of a request."""
         entry = self._entries.get(request_id)
         if entry is None or entry.state is not EntryState.STARTED:
             raise UnknownRequestError(f"request {request_id} is not in service")
-        self._remove(entry)
+        del self._entries[request_id]
+        self._pool(entry.request.pool_id).finish(entry, now_ms)
 
     def withdraw(self, request_id: RequestId, now_ms: int) -> None:
         """Drop a request whose caller left, wherever it stands."""
@@ -90,6 +96,11 @@
         if entry is not None:
             self._remove(entry)
 
+    def mean_service_ms(self, pool_id: PoolId, key: ClassKey, tier: int) -> float | None:
+        """Return how long requests of a class are in service, or None before the first end."""
+        pool = self._pools.get(pool_id)
+        return None if pool is None else pool.mean_service_ms(key, tier)
+
     def demand(self, pool_id: PoolId) -> Mapping[int, int]:
         """Return the requests in service, or waiting and within quota, by tier."""
         pool = self._pools.get(pool_id)
@@ -105,9 +116,10 @@
         pool = self._pools.get(pool_id)
         return 0 if pool is None else pool.queued
 
-    def pools(self) -> frozenset[PoolId]:
-        """Return the pools for which a request waits or is in service."""
-        return frozenset(pool_id for pool_id, pool in self._pools.items() if not pool.is_idle())
+    def pools(self) -> Set[PoolId]:
+        """Return the pools for which a request waits or is in service, in a steady order."""
+        busy = (pool_id for pool_id, pool in self._pools.items() if not pool.is_idle())
+        return dict.fromkeys(busy).keys()
 
     def _enqueue(
         self, request: PendingRequest, order: int, now_ms: int, *, keeps_place: bool
@@ -117,7 +129,8 @@
             raise AdmissionError(f"tier {request.tier} is not one of {TIER_COUNT}")
         pool = self._pool(request.pool_id)
         holder = pool.class_of(request)
-        late = request.deadline_ms < now_ms
+        entry = Entry(request, order, holder, is_requeued=keeps_place)
+        late = entry.deadline_ms < now_ms
         if late and request.deadline_behaviour is DeadlineBehaviour.FAIL_FAST:
             return (self._refuse(request, ErrorCode.DEADLINE_UNREACHABLE),)
         if not keeps_place and len(holder.queued) >= max(1, request.queue_limit):
@@ -129,11 +142,10 @@
             if victim is None:
                 return (self._refuse(request, ErrorCode.SHED),)
             refusals = (self._drop(victim, ErrorCode.SHED),)
-        entry = Entry(request, order, holder, is_requeued=keeps_place)
         self._entries[request.request_id] = entry
         pool.insert(entry, EntryState.LATE if late else EntryState.IN_TIME)
         if not late:
-            entry.deadline_handle = self._deadlines.push(request.deadline_ms, order, entry)
+            entry.deadline_handle = self._deadlines.push(entry.deadline_ms, order, entry)
         return refusals
 
     def _drop(self, entry: Entry, code: ErrorCode) -> Refusal:
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/entry.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/entry.py
@@ -5,6 +5,8 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
+from wagtailusher_admission.const import DEFAULT_SERVICE_MS, LEAD_DEVIATIONS, MAX_LEAD_SHARE
+from wagtailusher_admission.estimate import TimeEstimate
 from wagtailusher_admission.heap import Handle
 from wagtailusher_admission.request import PendingRequest
 from wagtailusher_core import ClassKey, RequestId
@@ -25,7 +27,17 @@
 class Entry:
     """One request that the decider holds; `order` is its place in the order of arrival."""
 
-    __slots__ = ("deadline_handle", "handle", "holder", "is_requeued", "order", "request", "state")
+    __slots__ = (
+        "deadline_handle",
+        "deadline_ms",
+        "handle",
+        "holder",
+        "is_requeued",
+        "order",
+        "request",
+        "started_ms",
+        "state",
+    )
 
     def __init__(
         self, request: PendingRequest, order: int, holder: PoolClass, *, is_requeued: bool
@@ -36,6 +48,8 @@
         self.holder = holder
         self.is_requeued = is_requeued
         self.state = EntryState.GONE
+        self.deadline_ms = holder.deadline_ms(request)
+        self.started_ms = 0
         self.handle: Handle | None = None
         self.deadline_handle: Handle | None = None
 
@@ -56,10 +70,12 @@
         "is_open",
         "key",
         "late_lane",
+        "lead",
         "order",
         "queued",
         "quota",
         "rank_handle",
+        "service",
         "tier",
         "weight",
     )
@@ -74,6 +90,8 @@
         self.is_open = True
         self.queued: dict[RequestId, Entry] = {}
         self.in_service = 0
+        self.service = TimeEstimate()
+        self.lead = TimeEstimate()
         self.due_starts = due_starts
         self.due_handle: Handle | None = None
         self.rank_handle: Handle | None = None
@@ -90,6 +108,20 @@
         """Return the shared places held, for the class's weight."""
         return self.shared_places / self.weight
 
+    def cost_ms(self, request: PendingRequest) -> float:
+        """Return how long a request is expected to be in service."""
+        if request.expected_service_ms > 0:
+            return float(request.expected_service_ms)
+        return self.service.mean_ms if self.service.is_known else DEFAULT_SERVICE_MS
+
+    def deadline_ms(self, request: PendingRequest) -> int:
+        """Return the latest start on target; a part of the time is always left for waiting."""
+        if request.answer_by_ms is None:
+            return request.deadline_ms
+        lead_ms = self.lead.mean_ms + LEAD_DEVIATIONS * self.lead.deviation_ms
+        most_ms = MAX_LEAD_SHARE * (request.answer_by_ms - request.arrived_ms)
+        return min(request.deadline_ms, int(request.answer_by_ms - min(lead_ms, most_ms)))
+
     def newest(self) -> Entry | None:
         """Return the entry that came last, those that keep an earlier place excepted."""
         newest_first = reversed(self.queued.values())
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/fair_queue.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/fair_queue.py
@@ -76,10 +76,10 @@
 
     def add(self, lane: Lane, entry: Entry) -> None:
         """Add an entry to a lane."""
-        deadline_ms = entry.request.deadline_ms
+        deadline_ms = entry.deadline_ms
         entry.handle = lane.entries.push(deadline_ms, entry.order, entry)
         shown = lane.shown
-        if shown is None or (deadline_ms, entry.order) < (shown.request.deadline_ms, shown.order):
+        if shown is None or (deadline_ms, entry.order) < (shown.deadline_ms, shown.order):
             self.refresh(lane)
 
     def remove(self, lane: Lane, entry: Entry) -> None:
@@ -106,7 +106,7 @@
         """Advance the workspace's tag for the start of an entry."""
         flow = lane.flow
         flow.weight = lane.holder.weight
-        flow.tag += max(MIN_COST_MS, entry.request.expected_service_ms) / flow.weight
+        flow.tag += max(MIN_COST_MS, lane.holder.cost_ms(entry.request)) / flow.weight
         self._place_flow(flow)
 
     def head(self) -> Entry | None:
@@ -148,7 +148,7 @@
             lane.handle = None
         entry = lane.shown
         if entry is not None and lane.flow.is_eligible:
-            lane.handle = self._eligible.push(entry.request.deadline_ms, entry.order, lane)
+            lane.handle = self._eligible.push(entry.deadline_ms, entry.order, lane)
 
     def _start_round(self) -> Lane | None:
         """Move the virtual time to the least tag; return the first of the newly eligible."""
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/pool.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/pool.py
@@ -93,6 +93,7 @@
         out_of_turn = self._shares.overdue() is holder and self._head() is not entry
         tier.charge(entry)
         self.remove(entry, EntryState.STARTED)
+        entry.started_ms = now_ms
         tier.in_service += 1
         holder.in_service += 1
         self._apply_quota(holder)
@@ -135,6 +136,18 @@
         entries = chain.from_iterable(queue.in_order() for queue in queues)
         yield from (entry for entry in entries if entry is not first)
 
+    def finish(self, entry: Entry, now_ms: int) -> None:
+        """End the service of an entry, and learn from its time."""
+        entry.holder.service.add(now_ms - entry.started_ms)
+        self.end_service(entry)
+
+    def mean_service_ms(self, key: ClassKey, tier: int) -> float | None:
+        """Return the learned time in service of a class."""
+        holder = self._classes.get((key, tier))
+        if holder is None or not holder.service.is_known:
+            return None
+        return holder.service.mean_ms
+
     def wait_ms(self, tier: int) -> float:
         """Return how long a new request of a tier would wait at the present rate."""
         ahead = sum(higher.queued for higher in self._tiers[: tier + 1])
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/request.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/request.py
@@ -19,7 +19,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PendingRequest:
-    """A request that waits for a start; `deadline_ms` is the latest start on target."""
+    """A request that waits for a start.
+
+    `deadline_ms` is the latest start that still meets the target. With `answer_by_ms`, by which
+    the answer has to begin, the time from a start to the answer is learned and taken off it; the
+    earlier of both deadlines holds.
+    """
 
     request_id: RequestId
     key: ClassKey
@@ -33,6 +38,7 @@
     queue_limit: int = DEFAULT_POOL_QUEUE_LIMIT
     in_flight_quota: int | None = None
     expected_service_ms: int = 0
+    answer_by_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/wagtailusher_admission/test_decider.py
+++ b/tests/wagtailusher_admission/test_decider.py
@@ -37,6 +37,8 @@
     quota: int | None = None,
     share: float = 0.0,
     weight: float = 1.0,
+    answer_by_ms: int | None = None,
+    expected_service_ms: int = 100,
 ) -> PendingRequest:
     """Return a request of a class that its tier names."""
     return PendingRequest(
@@ -50,7 +52,8 @@
         in_flight_quota=quota,
         share=share,
         weight=weight,
-        expected_service_ms=100,
+        expected_service_ms=expected_service_ms,
+        answer_by_ms=answer_by_ms,
     )
 
 
@@ -281,6 +284,53 @@
         self.assertEqual([model.start_first(11) for _ in range(3)], ["r3", "r1", "r2"])
 
 
+class LearningTest(unittest.TestCase):
+    """What is not told beforehand is learned from starts, answers and ends."""
+
+    def test_time_to_the_answer_is_taken_off_the_deadline(self) -> None:
+        model = Model(self, LIMITS)
+        for number in range(50):
+            model.offer(make_request(number, answer_by_ms=FAR_MS), number * 1_000)
+            started = model.start_first(number * 1_000)
+            assert started is not None
+            model.decider.answered(started, number * 1_000 + 300)
+            model.end(started, number * 1_000 + 900, withdraw=False)
+        model.offer(make_request(100, arrived_ms=100_000, answer_by_ms=101_000), 100_000)
+        self.assertEqual(model.decider.next_expiry_ms(), 101_000 - 300 + 1)
+        learned_ms = model.decider.mean_service_ms(POOL, make_request(0).key, 0)
+        assert learned_ms is not None
+        self.assertAlmostEqual(learned_ms, 900)
+
+    @given(lead_ms=st.integers(1_000, 10_000))
+    def test_slow_answers_leave_a_part_of_the_time_for_waiting(self, lead_ms: int) -> None:
+        model = Model(self, LIMITS)
+        model.offer(make_request(0, answer_by_ms=FAR_MS), 0)
+        model.decider.start(RequestId("r0"), 0)
+        model.decider.answered(RequestId("r0"), lead_ms)
+        refusals = model.decider.offer(
+            make_request(1, arrived_ms=20_000, answer_by_ms=21_000), 20_000
+        )
+        self.assertEqual(refusals, ())
+
+    def test_workspaces_share_time_rather_than_starts(self) -> None:
+        model = Model(self, AdmissionLimits(fairness_allowance_ms=0))
+        service_ms = {"slow": 1_000, "fast": 100}
+        starts: Counter[str] = Counter()
+        for number in range(440):
+            for workspace in service_ms:
+                held = sum(r.key.workspace_id == workspace for r in model.waiting.values())
+                if held < 2:
+                    name = number * 2 + (workspace == "fast") + 10_000 * held
+                    request = make_request(name, workspace=workspace, expected_service_ms=0)
+                    model.offer(request, number * 1_000)
+            started = model.start_first(number * 1_000)
+            assert started is not None
+            workspace = model.running[started].key.workspace_id
+            starts[workspace] += 1
+            model.end(started, number * 1_000 + service_ms[workspace], withdraw=False)
+        self.assertAlmostEqual(starts["fast"] / starts["slow"], 10, delta=1)
+
+
 class QuotaTest(unittest.TestCase):
     """A class at its quota waits without holding back others."""
 
