Add summaries: room and demand of all VMs, quota shares, address answers

Cause: quotas have to hold over many nodes without shared counters, and address answers must neither herd callers nor name leaving VMs.

Each VM gossips its room and its busiest classes. A share of a quota grows only after the claim behind it was published for a window; what nobody claims is divided evenly. Addresses are drawn by room, near ones first.

--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/summaries.py
@@ -0,0 +1,198 @@
+"""Measurements of summaries, quota shares and address answers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import asdict, dataclass
+from random import Random
+from statistics import mean
+from time import perf_counter
+
+from numpy import percentile
+
+from wagtailusher_bench.fleet.network import ChannelProfile, Network
+from wagtailusher_bench.fleet.places import make_places, publish
+from wagtailusher_bench.fleet.summary_node import SummaryNode
+from wagtailusher_core import ClassId, ClassKey, PoolId, VmId, WorkspaceId
+from wagtailusher_wire import ClassDemand, PoolDemand
+
+_QUOTA = 200
+_KEYS = tuple(ClassKey(WorkspaceId(f"workspace-{n:04d}"), ClassId("review")) for n in range(6))
+_STEP_MS = 1_000
+
+Answer = Callable[[SummaryNode, int], VmId]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaMeasure:
+    """How well shares keep to a quota while demand moves, and after."""
+
+    measure: str
+    nodes: int
+    loss: float
+    quota: int
+    most_while_moving: int
+    mean_while_moving: float
+    most_after: int
+    least_after: int
+    claim_window_ms: int
+    age_p50_ms: float
+    age_p99_ms: float
+    bytes_per_s: float
+    share_us: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AddressMeasure:
+    """How evenly callers that follow the answers fill the VMs."""
+
+    measure: str
+    nodes: int
+    answer: str
+    most_filled: float
+    mean_filled: float
+
+
+class SummaryFleet:
+    """A network of nodes that publish summaries."""
+
+    def __init__(self, size: int, *, seed: int, loss: float) -> None:
+        """Start all nodes."""
+        self.network = Network(seed=seed, profile=ChannelProfile(loss=loss), sample_every=7)
+        places = make_places(size)
+        published = publish(places)
+        self.nodes = [
+            SummaryNode(place, published=published, seed=seed * 10_000 + index)
+            for index, place in enumerate(places)
+        ]
+        for node in self.nodes:
+            self.network.start(node)
+
+    def run(self, time_ms: int) -> None:
+        """Let time pass."""
+        self.network.run_until(self.network.now_ms + time_ms)
+
+
+def set_demand(node: SummaryNode, claims: dict[ClassKey, int]) -> None:
+    """Give a node requests of some classes."""
+    classes = tuple(
+        ClassDemand(workspace_id=key.workspace_id, class_id=key.class_id, queued=claim, in_flight=0)
+        for key, claim in claims.items()
+        if claim
+    )
+    total = sum(claims.values())
+    pool = PoolDemand(
+        pool_id=PoolId("model-a"),
+        queued_by_tier=(0, 0, total, 0, 0, 0, 0),
+        in_flight_by_tier=(0,) * 7,
+        classes=classes,
+    )
+    node.decider.set_demand((pool,))
+
+
+def measure_quota(size: int, *, seed: int, loss: float) -> QuotaMeasure:
+    """Return the sums of all nodes' shares while demand moves and after it rests."""
+    fleet = SummaryFleet(size, seed=seed, loss=loss)
+    rng = Random(seed)
+    moving: list[int] = []
+    window_ms = fleet.nodes[0].decider.claim_window_ms
+    for _ in range(120):
+        for node in rng.sample(fleet.nodes, max(1, size // 10)):
+            set_demand(node, {key: rng.choice((0, 0, 5, 40)) for key in _KEYS})
+        fleet.run(_STEP_MS)
+        moving.append(max(sum(_shares(fleet, key)) for key in _KEYS))
+    fleet.run(3 * window_ms)
+    fleet.network.traffic.reset()
+    start_ms = fleet.network.now_ms
+    resting: list[int] = []
+    for _ in range(10):
+        fleet.run(_STEP_MS)
+        resting += [sum(_shares(fleet, key)) for key in _KEYS]
+    start_s = perf_counter()
+    _shares(fleet, _KEYS[0])
+    share_us = (perf_counter() - start_s) * 1_000_000 / size
+    seconds = (fleet.network.now_ms - start_ms) / 1_000
+    ages = _ages(fleet)
+    return QuotaMeasure(
+        measure="quota_shares",
+        nodes=size,
+        loss=loss,
+        quota=_QUOTA,
+        most_while_moving=max(moving),
+        mean_while_moving=round(mean(moving), 1),
+        most_after=max(resting),
+        least_after=min(resting),
+        claim_window_ms=window_ms,
+        age_p50_ms=round(float(percentile(ages, 50)), 1),
+        age_p99_ms=round(float(percentile(ages, 99)), 1),
+        bytes_per_s=round(sum(fleet.network.traffic.bytes_by_node.values()) / size / seconds, 1),
+        share_us=round(share_us, 1),
+    )
+
+
+def measure_addresses(size: int, *, seed: int) -> Iterator[AddressMeasure]:
+    """Yield how full the fullest VM gets, for the drawn answers and for the emptiest VM."""
+    answers: dict[str, Answer] = {"drawn_by_room": _drawn, "most_room": _most_room}
+    for name, answer in answers.items():
+        fleet = SummaryFleet(size, seed=seed, loss=0.0)
+        rng = Random(seed)
+        rooms = {node.place.vm_id: rng.choice((100, 200, 400)) for node in fleet.nodes}
+        callers = sum(rooms.values()) // 20
+        filled: Counter[VmId] = Counter()
+        fleet_wide = 0.0
+        worst = 0.0
+        for _ in range(40):
+            for node in fleet.nodes:
+                vm_id = node.place.vm_id
+                node.decider.set_room(rooms[vm_id] - filled[vm_id])
+            fleet.run(_STEP_MS)
+            filled = Counter({vm_id: count * 9 // 10 for vm_id, count in filled.items()})
+            for _ in range(callers):
+                filled[answer(rng.choice(fleet.nodes), fleet.network.now_ms)] += 1
+            worst = max([worst, *(filled[vm_id] / room for vm_id, room in rooms.items())])
+            fleet_wide = max(fleet_wide, sum(filled.values()) / sum(rooms.values()))
+        yield AddressMeasure(
+            measure="address_answers",
+            nodes=size,
+            answer=name,
+            most_filled=round(worst, 3),
+            mean_filled=round(fleet_wide, 3),
+        )
+
+
+def measure_summaries(sizes: list[int], *, seed: int, loss: float) -> Iterator[dict[str, object]]:
+    """Yield every measurement of summaries, one object each."""
+    for size in sizes:
+        yield asdict(measure_quota(size, seed=seed, loss=loss))
+        for measure in measure_addresses(size, seed=seed):
+            yield asdict(measure)
+
+
+def _shares(fleet: SummaryFleet, key: ClassKey) -> list[int]:
+    """Return every node's share of a class."""
+    now_ms = fleet.network.now_ms
+    return [node.decider.quota_share(key, _QUOTA, now_ms) for node in fleet.nodes]
+
+
+def _ages(fleet: SummaryFleet) -> list[int]:
+    """Return the ages of every node's view of every other; unknown ones as a whole lifetime."""
+    now_ms = fleet.network.now_ms
+    ages = [
+        node.decider.age_ms(other.place.vm_id, now_ms)
+        for node in fleet.nodes[:40]
+        for other in fleet.nodes
+        if other is not node
+    ]
+    return [60_000 if age is None else age for age in ages]
+
+
+def _drawn(node: SummaryNode, now_ms: int) -> VmId:
+    """Return the first address of the decider's answer."""
+    return node.decider.addresses(now_ms, node.place.failure_domain_id, 3)[0].vm_id
+
+
+def _most_room(node: SummaryNode, now_ms: int) -> VmId:
+    """Return the VM with the most room in the answering node's view."""
+    rooms = node.decider.rooms(now_ms)
+    return max(rooms, key=lambda room: (room.room, room.vm_id)).vm_id
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/summary_node.py
@@ -0,0 +1,45 @@
+"""A node of the network that runs summaries only, with members from the list."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from wagtailusher_bench.fleet.network import Outgoing, Place
+from wagtailusher_core import Incarnation, PublishedVm, VmId
+from wagtailusher_membership import SummaryDecider
+from wagtailusher_membership.table import MemberTable
+from wagtailusher_wire import Message
+
+
+class SummaryNode:
+    """Runs a summary decider."""
+
+    def __init__(self, place: Place, *, published: Iterable[PublishedVm], seed: int) -> None:
+        """Start a process at a place."""
+        self.place = place
+        table = MemberTable(max_members=2_048, buckets=1)
+        for _ in table.publish(published, 0):
+            pass
+        self.decider = SummaryDecider(
+            vm_id=place.vm_id,
+            failure_domain_id=place.failure_domain_id,
+            incarnation=Incarnation(1),
+            members=table.view,
+            seed=seed,
+        )
+
+    def tick(self, now_ms: int) -> Iterator[Outgoing]:
+        """Do what is due."""
+        for effect in self.decider.tick(now_ms):
+            yield Outgoing(address=effect.address, message=effect.message)
+
+    def receive(
+        self, message: Message, now_ms: int, sender: VmId, address: str
+    ) -> Iterator[Outgoing]:
+        """Take a message in."""
+        for effect in self.decider.handle(message, now_ms, sender=sender, address=address):
+            yield Outgoing(address=effect.address, message=effect.message)
+
+    def next_due_ms(self, now_ms: int) -> int:
+        """Return when to tick next."""
+        return self.decider.next_due_ms(now_ms)
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/__init__.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wagtailusher_membership.address_answers import AddressChoice
 from wagtailusher_membership.configuration import ConfigurationDecider
 from wagtailusher_membership.configuration_effects import (
     Apply,
@@ -24,9 +25,11 @@
 )
 from wagtailusher_membership.limits import MembershipLimits
 from wagtailusher_membership.member import Member
+from wagtailusher_membership.summaries import FleetDemand, SummaryDecider, SummaryLimits
 from wagtailusher_membership.verdicts import Validate
 
 __all__ = [
+    "AddressChoice",
     "Apply",
     "ConfigurationConflict",
     "ConfigurationDecider",
@@ -35,6 +38,7 @@
     "ConfigurationRefused",
     "Effect",
     "Fetch",
+    "FleetDemand",
     "Member",
     "MemberChanged",
     "MembershipDecider",
@@ -44,6 +48,8 @@
     "Send",
     "ServiceBehind",
     "Settled",
+    "SummaryDecider",
+    "SummaryLimits",
     "Superseded",
     "Validate",
 ]
--- /dev/null
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
@@ -0,0 +1,332 @@
+"""Summaries of room and demand of all VMs, and what follows from them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from random import Random
+from statistics import median
+
+from wagtailusher_core import ClassKey, FailureDomainId, Incarnation, PoolId, VmId
+from wagtailusher_membership.address_answers import AddressChoice, WeighedAddress, draw_addresses
+from wagtailusher_membership.apportion import apportion, base_share
+from wagtailusher_membership.const import (
+    DEFAULT_CLAIM_WINDOW_MS,
+    DEFAULT_CLAIM_WINDOW_PER_VM_MS,
+    DEFAULT_NEAR_WEIGHT,
+    DEFAULT_ROOM_HALF_LIFE_MS,
+    DEFAULT_SUMMARY_BYTES,
+    DEFAULT_SUMMARY_CLASSES,
+    DEFAULT_SUMMARY_FANOUT,
+    DEFAULT_SUMMARY_INTERVAL_MS,
+    DEFAULT_SUMMARY_LIFETIME_MS,
+    DEFAULT_SUMMARY_POOLS,
+    DEFAULT_SUMMARY_ROOMS_BYTES,
+)
+from wagtailusher_membership.effects import Send
+from wagtailusher_membership.member import Member
+from wagtailusher_membership.own_claims import OwnClaims
+from wagtailusher_membership.probes import sample
+from wagtailusher_membership.summary_size import bound_pools, take_demands, take_rooms
+from wagtailusher_membership.summary_view import Aged, ClaimIndex, LatestSummaries, SummaryT
+from wagtailusher_wire import DemandSummary, Message, PoolDemand, RoomSummary, SummaryGossip
+
+_NO_SENDER = VmId("")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SummaryLimits:
+    """How often and how much is told, and how long it is believed."""
+
+    interval_ms: int = DEFAULT_SUMMARY_INTERVAL_MS
+    fanout: int = DEFAULT_SUMMARY_FANOUT
+    max_bytes: int = DEFAULT_SUMMARY_BYTES
+    rooms_bytes: int = DEFAULT_SUMMARY_ROOMS_BYTES
+    max_classes: int = DEFAULT_SUMMARY_CLASSES
+    max_pools: int = DEFAULT_SUMMARY_POOLS
+    lifetime_ms: int = DEFAULT_SUMMARY_LIFETIME_MS
+    claim_window_ms: int = DEFAULT_CLAIM_WINDOW_MS
+    claim_window_per_vm_ms: int = DEFAULT_CLAIM_WINDOW_PER_VM_MS
+    near_weight: float = DEFAULT_NEAR_WEIGHT
+    room_half_life_ms: int = DEFAULT_ROOM_HALF_LIFE_MS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetDemand:
+    """Requests for one pool at all VMs, by tier."""
+
+    queued_by_tier: tuple[int, ...]
+    in_flight_by_tier: tuple[int, ...]
+
+
+class SummaryDecider:
+    """Publishes this VM's summary, merges the others', and divides quotas by them.
+
+    A share grows only after the claim behind it was published for a window in which the other
+    VMs come to know it, and shrinks at once; what nobody claims is divided evenly over the
+    platform's list. The shares add up to the quota at most once views agree. While they differ,
+    but none is older than the window, the sum stays under twice the quota.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: VmId,
+        failure_domain_id: FailureDomainId,
+        incarnation: Incarnation,
+        members: Mapping[VmId, Member],
+        seed: int,
+        limits: SummaryLimits | None = None,
+    ) -> None:
+        """Start with an empty summary; the members are a live view."""
+        self._vm_id = vm_id
+        self._failure_domain_id = failure_domain_id
+        self._incarnation = incarnation
+        self._members = members
+        self._limits = limits or SummaryLimits()
+        self._rng = Random(seed)
+        self._rooms: LatestSummaries[RoomSummary] = LatestSummaries()
+        self._demands: LatestSummaries[DemandSummary] = LatestSummaries()
+        self._claims = ClaimIndex()
+        self._own_claims = OwnClaims()
+        self._handed_out: dict[VmId, int] = {}
+        self._room = 0
+        self._pools: tuple[PoolDemand, ...] = ()
+        self._sequence = 0
+        self._next_ms = 0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return this process's incarnation."""
+        return self._incarnation
+
+    @property
+    def claim_window_ms(self) -> int:
+        """Return how long a claim is published before a share grows with it."""
+        limits = self._limits
+        return limits.claim_window_ms + limits.claim_window_per_vm_ms * len(self._members)
+
+    def set_room(self, room: int) -> None:
+        """Set how many more requests this VM can take."""
+        self._room = max(0, room)
+
+    def set_demand(self, pools: Iterable[PoolDemand]) -> None:
+        """Set this VM's demand; classes without a quota may be left out."""
+        limits = self._limits
+        self._pools = bound_pools(
+            pools,
+            max_pools=limits.max_pools,
+            max_classes=limits.max_classes,
+            max_bytes=limits.max_bytes - limits.rooms_bytes,
+        )
+
+    def next_due_ms(self, now_ms: int) -> int:
+        """Return when to tick next."""
+        return max(now_ms, self._next_ms)
+
+    def tick(self, now_ms: int) -> tuple[Send, ...]:
+        """Publish what is due."""
+        if now_ms < self._next_ms:
+            return ()
+        self._next_ms = now_ms + self._limits.interval_ms
+        self._forget(now_ms)
+        self._publish(now_ms)
+        targets = sample(
+            self._rng, self._members, self._limits.fanout, excluded=frozenset((self._vm_id,))
+        )
+        return tuple(
+            Send(vm_id=member.vm_id, address=member.peer_address, message=self._gossip(now_ms))
+            for member in targets
+        )
+
+    def handle(
+        self, message: Message, now_ms: int, *, sender: VmId = _NO_SENDER, address: str = ""
+    ) -> tuple[Send, ...]:
+        """Merge other VMs' summaries."""
+        if isinstance(message, SummaryGossip):
+            for room in message.rooms:
+                if room.vm_id != self._vm_id and self._rooms.merge(room, now_ms):
+                    self._handed_out.pop(room.vm_id, None)
+            for demand in message.demands:
+                if demand.vm_id != self._vm_id and self._demands.merge(demand, now_ms):
+                    self._claims.put(demand)
+        return ()
+
+    def age_ms(self, vm_id: VmId, now_ms: int) -> int | None:
+        """Return the age of a VM's demand as known here."""
+        entry = self._demands.get(vm_id)
+        return None if entry is None else now_ms - entry.true_at_ms
+
+    def rooms(self, now_ms: int) -> tuple[RoomSummary, ...]:
+        """Return every known VM's room."""
+        return tuple(entry.current(now_ms) for entry in self._rooms.values())
+
+    def fleet_demand(self, pool_id: PoolId, now_ms: int) -> FleetDemand:
+        """Return the demand for a pool at all VMs that told of it lately."""
+        pools = [
+            pool
+            for entry in self._demands.values()
+            if now_ms - entry.true_at_ms < self._limits.lifetime_ms
+            for pool in entry.summary.pools
+            if pool.pool_id == pool_id
+        ]
+        return FleetDemand(
+            queued_by_tier=_add(pool.queued_by_tier for pool in pools),
+            in_flight_by_tier=_add(pool.in_flight_by_tier for pool in pools),
+        )
+
+    def quota_share(self, class_key: ClassKey, quota: int, now_ms: int) -> int:
+        """Return how many requests of a class this VM may have in flight."""
+        name = "\0".join(class_key)
+        settled = self._own_claims.settled(class_key, now_ms, self.claim_window_ms)
+        claims = self._other_claims(class_key, now_ms)
+        if settled:
+            claims[self._vm_id] = settled
+        unclaimed = max(0, quota - sum(claims.values()))
+        share = apportion(name, quota, claims).get(self._vm_id, 0)
+        return share + base_share(name, unclaimed, self._vm_id, self._listed())
+
+    def quota_holders(self, class_key: ClassKey, quota: int, now_ms: int) -> tuple[VmId, ...]:
+        """Return other VMs that have a share now, the largest first; for a request to go to."""
+        name = "\0".join(class_key)
+        claims = self._other_claims(class_key, now_ms)
+        shares = apportion(name, quota, claims) if claims else {}
+        takers = [vm_id for vm_id, share in shares.items() if share and self._takes_work(vm_id)]
+        return tuple(sorted(takers, key=lambda vm_id: (-shares[vm_id], vm_id)))
+
+    def addresses(
+        self, now_ms: int, near_domain: FailureDomainId, count: int
+    ) -> tuple[AddressChoice, ...]:
+        """Return entry VMs for a caller, by room, near ones first, leaving ones never."""
+        candidates = self._weighed(now_ms, near_domain)
+        chosen = draw_addresses(candidates, count, near_domain, self._rng)
+        for choice in chosen[:1]:
+            self._handed_out[choice.vm_id] = self._handed_out.get(choice.vm_id, 0) + 1
+        return chosen
+
+    def _publish(self, now_ms: int) -> None:
+        """Take this VM's own summary in."""
+        self._sequence += 1
+        own = self._members.get(self._vm_id)
+        self._rooms.merge(
+            RoomSummary(
+                vm_id=self._vm_id,
+                incarnation=self._incarnation,
+                sequence=self._sequence,
+                age_ms=0,
+                room=self._room,
+                leaving=own is not None and own.leaving,
+            ),
+            now_ms,
+        )
+        demand = DemandSummary(
+            vm_id=self._vm_id,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            age_ms=0,
+            pools=self._pools,
+        )
+        self._demands.merge(demand, now_ms)
+        self._own_claims.publish(demand, now_ms)
+        self._handed_out.pop(self._vm_id, None)
+
+    def _gossip(self, now_ms: int) -> SummaryGossip:
+        """Return one datagram's summaries: the own, then a random part of the others."""
+        limits = self._limits
+        rooms = take_rooms(self._mixed(self._rooms, now_ms), limits.rooms_bytes)
+        demands = take_demands(
+            self._mixed(self._demands, now_ms), limits.max_bytes - limits.rooms_bytes
+        )
+        return SummaryGossip(rooms=tuple(rooms), demands=tuple(demands))
+
+    def _mixed(self, summaries: LatestSummaries[SummaryT], now_ms: int) -> Iterator[SummaryT]:
+        """Yield the own summary, then others in a random order that favours the young."""
+        order: list[tuple[float, SummaryT]] = []
+        for entry in summaries.values():
+            summary = entry.current(now_ms)
+            is_own = summary.vm_id == self._vm_id
+            order.append((-1.0 if is_own else summary.age_ms * self._rng.random(), summary))
+        order.sort(key=lambda pair: pair[0])
+        return (summary for _, summary in order)
+
+    def _forget(self, now_ms: int) -> None:
+        """Forget summaries that are too old or of VMs that are gone."""
+        for vm_id in self._rooms.names():
+            if self._is_forgotten(vm_id, self._rooms.get(vm_id), now_ms):
+                self._rooms.remove(vm_id)
+        for vm_id in self._demands.names():
+            if self._is_forgotten(vm_id, self._demands.get(vm_id), now_ms):
+                self._demands.remove(vm_id)
+                self._claims.remove(vm_id)
+
+    def _is_forgotten(self, vm_id: VmId, entry: Aged[SummaryT] | None, now_ms: int) -> bool:
+        """Return whether a summary isn't worth keeping."""
+        if vm_id == self._vm_id or entry is None:
+            return False
+        member = self._members.get(vm_id)
+        is_gone = member is not None and member.gone
+        return is_gone or now_ms - entry.true_at_ms >= self._limits.lifetime_ms
+
+    def _listed(self) -> list[VmId]:
+        """Return the VMs of the platform's list."""
+        return [member.vm_id for member in self._members.values() if member.listed]
+
+    def _takes_work(self, vm_id: VmId) -> bool:
+        """Return whether a VM is believed to take new work."""
+        member = self._members.get(vm_id)
+        return member is not None and member.takes_work
+
+    def _other_claims(self, class_key: ClassKey, now_ms: int) -> dict[VmId, int]:
+        """Return the other VMs' claims; one told too long ago counts as the mean at least."""
+        claims = {
+            vm_id: claim
+            for vm_id, claim in self._claims.of(class_key).items()
+            if vm_id != self._vm_id and claim > 0
+        }
+        if not claims:
+            return claims
+        mean = sum(claims.values()) // len(claims)
+        oldest_ms = now_ms - self.claim_window_ms
+        return {
+            vm_id: max(claim, mean) if self._told_before(vm_id, oldest_ms) else claim
+            for vm_id, claim in claims.items()
+        }
+
+    def _told_before(self, vm_id: VmId, time_ms: int) -> bool:
+        """Return whether a VM's demand is older than a time."""
+        entry = self._demands.get(vm_id)
+        return entry is None or entry.true_at_ms < time_ms
+
+    def _weighed(self, now_ms: int, near: FailureDomainId) -> Iterator[WeighedAddress]:
+        """Yield every VM that takes work with its weight."""
+        known = [entry.summary.room for entry in self._rooms.values()]
+        typical = median(known) if known else 1.0
+        for member in self._members.values():
+            entry = self._rooms.get(member.vm_id)
+            if not member.takes_work or (entry is not None and entry.summary.leaving):
+                continue
+            room, age_ms = float(typical), 0
+            if entry is not None:
+                room, age_ms = float(entry.summary.room), now_ms - entry.true_at_ms
+            room = max(0.0, room - self._handed_out.get(member.vm_id, 0))
+            trust = 0.5 ** (max(0, age_ms) / self._limits.room_half_life_ms)
+            weight = trust * room + (1 - trust) * min(room, float(typical))
+            is_near = member.failure_domain_id == near
+            yield WeighedAddress(
+                choice=AddressChoice(
+                    vm_id=member.vm_id,
+                    address=member.address,
+                    failure_domain_id=member.failure_domain_id,
+                ),
+                weight=weight * (self._limits.near_weight if is_near else 1.0),
+            )
+
+
+def _add(rows: Iterable[tuple[int, ...]]) -> tuple[int, ...]:
+    """Return the sums by place; rows may differ in length."""
+    sums: list[int] = []
+    for row in rows:
+        sums.extend([0] * (len(row) - len(sums)))
+        for index, value in enumerate(row):
+            sums[index] += value
+    return tuple(sums)
--- /dev/null
+++ b/tests/wagtailusher_membership/test_summaries.py
@@ -0,0 +1,157 @@
+"""Tests of summaries, quota shares and address answers."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wagtailusher_bench.fleet.network import Place
+from wagtailusher_bench.fleet.places import make_places, publish
+from wagtailusher_bench.fleet.summaries import SummaryFleet, set_demand
+from wagtailusher_bench.fleet.summary_node import SummaryNode
+from wagtailusher_core import ClassId, ClassKey, PoolId, VmId, WorkspaceId
+from wagtailusher_membership.apportion import apportion, base_share
+from wagtailusher_wire import (
+    MAX_PAYLOAD_BYTES,
+    ClassDemand,
+    PoolDemand,
+    RoomSummary,
+    SummaryGossip,
+    encode,
+)
+
+_KEY = ClassKey(WorkspaceId("w"), ClassId("c"))
+_NAMES = [VmId(f"vm-{index}") for index in range(12)]
+_CLAIMS = st.dictionaries(st.sampled_from(_NAMES), st.integers(1, 10**6))
+
+
+class ApportionTest(TestCase):
+    """Shares add up."""
+
+    @given(_CLAIMS, st.integers(0, 10**6))
+    def test_shares_add_up_to_the_quota_or_all_claims(
+        self, claims: dict[VmId, int], quota: int
+    ) -> None:
+        shares = apportion("key", quota, claims)
+        self.assertEqual(sum(shares.values()), min(quota, sum(claims.values())))
+        self.assertTrue(all(shares[vm_id] <= claims[vm_id] for vm_id in claims))
+
+    @given(st.integers(0, 10**6), st.sets(st.sampled_from(_NAMES), min_size=1))
+    def test_even_division_adds_up(self, quota: int, names: set[VmId]) -> None:
+        parts = [base_share("key", quota, name, names) for name in names]
+        self.assertEqual(sum(parts), quota)
+        self.assertLessEqual(max(parts) - min(parts), 1)
+
+
+def _shares(fleet: SummaryFleet, quota: int) -> list[int]:
+    """Return every node's share."""
+    now_ms = fleet.network.now_ms
+    return [node.decider.quota_share(_KEY, quota, now_ms) for node in fleet.nodes]
+
+
+class QuotaTest(TestCase):
+    """Shares follow demand, and their sum is bounded."""
+
+    def test_shares_follow_demand_and_keep_to_the_quota(self) -> None:
+        fleet = SummaryFleet(9, seed=1, loss=0.1)
+        self.assertEqual(sum(_shares(fleet, 30)), 30)
+        set_demand(fleet.nodes[0], {_KEY: 60})
+        set_demand(fleet.nodes[1], {_KEY: 30})
+        for _ in range(60):
+            fleet.run(500)
+            self.assertLessEqual(sum(_shares(fleet, 30)), 60)
+        self.assertEqual(_shares(fleet, 30)[:3], [20, 10, 0])
+        self.assertEqual(sum(_shares(fleet, 30)), 30)
+        self.assertEqual(
+            fleet.nodes[4].decider.quota_holders(_KEY, 30, fleet.network.now_ms),
+            (fleet.nodes[0].place.vm_id, fleet.nodes[1].place.vm_id),
+        )
+
+    def test_partition_stays_under_twice_the_quota_and_recovers(self) -> None:
+        fleet = SummaryFleet(9, seed=2, loss=0.0)
+        fleet.network.blocked = lambda a, b: (a.region == 0) != (b.region == 0)
+        for node in fleet.nodes:
+            set_demand(node, {_KEY: 50})
+        fleet.run(90_000)
+        self.assertLessEqual(sum(_shares(fleet, 30)), 60)
+        fleet.network.blocked = lambda a, b: False
+        fleet.run(60_000)
+        self.assertEqual(sum(_shares(fleet, 30)), 30)
+
+
+def _node(place: Place, places: list[Place]) -> SummaryNode:
+    """Return a node that knows a fleet."""
+    return SummaryNode(place, published=publish(places), seed=3)
+
+
+class AddressTest(TestCase):
+    """Answers name VMs by room, near ones first, leaving and full ones not."""
+
+    def test_weighted_by_room_near_first_never_leaving(self) -> None:
+        places = make_places(9)
+        node = _node(places[0], places)
+        rooms = tuple(
+            RoomSummary(
+                vm_id=place.vm_id,
+                incarnation=node.decider.incarnation,
+                sequence=1,
+                age_ms=0,
+                room=(0, 10_000, 30_000)[index % 3],
+                leaving=index == 5,
+            )
+            for index, place in enumerate(places)
+        )
+        node.decider.handle(SummaryGossip(rooms=rooms), 0)
+        near = places[1].failure_domain_id
+        answers = [node.decider.addresses(0, near, 3) for _ in range(400)]
+        names = [choice.vm_id for answer in answers for choice in answer]
+        self.assertNotIn(places[5].vm_id, names)
+        self.assertNotIn(places[3].vm_id, names)
+        for answer in answers:
+            self.assertEqual(len({choice.vm_id for choice in answer}), 3)
+            order = [choice.failure_domain_id != near for choice in answer]
+            self.assertEqual(order, sorted(order))
+        self.assertGreater(names.count(places[2].vm_id), names.count(places[4].vm_id))
+
+    def test_names_somebody_when_all_are_full(self) -> None:
+        places = make_places(3)
+        node = _node(places[0], places)
+        node.decider.set_room(0)
+        node.decider.tick(0)
+        answer = node.decider.addresses(0, places[0].failure_domain_id, 3)
+        self.assertEqual(len(answer), 3)
+
+
+class SizeTest(TestCase):
+    """Datagrams stay small whatever the names and numbers."""
+
+    @given(st.integers(1, 64), st.integers(0, 2**31), st.integers(0, 40))
+    def test_gossip_fits_a_datagram(self, length: int, number: int, classes: int) -> None:
+        place = make_places(1)[0]
+        node = SummaryNode(place, published=publish(make_places(60)), seed=4)
+        pools = [
+            PoolDemand(
+                pool_id=PoolId(f"{pool:0{length}d}"),
+                queued_by_tier=(number,) * 7,
+                in_flight_by_tier=(number,) * 7,
+                classes=tuple(
+                    ClassDemand(
+                        workspace_id=WorkspaceId(f"{index:0{length}d}"),
+                        class_id=ClassId(f"{index:0{length}d}"),
+                        queued=number,
+                        in_flight=number + index,
+                    )
+                    for index in range(classes)
+                ),
+            )
+            for pool in range(3)
+        ]
+        node.decider.set_room(number)
+        node.decider.set_demand(pools)
+        for outgoing in node.tick(number):
+            gossip = outgoing.message
+            self.assertLessEqual(len(encode(gossip)), MAX_PAYLOAD_BYTES)
+            assert isinstance(gossip, SummaryGossip)
+            self.assertEqual([demand.vm_id for demand in gossip.demands], [place.vm_id])
