Add the caller's client and a demonstration with separate processes

Cause: nothing ran with daemons as processes and a caller that retries. Found on the way: a leaving VM answered a repeated booking "draining, not run" without a look at what an earlier attempt did; it now looks the ticket up first.

--- /dev/null
+++ b/packages/wagtailusher_client/src/wagtailusher_client/__init__.py
@@ -0,0 +1,24 @@
+"""A caller's client: addresses, tickets and retries."""
+
+from __future__ import annotations
+
+from wagtailusher_client.client import CallerClient
+from wagtailusher_client.errors import (
+    BrokenAnswerError,
+    CallerError,
+    NoAddressError,
+    RefusedError,
+    UnknownOutcomeError,
+)
+from wagtailusher_client.models import Answer, ClientLimits
+
+__all__ = [
+    "Answer",
+    "BrokenAnswerError",
+    "CallerClient",
+    "CallerError",
+    "ClientLimits",
+    "NoAddressError",
+    "RefusedError",
+    "UnknownOutcomeError",
+]
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -130,6 +130,13 @@
         assert self.caller_server is not None
         return f"{host}:{self.caller_server.port}"
 
+    @property
+    def operator_address(self) -> str:
+        """Return the address for operators."""
+        host, _, _ = self.options.operator_listen.rpartition(":")
+        assert self.operator_server is not None
+        return f"{host}:{self.operator_server.port}"
+
     @property
     def is_ready(self) -> bool:
         """Tell whether requests are taken."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import signal
 import sys
@@ -44,7 +45,8 @@
     """Run the entry daemon on one VM.
 
     Each flag may be set as an environment variable instead: WAGTAILUSHER_VM_ID for --vm-id and
-    so on. A flag wins over its variable.
+    so on. A flag wins over its variable. Once it listens, the daemon prints its addresses as one
+    JSON object.
 
     :param vm_id: this VM's name in the platform's list (required)
     :param failure_domain: the failure domain of this VM (required)
@@ -87,11 +89,24 @@
     except OSError as err:
         _LOGGER.error("Daemon: can't listen: %s", err)
         return EXIT_USAGE
+    _announce(app)
     await app.stopping.wait()
     _LOGGER.info("Daemon: %s is leaving", app.vm_id)
     return 0 if await app.async_stop() else EXIT_UNCLEAN
 
 
+def _announce(app: EntryApp) -> None:
+    """Print the addresses that are in use as one JSON object."""
+    value = {
+        "vm_id": app.vm_id,
+        "failure_domain": app.options.failure_domain,
+        "address": app.address,
+        "peer_address": app.peer_address,
+        "operator_address": app.operator_address,
+    }
+    print(json.dumps(value), flush=True)  # noqa: T201
+
+
 def main() -> None:
     """Run the command line."""
-    defopt.run(entry)
+    defopt.run(entry, show_defaults=False)
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -10,7 +10,6 @@
 from wagtailusher_core import (
     ErrorCode,
     FailureDomainId,
-    Outcome,
     PoolId,
     PublishedVm,
     RequestId,
@@ -127,36 +126,32 @@
     # Requests.
 
     def arrive(self, arrival: Arrival, now_ms: int) -> tuple[Action, ...]:
-        """Take a classified request."""
-        refusal = self._refuse_at_once(arrival, now_ms)
-        if refusal is not None:
-            return (refusal,)
+        """Take a classified request.
+
+        A request that may not be repeated is first looked up, since an earlier attempt of it may
+        have run: only then is a refusal true.
+        """
         flight = Flight(arrival=arrival, pending=_pending_of(arrival, now_ms))
         if not arrival.policy.repeatable:
             answered = self._gate.submit(flight, now_ms)
             if answered is not None:
                 return answered
+        code = self._reason_to_refuse(arrival, now_ms)
+        if code is not None:
+            return self._drop(flight, code, now_ms, DEFAULT_RETRY_AFTER_MS)
         self._flights[flight.request_id] = flight
         refusals = self._admission.offer(flight.pending, now_ms)
         actions = list(self._refuse_all(refusals, now_ms))
         actions.extend(self._pump(arrival.pool_id, now_ms))
         return tuple(actions)
 
-    def _refuse_at_once(self, arrival: Arrival, now_ms: int) -> Refuse | None:
-        """Return the refusal of a request that this node takes in no case."""
-        code: ErrorCode | None = None
-        if self._draining and arrival.forwarded_from is None:
-            code = ErrorCode.DRAINING
-        elif self._quarantine.is_quarantined(arrival.fingerprint, now_ms):
-            code = ErrorCode.QUARANTINED
-        if code is None:
-            return None
-        return Refuse(
-            request_id=arrival.request_id,
-            code=code,
-            outcome=Outcome.NOT_RUN,
-            retry_after_ms=DEFAULT_RETRY_AFTER_MS if code is ErrorCode.DRAINING else None,
-        )
+    def _reason_to_refuse(self, arrival: Arrival, now_ms: int) -> ErrorCode | None:
+        """Return why this node takes a new request in no case."""
+        if self._draining:
+            return ErrorCode.DRAINING
+        if self._quarantine.is_quarantined(arrival.fingerprint, now_ms):
+            return ErrorCode.QUARANTINED
+        return None
 
     def may_send(self, request_id: RequestId, now_ms: int) -> bool:
         """Tell whether a dispatched request may go out; ask right before its first byte.
--- /dev/null
+++ b/tests/demo/load.py
@@ -0,0 +1,156 @@
+"""A mixed load of classes, and what became of each request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+import json
+from random import Random
+
+from wagtailusher_client import (
+    BrokenAnswerError,
+    CallerClient,
+    CallerError,
+    RefusedError,
+    UnknownOutcomeError,
+)
+from wagtailusher_core import Outcome
+
+MS_PER_S = 1000
+END_MARKER = b"data: [DONE]\n\n"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadClass:
+    """One class of the load."""
+
+    name: str
+    target_ms: int
+    interval_ms: int
+    tokens: int = 8
+
+
+@dataclass(slots=True, kw_only=True)
+class Tally:
+    """What became of one class's requests."""
+
+    sent: int = 0
+    on_target: int = 0
+    late: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    broken: int = 0
+    lost: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Ledger:
+    """All tallies, and what callers were told about each booking."""
+
+    tallies: dict[str, Tally] = field(default_factory=lambda: defaultdict(Tally))
+    told: dict[str, Outcome] = field(default_factory=dict)
+
+
+class Load:
+    """Sends requests at random intervals until it is stopped."""
+
+    def __init__(
+        self, client: CallerClient, classes: tuple[LoadClass, ...], model: str, seed: int
+    ) -> None:
+        """Prepare a load."""
+        self._client = client
+        self._classes = classes
+        self._model = model
+        self._generator = Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.ledger = Ledger()
+
+    async def async_run(self, duration_ms: int) -> None:
+        """Send for a while and wait for the answers."""
+        senders = (self._async_send_class(item, duration_ms) for item in self._classes)
+        await asyncio.gather(*senders)
+        await asyncio.gather(*self._tasks)
+
+    async def _async_send_class(self, load_class: LoadClass, duration_ms: int) -> None:
+        """Send one class's requests."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + duration_ms / MS_PER_S
+        number = 0
+        while loop.time() < ends_at:
+            number += 1
+            name = f"{load_class.name}-{number}"
+            task = asyncio.create_task(self._async_request(load_class, name))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            pause_ms = self._generator.expovariate(1 / load_class.interval_ms)
+            await asyncio.sleep(pause_ms / MS_PER_S)
+
+    async def _async_request(self, load_class: LoadClass, name: str) -> None:
+        """Send one request and count what became of it."""
+        tally = self.ledger.tallies[load_class.name]
+        tally.sent += 1
+        started = asyncio.get_running_loop().time()
+        try:
+            took_ms = await self._async_send(load_class, name, started)
+        except RefusedError as err:
+            self.ledger.told[name] = err.outcome
+            if err.outcome is Outcome.NOT_RUN:
+                tally.not_run += 1
+            else:
+                tally.unknown += 1
+        except UnknownOutcomeError as err:
+            self.ledger.told[name] = err.outcome
+            tally.unknown += 1
+        except BrokenAnswerError:
+            tally.broken += 1
+        except CallerError as err:
+            self.ledger.told[name] = err.outcome
+            tally.not_run += 1
+        except Exception:
+            tally.lost += 1
+        else:
+            self.ledger.told[name] = Outcome.COMPLETED
+            if took_ms <= load_class.target_ms:
+                tally.on_target += 1
+            else:
+                tally.late += 1
+
+    async def _async_send(self, load_class: LoadClass, name: str, started: float) -> float:
+        """Send one request and return when its answer began, or ended for a plain service."""
+        loop = asyncio.get_running_loop()
+        if load_class.name == "booking":
+            body = json.dumps({"booking_id": name}).encode()
+            await self._client.async_call_once("bookings", "new", body)
+            return (loop.time() - started) * MS_PER_S
+        if load_class.name == "stock":
+            body = json.dumps({"booking_id": name}).encode()
+            await self._client.async_call("stock", "check", body)
+            return (loop.time() - started) * MS_PER_S
+        return await self._async_chat(load_class, name, started)
+
+    async def _async_chat(self, load_class: LoadClass, name: str, started: float) -> float:
+        """Stream a chat completion and check that it is whole and its own."""
+        value = {
+            "model": self._model,
+            "stream": True,
+            "max_tokens": load_class.tokens,
+            "messages": [{"role": "user", "content": name}],
+        }
+        first_ms: float | None = None
+        parts: list[bytes] = []
+        chunks = self._client.async_stream_chat(
+            json.dumps(value).encode(), class_id=load_class.name
+        )
+        async for chunk in chunks:
+            if first_ms is None:
+                first_ms = (asyncio.get_running_loop().time() - started) * MS_PER_S
+            parts.append(chunk)
+        body = b"".join(parts)
+        expected = [f"t{number} ".encode() for number in range(load_class.tokens)]
+        if not body.endswith(END_MARKER) or [body.count(text) for text in expected] != [1] * len(
+            expected
+        ):
+            raise ValueError("the answer is not whole")
+        assert first_ms is not None
+        return first_ms
