Measure the fleet's deciders from one command; bound update sizes by the packed form

Cause: figures have to come from a command that anyone can run, and the estimate of an update's size (129 bytes) was under what the codec made of it (140 bytes).

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import asdict, dataclass
 from random import Random
 from time import perf_counter
@@ -165,7 +165,7 @@
 
 
 def measure_configuration(
-    sizes: list[int], *, seed: int, loss: float, changes: int
+    sizes: Sequence[int], *, seed: int, loss: float, changes: int
 ) -> Iterator[dict[str, object]]:
     """Yield every measurement of configuration spread, one object each."""
     for places in (1, 10, 100):
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/membership.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import asdict, dataclass
 from statistics import mean
 from time import process_time
@@ -186,7 +186,9 @@
     )
 
 
-def measure_membership(sizes: list[int], *, seed: int, loss: float) -> Iterator[dict[str, object]]:
+def measure_membership(
+    sizes: Sequence[int], *, seed: int, loss: float
+) -> Iterator[dict[str, object]]:
     """Yield every measurement of membership, one object each."""
     for size in sizes:
         yield asdict(measure_traffic(size, seed=seed, loss=loss))
@@ -194,6 +196,14 @@
             yield asdict(spread)
 
 
+def measure_alarms(
+    sizes: Sequence[int], *, seed: int, loss: float, minutes: int
+) -> Iterator[dict[str, object]]:
+    """Yield false suspicions and deaths of each size."""
+    for size in sizes:
+        yield asdict(measure_false_alarms(size, seed=seed, loss=loss, minutes=minutes))
+
+
 def _believes(vm_id: VmId, *states: MemberState) -> Callable[[MemberNode], bool]:
     """Return the condition that a node believes one of the states, or is the VM itself."""
 
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/summaries.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/summaries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import asdict, dataclass
 from random import Random
 from statistics import mean
@@ -161,7 +161,9 @@
         )
 
 
-def measure_summaries(sizes: list[int], *, seed: int, loss: float) -> Iterator[dict[str, object]]:
+def measure_summaries(
+    sizes: Sequence[int], *, seed: int, loss: float
+) -> Iterator[dict[str, object]]:
     """Yield every measurement of summaries, one object each."""
     for size in sizes:
         yield asdict(measure_quota(size, seed=seed, loss=loss))
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/wire.py
@@ -0,0 +1,124 @@
+"""Measurements of the codecs and the sealer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import asdict, dataclass
+from time import perf_counter
+
+from wagtailusher_core import EndpointId, FailureDomainId, Incarnation, Revision, VmId
+from wagtailusher_wire import (
+    Ack,
+    Codec,
+    ConfigurationAnnounce,
+    Gossip,
+    LeaseGrant,
+    LeaseRequest,
+    MemberState,
+    MemberUpdate,
+    Message,
+    RoomSummary,
+    Sealer,
+    SummaryGossip,
+    TableDigest,
+    decode,
+    encode,
+)
+
+_ROUNDS = 3_000
+_INCARNATION = Incarnation(1_764_800_000_000)
+_SECRET = b"a secret for measurements only"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CodecCost:
+    """What one kind of message costs with one codec."""
+
+    measure: str
+    message: str
+    codec: str
+    message_bytes: int
+    encode_us: float
+    decode_us: float
+    seal_us: float
+    open_us: float
+
+
+def measure_wire() -> Iterator[dict[str, object]]:
+    """Yield the cost of typical messages with each codec, one object each."""
+    for name, message in _messages().items():
+        for codec in Codec:
+            yield asdict(_measure(name, message, codec))
+
+
+def _measure(name: str, message: Message, codec: Codec) -> CodecCost:
+    """Return one message's cost."""
+    content = encode(message, codec=codec)
+    sender, receiver = Sealer(_SECRET), Sealer(_SECRET)
+    vm_id = VmId("vm-0001")
+    sealed: list[bytes] = []
+    seal_us = _time_us(lambda: sealed.append(sender.seal(vm_id, _INCARNATION, content)))
+    waiting = iter(sealed)
+    return CodecCost(
+        measure="wire",
+        message=name,
+        codec=codec.name.lower(),
+        message_bytes=len(content),
+        encode_us=_time_us(lambda: encode(message, codec=codec)),
+        decode_us=_time_us(lambda: decode(content)),
+        seal_us=seal_us,
+        open_us=_time_us(lambda: receiver.open(next(waiting))),
+    )
+
+
+def _time_us(action: Callable[[], object]) -> float:
+    """Return the mean time of an action."""
+    start_s = perf_counter()
+    for _ in range(_ROUNDS):
+        action()
+    return round((perf_counter() - start_s) * 1_000_000 / _ROUNDS, 2)
+
+
+def _messages() -> dict[str, Message]:
+    """Return typical messages."""
+    update = MemberUpdate(
+        vm_id=VmId("vm-0001"),
+        incarnation=_INCARNATION,
+        version=3,
+        state=MemberState.ALIVE,
+        address="10.20.30.40:8080",
+        peer_address="10.20.30.40:7946",
+        failure_domain_id=FailureDomainId("region-1-a"),
+    )
+    room = RoomSummary(
+        vm_id=VmId("vm-0001"), incarnation=_INCARNATION, sequence=77, age_ms=900, room=300
+    )
+    lease = LeaseRequest(
+        node_id=VmId("vm-0001"),
+        endpoint_id=EndpointId("runner-0001"),
+        held=4,
+        in_flight=3,
+        demand_by_tier=(0, 2, 5, 0, 0, 1, 0),
+        sequence=1_234,
+    )
+    grant = LeaseGrant(
+        steward_id=VmId("vm-0002"),
+        endpoint_id=EndpointId("runner-0001"),
+        credits=6,
+        lifetime_ms=2_000,
+        cold=False,
+        sequence=1_234,
+        steward_epoch=3,
+    )
+    revision = Revision(number=4_711)
+    return {
+        "ack_without_updates": Ack(sequence=9, subject=VmId("vm-0001"), revision=revision),
+        "gossip_with_6_updates": Gossip(updates=(update,) * 6),
+        "table_digest": TableDigest(hashes=tuple(range(2**63, 2**63 + 32))),
+        "configuration_announce": ConfigurationAnnounce(
+            revision=revision, digest=2**63, settled=True
+        ),
+        "lease_request": lease,
+        "lease_grant": grant,
+        "summary_with_10_rooms": SummaryGossip(rooms=(room,) * 10),
+    }
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/broadcast.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/broadcast.py
@@ -5,16 +5,22 @@
 from collections.abc import Iterable, Iterator
 
 from wagtailusher_core import VmId
+from wagtailusher_membership.packed_size import bound_packed_bytes
 from wagtailusher_wire import MemberUpdate
 
-_UPDATE_OVERHEAD_BYTES = 64
-_TEXT_OVERHEAD_BYTES = 4
+_UPDATE_WORDS = 7
 
 
 def estimate_bytes(update: MemberUpdate) -> int:
     """Return a bound of an update's size in a message."""
-    texts = (update.vm_id, update.address, update.peer_address, update.failure_domain_id)
-    return _UPDATE_OVERHEAD_BYTES + sum(len(text) + _TEXT_OVERHEAD_BYTES for text in texts)
+    return bound_packed_bytes(
+        _UPDATE_WORDS,
+        update.vm_id,
+        update.address,
+        update.peer_address,
+        update.failure_domain_id,
+        update.accuser,
+    )
 
 
 def take_within(updates: Iterable[MemberUpdate], max_bytes: int) -> Iterator[MemberUpdate]:
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/summary_size.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/summary_size.py
@@ -5,11 +5,10 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
+from wagtailusher_membership.packed_size import bound_packed_bytes
 from wagtailusher_wire import ClassDemand, DemandSummary, PoolDemand, RoomSummary
 from wagtailusher_wire.const import MAX_VM_ID_BYTES
 
-_WORD_BYTES = 8
-_PACKED_WORD_BYTES = 10
 _ROOM_WORDS = 5
 _DEMAND_WORDS = 5
 _POOL_WORDS = 4
@@ -20,7 +19,7 @@
     pools: Iterable[PoolDemand], *, max_pools: int, max_classes: int, max_bytes: int
 ) -> tuple[PoolDemand, ...]:
     """Return the busiest pools with the busiest classes that fit; the rest isn't claimed."""
-    max_bytes -= _packed(_DEMAND_WORDS, MAX_VM_ID_BYTES)
+    max_bytes -= bound_packed_bytes(_DEMAND_WORDS, "x" * MAX_VM_ID_BYTES)
     bare: list[PoolDemand] = []
     busiest: list[PoolDemand] = []
     for pool in sorted(pools, key=lambda pool: -_work(pool))[:max_pools]:
@@ -48,7 +47,7 @@
 def take_rooms(rooms: Iterable[RoomSummary], max_bytes: int) -> Iterator[RoomSummary]:
     """Yield rooms for as long as they fit."""
     for room in rooms:
-        max_bytes -= _packed(_ROOM_WORDS, len(room.vm_id.encode()))
+        max_bytes -= bound_packed_bytes(_ROOM_WORDS, room.vm_id)
         if max_bytes < 0:
             return
         yield room
@@ -65,26 +64,20 @@
 
 def _demand_bytes(demand: DemandSummary) -> int:
     """Return a bound of a demand's size in a message."""
-    fixed = _packed(_DEMAND_WORDS, len(demand.vm_id.encode()))
+    fixed = bound_packed_bytes(_DEMAND_WORDS, demand.vm_id)
     return fixed + sum(map(_pool_bytes, demand.pools))
 
 
 def _pool_bytes(pool: PoolDemand) -> int:
     """Return a bound of a pool's size in a message."""
     tiers = len(pool.queued_by_tier) + len(pool.in_flight_by_tier)
-    fixed = _packed(_POOL_WORDS + tiers // 2 + 2, len(pool.pool_id.encode()))
+    fixed = bound_packed_bytes(_POOL_WORDS + tiers // 2 + 2, pool.pool_id)
     return fixed + sum(map(_class_bytes, pool.classes))
 
 
 def _class_bytes(demand: ClassDemand) -> int:
     """Return a bound of a class's size in a message."""
-    workspace, name = demand.workspace_id.encode(), demand.class_id.encode()
-    return _packed(_CLASS_WORDS, len(workspace)) + _packed(0, len(name))
-
-
-def _packed(words: int, text_bytes: int) -> int:
-    """Return the most that words and one text take when packed."""
-    return _PACKED_WORD_BYTES * (words + text_bytes // _WORD_BYTES + 1)
+    return bound_packed_bytes(_CLASS_WORDS, demand.workspace_id, demand.class_id)
 
 
 def _work(pool: PoolDemand) -> int:
