Treat endpoints that bear their whole limit at once as never cold

Cause: plain services give no load report, so their steward held them for cold, kept the whole allowance to itself, and the other VM's bookings were refused at their deadline. Ruled out: lost lease messages (counted on both sides). An endpoint whose cold limit is its concurrency limit now has no cold start.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
@@ -16,7 +16,7 @@
 
 
 class Charge:
-    """What a steward keeps for one endpoint; a new one is unsettled and cold."""
+    """What a steward keeps for one endpoint; a new one is unsettled, and cold if it can be."""
 
     __slots__ = (
         "_forced_cold",
@@ -49,7 +49,7 @@
         self.cold_start = ColdStart(
             cold_limit=info.cold_limit,
             concurrency_limit=info.concurrency_limit,
-            cold=True,
+            cold=info.has_cold_start,
             now_ms=now_ms,
         )
         self.recalls: set[VmId] = set()
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/coldstart.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/coldstart.py
@@ -42,7 +42,12 @@
         self.allowance = min(self.allowance, ceiling) if self.cold else ceiling
 
     def turn_cold(self, now_ms: int) -> bool:
-        """Fall back to the cold limit; return whether the endpoint was warm."""
+        """Fall back to the cold limit; return whether the endpoint was warm.
+
+        An endpoint that bears its whole limit at once never counts as cold.
+        """
+        if self.cold_limit >= self.concurrency_limit:
+            return False
         was_warm = not self.cold
         self.cold = True
         self.allowance = self.cold_limit
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/endpoints.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/endpoints.py
@@ -50,6 +50,11 @@
     honours_priority: bool = False
     resumes_streams: bool = False
 
+    @property
+    def has_cold_start(self) -> bool:
+        """Return whether the endpoint bears less than its limit while it is cold."""
+        return self.cold_limit < self.concurrency_limit
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlacementRequest:
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
@@ -73,14 +73,18 @@
         item.local_start = ColdStart(
             cold_limit=info.cold_limit,
             concurrency_limit=info.concurrency_limit,
-            cold=is_return,
+            cold=is_return and info.has_cold_start,
             now_ms=now_ms,
         )
+        if not info.has_cold_start:
+            item.cold = False
         if is_return:
             self.turn_cold(item, now_ms)
 
     def turn_cold(self, item: TrackedEndpoint, now_ms: int) -> None:
         """Fall back at once, and tell the steward with the next request."""
+        if not item.info.has_cold_start:
+            return
         if item.local_start is not None:
             item.local_start.turn_cold(now_ms)
         item.void_lease(self._sequence + 1)
@@ -154,7 +158,7 @@
         """Compute the local share, and from when it may be used."""
         if item.lease_until_ms == NEVER_MS:
             item.lease_until_ms = 0
-            item.cold = None
+            item.cold = None if item.info.has_cold_start else False
         item.share = item.info.concurrency_limit // max(1, self._window.greatest_count)
         if item.cold is not False:
             item.fallback_ms = NEVER_MS
--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -197,6 +197,8 @@
         failure_domain_id=FailureDomainId("domain-0"),
         address=service.address,
         kind=EndpointKind.SERVICE,
+        concurrency_limit=32,
+        cold_limit=32,
     )
 
 
