Test settings against planted faults and damaged documents

Eighteen faults were planted in a scratch copy. Five went unseen: reuse of workspaces under a changed root, chunks of another revision being kept, a VM whose work is not known, and two that a second check makes harmless. A single watch now notes its failure in the status as the loop does.

--- a/packages/wagtailusher_cli/src/wagtailusher_cli/main.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/main.py
@@ -7,6 +7,7 @@
 
 import defopt
 
+from wagtailusher_cli.const import EXIT_PROBLEM
 from wagtailusher_cli.exceptions import CommandError
 from wagtailusher_cli.live import advise, drains, explain, fleet, quarantine, refusals, stewards
 from wagtailusher_cli.offline import check, diff, pack, reach, show
@@ -45,6 +46,8 @@
     except CommandError as error:
         write_error(error.message)
         return error.exit_code
+    except KeyboardInterrupt:
+        return EXIT_PROBLEM
     return code
 
 
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/coordinator.py
@@ -97,11 +97,19 @@
                 await self._async_step(self._version)
             except WagtailusherError as error:
                 _LOGGER.warning("Config service: no new settings: %s", error.message)
-                await self._poll.async_pause(error)
+                await self._poll.async_pause()
                 continue
             await asyncio.sleep(self._poll.limits.min_interval_ms / MS_PER_S)
 
     async def _async_step(self, version: int | None) -> ServiceContent | None:
+        """Make one read or watch, and note how it went."""
+        try:
+            return await self._async_take(version)
+        except WagtailusherError as error:
+            self._poll.failed(error)
+            raise
+
+    async def _async_take(self, version: int | None) -> ServiceContent | None:
         """Make one read or watch and pass on what it gave."""
         value = await self._poll.async_call(self._path, version)
         if value is None:
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/long_poll.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/long_poll.py
@@ -120,13 +120,17 @@
         if self._problem is not None and self._problem.code is ErrorCode.PLATFORM_UNAVAILABLE:
             self._problem = None
 
-    async def async_pause(self, error: WagtailusherError) -> None:
-        """Note a failure and wait before the next call."""
+    @callback
+    def failed(self, error: WagtailusherError) -> None:
+        """Note a call without a usable answer."""
         self._failures += 1
         self._problem = error
-        delay_ms = backoff_ms(self._failures, self.limits, self._generator)
-        if isinstance(error, ThrottledError):
-            delay_ms += error.retry_after_ms
+
+    async def async_pause(self) -> None:
+        """Wait before the next call after a failure."""
+        delay_ms = backoff_ms(max(self._failures, 1), self.limits, self._generator)
+        if isinstance(self._problem, ThrottledError):
+            delay_ms += self._problem.retry_after_ms
         await asyncio.sleep(delay_ms / MS_PER_S)
 
 
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/vm_list/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/vm_list/coordinator.py
@@ -62,11 +62,19 @@
                 await self._async_step(self._version)
             except WagtailusherError as error:
                 _LOGGER.warning("VM list: the last list stays: %s", error.message)
-                await self._poll.async_pause(error)
+                await self._poll.async_pause()
                 continue
             await asyncio.sleep(self._poll.limits.min_interval_ms / _MS_PER_S)
 
     async def _async_step(self, version: int | None) -> None:
+        """Make one read or watch, and note how it went."""
+        try:
+            await self._async_take_one(version)
+        except WagtailusherError as error:
+            self._poll.failed(error)
+            raise
+
+    async def _async_take_one(self, version: int | None) -> None:
         """Make one read or watch and take over what it gave."""
         value = await self._poll.async_call(PATH_LIST, version)
         now_ms = int(asyncio.get_running_loop().time() * _MS_PER_S)
--- a/tests/wagtailusher_cli/test_commands.py
+++ b/tests/wagtailusher_cli/test_commands.py
@@ -222,6 +222,7 @@
         self.assertIn("vm-1: started work 10 ms ago", seen[1]["held_up_by"])
         self.assertEqual(seen[2]["held_up_by"], ["vm-2: 1 in flight"])
         self.assertEqual(await self.async_look({**base, "endpoints": []}), 1)
+        self.assertEqual(await self.async_look({**base, "vms": [{"vm_id": "vm-9"}]}), 1)
         running = [{"endpoint_id": "e1", "in_flight": 0, "reported_running": 1}]
         self.assertEqual(await self.async_look({**base, "endpoints": running}), 1)
         forever = FakeOperatorInterface({"drains/b": {**base, "in_flight": 1}})
--- a/tests/wagtailusher_integrations/config_service/test_coordinator.py
+++ b/tests/wagtailusher_integrations/config_service/test_coordinator.py
@@ -190,9 +190,21 @@
         with self.assertRaises(PlatformError):
             await self.coordinator.async_read()
         self.assertEqual(self.coordinator.status.throttled, 1)
+        self.assertEqual(self.coordinator.status.problem_code, ErrorCode.PLATFORM_UNAVAILABLE)
         self.service.behaviour.calls_per_s = None
         self.assertIsNotNone(await self.coordinator.async_read())
 
+    async def test_single_watches_give_each_content_once(self) -> None:
+        self.service.publish("settings", build_content(1))
+        first = await self.coordinator.async_watch()
+        assert first is not None
+        self.assertEqual(first.revision, Revision(number=1))
+        self.assertIsNone(await self.coordinator.async_watch())
+        self.service.behaviour.down = True
+        with self.assertRaises(PlatformError):
+            await self.coordinator.async_watch()
+        self.assertEqual(self.coordinator.status.failures_in_a_row, 1)
+
     async def test_an_inactive_reader_makes_no_calls(self) -> None:
         self.service.publish("settings", build_content(1))
         self.coordinator.set_active(False)
--- a/tests/wagtailusher_settings/test_chunks.py
+++ b/tests/wagtailusher_settings/test_chunks.py
@@ -58,6 +58,29 @@
                 assembler.take_chunk(chunk)
             self.assertEqual(assembler.assemble(), contents[index])
 
+    def test_a_new_root_is_checked_against_unchanged_workspaces(self) -> None:
+        document = build_document(2)
+        own = document["workspaces"]["workspace-00001"]["routes"]["chat-0"]
+        own["default_class"] = "lookup"
+        previous = parse_settings(canonical_bytes(json.dumps(document).encode()))
+        document["revision"] = 2
+        del document["fleet"]["routes"]["chat-0"]["classes"]["lookup"]
+        content = canonical_bytes(json.dumps(document).encode())
+        for known in (None, previous):
+            with self.assertRaises(SettingsError) as caught:
+                parse_settings(content, previous=known)
+            keys = [problem.key for problem in caught.exception.problems]
+            self.assertEqual(keys, ["workspaces.workspace-00001.routes.chat-0.default_class"])
+
+    def test_a_chunk_of_another_revision_is_not_kept(self) -> None:
+        manifest = parse_manifest(split_document(build_content(1, {})).manifest)
+        assert manifest is not None
+        assembler = ChunkAssembler()
+        assembler.take_manifest(manifest)
+        other = split_document(build_content(2, {3: 8.0}))
+        taken = [assembler.take_chunk(chunk) for chunk in other.chunks.values()]
+        self.assertEqual(taken, [True, False])
+
     def test_one_change_rewrites_one_chunk(self) -> None:
         old = split_document(build_content(1, {}), chunk_bytes=2_000)
         new = split_document(build_content(2, {3: 8.0}), chunk_bytes=2_000)
--- a/tests/wagtailusher_settings/test_parse.py
+++ b/tests/wagtailusher_settings/test_parse.py
@@ -8,11 +8,29 @@
 from typing import Any
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from wagtailusher_core import ClassId, ErrorCode, PoolId, WorkspaceId
-from wagtailusher_settings import SettingsError, UnknownKeyError, parse_settings
+from wagtailusher_settings import SettingsError, UnknownKeyError, canonical_bytes, parse_settings
 
 EXAMPLE = Path(__file__).parents[2] / "examples" / "settings.yaml"
 
+SCRAPS = [
+    b"{",
+    b"[",
+    b": ",
+    b"- ",
+    b"&a ",
+    b"*a",
+    b"!!set ",
+    b"null",
+    b"1e999",
+    b"<<: ",
+    b"\n",
+    b"? ",
+]
+
 FAULTY = b"""revision: 3
 fleet:
   tier: 7
@@ -126,6 +144,21 @@
         }
         self.assertLessEqual(expected, keys)
 
+    @given(st.data())
+    def test_damaged_documents_are_refused_or_whole(self, data: st.DataObject) -> None:
+        text = EXAMPLE.read_bytes()
+        source = data.draw(st.sampled_from([text, canonical_bytes(text)]))
+        start = data.draw(st.integers(0, len(source)))
+        end = data.draw(st.integers(start, min(len(source), start + 40)))
+        inserted = data.draw(st.binary(max_size=8) | st.sampled_from(SCRAPS))
+        damaged = source[:start] + inserted + source[end:]
+        try:
+            settings = parse_settings(damaged)
+        except SettingsError as error:
+            self.assertTrue(error.problems)
+        else:
+            self.assertTrue(all(0 <= policy.tier <= 6 for policy in settings.policies()))
+
     def test_hostile_documents_are_refused(self) -> None:
         for content, reason in (
             (b"", "the document is empty"),
