Bound the fake services by their workers

Cause: a fake service gave more throughput beyond its concurrency limit, so that a balancer without limits looked better than any that keeps to them; a real one has a fixed number of workers. Engines keep to their target between tokens with 12 in a batch, which is now their limit.

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/mixes.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/mixes.py
@@ -119,15 +119,18 @@
 
 MODEL = PoolId("model")
 SERVICE = PoolId("service")
+SERVICE_KNEE = 1e9
 ENGINE_TRAITS = EngineTraits(
-    concurrency_limit=8,
+    concurrency_limit=12,
     batch_limit=16,
     knee=8.0,
     prefill_ms_per_token=0.1,
     token_ms=18.0,
     cache_blocks=2_000,
 )
-SERVICE_TRAITS = EngineTraits(concurrency_limit=2, batch_limit=4, knee=8.0, cold_limit=1)
+SERVICE_TRAITS = EngineTraits(
+    concurrency_limit=4, batch_limit=4, knee=SERVICE_KNEE, cold_limit=1, collapse_limit=3
+)
 
 TREENINGKODA = Mix(
     name="treeningkoda",
