--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -21,6 +21,7 @@
 )
 from wagtailusher_daemon.addresses import AddressBook
 from wagtailusher_daemon.answers import coded_response
+from wagtailusher_daemon.books import Books
 from wagtailusher_daemon.caller_api import CallerApi
 from wagtailusher_daemon.classify import Classifier
 from wagtailusher_daemon.clock import monotonic_ms, wall_ms
@@ -34,12 +35,15 @@
 from wagtailusher_daemon.fleet_talk import FleetTalk, Identity
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.forwarding import Forwarder
+from wagtailusher_daemon.journal import Journal
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
+from wagtailusher_daemon.observation import Observer
 from wagtailusher_daemon.operator_api import OperatorApi
 from wagtailusher_daemon.options import EntryOptions
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.peers import Peers
+from wagtailusher_daemon.tracing import Tracing
 from wagtailusher_daemon.upstream import Upstream
 from wagtailusher_http import HttpClient, HttpServer, Request, Response, async_serve
 from wagtailusher_integrations.config_service import ConfigServiceCoordinator
@@ -65,6 +69,15 @@
         self.vm_id = VmId(options.vm_id)
         self.incarnation = Incarnation(wall_ms())
         self.metrics = EntryMetrics()
+        self.journal = Journal()
+        self.books = Books(monotonic_ms())
+        self.tracing = Tracing(
+            self.vm_id,
+            trace_file=options.trace_file,
+            otlp_address=options.otlp_address,
+            seed=_new_seed(),
+            sample_share=self._trace_sample_share,
+        )
         self.is_draining = False
         self._client = HttpClient()
         self._secrets = _secrets_of(options)
@@ -190,6 +203,7 @@
             await self.operator_server.async_close()
         self.link.close()
         self._client.close()
+        self.tracing.close()
         _LOGGER.info("Daemon: %s stopped, clean: %s", self.vm_id, clean)
         return clean
 
@@ -225,6 +239,7 @@
             mint=mint,
             addresses=None,
             metrics=self.metrics,
+            observer=Observer(self.metrics, self.journal, self.books, self.tracing),
             settings=lambda: self.view.settings,
             is_ready=lambda: self.is_ready,
             answer_configuration=self._answer_configuration,
@@ -295,6 +310,11 @@
         settings = self.view.settings
         return settings.fleet.silence_timeout_ms if settings is not None else _DEFAULT_SILENCE_MS
 
+    def _trace_sample_share(self) -> float:
+        """Return the share of requests that are traced."""
+        settings = self.view.settings
+        return settings.fleet.trace_sample_share if settings is not None else 0.0
+
     def _address_lifetime_ms(self) -> int:
         """Return how long callers may keep an address answer."""
         settings = self.view.settings
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -28,6 +28,7 @@
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
+from wagtailusher_daemon.observation import Observer
 from wagtailusher_daemon.once_exchange import OnceExchange
 from wagtailusher_daemon.upstream import Upstream
 from wagtailusher_http import Request, Response, error_response, json_response
@@ -48,6 +49,7 @@
     mint: TicketMint
     addresses: AddressBook | None
     metrics: EntryMetrics
+    observer: Observer
     settings: Callable[[], Settings | None]
     is_ready: Callable[[], bool]
     answer_configuration: Callable[[Request], Response]
@@ -131,7 +133,7 @@
             node=self.node,
             upstream=self.upstream,
             forwarder=self.forwarder,
-            metrics=self.metrics,
+            observation=self.observer.begin(classified.arrival, request.headers),
             silence_timeout_ms=self._silence_timeout_ms(),
         )
 
@@ -145,7 +147,7 @@
             node=self.node,
             upstream=self.upstream,
             forwarder=self.forwarder,
-            metrics=self.metrics,
+            observation=self.observer.begin(classified.arrival, request.headers),
             silence_timeout_ms=classified.arrival.policy.answer_target_ms
             + self._silence_timeout_ms(),
         )
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -8,12 +8,11 @@
 from wagtailusher_core import ErrorCode, Outcome, WagtailusherError
 from wagtailusher_daemon.answers import refusal_response
 from wagtailusher_daemon.classify import Classified
-from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.const import HEADER_REQUEST_ID
 from wagtailusher_daemon.exceptions import BrokenAnswerError
 from wagtailusher_daemon.forwarding import Forwarder
-from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import Mailbox, RouterNode
+from wagtailusher_daemon.observation import Observation
 from wagtailusher_daemon.upstream import Upstream, end_of, end_of_status
 from wagtailusher_http import ClientAnswer, Headers, Request, Response
 from wagtailusher_integrations.engine import EventStream
@@ -39,7 +38,7 @@
         node: RouterNode,
         upstream: Upstream,
         forwarder: Forwarder,
-        metrics: EntryMetrics,
+        observation: Observation,
         silence_timeout_ms: int,
     ) -> None:
         """Hand the request to the node."""
@@ -48,11 +47,9 @@
         self._node = node
         self._upstream = upstream
         self._forwarder = forwarder
-        self._metrics = metrics
+        self._observation = observation
         self._silence_timeout_ms = silence_timeout_ms
         self._request_id = classified.arrival.request_id
-        self._started_ms = monotonic_ms()
-        self._first_token_ms: int | None = None
         self._done = False
         self._mailbox: Mailbox = node.arrive(classified.arrival)
 
@@ -76,9 +73,10 @@
             self._done = True
             self._end()
             if isinstance(message, Forward):
+                self._observation.forwarded(message)
                 return await self._forwarder.async_forward(self._request, message)
             assert isinstance(message, Refuse)
-            self._metrics.count_refusal(message.code, message.outcome)
+            self._observation.refused(message.code, message.outcome)
             return refusal_response(message)
 
     async def _async_attempt(self, dispatch: Dispatch) -> Response | None:
@@ -106,9 +104,11 @@
 
     async def _async_open(self, dispatch: Dispatch) -> ClientAnswer:
         """Send the request or resume its answer."""
+        traceparent = self._observation.dispatched(dispatch)
         return await self._upstream.async_open(
             dispatch,
             self._classified.call,
+            traceparent=traceparent,
             may_send=lambda: self._node.may_send(self._request_id),
         )
 
@@ -126,6 +126,7 @@
             if events:
                 yield events
                 self._node.progress(self._request_id, stream.event_count - seen)
+                self._observation.progress(stream.event_count - seen)
                 seen = stream.event_count
         if not stream.is_complete:
             raise BrokenAnswerError("the stream ended without its end marker")
@@ -146,7 +147,7 @@
                 parts = await self._async_resume(err)
         self._done = True
         self._node.complete(self._request_id)
-        self._count()
+        self._observation.completed()
 
     async def _async_resume(self, err: WagtailusherError) -> AsyncIterator[bytes]:
         """Return the parts of a resumed answer, or raise that the answer is broken."""
@@ -156,7 +157,7 @@
             if not isinstance(message, Dispatch) or message.resume_from is None:
                 self._done = True
                 outcome = message.outcome if isinstance(message, Refuse) else Outcome.UNKNOWN
-                self._metrics.count_refusal(ErrorCode.ANSWER_TRUNCATED, outcome)
+                self._observation.refused(ErrorCode.ANSWER_TRUNCATED, outcome)
                 raise BrokenAnswerError("the endpoint's answer broke off") from err
             try:
                 return self._parts(await self._async_open(message))
@@ -166,12 +167,12 @@
 
     def _note_first(self) -> None:
         """Note when the answer began."""
-        self._first_token_ms = monotonic_ms() - self._started_ms
+        self._observation.first_token()
         self._node.first_token(self._request_id)
 
     def _fail(self, end: EndOfWork) -> None:
         """Tell the node how the attempt ended."""
-        self._metrics.retries.inc({"end": str(end)})
+        self._observation.attempt_failed(end)
         self._node.attempt_failed(self._request_id, end)
 
     def _log_failure(self, dispatch: Dispatch, err: WagtailusherError) -> None:
@@ -184,18 +185,12 @@
             err.code,
         )
 
-    def _count(self) -> None:
-        """Count a whole answer."""
-        policy = self._classified.arrival.policy
-        took_ms = self._first_token_ms or 0
-        target_ms = self._classified.arrival.start_target_ms
-        self._metrics.count_answer(policy.tier, took_ms, target_ms)
-
     def _end(self) -> None:
         """Close the mailbox; a request that is not done lost its caller."""
         if not self._done:
             self._done = True
             self._node.caller_left(self._request_id)
+            self._observation.caller_left()
         self._node.close(self._request_id)
 
 
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/journal.py
@@ -0,0 +1,90 @@
+"""What became of the latest requests, for operators who ask why."""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict, deque
+from dataclasses import dataclass, field
+
+from wagtailusher_core import ErrorCode, Outcome
+from wagtailusher_placement import CandidateScore
+from wagtailusher_router import Arrival
+
+MAX_RECORDS = 2_000
+MAX_REFUSALS = 200
+
+
+@dataclass(slots=True, kw_only=True)
+class AttemptRecord:
+    """One time that a request was sent, and the endpoints that were compared."""
+
+    endpoint_id: str
+    started_after_ms: int
+    candidates: tuple[CandidateScore, ...]
+    end: str | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestRecord:
+    """One request from its arrival to its end."""
+
+    trace_id: str
+    arrival: Arrival
+    arrived_ms: int
+    state: str = "queued"
+    outcome: Outcome = Outcome.NOT_RUN
+    code: ErrorCode | None = None
+    first_token_ms: int | None = None
+    total_ms: int | None = None
+    forwarded_to: str | None = None
+    attempts: list[AttemptRecord] = field(default_factory=list)
+
+    @property
+    def queued_ms(self) -> int | None:
+        """Return how long the request waited for its first attempt."""
+        return self.attempts[0].started_after_ms if self.attempts else None
+
+    @property
+    def target_met(self) -> bool | None:
+        """Return whether the class's target was met, once that is known."""
+        if self.outcome is not Outcome.COMPLETED:
+            return None
+        policy = self.arrival.policy
+        if self.arrival.streams_tokens:
+            return (self.first_token_ms or 0) <= policy.first_token_target_ms
+        return (self.total_ms or 0) <= policy.answer_target_ms
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RefusalRecord:
+    """One refusal."""
+
+    record: RequestRecord
+    code: ErrorCode
+    outcome: Outcome
+    at_ms: int
+
+
+class Journal:
+    """Keeps a bounded number of records in memory."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._records: OrderedDict[str, RequestRecord] = OrderedDict()
+        self.refusals: deque[RefusalRecord] = deque(maxlen=MAX_REFUSALS)
+        self.refusal_counts: Counter[tuple[ErrorCode, int]] = Counter()
+
+    def add(self, record: RequestRecord) -> None:
+        """Keep a record; the oldest one goes when there are too many."""
+        self._records[record.trace_id] = record
+        self._records.move_to_end(record.trace_id)
+        if len(self._records) > MAX_RECORDS:
+            self._records.popitem(last=False)
+
+    def get(self, trace_id: str) -> RequestRecord | None:
+        """Return the record of a trace."""
+        return self._records.get(trace_id)
+
+    def refuse(self, record: RequestRecord, code: ErrorCode, outcome: Outcome, at_ms: int) -> None:
+        """Keep a refusal."""
+        self.refusal_counts[(code, record.arrival.policy.tier)] += 1
+        self.refusals.append(RefusalRecord(record=record, code=code, outcome=outcome, at_ms=at_ms))
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/metrics.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus.renderer import render
 
 from wagtailusher_core import ErrorCode, Outcome
+from wagtailusher_daemon.const import MS_PER_S
 from wagtailusher_http import Headers, Response
 
 _LATENCY_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 0.75, 1.1, 1.5, 2.5, 5.0, 10.0, 30.0, float("inf"))
@@ -33,6 +34,11 @@
             "Attempts that ended without a whole answer, by end",
             registry=self.registry,
         )
+        self.forwards = Counter(
+            "wagtailusher_forwards_total",
+            "Requests handed over to another VM, by reason",
+            registry=self.registry,
+        )
         self.peer_errors = Counter(
             "wagtailusher_peer_errors_total",
             "Peer messages refused, by code",
@@ -57,13 +63,12 @@
         """Count an error answer."""
         self.refusals.inc({"code": str(code), "outcome": str(outcome)})
 
-    def count_answer(self, tier: int, first_token_ms: int, target_ms: int) -> None:
-        """Count a whole answer and whether it began on target."""
+    def count_answer(self, tier: int, first_token_ms: int, *, met: bool) -> None:
+        """Count a whole answer and whether its class's target was met."""
         label = str(tier)
         self.requests.inc({"tier": label, "outcome": str(Outcome.COMPLETED)})
-        met = "met" if first_token_ms <= target_ms else "missed"
-        self.targets.inc({"tier": label, "target": met})
-        self.first_token_s.observe({"tier": label}, first_token_ms / 1000)
+        self.targets.inc({"tier": label, "target": "met" if met else "missed"})
+        self.first_token_s.observe({"tier": label}, first_token_ms / MS_PER_S)
 
     def render(self, accept: str) -> Response:
         """Return the metrics in the format that the scraper accepts."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
@@ -7,11 +7,10 @@
 from wagtailusher_core import WagtailusherError
 from wagtailusher_daemon.answers import refusal_response, stored_response
 from wagtailusher_daemon.classify import Classified
-from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.exchange import end_to_end_headers
 from wagtailusher_daemon.forwarding import Forwarder
-from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
+from wagtailusher_daemon.observation import Observation
 from wagtailusher_daemon.upstream import Upstream, end_of
 from wagtailusher_http import Request, Response
 from wagtailusher_once import StoredAnswer
@@ -31,7 +30,7 @@
         node: RouterNode,
         upstream: Upstream,
         forwarder: Forwarder,
-        metrics: EntryMetrics,
+        observation: Observation,
         silence_timeout_ms: int,
     ) -> None:
         """Hand the request to the node."""
@@ -40,10 +39,9 @@
         self._node = node
         self._upstream = upstream
         self._forwarder = forwarder
-        self._metrics = metrics
+        self._observation = observation
         self._silence_timeout_ms = silence_timeout_ms
         self._request_id = classified.arrival.request_id
-        self._started_ms = monotonic_ms()
         self._mailbox = node.arrive(classified.arrival)
 
     async def async_run(self) -> Response:
@@ -56,24 +54,29 @@
                     if answer is not None:
                         return stored_response(answer, self._request_id)
                 elif isinstance(message, ReplayAnswer):
+                    self._observation.completed()
                     return stored_response(message.answer, self._request_id)
                 elif isinstance(message, Forward):
+                    self._observation.forwarded(message)
                     return await self._forwarder.async_forward(self._request, message)
                 else:
-                    self._metrics.count_refusal(message.code, message.outcome)
+                    self._observation.refused(message.code, message.outcome)
                     return refusal_response(message)
         finally:
             self._node.close(self._request_id)
 
     async def _async_attempt(self, dispatch: Dispatch) -> StoredAnswer | None:
         """Send the request and read its whole answer; None when the attempt failed."""
+        traceparent = self._observation.dispatched(dispatch)
         try:
             answer = await self._upstream.async_open(
                 dispatch,
                 self._classified.call,
+                traceparent=traceparent,
                 may_send=lambda: self._node.may_send(self._request_id),
             )
             self._node.first_token(self._request_id)
+            self._observation.first_token()
             body = await answer.async_read(self._silence_timeout_ms)
         except WagtailusherError as err:
             _LOGGER.info(
@@ -84,18 +87,12 @@
                 err.code,
             )
             end = end_of(err)
-            self._metrics.retries.inc({"end": str(end)})
+            self._observation.attempt_failed(end)
             self._node.attempt_failed(self._request_id, end)
             return None
         stored = StoredAnswer(
             status=answer.status, headers=tuple(end_to_end_headers(answer)), body=body
         )
         self._node.complete(self._request_id, stored)
-        self._count()
+        self._observation.completed()
         return stored
-
-    def _count(self) -> None:
-        """Count a whole answer against the target of its last byte."""
-        policy = self._classified.arrival.policy
-        took_ms = monotonic_ms() - self._started_ms
-        self._metrics.count_answer(policy.tier, took_ms, policy.answer_target_ms)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from http import HTTPStatus
 
 from wagtailusher_core import WagtailusherError, callback
-from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS
+from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS, HEADER_TRACE
 from wagtailusher_http import (
     AnswerTruncatedError,
     ClientAnswer,
@@ -37,6 +38,7 @@
         dispatch: Dispatch,
         call: ChatCall | ServiceCall,
         *,
+        traceparent: str,
         may_send: Callable[[], bool],
         head_timeout_ms: int = DEFAULT_HEAD_TIMEOUT_MS,
     ) -> ClientAnswer:
@@ -44,7 +46,7 @@
         if isinstance(call, ServiceCall):
             return await self._services.async_send(
                 dispatch.address,
-                call,
+                replace(call, headers=call.headers.with_field(HEADER_TRACE, traceparent)),
                 may_send=may_send,
                 fresh=dispatch.fresh,
                 head_timeout_ms=head_timeout_ms,
@@ -58,7 +60,7 @@
             )
         return await self.engines.async_send(
             dispatch.address,
-            call,
+            replace(call, traceparent=traceparent),
             may_send=may_send,
             fresh=dispatch.fresh,
             head_timeout_ms=head_timeout_ms,
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/const.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/const.py
@@ -9,6 +9,7 @@
 
 HEADER_REQUEST_ID = "x-request-id"
 HEADER_PRIORITY = "x-priority"
+HEADER_TRACE = "traceparent"
 
 CONTENT_TYPE_JSON = "application/json"
 CONTENT_TYPE_EVENTS = "text/event-stream"
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -17,6 +17,7 @@
     DEFAULT_POLL_TIMEOUT_MS,
     HEADER_PRIORITY,
     HEADER_REQUEST_ID,
+    HEADER_TRACE,
     MAX_POLLED_ENDPOINTS,
     PATH_CANCEL,
     PATH_CHAT,
@@ -55,6 +56,8 @@
                 (HEADER_PRIORITY, str(call.tier)),
             )
         )
+        if call.traceparent is not None:
+            headers = headers.with_field(HEADER_TRACE, call.traceparent)
         answer = await self._client.async_request(
             address,
             "POST",
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/models.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/models.py
@@ -18,6 +18,7 @@
     tier: int
     body: bytes
     streams: bool
+    traceparent: str | None = None
 
 
 class LoadModel(BaseModel):
