Divide quotas by a keeper's short grants instead of by everybody's summaries

Cause: with every VM's claims gossiped to all, the view was up to 45 s old at 50 nodes, and shares grew only after a window as long as that.

Each class has a keeper by rendezvous over the platform's list. A lowered share counts at its old size until its holder confirms the lower one or it has run out, so the grants of one keeper never add up to more than the quota. A keeper that took over only renews for a grant's lifetime. Without a grant a VM has its part of an even division, so the sum stays under twice the quota while VMs differ over the keeper or can't reach it.

Sizes are bounds of the unpacked form now, which replaced the packed one.

--- a/packages/wagtailusher_membership/src/wagtailusher_membership/__init__.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/__init__.py
@@ -25,6 +25,7 @@
 )
 from wagtailusher_membership.limits import MembershipLimits
 from wagtailusher_membership.member import Member
+from wagtailusher_membership.quota_limits import QuotaLimits
 from wagtailusher_membership.summaries import FleetDemand, SummaryDecider, SummaryLimits
 from wagtailusher_membership.verdicts import Validate
 
@@ -43,6 +44,7 @@
     "MemberChanged",
     "MembershipDecider",
     "MembershipLimits",
+    "QuotaLimits",
     "ReadService",
     "RevisionHint",
     "Send",
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/broadcast.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/broadcast.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 
 from wagtailusher_core import VmId
-from wagtailusher_membership.packed_size import bound_packed_bytes
+from wagtailusher_membership.encoded_size import bound_encoded_bytes
 from wagtailusher_wire import MemberUpdate
 
 _UPDATE_WORDS = 7
@@ -13,7 +13,7 @@
 
 def estimate_bytes(update: MemberUpdate) -> int:
     """Return a bound of an update's size in a message."""
-    return bound_packed_bytes(
+    return bound_encoded_bytes(
         _UPDATE_WORDS,
         update.vm_id,
         update.address,
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
@@ -9,14 +9,10 @@
 
 from wagtailusher_core import ClassKey, FailureDomainId, Incarnation, PoolId, VmId
 from wagtailusher_membership.address_answers import AddressChoice, WeighedAddress, draw_addresses
-from wagtailusher_membership.apportion import apportion, base_share
 from wagtailusher_membership.const import (
-    DEFAULT_CLAIM_WINDOW_MS,
-    DEFAULT_CLAIM_WINDOW_PER_VM_MS,
     DEFAULT_NEAR_WEIGHT,
     DEFAULT_ROOM_HALF_LIFE_MS,
     DEFAULT_SUMMARY_BYTES,
-    DEFAULT_SUMMARY_CLASSES,
     DEFAULT_SUMMARY_FANOUT,
     DEFAULT_SUMMARY_INTERVAL_MS,
     DEFAULT_SUMMARY_LIFETIME_MS,
@@ -24,12 +20,23 @@
     DEFAULT_SUMMARY_ROOMS_BYTES,
 )
 from wagtailusher_membership.effects import Send
+from wagtailusher_membership.keepers import Keepers
 from wagtailusher_membership.member import Member
-from wagtailusher_membership.own_claims import OwnClaims
 from wagtailusher_membership.probes import sample
+from wagtailusher_membership.quota_keeper import QuotaKeeper
+from wagtailusher_membership.quota_limits import QuotaLimits
+from wagtailusher_membership.quota_shares import ClassUse, QuotaShares
 from wagtailusher_membership.summary_size import bound_pools, take_demands, take_rooms
-from wagtailusher_membership.summary_view import Aged, ClaimIndex, LatestSummaries, SummaryT
-from wagtailusher_wire import DemandSummary, Message, PoolDemand, RoomSummary, SummaryGossip
+from wagtailusher_membership.summary_view import Aged, LatestSummaries, SummaryT
+from wagtailusher_wire import (
+    DemandSummary,
+    Message,
+    PoolDemand,
+    QuotaClaims,
+    QuotaGrants,
+    RoomSummary,
+    SummaryGossip,
+)
 
 _NO_SENDER = VmId("")
 
@@ -42,11 +49,8 @@
     fanout: int = DEFAULT_SUMMARY_FANOUT
     max_bytes: int = DEFAULT_SUMMARY_BYTES
     rooms_bytes: int = DEFAULT_SUMMARY_ROOMS_BYTES
-    max_classes: int = DEFAULT_SUMMARY_CLASSES
     max_pools: int = DEFAULT_SUMMARY_POOLS
     lifetime_ms: int = DEFAULT_SUMMARY_LIFETIME_MS
-    claim_window_ms: int = DEFAULT_CLAIM_WINDOW_MS
-    claim_window_per_vm_ms: int = DEFAULT_CLAIM_WINDOW_PER_VM_MS
     near_weight: float = DEFAULT_NEAR_WEIGHT
     room_half_life_ms: int = DEFAULT_ROOM_HALF_LIFE_MS
 
@@ -60,12 +64,11 @@
 
 
 class SummaryDecider:
-    """Publishes this VM's summary, merges the others', and divides quotas by them.
+    """Publishes this VM's summary, merges the others', and divides quotas.
 
-    A share grows only after the claim behind it was published for a window in which the other
-    VMs come to know it, and shrinks at once; what nobody claims is divided evenly over the
-    platform's list. The shares add up to the quota at most once views agree. While they differ,
-    but none is older than the window, the sum stays under twice the quota.
+    Each class's quota has a keeper that hands out parts for a short time. The parts in use add
+    up to the quota at most; twice the quota at most while VMs differ over who the keeper is or
+    can't reach it.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         members: Mapping[VmId, Member],
         seed: int,
         limits: SummaryLimits | None = None,
+        quota_limits: QuotaLimits | None = None,
     ) -> None:
         """Start with an empty summary; the members are a live view."""
         self._vm_id = vm_id
@@ -87,8 +91,13 @@
         self._rng = Random(seed)
         self._rooms: LatestSummaries[RoomSummary] = LatestSummaries()
         self._demands: LatestSummaries[DemandSummary] = LatestSummaries()
-        self._claims = ClaimIndex()
-        self._own_claims = OwnClaims()
+        quota_limits = quota_limits or QuotaLimits()
+        self._quota_limits = quota_limits
+        self._keepers = Keepers(vm_id=vm_id, members=members)
+        self._keeper = QuotaKeeper(vm_id=vm_id, keepers=self._keepers, limits=quota_limits)
+        self._shares = QuotaShares(
+            vm_id=vm_id, incarnation=incarnation, keepers=self._keepers, limits=quota_limits
+        )
         self._handed_out: dict[VmId, int] = {}
         self._room = 0
         self._pools: tuple[PoolDemand, ...] = ()
@@ -100,56 +109,45 @@
         """Return this process's incarnation."""
         return self._incarnation
 
-    @property
-    def claim_window_ms(self) -> int:
-        """Return how long a claim is published before a share grows with it."""
-        limits = self._limits
-        return limits.claim_window_ms + limits.claim_window_per_vm_ms * len(self._members)
-
     def set_room(self, room: int) -> None:
         """Set how many more requests this VM can take."""
         self._room = max(0, room)
 
     def set_demand(self, pools: Iterable[PoolDemand]) -> None:
         """Set this VM's demand; classes without a quota may be left out."""
+        pools = tuple(pools)
         limits = self._limits
+        self._shares.set_uses(_uses(pools))
         self._pools = bound_pools(
-            pools,
-            max_pools=limits.max_pools,
-            max_classes=limits.max_classes,
-            max_bytes=limits.max_bytes - limits.rooms_bytes,
+            pools, max_pools=limits.max_pools, max_bytes=limits.max_bytes - limits.rooms_bytes
         )
 
     def next_due_ms(self, now_ms: int) -> int:
         """Return when to tick next."""
-        return max(now_ms, self._next_ms)
+        return min(max(now_ms, self._next_ms), now_ms + self._quota_limits.hurry_ms)
 
     def tick(self, now_ms: int) -> tuple[Send, ...]:
-        """Publish what is due."""
-        if now_ms < self._next_ms:
-            return ()
-        self._next_ms = now_ms + self._limits.interval_ms
-        self._forget(now_ms)
-        self._publish(now_ms)
-        targets = sample(
-            self._rng, self._members, self._limits.fanout, excluded=frozenset((self._vm_id,))
-        )
-        return tuple(
-            Send(vm_id=member.vm_id, address=member.peer_address, message=self._gossip(now_ms))
-            for member in targets
-        )
+        """Publish and claim what is due."""
+        self._keepers.refresh(now_ms)
+        sends = list(self._claim(now_ms))
+        if now_ms >= self._next_ms:
+            self._next_ms = now_ms + self._limits.interval_ms
+            self._forget(now_ms)
+            self._publish(now_ms)
+            sends.extend(self._spread(now_ms))
+        return tuple(sends)
 
     def handle(
         self, message: Message, now_ms: int, *, sender: VmId = _NO_SENDER, address: str = ""
     ) -> tuple[Send, ...]:
-        """Merge other VMs' summaries."""
+        """Merge other VMs' summaries, answer claims, take grants in."""
         if isinstance(message, SummaryGossip):
-            for room in message.rooms:
-                if room.vm_id != self._vm_id and self._rooms.merge(room, now_ms):
-                    self._handed_out.pop(room.vm_id, None)
-            for demand in message.demands:
-                if demand.vm_id != self._vm_id and self._demands.merge(demand, now_ms):
-                    self._claims.put(demand)
+            self._merge(message, now_ms)
+        elif isinstance(message, QuotaClaims) and message.node_id == sender:
+            grants = self._keeper.answer(message, now_ms)
+            return (Send(vm_id=sender, address=address, message=grants),)
+        elif isinstance(message, QuotaGrants):
+            self._shares.take(message, now_ms)
         return ()
 
     def age_ms(self, vm_id: VmId, now_ms: int) -> int | None:
@@ -177,22 +175,11 @@
 
     def quota_share(self, class_key: ClassKey, quota: int, now_ms: int) -> int:
         """Return how many requests of a class this VM may have in flight."""
-        name = "\0".join(class_key)
-        settled = self._own_claims.settled(class_key, now_ms, self.claim_window_ms)
-        claims = self._other_claims(class_key, now_ms)
-        if settled:
-            claims[self._vm_id] = settled
-        unclaimed = max(0, quota - sum(claims.values()))
-        share = apportion(name, quota, claims).get(self._vm_id, 0)
-        return share + base_share(name, unclaimed, self._vm_id, self._listed())
-
-    def quota_holders(self, class_key: ClassKey, quota: int, now_ms: int) -> tuple[VmId, ...]:
-        """Return other VMs that have a share now, the largest first; for a request to go to."""
-        name = "\0".join(class_key)
-        claims = self._other_claims(class_key, now_ms)
-        shares = apportion(name, quota, claims) if claims else {}
-        takers = [vm_id for vm_id, share in shares.items() if share and self._takes_work(vm_id)]
-        return tuple(sorted(takers, key=lambda vm_id: (-shares[vm_id], vm_id)))
+        return self._shares.share(class_key, quota, now_ms)
+
+    def quota_keeper(self, class_key: ClassKey) -> VmId | None:
+        """Return the VM that keeps a class's quota now."""
+        return self._keepers.keeper(class_key)
 
     def addresses(
         self, now_ms: int, near_domain: FailureDomainId, count: int
@@ -204,6 +191,33 @@
             self._handed_out[choice.vm_id] = self._handed_out.get(choice.vm_id, 0) + 1
         return chosen
 
+    def _merge(self, message: SummaryGossip, now_ms: int) -> None:
+        """Take newer summaries of other VMs in."""
+        for room in message.rooms:
+            if room.vm_id != self._vm_id and self._rooms.merge(room, now_ms):
+                self._handed_out.pop(room.vm_id, None)
+        for demand in message.demands:
+            if demand.vm_id != self._vm_id:
+                self._demands.merge(demand, now_ms)
+
+    def _claim(self, now_ms: int) -> Iterator[Send]:
+        """Yield claims to other VMs; this VM's own are answered here."""
+        for claims in self._shares.due(now_ms):
+            keeper = self._members.get(claims.keeper_id)
+            if claims.keeper_id == self._vm_id:
+                self._shares.take(self._keeper.answer(claims.message, now_ms), now_ms)
+            elif keeper is not None:
+                yield Send(vm_id=keeper.vm_id, address=keeper.peer_address, message=claims.message)
+
+    def _spread(self, now_ms: int) -> Iterator[Send]:
+        """Yield summaries for a few random members."""
+        targets = sample(
+            self._rng, self._members, self._limits.fanout, excluded=frozenset((self._vm_id,))
+        )
+        for member in targets:
+            gossip = self._gossip(now_ms)
+            yield Send(vm_id=member.vm_id, address=member.peer_address, message=gossip)
+
     def _publish(self, now_ms: int) -> None:
         """Take this VM's own summary in."""
         self._sequence += 1
@@ -227,7 +241,6 @@
             pools=self._pools,
         )
         self._demands.merge(demand, now_ms)
-        self._own_claims.publish(demand, now_ms)
         self._handed_out.pop(self._vm_id, None)
 
     def _gossip(self, now_ms: int) -> SummaryGossip:
@@ -257,7 +270,6 @@
         for vm_id in self._demands.names():
             if self._is_forgotten(vm_id, self._demands.get(vm_id), now_ms):
                 self._demands.remove(vm_id)
-                self._claims.remove(vm_id)
 
     def _is_forgotten(self, vm_id: VmId, entry: Aged[SummaryT] | None, now_ms: int) -> bool:
         """Return whether a summary isn't worth keeping."""
@@ -267,36 +279,6 @@
         is_gone = member is not None and member.gone
         return is_gone or now_ms - entry.true_at_ms >= self._limits.lifetime_ms
 
-    def _listed(self) -> list[VmId]:
-        """Return the VMs of the platform's list."""
-        return [member.vm_id for member in self._members.values() if member.listed]
-
-    def _takes_work(self, vm_id: VmId) -> bool:
-        """Return whether a VM is believed to take new work."""
-        member = self._members.get(vm_id)
-        return member is not None and member.takes_work
-
-    def _other_claims(self, class_key: ClassKey, now_ms: int) -> dict[VmId, int]:
-        """Return the other VMs' claims; one told too long ago counts as the mean at least."""
-        claims = {
-            vm_id: claim
-            for vm_id, claim in self._claims.of(class_key).items()
-            if vm_id != self._vm_id and claim > 0
-        }
-        if not claims:
-            return claims
-        mean = sum(claims.values()) // len(claims)
-        oldest_ms = now_ms - self.claim_window_ms
-        return {
-            vm_id: max(claim, mean) if self._told_before(vm_id, oldest_ms) else claim
-            for vm_id, claim in claims.items()
-        }
-
-    def _told_before(self, vm_id: VmId, time_ms: int) -> bool:
-        """Return whether a VM's demand is older than a time."""
-        entry = self._demands.get(vm_id)
-        return entry is None or entry.true_at_ms < time_ms
-
     def _weighed(self, now_ms: int, near: FailureDomainId) -> Iterator[WeighedAddress]:
         """Yield every VM that takes work with its weight."""
         known = [entry.summary.room for entry in self._rooms.values()]
@@ -322,6 +304,20 @@
             )
 
 
+def _uses(pools: Iterable[PoolDemand]) -> dict[ClassKey, ClassUse]:
+    """Return the requests by class, over all pools."""
+    uses: dict[ClassKey, ClassUse] = {}
+    for pool in pools:
+        for demand in pool.classes:
+            key = ClassKey(demand.workspace_id, demand.class_id)
+            known = uses.get(key, ClassUse())
+            uses[key] = ClassUse(
+                queued=known.queued + demand.queued,
+                in_flight=known.in_flight + demand.in_flight,
+            )
+    return uses
+
+
 def _add(rows: Iterable[tuple[int, ...]]) -> tuple[int, ...]:
     """Return the sums by place; rows may differ in length."""
     sums: list[int] = []
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/summary_view.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/summary_view.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from typing import Generic, TypeVar
 
-from wagtailusher_core import ClassKey, VmId
+from wagtailusher_core import VmId
 from wagtailusher_wire import DemandSummary, RoomSummary
 
 SummaryT = TypeVar("SummaryT", RoomSummary, DemandSummary)
@@ -56,45 +56,6 @@
         self._entries.pop(vm_id, None)
 
 
-class ClaimIndex:
-    """How much of each class every VM has queued and in flight."""
-
-    def __init__(self) -> None:
-        """Start without claims."""
-        self._claims: dict[ClassKey, dict[VmId, int]] = {}
-        self._keys: dict[VmId, frozenset[ClassKey]] = {}
-
-    def put(self, summary: DemandSummary) -> None:
-        """Replace a VM's claims."""
-        self.remove(summary.vm_id)
-        claims = claims_of(summary)
-        self._keys[summary.vm_id] = frozenset(claims)
-        for key, claim in claims.items():
-            self._claims.setdefault(key, {})[summary.vm_id] = claim
-
-    def remove(self, vm_id: VmId) -> None:
-        """Forget a VM's claims."""
-        for key in self._keys.pop(vm_id, frozenset()):
-            claims = self._claims[key]
-            del claims[vm_id]
-            if not claims:
-                del self._claims[key]
-
-    def of(self, key: ClassKey) -> Mapping[VmId, int]:
-        """Return the claims on a class."""
-        return self._claims.get(key, {})
-
-
-def claims_of(summary: DemandSummary) -> dict[ClassKey, int]:
-    """Return a VM's claims by class, over all pools."""
-    claims: dict[ClassKey, int] = {}
-    for pool in summary.pools:
-        for demand in pool.classes:
-            key = ClassKey(demand.workspace_id, demand.class_id)
-            claims[key] = claims.get(key, 0) + demand.queued + demand.in_flight
-    return claims
-
-
 def _order(summary: RoomSummary | DemandSummary) -> tuple[int, int]:
     """Return a summary's place among those of its VM."""
     return summary.incarnation, summary.sequence
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -174,3 +174,32 @@
   rooms @0 :List(RoomSummary);
   demands @1 :List(DemandSummary);
 }
+
+struct QuotaClaim {
+  workspaceId @0 :Text;
+  classId @1 :Text;
+  quota @2 :UInt32;
+  claim @3 :UInt32;
+  held @4 :UInt32;
+  grantSequence @5 :UInt64;
+}
+
+struct QuotaClaims {
+  nodeId @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  claims @3 :List(QuotaClaim);
+}
+
+struct QuotaGrant {
+  workspaceId @0 :Text;
+  classId @1 :Text;
+  share @2 :UInt32;
+}
+
+struct QuotaGrants {
+  keeperId @0 :Text;
+  sequence @1 :UInt64;
+  lifetimeMs @2 :UInt32;
+  grants @3 :List(QuotaGrant);
+}
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -262,6 +262,50 @@
     demands: tuple[DemandSummary, ...] = ()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaClaim:
+    """What one VM wants of a class's fleet-wide quota, and the most that it may be using.
+
+    The grant sequence is of the last grant that the VM took in.
+    """
+
+    workspace_id: WorkspaceId
+    class_id: ClassId
+    quota: int
+    claim: int
+    held: int
+    grant_sequence: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaClaims:
+    """One VM's claims on the quotas that the receiver keeps."""
+
+    node_id: VmId
+    incarnation: Incarnation
+    sequence: int
+    claims: tuple[QuotaClaim, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaGrant:
+    """A part of a class's quota."""
+
+    workspace_id: WorkspaceId
+    class_id: ClassId
+    share: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaGrants:
+    """Answers claims; the lifetime counts from when they were sent."""
+
+    keeper_id: VmId
+    sequence: int
+    lifetime_ms: int
+    grants: tuple[QuotaGrant, ...]
+
+
 Message = (
     Ping
     | Ack
@@ -279,6 +323,8 @@
     | QuarantineSummary
     | SummaryGossip
     | LeaseRecall
+    | QuotaClaims
+    | QuotaGrants
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -298,5 +344,7 @@
     QuarantineSummary,
     SummaryGossip,
     LeaseRecall,
+    QuotaClaims,
+    QuotaGrants,
 )
 """In the order of their numbers on the wire; only appended to."""
