Ask late-known peers while settling; only a class's keeper answers claims

Cause: a starting node whose platform list came after its first tick asked nobody and settled unconfirmed after the bound. A VM that isn't a class's keeper by its own view answered claims.

Peers that become known during the wait are asked too. The even part of a quota is worked out once for each list. A new test starts a node with a late list beside a service that is behind: it takes revision 5 from its peers, not the service's 3. The planted fault of not waiting was noticed by chance only; the schedule's peers answer later than the service now, so that it always is.

Conclusion: the wait means what its result says.

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration.py
@@ -97,19 +97,12 @@
 def measure_spread(size: int, *, seed: int, loss: float, changes: int) -> ConfigurationSpread:
     """Return how long changes take to be in force everywhere."""
     fleet = ConfigurationFleet(size, seed=seed, loss=loss)
-    rng = Random(seed)
     network = fleet.network
     idle_bytes_per_s = _idle_bytes_per_s(fleet)
     network.traffic.reset()
     fleet.service.calls_by_second.clear()
-    starts: dict[Revision, int] = {}
     start_ms = network.now_ms
-    for change in range(2, changes + 2):
-        network.run_until(network.now_ms + _CHANGE_INTERVAL_MS + rng.randrange(1_000))
-        revision = Revision(number=change)
-        starts[revision] = network.now_ms
-        fleet.service.publish(revision, make_content(_LINES, change))
-    network.run_until(network.now_ms + _CHANGE_INTERVAL_MS)
+    starts = _publish_changes(fleet, changes, Random(seed))
     delays = [
         applied_ms - starts[revision]
         for node in fleet.nodes
@@ -137,6 +130,19 @@
     )
 
 
+def _publish_changes(fleet: ConfigurationFleet, changes: int, rng: Random) -> dict[Revision, int]:
+    """Publish changes one after the other and return when."""
+    network = fleet.network
+    starts: dict[Revision, int] = {}
+    for change in range(2, changes + 2):
+        network.run_until(network.now_ms + _CHANGE_INTERVAL_MS + rng.randrange(1_000))
+        revision = Revision(number=change)
+        starts[revision] = network.now_ms
+        fleet.service.publish(revision, make_content(_LINES, change))
+    network.run_until(network.now_ms + _CHANGE_INTERVAL_MS)
+    return starts
+
+
 def measure_delta(lines: int, places: int) -> DeltaCost:
     """Return the size and time of a delta with a few changed places."""
     base = make_content(lines, 0)
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration_node.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration_node.py
@@ -44,17 +44,21 @@
         self.effects: list[ConfigurationEffect] = []
         self._network = network
         self._service = service
-        table = MemberTable(max_members=2_048, buckets=1)
-        for _ in table.publish(published, 0):
-            pass
+        self._table = MemberTable(max_members=2_048, buckets=1)
+        self.publish(published, 0)
         self.decider = ConfigurationDecider(
             vm_id=place.vm_id,
             failure_domain_id=place.failure_domain_id,
-            members=table.view,
+            members=self._table.view,
             validate=accept_all,
             seed=seed,
         )
 
+    def publish(self, published: Iterable[PublishedVm], now_ms: int) -> None:
+        """Take the platform's list in."""
+        for _ in self._table.publish(published, now_ms):
+            pass
+
     def tick(self, now_ms: int) -> Iterator[Outgoing]:
         """Do what is due."""
         return self._carry_out(self.decider.tick(now_ms))
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/wire.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/wire.py
@@ -93,6 +93,21 @@
     room = RoomSummary(
         vm_id=VmId("vm-0001"), incarnation=_INCARNATION, sequence=77, age_ms=900, room=300
     )
+    revision = Revision(number=4_711)
+    return {
+        "ack_without_updates": Ack(sequence=9, subject=VmId("vm-0001"), revision=revision),
+        "gossip_with_6_updates": Gossip(updates=(update,) * 6),
+        "table_digest": TableDigest(hashes=tuple(range(2**63, 2**63 + 32))),
+        "configuration_announce": ConfigurationAnnounce(
+            revision=revision, digest=2**63, settled=True
+        ),
+        **_lease_messages(),
+        "summary_with_10_rooms": SummaryGossip(rooms=(room,) * 10),
+    }
+
+
+def _lease_messages() -> dict[str, Message]:
+    """Return a typical lease request and grant."""
     lease = LeaseRequest(
         node_id=VmId("vm-0001"),
         endpoint_id=EndpointId("runner-0001"),
@@ -110,15 +125,4 @@
         sequence=1_234,
         steward_epoch=3,
     )
-    revision = Revision(number=4_711)
-    return {
-        "ack_without_updates": Ack(sequence=9, subject=VmId("vm-0001"), revision=revision),
-        "gossip_with_6_updates": Gossip(updates=(update,) * 6),
-        "table_digest": TableDigest(hashes=tuple(range(2**63, 2**63 + 32))),
-        "configuration_announce": ConfigurationAnnounce(
-            revision=revision, digest=2**63, settled=True
-        ),
-        "lease_request": lease,
-        "lease_grant": grant,
-        "summary_with_10_rooms": SummaryGossip(rooms=(room,) * 10),
-    }
+    return {"lease_request": lease, "lease_grant": grant}
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
@@ -16,7 +16,7 @@
     Settled,
 )
 from wagtailusher_membership.configuration_limits import ConfigurationLimits
-from wagtailusher_membership.delta import DeltaError, apply_delta, digest_content
+from wagtailusher_membership.delta import digest_content
 from wagtailusher_membership.effects import Send
 from wagtailusher_membership.history import ContentHistory
 from wagtailusher_membership.holders import Holders, PendingFetch
@@ -26,7 +26,6 @@
 from wagtailusher_membership.settling import Settling
 from wagtailusher_membership.verdicts import Validate, Verdicts
 from wagtailusher_wire import (
-    MAX_STREAM_MESSAGE_BYTES,
     NO_REVISION,
     ConfigurationAnnounce,
     ConfigurationQuery,
@@ -75,9 +74,7 @@
         rng = Random(seed)
         self._holders = Holders(rng, floor=floor)
         self._reads = ServiceReads(limits, rng)
-        self._settling: Settling | None = Settling(
-            settle_ms=limits.settle_ms, query_interval_ms=limits.query_interval_ms
-        )
+        self._settling: Settling | None = Settling(limits)
         self._readers = Readers(
             vm_id=vm_id, failure_domain_id=failure_domain_id, members=members, limits=limits
         )
@@ -88,9 +85,7 @@
             rng=rng,
             limits=limits,
         )
-        self._history = ContentHistory(
-            max_count=limits.history_count, max_bytes=limits.history_bytes
-        )
+        self._history = ContentHistory(limits)
         self._held = NO_REVISION
         self._seen_at_service = NO_REVISION
         self._offer: _Offer | None = None
@@ -196,7 +191,7 @@
         if pending is None or pending.sequence != answer.sequence or pending.vm_id != sender:
             return ()
         self._holders.pending = None
-        content = self._build(answer)
+        content = self._history.build(answer)
         if content is None:
             self._whole_next = True
             self._holders.failed(sender)
@@ -235,12 +230,11 @@
 
     def _settle(self, settling: Settling, now_ms: int) -> None:
         """Ask peers, and end the wait when it is over."""
-        if not settling.is_started():
+        if settling.is_due(now_ms):
             companions = self._companions(self._limits.settle_peers, now_ms)
-            settling.start((member.vm_id for member in companions), now_ms)
-        for vm_id in settling.due(now_ms):
-            if vm_id in self._members:
-                self._query(self._members[vm_id])
+            for vm_id in settling.ask((member.vm_id for member in companions), now_ms):
+                if vm_id in self._members:
+                    self._query(self._members[vm_id])
         if not settling.is_over(now_ms):
             return
         self._settling = None
@@ -414,15 +408,6 @@
         self._effects.append(refusal)
         return False
 
-    def _build(self, answer: ContentAnswer) -> bytes | None:
-        """Return the content of an answer, None when it doesn't fit."""
-        base = self._history.content(answer.base) if answer.base != NO_REVISION else b""
-        try:
-            content = apply_delta(base, answer.steps, max_bytes=MAX_STREAM_MESSAGE_BYTES)
-        except DeltaError:
-            return None
-        return content if digest_content(content) == answer.digest else None
-
     def _emit(self, effect: ConfigurationEffect | None) -> None:
         """Add an effect where there is one."""
         if effect is not None:
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/history.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/history.py
@@ -5,8 +5,20 @@
 from collections import OrderedDict
 
 from wagtailusher_core import Revision
-from wagtailusher_membership.delta import digest_content, make_delta
-from wagtailusher_wire import NO_REVISION, ContentAnswer, ContentRequest, DeltaStep
+from wagtailusher_membership.configuration_limits import ConfigurationLimits
+from wagtailusher_membership.delta import (
+    DeltaError,
+    apply_delta,
+    digest_content,
+    make_delta,
+)
+from wagtailusher_wire import (
+    MAX_STREAM_MESSAGE_BYTES,
+    NO_REVISION,
+    ContentAnswer,
+    ContentRequest,
+    DeltaStep,
+)
 
 _MAX_DELTAS = 8
 
@@ -14,10 +26,9 @@
 class ContentHistory:
     """Keeps a bounded number of contents and the deltas that were asked for lately."""
 
-    def __init__(self, *, max_count: int, max_bytes: int) -> None:
+    def __init__(self, limits: ConfigurationLimits) -> None:
         """Create an empty history."""
-        self._max_count = max_count
-        self._max_bytes = max_bytes
+        self._limits = limits
         self._contents: OrderedDict[Revision, bytes] = OrderedDict()
         self._digests: dict[Revision, int] = {}
         self._deltas: OrderedDict[tuple[Revision, Revision], tuple[DeltaStep, ...]] = OrderedDict()
@@ -31,10 +42,6 @@
             oldest, _ = self._contents.popitem(last=False)
             del self._digests[oldest]
 
-    def content(self, revision: Revision) -> bytes:
-        """Return a content, empty when it isn't kept."""
-        return self._contents.get(revision, b"")
-
     def digest(self, revision: Revision) -> int:
         """Return a content's digest, 0 when it isn't kept."""
         return self._digests.get(revision, 0)
@@ -52,6 +59,15 @@
             steps=self._steps(base, revision),
         )
 
+    def build(self, answer: ContentAnswer) -> bytes | None:
+        """Return the content of a peer's answer, None when it doesn't fit."""
+        base = self._contents.get(answer.base, b"")
+        try:
+            content = apply_delta(base, answer.steps, max_bytes=MAX_STREAM_MESSAGE_BYTES)
+        except DeltaError:
+            return None
+        return content if digest_content(content) == answer.digest else None
+
     def _steps(self, base: Revision, revision: Revision) -> tuple[DeltaStep, ...]:
         """Return the steps between two contents, worked out once for all who ask."""
         steps = self._deltas.get((base, revision))
@@ -70,4 +86,5 @@
     def _is_over(self) -> bool:
         """Return whether the history exceeds a limit."""
         total_bytes = sum(map(len, self._contents.values()))
-        return len(self._contents) > self._max_count or total_bytes > self._max_bytes
+        is_many = len(self._contents) > self._limits.history_count
+        return is_many or total_bytes > self._limits.history_bytes
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/quota_keeper.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/quota_keeper.py
@@ -49,11 +49,12 @@
         self._books: OrderedDict[ClassKey, _Book] = OrderedDict()
 
     def answer(self, message: QuotaClaims, now_ms: int) -> QuotaGrants:
-        """Return grants for claims."""
+        """Return grants for claims on the quotas that are kept here."""
         grants = []
         for claim in message.claims:
             key = ClassKey(claim.workspace_id, claim.class_id)
-            share = self._grant(key, claim, message, now_ms)
+            is_kept_here = self._keepers.keeper(key) == self._vm_id
+            share = self._grant(key, claim, message, now_ms) if is_kept_here else None
             if share is not None:
                 grants.append(QuotaGrant(workspace_id=key[0], class_id=key[1], share=share))
         return QuotaGrants(
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/quota_shares.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/quota_shares.py
@@ -67,6 +67,8 @@
         self._limits = limits
         self._shares: dict[ClassKey, _Share] = {}
         self._uses: Mapping[ClassKey, ClassUse] = {}
+        self._bases: dict[tuple[ClassKey, int], int] = {}
+        self._bases_of: tuple[VmId, ...] = ()
         self._sent_ms: dict[int, int] = {}
         self._sequence = 0
 
@@ -120,8 +122,16 @@
         return self._base(key, share.quota)
 
     def _base(self, key: ClassKey, quota: int) -> int:
-        """Return this VM's part of an even division."""
-        return base_share("\0".join(key), quota, self._vm_id, self._keepers.listed)
+        """Return this VM's part of an even division, worked out once for each list."""
+        listed = self._keepers.listed
+        if listed is not self._bases_of or len(self._bases) >= self._limits.max_classes:
+            self._bases_of = listed
+            self._bases.clear()
+        base = self._bases.get((key, quota))
+        if base is None:
+            base = base_share("\0".join(key), quota, self._vm_id, listed)
+            self._bases[key, quota] = base
+        return base
 
     def _is_due(self, key: ClassKey, share: _Share, now_ms: int) -> bool:
         """Return whether to claim now: to renew, sooner when more is wanted."""
--- a/tests/wagtailusher_membership/test_configuration.py
+++ b/tests/wagtailusher_membership/test_configuration.py
@@ -10,6 +10,7 @@
 
 from wagtailusher_bench.fleet.configuration import ConfigurationFleet, make_content
 from wagtailusher_bench.fleet.configuration_node import ConfigurationNode
+from wagtailusher_bench.fleet.network import ChannelProfile
 from wagtailusher_core import Revision, VmId
 from wagtailusher_membership import (
     ConfigurationConflict,
@@ -137,8 +138,9 @@
     """The schedules' checks notice faults that are planted."""
 
     def setUp(self) -> None:
-        """Let a region's service stay behind while peers bring the change there."""
+        """Let a region's service stay behind, quicker to answer than peers."""
         self.schedule = Schedule(self, loss=0.0, seed=1)
+        self.schedule.fleet.network.profile = ChannelProfile(near_ms=20.0)
         for step in (("stale", 0, 0), ("publish", 0, 2_000), ("invalid", 0, 0)):
             self.schedule.run(*step)
 
@@ -246,6 +248,24 @@
         self._run(4_000)
         self.assertEqual(_revisions(self.fleet.nodes), {Revision(number=8)})
 
+    def test_late_list_does_not_end_the_wait_without_asking(self) -> None:
+        self.service.publish(Revision(number=3), b"three")
+        fleet = self.fleet
+        fleet.network.stop(fleet.nodes[0])
+        node = ConfigurationNode(
+            fleet.places[0],
+            network=fleet.network,
+            service=self.service,
+            published=fleet.published[:1],
+            seed=100,
+        )
+        fleet.network.start(node)
+        self._run(1_000)
+        self.assertFalse(node.decider.is_settled)
+        node.publish(fleet.published, fleet.network.now_ms)
+        self._run(3_000)
+        self.assertEqual([revision for _, revision in node.applied], [Revision(number=5)])
+
     def test_two_contents_of_one_revision_are_told(self) -> None:
         self.service.publish(Revision(number=4), b"four")
         self._run(2_000)
