Answer operators, spread summaries, and keep suspected requests apart

Cause: the operators' command had no daemon to ask; address answers ignored room; a suspected request could meet another suspect on one endpoint, so that neither is cleared. The answers' models move to a library of their own which command and daemon share. Retries of requests that were sent cost a part of a budget; a queued request that becomes quarantined is refused.

--- a/packages/wagtailusher_cli/src/wagtailusher_cli/advice.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/advice.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from wagtailusher_cli.const import MAX_USED_SHARE, TARGET_ATTAINMENT
-from wagtailusher_cli.models import BooksAnswer, EndpointBooksAnswer
+from wagtailusher_operator.models import BooksAnswer, EndpointBooksAnswer
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_cli/src/wagtailusher_cli/asking.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/asking.py
@@ -10,8 +10,8 @@
 from wagtailusher_cli.client import Reply, async_ask_all
 from wagtailusher_cli.const import ENV_ADDRESS
 from wagtailusher_cli.exceptions import CommandError, UsageError
-from wagtailusher_cli.models import Answer
 from wagtailusher_cli.output import write_error
+from wagtailusher_operator.models import Answer
 
 AnswerT = TypeVar("AnswerT", bound=Answer)
 
--- a/packages/wagtailusher_cli/src/wagtailusher_cli/client.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/client.py
@@ -12,8 +12,8 @@
 
 from wagtailusher_cli.const import CALL_TIMEOUT_MS
 from wagtailusher_cli.exceptions import UnreachableError
-from wagtailusher_cli.models import Answer
 from wagtailusher_http import ClientLimits, HttpClient, HttpError
+from wagtailusher_operator.models import Answer
 
 AnswerT = TypeVar("AnswerT", bound=Answer)
 
--- a/packages/wagtailusher_cli/src/wagtailusher_cli/const.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/const.py
@@ -11,14 +11,6 @@
 
 ENV_ADDRESS: Final = "WAGTAILUSHER_OPERATOR_ADDRESS"
 
-PATH_FLEET: Final = "/operator/v1/fleet"
-PATH_ENDPOINTS: Final = "/operator/v1/endpoints"
-PATH_SETTINGS: Final = "/operator/v1/settings"
-PATH_QUARANTINE: Final = "/operator/v1/quarantine"
-PATH_REFUSALS: Final = "/operator/v1/refusals"
-PATH_REQUEST: Final = "/operator/v1/requests/{trace_id}"
-PATH_DRAIN: Final = "/operator/v1/drains/{failure_domain}"
-PATH_BOOKS: Final = "/operator/v1/books"
 
 CALL_TIMEOUT_MS: Final = 3_000
 MS_PER_S: Final = 1_000
--- a/packages/wagtailusher_cli/src/wagtailusher_cli/drains.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/drains.py
@@ -7,7 +7,7 @@
 
 from wagtailusher_cli.client import Reply
 from wagtailusher_cli.const import SETTLING_TIME_MS
-from wagtailusher_cli.models import DrainAnswer
+from wagtailusher_operator.models import DrainAnswer
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_cli/src/wagtailusher_cli/live.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/live.py
@@ -11,6 +11,10 @@
 from wagtailusher_cli.const import (
     EXIT_OK,
     EXIT_PROBLEM,
+)
+from wagtailusher_cli.output import write_json, write_table
+from wagtailusher_cli.tables import name_state, write_fleet, write_request, write_settings
+from wagtailusher_operator.const import (
     PATH_BOOKS,
     PATH_ENDPOINTS,
     PATH_FLEET,
@@ -19,7 +23,7 @@
     PATH_REQUEST,
     PATH_SETTINGS,
 )
-from wagtailusher_cli.models import (
+from wagtailusher_operator.models import (
     Answer,
     BooksAnswer,
     EndpointsAnswer,
@@ -29,8 +33,6 @@
     RequestAnswer,
     SettingsAnswer,
 )
-from wagtailusher_cli.output import write_json, write_table
-from wagtailusher_cli.tables import name_state, write_fleet, write_request, write_settings
 
 
 def fleet(*, address: str | None = None, json: bool = False) -> int:
--- a/packages/wagtailusher_cli/src/wagtailusher_cli/tables.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/tables.py
@@ -4,8 +4,8 @@
 
 from collections import Counter
 
-from wagtailusher_cli.models import FleetAnswer, RequestAnswer, SettingsAnswer
 from wagtailusher_cli.output import write_line, write_table
+from wagtailusher_operator.models import FleetAnswer, RequestAnswer, SettingsAnswer
 
 
 def write_fleet(answers: list[FleetAnswer]) -> None:
--- a/packages/wagtailusher_cli/src/wagtailusher_cli/watch.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/watch.py
@@ -18,12 +18,14 @@
     EXIT_PROBLEM,
     EXIT_UNREACHABLE,
     MS_PER_S,
-    PATH_DRAIN,
 )
 from wagtailusher_cli.drains import DrainProgress, judge_drain
 from wagtailusher_cli.exceptions import UnreachableError
-from wagtailusher_cli.models import DrainAnswer
 from wagtailusher_cli.output import write_json, write_line
+from wagtailusher_operator.const import (
+    PATH_DRAIN,
+)
+from wagtailusher_operator.models import DrainAnswer
 
 
 def watch_drain(
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -11,6 +11,7 @@
 
 from wagtailusher_admission import AdmissionDecider
 from wagtailusher_core import (
+    ClassKey,
     EndpointId,
     ErrorCode,
     FailureDomainId,
@@ -120,6 +121,7 @@
             steward=StewardDecider(vm_id=self.vm_id, limits=limits, incarnation=self.incarnation),
             once=OnceDecider(vm_id=self.vm_id, incarnation=self.incarnation),
             quarantine=QuarantineDecider(),
+            quota_share=self._quota_share,
         )
         return RouterDecider(parts)
 
@@ -150,6 +152,11 @@
         assert self.operator_server is not None
         return f"{host}:{self.operator_server.port}"
 
+    @property
+    def service_problem(self) -> str | None:
+        """Return what is wrong with reading the configuration service."""
+        return self._service.status.problem
+
     @property
     def is_ready(self) -> bool:
         """Tell whether requests are taken."""
@@ -167,12 +174,12 @@
         self.caller_server = await async_serve(
             api.async_handle, host=host, port=port, ssl_context=_tls_context(options)
         )
-        api.addresses = self._new_address_book()
         operator_host, operator_port = _split(options.operator_listen)
         self.operator_server = await async_serve(
             OperatorApi(self).async_handle, host=operator_host, port=operator_port
         )
         self.talk = self._new_talk()
+        api.addresses = self._new_address_book()
         self._tasks.append(asyncio.create_task(self._vm_list.async_run()))
         self._every(FLEET_TICK_INTERVAL_MS, self._async_tick_fleet)
         self._every(QUARANTINE_INTERVAL_MS, self._async_spread_quarantine)
@@ -298,10 +305,11 @@
 
     def _new_address_book(self) -> AddressBook:
         """Return the answerer of address questions."""
+        assert self.talk is not None
         return AddressBook(
-            vm_id=self.vm_id,
             own_address=self.address,
-            published=lambda: self.view.published,
+            failure_domain_id=FailureDomainId(self.options.failure_domain),
+            summaries=self.talk.summaries,
             lifetime_ms=self._address_lifetime_ms,
         )
 
@@ -310,6 +318,12 @@
         settings = self.view.settings
         return settings.fleet.silence_timeout_ms if settings is not None else _DEFAULT_SILENCE_MS
 
+    def _quota_share(self, key: ClassKey, quota: int, now_ms: int) -> int:
+        """Return this VM's part of a quota."""
+        if self.talk is None:
+            return quota
+        return self.talk.summaries.quota_share(key, quota, now_ms)
+
     def _trace_sample_share(self) -> float:
         """Return the share of requests that are traced."""
         settings = self.view.settings
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/books.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/books.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from wagtailusher_core import ClassKey, PoolId
@@ -38,6 +39,7 @@
     """One endpoint's books."""
 
     load: LoadBook
+    last_start_ms: int = 0
     completed: int = 0
     good_tokens: int = 0
     wasted_tokens: int = 0
@@ -69,6 +71,7 @@
         if book is None:
             book = self.endpoints[endpoint_id] = EndpointBook(load=LoadBook(changed_ms=now_ms))
         book.load.change(1, now_ms)
+        book.last_start_ms = now_ms
         self._pool(arrival.pool_id, now_ms).change(1, now_ms)
 
     def ended(
@@ -95,6 +98,13 @@
         book.finished += 1
         book.met += met
 
+    def last_start_age_ms(self, endpoint_ids: Iterable[str], now_ms: int) -> int | None:
+        """Return how long ago work was last sent to any of some endpoints."""
+        known = [self.endpoints[item] for item in endpoint_ids if item in self.endpoints]
+        if not known:
+            return None
+        return now_ms - max(book.last_start_ms for book in known)
+
     def _pool(self, pool_id: PoolId, now_ms: int) -> LoadBook:
         """Return a pool's book."""
         book = self.pools.get(pool_id)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
@@ -6,6 +6,8 @@
 from typing import Any, TypeVar
 
 from wagtailusher_once import QuarantineEntry, QuarantineSummary
+from wagtailusher_router import PoolLoad
+from wagtailusher_wire import ClassDemand, PoolDemand
 from wagtailusher_wire import QuarantineEntry as QuarantineEntryMessage
 from wagtailusher_wire import QuarantineSummary as QuarantineSummaryMessage
 
@@ -29,3 +31,21 @@
     return QuarantineSummary(
         entries=tuple(convert(entry, QuarantineEntry) for entry in message.entries)
     )
+
+
+def pool_demand(load: PoolLoad) -> PoolDemand:
+    """Return a pool's load as it goes on the wire."""
+    return PoolDemand(
+        pool_id=load.pool_id,
+        queued_by_tier=load.queued_by_tier,
+        in_flight_by_tier=load.in_flight_by_tier,
+        classes=tuple(
+            ClassDemand(
+                workspace_id=item.key.workspace_id,
+                class_id=item.key.class_id,
+                queued=item.queued,
+                in_flight=item.in_flight,
+            )
+            for item in load.classes
+        ),
+    )
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
@@ -20,7 +20,7 @@
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.configuration_stream import ConfigurationStream
 from wagtailusher_daemon.const import QUARANTINE_FANOUT
-from wagtailusher_daemon.conversion import quarantine_message, quarantine_summary
+from wagtailusher_daemon.conversion import pool_demand, quarantine_message, quarantine_summary
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_integrations.config_service import ConfigServiceCoordinator
@@ -40,6 +40,7 @@
     Send,
     ServiceBehind,
     Settled,
+    SummaryDecider,
     Superseded,
 )
 from wagtailusher_settings import SettingsError, parse_settings
@@ -49,6 +50,7 @@
     Message,
     QuarantineSummary,
     Sealed,
+    SummaryGossip,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -104,6 +106,13 @@
             validate=_validate,
             seed=seed + 1,
         )
+        self.summaries = SummaryDecider(
+            vm_id=identity.vm_id,
+            failure_domain_id=identity.failure_domain_id,
+            incarnation=identity.incarnation,
+            members=self.membership.members(),
+            seed=seed + 2,
+        )
 
     def members(self) -> tuple[Member, ...]:
         """Return the members, this process among them."""
@@ -130,6 +139,10 @@
         now_ms = monotonic_ms()
         self._carry_out(self.membership.tick(now_ms))
         self._carry_out(self.configuration.tick(now_ms))
+        if now_ms >= self.summaries.next_due_ms(now_ms):
+            self.summaries.set_room(self._node.decider.room(now_ms))
+            self.summaries.set_demand(map(pool_demand, self._node.decider.load()))
+            self._carry_out(self.summaries.tick(now_ms))
 
     @callback
     def spread_quarantine(self) -> None:
@@ -150,6 +163,9 @@
         if isinstance(message, QuarantineSummary):
             self._node.decider.merge_quarantine(quarantine_summary(message), now_ms)
             return
+        if isinstance(message, SummaryGossip):
+            self._carry_out(self.summaries.handle(message, now_ms, sender=sealed.vm_id))
+            return
         if isinstance(message, ConfigurationAnnounce | ConfigurationQuery):
             effects = self.configuration.handle(
                 message, now_ms, sender=sealed.vm_id, address=address
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_answers.py
@@ -0,0 +1,278 @@
+"""Builds the answers of the operators' interface from what the parts know."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from wagtailusher_core import FailureDomainId, Revision
+from wagtailusher_daemon.books import Books
+from wagtailusher_daemon.fleet_view import FleetView
+from wagtailusher_daemon.journal import Journal, RequestRecord
+from wagtailusher_membership import Member
+from wagtailusher_once import QuarantineEntry
+from wagtailusher_operator.models import (
+    AttemptAnswer,
+    BooksAnswer,
+    CandidateAnswer,
+    ClassBooksAnswer,
+    DrainAnswer,
+    DrainEndpointAnswer,
+    DrainVmAnswer,
+    EndpointAnswer,
+    EndpointBooksAnswer,
+    EndpointsAnswer,
+    FingerprintAnswer,
+    MemberAnswer,
+    PoolBooksAnswer,
+    ProblemAnswer,
+    QuarantineAnswer,
+    RefusalAnswer,
+    RefusalCountAnswer,
+    RefusalsAnswer,
+    RequestAnswer,
+    SettingsAnswer,
+    SettingsRefusalAnswer,
+)
+from wagtailusher_placement import CandidateScore, EndpointView
+from wagtailusher_settings import Refused, Settings
+
+
+def member_answer(member: Member, revision: Revision | None, now_ms: int) -> MemberAnswer:
+    """Return a member as this VM sees it."""
+    return MemberAnswer(
+        vm_id=member.vm_id,
+        failure_domain_id=member.failure_domain_id,
+        state=str(member.state),
+        address=member.address,
+        incarnation=member.incarnation,
+        revision=None if revision is None else str(revision),
+        heard_age_ms=max(0, now_ms - member.since_ms),
+    )
+
+
+def endpoints_answer(
+    vm_id: str, views: Iterable[EndpointView], fleet: FleetView, stewards: dict[str, str | None]
+) -> EndpointsAnswer:
+    """Return the endpoints as this VM sees them."""
+    return EndpointsAnswer(
+        vm_id=vm_id, endpoints=[_endpoint_answer(view, fleet, stewards) for view in views]
+    )
+
+
+def _endpoint_answer(
+    view: EndpointView, fleet: FleetView, stewards: dict[str, str | None]
+) -> EndpointAnswer:
+    """Return one endpoint."""
+    info = fleet.endpoints.get(view.endpoint_id)
+    return EndpointAnswer(
+        endpoint_id=view.endpoint_id,
+        failure_domain_id=view.failure_domain_id,
+        state=str(view.state),
+        address=info.address if info is not None else "",
+        pool_ids=sorted(info.pool_ids) if info is not None else [],
+        in_flight=view.in_flight,
+        allowed=view.allowed,
+        cold=view.cold,
+        drained=view.drained,
+        ejected=view.ejected,
+        slowness=view.slowness,
+        report_age_ms=view.report_age_ms,
+        steward_id=stewards.get(view.endpoint_id),
+    )
+
+
+def settings_answer(
+    vm_id: str,
+    settings: Settings | None,
+    applied_ms: int | None,
+    refusal: Refused | None,
+    service_problem: str | None,
+    now_ms: int,
+) -> SettingsAnswer:
+    """Return the settings in force and the last refusal."""
+    drained = settings.fleet.drained_domains if settings is not None else frozenset()
+    return SettingsAnswer(
+        vm_id=vm_id,
+        revision=None if settings is None else str(settings.revision),
+        applied_age_ms=None if applied_ms is None else now_ms - applied_ms,
+        drained_domains=sorted(drained),
+        refusal=None if refusal is None else _settings_refusal(refusal, now_ms),
+        service_problem=service_problem,
+    )
+
+
+def _settings_refusal(refusal: Refused, now_ms: int) -> SettingsRefusalAnswer:
+    """Return a refused settings document's problems."""
+    return SettingsRefusalAnswer(
+        code=str(refusal.code),
+        problems=[
+            ProblemAnswer(
+                key=problem.key, reason=problem.reason, line=problem.line, column=problem.column
+            )
+            for problem in refusal.problems
+        ],
+        revision=None if refusal.revision is None else str(refusal.revision),
+        age_ms=now_ms - refusal.at_ms,
+        count=refusal.count,
+    )
+
+
+def quarantine_answer(vm_id: str, entries: Iterable[QuarantineEntry]) -> QuarantineAnswer:
+    """Return the requests that crashed endpoints."""
+    return QuarantineAnswer(
+        vm_id=vm_id,
+        fingerprints=[
+            FingerprintAnswer(
+                fingerprint=entry.fingerprint,
+                quarantined=entry.quarantined,
+                endpoint_ids=list(entry.endpoint_ids),
+                age_ms=entry.age_ms,
+            )
+            for entry in entries
+        ],
+    )
+
+
+def refusals_answer(vm_id: str, journal: Journal, now_ms: int) -> RefusalsAnswer:
+    """Return the latest refusals and the counts since the start."""
+    return RefusalsAnswer(
+        vm_id=vm_id,
+        counts=[
+            RefusalCountAnswer(code=str(code), tier=tier, count=count)
+            for (code, tier), count in sorted(journal.refusal_counts.items())
+        ],
+        refusals=[
+            RefusalAnswer(
+                code=str(refusal.code),
+                outcome=str(refusal.outcome),
+                age_ms=now_ms - refusal.at_ms,
+                workspace_id=refusal.record.arrival.policy.key.workspace_id,
+                class_id=refusal.record.arrival.policy.key.class_id,
+                tier=refusal.record.arrival.policy.tier,
+                trace_id=refusal.record.trace_id,
+            )
+            for refusal in reversed(journal.refusals)
+        ],
+    )
+
+
+def request_answer(vm_id: str, record: RequestRecord) -> RequestAnswer:
+    """Return what became of one request and why it went where it did."""
+    arrival = record.arrival
+    policy = arrival.policy
+    return RequestAnswer(
+        vm_id=vm_id,
+        trace_id=record.trace_id,
+        request_id=arrival.request_id,
+        workspace_id=policy.key.workspace_id,
+        route_id=policy.route_id,
+        class_id=policy.key.class_id,
+        tier=policy.tier,
+        pool_id=arrival.pool_id,
+        state=record.state,
+        outcome=str(record.outcome),
+        code=None if record.code is None else str(record.code),
+        queued_ms=record.queued_ms,
+        first_token_ms=record.first_token_ms,
+        total_ms=record.total_ms,
+        target_met=record.target_met,
+        forwarded_to=record.forwarded_to,
+        attempts=[
+            AttemptAnswer(
+                endpoint_id=attempt.endpoint_id,
+                started_after_ms=attempt.started_after_ms,
+                end=attempt.end,
+                candidates=[_candidate_answer(score) for score in attempt.candidates],
+            )
+            for attempt in record.attempts
+        ],
+    )
+
+
+def _candidate_answer(score: CandidateScore) -> CandidateAnswer:
+    """Return one compared endpoint."""
+    return CandidateAnswer(
+        endpoint_id=score.endpoint_id,
+        score=score.score,
+        own_tokens=score.own_tokens,
+        reported_tokens=score.reported_tokens,
+        prompt_tokens=score.prompt_tokens,
+        cached_tokens=score.cached_tokens,
+        slowness=score.slowness,
+    )
+
+
+def drain_answer(
+    vm_id: str,
+    domain_id: FailureDomainId,
+    settings: Settings | None,
+    views: Iterable[EndpointView],
+    others: Iterable[str],
+    last_start_age_ms: int | None,
+) -> DrainAnswer:
+    """Return this VM's work in a failure domain; other VMs' work has to be asked of them."""
+    inside = [view for view in views if view.failure_domain_id == domain_id]
+    drained = settings.fleet.drained_domains if settings is not None else frozenset()
+    return DrainAnswer(
+        vm_id=vm_id,
+        failure_domain_id=domain_id,
+        ordered=domain_id in drained,
+        revision=None if settings is None else str(settings.revision),
+        in_flight=sum(view.in_flight for view in inside),
+        last_start_age_ms=last_start_age_ms,
+        endpoints=[
+            DrainEndpointAnswer(endpoint_id=view.endpoint_id, in_flight=view.in_flight)
+            for view in inside
+        ],
+        vms=[DrainVmAnswer(vm_id=other) for other in others],
+    )
+
+
+def books_answer(vm_id: str, books: Books, fleet: FleetView, now_ms: int) -> BooksAnswer:
+    """Return the books since the daemon started."""
+    return BooksAnswer(
+        vm_id=vm_id,
+        span_ms=now_ms - books.since_ms,
+        endpoints=_endpoint_books(books, fleet, now_ms),
+        classes=[
+            ClassBooksAnswer(
+                workspace_id=key.workspace_id,
+                class_id=key.class_id,
+                tier=book.tier,
+                pool_ids=sorted(book.pool_ids),
+                finished=book.finished,
+                met=book.met,
+            )
+            for key, book in books.classes.items()
+        ],
+        pools=[
+            PoolBooksAnswer(
+                pool_id=pool_id,
+                mean_in_flight=load.mean_in_flight(books.since_ms, now_ms),
+                peak_in_flight=load.peak_in_flight,
+            )
+            for pool_id, load in books.pools.items()
+        ],
+    )
+
+
+def _endpoint_books(books: Books, fleet: FleetView, now_ms: int) -> list[EndpointBooksAnswer]:
+    """Return the books of every published endpoint, idle ones too."""
+    answers = []
+    for info in fleet.endpoints.values():
+        book = books.endpoints.get(info.endpoint_id)
+        mean = book.load.mean_in_flight(books.since_ms, now_ms) if book is not None else 0.0
+        answers.append(
+            EndpointBooksAnswer(
+                endpoint_id=info.endpoint_id,
+                failure_domain_id=info.failure_domain_id,
+                pool_ids=sorted(info.pool_ids),
+                concurrency_limit=info.concurrency_limit,
+                mean_in_flight=mean,
+                peak_in_flight=book.load.peak_in_flight if book is not None else 0,
+                completed=book.completed if book is not None else 0,
+                good_tokens=book.good_tokens if book is not None else 0,
+                wasted_tokens=book.wasted_tokens if book is not None else 0,
+            )
+        )
+    return answers
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_api.py
@@ -5,13 +5,48 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from wagtailusher_core import ErrorCode
+from pydantic import BaseModel
+
+from wagtailusher_core import ErrorCode, FailureDomainId
+from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.const import PATH_HEALTH, PATH_METRICS, PATH_READY
-from wagtailusher_http import Request, Response, error_response, json_response
+from wagtailusher_daemon.operator_answers import (
+    books_answer,
+    drain_answer,
+    endpoints_answer,
+    member_answer,
+    quarantine_answer,
+    refusals_answer,
+    request_answer,
+    settings_answer,
+)
+from wagtailusher_http import Headers, Request, Response, error_response, json_response
+from wagtailusher_operator.const import (
+    PATH_BOOKS,
+    PATH_DRAIN,
+    PATH_ENDPOINTS,
+    PATH_FLEET,
+    PATH_QUARANTINE,
+    PATH_REFUSALS,
+    PATH_REQUEST,
+    PATH_SETTINGS,
+)
+from wagtailusher_operator.models import (
+    BooksAnswer,
+    DrainAnswer,
+    EndpointsAnswer,
+    FleetAnswer,
+    QuarantineAnswer,
+    RefusalsAnswer,
+    SettingsAnswer,
+)
 
 if TYPE_CHECKING:
     from wagtailusher_daemon.app import EntryApp
 
+_DRAIN_PREFIX = PATH_DRAIN.partition("{")[0]
+_REQUEST_PREFIX = PATH_REQUEST.partition("{")[0]
+
 
 class OperatorApi:
     """Answers operators about this VM and what it sees."""
@@ -19,6 +54,14 @@
     def __init__(self, app: EntryApp) -> None:
         """Answer about an app."""
         self._app = app
+        self._answers = {
+            PATH_FLEET: self._fleet,
+            PATH_ENDPOINTS: self._endpoints,
+            PATH_SETTINGS: self._settings,
+            PATH_QUARANTINE: self._quarantine,
+            PATH_REFUSALS: self._refusals,
+            PATH_BOOKS: self._books,
+        }
 
     async def async_handle(self, request: Request) -> Response:
         """Answer one request."""
@@ -30,4 +73,101 @@
         if path == PATH_READY:
             status = HTTPStatus.OK if self._app.is_ready else HTTPStatus.SERVICE_UNAVAILABLE
             return json_response(status, {"ready": self._app.is_ready})
+        answerer = self._answers.get(path)
+        if answerer is not None:
+            return _model_response(answerer())
+        if path.startswith(_DRAIN_PREFIX):
+            return _model_response(self._drain(path.removeprefix(_DRAIN_PREFIX)))
+        if path.startswith(_REQUEST_PREFIX):
+            return self._request(path.removeprefix(_REQUEST_PREFIX))
         return error_response(HTTPStatus.NOT_FOUND, ErrorCode.UNKNOWN_ROUTE, "no such path")
+
+    def _fleet(self) -> FleetAnswer:
+        """Return this VM and the members that it sees."""
+        app = self._app
+        now_ms = monotonic_ms()
+        settings = app.view.settings
+        own_revision = None if settings is None else settings.revision
+        members = app.talk.members() if app.talk is not None else ()
+        return FleetAnswer(
+            vm_id=app.vm_id,
+            failure_domain_id=app.options.failure_domain,
+            ready=app.is_ready,
+            incarnation=app.incarnation,
+            revision=None if own_revision is None else str(own_revision),
+            members=[
+                member_answer(member, own_revision if member.vm_id == app.vm_id else None, now_ms)
+                for member in members
+            ],
+        )
+
+    def _endpoints(self) -> EndpointsAnswer:
+        """Return the endpoints."""
+        app = self._app
+        decider = app.node.decider
+        stewards: dict[str, str | None] = {
+            endpoint_id: decider.steward_id(endpoint_id) for endpoint_id in app.view.endpoints
+        }
+        return endpoints_answer(app.vm_id, decider.endpoints(monotonic_ms()), app.view, stewards)
+
+    def _settings(self) -> SettingsAnswer:
+        """Return the settings in force."""
+        app = self._app
+        keeper = app.view.keeper
+        return settings_answer(
+            app.vm_id,
+            app.view.settings,
+            keeper.applied_ms,
+            keeper.refusal,
+            app.service_problem,
+            monotonic_ms(),
+        )
+
+    def _quarantine(self) -> QuarantineAnswer:
+        """Return the requests that crashed endpoints."""
+        entries = self._app.node.decider.quarantine_known(monotonic_ms())
+        return quarantine_answer(self._app.vm_id, entries)
+
+    def _refusals(self) -> RefusalsAnswer:
+        """Return the latest refusals."""
+        return refusals_answer(self._app.vm_id, self._app.journal, monotonic_ms())
+
+    def _books(self) -> BooksAnswer:
+        """Return the books."""
+        app = self._app
+        return books_answer(app.vm_id, app.books, app.view, monotonic_ms())
+
+    def _drain(self, domain: str) -> DrainAnswer:
+        """Return this VM's work in a failure domain."""
+        app = self._app
+        now_ms = monotonic_ms()
+        domain_id = FailureDomainId(domain)
+        members = app.talk.members() if app.talk is not None else ()
+        inside = [
+            info.endpoint_id
+            for info in app.view.endpoints.values()
+            if info.failure_domain_id == domain_id
+        ]
+        return drain_answer(
+            app.vm_id,
+            domain_id,
+            app.view.settings,
+            app.node.decider.endpoints(now_ms),
+            [item.vm_id for item in members if item.vm_id != app.vm_id and not item.gone],
+            app.books.last_start_age_ms(inside, now_ms),
+        )
+
+    def _request(self, trace_id: str) -> Response:
+        """Return what became of one request."""
+        record = self._app.journal.get(trace_id)
+        if record is None:
+            return error_response(
+                HTTPStatus.NOT_FOUND, ErrorCode.BAD_REQUEST, "this VM does not know the trace"
+            )
+        return _model_response(request_answer(self._app.vm_id, record))
+
+
+def _model_response(model: BaseModel) -> Response:
+    """Return a validated answer as JSON."""
+    headers = Headers((("content-type", "application/json"),))
+    return Response(headers=headers, body=model.model_dump_json().encode())
--- /dev/null
+++ b/packages/wagtailusher_operator/src/wagtailusher_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface: paths and answers."""
--- a/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
@@ -16,18 +16,22 @@
     SendLeaseRecall,
     SendLeaseRequest,
 )
-from wagtailusher_router.decider import RouterDecider, RouterParts
+from wagtailusher_router.decider import QuotaShare, RouterDecider, RouterParts, whole_quota
 from wagtailusher_router.errors import RouterError, UnknownFlightError
 from wagtailusher_router.events import Arrival
+from wagtailusher_router.load_summary import ClassLoad, PoolLoad
 
 __all__ = [
     "Action",
     "Arrival",
     "Cancel",
+    "ClassLoad",
     "Dispatch",
     "Forward",
     "ForwardReason",
     "PeerAction",
+    "PoolLoad",
+    "QuotaShare",
     "Refuse",
     "ReplayAnswer",
     "RequestAction",
@@ -38,4 +42,5 @@
     "SendLeaseRecall",
     "SendLeaseRequest",
     "UnknownFlightError",
+    "whole_quota",
 ]
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from itertools import islice
 
 from wagtailusher_admission import AdmissionDecider, PendingRequest, Refusal
 from wagtailusher_core import (
+    ClassKey,
+    EndpointId,
     ErrorCode,
     FailureDomainId,
     PoolId,
@@ -18,6 +20,7 @@
 from wagtailusher_once import (
     OnceDecider,
     QuarantineDecider,
+    QuarantineEntry,
     QuarantineSummary,
     StoredAnswer,
 )
@@ -25,12 +28,14 @@
     Choice,
     EndOfWork,
     EndpointInfo,
+    EndpointView,
     LeaseGrant,
     LeaseRecall,
     LeaseRequest,
     LoadReport,
     PlacementDecider,
     PlacementRequest,
+    RetryBudget,
     StewardDecider,
 )
 from wagtailusher_router.actions import (
@@ -50,7 +55,18 @@
 from wagtailusher_router.flights import Flight, Phase
 from wagtailusher_router.handover import Handover
 from wagtailusher_router.leasing import LeaseExchange
+from wagtailusher_router.load_summary import PoolLoad, summarize_load
 from wagtailusher_router.once_gate import OnceGate
+from wagtailusher_router.requests import dispatch_of, pending_request, placement_request
+from wagtailusher_router.suspicion import Suspicion
+
+QuotaShare = Callable[[ClassKey, int, int], int]
+"""Returns this node's part of a fleet-wide quota of a class, given the present time."""
+
+
+def whole_quota(key: ClassKey, quota: int, now_ms: int) -> int:
+    """Return the whole quota, for a node that stands alone."""
+    return quota
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,6 +79,7 @@
     steward: StewardDecider
     once: OnceDecider
     quarantine: QuarantineDecider
+    quota_share: QuotaShare = whole_quota
 
 
 class RouterDecider:
@@ -73,6 +90,9 @@
         self._admission = parts.admission
         self._placement = parts.placement
         self._quarantine = parts.quarantine
+        self._suspicion = Suspicion(parts.quarantine)
+        self._retries = RetryBudget()
+        self._quota_share = parts.quota_share
         self._handover = Handover(parts.placement)
         self._leases = LeaseExchange(parts.vm_id, parts.placement, parts.steward)
         self._gate = OnceGate(parts.once)
@@ -131,7 +151,7 @@
         A request that may not be repeated is first looked up, since an earlier attempt of it may
         have run: only then is a refusal true.
         """
-        flight = Flight(arrival=arrival, pending=_pending_of(arrival, now_ms))
+        flight = Flight(arrival=arrival, pending=self._pending_of(arrival, now_ms))
         if not arrival.policy.repeatable:
             answered = self._gate.submit(flight, now_ms)
             if answered is not None:
@@ -145,11 +165,19 @@
         actions.extend(self._pump(arrival.pool_id, now_ms))
         return tuple(actions)
 
+    def _pending_of(self, arrival: Arrival, now_ms: int) -> PendingRequest:
+        """Return a request as admission sees it, with this node's part of the quota."""
+        policy = arrival.policy
+        quota = policy.in_flight_quota
+        if quota is not None:
+            quota = self._quota_share(policy.key, quota, now_ms)
+        return pending_request(arrival, quota, now_ms)
+
     def _reason_to_refuse(self, arrival: Arrival, now_ms: int) -> ErrorCode | None:
         """Return why this node takes a new request in no case."""
         if self._draining:
             return ErrorCode.DRAINING
-        if self._quarantine.is_quarantined(arrival.fingerprint, now_ms):
+        if self._suspicion.must_not_start(arrival.fingerprint, now_ms):
             return ErrorCode.QUARANTINED
         return None
 
@@ -188,6 +216,8 @@
         flight = self._flight(request_id)
         self._placement.finish(request_id, EndOfWork.COMPLETED, now_ms)
         self._admission.finish(request_id, now_ms)
+        self._suspicion.ended(flight)
+        self._suspicion.succeeded(flight, now_ms)
         del self._flights[request_id]
         actions: list[Action] = []
         if flight.ticket_id is not None and answer is not None:
@@ -207,12 +237,13 @@
         if choice is None or flight.phase is Phase.QUEUED:
             raise UnknownFlightError(f"request {request_id} has no attempt in progress")
         if end is EndOfWork.CRASHED and flight.phase is Phase.SENT:
-            self._quarantine.crashed(flight.arrival.fingerprint, choice.endpoint_id, now_ms)
-        step = next_step(flight, end, resumable=choice.endpoint_id in self._resumable)
+            self._suspicion.crashed(flight, now_ms)
+        step = self._next_step(flight, choice, end)
         if step is NextStep.RESUME:
             flight.resumes += 1
-            return (self._dispatch_of(flight, choice, resume=True),)
+            return (dispatch_of(flight, choice, resume=True),)
         self._placement.finish(request_id, end, now_ms)
+        self._suspicion.ended(flight)
         actions: list[Action] = []
         if step is NextStep.RETRY_ELSEWHERE:
             actions.extend(self._retry(flight, end, now_ms))
@@ -222,6 +253,14 @@
         actions.extend(self._pump(flight.pending.pool_id, now_ms))
         return tuple(actions)
 
+    def _next_step(self, flight: Flight, choice: Choice, end: EndOfWork) -> NextStep:
+        """Return the way on; sending a request again costs a part of the retry budget."""
+        step = next_step(flight, end, resumable=choice.endpoint_id in self._resumable)
+        is_costly = step is NextStep.RETRY_ELSEWHERE and flight.phase is Phase.SENT
+        if is_costly and not self._retries.take():
+            return NextStep.GIVE_UP
+        return step
+
     def caller_left(self, request_id: RequestId, now_ms: int) -> tuple[Action, ...]:
         """Note that nobody waits any more; what may not be repeated goes on once it was sent."""
         flight = self._flights.get(request_id)
@@ -235,6 +274,7 @@
         sent = flight.phase is Phase.SENT
         if flight.phase is not Phase.QUEUED:
             self._placement.finish(request_id, EndOfWork.CANCELLED, now_ms)
+            self._suspicion.ended(flight)
         self._admission.withdraw(request_id, now_ms)
         self._drop(flight, ErrorCode.CALLER_LEFT, now_ms)
         cancels: list[Action] = []
@@ -283,6 +323,28 @@
         """Take over what another VM knows about requests that crash endpoints."""
         self._quarantine.merge(summary, now_ms)
 
+    # For peers' summaries and for operators.
+
+    def load(self) -> tuple[PoolLoad, ...]:
+        """Return the requests that are held, by pool."""
+        return summarize_load(self._flights.values())
+
+    def room(self, now_ms: int) -> int:
+        """Return how many more requests this node's credits allow."""
+        return sum(max(0, view.allowed - view.in_flight) for view in self._placement.view(now_ms))
+
+    def endpoints(self, now_ms: int) -> tuple[EndpointView, ...]:
+        """Return what this node believes about every endpoint."""
+        return self._placement.view(now_ms)
+
+    def steward_id(self, endpoint_id: EndpointId) -> VmId | None:
+        """Return the steward of an endpoint."""
+        return self._placement.steward_id(endpoint_id)
+
+    def quarantine_known(self, now_ms: int) -> tuple[QuarantineEntry, ...]:
+        """Return the evidence against requests that crash endpoints."""
+        return self._quarantine.known(now_ms)
+
     # Inside.
 
     def _flight(self, request_id: RequestId) -> Flight:
@@ -299,22 +361,41 @@
 
     def _pump(self, pool_id: PoolId, now_ms: int) -> Iterator[Action]:
         """Start requests in order of service while an endpoint takes them."""
-        while (placed := self._place_next(pool_id, now_ms)) is not None:
-            yield placed
-
-    def _place_next(self, pool_id: PoolId, now_ms: int) -> Dispatch | None:
-        """Start the first request that an endpoint takes; only retries may be skipped."""
+        while True:
+            placed = self._place_next(pool_id, now_ms)
+            if not placed:
+                return
+            yield from placed
+
+    def _place_next(self, pool_id: PoolId, now_ms: int) -> tuple[Action, ...]:
+        """Start the first request that an endpoint takes; only picky ones may be skipped."""
         for skips, pending in enumerate(self._admission.candidates(pool_id, now_ms)):
             flight = self._flights[pending.request_id]
-            request = _placement_request(flight)
+            fingerprint = flight.arrival.fingerprint
+            if self._suspicion.must_not_start(fingerprint, now_ms):
+                self._admission.withdraw(flight.request_id, now_ms)
+                return self._drop(flight, ErrorCode.QUARANTINED, now_ms)
+            request = placement_request(flight, self._suspicion.excluded(fingerprint, now_ms))
             choice = self._placement.choose(request, now_ms)
             if choice is not None:
-                self._admission.start(flight.request_id, now_ms)
-                self._placement.start(choice, request, now_ms)
-                return self._dispatch_of(flight, choice, resume=False)
-            if not flight.excluded or skips >= MAX_HEAD_SKIPS:
-                return None
-        return None
+                return (self._start(flight, choice, request, now_ms),)
+            if not request.excluded or skips >= MAX_HEAD_SKIPS:
+                return ()
+        return ()
+
+    def _start(
+        self, flight: Flight, choice: Choice, request: PlacementRequest, now_ms: int
+    ) -> Dispatch:
+        """Take a queued request into service."""
+        self._admission.start(flight.request_id, now_ms)
+        self._placement.start(choice, request, now_ms)
+        if flight.attempt == 0:
+            self._retries.first_attempt()
+        flight.attempt += 1
+        flight.phase = Phase.DISPATCHED
+        flight.choice = choice
+        self._suspicion.started(flight)
+        return dispatch_of(flight, choice, resume=False)
 
     def _hand_over_waiting(self, now_ms: int) -> Iterator[Action]:
         """Hand over what waits at the head of a pool that this node may not use."""
@@ -333,23 +414,6 @@
         del self._flights[flight.request_id]
         return Forward(request_id=flight.request_id, vm_id=vm_id, reason=ForwardReason.CREDITS)
 
-    def _dispatch_of(self, flight: Flight, choice: Choice, *, resume: bool) -> Dispatch:
-        """Return the order to send a request."""
-        flight.choice = choice
-        if not resume:
-            flight.attempt += 1
-            flight.phase = Phase.DISPATCHED
-        return Dispatch(
-            request_id=flight.request_id,
-            endpoint_id=choice.endpoint_id,
-            address=choice.address,
-            attempt=flight.attempt,
-            tier=flight.pending.tier,
-            choice=choice,
-            resume_from=flight.relayed_events if resume else None,
-            fresh=resume or not flight.may_repeat,
-        )
-
     def _retry(self, flight: Flight, end: EndOfWork, now_ms: int) -> Iterator[Action]:
         """Queue a request again for another endpoint."""
         if flight.choice is not None and end is not EndOfWork.CANCELLED:
@@ -391,37 +455,3 @@
             )
             for request_id in (flight.request_id, *flight.followers)
         )
-
-
-def _pending_of(arrival: Arrival, now_ms: int) -> PendingRequest:
-    """Return a request as admission sees it."""
-    policy = arrival.policy
-    return PendingRequest(
-        request_id=arrival.request_id,
-        key=policy.key,
-        pool_id=arrival.pool_id,
-        tier=policy.tier,
-        arrived_ms=now_ms,
-        deadline_ms=now_ms + arrival.start_target_ms,
-        deadline_behaviour=policy.deadline_behaviour,
-        weight=policy.weight,
-        share=policy.share,
-        queue_limit=policy.queue_limit,
-        in_flight_quota=policy.in_flight_quota,
-        expected_service_ms=arrival.expected_service_ms,
-    )
-
-
-def _placement_request(flight: Flight) -> PlacementRequest:
-    """Return a request as placement sees it."""
-    arrival = flight.arrival
-    return PlacementRequest(
-        request_id=flight.request_id,
-        pool_id=arrival.pool_id,
-        tier=arrival.policy.tier,
-        key=arrival.policy.key,
-        prompt_tokens=arrival.prompt_tokens,
-        expected_output_tokens=arrival.expected_output_tokens,
-        prefix_hashes=arrival.prefix_hashes,
-        excluded=flight.excluded,
-    )
--- a/tests/wagtailusher_cli/test_advice.py
+++ b/tests/wagtailusher_cli/test_advice.py
@@ -9,7 +9,7 @@
 
 from wagtailusher_cli.advice import Advice, advise_removals
 from wagtailusher_cli.const import MAX_USED_SHARE
-from wagtailusher_cli.models import (
+from wagtailusher_operator.models import (
     BooksAnswer,
     ClassBooksAnswer,
     EndpointBooksAnswer,
