Test leases and cold starts over nodes with stale views

Cause: the promises about an endpoint's limit hold between nodes, over channels that lose, delay and duplicate messages, with pauses, partitions and changes of the published list.

--- /dev/null
+++ b/tests/wagtailusher_placement/test_leases.py
@@ -0,0 +1,233 @@
+"""Tests of leases, stewards and cold starts over several nodes."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.wagtailusher_placement.fake_fleet import (
+    DOMAIN,
+    LIMITS,
+    POOL,
+    STEP_MS,
+    FakeEndpoint,
+    FakeFleet,
+)
+from wagtailusher_core import EndpointId, VmId
+from wagtailusher_placement import EndpointInfo, apportion, steward_of
+
+SETTLED_MS = LIMITS.settling_ms + 3_000
+
+
+def endpoint(name: str, *, limit: int = 16, cold_limit: int = 2) -> FakeEndpoint:
+    """Return a warm endpoint."""
+    info = EndpointInfo(
+        endpoint_id=EndpointId(name),
+        pool_ids=frozenset({POOL}),
+        failure_domain_id=DOMAIN,
+        address=f"{name}:1",
+        concurrency_limit=limit,
+        cold_limit=cold_limit,
+    )
+    return FakeEndpoint(info)
+
+
+def run_checked(test: unittest.TestCase, fleet: FakeFleet, duration_ms: int) -> None:
+    """Let time pass and check at each step that the nodes' credits fit the limits."""
+    for _ in range(duration_ms // STEP_MS):
+        fleet.run(STEP_MS)
+        for endpoint_id, item in fleet.endpoints.items():
+            allowed = fleet.allowed(endpoint_id)
+            test.assertLessEqual(allowed, item.info.concurrency_limit, fleet.now_ms)
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["pause", "cut", "heal", "leave", "join", "cold", "drain", "back", "burst", "idle"]
+        ),
+        st.integers(0, 8),
+        st.integers(1, 120).map(lambda steps: steps * STEP_MS),
+    ),
+    min_size=3,
+    max_size=12,
+)
+
+
+class LeaseTest(unittest.TestCase):
+    """Credits over several nodes."""
+
+    def test_warm_endpoints_are_used_whole_and_shared(self) -> None:
+        for node_count in (1, 3, 9):
+            fleet = FakeFleet([endpoint("a"), endpoint("b")], node_count, seed=node_count)
+            for node in fleet.nodes.values():
+                node.demand = 40 // node_count
+            run_checked(self, fleet, 20_000)
+            in_flight = sum(len(item.running) for item in fleet.endpoints.values())
+            self.assertGreaterEqual(in_flight, 26, node_count)
+            self.assertTrue(all(node.sent for node in fleet.nodes.values()))
+
+    def test_a_lost_steward_leaves_the_safe_local_share(self) -> None:
+        fleet = FakeFleet([endpoint("a", limit=16)], 5, seed=1, loss=0.0)
+        fleet.run(SETTLED_MS)
+        steward_id = next(iter(fleet.nodes.values())).placement.steward_id(EndpointId("a"))
+        assert steward_id is not None
+        fleet.cut = frozenset({steward_id})
+        run_checked(self, fleet, 6_000)
+        others = [node for vm_id, node in fleet.nodes.items() if vm_id != steward_id]
+        views = [node.placement.view(fleet.now_ms)[0] for node in others]
+        self.assertEqual({view.allowed for view in views}, {16 // 5})
+
+    def test_a_cold_endpoint_waits_for_its_lost_steward(self) -> None:
+        fleet = FakeFleet([endpoint("a")], 5, seed=1, loss=0.0)
+        fleet.run(SETTLED_MS)
+        steward_id = next(iter(fleet.nodes.values())).placement.steward_id(EndpointId("a"))
+        assert steward_id is not None
+        fleet.endpoints[EndpointId("a")].turn_cold(fleet.now_ms)
+        fleet.run(1_000)
+        fleet.nodes[steward_id].paused_until_ms = 1 << 60
+        fleet.run(10_000)
+        self.assertEqual(fleet.allowed(EndpointId("a")), 0)
+
+    def test_a_partitioned_holder_waits_before_it_uses_the_local_share(self) -> None:
+        fleet = FakeFleet([endpoint("a", limit=16)], 4, seed=1, loss=0.0)
+        steward_id = steward_of(fleet.endpoints[EndpointId("a")].info, fleet.lists[-1][1])
+        idle_id, *busy_ids = [vm_id for vm_id in fleet.nodes if vm_id != steward_id]
+        for vm_id, node in fleet.nodes.items():
+            node.demand = 40 if vm_id in busy_ids else 0
+        fleet.run(SETTLED_MS)
+        self.assertEqual(fleet.nodes[idle_id].placement.view(fleet.now_ms)[0].allowed, 0)
+        fleet.cut = frozenset({idle_id})
+        run_checked(self, fleet, 12_000)
+        view = fleet.nodes[idle_id].placement.view(fleet.now_ms)[0]
+        self.assertEqual(view.allowed, 16 // 4)
+
+    def test_a_paused_steward_or_holder_settles_anew(self) -> None:
+        fleet = FakeFleet([endpoint("a")], 3, seed=1, loss=0.0)
+        fleet.run(SETTLED_MS)
+        now_ms = fleet.now_ms + LIMITS.lifetime_ms + 1
+        for node in fleet.nodes.values():
+            requests = node.placement.lease_requests({POOL: {1: 4}}, now_ms)
+            self.assertEqual(len(requests), 1)
+            self.assertIsNone(node.steward.request(requests[0], now_ms))
+            for wait_ms in range(0, LIMITS.settling_ms, LIMITS.pause_tolerance_ms):
+                node.placement.lease_requests({}, now_ms + wait_ms)
+                self.assertEqual(node.placement.view(now_ms + wait_ms)[0].allowed, 0)
+
+    @settings(max_examples=40)
+    @given(
+        node_count=st.sampled_from([1, 2, 3, 9]),
+        seed=st.integers(0, 1 << 30),
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        events=EVENTS,
+    )
+    def test_credits_never_pass_the_limit(
+        self,
+        node_count: int,
+        seed: int,
+        loss: float,
+        events: list[tuple[str, int, int]],
+    ) -> None:
+        fleet = FakeFleet([endpoint("a"), endpoint("b", limit=7)], node_count, seed, loss)
+        run_checked(self, fleet, 6_000)
+        for kind, number, wait_ms in events:
+            apply_event(fleet, kind, number, wait_ms)
+            run_checked(self, fleet, wait_ms)
+
+
+def apply_event(fleet: FakeFleet, kind: str, number: int, wait_ms: int) -> None:
+    """Let one fault or change happen."""
+    ids = list(fleet.nodes)
+    vm_id = ids[number % len(ids)]
+    listed = {vm.vm_id for vm in fleet.lists[-1][1]}
+    if kind == "pause":
+        fleet.nodes[vm_id].paused_until_ms = fleet.now_ms + wait_ms * (1 + number)
+    elif kind == "cut":
+        fleet.cut = frozenset(ids[: number % len(ids)])
+    elif kind == "heal":
+        fleet.cut = frozenset()
+    elif kind == "leave":
+        fleet.publish(listed - {vm_id})
+    elif kind == "join":
+        fleet.publish(listed | {vm_id})
+    elif kind == "cold":
+        fleet.endpoints[EndpointId("a")].turn_cold(fleet.now_ms)
+    elif kind in ("burst", "idle"):
+        fleet.nodes[vm_id].demand = 40 if kind == "burst" else 0
+    else:
+        fleet.drained = (DOMAIN,) if kind == "drain" else ()
+
+
+class ColdStartTest(unittest.TestCase):
+    """Work at cold endpoints, with several nodes deciding on stale views."""
+
+    def check(self, node_count: int, *, says_cold: bool, seed: int) -> tuple[int, int]:
+        """Turn an endpoint cold; return the excess sends before and after it was found."""
+        cold = endpoint("a")
+        cold.says_cold = says_cold
+        fleet = FakeFleet([cold, endpoint("b"), endpoint("c")], node_count, seed)
+        for node in fleet.nodes.values():
+            node.demand = 36 // node_count
+        fleet.run(15_000)
+        turned_ms = fleet.now_ms
+        cold.turn_cold(turned_ms)
+        found_ms = None
+        for _ in range(60_000 // STEP_MS):
+            fleet.run(STEP_MS)
+            for node in fleet.nodes.values():
+                views = node.placement.view(fleet.now_ms)
+                if found_ms is None and any(view.cold for view in views):
+                    found_ms = fleet.now_ms
+        assert found_ms is not None
+        late = [sent for sent in cold.excess if sent > found_ms + LIMITS.lifetime_ms]
+        return len(cold.excess) - len(late), len(late)
+
+    def test_nothing_goes_beyond_the_cold_limit_once_it_is_found_cold(self) -> None:
+        for node_count in (1, 3, 9):
+            for says_cold in (True, False):
+                with self.subTest(node_count=node_count, says_cold=says_cold):
+                    early, late = self.check(node_count, says_cold=says_cold, seed=node_count)
+                    self.assertEqual(late, 0)
+                    self.assertLessEqual(early, 16)
+
+    def test_an_endpoint_that_returns_never_gets_more_than_its_cold_limit(self) -> None:
+        for node_count in (1, 3, 9):
+            fleet = FakeFleet([endpoint("a"), endpoint("b")], node_count, seed=node_count)
+            fleet.run(SETTLED_MS)
+            fleet.drained = (DOMAIN,)
+            fleet.run(8_000)
+            self.assertEqual(sum(len(item.running) for item in fleet.endpoints.values()), 0)
+            for item in fleet.endpoints.values():
+                item.turn_cold(fleet.now_ms)
+            fleet.drained = ()
+            run_checked(self, fleet, 60_000)
+            self.assertEqual([item.excess for item in fleet.endpoints.values()], [[], []])
+            self.assertEqual([item.cold_since_ms for item in fleet.endpoints.values()], [None] * 2)
+            self.assertGreater(fleet.allowed(EndpointId("a")), 2)
+
+
+class ApportionTest(unittest.TestCase):
+    """How a steward splits credits."""
+
+    @given(
+        limit=st.integers(0, 64),
+        demands=st.dictionaries(
+            st.sampled_from([VmId(f"vm-{index}") for index in range(6)]),
+            st.lists(st.integers(0, 20), min_size=7, max_size=7).map(tuple),
+            min_size=1,
+        ),
+    )
+    def test_no_lower_tier_has_credits_that_a_higher_one_lacks(
+        self, limit: int, demands: dict[VmId, tuple[int, ...]]
+    ) -> None:
+        credits = apportion(limit, demands)
+        self.assertEqual(sum(credits.values()), limit)
+        for tier in range(7):
+            lacking = any(
+                credits[node] < sum(demand[: tier + 1]) for node, demand in demands.items()
+            )
+            if lacking:
+                for node, demand in demands.items():
+                    self.assertLessEqual(credits[node], sum(demand[: tier + 1]))
