Read sockets by protocol with one watchdog each, without a timer and a task a read

Cause: each read of a stream cost a timeout object, a timer and its cancellation, and each request two tasks; h11 was asked again after a chunk that had come alone. Now a connection keeps one timer that is moved lazily, the connection's own task runs the handler and is cancelled when its caller ends, and the parser isn't asked when only the end of a chunk is left.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -9,7 +9,7 @@
 import h11
 
 from wagtailusher_core import callback
-from wagtailusher_http.const import MS_PER_S, READ_SIZE_BYTES, ClientLimits
+from wagtailusher_http.const import CHUNK_FRAME_BYTES, MS_PER_S, ClientLimits
 from wagtailusher_http.exceptions import (
     AnswerError,
     AnswerProtocolError,
@@ -17,23 +17,20 @@
     ConnectError,
     SilentConnectionError,
 )
+from wagtailusher_http.socket_protocol import SocketProtocol
+
+_CHUNK_END = b"\r\n"
 
 
 class ClientConnection:
     """Owns a socket and carries one exchange at a time."""
 
-    def __init__(
-        self,
-        address: str,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        limits: ClientLimits,
-    ) -> None:
+    def __init__(self, address: str, socket: SocketProtocol, limits: ClientLimits) -> None:
         """Take over a connected socket."""
         self.address = address
         self.idle_since_ms = 0
-        self._reader = reader
-        self._writer = writer
+        self._socket = socket
+        self._received_bytes = 0
         self._limits = limits
         self._http = self._new_state()
 
@@ -49,15 +46,17 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(limits.connect_timeout_ms / MS_PER_S):
-                reader, writer = await asyncio.open_connection(host, int(port), ssl=ssl_context)
+                _, socket = await asyncio.get_running_loop().create_connection(
+                    SocketProtocol, host, int(port), ssl=ssl_context
+                )
         except (OSError, ValueError) as err:
             raise ConnectError(f"no connection to {address}: {err}") from err
-        return cls(address, reader, writer, limits)
+        return cls(address, socket, limits)
 
     @property
     def is_reusable(self) -> bool:
         """Tell whether another exchange may follow on this connection."""
-        if self._reader.at_eof() or self._writer.is_closing():
+        if self._socket.is_ended:
             return False
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
@@ -69,12 +68,12 @@
     @callback
     def close(self) -> None:
         """Close the socket; an unfinished exchange is broken off."""
-        self._writer.close()
+        self._socket.close()
 
     @callback
     def abort(self) -> None:
         """Drop the socket at once."""
-        self._writer.transport.abort()
+        self._socket.abort()
 
     async def async_send(self, head: h11.Request, body: bytes) -> None:
         """Send a whole request."""
@@ -83,9 +82,8 @@
             parts.append(self._http.send(h11.Data(data=body)))
         parts.append(self._http.send(h11.EndOfMessage()))
         try:
-            self._writer.write(b"".join(part for part in parts if part))
-            async with asyncio.timeout(self._limits.send_timeout_ms / MS_PER_S):
-                await self._writer.drain()
+            self._socket.write(b"".join(part for part in parts if part))
+            await self._socket.async_drain(self._limits.send_timeout_ms / MS_PER_S)
         except (OSError, TimeoutError) as err:
             raise AnswerError(f"sending to {self.address} failed: {err}") from err
 
@@ -117,6 +115,8 @@
             event = self._next_event()
             if isinstance(event, h11.Data):
                 pieces.append(bytes(event.data))
+                if self._is_alone(event):
+                    return pieces, False
             elif isinstance(event, h11.EndOfMessage):
                 return pieces, True
             elif event is h11.NEED_DATA:
@@ -124,24 +124,30 @@
             else:
                 raise AnswerTruncatedError(f"{self.address} closed within its answer")
 
+    def _is_alone(self, event: h11.Data) -> bool:
+        """Tell whether nothing but the end of this chunk is left to parse."""
+        if not event.chunk_end or self._received_bytes > len(event.data) + CHUNK_FRAME_BYTES:
+            return False
+        return self._http.trailing_data[0] == _CHUNK_END
+
     def _next_event(self) -> object:
         """Return the parser's next event."""
         try:
             return self._http.next_event()
         except h11.RemoteProtocolError as err:
-            if self._reader.at_eof():
+            if self._socket.is_eof:
                 raise AnswerTruncatedError(f"{self.address} closed within its answer") from err
             raise AnswerProtocolError(f"{self.address} broke the protocol: {err}") from err
 
     async def _async_read(self, timeout_ms: int) -> None:
         """Read what there is; raise SilentConnectionError when nothing comes."""
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
-                data = await self._reader.read(READ_SIZE_BYTES)
+            data = await self._socket.async_read(timeout_ms / MS_PER_S)
         except TimeoutError as err:
             raise SilentConnectionError(f"{self.address} was silent for {timeout_ms} ms") from err
         except OSError as err:
             raise AnswerTruncatedError(f"connection to {self.address} broke: {err}") from err
+        self._received_bytes = len(data)
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as err:
--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 
-READ_SIZE_BYTES = 65536
+MAX_UNREAD_BYTES = 256 * 1024
+CHUNK_FRAME_BYTES = 32
+MAX_PIPELINED_BYTES = 65536
+BACKLOG = 1024
 MS_PER_S = 1000
 
 DEFAULT_MAX_HEAD_BYTES = 32 * 1024
--- a/packages/wagtailusher_http/src/wagtailusher_http/server.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server.py
@@ -4,15 +4,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-import logging
 import ssl
 
 from wagtailusher_core import callback
-from wagtailusher_http.const import MS_PER_S, HttpLimits
+from wagtailusher_http.const import BACKLOG, MS_PER_S, HttpLimits
 from wagtailusher_http.messages import Request, Response
 from wagtailusher_http.server_connection import ServerConnection
-
-_LOGGER = logging.getLogger(__name__)
+from wagtailusher_http.socket_protocol import SocketProtocol
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -43,28 +41,20 @@
 
     async def async_start(self, host: str, port: int, ssl_context: ssl.SSLContext | None) -> None:
         """Listen on an address."""
-        self._server = await asyncio.start_server(
-            self._async_accept, host, port, ssl=ssl_context, backlog=1024
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: SocketProtocol(self._accept), host, port, ssl=ssl_context, backlog=BACKLOG
         )
 
-    async def _async_accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Serve one connection until it ends."""
+    @callback
+    def _accept(self, socket: SocketProtocol) -> None:
+        """Give a connection a task of its own."""
         if self._draining or len(self._connections) >= self._limits.max_connections:
-            writer.close()
+            socket.close()
             return
-        connection = ServerConnection(reader, writer, self._handler, self._limits)
-        task = asyncio.current_task()
-        assert task is not None
+        connection = ServerConnection(socket, self._handler, self._limits)
+        task = asyncio.get_running_loop().create_task(connection.async_run())
         self._connections[connection] = task
-        try:
-            await connection.async_run()
-        except asyncio.CancelledError:
-            # The stream callback of asyncio logs a cancelled task as an error.
-            _LOGGER.debug("HTTP server: connection from %s was ended", connection.peer)
-        finally:
-            self._connections.pop(connection, None)
+        task.add_done_callback(lambda _: self._connections.pop(connection, None))
 
     @callback
     def refuse_new(self) -> None:
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -11,35 +11,33 @@
 import h11
 
 from wagtailusher_core import ErrorCode, WagtailusherError, callback
-from wagtailusher_http.const import MS_PER_S, READ_SIZE_BYTES, HttpLimits
+from wagtailusher_http.const import MAX_PIPELINED_BYTES, MS_PER_S, HttpLimits
 from wagtailusher_http.exceptions import BodyTooLargeError, RequestTimeoutError
 from wagtailusher_http.headers import Headers
 from wagtailusher_http.messages import Request, Response, error_response
+from wagtailusher_http.socket_protocol import SocketProtocol
 
 _LOGGER = logging.getLogger(__name__)
 
-_MAX_PIPELINED_BYTES = 65536
-
 
 class ServerConnection:
     """Reads requests one after the other and writes their responses."""
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        socket: SocketProtocol,
         handler: Callable[[Request], Awaitable[Response]],
         limits: HttpLimits,
     ) -> None:
         """Take over an accepted socket."""
-        self._reader = reader
-        self._writer = writer
+        self._socket = socket
+        self._task: asyncio.Task[None] | None = None
         self._handler = handler
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
         self._closing = False
         self._busy = False
-        peername = writer.get_extra_info("peername")
+        peername = socket.transport.get_extra_info("peername")
         self.peer = f"{peername[0]}:{peername[1]}" if peername else "unknown"
 
     @callback
@@ -47,17 +45,20 @@
         """Close now, or after the answer in progress."""
         self._closing = True
         if not self._busy:
-            self._writer.close()
+            self._socket.close()
 
     async def async_run(self) -> None:
         """Serve requests until the connection ends."""
+        self._task = asyncio.current_task()
+        self._socket.on_end = self._caller_ended
+        self._socket.on_data = self._data_arrived
         try:
             while await self._async_serve_one():
                 self._http.start_next_cycle()
-        except (OSError, asyncio.IncompleteReadError):
+        except OSError:
             _LOGGER.debug("HTTP server: connection from %s broke", self.peer)
         finally:
-            self._writer.close()
+            self._socket.close()
 
     async def _async_serve_one(self) -> bool:
         """Serve one request; return whether the connection may carry another."""
@@ -71,9 +72,11 @@
             return False
         if request is None:
             return False
+        if self._socket.is_ended:
+            return False
         self._busy = True
         try:
-            await self._async_answer(request)
+            await self._async_handle_and_send(request)
         finally:
             self._busy = False
         if self._closing or self._http.our_state is not h11.DONE:
@@ -137,28 +140,21 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event  # type: ignore[return-value]
-            self._http.receive_data(await self._reader.read(READ_SIZE_BYTES))
+            self._http.receive_data(await self._socket.async_read())
 
-    async def _async_answer(self, request: Request) -> None:
-        """Run the handler and send its response, unless the caller leaves first."""
-        answering = asyncio.create_task(self._async_handle_and_send(request))
-        watching = asyncio.create_task(self._async_watch_for_end())
-        try:
-            await asyncio.wait((answering, watching), return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in (answering, watching):
-                task.cancel()
-            await asyncio.gather(answering, watching, return_exceptions=True)
-
-    async def _async_watch_for_end(self) -> None:
-        """Return when the caller closes its side; keep what it pipelines."""
-        pipelined = 0
-        while pipelined < _MAX_PIPELINED_BYTES:
-            data = await self._reader.read(READ_SIZE_BYTES)
-            if not data:
-                return
-            pipelined += len(data)
-            self._http.receive_data(data)
+    @callback
+    def _caller_ended(self) -> None:
+        """Break off the answer of a caller that closed its side."""
+        if self._busy and self._task is not None:
+            self._socket.on_end = None
+            self._socket.on_data = None
+            self._task.cancel()
+
+    @callback
+    def _data_arrived(self, unread_bytes: int) -> None:
+        """Break off a caller that pipelines too much behind a request."""
+        if self._busy and unread_bytes > MAX_PIPELINED_BYTES:
+            self._caller_ended()
 
     async def _async_handle_and_send(self, request: Request) -> None:
         """Send what the handler answers; an unforeseen error is answered with a code."""
@@ -190,7 +186,7 @@
         head = h11.Response(status_code=response.status, headers=self._final(headers).raw)
         parts = [self._http.send(head), self._http.send(h11.Data(data=body))]
         parts.append(self._http.send(h11.EndOfMessage()))
-        self._writer.write(b"".join(part for part in parts if part))
+        self._socket.write(b"".join(part for part in parts if part))
         await self._async_drain()
 
     async def _async_send_stream(self, response: Response, chunks: AsyncIterator[bytes]) -> None:
@@ -217,19 +213,18 @@
         """Write one event."""
         data = self._http.send(event)
         if data:
-            self._writer.write(data)
+            self._socket.write(data)
             await self._async_drain()
 
     async def _async_drain(self) -> None:
         """Wait until the caller has taken enough; one that takes nothing is cut off."""
-        if not self._writer.transport.get_write_buffer_size():
+        if not self._socket.must_drain:
             return
         try:
-            async with asyncio.timeout(self._limits.send_timeout_ms / MS_PER_S):
-                await self._writer.drain()
+            await self._socket.async_drain(self._limits.send_timeout_ms / MS_PER_S)
         except TimeoutError:
             _LOGGER.info("HTTP server: %s stopped reading", self.peer)
-            self._writer.transport.abort()
+            self._socket.abort()
             raise ConnectionAbortedError from None
 
     async def _async_refuse_malformed(self, err: h11.RemoteProtocolError) -> None:
--- /dev/null
+++ b/tests/wagtailusher_http/test_client.py
@@ -0,0 +1,132 @@
+"""Tests of the calling side against a raw peer that writes its bytes in any pieces."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+import unittest
+
+from wagtailusher_http import AnswerTruncatedError, ClientAnswer, HttpClient, SilentConnectionError
+
+HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+END = b"0\r\n\r\n"
+SEEDS = 60
+MAX_PIECE_BYTES = 40
+
+
+class RawPeer:
+    """Writes given pieces as the answer to each connection and then waits."""
+
+    def __init__(self) -> None:
+        self.pieces: list[bytes] = []
+        self.closes = False
+        self.go_on = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def async_start(self) -> str:
+        self._server = await asyncio.start_server(self._async_accept, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def async_close(self) -> None:
+        for writer in self._writers:
+            writer.close()
+        if self._server is not None:
+            self._server.close()
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        for piece in self.pieces:
+            writer.write(piece)
+            await asyncio.sleep(0)
+        await self.go_on.wait()
+        if self.closes:
+            writer.close()
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    """A body is whole and unchanged, or its reader is told."""
+
+    async def asyncSetUp(self) -> None:
+        self.peer = RawPeer()
+        self.address = await self.peer.async_start()
+        self.client = HttpClient()
+
+    async def asyncTearDown(self) -> None:
+        self.peer.go_on.set()
+        self.client.close()
+        await self.peer.async_close()
+
+    async def _async_ask(self) -> ClientAnswer:
+        return await self.client.async_request(self.address, "GET", "/", fresh=True)
+
+    async def test_body_is_the_same_wherever_the_socket_cuts_it(self) -> None:
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                generator = Random(seed)
+                chunks = [generator.randbytes(generator.choice((1, 5, 17, 300))) for _ in range(9)]
+                data = HEAD + b"".join(_framed(chunk) for chunk in chunks) + END
+                self.peer.pieces = _cut(data, generator)
+                answer = await self._async_ask()
+                self.assertEqual(await answer.async_read(), b"".join(chunks))
+
+    async def test_chunks_that_come_one_by_one_are_not_held_back(self) -> None:
+        for number in range(4):
+            self.peer.pieces = [HEAD] + [_framed(b"part")] * number + [_framed(b"last")]
+            answer = await self._async_ask()
+            seen = b""
+            async for chunk in answer.iter_chunks():
+                seen += chunk
+                if len(seen) == 4 * (number + 1):
+                    break
+            self.assertEqual(seen, b"part" * number + b"last")
+            answer.abort()
+
+    async def test_silence_within_an_answer_is_found_though_parts_came(self) -> None:
+        self.peer.pieces = [HEAD, _framed(b"one")]
+        answer = await self._async_ask()
+        seen: list[bytes] = []
+        with self.assertRaises(SilentConnectionError):
+            async for chunk in answer.iter_chunks(silence_timeout_ms=60):
+                seen.append(chunk)
+        self.assertEqual(seen, [b"one"])
+
+    async def test_shorter_deadline_wins_over_the_one_before(self) -> None:
+        self.peer.pieces = [HEAD]
+        answer = await self.client.async_request(
+            self.address, "GET", "/", head_timeout_ms=60_000, fresh=True
+        )
+        with self.assertRaises(SilentConnectionError):
+            await asyncio.wait_for(answer.async_read(silence_timeout_ms=30), 10)
+
+    async def test_answer_that_stops_halfway_is_broken(self) -> None:
+        for ending in (b"", b"5\r\nab", b"5\r\nabcde", b"0\r\n"):
+            with self.subTest(ending=ending):
+                self.peer.closes = True
+                self.peer.go_on.set()
+                self.peer.pieces = [HEAD, _framed(b"one"), ending]
+                answer = await self._async_ask()
+                with self.assertRaises(AnswerTruncatedError):
+                    await answer.async_read()
+
+
+def _framed(chunk: bytes) -> bytes:
+    """Return a chunk with its length."""
+    return b"%x\r\n%s\r\n" % (len(chunk), chunk)
+
+
+def _cut(data: bytes, generator: Random) -> list[bytes]:
+    """Return data in pieces of random sizes."""
+    pieces: list[bytes] = []
+    while data:
+        size = generator.randint(1, MAX_PIECE_BYTES)
+        pieces.append(data[:size])
+        data = data[size:]
+    return pieces
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/wagtailusher_http/test_server.py
+++ b/tests/wagtailusher_http/test_server.py
@@ -22,7 +22,9 @@
     json_response,
 )
 
-LIMITS = HttpLimits(max_head_bytes=2048, max_body_bytes=4096, receive_timeout_ms=300)
+LIMITS = HttpLimits(
+    max_head_bytes=2048, max_body_bytes=4096, receive_timeout_ms=300, send_timeout_ms=100
+)
 
 
 class ServerTest(unittest.IsolatedAsyncioTestCase):
@@ -49,6 +51,10 @@
                 raise
         if request.path == "/stream":
             return Response(body=self._async_stream(broken="broken" in request.query))
+        if request.path == "/flood":
+            return Response(body=self._async_flood())
+        if request.path == "/first":
+            return Response(body=self._async_first_of_two())
         if request.path == "/bug":
             raise ZeroDivisionError
         return json_response(200, {"path": request.path, "size": len(request.body)})
@@ -60,6 +66,17 @@
         if broken:
             raise WagtailusherError("upstream broke")
 
+    async def _async_flood(self) -> AsyncIterator[bytes]:
+        try:
+            while True:
+                yield bytes(65536)
+        finally:
+            self.cancelled.set()
+
+    async def _async_first_of_two(self) -> AsyncIterator[bytes]:
+        yield b"one"
+        await asyncio.Event().wait()
+
     async def _async_raw(self, data: bytes) -> bytes:
         reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
         writer.write(data)
@@ -103,6 +120,35 @@
         writer.close()
         await asyncio.wait_for(self.cancelled.wait(), 5)
 
+    async def test_caller_that_closes_its_half_is_held_for_gone(self) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GET /hang HTTP/1.1\r\nhost: a\r\n\r\n")
+        await self.entered.wait()
+        writer.write_eof()
+        await asyncio.wait_for(self.cancelled.wait(), 5)
+        writer.close()
+
+    async def test_caller_that_pipelines_without_end_is_cut_off(self) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GET /hang HTTP/1.1\r\nhost: a\r\n\r\n")
+        await self.entered.wait()
+        writer.write(bytes(1024 * 1024))
+        await asyncio.wait_for(self.cancelled.wait(), 5)
+        writer.close()
+
+    async def test_caller_that_stops_reading_is_cut_off(self) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GET /flood HTTP/1.1\r\nhost: a\r\n\r\n")
+        await asyncio.wait_for(self.cancelled.wait(), 10)
+        writer.close()
+        answer = await self.client.async_request(self.address, "GET", "/alive")
+        self.assertEqual(answer.status, 200)
+
+    async def test_first_chunk_does_not_wait_for_the_second(self) -> None:
+        answer = await self.client.async_request(self.address, "GET", "/first")
+        self.assertEqual(await asyncio.wait_for(anext(answer.iter_chunks()), 5), b"one")
+        answer.abort()
+
     async def test_drain_waits_for_the_answer_in_progress(self) -> None:
         request = asyncio.create_task(self.client.async_request(self.address, "GET", "/hang"))
         await self.entered.wait()
