Order loads with fencing numbers and let every tier have a turn

Cause: several stewards over time order loads at endpoints that may ignore fencing numbers, and the weight store's rate holds for all nodes together. Also the guaranteed credit took turns over tiers without demand, so the lowest tier waited up to seven times longer than needed; now only tiers with demand have turns. A steward that settles anew takes a new epoch. Conclusion: at one endpoint with an endless burst of the highest tier, a lower tier on other nodes is served within two rounds of guaranteed turns, while the highest gets the credits within 8 s of its burst.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/__init__.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/__init__.py
@@ -23,6 +23,15 @@
 )
 from wagtailusher_placement.leases import LeaseGrant, LeaseLimits, LeaseRecall, LeaseRequest
 from wagtailusher_placement.lengths import LengthEstimator
+from wagtailusher_placement.orders import (
+    FencingNumber,
+    Order,
+    OrderDecider,
+    OrderError,
+    OrderKind,
+    OrderRequest,
+    WeightStoreBudget,
+)
 from wagtailusher_placement.prefix import PrefixIndex
 from wagtailusher_placement.reports import CacheEvent, LoadReport
 from wagtailusher_placement.retries import HedgePolicy, RetryBudget
@@ -40,6 +49,7 @@
     "EndpointKind",
     "EndpointState",
     "EndpointView",
+    "FencingNumber",
     "HedgePolicy",
     "LeaseGrant",
     "LeaseLimits",
@@ -47,12 +57,18 @@
     "LeaseRequest",
     "LengthEstimator",
     "LoadReport",
+    "Order",
+    "OrderDecider",
+    "OrderError",
+    "OrderKind",
+    "OrderRequest",
     "PlacementDecider",
     "PlacementRequest",
     "PrefixIndex",
     "RetryBudget",
     "StewardDecider",
     "StewardTable",
+    "WeightStoreBudget",
     "apportion",
     "choose_by_score",
     "choose_least_in_flight",
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/apportion.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/apportion.py
@@ -12,24 +12,21 @@
     limit: int,
     demands: Mapping[VmId, tuple[int, ...]],
     *,
-    guaranteed_tier: int | None = None,
+    guaranteed_turn: int | None = None,
 ) -> dict[VmId, int]:
     """Return the credits of each node: strictly by tier, then the surplus evenly.
 
-    One credit goes to `guaranteed_tier` before all others, so that callers that vary it over
-    time let every tier move.
+    With `guaranteed_turn` one credit goes first to a tier that has demand, the lowest at turn 0,
+    so that callers that count turns over time let every tier move.
     """
     credits = dict.fromkeys(sorted(demands), 0)
-    if not credits:
-        return credits
     left = max(0, limit)
-    advance: tuple[VmId, int] | None = None
-    if guaranteed_tier is not None and left > 0:
-        node_id = max(credits, key=lambda node: _demand(demands[node], guaranteed_tier))
-        if _demand(demands[node_id], guaranteed_tier) > 0:
-            advance = (node_id, guaranteed_tier)
-            credits[node_id] += 1
-            left -= 1
+    advance = None
+    if guaranteed_turn is not None and left > 0:
+        advance = _guaranteed(demands, guaranteed_turn)
+    if advance is not None:
+        credits[advance[0]] += 1
+        left -= 1
     for tier in range(TIER_COUNT):
         wanted = {node: _demand(demands[node], tier) for node in credits}
         if advance is not None and advance[1] == tier:
@@ -41,6 +38,19 @@
     return {node: amount + even[node] for node, amount in credits.items()}
 
 
+def _guaranteed(demands: Mapping[VmId, tuple[int, ...]], turn: int) -> tuple[VmId, int] | None:
+    """Return the tier whose turn it is and its node with the greatest demand."""
+    tiers = [
+        tier
+        for tier in reversed(range(TIER_COUNT))
+        if any(_demand(demand, tier) for demand in demands.values())
+    ]
+    if not tiers:
+        return None
+    tier = tiers[turn % len(tiers)]
+    return max(sorted(demands), key=lambda node: _demand(demands[node], tier)), tier
+
+
 def split_by_weight(amount: int, wanted: Mapping[VmId, int]) -> dict[VmId, int]:
     """Return each node's part, at most what it wants; scarcity is shared in proportion."""
     total = sum(wanted.values())
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
@@ -8,7 +8,7 @@
 from wagtailusher_core import VmId
 from wagtailusher_placement.apportion import apportion
 from wagtailusher_placement.coldstart import ColdStart, Leftover
-from wagtailusher_placement.const import GUARANTEED_SLOTS, SWEEP_INTERVAL_MS, TIER_COUNT
+from wagtailusher_placement.const import GUARANTEED_SLOTS, SWEEP_INTERVAL_MS
 from wagtailusher_placement.endpoints import EndpointInfo
 from wagtailusher_placement.leases import LeaseLimits, LeaseRequest
 from wagtailusher_placement.ledger import LeaseLedger
@@ -112,8 +112,8 @@
         if is_due or node_id not in self._targets:
             self._targets_at_ms = now_ms
             demands = self.ledger.demands(now_ms)
-            tier = self._guaranteed_tier(now_ms)
-            self._targets = apportion(limit, demands, guaranteed_tier=tier)
+            turn = self._guaranteed_turn(now_ms)
+            self._targets = apportion(limit, demands, guaranteed_turn=turn)
         return min(room, self._targets.get(node_id, 0))
 
     def _recall(self, now_ms: int) -> None:
@@ -127,9 +127,7 @@
         """Return an unknown leftover of leases that are valid until a time."""
         return Leftover(from_ms=from_ms, wait_ms=self._limits.leftover_wait_ms)
 
-    def _guaranteed_tier(self, now_ms: int) -> int | None:
-        """Return the tier that goes first in this lease period, which is mostly none."""
+    def _guaranteed_turn(self, now_ms: int) -> int | None:
+        """Return the turn of the guaranteed credit; most lease periods have none."""
         period = now_ms // self._limits.lifetime_ms + zlib.crc32(self.info.endpoint_id.encode())
-        if period % GUARANTEED_SLOTS:
-            return None
-        return TIER_COUNT - 1 - (period // GUARANTEED_SLOTS) % TIER_COUNT
+        return None if period % GUARANTEED_SLOTS else period // GUARANTEED_SLOTS
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
@@ -134,11 +134,13 @@
     def _take_charge(self, info: EndpointInfo, now_ms: int) -> Charge:
         """Return the state of an endpoint that this VM is steward of."""
         charge = self._charges.get(info.endpoint_id)
+        epoch = steward_epoch(list_version=self._list_version, incarnation=self._incarnation)
         if charge is None:
-            epoch = steward_epoch(list_version=self._list_version, incarnation=self._incarnation)
             charge = Charge(
                 info, steward_id=self._vm_id, epoch=epoch, limits=self._limits, now_ms=now_ms
             )
+        if now_ms < charge.settled_at_ms:
+            charge.epoch = max(charge.epoch, epoch)
         before = None if self._known is None else self._known.get(info.endpoint_id)
         is_new = self._known is not None and before is None
         was_leaving = before is not None and before.state is EndpointState.LEAVING
--- a/tests/wagtailusher_placement/test_leases.py
+++ b/tests/wagtailusher_placement/test_leases.py
@@ -17,6 +17,7 @@
 )
 from wagtailusher_core import EndpointId, VmId
 from wagtailusher_placement import EndpointInfo, apportion, steward_of
+from wagtailusher_placement.const import GUARANTEED_SLOTS
 
 SETTLED_MS = LIMITS.settling_ms + 3_000
 
@@ -116,6 +117,25 @@
                 node.placement.lease_requests({}, now_ms + wait_ms)
                 self.assertEqual(node.placement.view(now_ms + wait_ms)[0].allowed, 0)
 
+    def test_a_higher_tier_gets_the_credits_and_the_lowest_still_moves(self) -> None:
+        fleet = FakeFleet([endpoint("a", limit=12)], 3, seed=5)
+        high, *low = fleet.nodes.values()
+        high.tier, high.demand = 0, 0
+        for node in low:
+            node.tier, node.demand = 5, 40
+        run_checked(self, fleet, SETTLED_MS)
+        self.assertEqual(len(high.ends), 0)
+        high.demand = 40
+        run_checked(self, fleet, 8_000)
+        self.assertGreaterEqual(len(high.ends), 11)
+        before = sum(node.sent for node in low)
+        run_checked(self, fleet, LIMITS.lifetime_ms * GUARANTEED_SLOTS * 2)
+        sent = sum(node.sent for node in low) - before
+        self.assertGreaterEqual(sent, 1)
+        self.assertLess(sent, high.sent / 20)
+        hints = {node.placement.steward_hint(POOL, fleet.now_ms) for node in fleet.nodes.values()}
+        self.assertEqual(len(hints - {None}), 1)
+
     @settings(max_examples=40)
     @given(
         node_count=st.sampled_from([1, 2, 3, 9]),
