--- a/packages/wagtailusher_placement/src/wagtailusher_placement/prefix.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/prefix.py
@@ -36,7 +36,7 @@
 
     def observe(self, event: CacheEvent) -> None:
         """Take in an event; one that comes after a later one only makes the view unsure."""
-        cache = self._caches.setdefault(event.endpoint_id, _Cache())
+        cache = self._cache(event.endpoint_id)
         last = cache.last_sequence
         if last is not None and event.sequence <= last:
             if event.sequence < last:
@@ -52,7 +52,9 @@
 
     def expect(self, endpoint_id: EndpointId, hashes: Sequence[int]) -> None:
         """Note blocks that an endpoint stored or was just sent."""
-        cache = self._caches.setdefault(endpoint_id, _Cache())
+        cache = self._cache(endpoint_id)
+        if hashes and cache.blocks.get(hashes[-1]) == cache.gaps:
+            return
         for block in reversed(hashes):
             cache.blocks.pop(block, None)
             cache.blocks[block] = cache.gaps
@@ -77,6 +79,8 @@
         if hashes[0] not in blocks:
             return 0.0
         low, high = 1, len(hashes)
+        if hashes[-1] in blocks:
+            low = high
         while low < high:
             middle = (low + high + 1) >> 1
             if hashes[middle - 1] in blocks:
@@ -102,6 +106,13 @@
         found = holders[hashes[low - 1]]
         return [endpoint_id for endpoint_id, _ in zip(found, range(count), strict=False)]
 
+    def _cache(self, endpoint_id: EndpointId) -> _Cache:
+        """Return an endpoint's cache."""
+        cache = self._caches.get(endpoint_id)
+        if cache is None:
+            cache = self._caches[endpoint_id] = _Cache()
+        return cache
+
     def _forget(self, endpoint_id: EndpointId, cache: _Cache, blocks: Sequence[int]) -> None:
         """Drop blocks from an endpoint's cache."""
         for block in blocks:
