--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -25,6 +25,7 @@
     {"connection", "transfer-encoding", "content-length", "keep-alive", "date", "server"}
 )
 _EVENTS = "text/event-stream"
+PROGRESS_EVENTS = 8
 
 
 class Exchange:
@@ -120,17 +121,29 @@
                 yield chunk
             return
         stream = EventStream()
-        seen = 0
-        async for chunk in chunks:
-            events = stream.feed(chunk)
-            if events:
-                yield events
-                self._node.progress(self._request_id, stream.event_count - seen)
-                self._observation.progress(stream.event_count - seen)
-                seen = stream.event_count
+        told = 0
+        try:
+            async for chunk in chunks:
+                events = stream.feed(chunk)
+                if events:
+                    yield events
+                    if stream.event_count - told >= PROGRESS_EVENTS:
+                        told = self._tell_progress(stream, told)
+        except WagtailusherError:
+            self._tell_progress(stream, told)
+            raise
+        self._tell_progress(stream, told)
         if not stream.is_complete:
             raise BrokenAnswerError("the stream ended without its end marker")
 
+    def _tell_progress(self, stream: EventStream, told: int) -> int:
+        """Tell of the events that were relayed since, and return how many are known."""
+        events = stream.event_count - told
+        if events:
+            self._node.progress(self._request_id, events)
+            self._observation.progress(events)
+        return stream.event_count
+
     async def _async_body(
         self, parts: AsyncIterator[bytes], first: bytes | None
     ) -> AsyncIterator[bytes]:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
@@ -49,6 +49,8 @@
     ConfigurationQuery,
     Message,
     QuarantineSummary,
+    QuotaClaims,
+    QuotaGrants,
     Sealed,
     SummaryGossip,
 )
@@ -163,7 +165,7 @@
         if isinstance(message, QuarantineSummary):
             self._node.decider.merge_quarantine(quarantine_summary(message), now_ms)
             return
-        if isinstance(message, SummaryGossip):
+        if isinstance(message, SummaryGossip | QuotaClaims | QuotaGrants):
             self._carry_out(self.summaries.handle(message, now_ms, sender=sealed.vm_id))
             return
         if isinstance(message, ConfigurationAnnounce | ConfigurationQuery):
