Name a few entry VMs for each pool

Cause: with every node taking callers, the 16 credits of a pool of services were split among 8 nodes; some had a queue while others held idle credits. Conclusion: bring the callers to the credits.

--- a/packages/wagtailusher_admission/src/wagtailusher_admission/__init__.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/__init__.py
@@ -4,6 +4,7 @@
 
 from wagtailusher_admission.const import TIER_COUNT
 from wagtailusher_admission.decider import AdmissionDecider
+from wagtailusher_admission.entry_points import entry_points
 from wagtailusher_admission.errors import AdmissionError, DuplicateRequestError, UnknownRequestError
 from wagtailusher_admission.request import AdmissionLimits, PendingRequest, Refusal
 
@@ -16,4 +17,5 @@
     "PendingRequest",
     "Refusal",
     "UnknownRequestError",
+    "entry_points",
 ]
