Parse each settings document once, off the event loop where it is read

Cause: a document was parsed for its validation and again to be put in force, both in the event loop (the settings' measurement gives 0.1 s for a change near the root at 4,700 workspaces). A document that had been refused before counted as valid to the configuration decider. Before: two parses in the loop. Conclusion: what a peer gives could move to a thread as well if the decider took validation as an event.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
@@ -43,7 +43,6 @@
     SummaryDecider,
     Superseded,
 )
-from wagtailusher_settings import SettingsError, parse_settings
 from wagtailusher_wire import (
     ConfigurationAnnounce,
     ConfigurationQuery,
@@ -105,7 +104,7 @@
             vm_id=identity.vm_id,
             failure_domain_id=identity.failure_domain_id,
             members=self.membership.members(),
-            validate=_validate,
+            validate=view.gate.validate,
             seed=seed + 1,
         )
         self.summaries = SummaryDecider(
@@ -202,7 +201,7 @@
             if isinstance(effect, Send):
                 self._send(effect.address, effect.message)
             elif isinstance(effect, Apply):
-                self._view.offer_settings(effect.content)
+                self._view.gate.apply(effect.content)
                 self.membership.set_revision(effect.revision)
             elif isinstance(effect, ReadService):
                 self._spawn(self._async_read_service())
@@ -230,6 +229,7 @@
         if found is None:
             self.configuration.service_unchanged(monotonic_ms())
             return
+        await self._view.gate.async_prepare(found.content)
         self._carry_out(
             self.configuration.offer_from_service(found.revision, found.content, monotonic_ms())
         )
@@ -253,17 +253,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _validate(revision: Revision, content: bytes) -> str | None:
-    """Return why a settings document is not valid, or None."""
-    try:
-        settings = parse_settings(content)
-    except SettingsError as err:
-        return err.message
-    if settings.revision != revision:
-        return f"the document says revision {settings.revision}, not {revision}"
-    return None
-
-
 def _log_effect(effect: object) -> None:
     """Log what only operators need to know."""
     if isinstance(effect, MemberChanged):
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
@@ -9,6 +9,7 @@
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
+from wagtailusher_daemon.settings_gate import SettingsGate, Taken
 from wagtailusher_placement import EndpointInfo, EndpointKind
 from wagtailusher_settings import Applied, Refused, Settings, SettingsKeeper
 
@@ -23,6 +24,7 @@
         self._node = node
         self._metrics = metrics
         self.keeper = SettingsKeeper()
+        self.gate = SettingsGate(self.keeper, self.take_settings)
         self.published: tuple[PublishedVm, ...] = ()
         self.endpoints: dict[EndpointId, EndpointInfo] = {}
 
@@ -37,22 +39,20 @@
         return tuple(info for info in self.endpoints.values() if info.kind is EndpointKind.ENGINE)
 
     @callback
-    def offer_settings(self, content: bytes) -> Applied | Refused | None:
-        """Take a settings document; a bad or older one changes nothing."""
-        now_ms = monotonic_ms()
-        result = self.keeper.offer(content, now_ms)
+    def take_settings(self, result: Taken) -> None:
+        """Take what became of a settings document; a bad or older one changes nothing."""
         if isinstance(result, Refused):
             _LOGGER.warning("Settings: refused: %s", "; ".join(map(str, result.problems)))
-            return result
         if not isinstance(result, Applied):
-            return None
+            return
         settings = result.settings
         _LOGGER.info("Settings: revision %s is in force", settings.revision)
         self._metrics.revision.set({}, settings.revision.number)
         self._node.apply(
-            self._node.decider.update_drained_domains(settings.fleet.drained_domains, now_ms)
+            self._node.decider.update_drained_domains(
+                settings.fleet.drained_domains, monotonic_ms()
+            )
         )
-        return result
 
     @callback
     def offer_published(
