--- /dev/null
+++ b/tests/scenario/node_peers.py
@@ -0,0 +1,190 @@
+"""What an entry VM of a scenario exchanges with its peers and reads from the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from tests.scenario.platform import decode_configuration, validate_configuration
+from wagtailusher_core import PublishedVm, Revision, VmId
+from wagtailusher_membership import (
+    Apply,
+    ConfigurationDecider,
+    ConfigurationEffect,
+    Fetch,
+    ReadService,
+    Send,
+)
+from wagtailusher_membership.table import MemberTable
+from wagtailusher_once import QuarantineSummary
+from wagtailusher_router import PeerAction, SendLeaseGrant, SendLeaseRecall, SendLeaseRequest
+from wagtailusher_wire import ContentAnswer
+
+if TYPE_CHECKING:
+    from tests.scenario.node import EntryNode
+
+LIST_MS = 500
+LIST_DELAY_MS = 100
+CONFIGURATION_TICK_MS = 100
+GOSSIP_MS = 200
+GOSSIP_FANOUT = 3
+MAX_MEMBERS = 256
+
+
+class NodePeers:
+    """Leases, quarantine summaries, configurations and lists of one process."""
+
+    def __init__(self, node: EntryNode, vm: PublishedVm) -> None:
+        """Start to read the lists and to settle a configuration."""
+        self._node = node
+        self._fleet = node.fleet
+        self._table = MemberTable(max_members=MAX_MEMBERS, buckets=1)
+        self._domain_id = vm.failure_domain_id
+        self.is_ready = False
+        self._configuration = ConfigurationDecider(
+            vm_id=vm.vm_id,
+            failure_domain_id=vm.failure_domain_id,
+            members=self._table.view,
+            validate=validate_configuration,
+            seed=self._fleet.rng.getrandbits(32),
+        )
+        self._read_lists()
+        rng = self._fleet.rng
+        node.every(LIST_MS, self._read_lists, first_ms=rng.random() * LIST_MS)
+        node.every(
+            CONFIGURATION_TICK_MS,
+            lambda: self._carry_out(self._configuration.tick(node.now_ms)),
+            first_ms=rng.random() * CONFIGURATION_TICK_MS,
+        )
+        node.every(GOSSIP_MS, self._gossip, first_ms=rng.random() * GOSSIP_MS)
+
+    def send_lease(self, action: PeerAction) -> None:
+        """Send a message about leases."""
+        receiver_id = _receiver_of(action)
+        self._fleet.send_datagram(
+            self._node.vm_id, receiver_id, lambda peer: peer.peers.receive_lease(action)
+        )
+
+    def receive_lease(self, action: PeerAction) -> None:
+        """Take a message about leases."""
+        node = self._node
+        if isinstance(action, SendLeaseRequest):
+            node.apply(node.router.lease_requested(action.request, node.now_ms))
+        elif isinstance(action, SendLeaseGrant):
+            node.apply(node.router.lease_granted(action.grant, node.now_ms))
+        else:
+            node.router.lease_recalled(action.recall, node.now_ms)
+
+    def _read_lists(self) -> None:
+        """Read the platform's lists; they arrive a little later."""
+        vms, version = self._fleet.published, self._fleet.published_version
+        endpoints = self._fleet.published_endpoints()
+        self._node.after(LIST_DELAY_MS, lambda: self._take_lists(vms, version, endpoints))
+
+    def _take_lists(self, vms: tuple[PublishedVm, ...], version: int, endpoints: object) -> None:
+        """Hand the lists to the deciders."""
+        node = self._node
+        for _ in self._table.publish(vms, node.now_ms):
+            pass
+        node.router.update_published(vms, node.now_ms, version)
+        node.apply(node.router.update_endpoints(self._fleet.published_endpoints(), node.now_ms))
+
+    def _gossip(self) -> None:
+        """Tell a few peers about requests that crash endpoints."""
+        node = self._node
+        others = [peer_id for peer_id in self._fleet.node_ids() if peer_id != node.vm_id]
+        for peer_id in self._fleet.rng.sample(others, min(GOSSIP_FANOUT, len(others))):
+            if not node.quarantine.has_news(node.now_ms):
+                return
+            self._send_summary(peer_id, node.router.quarantine_summary(node.now_ms))
+
+    def _send_summary(self, peer_id: VmId, summary: QuarantineSummary) -> None:
+        """Send evidence to a peer."""
+        self._fleet.send_datagram(
+            self._node.vm_id,
+            peer_id,
+            lambda peer: peer.router.merge_quarantine(summary, peer.now_ms),
+        )
+
+    # Configurations.
+
+    def _carry_out(self, effects: Iterable[ConfigurationEffect]) -> None:
+        """Do what the decider of configurations asks for."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect)
+            elif isinstance(effect, Fetch):
+                self._fetch(effect)
+            elif isinstance(effect, ReadService):
+                self._fleet.service.read(effect.since, self._answered, self._failed)
+            elif isinstance(effect, Apply):
+                self._apply(effect)
+
+    def _apply(self, effect: Apply) -> None:
+        """Put a configuration in force."""
+        node = self._node
+        self.is_ready = True
+        self._fleet.note_configuration(node.vm_id, effect.revision)
+        drained = decode_configuration(effect.content)
+        node.apply(node.router.update_drained_domains(drained, node.now_ms))
+
+    def _send(self, effect: Send) -> None:
+        """Send a datagram about configurations."""
+        sender_id = self._node.vm_id
+
+        def receive(peer: EntryNode) -> None:
+            configuration = peer.peers
+            configuration._carry_out(
+                configuration._configuration.handle(
+                    effect.message, peer.now_ms, sender=sender_id, address=sender_id
+                )
+            )
+
+        self._fleet.send_datagram(sender_id, effect.vm_id, receive)
+
+    def _fetch(self, effect: Fetch) -> None:
+        """Ask a peer for content over a stream."""
+        sender_id = self._node.vm_id
+
+        def receive(peer: EntryNode) -> None:
+            answer = peer.peers._configuration.answer(effect.request, peer.now_ms, sender=sender_id)
+            if answer is not None:
+                peer.peers._send_content(sender_id, answer)
+
+        self._fleet.send_datagram(sender_id, effect.vm_id, receive)
+
+    def _send_content(self, receiver_id: VmId, answer: ContentAnswer) -> None:
+        """Send content back to a peer that asked for it."""
+        sender_id = self._node.vm_id
+
+        def receive(peer: EntryNode) -> None:
+            effects = peer.peers._configuration.fetched(answer, peer.now_ms, sender=sender_id)
+            peer.peers._carry_out(effects)
+
+        self._fleet.send_datagram(sender_id, receiver_id, receive)
+
+    def _answered(self, revision: Revision | None, content: bytes) -> None:
+        """Take the service's answer in."""
+        self._node.run(lambda: self._take_answer(revision, content))
+
+    def _take_answer(self, revision: Revision | None, content: bytes) -> None:
+        """Hand the service's answer to the decider."""
+        now_ms = self._node.now_ms
+        if revision is None:
+            self._configuration.service_unchanged(now_ms)
+            return
+        self._carry_out(self._configuration.offer_from_service(revision, content, now_ms))
+
+    def _failed(self) -> None:
+        """Note that the service can't be read."""
+        self._node.run(lambda: self._configuration.service_failed(self._node.now_ms))
+
+
+def _receiver_of(action: PeerAction) -> VmId:
+    """Return the VM that a message about leases goes to."""
+    if isinstance(action, SendLeaseRequest):
+        return action.steward_id
+    if isinstance(action, SendLeaseGrant):
+        return action.node_id
+    assert isinstance(action, SendLeaseRecall)
+    return action.recall.node_id
