Speak TLS to callers and between VMs, and pass revisions along as hints

Cause: with a certificate set, peers called a TLS listener in the clear, so nothing could be forwarded; and a VM cut off from service and peers learned nothing from its callers. Peers now use TLS with a configurable authority; answers carry the revision in force and callers pass it on, which makes a VM that is behind ask its peers (never apply anything by a caller's word).

--- a/packages/wagtailusher_client/src/wagtailusher_client/client.py
+++ b/packages/wagtailusher_client/src/wagtailusher_client/client.py
@@ -25,6 +25,7 @@
 PATH_TICKETS = "/v1/tickets"
 HEADER_TICKET = "x-wagtailusher-ticket"
 HEADER_CLASS = "x-wagtailusher-class"
+HEADER_REVISION = "x-wagtailusher-revision"
 TICKET_TIMEOUT_MS = 2_000
 MS_PER_S = 1000
 
@@ -47,6 +48,7 @@
         self._limits = limits or ClientLimits()
         self._api_key = api_key
         self._http = HttpClient(ssl_context=ssl_context)
+        self._revision: str | None = None
         self._addresses = AddressCache(self._http, seeds, Random(seed))
 
     def close(self) -> None:
@@ -195,7 +197,9 @@
         self, address: str, method: str, target: str, headers: Headers, body: bytes
     ) -> ClientAnswer:
         """Send once over a new connection, so that a failed connect means not sent."""
-        return await self._http.async_request(
+        if self._revision is not None:
+            headers = headers.with_field(HEADER_REVISION, self._revision)
+        answer = await self._http.async_request(
             address,
             method,
             target,
@@ -204,6 +208,8 @@
             fresh=HEADER_TICKET in headers,
             head_timeout_ms=self._limits.head_timeout_ms,
         )
+        self._revision = answer.headers.get(HEADER_REVISION) or self._revision
+        return answer
 
     def _headers(self, class_id: str | None) -> Headers:
         """Return the headers of every request."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -7,7 +7,6 @@
 from itertools import count
 import logging
 import secrets
-import ssl
 
 from wagtailusher_admission import AdmissionDecider
 from wagtailusher_core import (
@@ -18,6 +17,7 @@
     Incarnation,
     Outcome,
     RequestId,
+    Revision,
     VmId,
 )
 from wagtailusher_daemon.addresses import AddressBook
@@ -44,6 +44,7 @@
 from wagtailusher_daemon.options import EntryOptions
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.peers import Peers
+from wagtailusher_daemon.tls import peer_context, server_context
 from wagtailusher_daemon.tracing import Tracing
 from wagtailusher_daemon.upstream import Upstream
 from wagtailusher_http import HttpClient, HttpServer, Request, Response, async_serve
@@ -81,6 +82,7 @@
         )
         self.is_draining = False
         self._client = HttpClient()
+        self._peer_client = HttpClient(ssl_context=peer_context(options))
         self._secrets = _secrets_of(options)
         self.upstream = Upstream(self._client, self._address_of_cancel)
         self.peers = Peers(self._peer_address_of, self._receive)
@@ -95,7 +97,7 @@
         self.talk: FleetTalk | None = None
         self.stopping = asyncio.Event()
         self._stream = ConfigurationStream(
-            self._client, vm_id=self.vm_id, incarnation=self.incarnation, secrets=self._secrets
+            self._peer_client, vm_id=self.vm_id, incarnation=self.incarnation, secrets=self._secrets
         )
         self._service = ConfigServiceCoordinator(
             self._client, options.config_service, seed=_new_seed()
@@ -172,7 +174,7 @@
         api = self._new_caller_api()
         self.caller_api = api
         self.caller_server = await async_serve(
-            api.async_handle, host=host, port=port, ssl_context=_tls_context(options)
+            api.async_handle, host=host, port=port, ssl_context=server_context(options)
         )
         operator_host, operator_port = _split(options.operator_listen)
         self.operator_server = await async_serve(
@@ -210,6 +212,7 @@
             await self.operator_server.async_close()
         self.link.close()
         self._client.close()
+        self._peer_client.close()
         self.tracing.close()
         _LOGGER.info("Daemon: %s stopped, clean: %s", self.vm_id, clean)
         return clean
@@ -232,7 +235,7 @@
             next_id=lambda: RequestId(f"{self.vm_id}-{self.incarnation:x}-{next(numbers):x}"),
         )
         forwarder = Forwarder(
-            self._client,
+            self._peer_client,
             vm_id=self.vm_id,
             secrets=self._secrets,
             address_of=self._address_of_vm,
@@ -250,6 +253,7 @@
             settings=lambda: self.view.settings,
             is_ready=lambda: self.is_ready,
             answer_configuration=self._answer_configuration,
+            hint=self._hint,
         )
 
     def _new_talk(self) -> FleetTalk:
@@ -293,6 +297,11 @@
         own = self.talk.peer_address(vm_id) if self.talk is not None else None
         return own or self.view.peer_address_of(vm_id)
 
+    def _hint(self, revision: Revision) -> None:
+        """Take in a revision that a caller heard of elsewhere."""
+        if self.talk is not None:
+            self.talk.hint(revision)
+
     def _answer_configuration(self, request: Request) -> Response:
         """Answer a peer that asks for a configuration."""
         if self.talk is None:
@@ -401,12 +410,3 @@
         list_lag_ms=options.list_lag_ms,
         pause_tolerance_ms=options.pause_tolerance_ms,
     )
-
-
-def _tls_context(options: EntryOptions) -> ssl.SSLContext | None:
-    """Return the TLS context for callers, if a certificate is set."""
-    if not options.tls_certificate:
-        return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.load_cert_chain(options.tls_certificate, options.tls_key or None)
-    return context
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -8,12 +8,14 @@
 from http import HTTPStatus
 import logging
 
-from wagtailusher_core import ErrorCode, Outcome, VmId, WagtailusherError
+from wagtailusher_core import ErrorCode, Outcome, Revision, VmId, WagtailusherError
 from wagtailusher_daemon.addresses import AddressBook
 from wagtailusher_daemon.answers import coded_response
 from wagtailusher_daemon.classify import Classified, Classifier
 from wagtailusher_daemon.clock import wall_ms
 from wagtailusher_daemon.const import (
+    HEADER_REVISION,
+    MAX_REVISION_CHARS,
     PATH_ADDRESSES,
     PATH_CHAT,
     PATH_CONFIGURATION,
@@ -53,9 +55,28 @@
     settings: Callable[[], Settings | None]
     is_ready: Callable[[], bool]
     answer_configuration: Callable[[Request], Response]
+    hint: Callable[[Revision], None]
     once_tasks: set[asyncio.Task[Response]] = field(default_factory=set)
 
     async def async_handle(self, request: Request) -> Response:
+        """Answer one request; revisions travel along in both directions."""
+        self._take_hint(request)
+        response = await self._async_answer(request)
+        settings = self.settings()
+        if settings is not None:
+            response.headers = response.headers.with_field(HEADER_REVISION, str(settings.revision))
+        return response
+
+    def _take_hint(self, request: Request) -> None:
+        """Take in the revision that a caller heard of, if it names one."""
+        text = request.headers.get(HEADER_REVISION)
+        if text is None:
+            return
+        epoch, _, number = text.partition(".")
+        if epoch.isdecimal() and number.isdecimal() and len(text) <= MAX_REVISION_CHARS:
+            self.hint(Revision(epoch=int(epoch), number=int(number)))
+
+    async def _async_answer(self, request: Request) -> Response:
         """Answer one request."""
         path = request.path
         try:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
@@ -32,6 +32,7 @@
     operator_listen: str | None = None,
     tls_certificate: str | None = None,
     tls_key: str | None = None,
+    tls_ca: str | None = None,
     log_level: str | None = None,
     log_format: str | None = None,
     trace_file: str | None = None,
@@ -59,6 +60,7 @@
     :param operator_listen: where operators and scrapers are served, host:port (127.0.0.1:0)
     :param tls_certificate: file with the certificate chain for callers, PEM (no TLS)
     :param tls_key: file with the certificate's key, PEM (in the certificate's file)
+    :param tls_ca: file with the authority that signed the other VMs' certificates, PEM (system's)
     :param log_level: debug, info, warning or error (info)
     :param log_format: text, or json for one object a line (text)
     :param trace_file: file to which spans are written, one JSON object a line (none)
@@ -69,13 +71,18 @@
     :param list_lag_ms: the most that the platform's list lags, in ms (5000)
     :param pause_tolerance_ms: the longest pause after which leases are still trusted, ms (1000)
     """
+    sys.exit(run_with_flags(dict(locals())))
+
+
+def run_with_flags(flags: dict[str, str | None]) -> int:
+    """Check the options, run the daemon and return the exit code."""
     try:
-        options = read_options(dict(locals()))
+        options = read_options(flags)
+        set_up_logs(options.log_level, options.log_format)
+        return asyncio.run(async_run(options))
     except OptionsError as err:
         print(f"wagtailusher-entry: {err.message}", file=sys.stderr)  # noqa: T201
-        sys.exit(EXIT_USAGE)
-    set_up_logs(options.log_level, options.log_format)
-    sys.exit(asyncio.run(async_run(options)))
+        return EXIT_USAGE
 
 
 async def async_run(options: EntryOptions) -> int:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -121,29 +121,25 @@
                 yield chunk
             return
         stream = EventStream()
-        told = 0
+        waiting = 0
         try:
             async for chunk in chunks:
+                seen = stream.event_count
                 events = stream.feed(chunk)
                 if events:
                     yield events
-                    if stream.event_count - told >= PROGRESS_EVENTS:
-                        told = self._tell_progress(stream, told)
+                    waiting += stream.event_count - seen
+                    self._observation.progress(stream.event_count - seen)
+                    if waiting >= PROGRESS_EVENTS:
+                        self._node.progress(self._request_id, waiting)
+                        waiting = 0
         except WagtailusherError:
-            self._tell_progress(stream, told)
+            self._node.progress(self._request_id, waiting)
             raise
-        self._tell_progress(stream, told)
+        self._node.progress(self._request_id, waiting)
         if not stream.is_complete:
             raise BrokenAnswerError("the stream ended without its end marker")
 
-    def _tell_progress(self, stream: EventStream, told: int) -> int:
-        """Tell of the events that were relayed since, and return how many are known."""
-        events = stream.event_count - told
-        if events:
-            self._node.progress(self._request_id, events)
-            self._observation.progress(events)
-        return stream.event_count
-
     async def _async_body(
         self, parts: AsyncIterator[bytes], first: bytes | None
     ) -> AsyncIterator[bytes]:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
@@ -48,6 +48,7 @@
     operator_listen: str = DEFAULT_LISTEN
     tls_certificate: str = ""
     tls_key: str = ""
+    tls_ca: str = ""
     log_level: str = DEFAULT_LOG_LEVEL
     log_format: LogFormat = LogFormat(DEFAULT_LOG_FORMAT)
     trace_file: str = ""
--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -62,8 +62,14 @@
 class Fleet:
     """A few apps that share engines and one booking service."""
 
-    def __init__(self, vm_count: int = 2, engine_count: int = 2) -> None:
+    def __init__(
+        self,
+        vm_count: int = 2,
+        engine_count: int = 2,
+        options: dict[str, Any] | None = None,
+    ) -> None:
         """Prepare the parts; nothing listens yet."""
+        self._options = options or {}
         self.engines = [
             EngineStandin(f"engine-{number}", EngineBehaviour()) for number in range(engine_count)
         ]
@@ -99,20 +105,19 @@
 
     def _new_app(self, number: int) -> EntryApp:
         """Return an app that does not listen yet."""
-        return EntryApp(
-            EntryOptions(
-                vm_id=f"entry-{number}",
-                failure_domain=f"domain-{number % 3}",
-                fleet_secret=FLEET_SECRET,
-                config_service=self.config_service.address,
-                vm_list=self.vm_list.address,
-                lease_lifetime_ms=300,
-                list_lag_ms=0,
-                pause_tolerance_ms=200,
-                tick_interval_ms=20,
-                load_poll_interval_ms=50,
-            )
-        )
+        options = {
+            "vm_id": f"entry-{number}",
+            "failure_domain": f"domain-{number % 3}",
+            "fleet_secret": FLEET_SECRET,
+            "config_service": self.config_service.address,
+            "vm_list": self.vm_list.address,
+            "lease_lifetime_ms": 300,
+            "list_lag_ms": 0,
+            "pause_tolerance_ms": 200,
+            "tick_interval_ms": 20,
+            "load_poll_interval_ms": 50,
+        }
+        return EntryApp(EntryOptions.model_validate(options | self._options))
 
     def publish(self) -> None:
         """Publish the lists of VMs and endpoints."""
@@ -136,14 +141,18 @@
         self.publish()
         await async_wait_until(lambda: self.apps[number].is_ready)
 
+    def headers(self, more: dict[str, str] | None = None) -> Headers:
+        """Return the headers of a caller's request."""
+        fields = {"authorization": f"Bearer {API_KEY}"} | (more or {})
+        return Headers(fields.items())
+
     async def async_post(
         self, path: str, value: Any, *, vm: int = 0, headers: dict[str, str] | None = None
     ) -> ClientAnswer:
         """Post JSON to an app."""
-        fields = {"authorization": f"Bearer {API_KEY}"} | (headers or {})
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
         return await self.client.async_request(
-            self.apps[vm].address, "POST", path, Headers(fields.items()), body
+            self.apps[vm].address, "POST", path, self.headers(headers), body
         )
 
     async def async_chat(
