Split the admission of keys and the quarantine's messages off

What decides about a key without a record, and what one VM tells another about crashes, are modules of their own now; nothing else changes.

--- a/packages/wagtailusher_once/src/wagtailusher_once/__init__.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/__init__.py
@@ -14,15 +14,12 @@
     StoredAnswer,
     Submission,
 )
-from wagtailusher_once.decider import OnceDecider, OnceLimits
+from wagtailusher_once.decider import OnceDecider
 from wagtailusher_once.errors import OnceError, TicketExpiredError, TicketInvalidError
 from wagtailusher_once.evidence import Verdict
-from wagtailusher_once.quarantine import (
-    QuarantineDecider,
-    QuarantineEntry,
-    QuarantineLimits,
-    QuarantineSummary,
-)
+from wagtailusher_once.limits import OnceLimits
+from wagtailusher_once.quarantine import QuarantineDecider, QuarantineLimits
+from wagtailusher_once.quarantine_summary import QuarantineEntry, QuarantineSummary
 from wagtailusher_once.ticket import Ticket, TicketMint
 
 __all__ = [
--- a/packages/wagtailusher_once/src/wagtailusher_once/decider.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/decider.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from wagtailusher_core import ErrorCode, Incarnation, PublishedVm, VmId, WorkspaceId
 from wagtailusher_once.answers import (
@@ -15,38 +14,13 @@
     StoredAnswer,
     Submission,
 )
-from wagtailusher_once.const import (
-    DEFAULT_KEY_LIFETIME_MS,
-    DEFAULT_MAX_ANSWER_BYTES,
-    DEFAULT_MAX_ANSWERS_BYTES,
-    DEFAULT_MAX_CLOCK_SKEW_MS,
-    DEFAULT_MAX_LIST_AGE_MS,
-    DEFAULT_MAX_LIST_LAG_MS,
-    DEFAULT_MAX_RECORDS,
-)
-from wagtailusher_once.key_homes import KeyHomes, first_sent_of, hash_key_of
+from wagtailusher_once.key_admission import KeyAdmission, KeyAttempt
+from wagtailusher_once.key_homes import first_sent_of, hash_key_of
+from wagtailusher_once.limits import OnceLimits
 from wagtailusher_once.records import AnswerStore, Floor, RecordStore, RunRecord, RunState
 from wagtailusher_once.ticket import Ticket
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OnceLimits:
-    """Bounds in time and memory of the at-most-once decider."""
-
-    max_records: int = DEFAULT_MAX_RECORDS
-    max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES
-    max_answers_bytes: int = DEFAULT_MAX_ANSWERS_BYTES
-    max_clock_skew_ms: int = DEFAULT_MAX_CLOCK_SKEW_MS
-    key_lifetime_ms: int = DEFAULT_KEY_LIFETIME_MS
-    max_list_lag_ms: int = DEFAULT_MAX_LIST_LAG_MS
-    max_list_age_ms: int = DEFAULT_MAX_LIST_AGE_MS
-
-    @property
-    def settling_ms(self) -> int:
-        """Return how long a VM must have been a key's home before it may run the key."""
-        return 2 * (self.max_list_lag_ms + self.max_list_age_ms + self.max_clock_skew_ms)
-
-
 class OnceDecider:
     """Records what this incarnation ran, and lets each request start once."""
 
@@ -63,12 +37,7 @@
             max_total_bytes=self._limits.max_answers_bytes,
         )
         self._ticket_floor = Floor()
-        self._key_floor = Floor()
-        self._homes = KeyHomes(
-            vm_id=vm_id,
-            memory_ms=self._limits.settling_ms + self._limits.key_lifetime_ms,
-            max_age_ms=self._limits.max_list_age_ms,
-        )
+        self._keys = KeyAdmission(vm_id=vm_id, limits=self._limits)
 
     @property
     def record_count(self) -> int:
@@ -109,7 +78,7 @@
         self, vms: Iterable[PublishedVm], now_ms: int, *, observed_ms: int
     ) -> None:
         """Take in the platform's list, read at a time; to be told at each reading."""
-        self._homes.observe(vms, now_ms, observed_ms=observed_ms)
+        self._keys.observe(vms, now_ms, observed_ms=observed_ms)
 
     def submit_key(
         self,
@@ -129,7 +98,7 @@
         The key's first sending is told by the caller or is part of a UUID of version 7. Without
         it, without the wall time or without the time at which the list was read, no key runs.
         """
-        self._homes.observe(published_vms, now_ms, observed_ms=published_observed_ms)
+        self._keys.observe(published_vms, now_ms, observed_ms=published_observed_ms)
         if first_sent_wall_ms is None:
             first_sent_wall_ms = first_sent_of(key)
         if now_wall_ms is None or first_sent_wall_ms is None:
@@ -139,24 +108,18 @@
         known = self._records.get(hash_key)
         if known is not None:
             return _answer_repeat(known, body_digest)
-        home_id = self._homes.home_of(hash_key)
-        if home_id is not None and home_id != self._vm_id:
-            return ForwardTo(home_id=home_id)
-        first_sent_ms = now_ms - (now_wall_ms - first_sent_wall_ms)
-        if not self._may_run_key(hash_key, first_sent_wall_ms, first_sent_ms, now_ms):
-            return self._refuse_key(first_attempt)
-        run_until_ms = first_sent_ms + self._limits.key_lifetime_ms
-        return self._accept(
-            RunRecord(
-                ticket_id=hash_key,
+        judged = self._keys.judge(
+            KeyAttempt(
+                hash_key=hash_key,
                 body_digest=body_digest,
-                run_until_ms=run_until_ms,
-                keep_until_ms=run_until_ms + 2 * self._limits.max_clock_skew_ms,
-                floor=self._key_floor,
-                stamp_wall_ms=first_sent_wall_ms,
+                first_sent_wall_ms=first_sent_wall_ms,
+                first_sent_ms=now_ms - (now_wall_ms - first_sent_wall_ms),
             ),
             now_ms,
         )
+        if judged is None:
+            return self._refuse_key(first_attempt)
+        return judged if isinstance(judged, ForwardTo) else self._accept(judged, now_ms)
 
     def dispatch(self, ticket_id: str, now_ms: int) -> bool:
         """Return True once, when the request may be sent to one endpoint."""
@@ -219,21 +182,6 @@
         _set_refused(record, ErrorCode.TICKET_EXPIRED)
         return AlreadyRefused(ticket_id=record.ticket_id, code=ErrorCode.TICKET_EXPIRED)
 
-    def _may_run_key(
-        self, hash_key: str, first_sent_wall_ms: int, first_sent_ms: int, now_ms: int
-    ) -> bool:
-        """Return whether no other node can ever have run, or run later, this key."""
-        if self._key_floor.covers(first_sent_wall_ms):
-            return False
-        if not self._homes.is_fresh(now_ms):
-            return False
-        since_ms = self._homes.settling_since_ms(hash_key)
-        if since_ms is None or first_sent_ms < since_ms + self._limits.settling_ms:
-            return False
-        oldest_ms = now_ms - self._limits.key_lifetime_ms
-        newest_ms = now_ms + self._limits.max_clock_skew_ms
-        return oldest_ms < first_sent_ms <= newest_ms
-
     def _refuse_key(self, first_attempt: bool) -> Submission:
         """Return the truthful refusal of a key that this node may not run."""
         if first_attempt:
--- a/packages/wagtailusher_once/src/wagtailusher_once/quarantine.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/quarantine.py
@@ -17,7 +17,12 @@
     DEFAULT_SUMMARY_ENTRIES,
     DEFAULT_SUSPECT_SENDS,
 )
-from wagtailusher_once.evidence import Crash, Evidence, Verdict, is_alone_in_two
+from wagtailusher_once.evidence import Evidence, Verdict, is_alone_in_two
+from wagtailusher_once.quarantine_summary import (
+    QuarantineEntry,
+    QuarantineSummary,
+    SummaryItem,
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,61 +38,6 @@
     culprit_sends: int = DEFAULT_CULPRIT_SENDS
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QuarantineEntry:
-    """One crash of one fingerprint, or its quarantine."""
-
-    fingerprint: str
-    endpoint_ids: tuple[EndpointId, ...]
-    quarantined: bool
-    age_ms: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QuarantineSummary:
-    """What one VM tells another about requests that crash endpoints."""
-
-    entries: tuple[QuarantineEntry, ...] = ()
-
-
-@dataclass(slots=True)
-class _Item:
-    """One piece of evidence that can be sent."""
-
-    evidence: Evidence
-    crash: Crash | None
-
-    @property
-    def sends(self) -> int:
-        """Return how often this VM sent the item."""
-        return self.evidence.quarantine_sends if self.crash is None else self.crash.sends
-
-    @property
-    def is_urgent(self) -> bool:
-        """Return whether the item tells against a fingerprint that is refused here."""
-        return self.crash is None or self.evidence.held_ms is not None
-
-    @property
-    def stamp_ms(self) -> int:
-        """Return when the item arose."""
-        if self.crash is not None:
-            return self.crash.crashed_ms
-        return self.evidence.quarantined_ms or 0
-
-    def send(self, now_ms: int) -> QuarantineEntry:
-        """Count one sending and return the message's entry."""
-        if self.crash is None:
-            self.evidence.quarantine_sends += 1
-        else:
-            self.crash.sends += 1
-        return QuarantineEntry(
-            fingerprint=self.evidence.fingerprint,
-            endpoint_ids=() if self.crash is None else (self.crash.endpoint_id,),
-            quarantined=self.crash is None,
-            age_ms=max(0, now_ms - self.stamp_ms),
-        )
-
-
 class QuarantineDecider:
     """Refuses a request once two crashes have only it in common."""
 
@@ -177,11 +127,11 @@
         for evidence in grown:
             self._judge(evidence, now_ms)
 
-    def _sends_of(self, item: _Item) -> int:
+    def _sends_of(self, item: SummaryItem) -> int:
         """Return how often an item is sent before it is no news."""
         return self._limits.culprit_sends if item.is_urgent else self._limits.suspect_sends
 
-    def _order_of_sending(self, item: _Item) -> tuple[bool, bool, int, int]:
+    def _order_of_sending(self, item: SummaryItem) -> tuple[bool, bool, int, int]:
         """Return the place of an item among those to be sent."""
         is_known = item.sends >= self._sends_of(item)
         return (is_known, not item.is_urgent, item.sends, -item.stamp_ms)
@@ -234,15 +184,15 @@
         others = (other for other in self._evidence.values() if other is not evidence)
         return is_alone_in_two(evidence, others, self._since_ms(now_ms))
 
-    def _items(self, now_ms: int) -> Iterator[_Item]:
+    def _items(self, now_ms: int) -> Iterator[SummaryItem]:
         """Yield everything that other VMs may have to know."""
         since_ms = self._since_ms(now_ms)
         for evidence in self._evidence.values():
             if evidence.quarantined_ms is not None:
-                yield _Item(evidence, None)
+                yield SummaryItem(evidence, None)
                 continue
             for crash in evidence.recent(since_ms):
-                yield _Item(evidence, crash)
+                yield SummaryItem(evidence, crash)
 
     def _since_ms(self, now_ms: int) -> int:
         """Return the time after which a crash counts."""
--- a/tests/wagtailusher_once/schedules/faults.py
+++ b/tests/wagtailusher_once/schedules/faults.py
@@ -7,6 +7,7 @@
 
 from wagtailusher_core import Incarnation, VmId
 from wagtailusher_once import OnceDecider, OnceLimits, StoredAnswer, Submission, Ticket
+from wagtailusher_once.key_admission import KeyAdmission, KeyAttempt
 
 
 class Fault(StrEnum):
@@ -62,16 +63,23 @@
             pass
 
 
-class _SettlingSkipped(OnceDecider):
-    """Runs a key as soon as it is the key's home."""
+class _UnsettledKeys(KeyAdmission):
+    """Runs a key as soon as this node is the key's home."""
 
-    def _may_run_key(
-        self, hash_key: str, first_sent_wall_ms: int, first_sent_ms: int, now_ms: int
-    ) -> bool:
+    def _may_run(self, attempt: KeyAttempt, now_ms: int) -> bool:
         """Return True whatever the ownership."""
         return True
 
 
+class _SettlingSkipped(OnceDecider):
+    """Does not wait until its ownership has settled."""
+
+    def __init__(self, *, vm_id: VmId, incarnation: Incarnation, limits: OnceLimits) -> None:
+        """Start with keys that need no settling."""
+        super().__init__(vm_id=vm_id, incarnation=incarnation, limits=limits)
+        self._keys = _UnsettledKeys(vm_id=vm_id, limits=limits)
+
+
 _DECIDERS: dict[Fault, type[OnceDecider]] = {
     Fault.HOME_CHECK_SKIPPED: _HomeCheckSkipped,
     Fault.EVICTION_FORGETS: _EvictionForgets,
