--- a/tests/wagtailusher_membership/test_decider.py
+++ b/tests/wagtailusher_membership/test_decider.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from unittest import TestCase
 
 from wagtailusher_bench.fleet.member_node import MemberNode
 from wagtailusher_bench.fleet.membership import Fleet
 from wagtailusher_core import FailureDomainId, Incarnation, PublishedState, PublishedVm, VmId
-from wagtailusher_membership import MemberChanged, MembershipDecider, Send, Superseded
-from wagtailusher_wire import MAX_PAYLOAD_BYTES, Gossip, MemberState, MemberUpdate, encode
+from wagtailusher_membership import (
+    MemberChanged,
+    MembershipDecider,
+    MembershipLimits,
+    Send,
+    Superseded,
+)
+from wagtailusher_wire import MAX_PAYLOAD_BYTES, Gossip, MemberState, MemberUpdate, Ping, encode
 
 
 def _decider(name: str = "a", incarnation: int = 5) -> MembershipDecider:
@@ -113,6 +120,57 @@
             self.assertEqual(decider.members()[VmId("b")].state, expected)
 
 
+class SuspicionTest(TestCase):
+    """Suspects get time, and a paused observer's clock proves nothing."""
+
+    def _suspecting(self, *accusers: str) -> MembershipDecider:
+        """Return a decider that heard these members accuse another."""
+        decider = _decider()
+        decider.update_published(_listed("a", "b", "c"), 0)
+        decider.handle(_gossip("b", 1, 1, MemberState.ALIVE), 0)
+        for accuser in accusers:
+            update = replace(
+                _gossip("b", 1, 1, MemberState.SUSPECT).updates[0], accuser=VmId(accuser)
+            )
+            decider.handle(Gossip(updates=(update,)), 0)
+        return decider
+
+    def _dies_at_ms(self, decider: MembershipDecider) -> int:
+        """Return when the suspect is declared dead."""
+        for now_ms in range(0, 60_000, 100):
+            decider.tick(now_ms)
+            if decider.members()[VmId("b")].state is MemberState.DEAD:
+                return now_ms
+        return -1
+
+    def test_more_accusers_shorten_the_wait(self) -> None:
+        limits = MembershipLimits()
+        with_own_probe_ms = (limits.suspicion_min_ms + limits.suspicion_max_ms) // 2
+        self.assertEqual(self._dies_at_ms(self._suspecting("x")), with_own_probe_ms)
+        accusers = ("x", "y", "z", "v")
+        self.assertEqual(self._dies_at_ms(self._suspecting(*accusers)), limits.suspicion_min_ms)
+        again = ("x", "x", "x", "x")
+        self.assertEqual(self._dies_at_ms(self._suspecting(*again)), with_own_probe_ms)
+
+    def test_paused_observer_gives_the_suspect_its_time(self) -> None:
+        decider = self._suspecting("x")
+        decider.tick(100)
+        decider.tick(60_000)
+        self.assertIs(decider.members()[VmId("b")].state, MemberState.SUSPECT)
+
+    def test_paused_observer_does_not_count_its_open_probe(self) -> None:
+        decider = _decider()
+        decider.update_published(_listed("a", "b"), 0)
+        now_ms, pings = 0, 0
+        while not pings:
+            now_ms += 100
+            effects = decider.tick(now_ms)
+            pings = sum(isinstance(e, Send) and isinstance(e.message, Ping) for e in effects)
+        decider.tick(now_ms + 30_000)
+        self.assertIs(decider.members()[VmId("b")].state, MemberState.ALIVE)
+        self.assertGreater(decider.local_health, 0)
+
+
 class PublishedListTest(TestCase):
     """The platform's list seeds, marks and forgets."""
 
@@ -168,18 +226,29 @@
         self.assertEqual(_states(fleet, paused.place.vm_id), {MemberState.ALIVE})
         self.assertEqual({vm_id for vm_id, _ in _accused(fleet.nodes)}, {paused.place.vm_id})
 
-    def test_partition_heals(self) -> None:
+    def test_partition_heals_after_both_sides_declared_each_other_dead(self) -> None:
         fleet = Fleet(20, seed=4, loss=0.05)
         fleet.network.blocked = lambda a, b: (a.region == 0) != (b.region == 0)
-        fleet.network.run_until(fleet.network.now_ms + 60_000)
-        far = next(node for node in fleet.nodes if node.place.region == 0)
-        other = next(node for node in fleet.nodes if node.place.region == 1)
-        self.assertIs(other.state_of(far.place.vm_id), MemberState.DEAD)
+        fleet.network.run_until(fleet.network.now_ms + 400_000)
+        for node in fleet.nodes:
+            for other in fleet.nodes:
+                is_far = (node.place.region == 0) != (other.place.region == 0)
+                state = node.state_of(other.place.vm_id)
+                self.assertEqual(state is MemberState.DEAD, is_far)
         fleet.network.blocked = lambda a, b: False
         fleet.network.run_until(fleet.network.now_ms + 60_000)
         for node in fleet.nodes:
             self.assertFalse([m for m in node.decider.members().values() if m.gone])
 
+    def test_pair_that_cannot_talk_accuses_nobody(self) -> None:
+        fleet = Fleet(9, seed=6)
+        pair = {fleet.places[0].vm_id, fleet.places[1].vm_id}
+        for node in fleet.nodes:
+            node.changes.clear()
+        fleet.network.blocked = lambda a, b: {a.vm_id, b.vm_id} == pair
+        fleet.network.run_until(fleet.network.now_ms + 60_000)
+        self.assertEqual(_accused(fleet.nodes), set())
+
     def test_restarted_process_replaces_its_crashed_one(self) -> None:
         fleet = Fleet(20, seed=5, loss=0.05)
         old = fleet.nodes[7]
