Measure the cost of a decision, and take calls out of admission

Cause: one decision (admit, queue, choose, account, and the end of another) is to stay under 50 us at 64 endpoints and 500 workspaces.

--- a/packages/wagtailusher_admission/src/wagtailusher_admission/decider.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/decider.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Mapping, Set
 
 from wagtailusher_admission.const import TIER_COUNT
-from wagtailusher_admission.entry import Entry, EntryState
+from wagtailusher_admission.entry import IN_TIME, LATE, STARTED, Entry
 from wagtailusher_admission.errors import AdmissionError, DuplicateRequestError, UnknownRequestError
 from wagtailusher_admission.heap import HandleHeap
 from wagtailusher_admission.pool import PoolQueue
@@ -13,6 +13,9 @@
 from wagtailusher_core import ClassKey, ErrorCode, PoolId, RequestId
 from wagtailusher_settings.policy import DeadlineBehaviour
 
+_FAIL_FAST = DeadlineBehaviour.FAIL_FAST
+_SERVE_LATE = DeadlineBehaviour.SERVE_LATE
+
 
 class AdmissionDecider:
     """Holds the requests of one entry VM from their arrival to their end."""
@@ -44,7 +47,7 @@
         """Refuse or move behind the others what can't meet its target any more."""
         refusals = []
         while (entry := self._deadlines.peek()) and entry.deadline_ms < now_ms:
-            if entry.request.deadline_behaviour is DeadlineBehaviour.SERVE_LATE:
+            if entry.request.deadline_behaviour is _SERVE_LATE:
                 self._forget_deadline(entry)
                 self._pool(entry.request.pool_id).turn_late(entry)
                 continue
@@ -61,12 +64,14 @@
         pool = self._pools.get(pool_id)
         if pool is None:
             return
-        for entry in pool.in_order():
-            request = entry.request
-            if entry.deadline_ms >= now_ms or (
-                request.deadline_behaviour is DeadlineBehaviour.SERVE_LATE
-            ):
-                yield request
+        first = pool.first()
+        if first is None:
+            return
+        if _may_start(first, now_ms):
+            yield first.request
+        for entry in pool.after(first):
+            if _may_start(entry, now_ms):
+                yield entry.request
 
     def start(self, request_id: RequestId, now_ms: int) -> None:
         """Take a queued request into service."""
@@ -79,13 +84,13 @@
     def answered(self, request_id: RequestId, now_ms: int) -> None:
         """Learn from the beginning of an answer; unknown requests are ignored."""
         entry = self._entries.get(request_id)
-        if entry is not None and entry.state is EntryState.STARTED:
+        if entry is not None and entry.state is STARTED:
             entry.holder.lead.add(now_ms - entry.started_ms)
 
     def finish(self, request_id: RequestId, now_ms: int) -> None:
         """End the service of a request."""
         entry = self._entries.get(request_id)
-        if entry is None or entry.state is not EntryState.STARTED:
+        if entry is None or entry.state is not STARTED:
             raise UnknownRequestError(f"request {request_id} is not in service")
         del self._entries[request_id]
         self._pool(entry.request.pool_id).finish(entry, now_ms)
@@ -131,7 +136,7 @@
         holder = pool.class_of(request)
         entry = Entry(request, order, holder, is_requeued=keeps_place)
         late = entry.deadline_ms < now_ms
-        if late and request.deadline_behaviour is DeadlineBehaviour.FAIL_FAST:
+        if late and request.deadline_behaviour is _FAIL_FAST:
             return (self._refuse(request, ErrorCode.DEADLINE_UNREACHABLE),)
         if not keeps_place and len(holder.queued) >= max(1, request.queue_limit):
             code = ErrorCode.QUEUE_FULL if holder.is_open else ErrorCode.QUOTA_EXCEEDED
@@ -143,7 +148,7 @@
                 return (self._refuse(request, ErrorCode.SHED),)
             refusals = (self._drop(victim, ErrorCode.SHED),)
         self._entries[request.request_id] = entry
-        pool.insert(entry, EntryState.LATE if late else EntryState.IN_TIME)
+        pool.insert(entry, LATE if late else IN_TIME)
         if not late:
             entry.deadline_handle = self._deadlines.push(entry.deadline_ms, order, entry)
         return refusals
@@ -162,7 +167,7 @@
         pool = self._pool(entry.request.pool_id)
         self._forget_deadline(entry)
         if entry.is_queued:
-            pool.remove(entry, EntryState.GONE)
+            pool.remove(entry)
         else:
             pool.end_service(entry)
 
@@ -186,3 +191,10 @@
         if pool is None:
             pool = self._pools[pool_id] = PoolQueue(self._limits)
         return pool
+
+
+def _may_start(entry: Entry, now_ms: int) -> bool:
+    """Return whether a queued entry's start has a point."""
+    if entry.deadline_ms >= now_ms:
+        return True
+    return entry.request.deadline_behaviour is _SERVE_LATE
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/entry.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from wagtailusher_admission.const import DEFAULT_SERVICE_MS, LEAD_DEVIATIONS, MAX_LEAD_SHARE
 from wagtailusher_admission.estimate import TimeEstimate
@@ -24,6 +24,12 @@
     GONE = 3
 
 
+IN_TIME: Final = EntryState.IN_TIME
+LATE: Final = EntryState.LATE
+STARTED: Final = EntryState.STARTED
+GONE: Final = EntryState.GONE
+
+
 class Entry:
     """One request that the decider holds; `order` is its place in the order of arrival."""
 
@@ -47,8 +53,10 @@
         self.order = order
         self.holder = holder
         self.is_requeued = is_requeued
-        self.state = EntryState.GONE
-        self.deadline_ms = holder.deadline_ms(request)
+        self.state: EntryState = GONE
+        self.deadline_ms = request.deadline_ms
+        if request.answer_by_ms is not None:
+            self.deadline_ms = holder.deadline_ms(request, request.answer_by_ms)
         self.started_ms = 0
         self.handle: Handle | None = None
         self.deadline_handle: Handle | None = None
@@ -56,7 +64,7 @@
     @property
     def is_queued(self) -> bool:
         """Return whether the request waits for a start."""
-        return self.state <= EntryState.LATE
+        return self.state is IN_TIME or self.state is LATE
 
 
 class PoolClass:
@@ -114,13 +122,11 @@
             return float(request.expected_service_ms)
         return self.service.mean_ms if self.service.is_known else DEFAULT_SERVICE_MS
 
-    def deadline_ms(self, request: PendingRequest) -> int:
+    def deadline_ms(self, request: PendingRequest, answer_by_ms: int) -> int:
         """Return the latest start on target; a part of the time is always left for waiting."""
-        if request.answer_by_ms is None:
-            return request.deadline_ms
         lead_ms = self.lead.mean_ms + LEAD_DEVIATIONS * self.lead.deviation_ms
-        most_ms = MAX_LEAD_SHARE * (request.answer_by_ms - request.arrived_ms)
-        return min(request.deadline_ms, int(request.answer_by_ms - min(lead_ms, most_ms)))
+        most_ms = MAX_LEAD_SHARE * (answer_by_ms - request.arrived_ms)
+        return min(request.deadline_ms, int(answer_by_ms - min(lead_ms, most_ms)))
 
     def newest(self) -> Entry | None:
         """Return the entry that came last, those that keep an earlier place excepted."""
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/fair_queue.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/fair_queue.py
@@ -79,8 +79,23 @@
         deadline_ms = entry.deadline_ms
         entry.handle = lane.entries.push(deadline_ms, entry.order, entry)
         shown = lane.shown
-        if shown is None or (deadline_ms, entry.order) < (shown.deadline_ms, shown.order):
+        if shown is None:
             self.refresh(lane)
+        elif deadline_ms < shown.deadline_ms or (
+            deadline_ms == shown.deadline_ms and entry.order < shown.order
+        ):
+            lane.shown = entry
+            if lane.flow.is_eligible:
+                self._place_lane(lane)
+
+    def start(self, lane: Lane, entry: Entry) -> None:
+        """Take an entry out of its lane and advance its workspace's tag."""
+        flow = lane.flow
+        flow.weight = lane.holder.weight
+        flow.tag += max(MIN_COST_MS, lane.holder.cost_ms(entry.request)) / flow.weight
+        if not flow.is_eligible or flow.tag > self._virtual_ms + self._allowance_ms:
+            self._place_flow(flow)
+        self.remove(lane, entry)
 
     def remove(self, lane: Lane, entry: Entry) -> None:
         """Take an entry out of its lane."""
@@ -96,19 +111,14 @@
         if head is lane.shown:
             return
         flow = lane.flow
-        flow.waiting_lanes += (head is not None) - (lane.shown is not None)
+        change = (head is not None) - (lane.shown is not None)
         lane.shown = head
-        self._place_flow(flow)
+        flow.waiting_lanes += change
+        if change and flow.waiting_lanes <= 1:
+            self._place_flow(flow)
         if flow.is_eligible:
             self._place_lane(lane)
 
-    def charge(self, lane: Lane, entry: Entry) -> None:
-        """Advance the workspace's tag for the start of an entry."""
-        flow = lane.flow
-        flow.weight = lane.holder.weight
-        flow.tag += max(MIN_COST_MS, lane.holder.cost_ms(entry.request)) / flow.weight
-        self._place_flow(flow)
-
     def head(self) -> Entry | None:
         """Return the entry to start next."""
         lane = self._eligible.peek()
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/pool.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/pool.py
@@ -7,7 +7,7 @@
 
 from wagtailusher_admission.const import MIN_WEIGHT, TIER_COUNT
 from wagtailusher_admission.drain_rate import DrainRate
-from wagtailusher_admission.entry import Entry, EntryState, PoolClass
+from wagtailusher_admission.entry import GONE, LATE, STARTED, Entry, EntryState, PoolClass
 from wagtailusher_admission.request import AdmissionLimits, PendingRequest
 from wagtailusher_admission.shares import ShareSchedule
 from wagtailusher_admission.tier import Tier
@@ -51,9 +51,8 @@
             due_starts = float(self._shares.starts)
             holder = PoolClass(request.key, request.tier, self._class_count, due_starts)
             self._classes[key] = holder
-        weight = max(MIN_WEIGHT, request.weight)
-        if holder.weight != weight:
-            holder.weight = weight
+        if holder.weight != request.weight:
+            holder.weight = max(MIN_WEIGHT, request.weight)
             if holder.shared_places:
                 self._tiers[holder.tier].rank(holder)
         if holder.quota != request.in_flight_quota:
@@ -70,12 +69,12 @@
         self._count(tier, holder, 1)
         tier.add(entry)
 
-    def remove(self, entry: Entry, state: EntryState) -> None:
+    def remove(self, entry: Entry) -> None:
         """Take an entry out of the queue."""
         holder = entry.holder
         tier = self._tiers[holder.tier]
         tier.remove(entry)
-        entry.state = state
+        entry.state = GONE
         del holder.queued[entry.request.request_id]
         self._count(tier, holder, -1)
 
@@ -83,7 +82,7 @@
         """Move an entry behind those that can still meet their target."""
         tier = self._tiers[entry.holder.tier]
         tier.remove(entry)
-        entry.state = EntryState.LATE
+        entry.state = LATE
         tier.add(entry)
 
     def start(self, entry: Entry, now_ms: int) -> None:
@@ -91,12 +90,14 @@
         holder = entry.holder
         tier = self._tiers[holder.tier]
         out_of_turn = self._shares.overdue() is holder and self._head() is not entry
-        tier.charge(entry)
-        self.remove(entry, EntryState.STARTED)
+        tier.start(entry)
+        entry.state = STARTED
         entry.started_ms = now_ms
-        tier.in_service += 1
+        del holder.queued[entry.request.request_id]
+        self._count(tier, holder, -1)
         holder.in_service += 1
-        self._apply_quota(holder)
+        if holder.quota is not None:
+            self._apply_quota(holder)
         share = max(self._limits.min_share, entry.request.share)
         self._shares.started(holder, share, out_of_turn=out_of_turn)
         self._drain_rate.started(now_ms, others_wait=self.queued > 0)
@@ -104,10 +105,11 @@
     def end_service(self, entry: Entry) -> None:
         """Give back what an entry in service held."""
         holder = entry.holder
-        entry.state = EntryState.GONE
+        entry.state = GONE
         self._tiers[holder.tier].in_service -= 1
         holder.in_service -= 1
-        self._apply_quota(holder)
+        if holder.quota is not None:
+            self._apply_quota(holder)
 
     def victim(self, newcomer: PoolClass, *, keeps_place: bool) -> Entry | None:
         """Return the entry that gives its shared place to a newcomer, or None.
@@ -126,12 +128,13 @@
                 return None
         return holder.newest()
 
-    def in_order(self) -> Iterator[Entry]:
-        """Yield the queued entries in order of service."""
-        first = self._first()
-        if first is None:
-            return
-        yield first
+    def first(self) -> Entry | None:
+        """Return the entry to start next."""
+        due = self._shares.overdue()
+        return self._head() if due is None else self._tiers[due.tier].first_of(due)
+
+    def after(self, first: Entry) -> Iterator[Entry]:
+        """Yield the queued entries but the first, in order of service."""
         queues = (queue for tier in self._tiers for queue in (tier.in_time, tier.late))
         entries = chain.from_iterable(queue.in_order() for queue in queues)
         yield from (entry for entry in entries if entry is not first)
@@ -162,11 +165,6 @@
         """Return whether nothing waits or is in service."""
         return not self.queued and not any(tier.in_service for tier in self._tiers)
 
-    def _first(self) -> Entry | None:
-        """Return the entry to start next."""
-        due = self._shares.overdue()
-        return self._head() if due is None else self._tiers[due.tier].first_of(due)
-
     def _head(self) -> Entry | None:
         """Return the entry to start next but for shares."""
         for tier in self._tiers:
@@ -176,17 +174,16 @@
 
     def _count(self, tier: Tier, holder: PoolClass, change: int) -> None:
         """Adjust the counts after a class's queue grew or shrank by one."""
-        queued = len(holder.queued)
         self.queued += change
         tier.queued += change
         if not holder.is_open:
             tier.held_back += change
-        if max(queued, queued - change) > 1:
+        if len(holder.queued) > (change > 0):
             tier.shared_places += change
             self.shared_places += change
             if change > 0:
                 tier.rank(holder)
-        elif change > 0:
+        elif change > 0 and holder.due_handle is None:
             self._shares.wait(holder)
 
     def _apply_quota(self, holder: PoolClass) -> None:
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/tier.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/tier.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wagtailusher_admission.entry import Entry, EntryState, PoolClass
+from wagtailusher_admission.entry import LATE, Entry, PoolClass
 from wagtailusher_admission.fair_queue import FairQueue, Lane
 from wagtailusher_admission.heap import HandleHeap
 from wagtailusher_admission.request import AdmissionLimits
@@ -44,10 +44,11 @@
         queue, lane = self._place_of(entry)
         queue.remove(lane, entry)
 
-    def charge(self, entry: Entry) -> None:
-        """Charge the workspace of an entry that starts."""
+    def start(self, entry: Entry) -> None:
+        """Take an entry out of its queue and charge its workspace."""
         queue, lane = self._place_of(entry)
-        queue.charge(lane, entry)
+        queue.start(lane, entry)
+        self.in_service += 1
 
     def head(self) -> Entry | None:
         """Return the entry to start next."""
@@ -70,7 +71,7 @@
 
     def rank(self, holder: PoolClass) -> None:
         """Take note that a class holds more shared places for its weight."""
-        key = -holder.occupancy
+        key = (1 - len(holder.queued)) / holder.weight
         handle = holder.rank_handle
         if handle is not None:
             if handle[0] <= key:
@@ -100,7 +101,7 @@
     def _place_of(self, entry: Entry) -> tuple[FairQueue, Lane]:
         """Return the queue and the lane that an entry's state names."""
         holder = entry.holder
-        if entry.state is EntryState.LATE:
+        if entry.state is LATE:
             if holder.late_lane is None:
                 holder.late_lane = self.late.make_lane(holder)
             return self.late, holder.late_lane
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/cost.py
@@ -0,0 +1,226 @@
+"""The processor time of one decision, and how it grows with the sizes around it."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import asdict, dataclass
+import json
+from random import Random
+from statistics import median
+import sys
+from time import perf_counter_ns
+
+import defopt
+
+from wagtailusher_admission import AdmissionDecider, AdmissionLimits, PendingRequest
+from wagtailusher_core import (
+    ClassId,
+    ClassKey,
+    EndpointId,
+    FailureDomainId,
+    PoolId,
+    RequestId,
+    VmId,
+    WorkspaceId,
+)
+from wagtailusher_placement import (
+    EndOfWork,
+    EndpointInfo,
+    PlacementDecider,
+    PlacementRequest,
+)
+
+POOL = PoolId("model")
+BASE_ENDPOINTS = 64
+BASE_WORKSPACES = 500
+BASE_QUEUED = 1_000
+ENDPOINT_COUNTS = (16, 64, 256)
+WORKSPACE_COUNTS = (50, 500, 4_700)
+QUEUE_LENGTHS = (10, 1_000, 10_000)
+DEFAULT_DECISIONS = 5_000
+BATCH_DECISIONS = 50
+IN_SERVICE = 256
+NS_PER_US = 1_000
+_CONCURRENCY = 32
+_FAR_MS = 1 << 40
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DecisionCost:
+    """The time of one decision: the median and the least over batches."""
+
+    endpoints: int
+    workspaces: int
+    queued: int
+    decisions: int
+    median_us: float
+    least_us: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CostSlope:
+    """How the least time grows from the least to the greatest value of one size."""
+
+    size: str
+    from_value: int
+    to_value: int
+    ratio: float
+    us_per_thousand: float
+
+
+class DecisionLoop:
+    """Admits, queues, chooses and accounts one request after the other, in a steady state."""
+
+    def __init__(self, *, endpoints: int, workspaces: int, queued: int) -> None:
+        """Fill the queue."""
+        self._generator = Random(f"{endpoints}/{workspaces}/{queued}")
+        self._admission = AdmissionDecider(AdmissionLimits(pool_queue_limit=2 * queued + 100))
+        self._placement = PlacementDecider(
+            vm_id=VmId("vm"), failure_domain_id=FailureDomainId("domain0"), seed=1
+        )
+        self._placement.update_endpoints([_endpoint(number) for number in range(endpoints)], 0)
+        self._workspaces = workspaces
+        self._now_ms = 0
+        self._count = 0
+        self._in_service: deque[RequestId] = deque()
+        for _ in range(queued):
+            self._admission.offer(self._next_request(), self._now_ms)
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return self._admission.queued(POOL)
+
+    @property
+    def in_service(self) -> int:
+        """Return how many requests are in service."""
+        return sum(self._admission.demand(POOL).values()) - self.queued
+
+    def prepare(self, count: int) -> list[PendingRequest]:
+        """Return requests that are yet to be offered."""
+        return [self._next_request() for _ in range(count)]
+
+    def decide(self, requests: Sequence[PendingRequest]) -> None:
+        """Take a decision for each request: one comes, one starts and one ends."""
+        admission, placement = self._admission, self._placement
+        for offered in requests:
+            self._now_ms += 1
+            now_ms = self._now_ms
+            admission.offer(offered, now_ms)
+            admission.expire(now_ms)
+            pending = next(admission.candidates(POOL, now_ms))
+            request = PlacementRequest(
+                request_id=pending.request_id,
+                pool_id=POOL,
+                tier=pending.tier,
+                key=pending.key,
+                prompt_tokens=400,
+                expected_output_tokens=100,
+            )
+            choice = placement.choose(request, now_ms)
+            assert choice is not None
+            admission.start(pending.request_id, now_ms)
+            placement.start(choice, request, now_ms)
+            placement.may_send(pending.request_id, now_ms)
+            self._in_service.append(pending.request_id)
+            if len(self._in_service) > IN_SERVICE:
+                ended = self._in_service.popleft()
+                placement.finish(ended, EndOfWork.COMPLETED, now_ms)
+                admission.finish(ended, now_ms)
+
+    def _next_request(self) -> PendingRequest:
+        """Return a request of a random class and workspace."""
+        self._count += 1
+        generator = self._generator
+        tier = generator.randrange(7)
+        workspace_id = WorkspaceId(f"w{generator.randrange(self._workspaces)}")
+        return PendingRequest(
+            request_id=RequestId(f"r{self._count}"),
+            key=ClassKey(workspace_id, ClassId(f"tier{tier}")),
+            pool_id=POOL,
+            tier=tier,
+            arrived_ms=self._now_ms,
+            deadline_ms=_FAR_MS + generator.randrange(10_000),
+            share=0.001,
+            queue_limit=1 << 20,
+        )
+
+
+def measure_cost(
+    *,
+    endpoints: int = BASE_ENDPOINTS,
+    workspaces: int = BASE_WORKSPACES,
+    queued: int = BASE_QUEUED,
+    decisions: int = DEFAULT_DECISIONS,
+    clock_ns: Callable[[], int] = perf_counter_ns,
+) -> DecisionCost:
+    """Measure decisions in batches, after as many that are not counted."""
+    loop = DecisionLoop(endpoints=endpoints, workspaces=workspaces, queued=queued)
+    loop.decide(loop.prepare(max(decisions // 2, IN_SERVICE)))
+    samples_us = []
+    for _ in range(max(1, decisions // BATCH_DECISIONS)):
+        requests = loop.prepare(BATCH_DECISIONS)
+        begin_ns = clock_ns()
+        loop.decide(requests)
+        samples_us.append((clock_ns() - begin_ns) / NS_PER_US / BATCH_DECISIONS)
+    return DecisionCost(
+        endpoints=endpoints,
+        workspaces=workspaces,
+        queued=queued,
+        decisions=decisions,
+        median_us=round(median(samples_us), 2),
+        least_us=round(min(samples_us), 2),
+    )
+
+
+def measure_costs(decisions: int = DEFAULT_DECISIONS) -> Iterator[DecisionCost | CostSlope]:
+    """Yield the cost at the base sizes, then along each size, and its slope."""
+    yield measure_cost(decisions=decisions)
+    by_endpoints = [measure_cost(endpoints=size, decisions=decisions) for size in ENDPOINT_COUNTS]
+    yield from by_endpoints
+    yield _slope("endpoints", ENDPOINT_COUNTS, by_endpoints)
+    by_workspaces = [measure_cost(workspaces=n, decisions=decisions) for n in WORKSPACE_COUNTS]
+    yield from by_workspaces
+    yield _slope("workspaces", WORKSPACE_COUNTS, by_workspaces)
+    by_queue = [measure_cost(queued=size, decisions=decisions) for size in QUEUE_LENGTHS]
+    yield from by_queue
+    yield _slope("queued", QUEUE_LENGTHS, by_queue)
+
+
+def _slope(size: str, values: Sequence[int], costs: Sequence[DecisionCost]) -> CostSlope:
+    """Return the growth between the ends of a series."""
+    first, last = costs[0].least_us, costs[-1].least_us
+    return CostSlope(
+        size=size,
+        from_value=values[0],
+        to_value=values[-1],
+        ratio=round(last / first, 3),
+        us_per_thousand=round(1_000 * (last - first) / (values[-1] - values[0]), 4),
+    )
+
+
+def _endpoint(number: int) -> EndpointInfo:
+    """Return an endpoint of the pool."""
+    return EndpointInfo(
+        endpoint_id=EndpointId(f"e{number}"),
+        pool_ids=frozenset({POOL}),
+        failure_domain_id=FailureDomainId(f"domain{number % 4}"),
+        address=f"e{number}:1",
+        concurrency_limit=_CONCURRENCY,
+    )
+
+
+def main(*, decisions: int = DEFAULT_DECISIONS) -> None:
+    """Print the cost of decisions, one JSON object a line.
+
+    :param decisions: how many decisions to measure for each combination of sizes
+    """
+    for result in measure_costs(decisions):
+        line = {"kind": type(result).__name__, **asdict(result)}
+        sys.stdout.write(json.dumps(line, sort_keys=True, separators=(",", ":")) + "\n")
+        sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/tests/wagtailusher_bench/decisions/test_cost.py
@@ -0,0 +1,30 @@
+"""Tests of the measurement of a decision's cost."""
+
+from __future__ import annotations
+
+from itertools import count
+import unittest
+
+from wagtailusher_bench.decisions.cost import DecisionLoop, measure_cost
+
+
+class CostTest(unittest.TestCase):
+    """The loop reaches a steady state, and costs come from the clock."""
+
+    def test_loop_keeps_its_queue_and_work(self) -> None:
+        loop = DecisionLoop(endpoints=16, workspaces=20, queued=30)
+        requests = loop.prepare(400)
+        loop.decide(requests)
+        self.assertEqual(loop.queued, 30)
+        self.assertEqual(loop.in_service, 256)
+
+    def test_cost_is_time_over_decisions(self) -> None:
+        ticks = count(0, 500_000)
+        cost = measure_cost(
+            endpoints=16, workspaces=5, queued=5, decisions=100, clock_ns=lambda: next(ticks)
+        )
+        self.assertEqual((cost.median_us, cost.least_us), (10.0, 10.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
