Measure the costs of a series in turns

Cause: on a machine that others use, sizes measured one after the other differed by up to 60% for no reason of their own. Batches of all sizes of a series now take turns.

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/cost.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/cost.py
@@ -32,12 +32,12 @@
 )
 
 POOL = PoolId("model")
-BASE_ENDPOINTS = 64
-BASE_WORKSPACES = 500
-BASE_QUEUED = 1_000
-ENDPOINT_COUNTS = (16, 64, 256)
-WORKSPACE_COUNTS = (50, 500, 4_700)
-QUEUE_LENGTHS = (10, 1_000, 10_000)
+BASE_SIZES = {"endpoints": 64, "workspaces": 500, "queued": 1_000}
+SERIES = {
+    "endpoints": (16, 64, 256),
+    "workspaces": (50, 500, 4_700),
+    "queued": (10, 1_000, 10_000),
+}
 DEFAULT_DECISIONS = 5_000
 BATCH_DECISIONS = 50
 IN_SERVICE = 256
@@ -80,7 +80,8 @@
             vm_id=VmId("vm"), failure_domain_id=FailureDomainId("domain0"), seed=1
         )
         self._placement.update_endpoints([_endpoint(number) for number in range(endpoints)], 0)
-        self._workspaces = workspaces
+        self.endpoints = endpoints
+        self.workspaces = workspaces
         self._now_ms = 0
         self._count = 0
         self._in_service: deque[RequestId] = deque()
@@ -134,7 +135,7 @@
         self._count += 1
         generator = self._generator
         tier = generator.randrange(7)
-        workspace_id = WorkspaceId(f"w{generator.randrange(self._workspaces)}")
+        workspace_id = WorkspaceId(f"w{generator.randrange(self.workspaces)}")
         return PendingRequest(
             request_id=RequestId(f"r{self._count}"),
             key=ClassKey(workspace_id, ClassId(f"tier{tier}")),
@@ -147,45 +148,39 @@
         )
 
 
-def measure_cost(
-    *,
-    endpoints: int = BASE_ENDPOINTS,
-    workspaces: int = BASE_WORKSPACES,
-    queued: int = BASE_QUEUED,
-    decisions: int = DEFAULT_DECISIONS,
-    clock_ns: Callable[[], int] = perf_counter_ns,
-) -> DecisionCost:
-    """Measure decisions in batches, after as many that are not counted."""
-    loop = DecisionLoop(endpoints=endpoints, workspaces=workspaces, queued=queued)
-    loop.decide(loop.prepare(max(decisions // 2, IN_SERVICE)))
-    samples_us = []
+def measure_series(
+    loops: Sequence[DecisionLoop], *, decisions: int, clock_ns: Callable[[], int] = perf_counter_ns
+) -> list[DecisionCost]:
+    """Measure loops in turns, batch by batch, so that a busy machine slows all of them alike."""
+    for loop in loops:
+        loop.decide(loop.prepare(max(decisions // 2, IN_SERVICE)))
+    samples_us: list[list[float]] = [[] for _ in loops]
     for _ in range(max(1, decisions // BATCH_DECISIONS)):
-        requests = loop.prepare(BATCH_DECISIONS)
-        begin_ns = clock_ns()
-        loop.decide(requests)
-        samples_us.append((clock_ns() - begin_ns) / NS_PER_US / BATCH_DECISIONS)
-    return DecisionCost(
-        endpoints=endpoints,
-        workspaces=workspaces,
-        queued=queued,
-        decisions=decisions,
-        median_us=round(median(samples_us), 2),
-        least_us=round(min(samples_us), 2),
-    )
+        for loop, samples in zip(loops, samples_us, strict=True):
+            requests = loop.prepare(BATCH_DECISIONS)
+            begin_ns = clock_ns()
+            loop.decide(requests)
+            samples.append((clock_ns() - begin_ns) / NS_PER_US / BATCH_DECISIONS)
+    return [
+        DecisionCost(
+            endpoints=loop.endpoints,
+            workspaces=loop.workspaces,
+            queued=loop.queued,
+            decisions=decisions,
+            median_us=round(median(samples), 2),
+            least_us=round(min(samples), 2),
+        )
+        for loop, samples in zip(loops, samples_us, strict=True)
+    ]
 
 
 def measure_costs(decisions: int = DEFAULT_DECISIONS) -> Iterator[DecisionCost | CostSlope]:
-    """Yield the cost at the base sizes, then along each size, and its slope."""
-    yield measure_cost(decisions=decisions)
-    by_endpoints = [measure_cost(endpoints=size, decisions=decisions) for size in ENDPOINT_COUNTS]
-    yield from by_endpoints
-    yield _slope("endpoints", ENDPOINT_COUNTS, by_endpoints)
-    by_workspaces = [measure_cost(workspaces=n, decisions=decisions) for n in WORKSPACE_COUNTS]
-    yield from by_workspaces
-    yield _slope("workspaces", WORKSPACE_COUNTS, by_workspaces)
-    by_queue = [measure_cost(queued=size, decisions=decisions) for size in QUEUE_LENGTHS]
-    yield from by_queue
-    yield _slope("queued", QUEUE_LENGTHS, by_queue)
+    """Yield the cost along each size, with the others at their base, and its slope."""
+    for size, values in SERIES.items():
+        loops = [DecisionLoop(**{**BASE_SIZES, size: value}) for value in values]
+        costs = measure_series(loops, decisions=decisions)
+        yield from costs
+        yield _slope(size, values, costs)
 
 
 def _slope(size: str, values: Sequence[int], costs: Sequence[DecisionCost]) -> CostSlope:
--- a/tests/wagtailusher_bench/decisions/test_cost.py
+++ b/tests/wagtailusher_bench/decisions/test_cost.py
@@ -5,7 +5,7 @@
 from itertools import count
 import unittest
 
-from wagtailusher_bench.decisions.cost import DecisionLoop, measure_cost
+from wagtailusher_bench.decisions.cost import DecisionLoop, measure_series
 
 
 class CostTest(unittest.TestCase):
@@ -19,11 +19,12 @@
         self.assertEqual(loop.in_service, 256)
 
     def test_cost_is_time_over_decisions(self) -> None:
+        loops = [DecisionLoop(endpoints=16, workspaces=5, queued=size) for size in (5, 50)]
         ticks = count(0, 500_000)
-        cost = measure_cost(
-            endpoints=16, workspaces=5, queued=5, decisions=100, clock_ns=lambda: next(ticks)
-        )
-        self.assertEqual((cost.median_us, cost.least_us), (10.0, 10.0))
+        costs = measure_series(loops, decisions=100, clock_ns=lambda: next(ticks))
+        self.assertEqual([cost.queued for cost in costs], [5, 50])
+        for cost in costs:
+            self.assertEqual((cost.median_us, cost.least_us), (10.0, 10.0))
 
 
 if __name__ == "__main__":
