--- a/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from heapq import nsmallest
 from random import Random
 from statistics import median
 
@@ -39,6 +40,7 @@
 )
 
 _NO_SENDER = VmId("")
+_MAX_DRAWN = 32
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -253,14 +255,15 @@
         return SummaryGossip(rooms=tuple(rooms), demands=tuple(demands))
 
     def _mixed(self, summaries: LatestSummaries[SummaryT], now_ms: int) -> Iterator[SummaryT]:
-        """Yield the own summary, then others in a random order that favours the young."""
-        order: list[tuple[float, SummaryT]] = []
-        for entry in summaries.values():
-            summary = entry.current(now_ms)
-            is_own = summary.vm_id == self._vm_id
-            order.append((-1.0 if is_own else summary.age_ms * self._rng.random(), summary))
-        order.sort(key=lambda pair: pair[0])
-        return (summary for _, summary in order)
+        """Yield the own summary, then some others, drawn so as to favour the young."""
+
+        def place(entry: Aged[SummaryT]) -> float:
+            if entry.summary.vm_id == self._vm_id:
+                return -1.0
+            return (now_ms - entry.true_at_ms) * self._rng.random()
+
+        drawn = nsmallest(_MAX_DRAWN, summaries.values(), key=place)
+        return (entry.current(now_ms) for entry in drawn)
 
     def _forget(self, now_ms: int) -> None:
         """Forget summaries that are too old or of VMs that are gone."""
