Confirm lowered grants at once and warm endpoints up on low tiers

A holder confirms a lowered grant with its next tick, rounding favours present holders, requests for leases are bounded to 120 a second, a cold endpoint's score rises with the tier, and cold engines are found at 4 times the usual pace instead of 5 (plain services at 6).

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/accounts.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/accounts.py
@@ -7,6 +7,8 @@
     COLD_FIRST_TOKEN_FACTOR,
     COLD_FIRST_TOKEN_FLOOR_MS,
     COLD_FIRST_TOKEN_MS,
+    COLD_SERVICE_FACTOR,
+    COLD_SERVICE_FLOOR_MS,
     FIRST_TOKEN_BASE_TOKENS,
     LENGTH_WEIGHT,
     MAX_SUSPECT_SHARE,
@@ -115,7 +117,7 @@
             self._lengths.observe(work.request.key, work.output_tokens, whole=whole)
         if end is EndOfWork.COMPLETED:
             work.endpoint.health.succeeded()
-        elif end in FAILURES and (work.sent or end is not EndOfWork.REFUSED):
+        elif end in FAILURES:
             work.endpoint.health.failed()
 
 
@@ -142,11 +144,12 @@
 
     Only a part of a pool may be found cold this way, as a common cause slows all of it.
     """
-    if now_ms - work.started_ms <= COLD_FIRST_TOKEN_FLOOR_MS:
-        return False
-    if pool is None or pool.typical_pace is None:
+    floor_ms, factor = COLD_FIRST_TOKEN_FLOOR_MS, COLD_FIRST_TOKEN_FACTOR
+    if work.endpoint.info.kind is EndpointKind.SERVICE:
+        floor_ms, factor = COLD_SERVICE_FLOOR_MS, COLD_SERVICE_FACTOR
+    if pool is None or pool.typical_pace is None or now_ms - work.started_ms <= floor_ms:
         return False
-    if pace_of(work, now_ms) <= COLD_FIRST_TOKEN_FACTOR * pool.typical_pace:
+    if pace_of(work, now_ms) <= factor * pool.typical_pace:
         return False
     suspects = sum(1 for item in pool.items if item.cold)
     return suspects < max(1, int(len(pool.items) * MAX_SUSPECT_SHARE))
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/apportion.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/apportion.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from wagtailusher_core import VmId
-from wagtailusher_placement.const import TIER_COUNT
+from wagtailusher_placement.const import KEEP_BONUS, TIER_COUNT
 
 
 def apportion(
@@ -13,13 +13,18 @@
     demands: Mapping[VmId, tuple[int, ...]],
     *,
     guaranteed_turn: int | None = None,
+    held: Mapping[VmId, int] | None = None,
 ) -> dict[VmId, int]:
     """Return the credits of each node: strictly by tier, then the surplus evenly.
 
+    Where parts are rounded, nodes that hold more by now are rounded up first, as each credit that
+    moves idles on its way.
+
     With `guaranteed_turn` one credit goes first to a tier that has demand, the lowest at turn 0,
     so that callers that count turns over time let every tier move.
     """
     credits = dict.fromkeys(sorted(demands), 0)
+    before = held or {}
     left = max(0, limit)
     advance = None
     if guaranteed_turn is not None and left > 0:
@@ -31,10 +36,12 @@
         wanted = {node: _demand(demands[node], tier) for node in credits}
         if advance is not None and advance[1] == tier:
             wanted[advance[0]] -= 1
-        for node, part in split_by_weight(left, wanted).items():
+        above = {node: before.get(node, 0) - credits[node] for node in credits}
+        for node, part in split_by_weight(left, wanted, above).items():
             credits[node] += part
             left -= part
-    even = split_by_weight(left, dict.fromkeys(credits, left))
+    above = {node: before.get(node, 0) - credits[node] for node in credits}
+    even = split_by_weight(left, dict.fromkeys(credits, left), above)
     return {node: amount + even[node] for node, amount in credits.items()}
 
 
@@ -51,15 +58,22 @@
     return max(sorted(demands), key=lambda node: _demand(demands[node], tier)), tier
 
 
-def split_by_weight(amount: int, wanted: Mapping[VmId, int]) -> dict[VmId, int]:
+def split_by_weight(
+    amount: int, wanted: Mapping[VmId, int], held: Mapping[VmId, int]
+) -> dict[VmId, int]:
     """Return each node's part, at most what it wants; scarcity is shared in proportion."""
     total = sum(wanted.values())
     if total <= amount:
         return dict(wanted)
     parts = {node: amount * want // total for node, want in wanted.items()}
     left = amount - sum(parts.values())
-    by_remainder = sorted(wanted, key=lambda node: (-(amount * wanted[node] % total), node))
-    for node in by_remainder[:left]:
+
+    def rounds_up(node: VmId) -> tuple[float, VmId]:
+        remainder = amount * wanted[node] % total
+        keeps = remainder > 0 and held.get(node, 0) > parts[node]
+        return (-(remainder / total + KEEP_BONUS * keeps), node)
+
+    for node in sorted(wanted, key=rounds_up)[:left]:
         parts[node] += 1
     return parts
 
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
@@ -113,7 +113,7 @@
             self._targets_at_ms = now_ms
             demands = self.ledger.demands(now_ms)
             turn = self._guaranteed_turn(now_ms)
-            self._targets = apportion(limit, demands, guaranteed_turn=turn)
+            self._targets = apportion(limit, demands, guaranteed_turn=turn, held=self._targets)
         return min(room, self._targets.get(node_id, 0))
 
     def _recall(self, now_ms: int) -> None:
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
@@ -34,6 +34,7 @@
         self._sequence = (incarnation or 0) << 20
         self._awake_at_ms: int | None = None
         self._share_from_ms = NEVER_MS
+        self._least_interval_ms = 0
         self.is_alone = True
 
     def update_published(self, vms: Iterable[PublishedVm], now_ms: int, version: int) -> None:
@@ -59,7 +60,7 @@
             self._share_from_ms = now_ms + self.limits.settling_ms
 
     def refresh(self, items: Iterable[TrackedEndpoint], now_ms: int) -> None:
-        """Bring the endpoints' shares and stewards in line with the list and the time."""
+        """Bring the endpoints' shares in line with the list and the time."""
         self._window.prune(now_ms)
         for item in items:
             if self.is_alone:
@@ -114,9 +115,12 @@
         """Return the requests that are due."""
         if self.is_alone:
             return ()
+        known = tuple(items)
+        spacing_ms = 1_000 * len(known) // self.limits.requests_per_second
+        self._least_interval_ms = min(spacing_ms, self.limits.lifetime_ms * 3 // 4)
         return tuple(
             self._request(item, demands.get(item.info.endpoint_id, ()), now_ms)
-            for item in items
+            for item in known
             if self._is_due(item, demands.get(item.info.endpoint_id, ()), now_ms)
         )
 
@@ -127,6 +131,7 @@
             return False
         if grant.sequence <= item.applied_sequence or grant.sequence < item.least_sequence:
             return False
+        item.must_confirm = grant.credits < item.credits
         item.applied_sequence = grant.sequence
         item.applied_at_ms = now_ms
         item.steward_epoch = grant.steward_epoch
@@ -173,21 +178,24 @@
             return False
         wanted = sum(demand)
         is_idle = wanted == 0 and item.in_flight == 0 and item.share == 0
+        if item.last_request_ms is None or item.must_confirm:
+            return True
         if is_idle and item.cold is False:
             return False
-        if item.last_request_ms is None:
-            return True
         return now_ms - item.last_request_ms >= self._interval_ms(item, wanted, now_ms)
 
     def _interval_ms(self, item: TrackedEndpoint, wanted: int, now_ms: int) -> int:
-        """Return how long after the last request the next one is due."""
+        """Return how long after the last request the next one is due.
+
+        Many endpoints lengthen it, so that the rate of requests stays bounded.
+        """
         if item.suspects_cold:
             return self.limits.urgent_renewal_ms
         if item.cold and item.steward_id != self._vm_id:
             return self.limits.lifetime_ms
-        if wanted > item.allowed(now_ms):
-            return self.limits.urgent_renewal_ms
-        return self.limits.renewal_ms
+        is_short = wanted > item.allowed(now_ms)
+        interval_ms = self.limits.urgent_renewal_ms if is_short else self.limits.renewal_ms
+        return max(interval_ms, self._least_interval_ms)
 
     def _request(self, item: TrackedEndpoint, demand: tuple[int, ...], now_ms: int) -> LeaseRequest:
         """Return the request for one endpoint and remember when it was sent."""
@@ -200,6 +208,7 @@
         }
         item.sent_requests[self._sequence] = now_ms
         item.last_request_ms = now_ms
+        item.must_confirm = False
         good = item.good_first_tokens
         item.good_first_tokens = 0
         return LeaseRequest(
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/leases.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/leases.py
@@ -9,6 +9,7 @@
     DEFAULT_CLOCK_MARGIN_MS,
     DEFAULT_LEASE_LIFETIME_MS,
     DEFAULT_LEASE_RENEWAL_MS,
+    DEFAULT_LEASE_REQUESTS_PER_SECOND,
     DEFAULT_LEFTOVER_WAIT_MS,
     DEFAULT_LIST_LAG_MS,
     DEFAULT_PAUSE_TOLERANCE_MS,
@@ -28,6 +29,7 @@
     lifetime_ms: int = DEFAULT_LEASE_LIFETIME_MS
     renewal_ms: int = DEFAULT_LEASE_RENEWAL_MS
     urgent_renewal_ms: int = DEFAULT_URGENT_RENEWAL_MS
+    requests_per_second: int = DEFAULT_LEASE_REQUESTS_PER_SECOND
     list_lag_ms: int = DEFAULT_LIST_LAG_MS
     pause_tolerance_ms: int = DEFAULT_PAUSE_TOLERANCE_MS
     clock_margin_ms: int = DEFAULT_CLOCK_MARGIN_MS
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/published_window.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/published_window.py
@@ -39,8 +39,8 @@
 
     @property
     def least_count(self) -> int:
-        """Return the least number of VMs in the window."""
-        return min((len(ids) for _, ids in self._lists), default=0)
+        """Return the least number of VMs in a list of the window that had any."""
+        return min((len(ids) for _, ids in self._lists if ids), default=0)
 
     @property
     def greatest_count(self) -> int:
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/scoring.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/scoring.py
@@ -6,10 +6,12 @@
 from random import Random
 
 from wagtailusher_placement.const import (
+    COLD_PENALTY,
     PREFILL_STEPS_PER_TOKEN,
     PREFIX_CANDIDATES,
     REPORT_HALF_LIFE_MS,
     SAMPLE_SIZE,
+    TIER_COUNT,
 )
 from wagtailusher_placement.endpoints import CandidateScore, PlacementRequest
 from wagtailusher_placement.tracked import Pool, TrackedEndpoint
@@ -51,7 +53,7 @@
     """Return the expected delay at an endpoint in decoding steps.
 
     An old report fades into the mean of the pool's reports, so that its endpoint looks neither
-    empty nor full.
+    empty nor full. A cold endpoint warms up on low tiers first.
     """
     info = item.info
     others = pool.mean_others_tokens
@@ -65,6 +67,8 @@
     prefill = (item.pending_prompt + prompt - cached) * PREFILL_STEPS_PER_TOKEN
     queued = (item.own_tokens + others) / (info.concurrency_limit or 1)
     slowness = item.health.slowness
+    if item.cold:
+        slowness *= 1.0 + COLD_PENALTY * (1.0 - request.tier / (TIER_COUNT - 1))
     score = (prefill + queued + 1.0) * slowness + item.kv_steps + item.remote_steps
     return CandidateScore(
         info.endpoint_id, score, item.own_tokens, others, prompt, cached, slowness
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/tracked.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/tracked.py
@@ -77,6 +77,7 @@
         "local_start",
         "mean_work_tokens",
         "others_tokens",
+        "must_confirm",
         "own_tokens",
         "pending_prompt",
         "published",
@@ -124,6 +125,7 @@
         self.applied_at_ms: int | None = None
         self.applied_sequence = 0
         self.least_sequence = 0
+        self.must_confirm = False
         self.steward_epoch = 0
         self.steward_id: VmId | None = None
         self.last_request_ms: int | None = None
