--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/classify.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/classify.py
@@ -99,7 +99,7 @@
                 ErrorCode.UNKNOWN_MODEL,
                 f"route {route_id} has no model {chat.model}",
             )
-        arrival = self._arrival(request, policy, pool_id, forwarded_from, is_chat=True)
+        arrival = self._arrival(request, policy, pool_id, forwarded_from, chat=chat)
         call = ChatCall(
             request_id=arrival.request_id,
             tier=policy.tier,
@@ -119,7 +119,7 @@
         route_id, _, _ = request.path.removeprefix(PATH_SERVICES).partition("/")
         policy = _resolve(settings, workspace_id, route_id, request)
         pool_id = policy.pool_ids[0]
-        arrival = self._arrival(request, policy, pool_id, forwarded_from, is_chat=False)
+        arrival = self._arrival(request, policy, pool_id, forwarded_from, chat=None)
         call = ServiceCall(
             request_id=arrival.request_id,
             method=request.method,
@@ -136,7 +136,7 @@
         pool_id: PoolId,
         forwarded_from: VmId | None,
         *,
-        is_chat: bool,
+        chat: ChatRequest | None,
     ) -> Arrival:
         """Return the arrival of a request."""
         identity = f"{request.method} {request.target}\n".encode() + request.body
@@ -147,9 +147,10 @@
             pool_id=pool_id,
             fingerprint=xxh3_128_hexdigest(identity),
             body_digest=sha256(identity).digest() if not policy.repeatable else b"",
-            streams_tokens=is_chat,
+            streams_tokens=chat is not None,
+            resumable=chat is not None and chat.stream and policy.repeatable,
             prompt_tokens=len(request.body) // BYTES_PER_TOKEN,
-            prefix_hashes=_prefix_hashes(request.body) if is_chat else (),
+            prefix_hashes=_prefix_hashes(request.body) if chat is not None else (),
             ticket=self._read_ticket(request, now_wall_ms),
             idempotency_key=request.headers.get(HEADER_KEY),
             first_sent_wall_ms=_read_first_sent(request),
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -203,6 +203,16 @@
         self._node.close(self._request_id)
 
 
+def check_whole(answer: ClientAnswer, body: bytes) -> None:
+    """Raise when a body that was read at once is a stream without its end marker."""
+    if not (answer.headers.get("content-type") or "").startswith(_EVENTS):
+        return
+    stream = EventStream()
+    stream.feed(body)
+    if not stream.is_complete:
+        raise BrokenAnswerError("the stream ended without its end marker")
+
+
 def end_to_end_headers(answer: ClientAnswer) -> Headers:
     """Return an answer's headers without those of one hop."""
     return answer.headers.without(_HOP_HEADERS)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
@@ -7,7 +7,7 @@
 from wagtailusher_core import WagtailusherError
 from wagtailusher_daemon.answers import refusal_response, stored_response
 from wagtailusher_daemon.classify import Classified
-from wagtailusher_daemon.exchange import end_to_end_headers
+from wagtailusher_daemon.exchange import check_whole, end_to_end_headers
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.observation import Observation
@@ -78,6 +78,7 @@
             self._node.first_token(self._request_id)
             self._observation.first_token()
             body = await answer.async_read(self._silence_timeout_ms)
+            check_whole(answer, body)
         except WagtailusherError as err:
             _LOGGER.info(
                 "Exchange: attempt %s of %s at %s failed: %s",
--- a/packages/wagtailusher_router/src/wagtailusher_router/attempts.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/attempts.py
@@ -18,7 +18,7 @@
 
 
 def next_step(flight: Flight, end: EndOfWork, *, resumable: bool) -> NextStep:
-    """Return the way on; `resumable` tells whether the endpoint resumes streams.
+    """Return the way on; `resumable` tells whether the answer can be resumed.
 
     A request whose first byte never left may always go elsewhere. One that may not be repeated
     is never sent twice. A repeatable one goes elsewhere while the caller has seen nothing of
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -255,7 +255,8 @@
 
     def _next_step(self, flight: Flight, choice: Choice, end: EndOfWork) -> NextStep:
         """Return the way on; sending a request again costs a part of the retry budget."""
-        step = next_step(flight, end, resumable=choice.endpoint_id in self._resumable)
+        resumable = flight.arrival.resumable and choice.endpoint_id in self._resumable
+        step = next_step(flight, end, resumable=resumable)
         is_costly = step is NextStep.RETRY_ELSEWHERE and flight.phase is Phase.SENT
         if is_costly and not self._retries.take():
             return NextStep.GIVE_UP
--- a/packages/wagtailusher_router/src/wagtailusher_router/events.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/events.py
@@ -13,6 +13,8 @@
 class Arrival:
     """A classified request.
 
+    `streams_tokens` is false for plain services, whose target is that of the whole answer;
+    `resumable` tells that the answer is a stream of events which may be carried on elsewhere.
     `fingerprint` names its content for the quarantine; `forwarded_from` is the VM that handed
     it over, if one did. A request that may not be repeated has a ticket or an idempotency key;
     the key's age is judged from when its caller first sent it and the present wall time.
@@ -24,6 +26,7 @@
     fingerprint: str
     body_digest: bytes = b""
     streams_tokens: bool = True
+    resumable: bool = False
     prompt_tokens: int = 0
     expected_output_tokens: int = 0
     expected_service_ms: int = 0
