--- a/packages/wagtailusher_bench/src/wagtailusher_bench/__main__.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/__main__.py
@@ -12,6 +12,7 @@
 from wagtailusher_bench.decisions.__main__ import main as decisions
 from wagtailusher_bench.fleet.__main__ import alarms, configuration, membership, summaries, wire
 from wagtailusher_bench.relay.__main__ import main as relay
+from wagtailusher_bench.slopes.__main__ import main as slopes
 
 _COST_MODULE = "wagtailusher_bench.decisions.cost"
 
@@ -20,6 +21,7 @@
     """Return the subcommands by name."""
     found: dict[str, object] = {
         "relay": relay,
+        "slopes": slopes,
         "decisions": decisions,
         "fleet": [membership, alarms, configuration, summaries, wire],
     }
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/relay/process.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/relay/process.py
@@ -46,10 +46,14 @@
         return self.value["address"]
 
     def cpu_s(self) -> float:
-        """Return the processor time that the child has taken."""
+        """Return the processor time that the child has taken, the kernel's for it included."""
+        return sum(self.cpu_parts_s())
+
+    def cpu_parts_s(self) -> tuple[float, float]:
+        """Return the child's own processor time and the kernel's for it."""
         stat = Path(f"/proc/{self._process.pid}/stat").read_text()
         fields = stat.rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+        return int(fields[11]) / _TICKS_PER_S, int(fields[12]) / _TICKS_PER_S
 
     def resident_bytes(self) -> int:
         """Return the memory that the child holds."""
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/work.py
@@ -0,0 +1,139 @@
+"""Processor time of decisions, leases, messages and changes, against how many there are."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Sequence
+from statistics import median
+from time import process_time
+
+from wagtailusher_bench.fleet.configuration import make_content
+from wagtailusher_bench.fleet.membership import measure_traffic
+from wagtailusher_bench.slopes.fit import Point, Slope, fit_line
+from wagtailusher_bench.slopes.parts import (
+    LIMITS,
+    LIST_VERSION,
+    POOLS,
+    make_endpoints,
+    make_placement,
+    make_request,
+    make_steward,
+    make_vms,
+)
+from wagtailusher_core import PoolId
+from wagtailusher_membership.delta import apply_delta, make_delta
+from wagtailusher_placement import EndOfWork
+
+US_PER_S = 1_000_000
+REPEATS = 5
+DECISION_ENDPOINTS = 60
+LEASE_STEP_MS = 1_600
+
+
+def measure_work(
+    *,
+    decisions: Sequence[int],
+    endpoints: Sequence[int],
+    renewals: Sequence[int],
+    nodes: Sequence[int],
+    content_lines: Sequence[int],
+) -> Iterator[Slope]:
+    """Yield the slopes of processor time, and of membership's bytes."""
+    yield _cpu_line("decision", "decision", decisions, _decide)
+    yield _cpu_line("list_update", "endpoint", endpoints, _update_lists)
+    yield _cpu_line("refresh", "endpoint", endpoints, _refresh)
+    yield _cpu_line("lease_renewal", "renewal", renewals, _renew)
+    yield _cpu_line("configuration_delta", "line of content", content_lines, _change)
+    yield from _membership(nodes)
+
+
+def _cpu_line(
+    measure: str, per: str, sizes: Sequence[int], prepare: Callable[[int], Callable[[], object]]
+) -> Slope:
+    """Return one slope of processor time; each point is the median of some repeats."""
+    points: list[Point] = []
+    for size in sizes:
+        spent: list[float] = []
+        for _ in range(REPEATS):
+            run = prepare(size)
+            started = process_time()
+            run()
+            spent.append((process_time() - started) * US_PER_S)
+        points.append(Point(size=size, value=median(spent)))
+    return fit_line(f"{measure}_cpu", unit="us", per=per, points=points)
+
+
+def _decide(count: int) -> Callable[[], object]:
+    """Choose, start, begin and end requests among the endpoints that one node sees."""
+    decider = make_placement(make_endpoints(DECISION_ENDPOINTS))
+    requests = [make_request(number) for number in range(count)]
+
+    def run() -> None:
+        for number, request in enumerate(requests):
+            choice = decider.choose(request, number)
+            assert choice is not None
+            decider.start(choice, request, number)
+            decider.may_send(request.request_id, number)
+            decider.first_token(request.request_id, number)
+            decider.finish(request.request_id, EndOfWork.COMPLETED, number)
+
+    return run
+
+
+def _update_lists(count: int) -> Callable[[], object]:
+    """Take a published list of endpoints over, in placement and at a steward."""
+    infos = make_endpoints(count)
+    decider = make_placement(infos)
+    steward = make_steward(infos)
+
+    def run() -> None:
+        decider.update_endpoints(infos, 1)
+        decider.update_published(make_vms(), 1, LIST_VERSION)
+        steward.update_published(make_vms(), infos, 1, LIST_VERSION)
+
+    return run
+
+
+def _refresh(count: int) -> Callable[[], object]:
+    """Let a decider bring all its endpoints up to date, as it does several times a second."""
+    decider = make_placement(make_endpoints(count))
+    return lambda: decider.lease_requests({}, 1)
+
+
+def _renew(count: int) -> Callable[[], object]:
+    """Renew leases: the holder's request, the steward's grant and taking it over."""
+    infos = make_endpoints(count)
+    decider = make_placement(infos)
+    decider.update_published(make_vms(), 0, LIST_VERSION)
+    steward = make_steward(infos)
+    now_ms = 0
+    while now_ms <= LIMITS.settling_ms:
+        now_ms += LIMITS.pause_tolerance_ms // 2
+        steward.tick(now_ms)
+    demand = {PoolId(f"model-{number}"): {2: 10} for number in range(POOLS)}
+
+    def run() -> None:
+        for request in decider.lease_requests(demand, now_ms):
+            grant = steward.request(request, now_ms)
+            assert grant is not None
+            decider.apply_grant(grant, now_ms)
+
+    return run
+
+
+def _change(lines: int) -> Callable[[], object]:
+    """Work a change of a document out and apply it."""
+    before, after = make_content(lines, 1), make_content(lines, 2)
+    max_bytes = 2 * len(after)
+    return lambda: apply_delta(before, make_delta(before, after), max_bytes=max_bytes)
+
+
+def _membership(nodes: Sequence[int]) -> Iterator[Slope]:
+    """Yield what membership costs a node while nothing changes."""
+    traffic = [measure_traffic(size, seed=1, loss=0.0) for size in nodes]
+    for measure, unit, values in (
+        ("membership_bytes_per_s", "bytes/s", [item.mean_bytes_per_s for item in traffic]),
+        ("membership_messages_per_s", "1/s", [item.messages_per_s for item in traffic]),
+        ("membership_message_cpu", "us", [item.cpu_us_per_message for item in traffic]),
+    ):
+        points = [Point(size=size, value=value) for size, value in zip(nodes, values, strict=True)]
+        yield fit_line(measure, unit=unit, per="node", points=points)
