--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/__main__.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/__main__.py
@@ -9,6 +9,7 @@
 import defopt
 
 from wagtailusher_bench.fleet.configuration import measure_configuration
+from wagtailusher_bench.fleet.cost import measure_cost
 from wagtailusher_bench.fleet.membership import measure_alarms, measure_membership
 from wagtailusher_bench.fleet.summaries import measure_summaries
 from wagtailusher_bench.fleet.wire import measure_wire
@@ -67,6 +68,14 @@
     _print(measure_wire())
 
 
+def cost(*, sizes: Sequence[int] = _SIZES) -> None:
+    """Print processor time and memory of one node's deciders.
+
+    :param sizes: Numbers of nodes.
+    """
+    _print(measure_cost(sizes))
+
+
 def _print(rows: Iterable[dict[str, object]]) -> None:
     """Print one JSON object a line."""
     for row in rows:
@@ -75,4 +84,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run([membership, alarms, configuration, summaries, wire])
+    defopt.run([membership, alarms, configuration, summaries, wire, cost])
--- /dev/null
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/cost.py
@@ -0,0 +1,178 @@
+"""Measures processor time and memory of the fleet's deciders by fleet size."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import asdict, dataclass
+from time import perf_counter
+import tracemalloc
+
+from wagtailusher_bench.fleet.configuration import make_content
+from wagtailusher_bench.fleet.places import make_places, publish
+from wagtailusher_core import Incarnation, Revision, VmId
+from wagtailusher_membership import (
+    ConfigurationDecider,
+    MembershipDecider,
+    ReadService,
+    SummaryDecider,
+)
+from wagtailusher_wire import (
+    DemandSummary,
+    Gossip,
+    MemberState,
+    MemberUpdate,
+    Ping,
+    RoomSummary,
+    SummaryGossip,
+    TableDigest,
+)
+
+_ROUNDS = 300
+_TICK_MS = 125
+_LINES_OF_A_MEGABYTE = 25_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeciderCost:
+    """What one node's deciders take, without codec and sockets."""
+
+    measure: str
+    nodes: int
+    membership_kib: float
+    summaries_kib: float
+    configuration_mib: float
+    membership_tick_us: float
+    ping_with_6_updates_us: float
+    table_digest_us: float
+    summaries_tick_us: float
+    configuration_tick_us: float
+    addresses_us: float
+
+
+class OneNode:
+    """One node's deciders in a fleet of a given size."""
+
+    def __init__(self, size: int) -> None:
+        """Create the deciders and let them know all others."""
+        self.places = make_places(size)
+        own = self.places[0]
+        tracemalloc.start()
+        self.membership = MembershipDecider(
+            vm_id=own.vm_id,
+            address=own.address,
+            failure_domain_id=own.failure_domain_id,
+            incarnation=Incarnation(1),
+            seed=1,
+        )
+        self.membership.update_published(publish(self.places), 0)
+        self.membership_bytes = _take_bytes()
+        self.summaries = SummaryDecider(
+            vm_id=own.vm_id,
+            failure_domain_id=own.failure_domain_id,
+            incarnation=Incarnation(1),
+            members=self.membership.members(),
+            seed=1,
+        )
+        self.summaries.handle(self._gossip(), 0)
+        self.summaries_bytes = _take_bytes()
+        self.configuration = ConfigurationDecider(
+            vm_id=own.vm_id,
+            failure_domain_id=own.failure_domain_id,
+            members=self.membership.members(),
+            validate=lambda revision, content: None,
+            seed=1,
+        )
+        self._fill_history()
+        self.configuration_bytes = _take_bytes()
+        tracemalloc.stop()
+
+    def ping(self, version: int) -> Ping:
+        """Return a ping with news of six members."""
+        updates = tuple(
+            MemberUpdate(
+                vm_id=place.vm_id,
+                incarnation=Incarnation(5),
+                version=version,
+                state=MemberState.ALIVE,
+                address=place.address,
+                peer_address=place.address,
+                failure_domain_id=place.failure_domain_id,
+            )
+            for place in self.places[1:7]
+        )
+        return Ping(sequence=version, target=self.places[0].vm_id, updates=updates)
+
+    def _gossip(self) -> SummaryGossip:
+        """Return everyone's summaries."""
+        rooms = tuple(
+            RoomSummary(
+                vm_id=place.vm_id, incarnation=Incarnation(1), sequence=1, age_ms=0, room=100
+            )
+            for place in self.places[1:]
+        )
+        demands = tuple(
+            DemandSummary(vm_id=VmId(place.vm_id), incarnation=Incarnation(1), sequence=1, age_ms=0)
+            for place in self.places[1:]
+        )
+        return SummaryGossip(rooms=rooms, demands=demands)
+
+    def _fill_history(self) -> None:
+        """Let several contents of a megabyte come into force."""
+        now_ms = 0
+        for number in range(1, 9):
+            for _ in range(60):
+                now_ms += 100
+                effects = self.configuration.tick(now_ms)
+                if any(isinstance(effect, ReadService) for effect in effects):
+                    break
+            content = make_content(_LINES_OF_A_MEGABYTE, number)
+            self.configuration.offer_from_service(Revision(number=number), content, now_ms)
+            self.configuration.tick(now_ms + 1_000)
+            now_ms += 1_000
+
+
+def measure_cost(sizes: Sequence[int]) -> Iterator[dict[str, object]]:
+    """Yield what one node's deciders take, by fleet size."""
+    for size in sizes:
+        yield asdict(_measure(OneNode(size)))
+
+
+def _measure(node: OneNode) -> DeciderCost:
+    """Return one node's cost."""
+    membership, own = node.membership, node.places[0]
+    peer = node.places[-1]
+    digest = TableDigest(hashes=(0,) * 32)
+
+    def handle(message: Ping | TableDigest | Gossip, now_ms: int) -> object:
+        return membership.handle(message, now_ms, sender=peer.vm_id, address=peer.address)
+
+    return DeciderCost(
+        measure="decider_cost",
+        nodes=len(node.places),
+        membership_kib=round(node.membership_bytes / 1_024, 1),
+        summaries_kib=round(node.summaries_bytes / 1_024, 1),
+        configuration_mib=round(node.configuration_bytes / 1_048_576, 2),
+        membership_tick_us=_time_us(lambda n: membership.tick(n * _TICK_MS)),
+        ping_with_6_updates_us=_time_us(lambda n: handle(node.ping(n + 1), _ROUNDS * _TICK_MS)),
+        table_digest_us=_time_us(lambda n: handle(digest, _ROUNDS * _TICK_MS)),
+        summaries_tick_us=_time_us(lambda n: node.summaries.tick(n * 1_000)),
+        configuration_tick_us=_time_us(lambda n: node.configuration.tick(60_000 + n * 100)),
+        addresses_us=_time_us(
+            lambda n: node.summaries.addresses(_ROUNDS * 1_000, own.failure_domain_id, 3)
+        ),
+    )
+
+
+def _take_bytes() -> int:
+    """Return the bytes allocated since the last call."""
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.clear_traces()
+    return taken
+
+
+def _time_us(action: Callable[[int], object]) -> float:
+    """Return the mean time of an action."""
+    start_s = perf_counter()
+    for number in range(_ROUNDS):
+        action(number)
+    return round((perf_counter() - start_s) * 1_000_000 / _ROUNDS, 1)
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
@@ -9,7 +9,7 @@
 from statistics import median
 
 from wagtailusher_core import ClassKey, FailureDomainId, Incarnation, PoolId, VmId
-from wagtailusher_membership.address_answers import AddressChoice, WeighedAddress, draw_addresses
+from wagtailusher_membership.address_answers import AddressChoice, AddressTable, WeighedAddress
 from wagtailusher_membership.const import (
     DEFAULT_NEAR_WEIGHT,
     DEFAULT_ROOM_HALF_LIFE_MS,
@@ -19,6 +19,7 @@
     DEFAULT_SUMMARY_LIFETIME_MS,
     DEFAULT_SUMMARY_POOLS,
     DEFAULT_SUMMARY_ROOMS_BYTES,
+    DEFAULT_TABLE_LIFETIME_MS,
 )
 from wagtailusher_membership.effects import Send
 from wagtailusher_membership.keepers import Keepers
@@ -55,6 +56,7 @@
     lifetime_ms: int = DEFAULT_SUMMARY_LIFETIME_MS
     near_weight: float = DEFAULT_NEAR_WEIGHT
     room_half_life_ms: int = DEFAULT_ROOM_HALF_LIFE_MS
+    table_lifetime_ms: int = DEFAULT_TABLE_LIFETIME_MS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,6 +103,8 @@
             vm_id=vm_id, incarnation=incarnation, keepers=self._keepers, limits=quota_limits
         )
         self._handed_out: dict[VmId, int] = {}
+        self._tables: dict[FailureDomainId, AddressTable] = {}
+        self._tables_until_ms = 0
         self._room = 0
         self._pools: tuple[PoolDemand, ...] = ()
         self._sequence = 0
@@ -187,12 +191,29 @@
         self, now_ms: int, near_domain: FailureDomainId, count: int
     ) -> tuple[AddressChoice, ...]:
         """Return entry VMs for a caller, by room, near ones first, leaving ones never."""
-        candidates = self._weighed(now_ms, near_domain)
-        chosen = draw_addresses(candidates, count, near_domain, self._rng)
+        chosen = self._table(now_ms, near_domain).draw(count, near_domain, self._rng)
+        if not all(self._takes_work(choice.vm_id) for choice in chosen):
+            self._tables.clear()
+            chosen = self._table(now_ms, near_domain).draw(count, near_domain, self._rng)
         for choice in chosen[:1]:
             self._handed_out[choice.vm_id] = self._handed_out.get(choice.vm_id, 0) + 1
         return chosen
 
+    def _takes_work(self, vm_id: VmId) -> bool:
+        """Return whether a VM is believed to take new work now."""
+        member = self._members.get(vm_id)
+        return member is not None and member.takes_work
+
+    def _table(self, now_ms: int, near: FailureDomainId) -> AddressTable:
+        """Return the candidates near a failure domain, worked out anew after a short time."""
+        if now_ms >= self._tables_until_ms:
+            self._tables_until_ms = now_ms + self._limits.table_lifetime_ms
+            self._tables.clear()
+        table = self._tables.get(near)
+        if table is None:
+            table = self._tables[near] = AddressTable(self._weighed(now_ms, near))
+        return table
+
     def _merge(self, message: SummaryGossip, now_ms: int) -> None:
         """Take newer summaries of other VMs in."""
         for room in message.rooms:
--- /dev/null
+++ b/tests/wagtailusher_bench/fleet/test_network.py
@@ -0,0 +1,80 @@
+"""Tests of the channels that the fleet's measurements run on."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from unittest import TestCase
+
+from wagtailusher_bench.fleet.network import ChannelProfile, Network, Outgoing, Place
+from wagtailusher_bench.fleet.places import make_places
+from wagtailusher_core import VmId
+from wagtailusher_wire import Message, Nack
+
+
+class _Recorder:
+    """Keeps what arrives and when."""
+
+    def __init__(self, place: Place) -> None:
+        """Start with nothing."""
+        self.place = place
+        self.arrivals: list[tuple[int, Message]] = []
+        self.ticks_ms: list[int] = []
+
+    def tick(self, now_ms: int) -> Iterator[Outgoing]:
+        """Note the time."""
+        self.ticks_ms.append(now_ms)
+        return iter(())
+
+    def receive(
+        self, message: Message, now_ms: int, sender: VmId, address: str
+    ) -> Iterator[Outgoing]:
+        """Keep a message."""
+        self.arrivals.append((now_ms, message))
+        return iter(())
+
+    def next_due_ms(self, now_ms: int) -> int:
+        """Tick ten times a second."""
+        return now_ms + 100
+
+
+class NetworkTest(TestCase):
+    """Loss, duplicates, partitions and pauses happen as asked for."""
+
+    def _send(self, count: int, profile: ChannelProfile) -> tuple[Network, _Recorder]:
+        """Send messages between two regions."""
+        network = Network(seed=1, profile=profile)
+        source, target = (_Recorder(place) for place in make_places(9)[:2])
+        network.start(source)
+        network.start(target)
+        for number in range(count):
+            message = Nack(sequence=number, subject=VmId("x"))
+            network.send(source, Outgoing(address=target.place.address, message=message))
+        return network, target
+
+    def test_delay_order_loss_and_duplicates(self) -> None:
+        network, target = self._send(1_000, ChannelProfile())
+        network.run_until(10_000)
+        self.assertEqual(len(target.arrivals), 1_000)
+        self.assertGreaterEqual(target.arrivals[0][0], 60)
+        numbers = [m.sequence for _, m in target.arrivals if isinstance(m, Nack)]
+        self.assertNotEqual(numbers, sorted(numbers))
+        network, target = self._send(1_000, ChannelProfile(loss=0.1))
+        network.run_until(10_000)
+        self.assertTrue(850 < len(target.arrivals) < 950)
+        network, target = self._send(1_000, ChannelProfile(duplicates=0.1))
+        network.run_until(10_000)
+        self.assertTrue(1_050 < len(target.arrivals) < 1_150)
+
+    def test_partition_loses_what_is_under_way(self) -> None:
+        network, target = self._send(10, ChannelProfile())
+        network.blocked = lambda a, b: True
+        network.run_until(10_000)
+        self.assertEqual(target.arrivals, [])
+
+    def test_pause_delays_ticks_and_messages(self) -> None:
+        network, target = self._send(10, ChannelProfile())
+        network.pause(target, 5_000)
+        network.run_until(10_000)
+        self.assertEqual(len(target.arrivals), 10)
+        self.assertEqual({time_ms for time_ms, _ in target.arrivals}, {5_000})
+        self.assertGreaterEqual(min(target.ticks_ms), 5_000)
--- a/tests/wagtailusher_membership/test_summaries.py
+++ b/tests/wagtailusher_membership/test_summaries.py
@@ -171,6 +171,22 @@
             self.assertEqual(order, sorted(order))
         self.assertGreater(names.count(places[2].vm_id), names.count(places[4].vm_id))
 
+    def test_leaving_is_heeded_at_once(self) -> None:
+        places = make_places(4)
+        node = _node(places[0], places)
+        near = places[1].failure_domain_id
+        self.assertEqual(len(node.decider.addresses(0, near, 4)), 4)
+        leaving = MemberUpdate(
+            vm_id=places[1].vm_id,
+            incarnation=Incarnation(1),
+            version=2,
+            state=MemberState.LEAVING,
+            leaving=True,
+        )
+        node.table.merge(leaving, 1)
+        names = {choice.vm_id for choice in node.decider.addresses(1, near, 4)}
+        self.assertEqual(names, {place.vm_id for place in places} - {places[1].vm_id})
+
     def test_names_somebody_when_all_are_full(self) -> None:
         places = make_places(3)
         node = _node(places[0], places)
