Tell for how long a node heard from nobody

Cause: a node that is cut off from the service and all peers can't know of a drain, and its daemon had nothing to decide by.

In the test a cut-off node counts up and falls back after the heal.

--- a/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
@@ -92,6 +92,7 @@
         self._whole_next = False
         self._sequence = 0
         self._hint_at_ms = 0
+        self._heard_ms: int | None = None
         self._effects: list[ConfigurationEffect] = []
 
     @property
@@ -109,6 +110,13 @@
         """Return whether the wait for peers at the start is over."""
         return self._settling is None
 
+    def silent_ms(self, now_ms: int) -> int:
+        """Return for how long neither a peer nor the service gave a sign of life.
+
+        The configuration in force may be out of date by as much, without this node knowing.
+        """
+        return 0 if self._heard_ms is None else now_ms - self._heard_ms
+
     def is_reader(self, now_ms: int) -> bool:
         """Return whether this node reads the service for its failure domain."""
         return self._readers.is_reader(now_ms)
@@ -119,6 +127,8 @@
 
     def tick(self, now_ms: int) -> tuple[ConfigurationEffect, ...]:
         """Do what is due."""
+        if self._heard_ms is None:
+            self._heard_ms = now_ms
         if self._settling is not None:
             self._settle(self._settling, now_ms)
         self._expire(now_ms)
@@ -158,6 +168,7 @@
     ) -> tuple[ConfigurationEffect, ...]:
         """Take in what the service serves."""
         self._reads.answered(now_ms)
+        self._heard_ms = now_ms
         self._seen_at_service = revision
         if self._settling is not None:
             if self._offer is None or revision > self._offer.revision:
@@ -169,6 +180,7 @@
     def service_unchanged(self, now_ms: int) -> None:
         """Note that a watch ended without a change."""
         self._reads.answered(now_ms)
+        self._heard_ms = now_ms
 
     def service_failed(self, now_ms: int) -> None:
         """Note that the service can't be read."""
@@ -343,6 +355,7 @@
 
     def _learn(self, vm_id: VmId, revision: Revision, now_ms: int) -> None:
         """Note a peer's revision: fetch a higher, answer a lower, count a witness."""
+        self._heard_ms = now_ms
         self._holders.note(vm_id, revision)
         if self._settling is not None:
             return
--- a/tests/wagtailusher_membership/test_configuration.py
+++ b/tests/wagtailusher_membership/test_configuration.py
@@ -266,6 +266,18 @@
         self._run(3_000)
         self.assertEqual([revision for _, revision in node.applied], [Revision(number=5)])
 
+    def test_isolated_node_knows_how_long_it_heard_nothing(self) -> None:
+        for node in self.fleet.nodes:
+            self.assertLess(node.decider.silent_ms(self.fleet.network.now_ms), 10_000)
+        alone = self.fleet.nodes[0].place
+        self.fleet.network.blocked = lambda a, b: alone in (a, b)
+        self.service.down.add(alone.region)
+        self._run(30_000)
+        self.assertGreater(self.fleet.nodes[0].decider.silent_ms(self.fleet.network.now_ms), 18_000)
+        self.fleet.network.blocked = lambda a, b: False
+        self._run(5_000)
+        self.assertLess(self.fleet.nodes[0].decider.silent_ms(self.fleet.network.now_ms), 5_000)
+
     def test_two_contents_of_one_revision_are_told(self) -> None:
         self.service.publish(Revision(number=4), b"four")
         self._run(2_000)
