--- a/packages/wagtailusher_membership/src/wagtailusher_membership/keepers.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/keepers.py
@@ -22,6 +22,7 @@
         self._changed_ms: int | None = None
         self._started_ms: int | None = None
         self._candidates: dict[ClassKey, tuple[VmId, ...]] = {}
+        self._running = 0
 
     @property
     def listed(self) -> tuple[VmId, ...]:
@@ -32,7 +33,9 @@
         """Look at the platform's list; candidates are worked out anew when it changes."""
         if self._started_ms is None:
             self._started_ms = now_ms
-        listed = tuple(sorted(m.vm_id for m in self._members.values() if m.listed))
+        listed_members = [m for m in self._members.values() if m.listed]
+        listed = tuple(sorted(m.vm_id for m in listed_members))
+        self._running = sum(not m.gone or m.vm_id == self._vm_id for m in listed_members)
         if listed != self._listed:
             self._previous, self._listed = self._listed, listed
             self._changed_ms = now_ms
@@ -46,18 +49,27 @@
                 return vm_id
         return None
 
+    def part_of(self, quota: int) -> int:
+        """Return the part of a quota that goes with the listed VMs believed to run.
+
+        The other VMs may run on the far side of a partition, with a keeper of their own.
+        """
+        if not self._listed:
+            return quota
+        return max(min(quota, 1), quota * self._running // len(self._listed))
+
     def took_over(self, key: ClassKey, since_ms: int) -> bool:
         """Return whether this VM may have become the keeper only after a time."""
-        if self._started_ms is None or self._started_ms >= since_ms:
+        if self._started_ms is None or self._started_ms > since_ms:
             return True
-        is_new_list = self._changed_ms is not None and self._changed_ms >= since_ms
+        is_new_list = self._changed_ms is not None and self._changed_ms > since_ms
         if is_new_list and first_by_rendezvous(_name(key), self._previous) != self._vm_id:
             return True
         for vm_id in self._ranked(key):
             if vm_id == self._vm_id:
                 return False
             member = self._members.get(vm_id)
-            if member is not None and member.gone and member.since_ms >= since_ms:
+            if member is not None and member.gone and member.since_ms > since_ms:
                 return True
         return False
 
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/quota_keeper.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/quota_keeper.py
@@ -38,7 +38,7 @@
 
     A lowered share counts at its old size until the VM confirms the lower one or the old one
     has run out. A keeper that took over only renews what VMs say they hold until the earlier
-    keeper's grants have run out.
+    keeper's grants have run out. While listed VMs are believed gone their part is kept back.
     """
 
     def __init__(self, *, vm_id: VmId, keepers: Keepers, limits: QuotaLimits) -> None:
@@ -127,7 +127,7 @@
 
     def _target(self, key: ClassKey, book: _Book, node_id: VmId) -> int:
         """Return a VM's part by claims, and of what nobody claims."""
-        quota = min(holder.quota for holder in book.holders.values())
+        quota = self._quota(book)
         claims = {vm_id: h.claim for vm_id, h in book.holders.items() if h.claim}
         if node_id not in claims:
             return 0
@@ -137,5 +137,10 @@
 
     def _free(self, book: _Book, node_id: VmId) -> int:
         """Return the quota less what all others may be using."""
-        quota = min(holder.quota for holder in book.holders.values())
-        return quota - sum(h.most for vm_id, h in book.holders.items() if vm_id != node_id)
+        return self._quota(book) - sum(
+            h.most for vm_id, h in book.holders.items() if vm_id != node_id
+        )
+
+    def _quota(self, book: _Book) -> int:
+        """Return what this keeper may hand out: its part of the least quota that is claimed for."""
+        return self._keepers.part_of(min(holder.quota for holder in book.holders.values()))
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/summaries.py
@@ -71,8 +71,8 @@
     """Publishes this VM's summary, merges the others', and divides quotas.
 
     Each class's quota has a keeper that hands out parts for a short time. The parts in use add
-    up to the quota at most; twice the quota at most while VMs differ over who the keeper is or
-    can't reach it.
+    up to the quota at most, and to twice the quota at most while VMs differ over who runs. The
+    sides of a lasting partition share the quota by their VMs, with one at least for each.
     """
 
     def __init__(
