Take late content in, and find what two configurations share by bisection

Cause: an answer that came after its timeout was dropped and asked for again, so that a slow link or a busy machine could keep a node from ever getting a whole megabyte. The shared first bytes of two contents were found one by one, and the whole base was cut for a change of one line.

Deltas have a property test now.

Conclusion: a fetch makes progress at any speed.

--- a/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
@@ -198,20 +198,20 @@
     def fetched(
         self, answer: ContentAnswer, now_ms: int, *, sender: VmId
     ) -> tuple[ConfigurationEffect, ...]:
-        """Take in a peer's content."""
+        """Take in a peer's content; it may come after another peer was asked."""
         pending = self._holders.pending
-        if pending is None or pending.sequence != answer.sequence or pending.vm_id != sender:
-            return ()
-        self._holders.pending = None
+        is_awaited = pending is not None and pending.sequence == answer.sequence
+        if is_awaited:
+            self._holders.pending = None
         content = self._history.build(answer)
-        if content is None:
-            self._whole_next = True
-            self._holders.failed(sender)
-        else:
+        if content is not None:
             self._whole_next = False
             self._accept(answer.revision, content, now_ms)
             self._thank(sender)
-            self._fetch(now_ms)
+        elif is_awaited:
+            self._whole_next = True
+            self._holders.failed(sender)
+        self._fetch(now_ms)
         return self._drain()
 
     def fetch_failed(self, sequence: int, now_ms: int) -> tuple[ConfigurationEffect, ...]:
@@ -293,12 +293,15 @@
         if holder is None:
             return
         self._sequence += 1
+        have = NO_REVISION if self._whole_next else self._held
+        limits = self._limits
+        is_whole = have == NO_REVISION
         holders.pending = PendingFetch(
             vm_id=holder.vm_id,
             sequence=self._sequence,
-            ends_at_ms=now_ms + self._limits.fetch_timeout_ms,
+            ends_at_ms=now_ms
+            + (limits.whole_fetch_timeout_ms if is_whole else limits.fetch_timeout_ms),
         )
-        have = NO_REVISION if self._whole_next else self._held
         request = ContentRequest(
             have=have, have_digest=self._history.digest(have), sequence=self._sequence
         )
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/configuration_limits.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/configuration_limits.py
@@ -24,6 +24,7 @@
     DEFAULT_READERS_PER_DOMAIN,
     DEFAULT_SETTLE_MS,
     DEFAULT_SETTLE_PEERS,
+    DEFAULT_WHOLE_FETCH_TIMEOUT_MS,
     DEFAULT_WITNESS_TIMEOUT_MS,
     DEFAULT_WITNESSES,
 )
@@ -50,6 +51,7 @@
     announce_fanout: int = DEFAULT_ANNOUNCE_FANOUT
     entropy_interval_ms: int = DEFAULT_ENTROPY_INTERVAL_MS
     fetch_timeout_ms: int = DEFAULT_FETCH_TIMEOUT_MS
+    whole_fetch_timeout_ms: int = DEFAULT_WHOLE_FETCH_TIMEOUT_MS
     hint_interval_ms: int = DEFAULT_HINT_INTERVAL_MS
     history_count: int = DEFAULT_HISTORY_COUNT
     history_bytes: int = DEFAULT_HISTORY_BYTES
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/delta.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/delta.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
-from os.path import commonprefix
+from collections.abc import Callable, Iterator, Sequence
 
 from xxhash import xxh3_64_intdigest
 
@@ -23,10 +22,11 @@
 
 def make_delta(base: bytes, content: bytes) -> tuple[DeltaStep, ...]:
     """Return steps that build the content from the base."""
-    prefix = len(commonprefix((base, content)))
-    limit = min(len(base), len(content)) - prefix
-    suffix = _common_suffix_bytes(base, content, limit)
-    steps = list(_merge(_middle_steps(base, content[prefix : len(content) - suffix])))
+    limit = min(len(base), len(content))
+    prefix = _common_prefix_bytes(base, content, limit)
+    suffix = _common_suffix_bytes(base, content, limit - prefix)
+    middle = content[prefix : len(content) - suffix]
+    steps = list(_merge(_middle_steps(base[prefix : len(base) - suffix], prefix, middle)))
     if prefix:
         steps.insert(0, DeltaStep(copy_offset_bytes=0, copy_bytes=prefix, insert=b""))
     if suffix:
@@ -50,24 +50,34 @@
     return b"".join(parts)
 
 
+def _common_prefix_bytes(base: bytes, content: bytes, limit: int) -> int:
+    """Return how many first bytes two contents share, at most the limit."""
+    return _longest(limit, lambda size: base[:size] == content[:size])
+
+
 def _common_suffix_bytes(base: bytes, content: bytes, limit: int) -> int:
     """Return how many last bytes two contents share, at most the limit."""
+    return _longest(limit, lambda size: base[len(base) - size :] == content[len(content) - size :])
+
+
+def _longest(limit: int, is_shared: Callable[[int], bool]) -> int:
+    """Return the greatest size up to the limit that is shared, by bisection."""
     low, high = 0, limit
     while low < high:
         middle = (low + high + 1) // 2
-        if base[len(base) - middle :] == content[len(content) - middle :]:
+        if is_shared(middle):
             low = middle
         else:
             high = middle - 1
     return low
 
 
-def _middle_steps(base: bytes, middle: bytes) -> Iterator[DeltaStep]:
-    """Yield a step for each chunk of the part that differs."""
+def _middle_steps(base: bytes, start: int, middle: bytes) -> Iterator[DeltaStep]:
+    """Yield a step for each chunk of the part that differs; the base's begins at the start."""
     if not middle:
         return
     offsets: dict[bytes, int] = {}
-    offset = 0
+    offset = start
     for chunk in _chunks(base):
         offsets.setdefault(chunk, offset)
         offset += len(chunk)
--- /dev/null
+++ b/tests/wagtailusher_membership/test_fetch.py
@@ -0,0 +1,94 @@
+"""Tests of fetching content, and of deltas."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wagtailusher_bench.fleet.places import make_places, publish
+from wagtailusher_core import Revision
+from wagtailusher_membership import Apply, ConfigurationDecider, ConfigurationEffect, Fetch
+from wagtailusher_membership.delta import DeltaError, apply_delta, digest_content, make_delta
+from wagtailusher_membership.table import MemberTable
+from wagtailusher_wire import NO_REVISION, ConfigurationAnnounce, ContentAnswer, DeltaStep
+
+_LINES = st.lists(st.sampled_from([b"a\n", b"b\n", b"cc\n", b"\n", b"d"]), max_size=60)
+_CONTENT = _LINES.map(b"".join) | st.binary(max_size=200)
+
+
+class DeltaTest(TestCase):
+    """Deltas rebuild the content, and bad ones are refused."""
+
+    @given(_CONTENT, _CONTENT)
+    def test_rebuilds(self, base: bytes, content: bytes) -> None:
+        steps = make_delta(base, content)
+        self.assertEqual(apply_delta(base, steps, max_bytes=len(content)), content)
+
+    def test_refuses_copies_outside_and_too_much(self) -> None:
+        outside = (DeltaStep(copy_offset_bytes=2, copy_bytes=9, insert=b""),)
+        doubling = (DeltaStep(copy_offset_bytes=0, copy_bytes=4, insert=b""),) * 100
+        for steps in (outside, doubling):
+            with self.assertRaises(DeltaError):
+                apply_delta(b"abcd", steps, max_bytes=100)
+
+
+class FetchTest(TestCase):
+    """A node gets its content however late or wrong the first answers are."""
+
+    def setUp(self) -> None:
+        """Create a decider that settled among peers with a revision."""
+        self.places = make_places(4)
+        table = MemberTable(max_members=10, buckets=1)
+        list(table.publish(publish(self.places), 0))
+        self.decider = ConfigurationDecider(
+            vm_id=self.places[0].vm_id,
+            failure_domain_id=self.places[0].failure_domain_id,
+            members=table.view,
+            validate=lambda revision, content: None,
+            seed=1,
+        )
+        self.decider.tick(0)
+        self.decider.tick(3_000)
+        self.first = self._fetch(3_000)
+
+    def _fetch(self, now_ms: int) -> Fetch:
+        """Let all peers announce and return what is fetched."""
+        announce = ConfigurationAnnounce(revision=Revision(number=1), digest=0, settled=True)
+        effects: list[ConfigurationEffect] = []
+        for place in self.places[1:]:
+            effects += self.decider.handle(
+                announce, now_ms, sender=place.vm_id, address=place.address
+            )
+        (fetch,) = [effect for effect in effects if isinstance(effect, Fetch)]
+        return fetch
+
+    def _answer(self, fetch: Fetch, content: bytes, digest: int) -> ContentAnswer:
+        """Return a peer's answer."""
+        step = DeltaStep(copy_offset_bytes=0, copy_bytes=0, insert=content)
+        return ContentAnswer(
+            sequence=fetch.request.sequence,
+            revision=Revision(number=1),
+            digest=digest,
+            base=NO_REVISION,
+            steps=(step,),
+        )
+
+    def test_answer_after_the_timeout_is_taken(self) -> None:
+        retries = [e for e in self.decider.tick(6_500) if isinstance(e, Fetch)]
+        self.assertEqual(len(retries), 1)
+        self.assertNotEqual(retries[0].vm_id, self.first.vm_id)
+        late = self._answer(self.first, b"x", digest_content(b"x"))
+        effects = self.decider.fetched(late, 6_600, sender=self.first.vm_id)
+        self.assertIn(Apply(revision=Revision(number=1), content=b"x"), effects)
+        again = self._answer(retries[0], b"x", digest_content(b"x"))
+        effects = self.decider.fetched(again, 6_700, sender=retries[0].vm_id)
+        self.assertFalse([effect for effect in effects if isinstance(effect, Apply)])
+
+    def test_damaged_answer_is_asked_of_another(self) -> None:
+        damaged = self._answer(self.first, b"x", digest_content(b"y"))
+        effects = self.decider.fetched(damaged, 3_100, sender=self.first.vm_id)
+        (retry,) = [effect for effect in effects if isinstance(effect, Fetch)]
+        self.assertNotEqual(retry.vm_id, self.first.vm_id)
+        self.assertEqual(retry.request.have, NO_REVISION)
