--- a/packages/wagtailusher_once/src/wagtailusher_once/answers.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/answers.py
@@ -30,10 +30,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardTo:
-    """Another node is the request's home; no incarnation is named for an idempotency key."""
+    """Another node is the request's home; no incarnation is named for an idempotency key.
+
+    A ticket is named where the right to run was handed over: it goes in place of the caller's.
+    """
 
     home_id: VmId
     incarnation: Incarnation | None = None
+    ticket: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_once/src/wagtailusher_once/decider.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/decider.py
@@ -165,6 +165,19 @@
             _set_refused(record, code)
         return record.state is RunState.REFUSED
 
+    def hand_over(self, ticket_id: str, successor: ForwardTo, now_ms: int) -> bool:
+        """Give the right to run to another VM for good; its ticket must have been minted there.
+
+        Return False when the request was dispatched, ended or handed over before.
+        """
+        self.expire(now_ms)
+        record = self._records.get(ticket_id)
+        if record is None or record.state is not RunState.ACCEPTED or successor.ticket is None:
+            return False
+        record.state = RunState.HANDED_OVER
+        record.successor = successor
+        return True
+
     def expire(self, now_ms: int) -> None:
         """Drop the records whose requests can't be run again by anyone."""
         while (record := self._records.pop_expired(now_ms)) is not None:
--- a/packages/wagtailusher_once/src/wagtailusher_once/records.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/records.py
@@ -11,6 +11,7 @@
 from wagtailusher_once.answers import (
     AlreadyRefused,
     AnswerEvicted,
+    ForwardTo,
     InProgress,
     OutcomeUnknown,
     Replay,
@@ -22,6 +23,7 @@
     """How far a request has come."""
 
     ACCEPTED = "accepted"
+    HANDED_OVER = "handed_over"
     DISPATCHED = "dispatched"
     COMPLETED = "completed"
     FAILED = "failed"
@@ -61,9 +63,14 @@
     state: RunState = RunState.ACCEPTED
     answer: StoredAnswer | None = None
     refusal_code: ErrorCode = ErrorCode.INTERNAL
+    successor: ForwardTo | None = None
 
-    def describe(self) -> Replay | AnswerEvicted | InProgress | OutcomeUnknown | AlreadyRefused:
+    def describe(
+        self,
+    ) -> ForwardTo | Replay | AnswerEvicted | InProgress | OutcomeUnknown | AlreadyRefused:
         """Return what a repeat of the request is told."""
+        if self.successor is not None:
+            return self.successor
         if self.state is RunState.COMPLETED:
             if self.answer is None:
                 return AnswerEvicted(ticket_id=self.ticket_id)
--- a/tests/wagtailusher_once/schedules/caller.py
+++ b/tests/wagtailusher_once/schedules/caller.py
@@ -17,7 +17,6 @@
 MAX_ATTEMPTS = 6
 PATIENCE_MS = (500, 5_000)
 RETRY_MS = (0, 800)
-HEDGE_SHARE = 0.1
 OTHER_BODY_SHARE = 0.05
 UUID_VERSION_BITS = 7 << 76 | 2 << 62
 
@@ -94,7 +93,7 @@
         self._send(number, self._own_body(), is_first=is_first)
         if not is_first and self.world.rng.random() < OTHER_BODY_SHARE:
             self._send(number, b"other " + self._own_body(), is_first=False)
-        if self.world.rng.random() < HEDGE_SHARE:
+        if self.world.rng.random() < self.schedule.conditions.hedge_share:
             self._retry(number, self.world.rng.randint(*RETRY_MS))
         self._retry(number, self.world.rng.randint(*PATIENCE_MS))
 
--- a/tests/wagtailusher_once/schedules/faults.py
+++ b/tests/wagtailusher_once/schedules/faults.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import asdict, replace
 from enum import StrEnum
 
 from wagtailusher_core import Incarnation, VmId
-from wagtailusher_once import OnceDecider, OnceLimits, StoredAnswer, Submission, Ticket
+from wagtailusher_once import (
+    ForwardTo,
+    OnceDecider,
+    OnceLimits,
+    StoredAnswer,
+    Submission,
+    Ticket,
+)
 from wagtailusher_once.key_admission import KeyAdmission, KeyAttempt
 
 
@@ -19,7 +26,9 @@
     EVICTION_FORGETS = "eviction_forgets"
     INCARNATION_REUSED = "incarnation_reused"
     EXPIRY_FORGETS = "expiry_forgets"
+    HAND_OVER_FORGOTTEN = "hand_over_forgotten"
     SETTLING_SKIPPED = "settling_skipped"
+    SETTLING_SHORTENED = "settling_shortened"
 
 
 TICKET_FAULTS = (
@@ -28,8 +37,9 @@
     Fault.EVICTION_FORGETS,
     Fault.INCARNATION_REUSED,
     Fault.EXPIRY_FORGETS,
+    Fault.HAND_OVER_FORGOTTEN,
 )
-KEY_FAULTS = (Fault.SETTLING_SKIPPED,)
+KEY_FAULTS = (Fault.SETTLING_SKIPPED, Fault.SETTLING_SHORTENED)
 
 
 class _HomeCheckSkipped(OnceDecider):
@@ -63,6 +73,14 @@
             pass
 
 
+class _HandOverForgotten(OnceDecider):
+    """Goes on with a request that it handed over."""
+
+    def hand_over(self, ticket_id: str, successor: ForwardTo, now_ms: int) -> bool:
+        """Hand over without a record of it."""
+        return self._records.get(ticket_id) is not None
+
+
 class _UnsettledKeys(KeyAdmission):
     """Runs a key as soon as this node is the key's home."""
 
@@ -80,11 +98,31 @@
         self._keys = _UnsettledKeys(vm_id=vm_id, limits=limits)
 
 
+class _ShortLimits(OnceLimits):
+    """Bounds with a tenth of the settling time."""
+
+    @property
+    def settling_ms(self) -> int:
+        """Return a time that is too short for the list's lag."""
+        return (self.max_list_lag_ms + self.max_list_age_ms + self.max_clock_skew_ms) // 5
+
+
+class _SettlingShortened(OnceDecider):
+    """Waits too short a time until it runs a key."""
+
+    def __init__(self, *, vm_id: VmId, incarnation: Incarnation, limits: OnceLimits) -> None:
+        """Start with the short bounds."""
+        short = _ShortLimits(**asdict(limits))
+        super().__init__(vm_id=vm_id, incarnation=incarnation, limits=short)
+
+
 _DECIDERS: dict[Fault, type[OnceDecider]] = {
     Fault.HOME_CHECK_SKIPPED: _HomeCheckSkipped,
     Fault.EVICTION_FORGETS: _EvictionForgets,
     Fault.EXPIRY_FORGETS: _ExpiryForgets,
+    Fault.HAND_OVER_FORGOTTEN: _HandOverForgotten,
     Fault.SETTLING_SKIPPED: _SettlingSkipped,
+    Fault.SETTLING_SHORTENED: _SettlingShortened,
 }
 
 
--- a/tests/wagtailusher_once/schedules/messages.py
+++ b/tests/wagtailusher_once/schedules/messages.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
-    """One sending of a request under a ticket or a key."""
+    """One sending of a request under a ticket or a key, or under the ticket that succeeds it."""
 
     caller: str
     number: int
@@ -19,6 +19,7 @@
     is_key: bool = False
     first_sent_wall_ms: int = 0
     first_attempt: bool = False
+    successor: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/wagtailusher_once/schedules/node.py
+++ b/tests/wagtailusher_once/schedules/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from hashlib import sha256
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,7 @@
 SECRET = b"fleet"
 WALL_BASE_MS = 1_700_000_000_000
 FORWARD_TIMEOUT_MS = 3_000
+LIST_DELAYS_MS = (0, 200, 550)
 ANSWER_TIMEOUT_MS = 4_000
 QUEUED_MS = (0, 400)
 
@@ -49,6 +51,9 @@
         self.clock_offset_ms = self.world.rng.randint(0, 1_000_000)
         half_skew_ms = schedule.limits.max_clock_skew_ms // 2
         self.wall_offset_ms = self.world.rng.randint(-half_skew_ms, half_skew_ms)
+        max_lag_ms = schedule.limits.max_list_lag_ms
+        self.list_lag_ms = self.world.rng.choice((0, max_lag_ms // 2, max_lag_ms))
+        self.list_delay_ms = self.world.rng.choice(LIST_DELAYS_MS)
         self.published: tuple[PublishedVm, ...] = ()
         self.published_observed_ms: int | None = None
         self.mint = TicketMint(
@@ -99,8 +104,8 @@
     def _submit(self, attempt: Attempt) -> Submission:
         """Ask the decider."""
         digest = sha256(attempt.body).digest()
-        if not attempt.is_key:
-            ticket = self.mint.read(attempt.handle, self.now_wall_ms)
+        if attempt.successor is not None or not attempt.is_key:
+            ticket = self.mint.read(attempt.successor or attempt.handle, self.now_wall_ms)
             return self.decider.submit(ticket, digest, self.now_ms)
         return self.decider.submit_key(
             WORKSPACE,
@@ -116,6 +121,8 @@
 
     def _forward(self, attempt: Attempt, target: ForwardTo, answer: Answer) -> None:
         """Pass an attempt to its home and the home's reply back."""
+        if target.ticket is not None:
+            attempt = replace(attempt, successor=target.ticket)
         answered: list[bool] = []
 
         def once(reply: Reply) -> None:
@@ -144,8 +151,34 @@
         if rng.random() < self.schedule.conditions.refused_share:
             self.step(rng.randint(*QUEUED_MS), lambda: self._refuse(attempt, ticket_id, answer))
             return
+        if rng.random() < self.schedule.conditions.handed_over_share:
+            self._ask_for_successor(attempt, ticket_id, answer)
         self.step(rng.randint(*QUEUED_MS), lambda: self._dispatch(attempt, ticket_id, answer))
 
+    def _ask_for_successor(self, attempt: Attempt, ticket_id: str, answer: Answer) -> None:
+        """Ask another node for a ticket and hand the request over to it."""
+        others = [vm_id for vm_id in self.schedule.nodes if vm_id != self.vm_id]
+        if not others:
+            return
+        peer = self.schedule.nodes[self.world.rng.choice(others)]
+
+        def mint() -> None:
+            successor = ForwardTo(home_id=peer.vm_id, ticket=peer.mint.mint(peer.now_wall_ms))
+            self.world.send(
+                peer.vm_id,
+                self.vm_id,
+                lambda: self.run(lambda: self._hand_over(attempt, ticket_id, successor, answer)),
+            )
+
+        self.world.send(self.vm_id, peer.vm_id, lambda: peer.run(mint))
+
+    def _hand_over(
+        self, attempt: Attempt, ticket_id: str, successor: ForwardTo, answer: Answer
+    ) -> None:
+        """Hand a request over, if it is still here, and forward it."""
+        if self.decider.hand_over(ticket_id, successor, self.now_ms):
+            self._forward(attempt, successor, answer)
+
     def _refuse(self, attempt: Attempt, ticket_id: str, answer: Answer) -> None:
         """Refuse a request if that is still true."""
         if self.decider.refuse(ticket_id, self.now_ms):
--- a/tests/wagtailusher_once/schedules/schedule.py
+++ b/tests/wagtailusher_once/schedules/schedule.py
@@ -21,12 +21,10 @@
 CUT_MS = (500, 15_000)
 REBOOT_MS = (1, 2_000)
 REBOOT_SHARE = 0.8
-ABSENCE_MS = (200, 12_000)
 WALL_JUMP_MS = 60_000
 LIST_PERIOD_MS = 400
-LIST_MS = (0, 300)
 LATE_LIST_MS = (300, 3_000)
-LATE_LIST_SHARE = 0.1
+LATE_LIST_SHARE = 0.05
 
 
 @dataclass(slots=True)
@@ -172,7 +170,8 @@
         """Take a VM off the list for a time, though its process runs on."""
         self.absent.add(node.vm_id)
         self.world.after(
-            self.world.rng.randint(*ABSENCE_MS), lambda: self.absent.discard(node.vm_id)
+            self.world.rng.randint(*self.conditions.absence_ms),
+            lambda: self.absent.discard(node.vm_id),
         )
 
     def _publish(self) -> None:
@@ -182,16 +181,15 @@
         self.world.after(LIST_PERIOD_MS, self._publish)
         present = (vm_id for vm_id in self.nodes if vm_id not in self.absent)
         self._lists.append(tuple(_publish_vm(vm_id) for vm_id in present))
-        max_lag = self.limits.max_list_lag_ms // LIST_PERIOD_MS
         for node in self.addresses:
-            lag = min(self.world.rng.randint(0, max_lag), len(self._lists) - 1)
+            lag = min(node.list_lag_ms // LIST_PERIOD_MS, len(self._lists) - 1)
             self._read(node, self._lists[-1 - lag])
 
     def _read(self, node: Node, vms: tuple[PublishedVm, ...]) -> None:
         """Let a process read the list; the answer takes its time."""
         read_ms = self.world.now_ms
         is_late = self.world.rng.random() < LATE_LIST_SHARE
-        delay_ms = self.world.rng.randint(*(LATE_LIST_MS if is_late else LIST_MS))
+        delay_ms = self.world.rng.randint(*LATE_LIST_MS) if is_late else node.list_delay_ms
         node.step(delay_ms, lambda: node.observe(vms, read_ms))
 
 
--- a/tests/wagtailusher_once/test_decider.py
+++ b/tests/wagtailusher_once/test_decider.py
@@ -123,6 +123,17 @@
         )
         self.assertFalse(self.decider.refuse(self._run("b", 2), 3))
 
+    def test_handed_over_request_runs_at_its_successor_only(self) -> None:
+        submission = self.decider.submit(_make_ticket(), b"x", 0)
+        assert isinstance(submission, RunHere)
+        successor = ForwardTo(home_id=VmId("vm2"), ticket="minted there")
+        self.assertTrue(self.decider.hand_over(submission.ticket_id, successor, 1))
+        self.assertFalse(self.decider.hand_over(submission.ticket_id, successor, 1))
+        self.assertFalse(self.decider.dispatch(submission.ticket_id, 1))
+        self.assertFalse(self.decider.refuse(submission.ticket_id, 1))
+        self.assertEqual(self.decider.submit(_make_ticket(), b"x", 2), successor)
+        self.assertFalse(self.decider.hand_over(self._run("b", 2), successor, 3))
+
     def test_answers_are_evicted_and_their_records_are_not(self) -> None:
         first_id = self._run("a", 0)
         self.decider.complete(first_id, ANSWER, 0)
