Doubt a platform's list that drops most running members at once

Cause: an empty or truncated answer would have marked all VMs as retired after 30 s and left the fleet without configuration readers and quota keepers.

Such a list adds and changes members and drops only those that are gone; `is_list_doubted` shows it. A test gives an empty list to a decider: the three running members stay listed, the dead one goes.

Conclusion: the lagging list can't take the fleet out by itself.

--- a/packages/wagtailusher_membership/src/wagtailusher_membership/decider.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/decider.py
@@ -85,6 +85,11 @@
         """Return how many updates wait to be passed on."""
         return len(self._core.queue)
 
+    @property
+    def is_list_doubted(self) -> bool:
+        """Return whether the platform's last list dropped most running members at once."""
+        return self._core.table.is_list_doubted
+
     def set_revision(self, revision: Revision) -> None:
         """Set the configuration's revision that pings and acknowledgements carry."""
         self._core.revision = revision
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/table.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/table.py
@@ -21,6 +21,7 @@
         self._max_members = max_members
         self._buckets = buckets
         self._members: dict[VmId, Member] = {}
+        self.is_list_doubted = False
         self.view: Mapping[VmId, Member] = MappingProxyType(self._members)
 
     def merge(self, update: MemberUpdate, now_ms: int) -> Member | None:
@@ -49,12 +50,17 @@
         return member
 
     def publish(self, vms: Iterable[PublishedVm], now_ms: int) -> Iterator[Member]:
-        """Take the platform's list in; yield members that it adds or changes."""
+        """Take the platform's list in; yield members that it adds or changes.
+
+        A list that drops most of the living at once is taken for truncated: it may add and
+        change members, but drops none that runs.
+        """
         listed = {vm.vm_id: vm for vm in vms}
-        for vm_id, known in list(self._members.items()):
-            if vm_id not in listed and known.listed:
-                unlisted = replace(known, listed=False, unlisted_since_ms=now_ms)
-                yield self.put(unlisted)
+        dropped = [m for m in self._members.values() if m.listed and m.vm_id not in listed]
+        self.is_list_doubted = self._drops_most(dropped)
+        for member in dropped:
+            if member.gone or not self.is_list_doubted:
+                yield self.put(replace(member, listed=False, unlisted_since_ms=now_ms))
         for vm in listed.values():
             changed = self._publish_one(vm, now_ms)
             if changed is not None:
@@ -138,6 +144,11 @@
             )
         )
 
+    def _drops_most(self, dropped: list[Member]) -> bool:
+        """Return whether most of the listed members that run are dropped."""
+        living = sum(member.listed and not member.gone for member in self._members.values())
+        return 2 * sum(not member.gone for member in dropped) > living
+
     def _is_retired(self, member: Member, before_ms: int) -> bool:
         """Return whether a member fell off the list before a time and isn't marked yet."""
         since_ms = member.unlisted_since_ms
--- a/tests/wagtailusher_membership/test_decider.py
+++ b/tests/wagtailusher_membership/test_decider.py
@@ -187,6 +187,19 @@
         decider.update_published(_listed("a", "b"), 41_000)
         self.assertTrue(decider.members()[VmId("b")].takes_work)
 
+    def test_list_that_drops_most_of_the_living_drops_only_the_gone(self) -> None:
+        decider = _decider()
+        decider.update_published(_listed("a", "b", "c", "d"), 0)
+        decider.handle(_gossip("d", 1, 1, MemberState.ALIVE), 0)
+        decider.handle(_gossip("d", 1, 1, MemberState.DEAD), 0)
+        decider.update_published([], 1_000)
+        self.assertTrue(decider.is_list_doubted)
+        listed = {vm_id for vm_id, member in decider.members().items() if member.listed}
+        self.assertEqual(listed, {"a", "b", "c"})
+        decider.update_published(_listed("a", "b"), 2_000)
+        self.assertFalse(decider.is_list_doubted)
+        self.assertFalse(decider.members()[VmId("c")].listed)
+
     def test_gone_and_unlisted_is_forgotten_and_not_taken_back(self) -> None:
         decider = _decider()
         decider.update_published(_listed("a", "b"), 0)
