--- a/tests/demo/__main__.py
+++ b/tests/demo/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 import sys
 
 from rich.console import Console
@@ -14,6 +15,7 @@
 from wagtailusher_client import CallerClient
 
 DURATION_MS = 20_000
+OUT_FILE = Path("out") / "demo.jsonl"
 SEED = 7
 CLASSES = (
     LoadClass(name="booking", target_ms=1_000, interval_ms=100),
@@ -28,30 +30,43 @@
     print(text, flush=True)  # noqa: T201
 
 
-async def async_disturb(fleet: DemoFleet) -> None:
+async def async_disturb(fleet: DemoFleet, ledger: Ledger) -> None:
     """Crash, kill, freeze and drain while the load runs."""
+
+    def note(text: str) -> None:
+        ledger.mark(text)
+        say(f"{ledger.rows[-1].at_ms / 1000:5.1f} s  {text}")
+
     await asyncio.sleep(3)
-    say(" 3 s  engine-0 crashes and comes back cold")
+    note("engine-0 crashes and comes back cold")
     await fleet.engines[0].async_crash()
     await asyncio.sleep(2)
-    say(" 5 s  entry-1 is killed")
+    note("entry-1 is killed")
     fleet.entries[1].kill()
     await asyncio.sleep(2)
-    say(" 7 s  entry-1 is replaced")
+    note("entry-1 is replaced")
     await fleet.async_replace(1)
     await asyncio.sleep(2)
-    say("10 s  failure domain b is taken out by a change of settings")
+    note("failure domain b is taken out by a change of settings")
     fleet.drain("b")
     await asyncio.sleep(5)
-    say("15 s  failure domain b returns")
+    note("failure domain b returns")
     fleet.drain()
     await asyncio.sleep(2)
-    say("17 s  entry-0 is frozen for 1 s")
+    note("entry-0 is frozen for 1 s")
     fleet.entries[0].freeze()
     await asyncio.sleep(1)
     fleet.entries[0].thaw()
 
 
+def write_rows(ledger: Ledger) -> None:
+    """Write the rows of a report."""
+    OUT_FILE.parent.mkdir(exist_ok=True)
+    lines = [row.model_dump_json() + "\n" for row in ledger.rows]
+    OUT_FILE.write_text("".join(lines), encoding="utf-8")
+    say(f"rows for a report: {OUT_FILE}")
+
+
 def print_table(ledger: Ledger) -> None:
     """Print what became of each class."""
     columns = ("class", "sent", "on target", "late", "not run", "unknown", "broken", "lost")
@@ -80,8 +95,9 @@
     )
     try:
         load = Load(client, CLASSES, fleet.model, SEED)
-        await asyncio.gather(load.async_run(DURATION_MS), async_disturb(fleet))
+        await asyncio.gather(load.async_run(DURATION_MS), async_disturb(fleet, load.ledger))
         print_table(load.ledger)
+        write_rows(load.ledger)
         return 0 if print_breaches(count_breaches(load.ledger, fleet)) else 1
     finally:
         client.close()
--- a/tests/demo/load.py
+++ b/tests/demo/load.py
@@ -8,13 +8,8 @@
 import json
 from random import Random
 
-from wagtailusher_client import (
-    BrokenAnswerError,
-    CallerClient,
-    CallerError,
-    RefusedError,
-    UnknownOutcomeError,
-)
+from wagtailusher_bench.report import Mark, RequestRow
+from wagtailusher_client import BrokenAnswerError, CallerClient, CallerError
 from wagtailusher_core import Outcome
 
 MS_PER_S = 1000
@@ -46,10 +41,33 @@
 
 @dataclass(slots=True, kw_only=True)
 class Ledger:
-    """All tallies, and what callers were told about each booking."""
+    """All tallies, what callers were told about each request, and rows for a report."""
 
+    started_s: float
     tallies: dict[str, Tally] = field(default_factory=lambda: defaultdict(Tally))
     told: dict[str, Outcome] = field(default_factory=dict)
+    rows: list[RequestRow | Mark] = field(default_factory=list)
+
+    def mark(self, text: str) -> None:
+        """Note what was done to the system."""
+        self.rows.append(Mark(at_ms=self._at_ms(), text=text))
+
+    def count(self, load_class: LoadClass, result: str) -> None:
+        """Count what became of a request."""
+        tally = self.tallies[load_class.name]
+        setattr(tally, result, getattr(tally, result) + 1)
+        self.rows.append(
+            RequestRow(
+                at_ms=self._at_ms(),
+                class_id=load_class.name,
+                result=result,
+                tokens=load_class.tokens,
+            )
+        )
+
+    def _at_ms(self) -> int:
+        """Return the time since the start of the run."""
+        return int((asyncio.get_running_loop().time() - self.started_s) * MS_PER_S)
 
 
 class Load:
@@ -64,7 +82,7 @@
         self._model = model
         self._generator = Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
-        self.ledger = Ledger()
+        self.ledger = Ledger(started_s=asyncio.get_running_loop().time())
 
     async def async_run(self, duration_ms: int) -> None:
         """Send for a while and wait for the answers."""
@@ -88,33 +106,21 @@
 
     async def _async_request(self, load_class: LoadClass, name: str) -> None:
         """Send one request and count what became of it."""
-        tally = self.ledger.tallies[load_class.name]
-        tally.sent += 1
+        self.ledger.tallies[load_class.name].sent += 1
         started = asyncio.get_running_loop().time()
+        outcome = Outcome.COMPLETED
         try:
             took_ms = await self._async_send(load_class, name, started)
-        except RefusedError as err:
-            self.ledger.told[name] = err.outcome
-            if err.outcome is Outcome.NOT_RUN:
-                tally.not_run += 1
-            else:
-                tally.unknown += 1
-        except UnknownOutcomeError as err:
-            self.ledger.told[name] = err.outcome
-            tally.unknown += 1
-        except BrokenAnswerError:
-            tally.broken += 1
+            result = "on_target" if took_ms <= load_class.target_ms else "late"
+        except BrokenAnswerError as err:
+            outcome, result = err.outcome, "broken"
         except CallerError as err:
-            self.ledger.told[name] = err.outcome
-            tally.not_run += 1
+            outcome = err.outcome
+            result = "not_run" if outcome is Outcome.NOT_RUN else "unknown"
         except Exception:
-            tally.lost += 1
-        else:
-            self.ledger.told[name] = Outcome.COMPLETED
-            if took_ms <= load_class.target_ms:
-                tally.on_target += 1
-            else:
-                tally.late += 1
+            outcome, result = Outcome.UNKNOWN, "lost"
+        self.ledger.told[name] = outcome
+        self.ledger.count(load_class, result)
 
     async def _async_send(self, load_class: LoadClass, name: str, started: float) -> float:
         """Send one request and return when its answer began, or ended for a plain service."""
