Work the capacity page out from measured figures, and check its tables

Cause: the design size has to decide the design, so each role needs its state, messages, time and memory at that size. script/bench capacity reads the page's measured figures and gives each role's cost; a test compares every line of the page's tables. New slopes: admission's queue, leases on the wire, the platform's list, the settings' next revision, bytes of load polls.

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/__main__.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/__main__.py
@@ -13,6 +13,7 @@
 from wagtailusher_bench.fleet.__main__ import alarms, configuration, membership, summaries, wire
 from wagtailusher_bench.relay.__main__ import main as relay
 from wagtailusher_bench.slopes.__main__ import main as slopes
+from wagtailusher_bench.slopes.capacity_page import main as capacity
 
 _COST_MODULE = "wagtailusher_bench.decisions.cost"
 
@@ -22,6 +23,7 @@
     found: dict[str, object] = {
         "relay": relay,
         "slopes": slopes,
+        "capacity": capacity,
         "decisions": decisions,
         "fleet": [membership, alarms, configuration, summaries, wire],
     }
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/relay/source.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/relay/source.py
@@ -33,6 +33,7 @@
         """Start with a shape of single chunks."""
         self.shape = ChunkShape(per_write=1, interval_ms=49)
         self.address = ""
+        self.poll_bytes = 0
         self._stopping = asyncio.Event()
         self._generator = Random(seed)
         self._server: asyncio.Server | None = None
@@ -78,7 +79,10 @@
             headers.append((b"content-length", b"%d" % len(body)))
             head = h11.Response(status_code=200, headers=headers)
             events = (head, h11.Data(data=body), h11.EndOfMessage())
-            writer.write(b"".join(http.send(event) or b"" for event in events))
+            answer = b"".join(http.send(event) or b"" for event in events)
+            writer.write(answer)
+            if request.method == b"GET":
+                self.poll_bytes += len(answer) + _head_bytes(request)
             return
         headers.append((b"content-type", b"text/event-stream"))
         writer.write(http.send(h11.Response(status_code=200, headers=headers)) or b"")
@@ -100,6 +104,12 @@
         writer.write(b"".join(http.send(event) or b"" for event in ending))
 
 
+def _head_bytes(request: h11.Request) -> int:
+    """Return the size of a request without a body, as it goes over the socket."""
+    data = h11.Connection(h11.CLIENT).send(request) or b""
+    return len(data)
+
+
 async def _async_request(http: h11.Connection, reader: asyncio.StreamReader) -> h11.Request | None:
     """Return the next whole request, or None when the connection ended."""
     request: h11.Request | None = None
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/__main__.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/__main__.py
@@ -12,10 +12,12 @@
 
 from wagtailusher_bench.slopes.daemon import async_measure_daemon
 from wagtailusher_bench.slopes.fit import Slope
+from wagtailusher_bench.slopes.lists import measure_lists
 from wagtailusher_bench.slopes.memory import measure_memory
+from wagtailusher_bench.slopes.wire import measure_wire
 from wagtailusher_bench.slopes.work import measure_work
 
-GROUPS = ("memory", "work", "daemon")
+GROUPS = ("memory", "lists", "work", "daemon")
 
 
 def main(
@@ -24,6 +26,7 @@
     workspaces: Sequence[int] = (470, 1500, 4700),
     endpoints: Sequence[int] = (60, 600, 1900, 3800),
     peers: Sequence[int] = (9, 50, 150),
+    queued: Sequence[int] = (100, 500, 1000),
     nodes: Sequence[int] = (9, 50, 150),
     decisions: Sequence[int] = (500, 1000, 2000, 4000),
     renewals: Sequence[int] = (60, 120, 240, 480),
@@ -35,10 +38,11 @@
 ) -> None:
     """Print the slopes of memory, processor time and bytes.
 
-    :param group: memory and work of the deciders, or a real daemon
+    :param group: memory of the deciders, reading of lists, their work, or a real daemon
     :param workspaces: numbers of workspaces
     :param endpoints: numbers of endpoints that a decider knows
     :param peers: fleet sizes for the memory of a member
+    :param queued: numbers of requests that wait in admission
     :param nodes: fleet sizes for the traffic of membership
     :param decisions: numbers of decisions
     :param renewals: numbers of lease renewals
@@ -49,7 +53,13 @@
     :param window_ms: length of one measurement of a daemon
     """
     if "memory" in group:
-        for slope in measure_memory(workspaces=workspaces, endpoints=endpoints, peers=peers):
+        kept = measure_memory(
+            workspaces=workspaces, endpoints=endpoints, peers=peers, queued=queued
+        )
+        for slope in kept:
+            _print(slope)
+    if "lists" in group:
+        for slope in measure_lists(endpoints=endpoints, workspaces=workspaces):
             _print(slope)
     if "work" in group:
         slopes = measure_work(
@@ -59,7 +69,7 @@
             nodes=nodes,
             content_lines=content_lines,
         )
-        for slope in slopes:
+        for slope in (*slopes, *measure_wire(renewals=renewals)):
             _print(slope)
     if "daemon" in group:
         asyncio.run(_async_daemon(streams, requests, polled, window_ms))
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/daemon.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/daemon.py
@@ -58,9 +58,10 @@
         yield fit_line("chunk_cpu", unit="us", per="chunk", points=chunks)
         points = await _async_requests(setting, requests)
         yield fit_line("request_cpu", unit="us", per="request", points=points)
-    resident, idle = await _async_idle(endpoints, window_ms)
+    resident, idle, polls = await _async_idle(endpoints, window_ms)
     yield fit_line("daemon_memory", unit="bytes", per="endpoint", points=resident)
     yield fit_line("load_reports_cpu", unit="us/s", per="polled endpoint", points=idle)
+    yield fit_line("load_reports_bytes", unit="bytes/s", per="polled endpoint", points=polls)
 
 
 async def _async_streams(
@@ -97,16 +98,22 @@
     return points
 
 
-async def _async_idle(endpoints: Sequence[int], window_ms: int) -> tuple[list[Point], list[Point]]:
-    """Return the memory and the processor time a second of a daemon without requests."""
+async def _async_idle(
+    endpoints: Sequence[int], window_ms: int
+) -> tuple[list[Point], list[Point], list[Point]]:
+    """Return memory, processor time and polled bytes a second of a daemon without requests."""
+    polls: list[Point] = []
     memory: list[Point] = []
     cpu: list[Point] = []
     for count in endpoints:
         async with async_setting(count) as setting:
+            entry, source = setting.entry, setting.source
             await asyncio.sleep(window_ms / MS_PER_S)
-            before_s = setting.entry.cpu_s()
+            before_s, before_bytes = entry.cpu_s(), source.poll_bytes
             await asyncio.sleep(window_ms / MS_PER_S)
-            spent_s = setting.entry.cpu_s() - before_s
-            memory.append(Point(size=count, value=setting.entry.resident_bytes()))
-            cpu.append(Point(size=count, value=spent_s * US_PER_S / (window_ms / MS_PER_S)))
-    return memory, cpu
+            per_s = MS_PER_S / window_ms
+            spent_us = (entry.cpu_s() - before_s) * US_PER_S
+            memory.append(Point(size=count, value=entry.resident_bytes()))
+            cpu.append(Point(size=count, value=spent_us * per_s))
+            polls.append(Point(size=count, value=(source.poll_bytes - before_bytes) * per_s))
+    return memory, cpu, polls
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/memory.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/memory.py
@@ -10,16 +10,26 @@
 
 from wagtailusher_bench.fleet.membership import Fleet
 from wagtailusher_bench.slopes.fit import Point, Slope, fit_line
-from wagtailusher_bench.slopes.parts import make_endpoints, make_placement, make_steward
+from wagtailusher_bench.slopes.parts import (
+    make_admission,
+    make_endpoints,
+    make_placement,
+    make_steward,
+)
 from wagtailusher_settings import parse_settings
 from wagtailusher_settings.measure import build_document
 
 
 def measure_memory(
-    *, workspaces: Sequence[int], endpoints: Sequence[int], peers: Sequence[int]
+    *,
+    workspaces: Sequence[int],
+    endpoints: Sequence[int],
+    peers: Sequence[int],
+    queued: Sequence[int],
 ) -> Iterator[Slope]:
     """Yield the slopes of memory."""
     yield _line("settings_memory", "workspace", workspaces, _settings_bytes)
+    yield _line("admission_memory", "queued request", queued, _admission_bytes)
     yield _line("placement_memory", "endpoint", endpoints, _placement_bytes)
     yield _line("steward_memory", "endpoint", endpoints, _steward_bytes)
     yield _line("member_records_memory", "peer", peers, _member_bytes)
@@ -60,6 +70,11 @@
     return traced_bytes(lambda: parse_settings(content))
 
 
+def _admission_bytes(queued: int) -> float:
+    """Return the memory of an admission decider with a queue."""
+    return traced_bytes(lambda: make_admission(queued))
+
+
 def _placement_bytes(endpoints: int) -> float:
     """Return the memory of a placement decider."""
     infos = make_endpoints(endpoints)
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/parts.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/parts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from wagtailusher_admission import AdmissionDecider, PendingRequest
 from wagtailusher_core import (
     ClassId,
     ClassKey,
@@ -28,6 +29,8 @@
 POOLS = 6
 DOMAINS = 20
 CONCURRENCY = 32
+QUEUED_WORKSPACES = 50
+DEADLINE_MS = 60_000
 LIST_VERSION = 1
 LIMITS = LeaseLimits(requests_per_second=1_000_000)
 
@@ -90,3 +93,21 @@
         prefix_hashes=(),
         excluded=frozenset(),
     )
+
+
+def make_admission(queued: int) -> AdmissionDecider:
+    """Return an admission decider in which requests of many workspaces wait."""
+    decider = AdmissionDecider()
+    for number in range(queued):
+        workspace_id = WorkspaceId(f"workspace-{number % QUEUED_WORKSPACES}")
+        request = PendingRequest(
+            request_id=RequestId(f"request-{number}"),
+            key=ClassKey(workspace_id, ClassId("advice")),
+            pool_id=PoolId(f"model-{number % POOLS}"),
+            tier=number % 7,
+            arrived_ms=0,
+            deadline_ms=DEADLINE_MS,
+            queue_limit=queued,
+        )
+        decider.offer(request, 0)
+    return decider
--- /dev/null
+++ b/tests/wagtailusher_bench/slopes/test_capacity_page.py
@@ -0,0 +1,48 @@
+"""Tests that the capacity page's tables follow from its measured figures."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+import unittest
+
+from wagtailusher_bench.slopes.capacity import DESIGN, SIZES
+from wagtailusher_bench.slopes.capacity_page import costs_of, read_figures, table_row
+
+PAGE = Path(__file__).parents[3] / "docs" / "CAPACITY.md"
+
+
+class CapacityPageTest(unittest.TestCase):
+    """The page is worked out, not written by hand."""
+
+    def setUp(self) -> None:
+        self.page = PAGE.read_text()
+        self.figures = read_figures(self.page)
+
+    def test_every_row_follows_from_the_figures(self) -> None:
+        lines = set(self.page.splitlines())
+        for name, size in SIZES.items():
+            for cost in costs_of(self.figures, size):
+                with self.subTest(size=name, role=cost.role):
+                    self.assertIn(table_row(cost), lines)
+
+    def test_summary_shows_the_sums(self) -> None:
+        row = next(line for line in self.page.splitlines() if line.startswith("| control: share"))
+        for size in SIZES.values():
+            costs = {cost.role: cost for cost in costs_of(self.figures, size)}
+            self.assertIn(f"{costs['control in all'].core_share:.1%}", row)
+
+    def test_costs_follow_the_size(self) -> None:
+        smaller = replace(DESIGN, tokens_per_s=DESIGN.tokens_per_s / 2, seen_endpoints=100)
+        before = {cost.role: cost for cost in costs_of(self.figures, DESIGN)}
+        after = {cost.role: cost for cost in costs_of(self.figures, smaller)}
+        for role in ("caller gateway", "endpoint choice"):
+            self.assertLess(after[role].core_share, before[role].core_share)
+
+    def test_page_without_figures_is_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            read_figures("# Capacity\n")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/wagtailusher_bench/slopes/test_slopes.py
+++ b/tests/wagtailusher_bench/slopes/test_slopes.py
@@ -6,7 +6,9 @@
 
 from wagtailusher_bench.slopes import Point, fit_line
 from wagtailusher_bench.slopes.daemon import async_measure_daemon
+from wagtailusher_bench.slopes.lists import measure_lists
 from wagtailusher_bench.slopes.memory import measure_memory
+from wagtailusher_bench.slopes.wire import measure_wire
 from wagtailusher_bench.slopes.work import measure_work
 
 
@@ -36,9 +38,14 @@
 
     def test_memory_grows_with_what_is_kept(self) -> None:
         found = list(
-            measure_memory(workspaces=(5, 20, 60), endpoints=(5, 50, 200), peers=(3, 6, 9))
+            measure_memory(
+                workspaces=(5, 20, 60),
+                endpoints=(5, 50, 200),
+                peers=(3, 6, 9),
+                queued=(10, 50, 200),
+            )
         )
-        self.assertEqual(len(found), 5)
+        self.assertEqual(len(found), 6)
         for slope in found:
             with self.subTest(measure=slope.measure):
                 self.assertGreater(slope.slope, 0)
@@ -51,7 +58,9 @@
             nodes=(3, 4, 5),
             content_lines=(10, 20, 30),
         )
-        for slope in found:
+        wire = measure_wire(renewals=(2, 4, 6))
+        lists = measure_lists(endpoints=(2, 4, 6), workspaces=(2, 4, 6))
+        for slope in (*found, *wire, *lists):
             with self.subTest(measure=slope.measure):
                 self.assertEqual(len(slope.values), 3)
 
@@ -61,7 +70,7 @@
         )
         found = {slope.measure: slope async for slope in slopes}
         self.assertEqual(found["request_cpu"].sizes, (8, 16, 24))
-        self.assertEqual(len(found), 5)
+        self.assertEqual(len(found), 6)
 
 
 if __name__ == "__main__":
