Relay an answer through one generator less

Cause: the client's answer wrapped the connection's generator only to release the connection. The connection's own generator now does so at its end.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -37,17 +37,11 @@
         self.status: int = head.status_code
         self.headers = Headers.from_raw(head.headers)
 
-    async def iter_chunks(
+    def iter_chunks(
         self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS
     ) -> AsyncIterator[bytes]:
         """Yield the body; raise AnswerError when it breaks or goes silent."""
-        whole = False
-        try:
-            async for chunk in self._connection.async_iter_body(silence_timeout_ms):
-                yield chunk
-            whole = True
-        finally:
-            self._client.release(self._connection, whole=whole)
+        return self._connection.async_iter_body(silence_timeout_ms, self._client.release)
 
     async def async_read(self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS) -> bytes:
         """Return the whole body."""
@@ -131,7 +125,7 @@
         return None
 
     @callback
-    def release(self, connection: ClientConnection, *, whole: bool) -> None:
+    def release(self, connection: ClientConnection, whole: bool) -> None:
         """Keep a connection for later, or drop it when its exchange was not whole."""
         if not whole:
             connection.abort()
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import ssl
 
 import h11
@@ -22,6 +22,9 @@
 _CHUNK_END = b"\r\n"
 
 
+Release = Callable[["ClientConnection", bool], None]
+
+
 class ClientConnection:
     """Owns a socket and carries one exchange at a time."""
 
@@ -98,15 +101,20 @@
             elif not isinstance(event, h11.InformationalResponse):
                 raise AnswerTruncatedError(f"{self.address} closed before its answer")
 
-    async def async_iter_body(self, silence_timeout_ms: int) -> AsyncIterator[bytes]:
-        """Yield the body; data that arrived together is joined."""
-        while True:
-            pieces, ended = self._take_pieces()
-            if pieces:
-                yield pieces[0] if len(pieces) == 1 else b"".join(pieces)
-            if ended:
-                return
-            await self._async_read(silence_timeout_ms)
+    async def async_iter_body(
+        self, silence_timeout_ms: int, release: Release
+    ) -> AsyncIterator[bytes]:
+        """Yield the body, data that arrived together joined; release the connection at its end."""
+        ended = False
+        try:
+            while not ended:
+                pieces, ended = self._take_pieces()
+                if pieces:
+                    yield pieces[0] if len(pieces) == 1 else b"".join(pieces)
+                if not ended:
+                    await self._async_read(silence_timeout_ms)
+        finally:
+            release(self, ended)
 
     def _take_pieces(self) -> tuple[list[bytes], bool]:
         """Return the parsed body data at hand and whether the answer is whole."""
