Let a split of credits stand unless a higher tier lacks some

Cause: each split anew moved credits, and each one that moves idles. The duration of answers is learned by class, for the latest start of services.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/accounts.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/accounts.py
@@ -26,9 +26,10 @@
 class WorkAccounts:
     """Keeps each endpoint's expected work in step with the requests placed there."""
 
-    def __init__(self, lengths: LengthEstimator) -> None:
-        """Start without work."""
+    def __init__(self, lengths: LengthEstimator, durations: LengthEstimator) -> None:
+        """Start without work; answers' lengths and durations are taught to the estimators."""
         self._lengths = lengths
+        self._durations = durations
         self._placed: dict[RequestId, PlacedWork] = {}
 
     def get(self, request_id: RequestId) -> PlacedWork | None:
@@ -88,7 +89,7 @@
             work.pace_tokens = 0
             work.pace_from_ms = now_ms
 
-    def close(self, request_id: RequestId, end: EndOfWork) -> PlacedWork | None:
+    def close(self, request_id: RequestId, end: EndOfWork, now_ms: int) -> PlacedWork | None:
         """Take a request off its endpoint; return it, or None when it is not placed."""
         work = self._placed.pop(request_id, None)
         if work is None:
@@ -99,7 +100,7 @@
         item.sent -= work.sent
         item.by_tier[min(work.request.tier, TIER_COUNT - 1)] -= 1
         item.own_tokens = max(0.0, item.own_tokens - work.left_tokens) if item.in_flight else 0.0
-        self._learn(work, end)
+        self._learn(work, end, now_ms)
         return work
 
     def _prompt_done(self, work: PlacedWork) -> None:
@@ -110,12 +111,13 @@
         if not item.waiting:
             item.pending_prompt = 0.0
 
-    def _learn(self, work: PlacedWork, end: EndOfWork) -> None:
+    def _learn(self, work: PlacedWork, end: EndOfWork, now_ms: int) -> None:
         """Learn an answer's length, and whether the endpoint works."""
         if work.output_tokens:
             whole = end is EndOfWork.COMPLETED
             self._lengths.observe(work.request.key, work.output_tokens, whole=whole)
         if end is EndOfWork.COMPLETED:
+            self._durations.observe(work.request.key, now_ms - work.started_ms)
             work.endpoint.health.succeeded()
         elif end in FAILURES:
             work.endpoint.health.failed()
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/apportion.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/apportion.py
@@ -45,6 +45,22 @@
     return {node: amount + even[node] for node, amount in credits.items()}
 
 
+def lacks_credits(
+    node_id: VmId, credits: Mapping[VmId, int], demands: Mapping[VmId, tuple[int, ...]]
+) -> bool:
+    """Return whether a node lacks credits that another holds idle or for a lower tier."""
+    own = demands.get(node_id, ())
+    held = credits.get(node_id, 0)
+    for tier in range(len(own)):
+        if sum(own[: tier + 1]) > held:
+            return any(
+                amount > sum(demands.get(other, ())[: tier + 1])
+                for other, amount in credits.items()
+                if other != node_id
+            )
+    return False
+
+
 def _guaranteed(demands: Mapping[VmId, tuple[int, ...]], turn: int) -> tuple[VmId, int] | None:
     """Return the tier whose turn it is and its node with the greatest demand."""
     tiers = [
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
@@ -6,9 +6,9 @@
 import zlib
 
 from wagtailusher_core import VmId
-from wagtailusher_placement.apportion import apportion
+from wagtailusher_placement.apportion import apportion, lacks_credits
 from wagtailusher_placement.coldstart import ColdStart, Leftover
-from wagtailusher_placement.const import GUARANTEED_SLOTS, SWEEP_INTERVAL_MS
+from wagtailusher_placement.const import GUARANTEED_SLOTS, SPLIT_INTERVAL_MS, SWEEP_INTERVAL_MS
 from wagtailusher_placement.endpoints import EndpointInfo
 from wagtailusher_placement.leases import LeaseLimits, LeaseRequest
 from wagtailusher_placement.ledger import LeaseLedger
@@ -108,14 +108,25 @@
         """Return a node's part of the concurrency limit."""
         limit = self.info.concurrency_limit
         room = self.ledger.room_for(node_id, limit, now_ms)
-        is_due = now_ms - self._targets_at_ms >= SWEEP_INTERVAL_MS
-        if is_due or node_id not in self._targets:
+        if self._is_split_due(node_id, now_ms):
             self._targets_at_ms = now_ms
-            demands = self.ledger.demands(now_ms)
-            turn = self._guaranteed_turn(now_ms)
-            self._targets = apportion(limit, demands, guaranteed_turn=turn, held=self._targets)
+            self._targets = apportion(
+                limit,
+                self.ledger.demands(now_ms),
+                guaranteed_turn=self._guaranteed_turn(now_ms),
+                held=self._targets,
+            )
         return min(room, self._targets.get(node_id, 0))
 
+    def _is_split_due(self, node_id: VmId, now_ms: int) -> bool:
+        """Return whether to split the credits anew: seldom, as each one that moves idles."""
+        age_ms = now_ms - self._targets_at_ms
+        if node_id not in self._targets or age_ms >= SPLIT_INTERVAL_MS:
+            return True
+        if age_ms < SWEEP_INTERVAL_MS:
+            return False
+        return lacks_credits(node_id, self._targets, self.ledger.demands(now_ms))
+
     def _recall(self, now_ms: int) -> None:
         """Call back the other nodes' leases, and wait for their work to end."""
         self.recalls.update(self.ledger.charged() - {self._steward_id})
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -55,9 +55,10 @@
         self._generator = Random(seed)
         self._choose = choose
         self._lengths = LengthEstimator()
+        self._durations = LengthEstimator(default=0.0)
         self._holder = LeaseHolder(vm_id=vm_id, limits=limits, incarnation=incarnation)
         self._fleet = EndpointFleet(failure_domain_id=failure_domain_id, holder=self._holder)
-        self._accounts = WorkAccounts(self._lengths)
+        self._accounts = WorkAccounts(self._lengths, self._durations)
         self._starts = 0
         self._refreshed_at_ms: int | None = None
 
@@ -90,6 +91,10 @@
         """Return the learned output length of a class and workspace."""
         return self._lengths.expected(key)
 
+    def expected_duration_ms(self, key: ClassKey) -> int:
+        """Return the learned time from sending to the end of an answer, 0 while unknown."""
+        return round(self._durations.expected(key))
+
     def choose(self, request: PlacementRequest, now_ms: int) -> Choice | None:
         """Return the endpoint for a request, or None when nothing may take it now."""
         pool = self._fleet.pools.get(request.pool_id)
@@ -156,7 +161,7 @@
             return
         if end is EndOfWork.COMPLETED:
             self.first_token(request_id, now_ms)
-        self._accounts.close(request_id, end)
+        self._accounts.close(request_id, end, now_ms)
         self._fleet.mark_changed(work.endpoint)
         if end is EndOfWork.CRASHED:
             self._holder.turn_cold(work.endpoint, now_ms)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/lengths.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/lengths.py
@@ -43,9 +43,12 @@
     A workspace's class falls back to the class over all workspaces, and that to a default.
     """
 
-    def __init__(self, *, max_keys: int = MAX_LENGTH_KEYS) -> None:
+    def __init__(
+        self, *, max_keys: int = MAX_LENGTH_KEYS, default: float = DEFAULT_OUTPUT_TOKENS
+    ) -> None:
         """Start with the default for everything."""
         self._max_keys = max_keys
+        self._default = default
         self._by_key: OrderedDict[ClassKey, _Average] = OrderedDict()
         self._by_class: OrderedDict[ClassId, _Average] = OrderedDict()
 
@@ -59,7 +62,7 @@
     def expected(self, key: ClassKey) -> float:
         """Return the expected output tokens of a new request."""
         of_class = self._by_class.get(key.class_id)
-        prior = DEFAULT_OUTPUT_TOKENS
+        prior = self._default
         if of_class is not None:
             prior = of_class.shrink_to(prior)
         of_key = self._by_key.get(key)
--- a/tests/wagtailusher_placement/test_decider.py
+++ b/tests/wagtailusher_placement/test_decider.py
@@ -210,4 +210,5 @@
         for index in range(8):
             allowed.append(target.view(index)[0].allowed)
             serve(target, f"r{index}", 10 + index * 1_000)
+        self.assertAlmostEqual(target.expected_duration_ms(KEY), 300 * 3 / 4, delta=1)
         self.assertEqual(allowed, [2, 2, 4, 4, 4, 4, 8, 8])
