--- a/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
@@ -15,6 +15,7 @@
     SendLeaseGrant,
     SendLeaseRecall,
     SendLeaseRequest,
+    Stranded,
 )
 from wagtailusher_router.decider import QuotaShare, RouterDecider, RouterParts, whole_quota
 from wagtailusher_router.errors import RouterError, UnknownFlightError
@@ -41,6 +42,7 @@
     "SendLeaseGrant",
     "SendLeaseRecall",
     "SendLeaseRequest",
+    "Stranded",
     "UnknownFlightError",
     "whole_quota",
 ]
--- a/packages/wagtailusher_router/src/wagtailusher_router/actions.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/actions.py
@@ -55,11 +55,26 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Forward:
-    """Hand a request over to another VM and relay its answer."""
+    """Hand a request over to another VM and relay its answer.
+
+    A ticket goes in place of the caller's, where the right to run was handed over.
+    """
 
     request_id: RequestId
     vm_id: VmId
     reason: ForwardReason
+    ticket: str | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stranded:
+    """A request that only this VM may run, which waits without credits.
+
+    A peer may be asked for a ticket, to hand the right to run over with `hand_over`.
+    """
+
+    request_id: RequestId
+    peer_id: VmId
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from itertools import islice
 
-from wagtailusher_admission import AdmissionDecider, PendingRequest, Refusal
+from wagtailusher_admission import AdmissionDecider, PendingRequest
 from wagtailusher_core import (
     ClassKey,
     EndpointId,
     ErrorCode,
     FailureDomainId,
-    PoolId,
     PublishedVm,
     RequestId,
     VmId,
 )
 from wagtailusher_once import (
+    ForwardTo,
     OnceDecider,
     QuarantineDecider,
     QuarantineEntry,
@@ -25,7 +24,6 @@
     StoredAnswer,
 )
 from wagtailusher_placement import (
-    Choice,
     EndOfWork,
     EndpointInfo,
     EndpointView,
@@ -34,22 +32,20 @@
     LeaseRequest,
     LoadReport,
     PlacementDecider,
-    PlacementRequest,
-    RetryBudget,
     StewardDecider,
 )
 from wagtailusher_router.actions import (
     Action,
     Cancel,
-    Dispatch,
     Forward,
     ForwardReason,
-    Refuse,
     ReplayAnswer,
     SendLeaseGrant,
+    Stranded,
 )
-from wagtailusher_router.attempts import NextStep, next_step
-from wagtailusher_router.const import DEFAULT_RETRY_AFTER_MS, MAX_HANDOVERS_PER_TICK, MAX_HEAD_SKIPS
+from wagtailusher_router.attempts import NextStep
+from wagtailusher_router.const import DEFAULT_RETRY_AFTER_MS
+from wagtailusher_router.dispatcher import Dispatcher
 from wagtailusher_router.errors import UnknownFlightError
 from wagtailusher_router.events import Arrival
 from wagtailusher_router.flights import Flight, Phase
@@ -57,7 +53,7 @@
 from wagtailusher_router.leasing import LeaseExchange
 from wagtailusher_router.load_summary import PoolLoad, summarize_load
 from wagtailusher_router.once_gate import OnceGate
-from wagtailusher_router.requests import dispatch_of, pending_request, placement_request
+from wagtailusher_router.requests import dispatch_of, pending_request
 from wagtailusher_router.suspicion import Suspicion
 
 QuotaShare = Callable[[ClassKey, int, int], int]
@@ -91,19 +87,23 @@
         self._placement = parts.placement
         self._quarantine = parts.quarantine
         self._suspicion = Suspicion(parts.quarantine)
-        self._retries = RetryBudget()
         self._quota_share = parts.quota_share
         self._handover = Handover(parts.placement)
         self._leases = LeaseExchange(parts.vm_id, parts.placement, parts.steward)
         self._gate = OnceGate(parts.once)
-        self._flights: dict[RequestId, Flight] = {}
-        self._resumable: frozenset[str] = frozenset()
+        self._dispatcher = Dispatcher(
+            admission=parts.admission,
+            placement=parts.placement,
+            gate=self._gate,
+            suspicion=self._suspicion,
+            handover=self._handover,
+        )
         self._draining = False
 
     @property
     def in_flight_count(self) -> int:
         """Return the number of requests that are held."""
-        return len(self._flights)
+        return len(self._dispatcher.flights)
 
     # Views of the outside.
 
@@ -115,8 +115,10 @@
         self._placement.update_endpoints(infos, now_ms)
         self._leases.update_endpoints(infos, now_ms)
         self._handover.update_endpoints(infos)
-        self._resumable = frozenset(info.endpoint_id for info in infos if info.resumes_streams)
-        return tuple(self._pump_all(now_ms))
+        self._dispatcher.resumable = frozenset(
+            info.endpoint_id for info in infos if info.resumes_streams
+        )
+        return tuple(self._dispatcher.pump_all(now_ms))
 
     def update_published(self, vms: Iterable[PublishedVm], now_ms: int, version: int = 0) -> None:
         """Take over the published list of entry VMs; call it at every reading."""
@@ -131,13 +133,13 @@
         drained = frozenset(domains)
         self._placement.update_drained_domains(drained, now_ms)
         self._leases.update_drained_domains(drained, now_ms)
-        return tuple(self._pump_all(now_ms))
+        return tuple(self._dispatcher.pump_all(now_ms))
 
     def observe_report(self, report: LoadReport, now_ms: int) -> tuple[Action, ...]:
         """Take over an endpoint's load report."""
         self._placement.observe_report(report, now_ms)
         self._leases.observe_report(report, now_ms)
-        return tuple(self._pump_all(now_ms))
+        return tuple(self._dispatcher.pump_all(now_ms))
 
     def start_draining(self) -> None:
         """Refuse new requests from now on; those that are held go on."""
@@ -158,11 +160,9 @@
                 return answered
         code = self._reason_to_refuse(arrival, now_ms)
         if code is not None:
-            return self._drop(flight, code, now_ms, DEFAULT_RETRY_AFTER_MS)
-        self._flights[flight.request_id] = flight
-        refusals = self._admission.offer(flight.pending, now_ms)
-        actions = list(self._refuse_all(refusals, now_ms))
-        actions.extend(self._pump(arrival.pool_id, now_ms))
+            return self._dispatcher.drop(flight, code, now_ms, DEFAULT_RETRY_AFTER_MS)
+        actions = list(self._dispatcher.queue(flight, now_ms))
+        actions.extend(self._dispatcher.pump(arrival.pool_id, now_ms))
         return tuple(actions)
 
     def _pending_of(self, arrival: Arrival, now_ms: int) -> PendingRequest:
@@ -186,7 +186,7 @@
 
         After True, the request counts as sent.
         """
-        flight = self._flights.get(request_id)
+        flight = self._dispatcher.flights.get(request_id)
         if flight is None or flight.phase is not Phase.DISPATCHED:
             return False
         if not self._placement.may_send(request_id, now_ms):
@@ -204,7 +204,7 @@
 
     def progress(self, request_id: RequestId, events: int, now_ms: int) -> None:
         """Note that further events of an answer were relayed to the caller."""
-        flight = self._flights.get(request_id)
+        flight = self._dispatcher.flights.get(request_id)
         if flight is not None:
             flight.relayed_events += events
         self._placement.progress(request_id, events, now_ms)
@@ -213,32 +213,32 @@
         self, request_id: RequestId, answer: StoredAnswer | None, now_ms: int
     ) -> tuple[Action, ...]:
         """Note that the whole answer arrived; `answer` is needed when it may not be repeated."""
-        flight = self._flight(request_id)
+        flight = self._dispatcher.flight(request_id)
         self._placement.finish(request_id, EndOfWork.COMPLETED, now_ms)
         self._admission.finish(request_id, now_ms)
         self._suspicion.ended(flight)
         self._suspicion.succeeded(flight, now_ms)
-        del self._flights[request_id]
+        del self._dispatcher.flights[request_id]
         actions: list[Action] = []
         if flight.ticket_id is not None and answer is not None:
             self._gate.complete(flight.ticket_id, answer, now_ms)
             actions.extend(
                 ReplayAnswer(request_id=follower, answer=answer) for follower in flight.followers
             )
-        actions.extend(self._pump(flight.pending.pool_id, now_ms))
+        actions.extend(self._dispatcher.pump(flight.pending.pool_id, now_ms))
         return tuple(actions)
 
     def attempt_failed(
         self, request_id: RequestId, end: EndOfWork, now_ms: int
     ) -> tuple[Action, ...]:
         """Note that an attempt ended without a whole answer."""
-        flight = self._flight(request_id)
+        flight = self._dispatcher.flight(request_id)
         choice = flight.choice
         if choice is None or flight.phase is Phase.QUEUED:
             raise UnknownFlightError(f"request {request_id} has no attempt in progress")
         if end is EndOfWork.CRASHED and flight.phase is Phase.SENT:
             self._suspicion.crashed(flight, now_ms)
-        step = self._next_step(flight, choice, end)
+        step = self._dispatcher.next_step(flight, choice, end)
         if step is NextStep.RESUME:
             flight.resumes += 1
             return (dispatch_of(flight, choice, resume=True),)
@@ -246,25 +246,16 @@
         self._suspicion.ended(flight)
         actions: list[Action] = []
         if step is NextStep.RETRY_ELSEWHERE:
-            actions.extend(self._retry(flight, end, now_ms))
+            actions.extend(self._dispatcher.retry(flight, end, now_ms))
         else:
             code = ErrorCode.TICKET_EXPIRED if flight.is_barred else ErrorCode.ENDPOINT_FAILED
-            actions.extend(self._give_up(flight, code, now_ms))
-        actions.extend(self._pump(flight.pending.pool_id, now_ms))
+            actions.extend(self._dispatcher.give_up(flight, code, now_ms))
+        actions.extend(self._dispatcher.pump(flight.pending.pool_id, now_ms))
         return tuple(actions)
 
-    def _next_step(self, flight: Flight, choice: Choice, end: EndOfWork) -> NextStep:
-        """Return the way on; sending a request again costs a part of the retry budget."""
-        resumable = flight.arrival.resumable and choice.endpoint_id in self._resumable
-        step = next_step(flight, end, resumable=resumable)
-        is_costly = step is NextStep.RETRY_ELSEWHERE and flight.phase is Phase.SENT
-        if is_costly and not self._retries.take():
-            return NextStep.GIVE_UP
-        return step
-
     def caller_left(self, request_id: RequestId, now_ms: int) -> tuple[Action, ...]:
         """Note that nobody waits any more; what may not be repeated goes on once it was sent."""
-        flight = self._flights.get(request_id)
+        flight = self._dispatcher.flights.get(request_id)
         if flight is None:
             self._gate.unfollow(request_id)
             return ()
@@ -277,23 +268,54 @@
             self._placement.finish(request_id, EndOfWork.CANCELLED, now_ms)
             self._suspicion.ended(flight)
         self._admission.withdraw(request_id, now_ms)
-        self._drop(flight, ErrorCode.CALLER_LEFT, now_ms)
+        self._dispatcher.drop(flight, ErrorCode.CALLER_LEFT, now_ms)
         cancels: list[Action] = []
         if sent and choice is not None:
             cancels.append(Cancel(request_id=request_id, endpoint_id=choice.endpoint_id))
-        return (*cancels, *self._pump(flight.pending.pool_id, now_ms))
+        return (*cancels, *self._dispatcher.pump(flight.pending.pool_id, now_ms))
+
+    def stranded(self, now_ms: int) -> tuple[Stranded, ...]:
+        """Return the requests whose right to run had better be handed over to a peer."""
+        found = []
+        for flight in self._gate.leaders():
+            peer_id = self._handover.peer_for_stranded(flight, now_ms)
+            if peer_id is not None:
+                flight.stranded_at_ms = now_ms
+                found.append(Stranded(request_id=flight.request_id, peer_id=peer_id))
+        return tuple(found)
+
+    def hand_over(
+        self, request_id: RequestId, successor: ForwardTo, now_ms: int
+    ) -> tuple[Action, ...]:
+        """Give the right to run a queued request to a peer that minted a ticket for it."""
+        flight = self._dispatcher.flights.get(request_id)
+        if flight is None or flight.phase is not Phase.QUEUED:
+            return ()
+        if not self._gate.hand_over(flight, successor, now_ms):
+            return ()
+        self._admission.withdraw(request_id, now_ms)
+        del self._dispatcher.flights[request_id]
+        return tuple(
+            Forward(
+                request_id=name,
+                vm_id=successor.home_id,
+                reason=ForwardReason.HOME,
+                ticket=successor.ticket,
+            )
+            for name in (request_id, *flight.followers)
+        )
 
     # Time and peers.
 
     def tick(self, now_ms: int) -> tuple[Action, ...]:
         """Let time pass: refuse what came too late, renew leases, start what may start."""
-        actions = list(self._refuse_all(self._admission.expire(now_ms), now_ms))
+        actions = list(self._dispatcher.refuse_all(self._admission.expire(now_ms), now_ms))
         self._gate.expire(now_ms)
         demand = {pool_id: self._admission.demand(pool_id) for pool_id in self._admission.pools()}
         actions.extend(self._leases.recalls(now_ms))
         actions.extend(self._leases.renew(demand, now_ms))
-        actions.extend(self._pump_all(now_ms))
-        actions.extend(self._hand_over_waiting(now_ms))
+        actions.extend(self._dispatcher.pump_all(now_ms))
+        actions.extend(self._dispatcher.hand_over_waiting(now_ms))
         return tuple(actions)
 
     def next_wake_ms(self) -> int | None:
@@ -310,7 +332,7 @@
     def lease_granted(self, grant: LeaseGrant, now_ms: int) -> tuple[Action, ...]:
         """Take over a steward's credits."""
         self._placement.apply_grant(grant, now_ms)
-        return tuple(self._pump_all(now_ms))
+        return tuple(self._dispatcher.pump_all(now_ms))
 
     def lease_recalled(self, recall: LeaseRecall, now_ms: int) -> None:
         """Give up a lease on an endpoint that its steward found cold."""
@@ -328,7 +350,7 @@
 
     def load(self) -> tuple[PoolLoad, ...]:
         """Return the requests that are held, by pool."""
-        return summarize_load(self._flights.values())
+        return summarize_load(self._dispatcher.flights.values())
 
     def room(self, now_ms: int) -> int:
         """Return how many more requests this node's credits allow."""
@@ -345,114 +367,3 @@
     def quarantine_known(self, now_ms: int) -> tuple[QuarantineEntry, ...]:
         """Return the evidence against requests that crash endpoints."""
         return self._quarantine.known(now_ms)
-
-    # Inside.
-
-    def _flight(self, request_id: RequestId) -> Flight:
-        """Return a held request."""
-        flight = self._flights.get(request_id)
-        if flight is None:
-            raise UnknownFlightError(f"request {request_id} is not held")
-        return flight
-
-    def _pump_all(self, now_ms: int) -> Iterator[Action]:
-        """Start what may start in every pool."""
-        for pool_id in self._admission.pools():
-            yield from self._pump(pool_id, now_ms)
-
-    def _pump(self, pool_id: PoolId, now_ms: int) -> Iterator[Action]:
-        """Start requests in order of service while an endpoint takes them."""
-        while True:
-            placed = self._place_next(pool_id, now_ms)
-            if not placed:
-                return
-            yield from placed
-
-    def _place_next(self, pool_id: PoolId, now_ms: int) -> tuple[Action, ...]:
-        """Start the first request that an endpoint takes; only picky ones may be skipped."""
-        for skips, pending in enumerate(self._admission.candidates(pool_id, now_ms)):
-            flight = self._flights[pending.request_id]
-            fingerprint = flight.arrival.fingerprint
-            if self._suspicion.must_not_start(fingerprint, now_ms):
-                self._admission.withdraw(flight.request_id, now_ms)
-                return self._drop(flight, ErrorCode.QUARANTINED, now_ms)
-            request = placement_request(flight, self._suspicion.excluded(fingerprint, now_ms))
-            choice = self._placement.choose(request, now_ms)
-            if choice is not None:
-                return (self._start(flight, choice, request, now_ms),)
-            if not request.excluded or skips >= MAX_HEAD_SKIPS:
-                return ()
-        return ()
-
-    def _start(
-        self, flight: Flight, choice: Choice, request: PlacementRequest, now_ms: int
-    ) -> Dispatch:
-        """Take a queued request into service."""
-        self._admission.start(flight.request_id, now_ms)
-        self._placement.start(choice, request, now_ms)
-        if flight.attempt == 0:
-            self._retries.first_attempt()
-        flight.attempt += 1
-        flight.phase = Phase.DISPATCHED
-        flight.choice = choice
-        self._suspicion.started(flight)
-        return dispatch_of(flight, choice, resume=False)
-
-    def _hand_over_waiting(self, now_ms: int) -> Iterator[Action]:
-        """Hand over what waits at the head of a pool that this node may not use."""
-        for pool_id in self._admission.pools():
-            heads = islice(self._admission.candidates(pool_id, now_ms), MAX_HANDOVERS_PER_TICK)
-            for pending in tuple(heads):
-                flight = self._flights[pending.request_id]
-                peer_id = self._handover.peer_instead_of_waiting(flight, now_ms)
-                if peer_id is None:
-                    break
-                self._admission.withdraw(flight.request_id, now_ms)
-                yield self._forward(flight, peer_id)
-
-    def _forward(self, flight: Flight, vm_id: VmId) -> Forward:
-        """Forget a request that a peer takes over."""
-        del self._flights[flight.request_id]
-        return Forward(request_id=flight.request_id, vm_id=vm_id, reason=ForwardReason.CREDITS)
-
-    def _retry(self, flight: Flight, end: EndOfWork, now_ms: int) -> Iterator[Action]:
-        """Queue a request again for another endpoint."""
-        if flight.choice is not None and end is not EndOfWork.CANCELLED:
-            flight.excluded |= {flight.choice.endpoint_id}
-        if flight.phase is Phase.DISPATCHED:
-            flight.attempt -= end is EndOfWork.CANCELLED
-        flight.choice = None
-        flight.phase = Phase.QUEUED
-        yield from self._refuse_all(self._admission.requeue(flight.pending, now_ms), now_ms)
-
-    def _give_up(self, flight: Flight, code: ErrorCode, now_ms: int) -> Iterator[Action]:
-        """End a request that was started, without its answer."""
-        self._admission.finish(flight.request_id, now_ms)
-        yield from self._drop(flight, code, now_ms)
-
-    def _refuse_all(self, refusals: Iterable[Refusal], now_ms: int) -> Iterator[Action]:
-        """Turn admission's refusals into actions."""
-        for refusal in refusals:
-            flight = self._flights[refusal.request_id]
-            peer_id = self._handover.peer_instead_of_refusal(flight, refusal.code, now_ms)
-            if peer_id is not None:
-                yield self._forward(flight, peer_id)
-                continue
-            yield from self._drop(flight, refusal.code, now_ms, refusal.retry_after_ms)
-
-    def _drop(
-        self, flight: Flight, code: ErrorCode, now_ms: int, retry_after_ms: int | None = None
-    ) -> tuple[Action, ...]:
-        """Forget a request and return what it and those that follow it are told."""
-        self._flights.pop(flight.request_id, None)
-        if flight.ticket_id is not None:
-            self._gate.end_without_answer(flight, code, now_ms)
-        return tuple(
-            Refuse(
-                request_id=request_id,
-                code=code,
-                outcome=flight.outcome,
-                retry_after_ms=retry_after_ms,
-            )
-            for request_id in (flight.request_id, *flight.followers)
-        )
--- a/packages/wagtailusher_router/src/wagtailusher_router/flights.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/flights.py
@@ -35,6 +35,7 @@
     resumes: int = 0
     caller_left: bool = False
     is_barred: bool = False
+    stranded_at_ms: int | None = None
     followers: list[RequestId] = field(default_factory=list)
 
     @property
--- a/packages/wagtailusher_router/src/wagtailusher_router/handover.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/handover.py
@@ -6,8 +6,12 @@
 
 from wagtailusher_core import EndpointId, ErrorCode, PoolId, VmId
 from wagtailusher_placement import EndpointInfo, PlacementDecider
-from wagtailusher_router.const import HANDOVER_WAIT_MS
-from wagtailusher_router.flights import Flight
+from wagtailusher_router.const import (
+    HANDOVER_WAIT_MS,
+    MAX_HOPS_BEFORE_HAND_OVER,
+    STRANDED_RETRY_MS,
+)
+from wagtailusher_router.flights import Flight, Phase
 
 _REFUSALS_THAT_A_PEER_MAY_AVERT = frozenset({ErrorCode.QUEUE_FULL, ErrorCode.SHED})
 
@@ -36,11 +40,25 @@
             return None
         return self._peer_for(flight, now_ms)
 
+    def peer_for_stranded(self, flight: Flight, now_ms: int) -> VmId | None:
+        """Return the peer that may take the right to run over, now and then."""
+        if flight.phase is not Phase.QUEUED or flight.arrival.hop_count > MAX_HOPS_BEFORE_HAND_OVER:
+            return None
+        since_ms = flight.stranded_at_ms
+        if since_ms is not None and now_ms - since_ms < STRANDED_RETRY_MS:
+            return None
+        pool_id = flight.pending.pool_id
+        if now_ms - flight.pending.arrived_ms < HANDOVER_WAIT_MS or self._has_credits(
+            pool_id, now_ms
+        ):
+            return None
+        return self._placement.steward_hint(pool_id, now_ms)
+
     def _peer_for(self, flight: Flight, now_ms: int) -> VmId | None:
         """Return a peer that may have credits; a request is handed over once at most."""
         if not flight.may_repeat or flight.ever_sent:
             return None
-        if flight.arrival.forwarded_from is not None:
+        if flight.arrival.hop_count:
             return None
         if self._has_credits(flight.pending.pool_id, now_ms):
             return None
--- a/packages/wagtailusher_router/src/wagtailusher_router/once_gate.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/once_gate.py
@@ -17,7 +17,7 @@
     Submission,
 )
 from wagtailusher_router.actions import Action, Forward, ForwardReason, Refuse, ReplayAnswer
-from wagtailusher_router.const import DEFAULT_RETRY_AFTER_MS
+from wagtailusher_router.const import DEFAULT_RETRY_AFTER_MS, MAX_HOPS
 from wagtailusher_router.events import Arrival
 from wagtailusher_router.flights import Flight
 
@@ -76,6 +76,18 @@
         outcome = Outcome.UNKNOWN if submission.dispatched else Outcome.NOT_RUN
         return (_refuse(flight.request_id, ErrorCode.IN_PROGRESS, outcome, DEFAULT_RETRY_AFTER_MS),)
 
+    def leaders(self) -> tuple[Flight, ...]:
+        """Return the requests that this node alone may run."""
+        return tuple(self._leaders.values())
+
+    def hand_over(self, flight: Flight, successor: ForwardTo, now_ms: int) -> bool:
+        """Give the right to run away for good; return whether that could be done."""
+        ticket_id = flight.ticket_id
+        if ticket_id is None or not self._once.hand_over(ticket_id, successor, now_ms):
+            return False
+        self._leaders.pop(ticket_id, None)
+        return True
+
     def unfollow(self, request_id: RequestId) -> None:
         """Forget a repeat whose caller left."""
         for leader in self._leaders.values():
@@ -117,9 +129,14 @@
     if isinstance(submission, Replay):
         return ReplayAnswer(request_id=request_id, answer=submission.answer)
     if isinstance(submission, ForwardTo):
-        if arrival.forwarded_from is not None:
+        if arrival.hop_count >= MAX_HOPS:
             return _refuse(request_id, ErrorCode.HOME_GONE, Outcome.UNKNOWN)
-        return Forward(request_id=request_id, vm_id=submission.home_id, reason=ForwardReason.HOME)
+        return Forward(
+            request_id=request_id,
+            vm_id=submission.home_id,
+            reason=ForwardReason.HOME,
+            ticket=submission.ticket,
+        )
     if isinstance(submission, AnswerEvicted):
         return _refuse(request_id, ErrorCode.ANSWER_NOT_KEPT, Outcome.COMPLETED)
     if isinstance(submission, OutcomeUnknown):
