Take endpoints of the first list for known, also after an empty one

Cause: a steward or node that was given an empty list of endpoints before the first real one took every endpoint for one that had just appeared, hence cold, and the steward recalled the leases on it. The daemon gives the lists in that order at its start, so each VM that started would have turned the endpoints in its charge cold. Found by reading; the new test fails without the change.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
@@ -46,7 +46,7 @@
                 self.prefixes.clear(endpoint_id)
         for info in infos.values():
             self._track(info, now_ms)
-        self._has_list = True
+        self._has_list = self._has_list or bool(infos)
         self.pools = {}
         for item in self.tracked.values():
             for pool_id in item.info.pool_ids if item.published else ():
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
@@ -47,7 +47,10 @@
         now_ms: int,
         version: int = 0,
     ) -> None:
-        """Take over the published lists; call it at every reading, also without a change."""
+        """Take over the published lists; call it at every reading, also without a change.
+
+        Endpoints of the first list that has any are not taken for new.
+        """
         self._wake(now_ms)
         published = tuple(vms)
         infos = {info.endpoint_id: info for info in endpoints}
@@ -57,7 +60,8 @@
         table = StewardTable(published)
         mine = [info for info in infos.values() if table.steward_of(info) == self._vm_id]
         self._charges = {info.endpoint_id: self._take_charge(info, now_ms) for info in mine}
-        self._known = infos
+        if infos or self._known is not None:
+            self._known = infos
 
     def update_drained_domains(self, domains: Iterable[FailureDomainId], now_ms: int) -> None:
         """Take over the domains that operators took out; those that come back are cold."""
--- a/tests/wagtailusher_placement/test_leases.py
+++ b/tests/wagtailusher_placement/test_leases.py
@@ -16,7 +16,7 @@
     FakeFleet,
 )
 from wagtailusher_core import EndpointId, VmId
-from wagtailusher_placement import EndpointInfo, apportion, steward_of
+from wagtailusher_placement import EndpointInfo, LoadReport, apportion, steward_of
 from wagtailusher_placement.const import GUARANTEED_SLOTS
 
 SETTLED_MS = LIMITS.settling_ms + 3_000
@@ -105,6 +105,25 @@
         view = fleet.nodes[idle_id].placement.view(fleet.now_ms)[0]
         self.assertEqual(view.allowed, 16 // 4)
 
+    def test_a_steward_that_starts_takes_over_warm_endpoints(self) -> None:
+        info = endpoint("a").info
+        fleet = FakeFleet([], 1, seed=1)
+        node = next(iter(fleet.nodes.values()))
+        node.placement.update_endpoints((), 0)
+        node.steward.update_published((node.vm,), (), 0)
+        node.steward.update_published((node.vm,), (info,), 0)
+        node.placement.update_endpoints((info,), 0)
+        node.placement.update_published((node.vm,), 0)
+        for now_ms in range(0, SETTLED_MS, 200):
+            report = LoadReport(endpoint_id=info.endpoint_id, reported_at_ms=now_ms)
+            node.steward.observe_report(report, now_ms)
+            for request in node.placement.lease_requests({POOL: {1: 4}}, now_ms):
+                grant = node.steward.request(request, now_ms)
+                if grant is not None:
+                    node.placement.apply_grant(grant, now_ms)
+        view = node.placement.view(now_ms)[0]
+        self.assertEqual((view.allowed, view.cold), (16, False))
+
     def test_a_paused_steward_or_holder_settles_anew(self) -> None:
         fleet = FakeFleet([endpoint("a")], 3, seed=1, loss=0.0)
         fleet.run(SETTLED_MS)
