--- a/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/results.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/results.py
@@ -90,7 +90,6 @@
     measured = [call for call in calls if start_ms <= call.arrived_ms < end_ms]
     healthy = [call for call in measured if not call.crashes_endpoint]
     refused = [call for call in healthy if call.ending is Ending.REFUSED]
-    left = [call for call in healthy if call.ending is Ending.LEFT]
     by_tier = _attainment(healthy, lambda call: f"{call.traffic.tier}")
     wasted_ms = after.wasted_ms - before.wasted_ms
     total_ms = wasted_ms + after.useful_ms - before.useful_ms
@@ -106,9 +105,9 @@
         highest_tier_attainment=by_tier[min(by_tier)] if by_tier else 1.0,
         goodput=round(_goodput(key.mix, calls, start_ms, end_ms), _DIGITS),
         wasted_work_share=round(wasted_ms / total_ms if total_ms else 0.0, _DIGITS),
-        refused_by_tier=_count(f"{call.traffic.tier}" for call in refused),
-        refused_by_code=_count(call.code for call in refused),
-        left_by_tier=_count(f"{call.traffic.tier}" for call in left),
+        refused_by_tier=_count_tiers(healthy, Ending.REFUSED),
+        refused_by_code=dict(sorted(Counter(call.code for call in refused).items())),
+        left_by_tier=_count_tiers(healthy, Ending.LEFT),
         failed=sum(call.ending is Ending.FAILED for call in healthy),
         longest_wait_ms_by_class=_longest_waits(key.mix, measured),
         max_starvation_ms_by_class=_starvation(key.mix, calls, start_ms, end_ms),
@@ -142,9 +141,10 @@
     return work_ms / (capacity * (end_ms - start_ms))
 
 
-def _count(labels: Iterable[str]) -> dict[str, int]:
-    """Return how often each label occurs."""
-    return dict(sorted(Counter(labels).items()))
+def _count_tiers(calls: Iterable[Call], ending: Ending) -> dict[str, int]:
+    """Return how many calls ended in a way, by tier."""
+    tiers = Counter(f"{call.traffic.tier}" for call in calls if call.ending is ending)
+    return dict(sorted(tiers.items()))
 
 
 def _longest_waits(mix: Mix, calls: Iterable[Call]) -> dict[str, int]:
