Take the daemon's wiring apart; linger while callers may keep the address

Deciders, lookups and periodic tasks have modules of their own; a leaving VM answers "draining" for the lifetime of an address answer, within the grace. Load polls begin with the engines whose steward this VM is.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -3,15 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from itertools import count
 import logging
-import secrets
 
-from wagtailusher_admission import AdmissionDecider
 from wagtailusher_core import (
     ClassKey,
-    EndpointId,
     ErrorCode,
     FailureDomainId,
     Incarnation,
@@ -31,8 +27,9 @@
     FLEET_TICK_INTERVAL_MS,
     MS_PER_S,
     QUARANTINE_INTERVAL_MS,
-    RENEWALS_PER_LIFETIME,
 )
+from wagtailusher_daemon.deciders import new_decider, new_seed
+from wagtailusher_daemon.directory import Directory
 from wagtailusher_daemon.fleet_talk import FleetTalk, Identity
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.forwarding import Forwarder
@@ -44,15 +41,14 @@
 from wagtailusher_daemon.options import EntryOptions
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.peers import Peers
+from wagtailusher_daemon.periodic import PeriodicTasks
 from wagtailusher_daemon.tls import peer_context, server_context
 from wagtailusher_daemon.tracing import Tracing
 from wagtailusher_daemon.upstream import Upstream
 from wagtailusher_http import HttpClient, HttpServer, Request, Response, async_serve
 from wagtailusher_integrations.config_service import ConfigServiceCoordinator
 from wagtailusher_integrations.vm_list import VmList, VmListCoordinator
-from wagtailusher_once import OnceDecider, QuarantineDecider, TicketMint
-from wagtailusher_placement import LeaseLimits, PlacementDecider, StewardDecider
-from wagtailusher_router import Cancel, RouterDecider, RouterParts
+from wagtailusher_once import TicketMint
 from wagtailusher_wire import Message, Sealed, Sealer
 
 _LOGGER = logging.getLogger(__name__)
@@ -77,19 +73,23 @@
             self.vm_id,
             trace_file=options.trace_file,
             otlp_address=options.otlp_address,
-            seed=_new_seed(),
+            seed=new_seed(),
             sample_share=self._trace_sample_share,
         )
         self.is_draining = False
+        self.directory = Directory()
         self._client = HttpClient()
         self._peer_client = HttpClient(ssl_context=peer_context(options))
         self._secrets = _secrets_of(options)
-        self.upstream = Upstream(self._client, self._address_of_cancel)
-        self.peers = Peers(self._peer_address_of, self._receive)
+        self.upstream = Upstream(self._client, self.directory.address_of_cancel)
+        self.peers = Peers(self.directory.peer_address_of, self._receive)
         self.node = RouterNode(
-            self._new_decider(), send_peer=self.peers.send, cancel=self.upstream.cancel
+            new_decider(options, self.incarnation, self._quota_share),
+            send_peer=self.peers.send,
+            cancel=self.upstream.cancel,
         )
         self.view = FleetView(self.node, self.metrics)
+        self.directory.attach(self.view)
         self.link = self._new_link()
         self.caller_server: HttpServer | None = None
         self.operator_server: HttpServer | None = None
@@ -100,32 +100,12 @@
             self._peer_client, vm_id=self.vm_id, incarnation=self.incarnation, secrets=self._secrets
         )
         self._service = ConfigServiceCoordinator(
-            self._client, options.config_service, seed=_new_seed()
+            self._client, options.config_service, seed=new_seed()
         )
         self._vm_list = VmListCoordinator(
-            self._client, options.vm_list, seed=_new_seed(), on_list=self._take_list
+            self._client, options.vm_list, seed=new_seed(), on_list=self._take_list
         )
-        self._tasks: list[asyncio.Task[None]] = []
-
-    def _new_decider(self) -> RouterDecider:
-        """Return the decider of this VM."""
-        limits = _lease_limits(self.options)
-        parts = RouterParts(
-            vm_id=self.vm_id,
-            admission=AdmissionDecider(),
-            placement=PlacementDecider(
-                vm_id=self.vm_id,
-                failure_domain_id=FailureDomainId(self.options.failure_domain),
-                seed=_new_seed(),
-                limits=limits,
-                incarnation=self.incarnation,
-            ),
-            steward=StewardDecider(vm_id=self.vm_id, limits=limits, incarnation=self.incarnation),
-            once=OnceDecider(vm_id=self.vm_id, incarnation=self.incarnation),
-            quarantine=QuarantineDecider(),
-            quota_share=self._quota_share,
-        )
-        return RouterDecider(parts)
+        self._tasks = PeriodicTasks()
 
     def _new_link(self) -> PeerLink:
         """Return the socket to the peers."""
@@ -180,17 +160,22 @@
         self.operator_server = await async_serve(
             OperatorApi(self).async_handle, host=operator_host, port=operator_port
         )
-        self.talk = self._new_talk()
+        self.talk = talk = self._new_talk()
+        self.directory.attach_talk(talk)
         api.addresses = self._new_address_book()
-        self._tasks.append(asyncio.create_task(self._vm_list.async_run()))
-        self._every(FLEET_TICK_INTERVAL_MS, self._async_tick_fleet)
-        self._every(QUARANTINE_INTERVAL_MS, self._async_spread_quarantine)
-        self._every(options.tick_interval_ms, self._async_tick)
-        self._every(options.load_poll_interval_ms, self._async_poll_load)
+        self._tasks.run(self._vm_list.async_run())
+        self._tasks.every(FLEET_TICK_INTERVAL_MS, talk.tick)
+        self._tasks.every(QUARANTINE_INTERVAL_MS, talk.spread_quarantine)
+        self._tasks.every(options.tick_interval_ms, self._tick)
+        self._tasks.every_async(options.load_poll_interval_ms, self._async_poll_load)
         _LOGGER.info("Daemon: %s serves callers at %s", self.vm_id, self.address)
 
     async def async_stop(self, grace_ms: int | None = None) -> bool:
-        """Leave: refuse new work, let work in progress end; return whether all did."""
+        """Leave: refuse new work, let work in progress end; return whether all did.
+
+        For as long as callers may keep this VM's address, they are told to use another one;
+        after that the VM listens no more.
+        """
         self.is_draining = True
         self.node.decider.start_draining()
         if self.talk is not None:
@@ -198,14 +183,14 @@
         if grace_ms is None:
             settings = self.view.settings
             grace_ms = settings.fleet.shutdown_grace_ms if settings is not None else 0
+        ends_ms = monotonic_ms() + grace_ms
+        await asyncio.sleep(min(grace_ms, self._address_lifetime_ms()) / MS_PER_S)
         clean = True
         if self.caller_server is not None:
-            clean = await self.caller_server.async_drain(grace_ms)
+            clean = await self.caller_server.async_drain(max(0, ends_ms - monotonic_ms()))
             await self.caller_server.async_close()
-        clean = await self._async_finish_once(grace_ms) and clean
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        clean = await self._async_finish_once(max(0, ends_ms - monotonic_ms())) and clean
+        await self._tasks.async_stop()
         if self.talk is not None:
             await self.talk.async_end()
         if self.operator_server is not None:
@@ -238,7 +223,7 @@
             self._peer_client,
             vm_id=self.vm_id,
             secrets=self._secrets,
-            address_of=self._address_of_vm,
+            address_of=self.directory.address_of,
             silence_timeout_ms=self._silence_timeout_ms,
         )
         return CallerApi(
@@ -267,7 +252,7 @@
         )
         return FleetTalk(
             identity,
-            seed=_new_seed(),
+            seed=new_seed(),
             send=self.link.send,
             node=self.node,
             view=self.view,
@@ -287,16 +272,6 @@
         if self.talk is not None:
             self.talk.update_published(vm_list.entry_vms)
 
-    def _address_of_vm(self, vm_id: VmId) -> str | None:
-        """Return the address at which a VM serves callers."""
-        own = self.talk.member_address(vm_id) if self.talk is not None else None
-        return own or self.view.address_of_vm(vm_id)
-
-    def _peer_address_of(self, vm_id: VmId) -> str | None:
-        """Return the address at which a VM's process receives datagrams."""
-        own = self.talk.peer_address(vm_id) if self.talk is not None else None
-        return own or self.view.peer_address_of(vm_id)
-
     def _hint(self, revision: Revision) -> None:
         """Take in a revision that a caller heard of elsewhere."""
         if self.talk is not None:
@@ -345,51 +320,22 @@
             return _DEFAULT_ADDRESS_LIFETIME_MS
         return settings.fleet.address_lifetime_ms
 
-    def _address_of_cancel(self, action: Cancel) -> str | None:
-        """Return the address of the engine that a cancellation goes to."""
-        info = self.view.endpoints.get(EndpointId(action.endpoint_id))
-        return None if info is None else info.address
-
-    def _every(self, interval_ms: int, action: Callable[[], Awaitable[None]]) -> None:
-        """Start a task that repeats an action until the daemon stops."""
-        self._tasks.append(asyncio.create_task(_async_repeat(interval_ms, action)))
-
-    async def _async_tick(self) -> None:
+    def _tick(self) -> None:
         """Let the decider see the time."""
         self.node.tick()
         self.metrics.held.set({}, self.node.held_count)
 
-    async def _async_tick_fleet(self) -> None:
-        """Let the fleet's deciders see the time."""
-        assert self.talk is not None
-        self.talk.tick()
-
-    async def _async_spread_quarantine(self) -> None:
-        """Tell peers about requests that crash endpoints."""
-        assert self.talk is not None
-        self.talk.spread_quarantine()
-
     async def _async_poll_load(self) -> None:
-        """Poll the engines' load."""
-        reports = await self.upstream.engines.async_poll(self.view.engines, monotonic_ms)
+        """Poll the engines' load, first of those whose steward this VM is."""
+        decider = self.node.decider
+        engines = sorted(
+            self.view.engines,
+            key=lambda info: decider.steward_id(info.endpoint_id) != self.vm_id,
+        )
+        reports = await self.upstream.engines.async_poll(engines, monotonic_ms)
         self.node.observe_reports(reports)
 
 
-def _new_seed() -> int:
-    """Return a seed for a decider of this process."""
-    return secrets.randbits(_SEED_BITS)
-
-
-async def _async_repeat(interval_ms: int, action: Callable[[], Awaitable[None]]) -> None:
-    """Repeat an action; an unforeseen error is logged and the next turn is tried."""
-    while True:
-        try:
-            await action()
-        except Exception:
-            _LOGGER.exception("Daemon: a periodic task failed")
-        await asyncio.sleep(interval_ms / MS_PER_S)
-
-
 def _split(address: str) -> tuple[str, int]:
     """Return the host and port of a checked address."""
     host, _, port = address.rpartition(":")
@@ -400,13 +346,3 @@
     """Return the fleet's secrets, the present one first."""
     texts = (options.fleet_secret, options.previous_fleet_secret)
     return tuple(text.encode() for text in texts if text)
-
-
-def _lease_limits(options: EntryOptions) -> LeaseLimits:
-    """Return the times of leases."""
-    return LeaseLimits(
-        lifetime_ms=options.lease_lifetime_ms,
-        renewal_ms=options.lease_lifetime_ms // RENEWALS_PER_LIFETIME,
-        list_lag_ms=options.list_lag_ms,
-        pause_tolerance_ms=options.pause_tolerance_ms,
-    )
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 import logging
 
-from wagtailusher_core import ErrorCode, Outcome, Revision, VmId, WagtailusherError
+from wagtailusher_core import ErrorCode, Outcome, Revision, WagtailusherError
 from wagtailusher_daemon.addresses import AddressBook
 from wagtailusher_daemon.answers import coded_response
 from wagtailusher_daemon.classify import Classified, Classifier
@@ -29,6 +29,7 @@
 from wagtailusher_daemon.exchange import Exchange
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.metrics import EntryMetrics
+from wagtailusher_daemon.models import TicketAnswer
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.observation import Observer
 from wagtailusher_daemon.once_exchange import OnceExchange
@@ -131,12 +132,12 @@
             return coded_response(ErrorCode.NOT_READY, Outcome.NOT_RUN, "not ready")
         settings = self.settings()
         lifetime_ms = settings.fleet.ticket_lifetime_ms if settings is not None else 0
-        value = {
-            "ticket": self.mint.mint(wall_ms()),
-            "lifetime_ms": lifetime_ms,
-            "address": self._addresses().own_address,
-        }
-        return json_response(HTTPStatus.OK, value)
+        answer = TicketAnswer(
+            ticket=self.mint.mint(wall_ms()),
+            lifetime_ms=lifetime_ms,
+            address=self._addresses().own_address,
+        )
+        return json_response(HTTPStatus.OK, answer.model_dump())
 
     async def _async_route(self, request: Request) -> Response:
         """Classify a request and carry it."""
@@ -144,7 +145,7 @@
         classified = self.classifier.classify(request, sender)
         if classified.arrival.policy.repeatable:
             return await self._new_exchange(request, classified).async_answer()
-        return await self._async_run_once(request, classified, sender)
+        return await self._async_run_once(request, classified)
 
     def _new_exchange(self, request: Request, classified: Classified) -> Exchange:
         """Start a repeatable request."""
@@ -158,9 +159,7 @@
             silence_timeout_ms=self._silence_timeout_ms(),
         )
 
-    async def _async_run_once(
-        self, request: Request, classified: Classified, sender: VmId | None
-    ) -> Response:
+    async def _async_run_once(self, request: Request, classified: Classified) -> Response:
         """Run a request that may not be repeated in a task that outlives its caller."""
         exchange = OnceExchange(
             request,
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/classify.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/classify.py
@@ -15,7 +15,6 @@
     ErrorCode,
     PoolId,
     RequestId,
-    VmId,
     WagtailusherError,
     WorkspaceId,
 )
@@ -35,6 +34,7 @@
     PREFIX_BLOCK_BYTES,
 )
 from wagtailusher_daemon.exceptions import RefusedRequestError
+from wagtailusher_daemon.forwarding import Sender
 from wagtailusher_daemon.models import ChatRequest
 from wagtailusher_http import Request
 from wagtailusher_integrations.engine import ChatCall
@@ -62,7 +62,7 @@
     mint: TicketMint
     next_id: Callable[[], RequestId]
 
-    def classify(self, request: Request, forwarded_from: VmId | None) -> Classified:
+    def classify(self, request: Request, sender: Sender | None) -> Classified:
         """Return a classified request or raise RefusedRequestError."""
         settings = self.settings()
         if settings is None:
@@ -72,8 +72,8 @@
         try:
             workspace_id = settings.workspace_by_api_key(_api_key(request))
             if request.path == PATH_CHAT:
-                return self._classify_chat(request, settings, workspace_id, forwarded_from)
-            return self._classify_service(request, settings, workspace_id, forwarded_from)
+                return self._classify_chat(request, settings, workspace_id, sender)
+            return self._classify_service(request, settings, workspace_id, sender)
         except RefusedRequestError:
             raise
         except WagtailusherError as err:
@@ -84,7 +84,7 @@
         request: Request,
         settings: Settings,
         workspace_id: WorkspaceId,
-        forwarded_from: VmId | None,
+        sender: Sender | None,
     ) -> Classified:
         """Classify a chat completion."""
         if request.method != "POST":
@@ -99,7 +99,7 @@
                 ErrorCode.UNKNOWN_MODEL,
                 f"route {route_id} has no model {chat.model}",
             )
-        arrival = self._arrival(request, policy, pool_id, forwarded_from, chat=chat)
+        arrival = self._arrival(request, policy, pool_id, sender, chat=chat)
         call = ChatCall(
             request_id=arrival.request_id,
             tier=policy.tier,
@@ -113,13 +113,13 @@
         request: Request,
         settings: Settings,
         workspace_id: WorkspaceId,
-        forwarded_from: VmId | None,
+        sender: Sender | None,
     ) -> Classified:
         """Classify a call of a plain service."""
         route_id, _, _ = request.path.removeprefix(PATH_SERVICES).partition("/")
         policy = _resolve(settings, workspace_id, route_id, request)
         pool_id = policy.pool_ids[0]
-        arrival = self._arrival(request, policy, pool_id, forwarded_from, chat=None)
+        arrival = self._arrival(request, policy, pool_id, sender, chat=None)
         call = ServiceCall(
             request_id=arrival.request_id,
             method=request.method,
@@ -134,7 +134,7 @@
         request: Request,
         policy: ClassPolicy,
         pool_id: PoolId,
-        forwarded_from: VmId | None,
+        sender: Sender | None,
         *,
         chat: ChatRequest | None,
     ) -> Arrival:
@@ -155,7 +155,8 @@
             idempotency_key=request.headers.get(HEADER_KEY),
             first_sent_wall_ms=_read_first_sent(request),
             now_wall_ms=now_wall_ms,
-            forwarded_from=forwarded_from,
+            forwarded_from=None if sender is None else sender.vm_id,
+            hops=0 if sender is None else sender.hops,
         )
 
     def _read_ticket(self, request: Request, now_wall_ms: int) -> Ticket | None:
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
@@ -0,0 +1,55 @@
+"""Builds the decider of one VM from its options."""
+
+from __future__ import annotations
+
+import secrets
+
+from wagtailusher_admission import AdmissionDecider
+from wagtailusher_core import FailureDomainId, Incarnation, VmId
+from wagtailusher_daemon.const import RENEWALS_PER_LIFETIME
+from wagtailusher_daemon.options import EntryOptions
+from wagtailusher_once import OnceDecider, QuarantineDecider
+from wagtailusher_placement import LeaseLimits, PlacementDecider, StewardDecider
+from wagtailusher_router import QuotaShare, RouterDecider, RouterParts
+
+_SEED_BITS = 63
+
+
+def new_decider(
+    options: EntryOptions, incarnation: Incarnation, quota_share: QuotaShare
+) -> RouterDecider:
+    """Return the composed decider."""
+    vm_id = VmId(options.vm_id)
+    limits = _lease_limits(options)
+    placement = PlacementDecider(
+        vm_id=vm_id,
+        failure_domain_id=FailureDomainId(options.failure_domain),
+        seed=new_seed(),
+        limits=limits,
+        incarnation=incarnation,
+    )
+    parts = RouterParts(
+        vm_id=vm_id,
+        admission=AdmissionDecider(),
+        placement=placement,
+        steward=StewardDecider(vm_id=vm_id, limits=limits, incarnation=incarnation),
+        once=OnceDecider(vm_id=vm_id, incarnation=incarnation),
+        quarantine=QuarantineDecider(),
+        quota_share=quota_share,
+    )
+    return RouterDecider(parts)
+
+
+def new_seed() -> int:
+    """Return a seed for a decider of this process."""
+    return secrets.randbits(_SEED_BITS)
+
+
+def _lease_limits(options: EntryOptions) -> LeaseLimits:
+    """Return the times of leases."""
+    return LeaseLimits(
+        lifetime_ms=options.lease_lifetime_ms,
+        renewal_ms=options.lease_lifetime_ms // RENEWALS_PER_LIFETIME,
+        list_lag_ms=options.list_lag_ms,
+        pause_tolerance_ms=options.pause_tolerance_ms,
+    )
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 import logging
 
 from wagtailusher_core import ErrorCode, Outcome, WagtailusherError
+from wagtailusher_daemon.answer_relay import AnswerRelay, is_events
 from wagtailusher_daemon.answers import refusal_response
 from wagtailusher_daemon.classify import Classified
 from wagtailusher_daemon.const import HEADER_REQUEST_ID
@@ -14,7 +14,7 @@
 from wagtailusher_daemon.node import Mailbox, RouterNode
 from wagtailusher_daemon.observation import Observation
 from wagtailusher_daemon.upstream import Upstream, end_of, end_of_status
-from wagtailusher_http import ClientAnswer, Headers, Request, Response
+from wagtailusher_http import BodySink, ClientAnswer, Headers, Request, Response
 from wagtailusher_integrations.engine import EventStream
 from wagtailusher_placement import EndOfWork
 from wagtailusher_router import Dispatch, Forward, Refuse
@@ -24,8 +24,6 @@
 _HOP_HEADERS = frozenset(
     {"connection", "transfer-encoding", "content-length", "keep-alive", "date", "server"}
 )
-_EVENTS = "text/event-stream"
-PROGRESS_EVENTS = 8
 
 
 class Exchange:
@@ -52,6 +50,7 @@
         self._silence_timeout_ms = silence_timeout_ms
         self._request_id = classified.arrival.request_id
         self._done = False
+        self._relay: AnswerRelay | None = None
         self._mailbox: Mailbox = node.arrive(classified.arrival)
 
     async def async_answer(self) -> Response:
@@ -89,8 +88,8 @@
                 answer.abort()
                 self._fail(failed)
                 return None
-            parts = self._parts(answer)
-            first = await anext(parts, None)
+            relay = self._new_relay(answer)
+            first = await relay.async_first()
         except WagtailusherError as err:
             self._log_failure(dispatch, err)
             self._fail(end_of(err))
@@ -99,10 +98,20 @@
         return Response(
             status=answer.status,
             headers=headers,
-            body=self._async_body(parts, first),
+            body=lambda sink: self._async_body(relay, first, sink),
             on_end=self._end,
         )
 
+    def _new_relay(self, answer: ClientAnswer) -> AnswerRelay:
+        """Return the relay of an answer, given up when this exchange ends before."""
+        self._relay = AnswerRelay(answer, self._progress, self._silence_timeout_ms)
+        return self._relay
+
+    def _progress(self, events: int) -> None:
+        """Note events that were relayed."""
+        self._node.progress(self._request_id, events)
+        self._observation.progress(events)
+
     async def _async_open(self, dispatch: Dispatch) -> ClientAnswer:
         """Send the request or resume its answer."""
         traceparent = self._observation.dispatched(dispatch)
@@ -113,53 +122,23 @@
             may_send=lambda: self._node.may_send(self._request_id),
         )
 
-    async def _parts(self, answer: ClientAnswer) -> AsyncIterator[bytes]:
-        """Yield the answer in parts that may be relayed; raise when it is not whole."""
-        chunks = answer.iter_chunks(self._silence_timeout_ms)
-        if not (answer.headers.get("content-type") or "").startswith(_EVENTS):
-            async for chunk in chunks:
-                yield chunk
-            return
-        stream = EventStream()
-        waiting = 0
-        try:
-            async for chunk in chunks:
-                seen = stream.event_count
-                events = stream.feed(chunk)
-                if events:
-                    yield events
-                    waiting += stream.event_count - seen
-                    self._observation.progress(stream.event_count - seen)
-                    if waiting >= PROGRESS_EVENTS:
-                        self._node.progress(self._request_id, waiting)
-                        waiting = 0
-        except WagtailusherError:
-            self._node.progress(self._request_id, waiting)
-            raise
-        self._node.progress(self._request_id, waiting)
-        if not stream.is_complete:
-            raise BrokenAnswerError("the stream ended without its end marker")
-
-    async def _async_body(
-        self, parts: AsyncIterator[bytes], first: bytes | None
-    ) -> AsyncIterator[bytes]:
+    async def _async_body(self, relay: AnswerRelay, first: bytes, sink: BodySink) -> None:
         """Relay the parts, resuming over a new connection where that is possible."""
-        if first is not None:
+        if first:
             self._note_first()
-            yield first
+            sink.write(first)
         while True:
             try:
-                async for part in parts:
-                    yield part
+                await relay.async_pump(sink)
                 break
             except WagtailusherError as err:
-                parts = await self._async_resume(err)
+                relay = await self._async_resume(err)
         self._done = True
         self._node.complete(self._request_id)
         self._observation.completed()
 
-    async def _async_resume(self, err: WagtailusherError) -> AsyncIterator[bytes]:
-        """Return the parts of a resumed answer, or raise that the answer is broken."""
+    async def _async_resume(self, err: WagtailusherError) -> AnswerRelay:
+        """Return the relay of a resumed answer, or raise that the answer is broken."""
         self._fail(end_of(err))
         while True:
             message = await self._mailbox.get()
@@ -169,7 +148,7 @@
                 self._observation.refused(ErrorCode.ANSWER_TRUNCATED, outcome)
                 raise BrokenAnswerError("the endpoint's answer broke off") from err
             try:
-                return self._parts(await self._async_open(message))
+                return self._new_relay(await self._async_open(message))
             except WagtailusherError as again:
                 self._log_failure(message, again)
                 self._fail(end_of(again))
@@ -196,6 +175,8 @@
 
     def _end(self) -> None:
         """Close the mailbox; a request that is not done lost its caller."""
+        if self._relay is not None:
+            self._relay.give_up()
         if not self._done:
             self._done = True
             self._node.caller_left(self._request_id)
@@ -205,7 +186,7 @@
 
 def check_whole(answer: ClientAnswer, body: bytes) -> None:
     """Raise when a body that was read at once is a stream without its end marker."""
-    if not (answer.headers.get("content-type") or "").startswith(_EVENTS):
+    if not is_events(answer):
         return
     stream = EventStream()
     stream.feed(body)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/forwarding.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/forwarding.py
@@ -5,14 +5,24 @@
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 import binascii
 from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 from hashlib import sha256
 import hmac
 
+from pydantic import ValidationError
+
 from wagtailusher_core import ErrorCode, Outcome, VmId, WagtailusherError
 from wagtailusher_daemon.answers import coded_response
 from wagtailusher_daemon.clock import wall_ms
-from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS, HEADER_FORWARDED
+from wagtailusher_daemon.const import (
+    DEFAULT_HEAD_TIMEOUT_MS,
+    HEADER_FORWARDED,
+    HEADER_TICKET,
+    PATH_TICKETS,
+    TICKET_TIMEOUT_MS,
+)
 from wagtailusher_daemon.exceptions import DaemonError
+from wagtailusher_daemon.models import TicketAnswer
 from wagtailusher_http import ClientAnswer, ConnectError, HttpClient, Request, Response
 from wagtailusher_router import Forward, ForwardReason
 
@@ -23,6 +33,15 @@
 )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Sender:
+    """The VM that handed a request over, and the number of VMs that did so."""
+
+    vm_id: VmId
+    sent_wall_ms: int
+    hops: int
+
+
 class Forwarder:
     """Sends requests to peers with a voucher that only the fleet can make."""
 
@@ -48,7 +67,10 @@
         not_sent = _not_reached(forward)
         if address is None:
             return not_sent
-        headers = request.headers.with_field(HEADER_FORWARDED, self._vouch(request))
+        headers = request.headers
+        if forward.ticket is not None:
+            headers = headers.with_field(HEADER_TICKET, forward.ticket)
+        headers = headers.with_field(HEADER_FORWARDED, self._vouch(request))
         try:
             answer = await self._client.async_request(
                 address,
@@ -74,8 +96,29 @@
         async for chunk in answer.iter_chunks(self._silence_timeout_ms()):
             yield chunk
 
-    def sender_of(self, request: Request) -> VmId | None:
+    async def async_ticket(self, vm_id: VmId) -> str | None:
+        """Return a ticket that a peer minted, or None."""
+        address = self._address_of(vm_id)
+        if address is None:
+            return None
+        try:
+            answer = await self._client.async_request(
+                address, "POST", PATH_TICKETS, head_timeout_ms=TICKET_TIMEOUT_MS
+            )
+            body = await answer.async_read(TICKET_TIMEOUT_MS)
+            return TicketAnswer.model_validate_json(body).ticket
+        except (WagtailusherError, ValidationError):
+            return None
+
+    def sender_of(self, request: Request) -> Sender | None:
         """Return the VM that handed a request over, or None when a caller sent it."""
+        sender = self._read_voucher(request)
+        if sender is not None and abs(wall_ms() - sender.sent_wall_ms) > MAX_VOUCHER_AGE_MS:
+            raise _unauthenticated()
+        return sender
+
+    def _read_voucher(self, request: Request) -> Sender | None:
+        """Return what a request's voucher says, of whatever age."""
         voucher = request.headers.get(HEADER_FORWARDED)
         if voucher is None:
             return None
@@ -83,20 +126,20 @@
             text, _, mac = voucher.partition(".")
             payload = urlsafe_b64decode(text)
             given = urlsafe_b64decode(mac)
-            vm_id, sent_text = payload.decode().split(_SEPARATOR)
-            sent_wall_ms = int(sent_text)
+            vm_id, sent_text, hops_text = payload.decode().split(_SEPARATOR)
+            sender = Sender(vm_id=VmId(vm_id), sent_wall_ms=int(sent_text), hops=int(hops_text))
         except (ValueError, binascii.Error) as err:
             raise _unauthenticated() from err
         expected = (_mac(secret, payload, request) for secret in self._secrets)
         if not any(hmac.compare_digest(given, mac) for mac in expected):
             raise _unauthenticated()
-        if abs(wall_ms() - sent_wall_ms) > MAX_VOUCHER_AGE_MS:
-            raise _unauthenticated()
-        return VmId(vm_id)
+        return sender
 
     def _vouch(self, request: Request) -> str:
-        """Return the voucher of a request."""
-        payload = f"{self._vm_id}{_SEPARATOR}{wall_ms()}".encode()
+        """Return the voucher of a request, which counts the VMs that it came through."""
+        sender = self._read_voucher(request)
+        hops = 1 if sender is None else sender.hops + 1
+        payload = _SEPARATOR.join((self._vm_id, str(wall_ms()), str(hops))).encode()
         mac = _mac(self._secrets[0], payload, request)
         return f"{urlsafe_b64encode(payload).decode()}.{urlsafe_b64encode(mac).decode()}"
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/metrics.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/metrics.py
@@ -18,46 +18,28 @@
     def __init__(self) -> None:
         """Register every metric."""
         self.registry = Registry()
-        self.requests = Counter(
-            "wagtailusher_requests_total", "Requests by tier and outcome", registry=self.registry
-        )
-        self.refusals = Counter(
-            "wagtailusher_refusals_total", "Refusals by code and outcome", registry=self.registry
-        )
-        self.targets = Counter(
-            "wagtailusher_target_total",
-            "Requests by tier and whether the latency target was met",
-            registry=self.registry,
-        )
-        self.retries = Counter(
-            "wagtailusher_attempts_failed_total",
-            "Attempts that ended without a whole answer, by end",
-            registry=self.registry,
-        )
-        self.forwards = Counter(
-            "wagtailusher_forwards_total",
-            "Requests handed over to another VM, by reason",
-            registry=self.registry,
-        )
-        self.peer_errors = Counter(
-            "wagtailusher_peer_errors_total",
-            "Peer messages refused, by code",
-            registry=self.registry,
-        )
+        self.requests = self._counter("requests", "Requests by tier and outcome")
+        self.refusals = self._counter("refusals", "Refusals by code and outcome")
+        self.targets = self._counter("target", "Requests by tier and whether the target was met")
+        self.retries = self._counter("attempts_failed", "Attempts without a whole answer, by end")
+        self.forwards = self._counter("forwards", "Requests handed to another VM, by reason")
+        self.peer_errors = self._counter("peer_errors", "Peer messages refused, by code")
         self.first_token_s = Histogram(
             "wagtailusher_first_token_seconds",
             "Time to the first part of the answer, by tier",
             registry=self.registry,
             buckets=_LATENCY_BUCKETS_S,
         )
-        self.held = Gauge(
-            "wagtailusher_requests_held", "Requests queued or in flight", registry=self.registry
-        )
-        self.revision = Gauge(
-            "wagtailusher_settings_revision",
-            "Number of the settings revision in force",
-            registry=self.registry,
-        )
+        self.held = self._gauge("requests_held", "Requests queued or in flight")
+        self.revision = self._gauge("settings_revision", "Number of the revision in force")
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        """Register a counter."""
+        return Counter(f"wagtailusher_{name}_total", doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        """Register a gauge."""
+        return Gauge(f"wagtailusher_{name}", doc, registry=self.registry)
 
     def count_refusal(self, code: ErrorCode, outcome: Outcome) -> None:
         """Count an error answer."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/models.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/models.py
@@ -15,3 +15,13 @@
     model: str = Field(min_length=1)
     messages: list[Any] = Field(min_length=1)
     stream: bool = False
+
+
+class TicketAnswer(BaseModel):
+    """A ticket for one request that may not be repeated, and where to use it."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    ticket: str
+    lifetime_ms: int
+    address: str
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
@@ -7,7 +7,7 @@
 
 from wagtailusher_core import RequestId, callback
 from wagtailusher_daemon.clock import monotonic_ms
-from wagtailusher_once import StoredAnswer
+from wagtailusher_once import ForwardTo, StoredAnswer
 from wagtailusher_placement import EndOfWork, LeaseGrant, LeaseRecall, LeaseRequest, LoadReport
 from wagtailusher_router import (
     Action,
@@ -17,9 +17,11 @@
     PeerAction,
     RequestAction,
     RouterDecider,
+    Stranded,
 )
 
-Mailbox = asyncio.Queue[RequestAction]
+RequestMessage = RequestAction | Stranded
+Mailbox = asyncio.Queue[RequestMessage]
 
 
 class RouterNode:
@@ -110,7 +112,15 @@
     @callback
     def tick(self) -> None:
         """Let the decider see the time."""
-        self.apply(self.decider.tick(monotonic_ms()))
+        now_ms = monotonic_ms()
+        self.apply(self.decider.tick(now_ms))
+        for stranded in self.decider.stranded(now_ms):
+            self._deliver(stranded)
+
+    @callback
+    def hand_over(self, request_id: RequestId, successor: ForwardTo) -> None:
+        """Give the right to run a request to a peer."""
+        self.apply(self.decider.hand_over(request_id, successor, monotonic_ms()))
 
     @callback
     def apply(self, actions: Iterable[Action]) -> None:
@@ -124,7 +134,7 @@
                 self._deliver(action)
 
     @callback
-    def _deliver(self, message: RequestAction) -> None:
+    def _deliver(self, message: RequestMessage) -> None:
         """Put a message into a request's mailbox."""
         mailbox = self._mailboxes.get(message.request_id)
         if mailbox is not None:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
@@ -13,8 +13,8 @@
 from wagtailusher_daemon.observation import Observation
 from wagtailusher_daemon.upstream import Upstream, end_of
 from wagtailusher_http import Request, Response
-from wagtailusher_once import StoredAnswer
-from wagtailusher_router import Dispatch, Forward, ReplayAnswer
+from wagtailusher_once import ForwardTo, StoredAnswer
+from wagtailusher_router import Dispatch, Forward, ReplayAnswer, Stranded
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -56,6 +56,8 @@
                 elif isinstance(message, ReplayAnswer):
                     self._observation.completed()
                     return stored_response(message.answer, self._request_id)
+                elif isinstance(message, Stranded):
+                    await self._async_hand_over(message)
                 elif isinstance(message, Forward):
                     self._observation.forwarded(message)
                     return await self._forwarder.async_forward(self._request, message)
@@ -65,6 +67,13 @@
         finally:
             self._node.close(self._request_id)
 
+    async def _async_hand_over(self, stranded: Stranded) -> None:
+        """Ask a peer for a ticket and give it the right to run; what follows is a message."""
+        ticket = await self._forwarder.async_ticket(stranded.peer_id)
+        if ticket is not None:
+            successor = ForwardTo(home_id=stranded.peer_id, ticket=ticket)
+            self._node.hand_over(self._request_id, successor)
+
     async def _async_attempt(self, dispatch: Dispatch) -> StoredAnswer | None:
         """Send the request and read its whole answer; None when the attempt failed."""
         traceparent = self._observation.dispatched(dispatch)
