--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -20,6 +20,7 @@
 API_KEY = "member-key"
 FLEET_SECRET = "a-secret-of-the-test-fleet"
 MODEL = "coach-7b"
+SERVICE_LIMIT = 32
 
 
 def settings_document(revision: int = 1, **fleet: Any) -> bytes:
@@ -67,8 +68,10 @@
         vm_count: int = 2,
         engine_count: int = 2,
         options: dict[str, Any] | None = None,
+        booking_cold_limit: int = SERVICE_LIMIT,
     ) -> None:
         """Prepare the parts; nothing listens yet."""
+        self._booking_cold_limit = booking_cold_limit
         self._options = options or {}
         self.engines = [
             EngineStandin(f"engine-{number}", EngineBehaviour()) for number in range(engine_count)
@@ -130,7 +133,10 @@
             )
             for app in self.apps
         ]
-        endpoints = [*map(engine_info, self.engines), service_info(self.booking)]
+        endpoints = [
+            *map(engine_info, self.engines),
+            service_info(self.booking, self._booking_cold_limit),
+        ]
         self.vm_list.publish_vms(vms, endpoints)
 
     async def async_replace(self, number: int) -> None:
@@ -198,7 +204,7 @@
     )
 
 
-def service_info(service: BookingStandin) -> EndpointInfo:
+def service_info(service: BookingStandin, cold_limit: int) -> EndpointInfo:
     """Return a service as the platform publishes it."""
     return EndpointInfo(
         endpoint_id=EndpointId(service.service_id),
@@ -206,8 +212,8 @@
         failure_domain_id=FailureDomainId("domain-0"),
         address=service.address,
         kind=EndpointKind.SERVICE,
-        concurrency_limit=32,
-        cold_limit=32,
+        concurrency_limit=SERVICE_LIMIT,
+        cold_limit=cold_limit,
     )
 
 
--- a/tests/wagtailusher_daemon/test_path.py
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -44,7 +44,7 @@
             (chat, {"authorization": "Bearer wrong"}, 401, "unauthorized"),
             (chat, {"x-wagtailusher-class": "none"}, 400, "unknown_class"),
             (chat, {"x-wagtailusher-route": "none"}, 404, "unknown_route"),
-            (chat, {"x-wagtailusher-forwarded": "Zm9yZ2Vk.AAAA"}, 503, "peer_unauthenticated"),
+            (chat, {"x-wagtailusher-forwarded": "Zm9yZ2Vk.AAAA"}, 403, "peer_unauthenticated"),
         ]
         for value, headers, status, code in cases:
             with self.subTest(code=code):
@@ -123,5 +123,22 @@
         self.fail(f"no engine counted {counter}")
 
 
+class ColdServiceTest(unittest.IsolatedAsyncioTestCase):
+    """A home without credits at a cold service gives the right to run to the steward."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet(booking_cold_limit=1)
+        await self.fleet.async_start()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.async_stop()
+
+    async def test_booking_is_handed_over_and_runs_once(self) -> None:
+        ticket = await self.fleet.async_ticket(vm=1)
+        answers = [await self.fleet.async_book("b1", ticket, vm=vm) for vm in (1, 0, 1)]
+        self.assertEqual(answers, [(200, {"booked": "b1"})] * 3)
+        self.assertEqual(self.fleet.booking.executions["b1"], 1)
+
+
 if __name__ == "__main__":
     unittest.main()
