Read tickets by the previous secret as well

Cause: datagrams and vouchers accepted both secrets during a rotation, tickets only the present one, so that a ticket of a VM with the other secret was "ticket_invalid". Before: no test with two secrets. After: bookings cross between VMs with swapped secrets in both directions (test added).

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -216,7 +216,12 @@
 
     def _new_caller_api(self) -> CallerApi:
         """Return the interface for callers."""
-        mint = TicketMint(vm_id=self.vm_id, incarnation=self.incarnation, secret=self._secrets[0])
+        mint = TicketMint(
+            vm_id=self.vm_id,
+            incarnation=self.incarnation,
+            secret=self._secrets[0],
+            previous_secrets=self._secrets[1:],
+        )
         numbers = count(1)
         classifier = Classifier(
             settings=lambda: self.view.settings,
--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -68,11 +68,13 @@
         vm_count: int = 2,
         engine_count: int = 2,
         options: dict[str, Any] | None = None,
+        options_by_number: dict[int, dict[str, Any]] | None = None,
         booking_cold_limit: int = SERVICE_LIMIT,
     ) -> None:
         """Prepare the parts; nothing listens yet."""
         self._booking_cold_limit = booking_cold_limit
         self._options = options or {}
+        self._options_by_number = options_by_number or {}
         self.engines = [
             EngineStandin(f"engine-{number}", EngineBehaviour()) for number in range(engine_count)
         ]
@@ -108,6 +110,7 @@
 
     def _new_app(self, number: int) -> EntryApp:
         """Return an app that does not listen yet."""
+        own = self._options_by_number.get(number, {})
         options = {
             "vm_id": f"entry-{number}",
             "failure_domain": f"domain-{number % 3}",
@@ -120,7 +123,7 @@
             "tick_interval_ms": 20,
             "load_poll_interval_ms": 50,
         }
-        return EntryApp(EntryOptions.model_validate(options | self._options))
+        return EntryApp(EntryOptions.model_validate(options | self._options | own))
 
     def publish(self) -> None:
         """Publish the lists of VMs and endpoints."""
--- a/tests/wagtailusher_daemon/test_path.py
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -6,7 +6,7 @@
 import json
 import unittest
 
-from tests.wagtailusher_daemon.fleet import MODEL, Fleet
+from tests.wagtailusher_daemon.fleet import FLEET_SECRET, MODEL, Fleet
 
 END_MARKER = b"data: [DONE]\n\n"
 
@@ -123,6 +123,30 @@
         self.fail(f"no engine counted {counter}")
 
 
+class RotationTest(unittest.IsolatedAsyncioTestCase):
+    """VMs with swapped secrets understand each other while the secret is rotated."""
+
+    async def asyncSetUp(self) -> None:
+        new = "another-secret-of-the-fleet"
+        self.fleet = Fleet(
+            options_by_number={
+                0: {"previous_fleet_secret": new},
+                1: {"fleet_secret": new, "previous_fleet_secret": FLEET_SECRET},
+            }
+        )
+        await self.fleet.async_start()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.async_stop()
+
+    async def test_bookings_cross_in_both_directions(self) -> None:
+        for home, other in ((0, 1), (1, 0)):
+            ticket = await self.fleet.async_ticket(vm=home)
+            status, _ = await self.fleet.async_book(f"b{home}", ticket, vm=other)
+            self.assertEqual(status, 200)
+        self.assertEqual(dict(self.fleet.booking.executions), {"b0": 1, "b1": 1})
+
+
 class ColdServiceTest(unittest.IsolatedAsyncioTestCase):
     """A home without credits at a cold service gives the right to run to the steward."""
 
