Renew what depends on time less often, and charge only nodes that count

Cause: the parts that run without a request grew with endpoints and nodes. A node's refresh compared each endpoint with a copy of the others' list, the lease tick ran the whole refresh, and a steward charged all 370 nodes ten times a second even when no local share is left to lend. Ejected endpoints are no longer asked for credits.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -17,7 +17,7 @@
 )
 from wagtailusher_placement.accounts import WorkAccounts, is_timely, seems_cold
 from wagtailusher_placement.baselines import Chooser
-from wagtailusher_placement.const import REFRESH_INTERVAL_MS, TIER_COUNT
+from wagtailusher_placement.const import REFRESH_INTERVAL_MS
 from wagtailusher_placement.endpoints import (
     Choice,
     EndOfWork,
@@ -31,7 +31,7 @@
 from wagtailusher_placement.lengths import LengthEstimator
 from wagtailusher_placement.reports import CacheEvent, LoadReport
 from wagtailusher_placement.scoring import choose_by_score
-from wagtailusher_placement.tracked import PlacedWork, TrackedEndpoint
+from wagtailusher_placement.tracked import PlacedWork
 
 
 class PlacementDecider:
@@ -57,7 +57,9 @@
         self._lengths = LengthEstimator()
         self._durations = LengthEstimator(default=0.0)
         self._holder = LeaseHolder(vm_id=vm_id, limits=limits, incarnation=incarnation)
-        self._fleet = EndpointFleet(failure_domain_id=failure_domain_id, holder=self._holder)
+        self._fleet = EndpointFleet(
+            vm_id=vm_id, failure_domain_id=failure_domain_id, holder=self._holder
+        )
         self._accounts = WorkAccounts(self._lengths, self._durations)
         self._starts = 0
         self._refreshed_at_ms: int | None = None
@@ -174,13 +176,15 @@
 
         Call it several times a second; it is also the decider's tick.
         """
-        self._refresh(now_ms)
+        self._holder.wake(now_ms)
+        self._find_cold(now_ms)
+        self._refresh_if_due(now_ms)
         spread: dict[EndpointId, list[int]] = {}
         for pool_id, by_tier in demand.items():
             pool = self._fleet.pools.get(pool_id)
             if pool is None:
                 continue
-            for key, tiers in spread_demand(by_tier, pool.items, self._vm_id, TIER_COUNT).items():
+            for key, tiers in spread_demand(by_tier, pool.items, self._vm_id, now_ms).items():
                 before = spread.get(key)
                 merged = tiers if before is None else list(map(max, before, tiers))
                 spread[key] = merged
@@ -206,7 +210,7 @@
 
     def steward_hint(self, pool_id: PoolId, now_ms: int) -> VmId | None:
         """Return a peer that may place a request of this pool when this node may not."""
-        return self._fleet.steward_hint(pool_id, self._vm_id, self._generator)
+        return self._fleet.steward_hint(pool_id, self._generator)
 
     def view(self, now_ms: int) -> tuple[EndpointView, ...]:
         """Return what this node believes about every endpoint."""
@@ -234,14 +238,15 @@
         """Refresh shares, slowness and the signs of endpoints that turned cold."""
         self._refreshed_at_ms = now_ms
         self._holder.wake(now_ms)
-        for item in self._fleet.tracked.values():
-            self._suspect_if_waiting(item, now_ms)
+        self._find_cold(now_ms)
         self._fleet.refresh(now_ms)
 
-    def _suspect_if_waiting(self, item: TrackedEndpoint, now_ms: int) -> None:
-        """Find an endpoint cold that lets its oldest request wait."""
-        work = next(iter(item.waiting.values()), None)
-        if work is None or item.cold or not work.sent:
-            return
-        if seems_cold(work, self._fleet.pools.get(work.request.pool_id), now_ms):
-            self._holder.turn_cold(item, now_ms)
+    def _find_cold(self, now_ms: int) -> None:
+        """Find the endpoints cold that let their oldest request wait for its first token."""
+        for item in self._fleet.tracked.values():
+            if not item.waiting or item.cold:
+                continue
+            work = next(iter(item.waiting.values()))
+            pool = self._fleet.pools.get(work.request.pool_id)
+            if work.sent and seems_cold(work, pool, now_ms):
+                self._holder.turn_cold(item, now_ms)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from random import Random
 from statistics import fmean, median
+import zlib
 
 from wagtailusher_core import EndpointId, FailureDomainId, PoolId, VmId
 from wagtailusher_placement.const import (
@@ -23,8 +24,11 @@
 class EndpointFleet:
     """Holds the tracked endpoints by pool."""
 
-    def __init__(self, *, failure_domain_id: FailureDomainId, holder: LeaseHolder) -> None:
+    def __init__(
+        self, *, vm_id: VmId, failure_domain_id: FailureDomainId, holder: LeaseHolder
+    ) -> None:
         """Start empty."""
+        self._vm_id = vm_id
         self._failure_domain_id = failure_domain_id
         self._holder = holder
         self._drained: frozenset[FailureDomainId] = frozenset()
@@ -48,7 +52,7 @@
             self._track(info, now_ms)
         self._has_list = self._has_list or bool(infos)
         self.pools = {}
-        for item in self.tracked.values():
+        for item in sorted(self.tracked.values(), key=self._rank):
             for pool_id in item.info.pool_ids if item.published else ():
                 self.pools.setdefault(pool_id, Pool(pool_id, self.prefixes)).add(item)
 
@@ -104,7 +108,7 @@
             if pool is not None:
                 pool.full_until_change = False
 
-    def steward_hint(self, pool_id: PoolId, own_id: VmId, generator: Random) -> VmId | None:
+    def steward_hint(self, pool_id: PoolId, generator: Random) -> VmId | None:
         """Return the steward of one of the pool's endpoints, other than this node."""
         pool = self.pools.get(pool_id)
         if pool is None:
@@ -112,7 +116,7 @@
         stewards = [
             item.steward_id
             for item in pool.items
-            if item.in_service and item.steward_id not in (None, own_id)
+            if item.in_service and item.steward_id not in (None, self._vm_id)
         ]
         return stewards[int(generator.random() * len(stewards))] if stewards else None
 
@@ -120,6 +124,10 @@
         """Return the beliefs about every endpoint."""
         return tuple(_view(item, now_ms) for item in self.tracked.values())
 
+    def _rank(self, item: TrackedEndpoint) -> int:
+        """Return an endpoint's place in an order of this node's own."""
+        return zlib.crc32(f"{self._vm_id}\0{item.info.endpoint_id}".encode())
+
     def _track(self, info: EndpointInfo, now_ms: int) -> None:
         """Take over one published endpoint."""
         item = self.tracked.get(info.endpoint_id)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-import zlib
 
 from wagtailusher_core import EndpointId, Incarnation, PublishedVm, VmId
 from wagtailusher_placement.coldstart import ColdStart
@@ -226,25 +225,21 @@
 
 
 def spread_demand(
-    by_tier: Mapping[int, int], items: Iterable[TrackedEndpoint], vm_id: VmId, tiers: int
+    by_tier: Mapping[int, int], items: Iterable[TrackedEndpoint], vm_id: VmId, now_ms: int
 ) -> dict[EndpointId, list[int]]:
     """Split a pool's demand over its endpoints: work in flight where it is, the rest by limit.
 
-    The remainder goes round in an order that differs from node to node but stays the same for
-    each, so that credits do not wander.
+    The remainder goes round in the order of the items, which differs from node to node but stays
+    the same for each, so that credits do not wander.
     """
-    members = sorted(
-        (item for item in items if _takes_demand(item, vm_id)),
-        key=lambda item: zlib.crc32(f"{vm_id}\0{item.info.endpoint_id}".encode()),
-    )
+    members = [item for item in items if _takes_demand(item, vm_id, now_ms)]
     spread = {item.info.endpoint_id: list(item.by_tier) for item in members}
     total_limit = sum(item.info.concurrency_limit for item in members)
     if total_limit == 0:
         return spread
     turn = 0
-    for tier in range(tiers):
-        placed = sum(item.by_tier[tier] for item in members)
-        queued = max(0, by_tier.get(tier, 0) - placed)
+    for tier, wanted in by_tier.items():
+        queued = max(0, wanted - sum(item.by_tier[tier] for item in members))
         left = queued
         for item in members:
             part = queued * item.info.concurrency_limit // total_limit
@@ -256,6 +251,8 @@
     return spread
 
 
-def _takes_demand(item: TrackedEndpoint, vm_id: VmId) -> bool:
+def _takes_demand(item: TrackedEndpoint, vm_id: VmId, now_ms: int) -> bool:
     """Return whether asking an endpoint's steward for credits makes sense."""
-    return item.in_service and (not item.cold or item.steward_id == vm_id)
+    if not item.in_service or now_ms < item.health.ejected_until_ms:
+        return False
+    return not item.cold or item.steward_id == vm_id
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/ledger.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/ledger.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from wagtailusher_core import VmId
-from wagtailusher_placement.const import SWEEP_INTERVAL_MS
+from wagtailusher_placement.const import IDLE_SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS
 from wagtailusher_placement.leases import LeaseRequest
 
 
@@ -47,7 +47,8 @@
 
     A node is charged with its greatest grant that it may still hold. It is charged with the safe
     local share too, unless it confirmed a grant that is still valid: by that it promised to wait
-    for two lifetimes before it falls back to the share.
+    for two lifetimes before it falls back to the share. Only the share can raise a charge without
+    a grant; without one, charges are renewed seldom.
     """
 
     def __init__(self, *, lifetime_ms: int) -> None:
@@ -63,8 +64,9 @@
         """Take over the nodes that may fall back to the local share, and its size."""
         self._published = frozenset(node_ids)
         self._share = share
-        for node_id in self._published:
-            self._accounts.setdefault(node_id, _Account())
+        if share > 0:
+            for node_id in self._published:
+                self._accounts.setdefault(node_id, _Account())
         self.sweep(now_ms)
 
     def accept(self, request: LeaseRequest, now_ms: int) -> bool:
@@ -91,7 +93,8 @@
 
     def room_for(self, node_id: VmId, limit: int, now_ms: int) -> int:
         """Return what the node may get without the sum passing the limit."""
-        if self._swept_at_ms is None or now_ms - self._swept_at_ms >= SWEEP_INTERVAL_MS:
+        interval_ms = SWEEP_INTERVAL_MS if self._share > 0 else IDLE_SWEEP_INTERVAL_MS
+        if self._swept_at_ms is None or now_ms - self._swept_at_ms >= interval_ms:
             self.sweep(now_ms)
         return max(0, limit - self._total + self._accounts[node_id].charge)
 
@@ -112,8 +115,9 @@
         self._swept_at_ms = now_ms
         for node_id, account in list(self._accounts.items()):
             self._recharge(node_id, account, now_ms)
-            gone = node_id not in self._published and not account.grants
-            if gone and not self._is_fresh(account, now_ms):
+            has_share = self._share > 0 and node_id in self._published
+            is_unused = not account.grants and not self._is_fresh(account, now_ms)
+            if is_unused and not has_share:
                 del self._accounts[node_id]
         self._total = sum(account.charge for account in self._accounts.values())
 
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/stragglers.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/stragglers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Iterable, Mapping, Sequence
-from statistics import median
 from typing import TypeVar
 
 from wagtailusher_core import EndpointId
@@ -101,13 +101,18 @@
     ordered = sorted(values.values())
     ratios: dict[KeyT, float] = {}
     for key, value in values.items():
-        peers = ordered.copy()
-        peers.remove(value)
-        middle = median(peers)
+        middle = _median_without(ordered, bisect_left(ordered, value))
         ratios[key] = value / middle if middle > 0 else 1.0
     return ratios
 
 
+def _median_without(ordered: Sequence[float], left_out: int) -> float:
+    """Return the median of sorted values without the one at an index."""
+    count = len(ordered) - 1
+    low, high = (count - 1) // 2, count // 2
+    return (ordered[low + (low >= left_out)] + ordered[high + (high >= left_out)]) / 2
+
+
 def compare_with_peers(peers: Mapping[EndpointId, EndpointHealth], now_ms: int) -> None:
     """Ease off the stragglers of one pool and eject a bounded number of the worst."""
     first = _known({key: health.first_token for key, health in peers.items()})
