Relay chunks within the event loop's own reading, without a task switch a chunk

Now a listener of the endpoint's socket parses a chunk, cuts it at whole events and writes it to the caller. The task waits once for the end, for an error, or for a caller that doesn't keep up. A response's body may be a pump that writes to a sink; generators still work.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -74,7 +74,9 @@
             self._end()
             if isinstance(message, Forward):
                 self._observation.forwarded(message)
-                return await self._forwarder.async_forward(self._request, message)
+                return await self._forwarder.async_forward(
+                    self._request, message, self._observation.age_ms
+                )
             assert isinstance(message, Refuse)
             self._observation.refused(message.code, message.outcome)
             return refusal_response(message)
--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -14,12 +14,21 @@
     SilentConnectionError,
 )
 from wagtailusher_http.headers import Headers
-from wagtailusher_http.messages import Request, Response, error_response, json_response
+from wagtailusher_http.messages import (
+    BodyPump,
+    BodySink,
+    Request,
+    Response,
+    error_response,
+    json_response,
+)
 from wagtailusher_http.server import Handler, HttpServer, async_serve
 
 __all__ = [
     "AnswerError",
     "AnswerTruncatedError",
+    "BodyPump",
+    "BodySink",
     "BodyTooLargeError",
     "ClientAnswer",
     "ClientLimits",
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -10,7 +10,7 @@
 import h11
 
 from wagtailusher_core import callback
-from wagtailusher_http.client_connection import ClientConnection
+from wagtailusher_http.client_connection import ClientConnection, Deliver
 from wagtailusher_http.const import (
     DEFAULT_HEAD_TIMEOUT_MS,
     DEFAULT_SILENCE_TIMEOUT_MS,
@@ -43,6 +43,17 @@
         """Yield the body; raise AnswerError when it breaks or goes silent."""
         return self._connection.async_iter_body(silence_timeout_ms, self._client.release)
 
+    async def async_pump(
+        self, deliver: Deliver, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS
+    ) -> bool:
+        """Hand the body on as it arrives; return True at its end.
+
+        `deliver` returns whether it takes more; when it doesn't, False is returned, and the body
+        goes on with the next call or is given up with `abort`. It must not wait, and it is called
+        within the event loop's own reading. Raises AnswerError when the body breaks or goes silent.
+        """
+        return await self._connection.async_pump(deliver, silence_timeout_ms, self._client.release)
+
     async def async_read(self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS) -> bytes:
         """Return the whole body."""
         chunks: list[bytes] = []
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -23,6 +23,7 @@
 
 
 Release = Callable[["ClientConnection", bool], None]
+Deliver = Callable[[bytes], bool]
 
 
 class ClientConnection:
@@ -116,6 +117,53 @@
         finally:
             release(self, ended)
 
+    async def async_pump(self, deliver: Deliver, silence_timeout_ms: int, release: Release) -> bool:
+        """Hand the body on as it arrives; return True at its end, False when told to pause.
+
+        After a pause the body goes on with the next call, or is given up with `abort`.
+        """
+        going_on = False
+        ended = False
+        try:
+            found = self._pump_at_hand(deliver)
+            if found is None and self._socket.has_news:
+                found = self._pump_arrived(deliver)
+            if found is None:
+                found = await self._async_listen(deliver, silence_timeout_ms)
+            ended = found
+            going_on = not ended
+        finally:
+            if not going_on:
+                release(self, ended)
+        return ended
+
+    async def _async_listen(self, deliver: Deliver, silence_timeout_ms: int) -> bool:
+        """Hand on what arrives."""
+        try:
+            return await self._socket.async_listen(
+                lambda: self._pump_arrived(deliver), silence_timeout_ms / MS_PER_S
+            )
+        except TimeoutError as err:
+            raise self._silent(silence_timeout_ms) from err
+
+    def _pump_arrived(self, deliver: Deliver) -> bool | None:
+        """Parse what arrived and hand it on."""
+        data = self._socket.take()
+        if not data and self._socket.error is not None:
+            raise self._broken(self._socket.error)
+        self._receive(data)
+        return self._pump_at_hand(deliver)
+
+    def _pump_at_hand(self, deliver: Deliver) -> bool | None:
+        """Hand on what is parsed; return None to go on, else whether the body is whole."""
+        pieces, ended = self._take_pieces()
+        may_go_on = True
+        if pieces:
+            may_go_on = deliver(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+        if ended:
+            return True
+        return None if may_go_on else False
+
     def _take_pieces(self) -> tuple[list[bytes], bool]:
         """Return the parsed body data at hand and whether the answer is whole."""
         pieces: list[bytes] = []
@@ -152,11 +200,23 @@
         try:
             data = await self._socket.async_read(timeout_ms / MS_PER_S)
         except TimeoutError as err:
-            raise SilentConnectionError(f"{self.address} was silent for {timeout_ms} ms") from err
+            raise self._silent(timeout_ms) from err
         except OSError as err:
-            raise AnswerTruncatedError(f"connection to {self.address} broke: {err}") from err
+            raise self._broken(err) from err
+        self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        """Give data to the parser; none is the end."""
         self._received_bytes = len(data)
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as err:
             raise AnswerProtocolError(f"{self.address} broke the protocol: {err}") from err
+
+    def _silent(self, timeout_ms: int) -> SilentConnectionError:
+        """Return the error of a silent connection."""
+        return SilentConnectionError(f"{self.address} was silent for {timeout_ms} ms")
+
+    def _broken(self, err: OSError) -> AnswerTruncatedError:
+        """Return the error of a broken connection."""
+        return AnswerTruncatedError(f"connection to {self.address} broke: {err}")
--- a/packages/wagtailusher_http/src/wagtailusher_http/messages.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/messages.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 import json
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import parse_qsl, urlsplit
 
 from wagtailusher_core import ErrorCode, Outcome
@@ -37,9 +37,26 @@
         return dict(parse_qsl(urlsplit(self.target).query))
 
 
+class BodySink(Protocol):
+    """Where a pump writes the chunks of a body."""
+
+    @property
+    def must_drain(self) -> bool:
+        """Tell whether to wait before more is written."""
+
+    def write(self, chunk: bytes) -> None:
+        """Send a chunk without waiting."""
+
+    async def async_drain(self) -> None:
+        """Wait until the caller has taken enough."""
+
+
+BodyPump = Callable[[BodySink], Awaitable[None]]
+
+
 @dataclass(slots=True, kw_only=True)
 class Response:
-    """A response with a whole body or a stream of chunks.
+    """A response with a whole body, a stream of chunks, or a pump that writes chunks itself.
 
     A stream that raises ends the connection without an end marker, so that the caller sees a
     broken answer instead of a short one. `on_end` is called once the response was sent or given
@@ -48,7 +65,7 @@
 
     status: int = HTTPStatus.OK
     headers: Headers = field(default_factory=Headers)
-    body: bytes | AsyncIterator[bytes] = b""
+    body: bytes | AsyncIterator[bytes] | BodyPump = b""
     on_end: Callable[[], None] | None = None
 
 
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -14,7 +14,7 @@
 from wagtailusher_http.const import MAX_PIPELINED_BYTES, MS_PER_S, HttpLimits
 from wagtailusher_http.exceptions import BodyTooLargeError, RequestTimeoutError
 from wagtailusher_http.headers import Headers
-from wagtailusher_http.messages import Request, Response, error_response
+from wagtailusher_http.messages import BodyPump, Request, Response, error_response
 from wagtailusher_http.socket_protocol import SocketProtocol
 
 _LOGGER = logging.getLogger(__name__)
@@ -187,24 +187,48 @@
         parts = [self._http.send(head), self._http.send(h11.Data(data=body))]
         parts.append(self._http.send(h11.EndOfMessage()))
         self._socket.write(b"".join(part for part in parts if part))
-        await self._async_drain()
+        await self.async_drain()
 
-    async def _async_send_stream(self, response: Response, chunks: AsyncIterator[bytes]) -> None:
+    async def _async_send_stream(
+        self, response: Response, body: AsyncIterator[bytes] | BodyPump
+    ) -> None:
         """Send a stream; when it raises, close without the end marker."""
         head = h11.Response(status_code=response.status, headers=self._final(response.headers).raw)
         try:
             await self._async_write(head)
-            async for chunk in chunks:
-                await self._async_write(h11.Data(data=chunk))
+            if isinstance(body, AsyncIterator):
+                await self._async_send_chunks(body)
+            else:
+                await body(self)
             await self._async_write(h11.EndOfMessage())
         except WagtailusherError as err:
             _LOGGER.info("HTTP server: stream to %s was broken off: %s", self.peer, err.code)
             self._closing = True
+
+    async def _async_send_chunks(self, chunks: AsyncIterator[bytes]) -> None:
+        """Send chunks as they come."""
+        try:
+            async for chunk in chunks:
+                self.write(chunk)
+                if self._socket.must_drain:
+                    await self.async_drain()
         finally:
             aclose = getattr(chunks, "aclose", None)
             if aclose is not None:
                 await aclose()
 
+    @property
+    def must_drain(self) -> bool:
+        """Tell whether to wait before more is written."""
+        return self._socket.must_drain
+
+    @callback
+    def write(self, chunk: bytes) -> None:
+        """Send a chunk of the body without waiting."""
+        data = self._http.send(h11.Data(data=chunk))
+        if data:
+            self._socket.write(data)
+
     def _final(self, headers: Headers) -> Headers:
         """Return the headers, marked when the connection is about to close."""
         return headers.with_field("connection", "close") if self._closing else headers
@@ -214,9 +238,9 @@
         data = self._http.send(event)
         if data:
             self._socket.write(data)
-            await self._async_drain()
+            await self.async_drain()
 
-    async def _async_drain(self) -> None:
+    async def async_drain(self) -> None:
         """Wait until the caller has taken enough; one that takes nothing is cut off."""
         if not self._socket.must_drain:
             return
--- a/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
@@ -9,6 +9,8 @@
 from wagtailusher_core import callback
 from wagtailusher_http.const import MAX_UNREAD_BYTES
 
+Listener = Callable[[], bool | None]
+
 
 class SocketProtocol(asyncio.Protocol):
     """Keeps received bytes for the one task that reads them.
@@ -23,11 +25,13 @@
         "_eof",
         "_error",
         "_loop",
+        "_listener",
         "_lost",
         "_on_connected",
         "_paused_reading",
         "_paused_writing",
         "_received",
+        "_silence_s",
         "_timer",
         "_unread_bytes",
         "_waiter",
@@ -47,10 +51,12 @@
         self._error: Exception | None = None
         self._paused_reading = False
         self._paused_writing = False
-        self._waiter: asyncio.Future[None] | None = None
+        self._waiter: asyncio.Future[bool | None] | None = None
         self._drained: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._deadline_s = 0.0
+        self._silence_s = 0.0
+        self._listener: Listener | None = None
         self.on_end: Callable[[], None] | None = None
         self.on_data: Callable[[int], None] | None = None
         self.transport: asyncio.Transport
@@ -65,6 +71,16 @@
         """Tell whether everything that will ever come was read."""
         return (self._eof or self._lost) and not self._received
 
+    @property
+    def has_news(self) -> bool:
+        """Tell whether a read would not wait."""
+        return bool(self._received) or self._eof or self._lost
+
+    @property
+    def error(self) -> OSError | None:
+        """Return what broke the connection."""
+        return self._error if isinstance(self._error, OSError) else None
+
     @callback
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over the socket."""
@@ -80,7 +96,11 @@
         if self._unread_bytes > MAX_UNREAD_BYTES and not self._paused_reading:
             self._paused_reading = True
             self.transport.pause_reading()
-        self._wake()
+        if self._listener is not None:
+            self._deadline_s = self._loop.time() + self._silence_s
+            self._tell(self._listener)
+        else:
+            self._wake()
         if self.on_data is not None:
             self.on_data(self._unread_bytes)
 
@@ -105,7 +125,10 @@
     @callback
     def _end(self) -> None:
         """Wake the reader and tell the owner."""
-        self._wake()
+        if self._listener is not None:
+            self._tell(self._listener)
+        else:
+            self._wake()
         if self.on_end is not None:
             self.on_end()
 
@@ -153,7 +176,7 @@
 
         Raises TimeoutError after silence and OSError when the connection broke.
         """
-        if not self._received and not self._eof and not self._lost:
+        if not self.has_news:
             self._waiter = self._loop.create_future()
             if timeout_s is not None:
                 self._watch(timeout_s)
@@ -161,10 +184,40 @@
                 await self._waiter
             finally:
                 self._waiter = None
-        if not self._received and isinstance(self._error, OSError):
-            raise self._error
+        if not self._received and self.error is not None:
+            raise self.error
         return self.take()
 
+    async def async_listen(self, listener: Listener, silence_s: float) -> bool:
+        """Call a listener whenever something arrived, until it returns whether that was all.
+
+        It is called within the event loop's own reading, so that a part costs no task switch.
+        Raises what the listener raises, and TimeoutError after silence.
+        """
+        self._waiter = self._loop.create_future()
+        self._listener = listener
+        self._silence_s = silence_s
+        self._watch(silence_s)
+        try:
+            return bool(await self._waiter)
+        finally:
+            self._listener = None
+            self._waiter = None
+
+    @callback
+    def _tell(self, listener: Listener) -> None:
+        """Call the listener and end the wait with what it returns or raises."""
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            return
+        try:
+            result = listener()
+        except Exception as err:
+            waiter.set_exception(err)
+            return
+        if result is not None:
+            waiter.set_result(result)
+
     @callback
     def _watch(self, timeout_s: float) -> None:
         """Move the deadline; the timer is moved only when it would run out too late."""
--- a/tests/wagtailusher_http/test_client.py
+++ b/tests/wagtailusher_http/test_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 import unittest
 
@@ -73,6 +74,43 @@
                 answer = await self._async_ask()
                 self.assertEqual(await answer.async_read(), b"".join(chunks))
 
+    async def test_pumped_body_is_the_same_with_pauses_at_any_place(self) -> None:
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                generator = Random(seed)
+                chunks = [generator.randbytes(generator.choice((1, 5, 17, 300))) for _ in range(9)]
+                data = HEAD + b"".join(_framed(chunk) for chunk in chunks) + END
+                self.peer.pieces = _cut(data, generator)
+                answer = await self._async_ask()
+                seen: list[bytes] = []
+
+                def deliver(
+                    part: bytes, seen: list[bytes] = seen, generator: Random = generator
+                ) -> bool:
+                    seen.append(part)
+                    return generator.random() < 0.5
+
+                while not await answer.async_pump(deliver, 5_000):
+                    for _ in range(generator.randrange(4)):
+                        await asyncio.sleep(0)
+                self.assertEqual(b"".join(seen), b"".join(chunks))
+
+    async def test_pump_tells_of_silence_breaks_and_errors_of_its_receiver(self) -> None:
+        def refuse(part: bytes) -> bool:
+            raise ZeroDivisionError(part)
+
+        self.peer.pieces = [HEAD, _framed(b"one")]
+        seen: list[bytes] = []
+        with self.assertRaises(SilentConnectionError):
+            await (await self._async_ask()).async_pump(_keeping(seen), 60)
+        self.assertEqual(seen, [b"one"])
+        with self.assertRaises(ZeroDivisionError):
+            await (await self._async_ask()).async_pump(refuse, 5_000)
+        self.peer.closes = True
+        self.peer.go_on.set()
+        with self.assertRaises(AnswerTruncatedError):
+            await (await self._async_ask()).async_pump(_keeping(seen), 5_000)
+
     async def test_chunks_that_come_one_by_one_are_not_held_back(self) -> None:
         for number in range(4):
             self.peer.pieces = [HEAD] + [_framed(b"part")] * number + [_framed(b"last")]
@@ -113,6 +151,16 @@
                     await answer.async_read()
 
 
+def _keeping(seen: list[bytes]) -> Callable[[bytes], bool]:
+    """Return a receiver that keeps every part."""
+
+    def deliver(part: bytes) -> bool:
+        seen.append(part)
+        return True
+
+    return deliver
+
+
 def _framed(chunk: bytes) -> bytes:
     """Return a chunk with its length."""
     return b"%x\r\n%s\r\n" % (len(chunk), chunk)
--- a/tests/wagtailusher_http/test_server.py
+++ b/tests/wagtailusher_http/test_server.py
@@ -10,6 +10,7 @@
 from wagtailusher_core import ErrorCode, WagtailusherError
 from wagtailusher_http import (
     AnswerTruncatedError,
+    BodySink,
     ConnectError,
     HttpClient,
     HttpLimits,
@@ -53,6 +54,8 @@
             return Response(body=self._async_stream(broken="broken" in request.query))
         if request.path == "/flood":
             return Response(body=self._async_flood())
+        if request.path == "/pumped":
+            return Response(body=self._async_pump)
         if request.path == "/first":
             return Response(body=self._async_first_of_two())
         if request.path == "/bug":
@@ -73,6 +76,16 @@
         finally:
             self.cancelled.set()
 
+    async def _async_pump(self, sink: BodySink) -> None:
+        sink.write(b"begun")
+        try:
+            while True:
+                sink.write(bytes(65536))
+                if sink.must_drain:
+                    await sink.async_drain()
+        finally:
+            self.cancelled.set()
+
     async def _async_first_of_two(self) -> AsyncIterator[bytes]:
         yield b"one"
         await asyncio.Event().wait()
@@ -137,10 +150,13 @@
         writer.close()
 
     async def test_caller_that_stops_reading_is_cut_off(self) -> None:
-        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
-        writer.write(b"GET /flood HTTP/1.1\r\nhost: a\r\n\r\n")
-        await asyncio.wait_for(self.cancelled.wait(), 10)
-        writer.close()
+        for path in (b"/flood", b"/pumped"):
+            with self.subTest(path=path):
+                self.cancelled.clear()
+                _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+                writer.write(b"GET %s HTTP/1.1\r\nhost: a\r\n\r\n" % path)
+                await asyncio.wait_for(self.cancelled.wait(), 10)
+                writer.close()
         answer = await self.client.async_request(self.address, "GET", "/alive")
         self.assertEqual(answer.status, 200)
 
