Learn the time to an answer, carry a request's age along, and gather a small pool's callers

Cause: overloaded nodes started requests that could no longer begin on target; a forwarded request's deadline began anew at the peer; the credits of a small pool were split among all VMs. Admission is told when answers begin; vouchers carry the age; address answers for a model or route name a few VMs, and the client asks by route.

--- a/packages/wagtailusher_client/src/wagtailusher_client/client.py
+++ b/packages/wagtailusher_client/src/wagtailusher_client/client.py
@@ -49,7 +49,7 @@
         self._api_key = api_key
         self._http = HttpClient(ssl_context=ssl_context)
         self._revision: str | None = None
-        self._addresses = AddressCache(self._http, seeds, Random(seed))
+        self._addresses = AddressCache(self._http, seeds, Random(seed), self._headers(None))
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -57,7 +57,7 @@
 
     async def async_chat(self, body: bytes, *, class_id: str | None = None) -> Answer:
         """Return a whole chat completion; it may be sent again until some of it arrived."""
-        return await self._async_repeatable("POST", PATH_CHAT, body, class_id)
+        return await self._async_repeatable("", "POST", PATH_CHAT, body, class_id)
 
     async def async_stream_chat(
         self, body: bytes, *, class_id: str | None = None
@@ -80,7 +80,8 @@
         class_id: str | None = None,
     ) -> Answer:
         """Call a plain service with a request that may be repeated."""
-        return await self._async_repeatable(method, f"/services/{route_id}/{path}", body, class_id)
+        target = f"/services/{route_id}/{path}"
+        return await self._async_repeatable(route_id, method, target, body, class_id)
 
     async def async_call_once(
         self, route_id: str, path: str, body: bytes, *, class_id: str | None = None
@@ -90,7 +91,7 @@
         A ticket whose request certainly was not run is dropped for another. After that the same
         ticket is sent to any VM: the request's home answers what became of it.
         """
-        ticket = await self._async_ticket()
+        ticket = await self._async_ticket(route_id)
         target = f"/services/{route_id}/{path}"
         address = ticket.address
         was_sent = False
@@ -110,19 +111,19 @@
             self._addresses.mark_failed(address)
             await self._async_pause()
             if certainly_not_run:
-                ticket = await self._async_ticket()
+                ticket = await self._async_ticket(route_id)
                 address = ticket.address
                 was_sent = False
             else:
-                address = await self._addresses.async_pick(_now_ms())
+                address = await self._addresses.async_pick(_now_ms(), route_id)
         if was_sent:
             raise UnknownOutcomeError("no VM could tell what became of the request")
         raise NoAddressError("no entry VM could be reached")
 
-    async def _async_ticket(self) -> TicketModel:
+    async def _async_ticket(self, route_id: str) -> TicketModel:
         """Return a ticket of some VM."""
         for _ in range(self._limits.attempts):
-            address = await self._addresses.async_pick(_now_ms())
+            address = await self._addresses.async_pick(_now_ms(), route_id)
             try:
                 answer = await self._http.async_request(
                     address, "POST", PATH_TICKETS, head_timeout_ms=TICKET_TIMEOUT_MS
@@ -137,12 +138,12 @@
         raise NoAddressError("no entry VM gave a ticket")
 
     async def _async_repeatable(
-        self, method: str, target: str, body: bytes, class_id: str | None
+        self, route_id: str, method: str, target: str, body: bytes, class_id: str | None
     ) -> Answer:
         """Return a whole answer, trying again after failures."""
         last: WagtailusherError = NoAddressError("no entry VM could be reached")
         for _ in range(self._limits.attempts):
-            address = await self._addresses.async_pick(_now_ms())
+            address = await self._addresses.async_pick(_now_ms(), route_id)
             try:
                 return await self._async_whole(
                     address, method, target, self._headers(class_id), body
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -303,6 +303,7 @@
             own_address=self.address,
             failure_domain_id=FailureDomainId(self.options.failure_domain),
             summaries=self.talk.summaries,
+            view=self.view,
             lifetime_ms=self._address_lifetime_ms,
         )
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -8,10 +8,10 @@
 from http import HTTPStatus
 import logging
 
-from wagtailusher_core import ErrorCode, Outcome, Revision, WagtailusherError
+from wagtailusher_core import ErrorCode, Outcome, PoolId, Revision, WagtailusherError
 from wagtailusher_daemon.addresses import AddressBook
 from wagtailusher_daemon.answers import coded_response
-from wagtailusher_daemon.classify import Classified, Classifier
+from wagtailusher_daemon.classify import Classified, Classifier, api_key_of
 from wagtailusher_daemon.clock import wall_ms
 from wagtailusher_daemon.const import (
     HEADER_REVISION,
@@ -103,13 +103,27 @@
         if path == PATH_MODELS:
             return self._answer_models()
         if path == PATH_ADDRESSES:
-            return json_response(HTTPStatus.OK, self._addresses().answer())
+            return json_response(HTTPStatus.OK, self._addresses().answer(self._pool_of(request)))
         if path == PATH_CONFIGURATION:
             return self.answer_configuration(request)
         if path == PATH_TICKETS:
             return self._answer_ticket()
         return error_response(HTTPStatus.NOT_FOUND, ErrorCode.UNKNOWN_ROUTE, "no such path")
 
+    def _pool_of(self, request: Request) -> PoolId | None:
+        """Return the pool that an address question is about, if it says so."""
+        settings = self.settings()
+        query = request.query
+        if "model" in query:
+            return PoolId(query["model"])
+        if settings is None or "route" not in query:
+            return None
+        try:
+            workspace_id = settings.workspace_by_api_key(api_key_of(request))
+            return settings.resolve(workspace_id=workspace_id, route_id=query["route"]).pool_ids[0]
+        except WagtailusherError:
+            return None
+
     def _answer_ready(self) -> Response:
         """Tell whether this VM takes requests."""
         if self.is_ready():
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/classify.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/classify.py
@@ -70,7 +70,7 @@
                 HTTPStatus.SERVICE_UNAVAILABLE, ErrorCode.NOT_READY, "no settings are in force yet"
             )
         try:
-            workspace_id = settings.workspace_by_api_key(_api_key(request))
+            workspace_id = settings.workspace_by_api_key(api_key_of(request))
             if request.path == PATH_CHAT:
                 return self._classify_chat(request, settings, workspace_id, sender)
             return self._classify_service(request, settings, workspace_id, sender)
@@ -157,6 +157,7 @@
             now_wall_ms=now_wall_ms,
             forwarded_from=None if sender is None else sender.vm_id,
             hops=0 if sender is None else sender.hops,
+            age_ms=0 if sender is None else sender.age_ms,
         )
 
     def _read_ticket(self, request: Request, now_wall_ms: int) -> Ticket | None:
@@ -165,7 +166,7 @@
         return None if text is None else self.mint.read(text, now_wall_ms)
 
 
-def _api_key(request: Request) -> str:
+def api_key_of(request: Request) -> str:
     """Return the key of the authorization header."""
     value = request.headers.get("authorization") or ""
     if not value.startswith(_BEARER):
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/forwarding.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/forwarding.py
@@ -35,11 +35,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Sender:
-    """The VM that handed a request over, and the number of VMs that did so."""
+    """The VM that handed a request over, the number of VMs that did, and the request's age."""
 
     vm_id: VmId
     sent_wall_ms: int
     hops: int
+    age_ms: int
 
 
 class Forwarder:
@@ -61,8 +62,8 @@
         self._address_of = address_of
         self._silence_timeout_ms = silence_timeout_ms
 
-    async def async_forward(self, request: Request, forward: Forward) -> Response:
-        """Relay a request to a peer and its answer back."""
+    async def async_forward(self, request: Request, forward: Forward, held_ms: int) -> Response:
+        """Relay a request, which was held for a while, to a peer and its answer back."""
         address = self._address_of(forward.vm_id)
         not_sent = _not_reached(forward)
         if address is None:
@@ -70,7 +71,7 @@
         headers = request.headers
         if forward.ticket is not None:
             headers = headers.with_field(HEADER_TICKET, forward.ticket)
-        headers = headers.with_field(HEADER_FORWARDED, self._vouch(request))
+        headers = headers.with_field(HEADER_FORWARDED, self._vouch(request, held_ms))
         try:
             answer = await self._client.async_request(
                 address,
@@ -126,8 +127,13 @@
             text, _, mac = voucher.partition(".")
             payload = urlsafe_b64decode(text)
             given = urlsafe_b64decode(mac)
-            vm_id, sent_text, hops_text = payload.decode().split(_SEPARATOR)
-            sender = Sender(vm_id=VmId(vm_id), sent_wall_ms=int(sent_text), hops=int(hops_text))
+            vm_id, sent_text, hops_text, age_text = payload.decode().split(_SEPARATOR)
+            sender = Sender(
+                vm_id=VmId(vm_id),
+                sent_wall_ms=int(sent_text),
+                hops=int(hops_text),
+                age_ms=int(age_text),
+            )
         except (ValueError, binascii.Error) as err:
             raise _unauthenticated() from err
         expected = (_mac(secret, payload, request) for secret in self._secrets)
@@ -135,11 +141,13 @@
             raise _unauthenticated()
         return sender
 
-    def _vouch(self, request: Request) -> str:
-        """Return the voucher of a request, which counts the VMs that it came through."""
+    def _vouch(self, request: Request, held_ms: int) -> str:
+        """Return the voucher of a request, which counts the VMs and the time so far."""
         sender = self._read_voucher(request)
         hops = 1 if sender is None else sender.hops + 1
-        payload = _SEPARATOR.join((self._vm_id, str(wall_ms()), str(hops))).encode()
+        age_ms = held_ms if sender is None else sender.age_ms + held_ms
+        fields = (self._vm_id, str(wall_ms()), str(hops), str(age_ms))
+        payload = _SEPARATOR.join(fields).encode()
         mac = _mac(self._secrets[0], payload, request)
         return f"{urlsafe_b64encode(payload).decode()}.{urlsafe_b64encode(mac).decode()}"
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/observation.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/observation.py
@@ -73,7 +73,7 @@
         self.record.attempts.append(
             AttemptRecord(
                 endpoint_id=dispatch.endpoint_id,
-                started_after_ms=self._age_ms(),
+                started_after_ms=self.age_ms,
                 candidates=dispatch.choice.candidates,
             )
         )
@@ -83,7 +83,7 @@
     def first_token(self) -> None:
         """Note the beginning of the answer."""
         if self.record.first_token_ms is None:
-            self.record.first_token_ms = self._age_ms()
+            self.record.first_token_ms = self.age_ms
 
     def progress(self, events: int) -> None:
         """Note relayed events."""
@@ -148,13 +148,14 @@
     def _finish(self, state: str) -> None:
         """Close the record and the caller's span."""
         self.record.state = state
-        self.record.total_ms = self._age_ms()
+        self.record.total_ms = self.age_ms
         self._span.set_attribute("wagtailusher.outcome", str(self.record.outcome))
         if self.record.code is not None:
             self._span.set_attribute("wagtailusher.code", str(self.record.code))
         self._queue_span.end()
         self._span.end()
 
-    def _age_ms(self) -> int:
-        """Return the time since the arrival."""
+    @property
+    def age_ms(self) -> int:
+        """Return the time since the arrival at this VM."""
         return monotonic_ms() - self.record.arrived_ms
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
@@ -60,7 +60,9 @@
                     await self._async_hand_over(message)
                 elif isinstance(message, Forward):
                     self._observation.forwarded(message)
-                    return await self._forwarder.async_forward(self._request, message)
+                    return await self._forwarder.async_forward(
+                        self._request, message, self._observation.age_ms
+                    )
                 else:
                     self._observation.refused(message.code, message.outcome)
                     return refusal_response(message)
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -201,6 +201,7 @@
     def first_token(self, request_id: RequestId, now_ms: int) -> None:
         """Note that an answer began."""
         self._placement.first_token(request_id, now_ms)
+        self._admission.answered(request_id, now_ms)
 
     def progress(self, request_id: RequestId, events: int, now_ms: int) -> None:
         """Note that further events of an answer were relayed to the caller."""
--- a/packages/wagtailusher_router/src/wagtailusher_router/events.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/events.py
@@ -16,9 +16,10 @@
     `streams_tokens` is false for plain services, whose target is that of the whole answer;
     `resumable` tells that the answer is a stream of events which may be carried on elsewhere.
     `fingerprint` names its content for the quarantine; `forwarded_from` is the VM that handed
-    it over, if one did, and `hops` the number of VMs that did. A request that may not be
-    repeated has a ticket or an idempotency key; the key's age is judged from when its caller
-    first sent it and the present wall time.
+    it over, if one did, `hops` the number of VMs that did, and `age_ms` the time since its
+    caller sent it to the first of them. A request that may not be repeated has a ticket or an
+    idempotency key; the key's age is judged from when its caller first sent it and the present
+    wall time.
     """
 
     request_id: RequestId
@@ -38,6 +39,7 @@
     now_wall_ms: int | None = None
     forwarded_from: VmId | None = None
     hops: int = 0
+    age_ms: int = 0
 
     @property
     def hop_count(self) -> int:
--- a/packages/wagtailusher_router/src/wagtailusher_router/requests.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/requests.py
@@ -13,13 +13,15 @@
 def pending_request(arrival: Arrival, in_flight_quota: int | None, now_ms: int) -> PendingRequest:
     """Return a request as admission sees it."""
     policy = arrival.policy
+    arrived_ms = now_ms - arrival.age_ms
     return PendingRequest(
         request_id=arrival.request_id,
         key=policy.key,
         pool_id=arrival.pool_id,
         tier=policy.tier,
-        arrived_ms=now_ms,
-        deadline_ms=now_ms + arrival.start_target_ms,
+        arrived_ms=arrived_ms,
+        deadline_ms=arrived_ms + arrival.start_target_ms,
+        answer_by_ms=arrived_ms + arrival.start_target_ms,
         deadline_behaviour=policy.deadline_behaviour,
         weight=policy.weight,
         share=policy.share,
