Let a node that isn't ready say unknown to what may have run elsewhere

The scenarios' node now answers unknown to a request that brings a ticket or key, and mints no ticket before it is ready.

--- a/tests/scenario/caller.py
+++ b/tests/scenario/caller.py
@@ -62,17 +62,21 @@
         number = self._number
 
         def answer() -> None:
-            ticket = node.mint_ticket()
+            ticket = node.mint_ticket() if node.peers.is_ready else None
             self._fleet.clock.after(NEAR_MS, lambda: self._take_ticket(number, ticket))
 
         self._fleet.clock.after(NEAR_MS, lambda: node.run(answer))
         self._fleet.clock.after(PATIENCE_MS, lambda: self._give_up_waiting(number))
 
-    def _take_ticket(self, number: int, ticket: str) -> None:
-        """Send with the ticket."""
-        if self._number == number and self._call.outcome is None:
-            self._ticket = ticket
-            self._send()
+    def _take_ticket(self, number: int, ticket: str | None) -> None:
+        """Send with the ticket; a node that isn't ready mints none."""
+        if self._number != number or self._call.outcome is not None:
+            return
+        if ticket is None:
+            self._retry_elsewhere()
+            return
+        self._ticket = ticket
+        self._send()
 
     def _give_up_waiting(self, number: int) -> None:
         """Ask another node for a ticket."""
--- a/tests/scenario/node.py
+++ b/tests/scenario/node.py
@@ -151,7 +151,9 @@
     def receive(self, attempt: Attempt, answer: Answer, forwarded_from: VmId | None = None) -> None:
         """Take an attempt from a caller or a peer."""
         if not self.peers.is_ready:
-            answer(Reply(attempt=attempt, outcome=Outcome.NOT_RUN, code=ErrorCode.NOT_READY))
+            is_new = attempt.ticket is None and attempt.key is None
+            outcome = Outcome.NOT_RUN if is_new else Outcome.UNKNOWN
+            answer(Reply(attempt=attempt, outcome=outcome, code=ErrorCode.NOT_READY))
             return
         self._requests += 1
         request_id = RequestId(f"{attempt.attempt_id}@{self.vm_id}/{self._requests}")
