Refresh small fleets of endpoints more often

Cause: with a refresh every 250 ms a straggler or cold turn was found later than need be, and at 256 endpoints the refresh made requests dearer. Now it is every 50 ms, or 2 ms for each endpoint where that is longer.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -17,7 +17,7 @@
 )
 from wagtailusher_placement.accounts import WorkAccounts, is_timely, seems_cold
 from wagtailusher_placement.baselines import Chooser
-from wagtailusher_placement.const import REFRESH_INTERVAL_MS
+from wagtailusher_placement.const import REFRESH_INTERVAL_MS, REFRESH_MS_PER_ENDPOINT
 from wagtailusher_placement.endpoints import (
     Choice,
     EndOfWork,
@@ -229,9 +229,10 @@
             self._holder.turn_cold(item, now_ms)
 
     def _refresh_if_due(self, now_ms: int) -> None:
-        """Refresh what depends on time, at most a few times a second."""
+        """Refresh what depends on time; the more endpoints, the less often."""
         last_ms = self._refreshed_at_ms
-        if last_ms is None or now_ms - last_ms >= REFRESH_INTERVAL_MS:
+        interval_ms = REFRESH_MS_PER_ENDPOINT * len(self._fleet.tracked)
+        if last_ms is None or now_ms - last_ms >= max(REFRESH_INTERVAL_MS, interval_ms):
             self._refresh(now_ms)
 
     def _refresh(self, now_ms: int) -> None:
