Refuse new requests on a VM that hears neither the service nor its peers

Cause: such a VM can't know of a drain that was ordered meanwhile and went on sending work into a failure domain that was taken out. With one other VM listed its silence more likely means that it is gone. Before: an isolated VM served as ever. After: the test cuts one of three VMs off; it refuses, and serves again once it hears a peer. Conclusion: the drain's bound holds for isolated VMs too.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answers.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answers.py
@@ -41,6 +41,7 @@
     ErrorCode.NO_ENDPOINT: "no endpoint takes this request",
     ErrorCode.QUARANTINED: "the request crashed several endpoints and is refused",
     ErrorCode.DRAINING: "this VM is leaving; use another address",
+    ErrorCode.NOT_READY: "this VM can't take requests now; use another address",
     ErrorCode.TICKET_REQUIRED: "a request that may not be repeated needs a ticket",
     ErrorCode.TICKET_EXPIRED: "the ticket's lifetime is over",
     ErrorCode.HOME_GONE: "the VM that may run this request is gone",
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -148,7 +148,7 @@
         """Tell whether requests are taken."""
         if self.is_draining or self.view.settings is None or self.talk is None:
             return False
-        return self.talk.configuration.is_settled
+        return self.talk.configuration.is_settled and not self.talk.is_isolated
 
     async def async_start(self) -> None:
         """Listen and start the periodic tasks."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_talk.py
@@ -19,7 +19,7 @@
 )
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.configuration_stream import ConfigurationStream
-from wagtailusher_daemon.const import QUARANTINE_FANOUT
+from wagtailusher_daemon.const import ISOLATION_MS, MIN_PEERS_FOR_ISOLATION, QUARANTINE_FANOUT
 from wagtailusher_daemon.conversion import pool_demand, quarantine_message, quarantine_summary
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.node import RouterNode
@@ -92,6 +92,7 @@
         self._superseded = superseded
         self._generator = random.Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
+        self.is_isolated = False
         self.membership = _new_membership(identity, seed)
         members = self.membership.members()
         self.configuration = ConfigurationDecider(
@@ -117,6 +118,17 @@
         member = self.membership.members().get(vm_id)
         return member.peer_address if member is not None and member.peer_address else None
 
+    def _hears_nobody(self, now_ms: int) -> bool:
+        """Tell whether this VM hears neither the service nor any of several listed peers.
+
+        With a single peer listed, its silence more likely means that it is gone.
+        """
+        own_id = self.membership.own.vm_id
+        others = sum(item.listed and item.vm_id != own_id for item in self.members())
+        if others < MIN_PEERS_FOR_ISOLATION:
+            return False
+        return self.configuration.silent_ms(now_ms) > ISOLATION_MS
+
     @callback
     def update_published(self, vms: Iterable[PublishedVm]) -> None:
         """Take the platform's list in."""
@@ -128,6 +140,8 @@
         now_ms = monotonic_ms()
         self._carry_out(self.membership.tick(now_ms))
         self._carry_out(self.configuration.tick(now_ms))
+        self.is_isolated = self._hears_nobody(now_ms)
+        self._node.decider.set_isolated(self.is_isolated)
         if now_ms >= self.summaries.next_due_ms(now_ms):
             self.summaries.set_room(self._node.decider.room(now_ms))
             self.summaries.set_demand(map(pool_demand, self._node.decider.load()))
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -99,6 +99,7 @@
             handover=self._handover,
         )
         self._draining = False
+        self._isolated = False
 
     @property
     def in_flight_count(self) -> int:
@@ -145,6 +146,10 @@
         """Refuse new requests from now on; those that are held go on."""
         self._draining = True
 
+    def set_isolated(self, isolated: bool) -> None:
+        """Refuse new requests while this node hears of no drain that may have been ordered."""
+        self._isolated = isolated
+
     # Requests.
 
     def arrive(self, arrival: Arrival, now_ms: int) -> tuple[Action, ...]:
@@ -177,6 +182,8 @@
         """Return why this node takes a new request in no case."""
         if self._draining:
             return ErrorCode.DRAINING
+        if self._isolated:
+            return ErrorCode.NOT_READY
         if self._suspicion.must_not_start(arrival.fingerprint, now_ms):
             return ErrorCode.QUARANTINED
         return None
--- a/tests/wagtailusher_daemon/test_path.py
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -5,7 +5,9 @@
 import asyncio
 import json
 import unittest
+from unittest.mock import patch
 
+from tests.standins.config_service import async_wait_until
 from tests.wagtailusher_daemon.fleet import FLEET_SECRET, MODEL, Fleet
 
 END_MARKER = b"data: [DONE]\n\n"
@@ -147,6 +149,29 @@
         self.assertEqual(dict(self.fleet.booking.executions), {"b0": 1, "b1": 1})
 
 
+class IsolationTest(unittest.IsolatedAsyncioTestCase):
+    """A VM that hears neither the service nor its peers takes nothing new, and says so."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet(vm_count=3)
+        await self.fleet.async_start()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.async_stop()
+
+    async def test_isolated_vm_refuses_and_recovers(self) -> None:
+        status, _ = await self.fleet.async_chat()
+        self.assertEqual(status, 200)
+        self.fleet.config_service.behaviour.down = True
+        with patch.object(self.fleet.apps[0].link, "datagram_received"):
+            await async_wait_until(lambda: not self.fleet.apps[0].is_ready)
+            status, body = await self.fleet.async_chat()
+        error = json.loads(body)["error"]
+        self.assertEqual((status, error["code"]), (503, "not_ready"))
+        self.assertEqual(error["outcome"], "not_run")
+        await async_wait_until(lambda: self.fleet.apps[0].is_ready)
+
+
 class ColdServiceTest(unittest.IsolatedAsyncioTestCase):
     """A home without credits at a cold service gives the right to run to the steward."""
 
--- a/tests/wagtailusher_router/test_decider.py
+++ b/tests/wagtailusher_router/test_decider.py
@@ -71,6 +71,14 @@
         self.recorder.complete(leader, 4)
         self.assertEqual(self.recorder.ends[follower], ["replayed"])
 
+    def test_isolated_node_takes_nothing_new(self) -> None:
+        held = self.recorder.arrive("r1", policy(), 0)
+        self.router.set_isolated(True)
+        refused = self.recorder.arrive("r2", policy(), 1)
+        self.assertEqual(self.recorder.ends[refused], ["not_ready"])
+        self.assertEqual(self.recorder.outcomes[refused], Outcome.NOT_RUN)
+        self.assertTrue(self.recorder.send(held, 2))
+
     def test_draining_node_answers_repeats_truthfully(self) -> None:
         once = policy(0, repeatable=False)
         ticket = self.recorder.mint.mint(0)
