--- a/packages/wagtailusher_once/src/wagtailusher_once/quarantine.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/quarantine.py
@@ -105,6 +105,17 @@
             for fingerprint, evidence in tuple(self._evidence.items())
         )
 
+    def answer_delay_ms(self, fingerprint: str, now_ms: int) -> int:
+        """Return how long to hold back a failed request's answer.
+
+        Meanwhile the evidence spreads, so that a repeat finds it at whatever VM it comes to.
+        """
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None or not evidence.crashes:
+            return 0
+        spread_by_ms = evidence.crashes[-1].crashed_ms + self._limits.spread_ms
+        return max(0, spread_by_ms - now_ms)
+
     def summary(self, now_ms: int) -> QuarantineSummary:
         """Return the evidence to send next: the urgent, then what was sent least often."""
         self._expire(now_ms)
--- a/tests/scenario/node.py
+++ b/tests/scenario/node.py
@@ -80,6 +80,7 @@
     endpoint: str = ""
     heard_ms: float = 0.0
     tokens: int = 0
+    is_held: bool = False
 
 
 class EntryNode(Process):
@@ -179,7 +180,7 @@
             request_id=request_id,
             policy=_policy_of(spec),
             pool_id=PoolId(spec.pool),
-            fingerprint=sha256(attempt.body).hexdigest(),
+            fingerprint=_fingerprint_of(attempt),
             body_digest=sha256(attempt.body).digest(),
             streams_tokens=spec.output_tokens > 0,
             expected_output_tokens=spec.output_tokens,
@@ -212,7 +213,27 @@
         code: ErrorCode | None,
         body: bytes = b"",
     ) -> None:
-        """Answer a request, once."""
+        """Answer a request, once; a failure waits until evidence of a crash has spread."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is None or exchange.is_held:
+            return
+        delay_ms = 0
+        if outcome is not Outcome.COMPLETED:
+            delay_ms = self.quarantine.answer_delay_ms(
+                _fingerprint_of(exchange.attempt), self.now_ms
+            )
+        if delay_ms:
+            exchange.is_held = True
+            exchange.number += 1
+            exchange.endpoint = ""
+            self.after(delay_ms, lambda: self._answer(request_id, outcome, code, body))
+            return
+        self._answer(request_id, outcome, code, body)
+
+    def _answer(
+        self, request_id: RequestId, outcome: Outcome, code: ErrorCode | None, body: bytes
+    ) -> None:
+        """Send an answer back."""
         exchange = self._exchanges.pop(request_id, None)
         if exchange is not None:
             exchange.answer(
@@ -397,6 +418,11 @@
         self.after(DRAIN_CHECK_MS, check)
 
 
+def _fingerprint_of(attempt: Attempt) -> str:
+    """Return what names a request's content."""
+    return sha256(attempt.body).hexdigest()
+
+
 def _policy_of(spec: ClassSpec) -> ClassPolicy:
     """Return a class's settings."""
     behaviour = DeadlineBehaviour.FAIL_FAST
--- a/tests/wagtailusher_once/test_quarantine.py
+++ b/tests/wagtailusher_once/test_quarantine.py
@@ -55,7 +55,6 @@
             self.assertFalse(any(node.is_quarantined("a0", fleet.now_ms) for node in fleet.nodes))
 
     def test_caller_that_waits_for_its_answer_takes_two_endpoints(self) -> None:
-        spread_ms = QuarantineLimits().spread_ms
         for seed in range(3):
             fleet = QuarantineFleet(nodes=DESIGN_NODES, seed=seed)
             crashes = 0
@@ -64,8 +63,9 @@
                 if not node.is_quarantined("bad", fleet.now_ms):
                     fleet.crash(["bad"], f"e{crashes}", node)
                     crashes += 1
-                fleet.advance(spread_ms)
+                fleet.advance(node.answer_delay_ms("bad", fleet.now_ms))
             self.assertEqual(crashes, 2)
+            self.assertEqual(node.answer_delay_ms("healthy", fleet.now_ms), 0)
 
 
 class QuarantineDeciderTest(unittest.TestCase):
