--- a/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/__main__.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/__main__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import asdict
 import json
 import sys
@@ -18,69 +18,54 @@
 from wagtailusher_bench.slopes.work import measure_work
 
 GROUPS = ("memory", "lists", "work", "daemon")
+WORKSPACES = (470, 1500, 4700)
+ENDPOINTS = (60, 600, 1900, 3800)
+PEERS = (9, 50, 150)
+QUEUED = (100, 500, 1000)
+DECISIONS = (500, 1000, 2000, 4000)
+RENEWALS = (60, 120, 240, 480)
+CONTENT_LINES = (3000, 6000, 12000)
+STREAMS = (100, 200, 300, 400)
+REQUESTS = (400, 800, 1600)
+POLLED = (4, 16, 32, 64)
+DEFAULT_WINDOW_MS = 3000
 
 
-def main(
-    *,
-    group: Sequence[str] = GROUPS,
-    workspaces: Sequence[int] = (470, 1500, 4700),
-    endpoints: Sequence[int] = (60, 600, 1900, 3800),
-    peers: Sequence[int] = (9, 50, 150),
-    queued: Sequence[int] = (100, 500, 1000),
-    nodes: Sequence[int] = (9, 50, 150),
-    decisions: Sequence[int] = (500, 1000, 2000, 4000),
-    renewals: Sequence[int] = (60, 120, 240, 480),
-    content_lines: Sequence[int] = (3000, 6000, 12000),
-    streams: Sequence[int] = (100, 200, 300, 400),
-    requests: Sequence[int] = (400, 800, 1600),
-    polled: Sequence[int] = (4, 16, 32, 64),
-    window_ms: int = 3000,
-) -> None:
+def main(*, group: Sequence[str] = GROUPS, window_ms: int = DEFAULT_WINDOW_MS) -> None:
     """Print the slopes of memory, processor time and bytes.
 
     :param group: memory of the deciders, reading of lists, their work, or a real daemon
-    :param workspaces: numbers of workspaces
-    :param endpoints: numbers of endpoints that a decider knows
-    :param peers: fleet sizes for the memory of a member
-    :param queued: numbers of requests that wait in admission
-    :param nodes: fleet sizes for the traffic of membership
-    :param decisions: numbers of decisions
-    :param renewals: numbers of lease renewals
-    :param content_lines: sizes of the configuration that changes, in lines
-    :param streams: numbers of open streams, a chunk each 49 ms
-    :param requests: numbers of whole requests
-    :param polled: numbers of endpoints whose load a daemon polls
     :param window_ms: length of one measurement of a daemon
     """
+    for slope in _deciders(group):
+        _print(slope)
+    if "daemon" in group:
+        asyncio.run(_async_daemon(window_ms))
+
+
+def _deciders(group: Sequence[str]) -> Iterator[Slope]:
+    """Yield the slopes that need no process."""
     if "memory" in group:
-        kept = measure_memory(
-            workspaces=workspaces, endpoints=endpoints, peers=peers, queued=queued
+        yield from measure_memory(
+            workspaces=WORKSPACES, endpoints=ENDPOINTS, peers=PEERS, queued=QUEUED
         )
-        for slope in kept:
-            _print(slope)
     if "lists" in group:
-        for slope in measure_lists(endpoints=endpoints, workspaces=workspaces):
-            _print(slope)
+        yield from measure_lists(endpoints=ENDPOINTS, workspaces=WORKSPACES)
     if "work" in group:
-        slopes = measure_work(
-            decisions=decisions,
-            endpoints=endpoints,
-            renewals=renewals,
-            nodes=nodes,
-            content_lines=content_lines,
+        yield from measure_work(
+            decisions=DECISIONS,
+            endpoints=ENDPOINTS,
+            renewals=RENEWALS,
+            nodes=PEERS,
+            content_lines=CONTENT_LINES,
         )
-        for slope in (*slopes, *measure_wire(renewals=renewals)):
-            _print(slope)
-    if "daemon" in group:
-        asyncio.run(_async_daemon(streams, requests, polled, window_ms))
+        yield from measure_wire(renewals=RENEWALS)
 
 
-async def _async_daemon(
-    streams: Sequence[int], requests: Sequence[int], polled: Sequence[int], window_ms: int
-) -> None:
+async def _async_daemon(window_ms: int) -> None:
     """Print the slopes of a daemon."""
     slopes = async_measure_daemon(
-        streams=streams, requests=requests, endpoints=polled, window_ms=window_ms
+        streams=STREAMS, requests=REQUESTS, endpoints=POLLED, window_ms=window_ms
     )
     async for slope in slopes:
         _print(slope)
--- a/tests/wagtailusher_bench/slopes/test_capacity_page.py
+++ b/tests/wagtailusher_bench/slopes/test_capacity_page.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import redirect_stdout
 from dataclasses import replace
+from io import StringIO
+import json
 from pathlib import Path
 import unittest
 
+from wagtailusher_bench.__main__ import main
 from wagtailusher_bench.slopes.capacity import DESIGN, SIZES
 from wagtailusher_bench.slopes.capacity_page import costs_of, read_figures, table_row
 
@@ -39,6 +43,13 @@
         for role in ("caller gateway", "endpoint choice"):
             self.assertLess(after[role].core_share, before[role].core_share)
 
+    def test_command_prints_an_object_a_line(self) -> None:
+        output = StringIO()
+        with redirect_stdout(output):
+            main(["capacity", "--page", str(PAGE)])
+        rows = [json.loads(line) for line in output.getvalue().splitlines()]
+        self.assertEqual({row["size"] for row in rows}, set(SIZES))
+
     def test_page_without_figures_is_refused(self) -> None:
         with self.assertRaises(ValueError):
             read_figures("# Capacity\n")
--- a/tests/wagtailusher_http/test_client.py
+++ b/tests/wagtailusher_http/test_client.py
@@ -64,24 +64,24 @@
     async def _async_ask(self) -> ClientAnswer:
         return await self.client.async_request(self.address, "GET", "/", fresh=True)
 
+    async def _async_random_body(self, generator: Random) -> tuple[bytes, ClientAnswer]:
+        chunks = [generator.randbytes(generator.choice((1, 5, 17, 300))) for _ in range(9)]
+        data = HEAD + b"".join(_framed(chunk) for chunk in chunks) + END
+        self.peer.pieces = _cut(data, generator)
+        return b"".join(chunks), await self._async_ask()
+
     async def test_body_is_the_same_wherever_the_socket_cuts_it(self) -> None:
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
                 generator = Random(seed)
-                chunks = [generator.randbytes(generator.choice((1, 5, 17, 300))) for _ in range(9)]
-                data = HEAD + b"".join(_framed(chunk) for chunk in chunks) + END
-                self.peer.pieces = _cut(data, generator)
-                answer = await self._async_ask()
-                self.assertEqual(await answer.async_read(), b"".join(chunks))
+                body, answer = await self._async_random_body(generator)
+                self.assertEqual(await answer.async_read(), body)
 
     async def test_pumped_body_is_the_same_with_pauses_at_any_place(self) -> None:
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
                 generator = Random(seed)
-                chunks = [generator.randbytes(generator.choice((1, 5, 17, 300))) for _ in range(9)]
-                data = HEAD + b"".join(_framed(chunk) for chunk in chunks) + END
-                self.peer.pieces = _cut(data, generator)
-                answer = await self._async_ask()
+                body, answer = await self._async_random_body(generator)
                 seen: list[bytes] = []
 
                 def deliver(
@@ -93,7 +93,7 @@
                 while not await answer.async_pump(deliver, 5_000):
                     for _ in range(generator.randrange(4)):
                         await asyncio.sleep(0)
-                self.assertEqual(b"".join(seen), b"".join(chunks))
+                self.assertEqual(b"".join(seen), body)
 
     async def test_pump_tells_of_silence_breaks_and_errors_of_its_receiver(self) -> None:
         def refuse(part: bytes) -> bool:
