Say unknown when a ticket's request is refused before the ticket was looked up

The daemon had the same fault for every refusal before the router (no settings, unknown class, bad key). Ruled out: the router, which looks the ticket up first. The client asks another VM with the same ticket in these cases. Before: outcome not_run for a booking that ran. Conclusion: a body that the HTTP layer itself refuses still says not run of that attempt.

--- a/packages/wagtailusher_client/src/wagtailusher_client/client.py
+++ b/packages/wagtailusher_client/src/wagtailusher_client/client.py
@@ -30,6 +30,11 @@
 MS_PER_S = 1000
 
 _MOVED_CODES = frozenset({ErrorCode.DRAINING, ErrorCode.NOT_READY})
+_ASK_AGAIN_CODES = _MOVED_CODES | {
+    ErrorCode.IN_PROGRESS,
+    ErrorCode.HOME_GONE,
+    ErrorCode.PEER_UNAVAILABLE,
+}
 
 
 class CallerClient:
@@ -95,6 +100,7 @@
         target = f"/services/{route_id}/{path}"
         address = ticket.address
         was_sent = False
+        last: RefusedError | None = None
         for _ in range(self._limits.attempts):
             headers = self._headers(class_id).with_field(HEADER_TICKET, ticket.ticket)
             certainly_not_run = False
@@ -104,18 +110,22 @@
                 certainly_not_run = not was_sent
             except RefusedError as err:
                 certainly_not_run = err.code in _MOVED_CODES and err.outcome is Outcome.NOT_RUN
-                if err.code is not ErrorCode.IN_PROGRESS and not certainly_not_run:
+                if not certainly_not_run and err.code not in _ASK_AGAIN_CODES:
                     raise
+                last = err
             except WagtailusherError:
                 was_sent = True
             self._addresses.mark_failed(address)
             await self._async_pause()
             if certainly_not_run:
+                last = None
                 ticket = await self._async_ticket(route_id)
                 address = ticket.address
                 was_sent = False
             else:
                 address = await self._addresses.async_pick(_now_ms(), route_id)
+        if last is not None:
+            raise last
         if was_sent:
             raise UnknownOutcomeError("no VM could tell what became of the request")
         raise NoAddressError("no entry VM could be reached")
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -14,7 +14,9 @@
 from wagtailusher_daemon.classify import Classified, Classifier, api_key_of
 from wagtailusher_daemon.clock import wall_ms
 from wagtailusher_daemon.const import (
+    HEADER_KEY,
     HEADER_REVISION,
+    HEADER_TICKET,
     MAX_REVISION_CHARS,
     PATH_ADDRESSES,
     PATH_CHAT,
@@ -84,13 +86,19 @@
             if path == PATH_CHAT or path.startswith(PATH_SERVICES):
                 return await self._async_route(request)
         except RefusedRequestError as err:
-            self.metrics.count_refusal(err.code, err.outcome)
+            outcome = _outcome_before_lookup(request, err)
+            self.metrics.count_refusal(err.code, outcome)
             return error_response(
-                err.status, err.code, err.message, retry_after_ms=err.retry_after_ms
+                err.status,
+                err.code,
+                err.message,
+                outcome=outcome,
+                retry_after_ms=err.retry_after_ms,
             )
         except WagtailusherError as err:
-            self.metrics.count_refusal(err.code, Outcome.NOT_RUN)
-            return coded_response(err.code, Outcome.NOT_RUN, err.message)
+            outcome = _outcome_before_lookup(request, err)
+            self.metrics.count_refusal(err.code, outcome)
+            return coded_response(err.code, outcome, err.message)
         return self._answer_plain(request)
 
     def _answer_plain(self, request: Request) -> Response:
@@ -205,3 +213,16 @@
         settings = self.settings()
         assert settings is not None
         return settings.fleet.silence_timeout_ms
+
+
+def _outcome_before_lookup(request: Request, err: WagtailusherError) -> Outcome:
+    """Return what may be said of a request that is refused before its ticket was looked up.
+
+    An earlier attempt with the same ticket or key may have run, here or at another VM. A ticket
+    that the fleet did not mint never ran.
+    """
+    if err.code is ErrorCode.TICKET_INVALID:
+        return Outcome.NOT_RUN
+    if HEADER_TICKET in request.headers or HEADER_KEY in request.headers:
+        return Outcome.UNKNOWN
+    return Outcome.NOT_RUN
--- a/tests/wagtailusher_daemon/test_path.py
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -83,6 +83,14 @@
             self.assertEqual(value["error"]["outcome"], "unknown")
         self.assertEqual(self.fleet.booking.executions["b3"], 1)
 
+    async def test_refusal_before_the_lookup_is_unknown_for_a_ticket_that_ran(self) -> None:
+        ticket = await self.fleet.async_ticket(vm=0)
+        await self.fleet.async_book("b4", ticket, vm=0)
+        with patch.object(self.fleet.apps[1].view.keeper, "_current", None):
+            _, value = await self.fleet.async_book("b4", ticket, vm=1)
+        self.assertEqual(value["error"]["code"], "not_ready")
+        self.assertEqual(value["error"]["outcome"], "unknown")
+
     async def test_silent_stream_is_resumed_over_a_new_connection(self) -> None:
         for engine in self.fleet.engines:
             engine.behaviour.silent_after_tokens = 3
