Hand stranded bookings over in the scenarios

The scenarios' node asks a peer for a ticket for what only it may run and has no credits for, as the entry daemon does, and passes hops and age along.

--- a/tests/scenario/caller.py
+++ b/tests/scenario/caller.py
@@ -103,6 +103,7 @@
             ticket=self._ticket,
             key=self._key,
             is_first=not self._sendings,
+            sent_ms=self._fleet.clock.time_ms,
         )
         self._sendings += 1
         self._attempt = attempt
--- a/tests/scenario/calls.py
+++ b/tests/scenario/calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tests.scenario.steps import ClassSpec
 from wagtailusher_core import ErrorCode, Outcome, VmId
@@ -47,11 +47,17 @@
     ticket: str | None = None
     key: str | None = None
     is_first: bool = False
+    sent_ms: float = 0.0
+    origin: str | None = None
 
     @property
     def handle(self) -> str:
-        """Return what a refusal is about."""
-        return self.ticket or self.key or self.attempt_id
+        """Return what a refusal is about: what the caller brought."""
+        return self.origin or self.ticket or self.key or self.attempt_id
+
+    def under(self, successor: str) -> Attempt:
+        """Return the attempt under the ticket that succeeds the caller's."""
+        return replace(self, ticket=successor, key=None, origin=self.handle)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/scenario/fleet.py
+++ b/tests/scenario/fleet.py
@@ -126,6 +126,7 @@
         answer: Answer,
         *,
         forwarded_from: VmId,
+        hops: int,
     ) -> None:
         """Forward an attempt to a peer."""
 
@@ -135,7 +136,7 @@
         def arrive() -> None:
             peer = self._nodes.get(receiver)
             if peer is not None and peer.alive:
-                peer.run(lambda: peer.receive(attempt, back, forwarded_from))
+                peer.run(lambda: peer.receive(attempt, back, forwarded_from, hops))
 
         self.links.send(sender, receiver, arrive)
 
--- a/tests/scenario/node.py
+++ b/tests/scenario/node.py
@@ -28,6 +28,7 @@
     WorkspaceId,
 )
 from wagtailusher_once import (
+    ForwardTo,
     OnceError,
     OnceLimits,
     QuarantineDecider,
@@ -46,6 +47,7 @@
     ReplayAnswer,
     RouterDecider,
     RouterParts,
+    Stranded,
     UnknownFlightError,
 )
 from wagtailusher_settings import ClassPolicy, DeadlineBehaviour
@@ -81,6 +83,7 @@
     heard_ms: float = 0.0
     tokens: int = 0
     is_held: bool = False
+    hops: int = 0
 
 
 class EntryNode(Process):
@@ -140,8 +143,10 @@
         self.every(SILENCE_CHECK_MS, self._check_silence, first_ms=phase_ms)
 
     def _tick(self) -> None:
-        """Let time pass."""
+        """Let time pass, and find peers for what only this node may run and can't."""
         self.apply(self.router.tick(self.now_ms))
+        for stranded in self.router.stranded(self.now_ms):
+            self._ask_for_ticket(stranded)
 
     # Requests.
 
@@ -149,7 +154,26 @@
         """Return a ticket for a caller."""
         return self.mint.mint(WALL_BASE_MS + self.now_ms)
 
-    def receive(self, attempt: Attempt, answer: Answer, forwarded_from: VmId | None = None) -> None:
+    def _ask_for_ticket(self, stranded: Stranded) -> None:
+        """Ask a peer for a ticket, to hand the right to run over to it."""
+
+        def take(ticket: str) -> None:
+            successor = ForwardTo(home_id=stranded.peer_id, ticket=ticket)
+            self.apply(self.router.hand_over(stranded.request_id, successor, self.now_ms))
+
+        def mint(peer: EntryNode) -> None:
+            ticket = peer.mint_ticket()
+            self.fleet.send_datagram(peer.vm_id, self.vm_id, lambda _: take(ticket))
+
+        self.fleet.send_datagram(self.vm_id, stranded.peer_id, mint)
+
+    def receive(
+        self,
+        attempt: Attempt,
+        answer: Answer,
+        forwarded_from: VmId | None = None,
+        hops: int = 0,
+    ) -> None:
         """Take an attempt from a caller or a peer."""
         if not self.peers.is_ready:
             is_new = attempt.ticket is None and attempt.key is None
@@ -159,18 +183,18 @@
         self._requests += 1
         request_id = RequestId(f"{attempt.attempt_id}@{self.vm_id}/{self._requests}")
         try:
-            arrival = self._arrival_of(request_id, attempt, forwarded_from)
+            arrival = self._arrival_of(request_id, attempt, forwarded_from, hops)
         except OnceError as err:
             outcome = Outcome.UNKNOWN
             if isinstance(err, TicketInvalidError):
                 outcome = Outcome.NOT_RUN
             answer(Reply(attempt=attempt, outcome=outcome, code=err.code))
             return
-        self._exchanges[request_id] = _Exchange(attempt, answer)
+        self._exchanges[request_id] = _Exchange(attempt, answer, hops=hops)
         self.apply(self.router.arrive(arrival, self.now_ms))
 
     def _arrival_of(
-        self, request_id: RequestId, attempt: Attempt, forwarded_from: VmId | None
+        self, request_id: RequestId, attempt: Attempt, forwarded_from: VmId | None, hops: int
     ) -> Arrival:
         """Return an attempt as the router sees it."""
         spec = attempt.call.spec
@@ -188,6 +212,8 @@
             idempotency_key=attempt.key,
             now_wall_ms=now_wall_ms,
             forwarded_from=forwarded_from,
+            hops=hops,
+            age_ms=round(self.clock.time_ms - attempt.sent_ms),
         )
 
     def apply(self, actions: Iterable[Action]) -> None:
@@ -243,6 +269,9 @@
     def _forward(self, action: Forward) -> None:
         """Hand a request to a peer and its reply back."""
         exchange = self._exchanges[action.request_id]
+        attempt = exchange.attempt
+        if action.ticket is not None:
+            attempt = attempt.under(action.ticket)
 
         def pass_back(reply: Reply) -> None:
             self.run(
@@ -250,7 +279,12 @@
             )
 
         self.fleet.deliver(
-            self.vm_id, action.vm_id, exchange.attempt, pass_back, forwarded_from=self.vm_id
+            self.vm_id,
+            action.vm_id,
+            attempt,
+            pass_back,
+            forwarded_from=self.vm_id,
+            hops=exchange.hops + 1,
         )
         self.after(
             FORWARD_TIMEOUT_MS,
