Let a node with demand warm a cold endpoint up in its steward's place

The whole cold allowance may now go to another single node; it moves only once the present one gave it back, or fell silent. A new test has a steward without callers.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/charge.py
@@ -19,6 +19,8 @@
     """What a steward keeps for one endpoint; a new one is unsettled, and cold if it can be."""
 
     __slots__ = (
+        "_cold_granted",
+        "_cold_holder_id",
         "_forced_cold",
         "_leftover",
         "_limits",
@@ -58,6 +60,8 @@
         self._forced_cold = False
         self._targets: dict[VmId, int] = {}
         self._targets_at_ms = 0
+        self._cold_holder_id = steward_id
+        self._cold_granted = False
         self.settle(now_ms)
 
     def settle(self, now_ms: int) -> None:
@@ -91,18 +95,45 @@
 
     def observe_holder(self, request: LeaseRequest, now_ms: int) -> None:
         """Take in what a holder saw of the endpoint."""
-        is_own = request.node_id == self._steward_id
-        if request.suspects_cold and (is_own or not self.cold_start.cold):
+        is_cold_holder = request.node_id == self._cold_holder_id
+        if request.suspects_cold and (is_cold_holder or not self.cold_start.cold):
             self.turn_cold(now_ms)
-        if is_own and request.good_first_tokens and now_ms >= self.settled_at_ms:
+        if is_cold_holder and request.good_first_tokens and now_ms >= self.settled_at_ms:
             self.cold_start.good_first_tokens(request.good_first_tokens, now_ms)
 
     def cold_credits(self, node_id: VmId, now_ms: int) -> int:
-        """Return the whole cold allowance for the steward's own work and nothing for others."""
+        """Return the whole cold allowance for the one node that may use it, nothing for others."""
+        if node_id != self._cold_holder_id and not self._move_cold_holder(node_id, now_ms):
+            return 0
         leftover = self._leftover.bound(now_ms)
-        if node_id != self._steward_id or leftover is None:
+        if leftover is None or self._gives_way(node_id, now_ms):
             return 0
-        return max(0, self.cold_start.allowance - leftover)
+        credits = max(0, self.cold_start.allowance - leftover)
+        self._cold_granted = self._cold_granted or credits > 0
+        return credits
+
+    def _gives_way(self, node_id: VmId, now_ms: int) -> bool:
+        """Return whether the cold holder has no use for the endpoint but another node has."""
+        demands = self.ledger.demands(now_ms)
+        if sum(demands.get(node_id, ())) or self.ledger.in_flight(node_id):
+            return False
+        return any(sum(demand) for other, demand in demands.items() if other != node_id)
+
+    def _move_cold_holder(self, node_id: VmId, now_ms: int) -> bool:
+        """Let another node use the cold allowance once the present one surely doesn't.
+
+        A holder that fell silent may have left work behind, which only a report can tell.
+        """
+        if not sum(self.ledger.demands(now_ms).get(node_id, ())):
+            return False
+        holder_id = self._cold_holder_id
+        if self._cold_granted and not self.ledger.has_given_back(holder_id):
+            if self.ledger.is_heard(holder_id, now_ms):
+                return False
+            self._leftover = self._unknown_leftover(now_ms)
+        self._cold_holder_id = node_id
+        self._cold_granted = False
+        return True
 
     def warm_credits(self, node_id: VmId, now_ms: int) -> int:
         """Return a node's part of the concurrency limit."""
@@ -130,6 +161,8 @@
     def _recall(self, now_ms: int) -> None:
         """Call back the other nodes' leases, and wait for their work to end."""
         self.recalls.update(self.ledger.charged() - {self._steward_id})
+        self._cold_holder_id = self._steward_id
+        self._cold_granted = False
         self._leftover = self._unknown_leftover(
             max(self.settled_at_ms, now_ms + self._limits.lifetime_ms)
         )
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -51,7 +51,6 @@
         incarnation: Incarnation | None = None,
     ) -> None:
         """Start without endpoints."""
-        self._vm_id = vm_id
         self._generator = Random(seed)
         self._choose = choose
         self._lengths = LengthEstimator()
@@ -184,7 +183,7 @@
             pool = self._fleet.pools.get(pool_id)
             if pool is None:
                 continue
-            for key, tiers in spread_demand(by_tier, pool.items, self._vm_id, now_ms).items():
+            for key, tiers in spread_demand(by_tier, pool.items, now_ms).items():
                 before = spread.get(key)
                 merged = tiers if before is None else list(map(max, before, tiers))
                 spread[key] = merged
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
@@ -190,8 +190,8 @@
         """
         if item.suspects_cold:
             return self.limits.urgent_renewal_ms
-        if item.cold and item.steward_id != self._vm_id:
-            return self.limits.lifetime_ms
+        if item.cold and item.steward_id != self._vm_id and not item.allowed(now_ms):
+            return self.limits.lifetime_ms // 2
         is_short = wanted > item.allowed(now_ms)
         interval_ms = self.limits.urgent_renewal_ms if is_short else self.limits.renewal_ms
         return max(interval_ms, self._least_interval_ms)
@@ -225,24 +225,28 @@
 
 
 def spread_demand(
-    by_tier: Mapping[int, int], items: Iterable[TrackedEndpoint], vm_id: VmId, now_ms: int
+    by_tier: Mapping[int, int], items: Iterable[TrackedEndpoint], now_ms: int
 ) -> dict[EndpointId, list[int]]:
     """Split a pool's demand over its endpoints: work in flight where it is, the rest by limit.
 
     The remainder goes round in the order of the items, which differs from node to node but stays
     the same for each, so that credits do not wander.
     """
-    members = [item for item in items if _takes_demand(item, vm_id, now_ms)]
+    members = [
+        item
+        for item in items
+        if item.in_service and now_ms >= item.health.ejected_until_ms and _weight(item)
+    ]
     spread = {item.info.endpoint_id: list(item.by_tier) for item in members}
-    total_limit = sum(item.info.concurrency_limit for item in members)
-    if total_limit == 0:
+    if not members:
         return spread
+    total_weight = sum(_weight(item) for item in members)
     turn = 0
     for tier, wanted in by_tier.items():
         queued = max(0, wanted - sum(item.by_tier[tier] for item in members))
         left = queued
         for item in members:
-            part = queued * item.info.concurrency_limit // total_limit
+            part = queued * _weight(item) // total_weight
             spread[item.info.endpoint_id][tier] += part
             left -= part
         for _ in range(left):
@@ -251,8 +255,6 @@
     return spread
 
 
-def _takes_demand(item: TrackedEndpoint, vm_id: VmId, now_ms: int) -> bool:
-    """Return whether asking an endpoint's steward for credits makes sense."""
-    if not item.in_service or now_ms < item.health.ejected_until_ms:
-        return False
-    return not item.cold or item.steward_id == vm_id
+def _weight(item: TrackedEndpoint) -> int:
+    """Return how much demand an endpoint takes, compared with others."""
+    return item.info.cold_limit if item.cold else item.info.concurrency_limit
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/ledger.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/ledger.py
@@ -23,12 +23,14 @@
 
     __slots__ = (
         "charge",
+        "confirmed",
         "confirmed_at_ms",
         "demand",
         "grants",
         "heard_at_ms",
         "in_flight",
         "last",
+        "last_grant",
     )
 
     def __init__(self) -> None:
@@ -40,6 +42,8 @@
         self.heard_at_ms: int | None = None
         self.in_flight = 0
         self.last = -1
+        self.confirmed = 0
+        self.last_grant: _Grant | None = None
 
 
 class LeaseLedger:
@@ -78,6 +82,7 @@
         account.heard_at_ms = now_ms
         account.in_flight = request.in_flight
         account.demand = request.demand_by_tier
+        account.confirmed = request.confirms
         for grant in account.grants:
             if grant.sequence == request.confirms:
                 account.confirmed_at_ms = grant.granted_at_ms
@@ -88,7 +93,8 @@
     def record(self, node_id: VmId, sequence: int, credits: int, now_ms: int) -> None:
         """Note a grant that is about to be sent."""
         account = self._accounts[node_id]
-        account.grants.append(_Grant(sequence, credits, now_ms))
+        account.last_grant = _Grant(sequence, credits, now_ms)
+        account.grants.append(account.last_grant)
         self._recharge(node_id, account, now_ms)
 
     def room_for(self, node_id: VmId, limit: int, now_ms: int) -> int:
@@ -106,6 +112,24 @@
             if self._is_fresh(account, now_ms)
         }
 
+    def in_flight(self, node_id: VmId) -> int:
+        """Return a node's work in flight by its last word."""
+        account = self._accounts.get(node_id)
+        return 0 if account is None else account.in_flight
+
+    def is_heard(self, node_id: VmId, now_ms: int) -> bool:
+        """Return whether a node was heard lately, so that its leases may be valid."""
+        account = self._accounts.get(node_id)
+        return account is not None and self._is_fresh(account, now_ms)
+
+    def has_given_back(self, node_id: VmId) -> bool:
+        """Return whether a node confirmed a grant of nothing when it had nothing in flight."""
+        account = self._accounts.get(node_id)
+        if account is None or account.last_grant is None or account.in_flight:
+            return False
+        last = account.last_grant
+        return last.credits == 0 and account.confirmed == last.sequence
+
     def charged(self) -> set[VmId]:
         """Return the nodes that may use a lease or the local share."""
         return {node_id for node_id, account in self._accounts.items() if account.charge > 0}
--- a/tests/wagtailusher_placement/test_leases.py
+++ b/tests/wagtailusher_placement/test_leases.py
@@ -174,6 +174,7 @@
         for kind, number, wait_ms in events:
             apply_event(fleet, kind, number, wait_ms)
             run_checked(self, fleet, wait_ms)
+        self.assertEqual(fleet.endpoints[EndpointId("b")].excess, [])
 
 
 def apply_event(fleet: FakeFleet, kind: str, number: int, wait_ms: int) -> None:
@@ -196,6 +197,9 @@
     elif kind in ("burst", "idle"):
         fleet.nodes[vm_id].demand = 40 if kind == "burst" else 0
     else:
+        idle = fleet.endpoints[EndpointId("b")]
+        if kind == "back" and fleet.drained and not idle.running:
+            idle.turn_cold(fleet.now_ms)
         fleet.drained = (DOMAIN,) if kind == "drain" else ()
 
 
@@ -246,6 +250,21 @@
             self.assertEqual([item.cold_since_ms for item in fleet.endpoints.values()], [None] * 2)
             self.assertGreater(fleet.allowed(EndpointId("a")), 2)
 
+    def test_a_cold_endpoint_warms_up_though_its_steward_has_no_callers(self) -> None:
+        fleet = FakeFleet([endpoint("a")], 5, seed=2)
+        cold = fleet.endpoints[EndpointId("a")]
+        steward_id = steward_of(cold.info, fleet.lists[-1][1])
+        for vm_id, node in fleet.nodes.items():
+            node.demand = 0 if vm_id == steward_id else 4
+        fleet.run(SETTLED_MS)
+        fleet.drained = (DOMAIN,)
+        fleet.run(8_000)
+        cold.turn_cold(fleet.now_ms)
+        fleet.drained = ()
+        run_checked(self, fleet, 40_000)
+        self.assertEqual(cold.excess, [])
+        self.assertGreater(len(cold.running), 10)
+
 
 class ApportionTest(unittest.TestCase):
     """How a steward splits credits."""
