--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -18,6 +18,7 @@
 from wagtailusher_placement.accounts import WorkAccounts, is_timely, seems_cold
 from wagtailusher_placement.baselines import Chooser
 from wagtailusher_placement.const import REFRESH_INTERVAL_MS, REFRESH_MS_PER_ENDPOINT
+from wagtailusher_placement.demand import spread_demand
 from wagtailusher_placement.endpoints import (
     Choice,
     EndOfWork,
@@ -26,7 +27,7 @@
     PlacementRequest,
 )
 from wagtailusher_placement.fleet import EndpointFleet
-from wagtailusher_placement.holder import LeaseHolder, spread_demand
+from wagtailusher_placement.holder import LeaseHolder
 from wagtailusher_placement.leases import LeaseGrant, LeaseLimits, LeaseRecall, LeaseRequest
 from wagtailusher_placement.lengths import LengthEstimator
 from wagtailusher_placement.reports import CacheEvent, LoadReport
--- a/tests/wagtailusher_placement/test_leases.py
+++ b/tests/wagtailusher_placement/test_leases.py
@@ -92,18 +92,33 @@
         fleet.run(10_000)
         self.assertEqual(fleet.allowed(EndpointId("a")), 0)
 
-    def test_a_partitioned_holder_waits_before_it_uses_the_local_share(self) -> None:
-        fleet = FakeFleet([endpoint("a", limit=16)], 4, seed=1, loss=0.0)
-        steward_id = steward_of(fleet.endpoints[EndpointId("a")].info, fleet.lists[-1][1])
-        idle_id, *busy_ids = [vm_id for vm_id in fleet.nodes if vm_id != steward_id]
-        for vm_id, node in fleet.nodes.items():
-            node.demand = 40 if vm_id in busy_ids else 0
+    def test_a_holder_without_its_steward_waits_before_it_uses_the_local_share(self) -> None:
+        for cuts_steward in (False, True):
+            fleet = FakeFleet([endpoint("a", limit=16)], 4, seed=1, loss=0.0)
+            steward_id = steward_of(fleet.endpoints[EndpointId("a")].info, fleet.lists[-1][1])
+            assert steward_id is not None
+            idle_id, *busy_ids = [vm_id for vm_id in fleet.nodes if vm_id != steward_id]
+            for vm_id, node in fleet.nodes.items():
+                node.demand = 40 if vm_id in busy_ids else 0
+            fleet.run(SETTLED_MS)
+            idle = fleet.nodes[idle_id].placement
+            self.assertEqual(idle.view(fleet.now_ms)[0].allowed, 0)
+            fleet.cut = frozenset({steward_id if cuts_steward else idle_id})
+            run_checked(self, fleet, 12_000)
+            self.assertEqual(idle.view(fleet.now_ms)[0].allowed, 16 // 4)
+
+    def test_a_lease_runs_from_the_sending_of_its_request(self) -> None:
+        fleet = FakeFleet([endpoint("a")], 1, seed=1)
+        node = next(iter(fleet.nodes.values()))
         fleet.run(SETTLED_MS)
-        self.assertEqual(fleet.nodes[idle_id].placement.view(fleet.now_ms)[0].allowed, 0)
-        fleet.cut = frozenset({idle_id})
-        run_checked(self, fleet, 12_000)
-        view = fleet.nodes[idle_id].placement.view(fleet.now_ms)[0]
-        self.assertEqual(view.allowed, 16 // 4)
+        now_ms = fleet.now_ms + LIMITS.renewal_ms
+        request = node.placement.lease_requests({POOL: {1: 4}}, now_ms)[0]
+        granted = node.steward.request(request, now_ms + 400)
+        assert granted is not None
+        node.placement.apply_grant(granted, now_ms + 400)
+        end_ms = now_ms + LIMITS.lifetime_ms - LIMITS.clock_margin_ms
+        allowed = [node.placement.view(at_ms)[0].allowed for at_ms in (end_ms - 1, end_ms)]
+        self.assertEqual(allowed, [16, 0])
 
     def test_a_steward_that_starts_takes_over_warm_endpoints(self) -> None:
         info = endpoint("a").info
