Send lease messages in batches of compact rows, and poll load where it is used

Now a turn's messages to one VM go in one datagram, as rows of msgpack; only an engine's steward polls it each time, and tells the holders with its grants.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -34,6 +34,7 @@
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.journal import Journal
+from wagtailusher_daemon.load_watch import LoadWatch
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.observation import Observer
@@ -76,11 +77,13 @@
         self._peer_client = HttpClient(ssl_context=peer_context(options))
         self._secrets = _secrets_of(options)
         self.upstream = Upstream(self._client, self.directory.address_of_cancel)
-        self.peers = Peers(self.directory.peer_address_of, self._receive)
+        self.loads = LoadWatch(self.vm_id)
+        self.peers = Peers(self.directory.peer_address_of, self._receive, self.loads)
         self.node = RouterNode(
             new_decider(options, self.incarnation, self._quota_share),
             send_peer=self.peers.send,
             cancel=self.upstream.cancel,
+            loads=self.loads,
         )
         self.view = FleetView(self.node, self.metrics)
         self.directory.attach(self.view)
@@ -278,6 +281,7 @@
     def _take_list(self, vm_list: VmList) -> None:
         """Take the platform's list in."""
         self.view.offer_published(vm_list.entry_vms, vm_list.endpoints, vm_list.version)
+        self.loads.keep_only(self.view.endpoints)
         if self.talk is not None:
             self.talk.update_published(vm_list.entry_vms)
 
@@ -336,13 +340,12 @@
         self.metrics.held.set({}, self.node.held_count)
 
     async def _async_poll_load(self) -> None:
-        """Poll the engines' load, first of those whose steward this VM is."""
+        """Poll the engines whose load is this VM's to know."""
         decider = self.node.decider
-        engines = sorted(
-            self.view.engines,
-            key=lambda info: decider.steward_id(info.endpoint_id) != self.vm_id,
-        )
-        reports = await self.upstream.engines.async_poll(engines, monotonic_ms)
+        engines = self.view.engines
+        stewards = {info.endpoint_id: decider.steward_id(info.endpoint_id) for info in engines}
+        due = self.loads.due(engines, stewards, monotonic_ms())
+        reports = await self.upstream.engines.async_poll(due, monotonic_ms)
         self.node.observe_reports(reports)
 
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
@@ -5,9 +5,11 @@
 from dataclasses import fields
 from typing import Any, TypeVar
 
+from wagtailusher_daemon.const import PERMILLE
 from wagtailusher_once import QuarantineEntry, QuarantineSummary
+from wagtailusher_placement import LoadReport
 from wagtailusher_router import PoolLoad
-from wagtailusher_wire import ClassDemand, PoolDemand
+from wagtailusher_wire import ClassDemand, EndpointLoad, PoolDemand
 from wagtailusher_wire import QuarantineEntry as QuarantineEntryMessage
 from wagtailusher_wire import QuarantineSummary as QuarantineSummaryMessage
 
@@ -49,3 +51,29 @@
             for item in load.classes
         ),
     )
+
+
+def load_message(report: LoadReport, now_ms: int) -> EndpointLoad:
+    """Return a load report as it goes on the wire, with its age."""
+    return EndpointLoad(
+        endpoint_id=report.endpoint_id,
+        age_ms=max(0, now_ms - report.reported_at_ms),
+        running=report.running,
+        waiting=report.waiting,
+        kv_used_permille=int(report.kv_used_share * PERMILLE),
+        cold=report.cold,
+        incarnation=report.incarnation,
+    )
+
+
+def load_report(message: EndpointLoad, now_ms: int) -> LoadReport:
+    """Return a load report on the receiver's clock."""
+    return LoadReport(
+        endpoint_id=message.endpoint_id,
+        reported_at_ms=now_ms - message.age_ms,
+        running=message.running,
+        waiting=message.waiting,
+        kv_used_share=message.kv_used_permille / PERMILLE,
+        cold=message.cold,
+        incarnation=message.incarnation,
+    )
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
@@ -7,6 +7,7 @@
 
 from wagtailusher_core import RequestId, callback
 from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_daemon.load_watch import LoadWatch
 from wagtailusher_once import ForwardTo, StoredAnswer
 from wagtailusher_placement import EndOfWork, LeaseGrant, LeaseRecall, LeaseRequest, LoadReport
 from wagtailusher_router import (
@@ -33,8 +34,10 @@
         *,
         send_peer: Callable[[PeerAction], None],
         cancel: Callable[[Cancel], None],
+        loads: LoadWatch,
     ) -> None:
         """Own a decider; peer messages and cancellations go to the given functions."""
+        self._loads = loads
         self.decider = decider
         self._send_peer = send_peer
         self._cancel = cancel
@@ -92,6 +95,7 @@
     def observe_reports(self, reports: Iterable[LoadReport]) -> None:
         """Hand load reports in."""
         for report in reports:
+            self._loads.observe(report, monotonic_ms())
             self.apply(self.decider.observe_report(report, monotonic_ms()))
 
     @callback
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/peers.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/peers.py
@@ -1,28 +1,44 @@
-"""The messages between this process and its peers."""
+"""The lease messages between this process and its peers."""
 
 from __future__ import annotations
 
+import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 
 from wagtailusher_core import VmId, callback
-from wagtailusher_daemon.conversion import convert
+from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_daemon.conversion import convert, load_message, load_report
+from wagtailusher_daemon.lease_outbox import LeaseOutbox
+from wagtailusher_daemon.load_watch import LoadWatch
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.peer_link import PeerLink, Receive
 from wagtailusher_placement import LeaseGrant, LeaseRecall, LeaseRequest
 from wagtailusher_router import PeerAction, SendLeaseGrant, SendLeaseRequest
+from wagtailusher_wire import LeaseBatch, Message, Sealed
 from wagtailusher_wire import LeaseGrant as LeaseGrantMessage
 from wagtailusher_wire import LeaseRecall as LeaseRecallMessage
 from wagtailusher_wire import LeaseRequest as LeaseRequestMessage
-from wagtailusher_wire import Message, Sealed
 
 
 class Peers:
-    """Turns the deciders' messages into those on the wire and back."""
+    """Turns the deciders' messages into those on the wire and back.
 
-    def __init__(self, peer_address_of: Callable[[VmId], str | None], others: Receive) -> None:
+    What goes to one VM within a turn of the event loop goes in one datagram.
+    """
+
+    def __init__(
+        self,
+        peer_address_of: Callable[[VmId], str | None],
+        others: Receive,
+        loads: LoadWatch,
+    ) -> None:
         """Prepare without a socket; messages that are not about leases go to `others`."""
         self._peer_address_of = peer_address_of
         self._others = others
+        self._loads = loads
+        self._outboxes: defaultdict[VmId, LeaseOutbox] = defaultdict(LeaseOutbox)
+        self._flush_is_due = False
         self._link: PeerLink | None = None
         self._node: RouterNode | None = None
 
@@ -34,33 +50,48 @@
 
     @callback
     def send(self, action: PeerAction) -> None:
-        """Send a lease message of the decider."""
+        """Send a lease message of the decider with the others of this turn."""
         if isinstance(action, SendLeaseRequest):
-            self._send_to(action.steward_id, convert(action.request, LeaseRequestMessage))
+            request = convert(action.request, LeaseRequestMessage)
+            self._outboxes[action.steward_id].requests.append(request)
         elif isinstance(action, SendLeaseGrant):
-            self._send_to(action.node_id, convert(action.grant, LeaseGrantMessage))
+            outbox = self._outboxes[action.node_id]
+            outbox.grants.append(convert(action.grant, LeaseGrantMessage))
+            report = self._loads.latest(action.grant.endpoint_id)
+            if report is not None:
+                outbox.loads.append(load_message(report, monotonic_ms()))
         else:
-            self._send_to(action.recall.node_id, convert(action.recall, LeaseRecallMessage))
+            recall = convert(action.recall, LeaseRecallMessage)
+            self._outboxes[action.recall.node_id].recalls.append(recall)
+        if not self._flush_is_due:
+            self._flush_is_due = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    @callback
+    def _flush(self) -> None:
+        """Send what waits."""
+        self._flush_is_due = False
+        for vm_id, outbox in self._outboxes.items():
+            address = self._peer_address_of(vm_id)
+            for batch in outbox.take_batches():
+                if address is not None and self._link is not None:
+                    self._link.send(address, batch)
 
     @callback
     def receive(self, message: Message, sealed: Sealed, address: str) -> None:
         """Hand a peer's message in; a sender may only speak for itself."""
-        assert self._node is not None
-        if isinstance(message, LeaseRequestMessage):
-            if message.node_id == sealed.vm_id:
-                self._node.lease_requested(convert(message, LeaseRequest))
-        elif isinstance(message, LeaseGrantMessage):
-            if message.steward_id == sealed.vm_id:
-                self._node.lease_granted(convert(message, LeaseGrant))
-        elif isinstance(message, LeaseRecallMessage):
-            if message.steward_id == sealed.vm_id:
-                self._node.lease_recalled(convert(message, LeaseRecall))
-        else:
+        if not isinstance(message, LeaseBatch):
             self._others(message, sealed, address)
-
-    @callback
-    def _send_to(self, vm_id: VmId, message: Message) -> None:
-        """Send to a VM whose address is known."""
-        address = self._peer_address_of(vm_id)
-        if address is not None and self._link is not None:
-            self._link.send(address, message)
+            return
+        assert self._node is not None
+        now_ms = monotonic_ms()
+        self._node.observe_reports(load_report(load, now_ms) for load in message.loads)
+        for request in message.requests:
+            if request.node_id == sealed.vm_id:
+                self._node.lease_requested(convert(request, LeaseRequest))
+        for grant in message.grants:
+            if grant.steward_id == sealed.vm_id:
+                self._node.lease_granted(convert(grant, LeaseGrant))
+        for recall in message.recalls:
+            if recall.steward_id == sealed.vm_id:
+                self._node.lease_recalled(convert(recall, LeaseRecall))
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -13,8 +13,9 @@
 
 from wagtailusher_wire.const import MAX_NESTING, MAX_STREAM_MESSAGE_BYTES
 from wagtailusher_wire.errors import MalformedMessageError, WireVersionError
-from wagtailusher_wire.messages import MESSAGE_TYPES, Message
+from wagtailusher_wire.messages import MESSAGE_TYPES, LeaseBatch, Message
 from wagtailusher_wire.plans import from_plain, to_plain
+from wagtailusher_wire.rows import from_row, row_type, to_row
 
 _SCHEMA_FILE = Path(__file__).with_name("messages.capnp")
 _HEADER_BYTES = 2
@@ -22,9 +23,7 @@
 _MIN_TRAVERSAL_WORDS = 4_096
 
 _KIND_BY_TYPE = {cls: kind for kind, cls in enumerate(MESSAGE_TYPES)}
-_MSGPACK_DECODERS: dict[type[Message], msgspec.msgpack.Decoder[Message]] = {
-    cls: msgspec.msgpack.Decoder(cls) for cls in MESSAGE_TYPES
-}
+_ROW_DECODERS = {cls: msgspec.msgpack.Decoder(row_type(cls)) for cls in MESSAGE_TYPES}
 
 
 class Codec(IntEnum):
@@ -36,10 +35,15 @@
 
 DEFAULT_CODEC = Codec.CAPNP
 
+_CODEC_BY_TYPE: dict[type[Message], Codec] = {LeaseBatch: Codec.MSGPACK}
+"""Messages that each node sends many times a second take the codec that costs least."""
+
 
-def encode(message: Message, *, codec: Codec = DEFAULT_CODEC) -> bytes:
+def encode(message: Message, *, codec: Codec | None = None) -> bytes:
     """Return the bytes of a message: codec, kind, body."""
     kind = _KIND_BY_TYPE[type(message)]
+    if codec is None:
+        codec = _CODEC_BY_TYPE.get(type(message), DEFAULT_CODEC)
     try:
         body = _ENCODERS[codec](message)
     except (capnp.KjException, ValueError, TypeError, OverflowError) as err:
@@ -99,13 +103,13 @@
 
 
 def _encode_msgpack(message: Message) -> bytes:
-    """Return the body as msgpack."""
-    return msgspec.msgpack.encode(message)
+    """Return the body as a row in msgpack."""
+    return msgspec.msgpack.encode(to_row(message))
 
 
 def _decode_msgpack(cls: type[Message], body: bytes) -> Message:
-    """Return the message from msgpack."""
-    return _MSGPACK_DECODERS[cls].decode(body)
+    """Return the message from a row in msgpack."""
+    return from_row(cls, _ROW_DECODERS[cls].decode(body))
 
 
 _ENCODERS: dict[Codec, Callable[[Message], bytes]] = {
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -128,6 +128,23 @@
   stewardEpoch @3 :UInt64;
 }
 
+struct EndpointLoad {
+  endpointId @0 :Text;
+  ageMs @1 :UInt32;
+  running @2 :UInt32;
+  waiting @3 :UInt32;
+  kvUsedPermille @4 :UInt32;
+  cold @5 :Bool;
+  incarnation @6 :UInt64;
+}
+
+struct LeaseBatch {
+  requests @0 :List(LeaseRequest);
+  grants @1 :List(LeaseGrant);
+  recalls @2 :List(LeaseRecall);
+  loads @3 :List(EndpointLoad);
+}
+
 struct QuarantineEntry {
   fingerprint @0 :Text;
   endpointIds @1 :List(Text);
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -194,6 +194,29 @@
     steward_epoch: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointLoad:
+    """An endpoint's load as its steward polled it."""
+
+    endpoint_id: EndpointId
+    age_ms: int
+    running: int
+    waiting: int
+    kv_used_permille: int
+    cold: bool
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseBatch:
+    """Several lease messages between two VMs, with the load of the granted endpoints."""
+
+    requests: tuple[LeaseRequest, ...] = ()
+    grants: tuple[LeaseGrant, ...] = ()
+    recalls: tuple[LeaseRecall, ...] = ()
+    loads: tuple[EndpointLoad, ...] = ()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuarantineEntry:
     """The endpoints that one request's fingerprint has crashed."""
@@ -325,6 +348,7 @@
     | LeaseRecall
     | QuotaClaims
     | QuotaGrants
+    | LeaseBatch
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -346,5 +370,6 @@
     LeaseRecall,
     QuotaClaims,
     QuotaGrants,
+    LeaseBatch,
 )
 """In the order of their numbers on the wire; only appended to."""
--- /dev/null
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/rows.py
@@ -0,0 +1,43 @@
+"""Messages as rows of values without names, which keeps them short in msgpack."""
+
+from __future__ import annotations
+
+from dataclasses import fields, is_dataclass
+from typing import Any, TypeVar, get_args, get_origin, get_type_hints
+
+import msgspec
+
+MessageT = TypeVar("MessageT")
+
+
+_ROW_TYPES: dict[type[Any], type[msgspec.Struct]] = {}
+
+
+def row_type(cls: type[Any]) -> type[msgspec.Struct]:
+    """Return the type of a message's row; the fields stand in the order of the class."""
+    known = _ROW_TYPES.get(cls)
+    if known is not None:
+        return known
+    hints = get_type_hints(cls)
+    columns = [(field.name, _column_type(hints[field.name])) for field in fields(cls)]
+    _ROW_TYPES[cls] = row = msgspec.defstruct(cls.__name__, columns, array_like=True, frozen=True)
+    return row
+
+
+def to_row(message: Any) -> msgspec.Struct:
+    """Return a message's row."""
+    return msgspec.convert(message, row_type(type(message)), from_attributes=True)
+
+
+def from_row(cls: type[MessageT], row: msgspec.Struct) -> MessageT:
+    """Return the message of a row."""
+    return msgspec.convert(row, cls, from_attributes=True)
+
+
+def _column_type(hint: Any) -> Any:
+    """Return the type of a field's column."""
+    if is_dataclass(hint) and isinstance(hint, type):
+        return row_type(hint)
+    if get_origin(hint) is tuple:
+        return tuple[_column_type(get_args(hint)[0]), ...]  # type: ignore[misc]
+    return hint
