Bound the prefix index over all endpoints

Cause: a block takes 301 bytes (tracemalloc), so 2,000 blocks at each of 100 endpoints would take 60 MB of a node's 128. All endpoints together now keep 100,000 blocks, evenly, about 30 MB. Other slopes: 1,291 bytes for an endpoint, 248 for a class and workspace whose length is learned.

--- a/packages/wagtailusher_placement/src/wagtailusher_placement/prefix.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/prefix.py
@@ -5,7 +5,11 @@
 from collections.abc import Sequence
 
 from wagtailusher_core import EndpointId
-from wagtailusher_placement.const import GAP_CONFIDENCE, MAX_PREFIXES_PER_ENDPOINT
+from wagtailusher_placement.const import (
+    GAP_CONFIDENCE,
+    MAX_PREFIXES,
+    MAX_PREFIXES_PER_ENDPOINT,
+)
 from wagtailusher_placement.reports import CacheEvent
 
 
@@ -28,9 +32,15 @@
     A gap in an endpoint's events halves the trust in what was known before it.
     """
 
-    def __init__(self, *, max_per_endpoint: int = MAX_PREFIXES_PER_ENDPOINT) -> None:
-        """Start empty."""
+    def __init__(
+        self,
+        *,
+        max_per_endpoint: int = MAX_PREFIXES_PER_ENDPOINT,
+        max_total: int = MAX_PREFIXES,
+    ) -> None:
+        """Start empty; each endpoint may use an even part of the total."""
         self._max_per_endpoint = max_per_endpoint
+        self._max_total = max_total
         self._caches: dict[EndpointId, _Cache] = {}
         self._holders: dict[int, dict[EndpointId, None]] = {}
 
@@ -59,7 +69,8 @@
             cache.blocks.pop(block, None)
             cache.blocks[block] = cache.gaps
             self._holders.setdefault(block, {})[endpoint_id] = None
-        excess = len(cache.blocks) - self._max_per_endpoint
+        fair_part = self._max_total // len(self._caches)
+        excess = len(cache.blocks) - min(self._max_per_endpoint, fair_part)
         if excess > 0:
             oldest = [block for block, _ in zip(cache.blocks, range(excess), strict=False)]
             self._forget(endpoint_id, cache, oldest)
