--- /dev/null
+++ b/tests/test_readmes.py
@@ -0,0 +1,28 @@
+"""Runs the examples of the libraries' pages."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import re
+import unittest
+
+PACKAGES = Path(__file__).resolve().parent.parent / "packages"
+RUNNABLE = ("admission", "once", "router", "settings")
+_EXAMPLE = re.compile(r"```python\n(.*?)```", re.DOTALL)
+
+
+class ReadmesTest(unittest.TestCase):
+    """Each example runs as it stands."""
+
+    def test_examples(self) -> None:
+        for name in RUNNABLE:
+            path = PACKAGES / f"wagtailusher_{name}" / "README.md"
+            examples = _EXAMPLE.findall(path.read_text(encoding="utf-8"))
+            self.assertTrue(examples, name)
+            for example in examples:
+                with self.subTest(library=name):
+                    exec(compile(example, str(path), "exec"), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
