Let a node of a large fleet track a part of the endpoints

A node now takes all endpoints of a few stewards, its own first, then of its failure domain, then of others, up to about 60, and at least 4 of each pool; fleets of up to 60 endpoints are seen whole as before. Ways considered: a random part (every node asks every steward) and nearest only (nothing left when the domain is drained). Not run at 370 nodes.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -50,6 +50,7 @@
 from wagtailusher_integrations.config_service import ConfigServiceCoordinator
 from wagtailusher_integrations.vm_list import VmList, VmListCoordinator
 from wagtailusher_once import TicketMint
+from wagtailusher_placement import EndpointKind
 from wagtailusher_wire import Message, Sealed, Sealer
 
 _LOGGER = logging.getLogger(__name__)
@@ -342,7 +343,7 @@
     async def _async_poll_load(self) -> None:
         """Poll the engines whose load is this VM's to know."""
         decider = self.node.decider
-        engines = self.view.engines
+        engines = [info for info in decider.visible if info.kind is EndpointKind.ENGINE]
         stewards = {info.endpoint_id: decider.steward_id(info.endpoint_id) for info in engines}
         due = self.loads.due(engines, stewards, monotonic_ms())
         reports = await self.upstream.engines.async_poll(due, monotonic_ms)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
@@ -36,6 +36,7 @@
         once=OnceDecider(vm_id=vm_id, incarnation=incarnation),
         quarantine=QuarantineDecider(),
         quota_share=quota_share,
+        failure_domain_id=FailureDomainId(options.failure_domain),
     )
     return RouterDecider(parts)
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
@@ -10,7 +10,7 @@
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.settings_gate import SettingsGate, Taken
-from wagtailusher_placement import EndpointInfo, EndpointKind
+from wagtailusher_placement import EndpointInfo
 from wagtailusher_settings import Applied, Refused, Settings, SettingsKeeper
 
 _LOGGER = logging.getLogger(__name__)
@@ -33,11 +33,6 @@
         """Return the settings in force."""
         return self.keeper.current
 
-    @property
-    def engines(self) -> tuple[EndpointInfo, ...]:
-        """Return the endpoints that report their load."""
-        return tuple(info for info in self.endpoints.values() if info.kind is EndpointKind.ENGINE)
-
     @callback
     def take_settings(self, result: Taken) -> None:
         """Take what became of a settings document; a bad or older one changes nothing."""
--- a/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
@@ -21,6 +21,7 @@
 from wagtailusher_router.errors import RouterError, UnknownFlightError
 from wagtailusher_router.events import Arrival
 from wagtailusher_router.load_summary import ClassLoad, PoolLoad
+from wagtailusher_router.visibility import visible_endpoints
 
 __all__ = [
     "Action",
@@ -44,5 +45,6 @@
     "SendLeaseRequest",
     "Stranded",
     "UnknownFlightError",
+    "visible_endpoints",
     "whole_quota",
 ]
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -55,6 +55,7 @@
 from wagtailusher_router.once_gate import OnceGate
 from wagtailusher_router.requests import dispatch_of, pending_request
 from wagtailusher_router.suspicion import Suspicion
+from wagtailusher_router.visibility import visible_endpoints
 
 QuotaShare = Callable[[ClassKey, int, int], int]
 """Returns this node's part of a fleet-wide quota of a class, given the present time."""
@@ -76,6 +77,7 @@
     once: OnceDecider
     quarantine: QuarantineDecider
     quota_share: QuotaShare = whole_quota
+    failure_domain_id: FailureDomainId = FailureDomainId("")
 
 
 class RouterDecider:
@@ -98,6 +100,11 @@
             suspicion=self._suspicion,
             handover=self._handover,
         )
+        self._vm_id = parts.vm_id
+        self._failure_domain_id = parts.failure_domain_id
+        self._published: tuple[PublishedVm, ...] = ()
+        self._published_endpoints: tuple[EndpointInfo, ...] = ()
+        self.visible: tuple[EndpointInfo, ...] = ()
         self._draining = False
         self._isolated = False
 
@@ -111,14 +118,10 @@
     def update_endpoints(
         self, endpoints: Iterable[EndpointInfo], now_ms: int
     ) -> tuple[Action, ...]:
-        """Take over the published endpoints."""
-        infos = tuple(endpoints)
-        self._placement.update_endpoints(infos, now_ms)
-        self._leases.update_endpoints(infos, now_ms)
-        self._handover.update_endpoints(infos)
-        self._dispatcher.resumable = frozenset(
-            info.endpoint_id for info in infos if info.resumes_streams
-        )
+        """Take over the published endpoints, of which a large fleet's node tracks a part."""
+        self._published_endpoints = tuple(endpoints)
+        self._leases.update_endpoints(self._published_endpoints, now_ms)
+        self._choose_visible(now_ms)
         return tuple(self._dispatcher.pump_all(now_ms))
 
     def update_published(self, vms: Iterable[PublishedVm], now_ms: int, version: int = 0) -> None:
@@ -126,6 +129,20 @@
         published = tuple(vms)
         self._leases.update_published(published, version, now_ms)
         self._gate.update_published(published, now_ms)
+        if published != self._published:
+            self._published = published
+            self._choose_visible(now_ms)
+
+    def _choose_visible(self, now_ms: int) -> None:
+        """Choose the endpoints that this node tracks."""
+        self.visible = visible_endpoints(
+            self._vm_id, self._failure_domain_id, self._published_endpoints, self._published
+        )
+        self._placement.update_endpoints(self.visible, now_ms)
+        self._handover.update_endpoints(self.visible)
+        self._dispatcher.resumable = frozenset(
+            info.endpoint_id for info in self.visible if info.resumes_streams
+        )
 
     def update_drained_domains(
         self, domains: Iterable[FailureDomainId], now_ms: int
