--- a/tests/scenario/fleet.py
+++ b/tests/scenario/fleet.py
@@ -9,7 +9,8 @@
 
 from tests.scenario.calls import Attempt, Call, Reply, SendRecord
 from tests.scenario.clockwork import LINK_MS, NEAR_MS, Links
-from tests.scenario.node import Answer, EntryNode
+from tests.scenario.exchanges import Answer
+from tests.scenario.node import EntryNode
 from tests.scenario.platform import ConfigurationService, Endpoint, publish_vm
 from tests.scenario.steps import Scenario
 from tests.wagtailusher_once.schedules.faults import Fault
--- a/tests/scenario/node_peers.py
+++ b/tests/scenario/node_peers.py
@@ -17,6 +17,7 @@
 )
 from wagtailusher_membership.table import MemberTable
 from wagtailusher_once import QuarantineSummary
+from wagtailusher_placement import EndpointInfo
 from wagtailusher_router import PeerAction, SendLeaseGrant, SendLeaseRecall, SendLeaseRequest
 from wagtailusher_wire import ContentAnswer
 
@@ -81,13 +82,15 @@
         endpoints = self._fleet.published_endpoints()
         self._node.after(LIST_DELAY_MS, lambda: self._take_lists(vms, version, endpoints))
 
-    def _take_lists(self, vms: tuple[PublishedVm, ...], version: int, endpoints: object) -> None:
+    def _take_lists(
+        self, vms: tuple[PublishedVm, ...], version: int, endpoints: tuple[EndpointInfo, ...]
+    ) -> None:
         """Hand the lists to the deciders."""
         node = self._node
         for _ in self._table.publish(vms, node.now_ms):
             pass
         node.router.update_published(vms, node.now_ms, version)
-        node.apply(node.router.update_endpoints(self._fleet.published_endpoints(), node.now_ms))
+        node.apply(node.router.update_endpoints(endpoints, node.now_ms))
 
     def _gossip(self) -> None:
         """Tell a few peers about requests that crash endpoints."""
