--- a/packages/wagtailusher_placement/src/wagtailusher_placement/accounts.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/accounts.py
@@ -15,6 +15,8 @@
     PACE_SAMPLE_TOKENS,
     REMAINING_OUTPUT_SHARE,
     TIER_COUNT,
+    TIMELY_FIRST_TOKEN_FACTOR,
+    TIMELY_FIRST_TOKEN_MS,
 )
 from wagtailusher_placement.endpoints import EndOfWork, EndpointKind, PlacementRequest
 from wagtailusher_placement.lengths import LengthEstimator
@@ -134,11 +136,11 @@
 def is_timely(work: PlacedWork, pool: Pool | None, now_ms: int) -> bool:
     """Return whether a first token came as from an endpoint that can bear its work."""
     elapsed_ms = now_ms - work.started_ms
-    if elapsed_ms <= COLD_FIRST_TOKEN_FLOOR_MS:
+    if elapsed_ms <= TIMELY_FIRST_TOKEN_MS:
         return True
     if pool is None or pool.typical_pace is None:
         return elapsed_ms <= COLD_FIRST_TOKEN_MS
-    return pace_of(work, now_ms) <= COLD_FIRST_TOKEN_FACTOR / 2 * pool.typical_pace
+    return pace_of(work, now_ms) <= TIMELY_FIRST_TOKEN_FACTOR * pool.typical_pace
 
 
 def seems_cold(work: PlacedWork, pool: Pool | None, now_ms: int) -> bool:
