Answer a crashed request at once and tell when to come back

Cause: the scenarios' nodes held a failed answer back for up to 1.5 s so that evidence against a crashing request could spread. A final answer is due as soon as it is certain; the answer now carries retry_after_ms, in the router as well, which had neither. Also: a repeat whose first attempt is on record without a leader is told unknown, and key homes see the list at each reading. Before: crashing_request passed by holding back.

--- a/packages/wagtailusher_once/src/wagtailusher_once/quarantine.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/quarantine.py
@@ -105,10 +105,10 @@
             for fingerprint, evidence in tuple(self._evidence.items())
         )
 
-    def answer_delay_ms(self, fingerprint: str, now_ms: int) -> int:
-        """Return how long to hold back a failed request's answer.
+    def retry_after_ms(self, fingerprint: str, now_ms: int) -> int:
+        """Return when to come back with a request that failed, 0 for at once.
 
-        Meanwhile the evidence spreads, so that a repeat finds it at whatever VM it comes to.
+        Until then the evidence spreads, so that a repeat finds it at whatever VM it comes to.
         """
         evidence = self._evidence.get(fingerprint)
         if evidence is None or not evidence.crashes:
--- a/packages/wagtailusher_router/src/wagtailusher_router/dispatcher.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/dispatcher.py
@@ -132,7 +132,8 @@
     def give_up(self, flight: Flight, code: ErrorCode, now_ms: int) -> Iterator[Action]:
         """End a request that was started, without its answer."""
         self._admission.finish(flight.request_id, now_ms)
-        yield from self.drop(flight, code, now_ms)
+        retry_after_ms = self._suspicion.retry_after_ms(flight, now_ms)
+        yield from self.drop(flight, code, now_ms, retry_after_ms)
 
     def refuse_all(self, refusals: Iterable[Refusal], now_ms: int) -> Iterator[Action]:
         """Turn admission's refusals into actions."""
--- a/packages/wagtailusher_router/src/wagtailusher_router/once_gate.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/once_gate.py
@@ -36,6 +36,7 @@
         """Take over the published list of entry VMs."""
         self._published = published
         self._published_at_ms = now_ms
+        self._once.update_published(published, now_ms, observed_ms=now_ms)
 
     def submit(self, flight: Flight, now_ms: int) -> tuple[Action, ...] | None:
         """Return what a request is answered, or None when it is to be queued here."""
@@ -73,8 +74,11 @@
         if leader is not None:
             leader.followers.append(flight.request_id)
             return ()
-        outcome = Outcome.UNKNOWN if submission.dispatched else Outcome.NOT_RUN
-        return (_refuse(flight.request_id, ErrorCode.IN_PROGRESS, outcome, DEFAULT_RETRY_AFTER_MS),)
+        return (
+            _refuse(
+                flight.request_id, ErrorCode.IN_PROGRESS, Outcome.UNKNOWN, DEFAULT_RETRY_AFTER_MS
+            ),
+        )
 
     def leaders(self) -> tuple[Flight, ...]:
         """Return the requests that this node alone may run."""
--- a/packages/wagtailusher_router/src/wagtailusher_router/suspicion.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/suspicion.py
@@ -50,6 +50,10 @@
         if flight.choice is not None:
             self._quarantine.crashed(flight.arrival.fingerprint, flight.choice.endpoint_id, now_ms)
 
+    def retry_after_ms(self, flight: Flight, now_ms: int) -> int | None:
+        """Return when a request that failed may come back, or None for at once."""
+        return self._quarantine.retry_after_ms(flight.arrival.fingerprint, now_ms) or None
+
     def succeeded(self, flight: Flight, now_ms: int) -> None:
         """Note that a request was answered whole."""
         self._quarantine.succeeded(flight.arrival.fingerprint, now_ms)
--- a/tests/scenario/calls.py
+++ b/tests/scenario/calls.py
@@ -69,6 +69,7 @@
     code: ErrorCode | None = None
     answer: bytes = b""
     connected: bool = True
+    retry_after_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
