After a pause, read the list and go on if it did not change

Ruled out: a shorter settling time, which the list's lag bounds. It now waits for a reading that began after it woke.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -15,6 +15,7 @@
     RequestId,
     Revision,
     VmId,
+    WagtailusherError,
 )
 from wagtailusher_daemon.addresses import AddressBook
 from wagtailusher_daemon.answers import coded_response
@@ -25,6 +26,7 @@
 from wagtailusher_daemon.configuration_stream import ConfigurationStream
 from wagtailusher_daemon.const import (
     FLEET_TICK_INTERVAL_MS,
+    LIST_CONFIRM_INTERVAL_MS,
     MS_PER_S,
     QUARANTINE_INTERVAL_MS,
 )
@@ -104,6 +106,8 @@
             self._client, options.vm_list, seed=new_seed(), on_list=self._take_list
         )
         self._tasks = PeriodicTasks()
+        self._ticked_ms = monotonic_ms()
+        self._list_is_doubted = False
 
     def _new_tracing(self) -> Tracing:
         """Return the maker of spans."""
@@ -175,6 +179,7 @@
         self._tasks.every(FLEET_TICK_INTERVAL_MS, talk.tick)
         self._tasks.every(QUARANTINE_INTERVAL_MS, talk.spread_quarantine)
         self._tasks.every(options.tick_interval_ms, self._tick)
+        self._tasks.every_async(LIST_CONFIRM_INTERVAL_MS, self._async_confirm_list)
         self._tasks.every_async(options.load_poll_interval_ms, self._async_poll_load)
         _LOGGER.info("Daemon: %s serves callers at %s", self.vm_id, self.address)
 
@@ -336,10 +341,29 @@
         return settings.fleet.address_lifetime_ms
 
     def _tick(self) -> None:
-        """Let the decider see the time."""
+        """Let the decider see the time; after a pause, read the list of VMs at once."""
+        now_ms = monotonic_ms()
+        if now_ms - self._ticked_ms > self.options.pause_tolerance_ms:
+            _LOGGER.info("Daemon: paused for %s ms", now_ms - self._ticked_ms)
+            self._list_is_doubted = True
+        self._ticked_ms = now_ms
         self.node.tick()
         self.metrics.held.set({}, self.node.held_count)
 
+    async def _async_confirm_list(self) -> None:
+        """Read the list of VMs after a pause, until a reading succeeds."""
+        if not self._list_is_doubted:
+            return
+        read_from_ms = monotonic_ms()
+        try:
+            vm_list = await self._vm_list.async_read()
+        except WagtailusherError as err:
+            _LOGGER.info("VM list: not read after a pause: %s", err.code)
+            return
+        if vm_list is not None:
+            self._list_is_doubted = False
+            self.view.confirm_published(vm_list.version, read_from_ms)
+
     async def _async_poll_load(self) -> None:
         """Poll the engines whose load is this VM's to know."""
         decider = self.node.decider
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
@@ -26,6 +26,7 @@
         self.keeper = SettingsKeeper()
         self.gate = SettingsGate(self.keeper, self.take_settings)
         self.published: tuple[PublishedVm, ...] = ()
+        self.list_version = 0
         self.endpoints: dict[EndpointId, EndpointInfo] = {}
 
     @property
@@ -56,10 +57,19 @@
         """Take the platform's lists of entry VMs and endpoints."""
         now_ms = monotonic_ms()
         self.published = tuple(vms)
+        self.list_version = version
         self.endpoints = {info.endpoint_id: info for info in endpoints}
         self._node.decider.update_published(self.published, now_ms, version)
         self._node.apply(self._node.decider.update_endpoints(self.endpoints.values(), now_ms))
 
+    @callback
+    def confirm_published(self, version: int, read_from_ms: int) -> None:
+        """Note that a reading, begun at a time, gave the list at hand."""
+        if version == self.list_version:
+            self._node.decider.update_published(
+                self.published, monotonic_ms(), version, read_from_ms
+            )
+
     def address_of_vm(self, vm_id: VmId) -> str | None:
         """Return the address at which a VM serves callers."""
         return next((vm.address for vm in self.published if vm.vm_id == vm_id), None)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -74,9 +74,20 @@
         self._fleet.update_drained_domains(domains, now_ms)
         self._refresh(now_ms)
 
-    def update_published(self, vms: Iterable[PublishedVm], now_ms: int, version: int = 0) -> None:
-        """Take over the published list of VMs; from the first one on, leases bind this node."""
-        self._holder.update_published(vms, now_ms, version)
+    def update_published(
+        self,
+        vms: Iterable[PublishedVm],
+        now_ms: int,
+        version: int = 0,
+        read_from_ms: int | None = None,
+    ) -> None:
+        """Take over the published list of VMs; from the first one on, leases bind this node.
+
+        `read_from_ms` tells when the reading began, now unless it is given.
+        """
+        self._holder.wake(now_ms)
+        began_ms = now_ms if read_from_ms is None else read_from_ms
+        self._holder.update_published(vms, now_ms, version, began_ms)
         self._fleet.update_stewards()
         self._refresh(now_ms)
 
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
@@ -32,12 +32,17 @@
         self._list_version = 0
         self._sequence = (incarnation or 0) << 20
         self._awake_at_ms: int | None = None
+        self._doubts_from_ms: int | None = None
+        self._doubted_version = 0
         self._share_from_ms = NEVER_MS
         self._least_interval_ms = 0
         self.is_alone = True
 
-    def update_published(self, vms: Iterable[PublishedVm], now_ms: int, version: int) -> None:
-        """Take over the published list of VMs."""
+    def update_published(
+        self, vms: Iterable[PublishedVm], now_ms: int, version: int, read_from_ms: int
+    ) -> None:
+        """Take over the published list of VMs, whose reading began at a time."""
+        self._end_doubt(version, read_from_ms, now_ms)
         published = tuple(vms)
         self.is_alone = False
         self._table = StewardTable(published)
@@ -53,7 +58,17 @@
         """Distrust the list after a pause, as the number of VMs may have changed."""
         before_ms = self._awake_at_ms
         self._awake_at_ms = now_ms
-        if before_ms is None or now_ms - before_ms <= self.limits.pause_tolerance_ms:
+        if before_ms is not None and now_ms - before_ms > self.limits.pause_tolerance_ms:
+            if self._doubts_from_ms is None:
+                self._doubted_version = self._list_version
+            self._doubts_from_ms = now_ms
+
+    def _end_doubt(self, version: int, read_from_ms: int, now_ms: int) -> None:
+        """Go on if a reading after the pause gave the same version, wait anew otherwise."""
+        if self._doubts_from_ms is None or read_from_ms < self._doubts_from_ms:
+            return
+        self._doubts_from_ms = None
+        if version and version == self._doubted_version:
             return
         if self._share_from_ms != NEVER_MS:
             self._share_from_ms = now_ms + self.limits.settling_ms
@@ -164,7 +179,7 @@
             item.lease_until_ms = 0
             item.cold = None if item.info.has_cold_start else False
         item.share = item.info.concurrency_limit // max(1, self._window.greatest_count)
-        if item.cold is not False:
+        if item.cold is not False or self._doubts_from_ms is not None:
             item.fallback_ms = NEVER_MS
             return
         item.fallback_ms = self._share_from_ms
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
@@ -17,8 +17,8 @@
     """Grants leases on those endpoints whose steward this VM is.
 
     It grants nothing until the settling time is over, after which no earlier steward's lease can
-    be valid. A VM that was not called for longer than the pause tolerance settles anew, so call
-    `tick` more often than that.
+    be valid. A VM that was not called for longer than the pause tolerance grants nothing until the
+    list is read again, and settles anew if it changed, so call `tick` more often than that.
     """
 
     def __init__(
@@ -39,6 +39,8 @@
         self._list_version = 0
         self._list_read_at_ms = 0
         self._awake_at_ms: int | None = None
+        self._doubts_from_ms: int | None = None
+        self._doubted_version = 0
 
     def update_published(
         self,
@@ -46,12 +48,15 @@
         endpoints: Iterable[EndpointInfo],
         now_ms: int,
         version: int = 0,
+        read_from_ms: int | None = None,
     ) -> None:
         """Take over the published lists; call it at every reading, also without a change.
 
-        Endpoints of the first list that has any are not taken for new.
+        Endpoints of the first list that has any are not taken for new. `read_from_ms` tells when
+        the reading began, now unless it is given.
         """
         self._wake(now_ms)
+        self._end_doubt(version, now_ms if read_from_ms is None else read_from_ms, now_ms)
         published = tuple(vms)
         infos = {info.endpoint_id: info for info in endpoints}
         self._list_version = version
@@ -63,6 +68,11 @@
         if infos or self._known is not None:
             self._known = infos
 
+    @property
+    def list_version(self) -> int:
+        """Return the version of the list that this VM goes by."""
+        return self._list_version
+
     def update_drained_domains(self, domains: Iterable[FailureDomainId], now_ms: int) -> None:
         """Take over the domains that operators took out; those that come back are cold."""
         self._wake(now_ms)
@@ -91,7 +101,7 @@
         if charge is None or not charge.ledger.accept(request, now_ms):
             return None
         charge.observe_holder(request, now_ms)
-        if now_ms < charge.settled_at_ms or request.list_version > self._list_version:
+        if not self._is_in_office(charge, now_ms) or request.list_version > self._list_version:
             return None
         credits = self._credits(charge, request.node_id, now_ms)
         charge.ledger.record(request.node_id, request.sequence, credits, now_ms)
@@ -123,18 +133,36 @@
         return {
             endpoint_id: charge.epoch
             for endpoint_id, charge in self._charges.items()
-            if now_ms >= charge.settled_at_ms
+            if self._is_in_office(charge, now_ms)
         }
 
     def _wake(self, now_ms: int) -> None:
-        """Settle anew after a pause in which another VM may have become steward."""
+        """Grant nothing after a pause until the list is read again.
+
+        Another VM may have become steward meanwhile, but not under the version that this VM
+        goes by.
+        """
         before_ms = self._awake_at_ms
         self._awake_at_ms = now_ms
-        if before_ms is None or now_ms - before_ms <= self._limits.pause_tolerance_ms:
+        if before_ms is not None and now_ms - before_ms > self._limits.pause_tolerance_ms:
+            if self._doubts_from_ms is None:
+                self._doubted_version = self._list_version
+            self._doubts_from_ms = now_ms
+
+    def _end_doubt(self, version: int, read_from_ms: int, now_ms: int) -> None:
+        """Go on if a reading after the pause gave the same version, settle anew otherwise."""
+        if self._doubts_from_ms is None or read_from_ms < self._doubts_from_ms:
+            return
+        self._doubts_from_ms = None
+        if version and version == self._doubted_version:
             return
         for charge in self._charges.values():
             charge.settle(now_ms)
 
+    def _is_in_office(self, charge: Charge, now_ms: int) -> bool:
+        """Return whether no other VM's lease on an endpoint can be valid."""
+        return self._doubts_from_ms is None and now_ms >= charge.settled_at_ms
+
     def _take_charge(self, info: EndpointInfo, now_ms: int) -> Charge:
         """Return the state of an endpoint that this VM is steward of."""
         charge = self._charges.get(info.endpoint_id)
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -124,10 +124,19 @@
         self._choose_visible(now_ms)
         return tuple(self._dispatcher.pump_all(now_ms))
 
-    def update_published(self, vms: Iterable[PublishedVm], now_ms: int, version: int = 0) -> None:
-        """Take over the published list of entry VMs; call it at every reading."""
+    def update_published(
+        self,
+        vms: Iterable[PublishedVm],
+        now_ms: int,
+        version: int = 0,
+        read_from_ms: int | None = None,
+    ) -> None:
+        """Take over the published list of entry VMs; call it at every reading.
+
+        `read_from_ms` tells when the reading began, now unless it is given.
+        """
         published = tuple(vms)
-        self._leases.update_published(published, version, now_ms)
+        self._leases.update_published(published, version, now_ms, read_from_ms)
         self._gate.update_published(published, now_ms)
         if published != self._published:
             self._published = published
--- a/packages/wagtailusher_router/src/wagtailusher_router/leasing.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/leasing.py
@@ -34,13 +34,17 @@
         self._steward.update_published(self._published, endpoints, now_ms, self._version)
 
     def update_published(
-        self, published: tuple[PublishedVm, ...], version: int, now_ms: int
+        self,
+        published: tuple[PublishedVm, ...],
+        version: int,
+        now_ms: int,
+        read_from_ms: int | None = None,
     ) -> None:
-        """Take over the published list of entry VMs."""
+        """Take over the published list of entry VMs, whose reading began at a time."""
         self._published = published
         self._version = version
-        self._placement.update_published(published, now_ms, version)
-        self._steward.update_published(published, self._endpoints, now_ms, version)
+        self._placement.update_published(published, now_ms, version, read_from_ms)
+        self._steward.update_published(published, self._endpoints, now_ms, version, read_from_ms)
 
     def update_drained_domains(self, domains: frozenset[FailureDomainId], now_ms: int) -> None:
         """Take over the failure domains that operators took out."""
