Refuse a completion that is of another type than was asked for

Cause: an engine's answer with status 200 and garbage in it was relayed as a whole answer; the test of garbage had only crossed answers in it. Before: 200 with garbage. After: the attempt fails and goes elsewhere, or ends 502; the test now sends garbage for streams and for whole answers.

--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -12,6 +12,7 @@
 from wagtailusher_core import RequestId, WagtailusherError, callback
 from wagtailusher_http import ClientAnswer, Headers, HttpClient
 from wagtailusher_integrations.engine.const import (
+    CONTENT_TYPE_EVENTS,
     CONTENT_TYPE_JSON,
     DEFAULT_CANCEL_TIMEOUT_MS,
     DEFAULT_POLL_TIMEOUT_MS,
@@ -69,6 +70,7 @@
             head_timeout_ms=head_timeout_ms,
         )
         _check_own(answer, call.request_id)
+        _check_type(answer, CONTENT_TYPE_EVENTS if call.streams else CONTENT_TYPE_JSON)
         return answer
 
     async def async_resume(
@@ -86,6 +88,7 @@
             answer.abort()
             raise EngineError(f"the engine at {address} does not hold the stream any more")
         _check_own(answer, request_id)
+        _check_type(answer, CONTENT_TYPE_EVENTS)
         return answer
 
     @callback
@@ -137,3 +140,11 @@
     if echoed is not None and echoed != request_id:
         answer.abort()
         raise CrossedAnswerError(f"the answer to {request_id} names request {echoed}")
+
+
+def _check_type(answer: ClientAnswer, expected: str) -> None:
+    """Refuse a completion that is of another type than was asked for."""
+    found = answer.headers.get("content-type") or "no content type"
+    if answer.status == HTTPStatus.OK and not found.startswith(expected):
+        answer.abort()
+        raise EngineError(f"the engine answered with {found}")
--- a/tests/wagtailusher_daemon/test_path.py
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -112,7 +112,12 @@
         second.behaviour.crossed = True
         status, body = await self.fleet.async_chat()
         self.assertEqual((status, json.loads(body)["error"]["code"]), (502, "endpoint_failed"))
-        second.behaviour.crossed = False
+        first.behaviour.crossed = second.behaviour.crossed = False
+        first.behaviour.garbage = second.behaviour.garbage = True
+        for stream in (True, False):
+            status, body = await self.fleet.async_chat(stream=stream)
+            self.assertEqual((status, json.loads(body)["error"]["code"]), (502, "endpoint_failed"))
+        second.behaviour.garbage = False
         status, body = await self.fleet.async_chat()
         self.assertTrue(body.endswith(END_MARKER))
 
