--- a/packages/wagtailusher_bench/src/wagtailusher_bench/relay/source.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/relay/source.py
@@ -76,6 +76,7 @@
         headers = [(name, value) for name, value in request.headers if name == HEADER_REQUEST_ID]
         if request.method == b"GET" or self.shape.per_write == 0:
             body = LOAD if request.method == b"GET" else WHOLE_ANSWER
+            headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", b"%d" % len(body)))
             head = h11.Response(status_code=200, headers=headers)
             events = (head, h11.Data(data=body), h11.EndOfMessage())
