Keep the doubt after a pause in one class; shorten two long functions

Before: the logic twice. After: PauseWatch serves both; lease, process and TLS tests pass unchanged.

--- a/packages/wagtailusher_client/src/wagtailusher_client/client.py
+++ b/packages/wagtailusher_client/src/wagtailusher_client/client.py
@@ -13,6 +13,7 @@
 from wagtailusher_client.addresses import AddressCache
 from wagtailusher_client.errors import (
     BrokenAnswerError,
+    CallerError,
     NoAddressError,
     RefusedError,
     UnknownOutcomeError,
@@ -124,11 +125,7 @@
                 was_sent = False
             else:
                 address = await self._addresses.async_pick(_now_ms(), route_id)
-        if last is not None:
-            raise last
-        if was_sent:
-            raise UnknownOutcomeError("no VM could tell what became of the request")
-        raise NoAddressError("no entry VM could be reached")
+        raise last or _no_answer(was_sent)
 
     async def _async_ticket(self, route_id: str) -> TicketModel:
         """Return a ticket of some VM."""
@@ -232,6 +229,13 @@
         await asyncio.sleep(self._limits.pause_ms / MS_PER_S)
 
 
+def _no_answer(was_sent: bool) -> CallerError:
+    """Return the error of a request that no VM answered."""
+    if was_sent:
+        return UnknownOutcomeError("no VM could tell what became of the request")
+    return NoAddressError("no entry VM could be reached")
+
+
 def _refusal_of(body: bytes) -> RefusedError:
     """Return the refusal that an error answer carries."""
     try:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -96,9 +96,7 @@
         self.caller_api: CallerApi | None = None
         self.talk: FleetTalk | None = None
         self.stopping = asyncio.Event()
-        self._stream = ConfigurationStream(
-            self._peer_client, vm_id=self.vm_id, incarnation=self.incarnation, secrets=self._secrets
-        )
+        self._stream = self._new_stream()
         self._service = ConfigServiceCoordinator(
             self._client, options.config_service, seed=new_seed()
         )
@@ -119,6 +117,12 @@
             sample_share=self._trace_sample_share,
         )
 
+    def _new_stream(self) -> ConfigurationStream:
+        """Return the exchange of whole configurations with peers."""
+        return ConfigurationStream(
+            self._peer_client, vm_id=self.vm_id, incarnation=self.incarnation, secrets=self._secrets
+        )
+
     def _new_link(self) -> PeerLink:
         """Return the socket to the peers."""
         sealer = Sealer(self._secrets[0], other_secrets=self._secrets[1:])
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/holder.py
@@ -8,6 +8,7 @@
 from wagtailusher_placement.coldstart import ColdStart
 from wagtailusher_placement.const import NEVER_MS
 from wagtailusher_placement.leases import LeaseGrant, LeaseLimits, LeaseRecall, LeaseRequest
+from wagtailusher_placement.pauses import PauseWatch
 from wagtailusher_placement.published_window import PublishedWindow
 from wagtailusher_placement.stewardship import StewardTable
 from wagtailusher_placement.tracked import TrackedEndpoint
@@ -31,9 +32,7 @@
         self._table = StewardTable(())
         self._list_version = 0
         self._sequence = (incarnation or 0) << 20
-        self._awake_at_ms: int | None = None
-        self._doubts_from_ms: int | None = None
-        self._doubted_version = 0
+        self._pauses = PauseWatch(self.limits.pause_tolerance_ms)
         self._share_from_ms = NEVER_MS
         self._least_interval_ms = 0
         self.is_alone = True
@@ -42,7 +41,9 @@
         self, vms: Iterable[PublishedVm], now_ms: int, version: int, read_from_ms: int
     ) -> None:
         """Take over the published list of VMs, whose reading began at a time."""
-        self._end_doubt(version, read_from_ms, now_ms)
+        changed = self._pauses.end_doubt(version, read_from_ms)
+        if changed and self._share_from_ms != NEVER_MS:
+            self._share_from_ms = now_ms + self.limits.settling_ms
         published = tuple(vms)
         self.is_alone = False
         self._table = StewardTable(published)
@@ -55,23 +56,8 @@
             self._share_from_ms = now_ms + self.limits.settling_ms
 
     def wake(self, now_ms: int) -> None:
-        """Distrust the list after a pause, as the number of VMs may have changed."""
-        before_ms = self._awake_at_ms
-        self._awake_at_ms = now_ms
-        if before_ms is not None and now_ms - before_ms > self.limits.pause_tolerance_ms:
-            if self._doubts_from_ms is None:
-                self._doubted_version = self._list_version
-            self._doubts_from_ms = now_ms
-
-    def _end_doubt(self, version: int, read_from_ms: int, now_ms: int) -> None:
-        """Go on if a reading after the pause gave the same version, wait anew otherwise."""
-        if self._doubts_from_ms is None or read_from_ms < self._doubts_from_ms:
-            return
-        self._doubts_from_ms = None
-        if version and version == self._doubted_version:
-            return
-        if self._share_from_ms != NEVER_MS:
-            self._share_from_ms = now_ms + self.limits.settling_ms
+        """Note that this process runs; after a pause the number of VMs may have changed."""
+        self._pauses.wake(now_ms, self._list_version)
 
     def refresh(self, items: Iterable[TrackedEndpoint], now_ms: int) -> None:
         """Bring the endpoints' shares in line with the list and the time."""
@@ -179,7 +165,7 @@
             item.lease_until_ms = 0
             item.cold = None if item.info.has_cold_start else False
         item.share = item.info.concurrency_limit // max(1, self._window.greatest_count)
-        if item.cold is not False or self._doubts_from_ms is not None:
+        if item.cold is not False or self._pauses.has_doubt:
             item.fallback_ms = NEVER_MS
             return
         item.fallback_ms = self._share_from_ms
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
@@ -8,6 +8,7 @@
 from wagtailusher_placement.charge import Charge
 from wagtailusher_placement.endpoints import EndpointInfo, EndpointState
 from wagtailusher_placement.leases import LeaseGrant, LeaseLimits, LeaseRecall, LeaseRequest
+from wagtailusher_placement.pauses import PauseWatch
 from wagtailusher_placement.published_window import PublishedWindow
 from wagtailusher_placement.reports import LoadReport
 from wagtailusher_placement.stewardship import StewardTable, steward_epoch
@@ -38,9 +39,7 @@
         self._drained: frozenset[FailureDomainId] = frozenset()
         self._list_version = 0
         self._list_read_at_ms = 0
-        self._awake_at_ms: int | None = None
-        self._doubts_from_ms: int | None = None
-        self._doubted_version = 0
+        self._pauses = PauseWatch(self._limits.pause_tolerance_ms)
 
     def update_published(
         self,
@@ -56,7 +55,9 @@
         the reading began, now unless it is given.
         """
         self._wake(now_ms)
-        self._end_doubt(version, now_ms if read_from_ms is None else read_from_ms, now_ms)
+        if self._pauses.end_doubt(version, now_ms if read_from_ms is None else read_from_ms):
+            for charge in self._charges.values():
+                charge.settle(now_ms)
         published = tuple(vms)
         infos = {info.endpoint_id: info for info in endpoints}
         self._list_version = version
@@ -137,31 +138,12 @@
         }
 
     def _wake(self, now_ms: int) -> None:
-        """Grant nothing after a pause until the list is read again.
-
-        Another VM may have become steward meanwhile, but not under the version that this VM
-        goes by.
-        """
-        before_ms = self._awake_at_ms
-        self._awake_at_ms = now_ms
-        if before_ms is not None and now_ms - before_ms > self._limits.pause_tolerance_ms:
-            if self._doubts_from_ms is None:
-                self._doubted_version = self._list_version
-            self._doubts_from_ms = now_ms
-
-    def _end_doubt(self, version: int, read_from_ms: int, now_ms: int) -> None:
-        """Go on if a reading after the pause gave the same version, settle anew otherwise."""
-        if self._doubts_from_ms is None or read_from_ms < self._doubts_from_ms:
-            return
-        self._doubts_from_ms = None
-        if version and version == self._doubted_version:
-            return
-        for charge in self._charges.values():
-            charge.settle(now_ms)
+        """Note that this process runs; after a pause it grants nothing until the list is read."""
+        self._pauses.wake(now_ms, self._list_version)
 
     def _is_in_office(self, charge: Charge, now_ms: int) -> bool:
         """Return whether no other VM's lease on an endpoint can be valid."""
-        return self._doubts_from_ms is None and now_ms >= charge.settled_at_ms
+        return not self._pauses.has_doubt and now_ms >= charge.settled_at_ms
 
     def _take_charge(self, info: EndpointInfo, now_ms: int) -> Charge:
         """Return the state of an endpoint that this VM is steward of."""
