--- a/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/results.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/results.py
@@ -91,8 +91,6 @@
     healthy = [call for call in measured if not call.crashes_endpoint]
     refused = [call for call in healthy if call.ending is Ending.REFUSED]
     by_tier = _attainment(healthy, lambda call: f"{call.traffic.tier}")
-    wasted_ms = after.wasted_ms - before.wasted_ms
-    total_ms = wasted_ms + after.useful_ms - before.useful_ms
     return CaseResult(
         seed=key.seed,
         mix=key.mix.name,
@@ -104,7 +102,7 @@
         attainment_by_tier=by_tier,
         highest_tier_attainment=by_tier[min(by_tier)] if by_tier else 1.0,
         goodput=round(_goodput(key.mix, calls, start_ms, end_ms), _DIGITS),
-        wasted_work_share=round(wasted_ms / total_ms if total_ms else 0.0, _DIGITS),
+        wasted_work_share=_wasted_share(before, after),
         refused_by_tier=_count_tiers(healthy, Ending.REFUSED),
         refused_by_code=dict(sorted(Counter(call.code for call in refused).items())),
         left_by_tier=_count_tiers(healthy, Ending.LEFT),
@@ -119,6 +117,13 @@
     )
 
 
+def _wasted_share(before: WorkDone, after: WorkDone) -> float:
+    """Return the part of the work between two times that was wasted."""
+    wasted_ms = after.wasted_ms - before.wasted_ms
+    total_ms = wasted_ms + after.useful_ms - before.useful_ms
+    return round(wasted_ms / total_ms if total_ms else 0.0, _DIGITS)
+
+
 def _attainment(calls: Iterable[Call], label: Callable[[Call], str]) -> dict[str, float]:
     """Return the part of the offered calls that met their target, by label."""
     offered: Counter[str] = Counter()
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -15,7 +15,6 @@
     RequestId,
     Revision,
     VmId,
-    WagtailusherError,
 )
 from wagtailusher_daemon.addresses import AddressBook
 from wagtailusher_daemon.answers import coded_response
@@ -36,6 +35,7 @@
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.journal import Journal
+from wagtailusher_daemon.list_check import ListCheck
 from wagtailusher_daemon.load_watch import LoadWatch
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
@@ -104,8 +104,7 @@
             self._client, options.vm_list, seed=new_seed(), on_list=self._take_list
         )
         self._tasks = PeriodicTasks()
-        self._ticked_ms = monotonic_ms()
-        self._list_is_doubted = False
+        self._list_check = ListCheck(self._vm_list, self.view, options.pause_tolerance_ms)
 
     def _new_tracing(self) -> Tracing:
         """Return the maker of spans."""
@@ -183,7 +182,7 @@
         self._tasks.every(FLEET_TICK_INTERVAL_MS, talk.tick)
         self._tasks.every(QUARANTINE_INTERVAL_MS, talk.spread_quarantine)
         self._tasks.every(options.tick_interval_ms, self._tick)
-        self._tasks.every_async(LIST_CONFIRM_INTERVAL_MS, self._async_confirm_list)
+        self._tasks.every_async(LIST_CONFIRM_INTERVAL_MS, self._list_check.async_read)
         self._tasks.every_async(options.load_poll_interval_ms, self._async_poll_load)
         _LOGGER.info("Daemon: %s serves callers at %s", self.vm_id, self.address)
 
@@ -345,29 +344,11 @@
         return settings.fleet.address_lifetime_ms
 
     def _tick(self) -> None:
-        """Let the decider see the time; after a pause, read the list of VMs at once."""
-        now_ms = monotonic_ms()
-        if now_ms - self._ticked_ms > self.options.pause_tolerance_ms:
-            _LOGGER.info("Daemon: paused for %s ms", now_ms - self._ticked_ms)
-            self._list_is_doubted = True
-        self._ticked_ms = now_ms
+        """Let the decider see the time."""
+        self._list_check.tick()
         self.node.tick()
         self.metrics.held.set({}, self.node.held_count)
 
-    async def _async_confirm_list(self) -> None:
-        """Read the list of VMs after a pause, until a reading succeeds."""
-        if not self._list_is_doubted:
-            return
-        read_from_ms = monotonic_ms()
-        try:
-            vm_list = await self._vm_list.async_read()
-        except WagtailusherError as err:
-            _LOGGER.info("VM list: not read after a pause: %s", err.code)
-            return
-        if vm_list is not None:
-            self._list_is_doubted = False
-            self.view.confirm_published(vm_list.version, read_from_ms)
-
     async def _async_poll_load(self) -> None:
         """Poll the engines whose load is this VM's to know."""
         decider = self.node.decider
