--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/observation.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/observation.py
@@ -61,7 +61,7 @@
 
     def dispatched(self, dispatch: Dispatch) -> str:
         """Note a decision and return the trace context for the endpoint's hop."""
-        self._queue_span.end()
+        self._end_queue_span()
         if self._span.is_recording():
             decision = self._tracing.child(self._span, "decision")
             scores = [f"{item.endpoint_id}={item.score:.1f}" for item in dispatch.choice.candidates]
@@ -152,9 +152,14 @@
         self._span.set_attribute("wagtailusher.outcome", str(self.record.outcome))
         if self.record.code is not None:
             self._span.set_attribute("wagtailusher.code", str(self.record.code))
-        self._queue_span.end()
+        self._end_queue_span()
         self._span.end()
 
+    def _end_queue_span(self) -> None:
+        """Close the span of the wait, once."""
+        if self._queue_span.is_recording():
+            self._queue_span.end()
+
     @property
     def age_ms(self) -> int:
         """Return the time since the arrival at this VM."""
