Heed ticket_lifetime_ms and max_body_bytes of the settings

Cause: a read-through found two settings without effect: tickets lived for the library's default while callers were told the setting, and bodies were bounded by the HTTP layer's constant. Before: both ignored.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -24,6 +24,7 @@
 from wagtailusher_daemon.clock import monotonic_ms, wall_ms
 from wagtailusher_daemon.configuration_stream import ConfigurationStream
 from wagtailusher_daemon.const import (
+    BODY_MARGIN_BYTES,
     FLEET_TICK_INTERVAL_MS,
     LIST_CONFIRM_INTERVAL_MS,
     MS_PER_S,
@@ -53,6 +54,7 @@
 from wagtailusher_integrations.vm_list import VmList, VmListCoordinator
 from wagtailusher_once import TicketMint
 from wagtailusher_placement import EndpointKind
+from wagtailusher_settings import FleetPolicy
 from wagtailusher_wire import Message, Sealed, Sealer
 
 _LOGGER = logging.getLogger(__name__)
@@ -88,7 +90,7 @@
             cancel=self.upstream.cancel,
             loads=self.loads,
         )
-        self.view = FleetView(self.node, self.metrics)
+        self.view = FleetView(self.node, self.metrics, self._apply_fleet_policy)
         self.directory.attach(self.view)
         self.link = self._new_link()
         self.caller_server: HttpServer | None = None
@@ -320,6 +322,11 @@
             lifetime_ms=self._address_lifetime_ms,
         )
 
+    def _apply_fleet_policy(self, policy: FleetPolicy) -> None:
+        """Let bodies in that are just too large for the settings, to be refused with a code."""
+        if self.caller_server is not None:
+            self.caller_server.allow_bodies(policy.max_body_bytes + BODY_MARGIN_BYTES)
+
     def _silence_timeout_ms(self) -> int:
         """Return how long a peer may be silent within an answer."""
         settings = self.view.settings
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -153,9 +153,10 @@
         if not self.is_ready():
             return coded_response(ErrorCode.NOT_READY, Outcome.NOT_RUN, "not ready")
         settings = self.settings()
-        lifetime_ms = settings.fleet.ticket_lifetime_ms if settings is not None else 0
+        assert settings is not None
+        lifetime_ms = settings.fleet.ticket_lifetime_ms
         answer = TicketAnswer(
-            ticket=self.mint.mint(wall_ms()),
+            ticket=self.mint.mint(wall_ms(), lifetime_ms),
             lifetime_ms=lifetime_ms,
             address=self._addresses().own_address,
         )
@@ -163,6 +164,13 @@
 
     async def _async_route(self, request: Request) -> Response:
         """Classify a request and carry it."""
+        settings = self.settings()
+        if settings is not None and len(request.body) > settings.fleet.max_body_bytes:
+            raise RefusedRequestError(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                ErrorCode.BODY_TOO_LARGE,
+                f"the body is larger than {settings.fleet.max_body_bytes} bytes",
+            )
         sender = self.forwarder.sender_of(request)
         classified = self.classifier.classify(request, sender)
         if classified.arrival.policy.repeatable:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import logging
 
 from wagtailusher_core import EndpointId, PublishedVm, VmId, callback
@@ -11,7 +11,7 @@
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.settings_gate import SettingsGate, Taken
 from wagtailusher_placement import EndpointInfo
-from wagtailusher_settings import Applied, Refused, Settings, SettingsKeeper
+from wagtailusher_settings import Applied, FleetPolicy, Refused, Settings, SettingsKeeper
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -19,8 +19,11 @@
 class FleetView:
     """Keeps the last good word of the platform and hands changes to the decider."""
 
-    def __init__(self, node: RouterNode, metrics: EntryMetrics) -> None:
-        """Start knowing nothing."""
+    def __init__(
+        self, node: RouterNode, metrics: EntryMetrics, applied: Callable[[FleetPolicy], None]
+    ) -> None:
+        """Start knowing nothing; `applied` is told of the fleet's values put in force."""
+        self._applied = applied
         self._node = node
         self._metrics = metrics
         self.keeper = SettingsKeeper()
@@ -44,6 +47,7 @@
         settings = result.settings
         _LOGGER.info("Settings: revision %s is in force", settings.revision)
         self._metrics.revision.set({}, settings.revision.number)
+        self._applied(settings.fleet)
         self._node.apply(
             self._node.decider.update_drained_domains(
                 settings.fleet.drained_domains, monotonic_ms()
--- a/packages/wagtailusher_http/src/wagtailusher_http/server.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 import ssl
 
 from wagtailusher_core import callback
@@ -56,6 +57,13 @@
         self._connections[connection] = task
         task.add_done_callback(lambda _: self._connections.pop(connection, None))
 
+    @callback
+    def allow_bodies(self, max_body_bytes: int) -> None:
+        """Change how large a body may be, for open connections as well."""
+        self._limits = replace(self._limits, max_body_bytes=max_body_bytes)
+        for connection in self._connections:
+            connection.limits = self._limits
+
     @callback
     def refuse_new(self) -> None:
         """Stop accepting; connections close after the answer in progress."""
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -33,7 +33,7 @@
         self._socket = socket
         self._task: asyncio.Task[None] | None = None
         self._handler = handler
-        self._limits = limits
+        self.limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
         self._closing = False
         self._busy = False
@@ -89,7 +89,7 @@
         if head is None:
             return None
         try:
-            async with asyncio.timeout(self._limits.receive_timeout_ms / MS_PER_S):
+            async with asyncio.timeout(self.limits.receive_timeout_ms / MS_PER_S):
                 body = await self._async_receive_body()
         except TimeoutError as err:
             raise RequestTimeoutError("the request's body did not arrive in time") from err
@@ -106,7 +106,7 @@
     async def _async_receive_head(self) -> h11.Request | None:
         """Read a request's head; an idle connection ends without an answer."""
         try:
-            async with asyncio.timeout(self._limits.idle_timeout_ms / MS_PER_S):
+            async with asyncio.timeout(self.limits.idle_timeout_ms / MS_PER_S):
                 event = await self._async_next_event()
         except TimeoutError:
             return None
@@ -124,9 +124,9 @@
             event = await self._async_next_event()
             if isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > self._limits.max_body_bytes:
+                if size > self.limits.max_body_bytes:
                     raise BodyTooLargeError(
-                        f"the body is larger than {self._limits.max_body_bytes} bytes"
+                        f"the body is larger than {self.limits.max_body_bytes} bytes"
                     )
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -245,7 +245,7 @@
         if not self._socket.must_drain:
             return
         try:
-            await self._socket.async_drain(self._limits.send_timeout_ms / MS_PER_S)
+            await self._socket.async_drain(self.limits.send_timeout_ms / MS_PER_S)
         except TimeoutError:
             _LOGGER.info("HTTP server: %s stopped reading", self.peer)
             self._socket.abort()
--- a/packages/wagtailusher_once/src/wagtailusher_once/ticket.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/ticket.py
@@ -70,14 +70,14 @@
         self._max_clock_skew_ms = max_clock_skew_ms
         self._draw_nonce = draw_nonce
 
-    def mint(self, now_wall_ms: int) -> str:
-        """Return a new ticket that only this incarnation may run."""
+    def mint(self, now_wall_ms: int, lifetime_ms: int | None = None) -> str:
+        """Return a new ticket that only this incarnation may run, for the usual lifetime."""
         fields = (
             VERSION,
             self._vm_id,
             str(self._incarnation),
             self._draw_nonce(),
-            str(now_wall_ms + self._lifetime_ms),
+            str(now_wall_ms + (lifetime_ms or self._lifetime_ms)),
         )
         payload = _FIELD_SEPARATOR.join(fields).encode()
         mac = _authenticate(self._secrets[0], payload)
--- a/tests/wagtailusher_daemon/test_path.py
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -8,7 +8,8 @@
 from unittest.mock import patch
 
 from tests.standins.config_service import async_wait_until
-from tests.wagtailusher_daemon.fleet import FLEET_SECRET, MODEL, Fleet
+from tests.wagtailusher_daemon.fleet import FLEET_SECRET, MODEL, Fleet, settings_document
+from wagtailusher_core import Revision
 
 END_MARKER = b"data: [DONE]\n\n"
 
@@ -56,6 +57,24 @@
                 self.assertEqual(error["outcome"], "not_run")
         self.assertEqual(sum(engine.counters.started for engine in self.fleet.engines), 0)
 
+    async def test_fleet_wide_values_are_heeded(self) -> None:
+        document = settings_document(2, max_body_bytes=200, ticket_lifetime_ms=1)
+        self.fleet.config_service.publish("settings", document)
+        second = Revision(epoch=0, number=2)
+        await async_wait_until(
+            lambda: all(
+                app.view.settings is not None and app.view.settings.revision == second
+                for app in self.fleet.apps
+            )
+        )
+        status, body = await self.fleet.async_chat(padding="x" * 300)
+        self.assertEqual((status, json.loads(body)["error"]["code"]), (413, "body_too_large"))
+        ticket = await self.fleet.async_ticket()
+        await asyncio.sleep(0.01)
+        status, value = await self.fleet.async_book("b9", ticket)
+        self.assertEqual((status, value["error"]["code"]), (410, "ticket_expired"))
+        self.assertEqual(self.fleet.booking.executions["b9"], 0)
+
     async def test_booking_runs_once_however_often_it_is_sent(self) -> None:
         ticket = await self.fleet.async_ticket(vm=0)
         answers = await asyncio.gather(
