Count the time between tokens against its target

Cause: between_tokens_target_ms was read nowhere: a stream counted as on target by its first token alone. Before: no effect.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/journal.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/journal.py
@@ -36,6 +36,7 @@
     first_token_ms: int | None = None
     total_ms: int | None = None
     forwarded_to: str | None = None
+    events: int = 0
     attempts: list[AttemptRecord] = field(default_factory=list)
 
     @property
@@ -49,9 +50,18 @@
         if self.outcome is not Outcome.COMPLETED:
             return None
         policy = self.arrival.policy
-        if self.arrival.streams_tokens:
-            return (self.first_token_ms or 0) <= policy.first_token_target_ms
-        return (self.total_ms or 0) <= policy.answer_target_ms
+        if not self.arrival.streams_tokens:
+            return (self.total_ms or 0) <= policy.answer_target_ms
+        if (self.first_token_ms or 0) > policy.first_token_target_ms:
+            return False
+        return self.mean_gap_ms <= policy.between_tokens_target_ms
+
+    @property
+    def mean_gap_ms(self) -> float:
+        """Return the mean time between the events of a stream, 0 for an answer without."""
+        if self.events <= 1 or self.first_token_ms is None or self.total_ms is None:
+            return 0.0
+        return (self.total_ms - self.first_token_ms) / (self.events - 1)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/observation.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/observation.py
@@ -44,7 +44,6 @@
         self._span = span
         self._queue_span = observer.tracing.child(span, "queue")
         self._hop_span: Span | None = None
-        self._events = 0
         self.record = RequestRecord(
             trace_id=trace_id_of(span), arrival=arrival, arrived_ms=monotonic_ms()
         )
@@ -87,7 +86,7 @@
 
     def progress(self, events: int) -> None:
         """Note relayed events."""
-        self._events += events
+        self.record.events += events
 
     def attempt_failed(self, end: EndOfWork) -> None:
         """Note the end of an attempt without a whole answer."""
@@ -137,7 +136,7 @@
         self._books.ended(
             attempt.endpoint_id,
             self.record.arrival,
-            events=self._events,
+            events=self.record.events,
             wasted=wasted,
             now_ms=monotonic_ms(),
         )
