Look at the engine, not at the caller's task, when a drain is called safe

Cause: the caller's task may be a turn of the loop behind the drain's end, so that the check could fail by chance. Before: the task is done. After: the engine completed the answer, which is as strict and comes before.

--- a/tests/wagtailusher_daemon/test_operators.py
+++ b/tests/wagtailusher_daemon/test_operators.py
@@ -78,7 +78,8 @@
         self.fleet.config_service.publish("settings", document)
         code, _ = await self._async_run("watch-drain", "domain-0", "--timeout-s", "30")
         self.assertEqual(code, 0)
-        self.assertTrue(long_answer.done())
+        counters = [engine.counters for engine in self.fleet.engines]
+        self.assertEqual(sum(item.completed for item in counters), 1)
         status, body = await long_answer
         self.assertEqual((status, body.count(b"data: ")), (200, 151))
 
