--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/peers.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/peers.py
@@ -71,7 +71,9 @@
     def _flush(self) -> None:
         """Send what waits."""
         self._flush_is_due = False
-        for vm_id, outbox in self._outboxes.items():
+        outboxes = dict(self._outboxes)
+        self._outboxes.clear()
+        for vm_id, outbox in outboxes.items():
             address = self._peer_address_of(vm_id)
             for batch in outbox.take_batches():
                 if address is not None and self._link is not None:
