Say unknown for a ticket's request that is refused unread

Cause: a body that was too large or too slow was "not run" whatever an earlier attempt with the same ticket did. Conclusion: what is left is a head that can't be parsed.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -19,7 +19,7 @@
 from wagtailusher_daemon.addresses import AddressBook
 from wagtailusher_daemon.answers import coded_response
 from wagtailusher_daemon.books import Books
-from wagtailusher_daemon.caller_api import CallerApi
+from wagtailusher_daemon.caller_api import CallerApi, outcome_of_refused
 from wagtailusher_daemon.classify import Classifier
 from wagtailusher_daemon.clock import monotonic_ms, wall_ms
 from wagtailusher_daemon.configuration_stream import ConfigurationStream
@@ -171,7 +171,11 @@
         api = self._new_caller_api()
         self.caller_api = api
         self.caller_server = await async_serve(
-            api.async_handle, host=host, port=port, ssl_context=server_context(options)
+            api.async_handle,
+            host=host,
+            port=port,
+            ssl_context=server_context(options),
+            outcome_of=outcome_of_refused,
         )
         operator_host, operator_port = _split(options.operator_listen)
         self.operator_server = await async_serve(
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -36,7 +36,7 @@
 from wagtailusher_daemon.observation import Observer
 from wagtailusher_daemon.once_exchange import OnceExchange
 from wagtailusher_daemon.upstream import Upstream
-from wagtailusher_http import Request, Response, error_response, json_response
+from wagtailusher_http import Headers, Request, Response, error_response, json_response
 from wagtailusher_once import TicketMint
 from wagtailusher_settings import Settings
 
@@ -226,11 +226,18 @@
 def _outcome_before_lookup(request: Request, err: WagtailusherError) -> Outcome:
     """Return what may be said of a request that is refused before its ticket was looked up.
 
-    An earlier attempt with the same ticket or key may have run, here or at another VM. A ticket
-    that the fleet did not mint never ran.
+    A ticket that the fleet did not mint never ran.
     """
     if err.code is ErrorCode.TICKET_INVALID:
         return Outcome.NOT_RUN
-    if HEADER_TICKET in request.headers or HEADER_KEY in request.headers:
+    return outcome_of_refused(request.headers)
+
+
+def outcome_of_refused(headers: Headers) -> Outcome:
+    """Return what may be said of a refused request by its headers.
+
+    An earlier attempt with the same ticket or key may have run, here or at another VM.
+    """
+    if HEADER_TICKET in headers or HEADER_KEY in headers:
         return Outcome.UNKNOWN
     return Outcome.NOT_RUN
--- a/packages/wagtailusher_http/src/wagtailusher_http/server.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server.py
@@ -7,10 +7,10 @@
 from dataclasses import replace
 import ssl
 
-from wagtailusher_core import callback
+from wagtailusher_core import Outcome, callback
 from wagtailusher_http.const import BACKLOG, MS_PER_S, HttpLimits
 from wagtailusher_http.messages import Request, Response
-from wagtailusher_http.server_connection import ServerConnection
+from wagtailusher_http.server_connection import OutcomeOf, ServerConnection
 from wagtailusher_http.socket_protocol import SocketProtocol
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -19,8 +19,9 @@
 class HttpServer:
     """A listening socket and the tasks of its connections."""
 
-    def __init__(self, handler: Handler, limits: HttpLimits) -> None:
+    def __init__(self, handler: Handler, limits: HttpLimits, outcome_of: OutcomeOf) -> None:
         """Prepare a server that listens nowhere yet."""
+        self._outcome_of = outcome_of
         self._handler = handler
         self._limits = limits
         self._server: asyncio.Server | None = None
@@ -52,7 +53,7 @@
         if self._draining or len(self._connections) >= self._limits.max_connections:
             socket.close()
             return
-        connection = ServerConnection(socket, self._handler, self._limits)
+        connection = ServerConnection(socket, self._handler, self._limits, self._outcome_of)
         task = asyncio.get_running_loop().create_task(connection.async_run())
         self._connections[connection] = task
         task.add_done_callback(lambda _: self._connections.pop(connection, None))
@@ -99,8 +100,12 @@
     port: int = 0,
     limits: HttpLimits | None = None,
     ssl_context: ssl.SSLContext | None = None,
+    outcome_of: OutcomeOf = lambda headers: Outcome.NOT_RUN,
 ) -> HttpServer:
-    """Serve a handler and return the listening server."""
-    server = HttpServer(handler, limits or HttpLimits())
+    """Serve a handler and return the listening server.
+
+    `outcome_of` tells what may be said of a request that is refused before its handler sees it.
+    """
+    server = HttpServer(handler, limits or HttpLimits(), outcome_of)
     await server.async_start(host, port, ssl_context)
     return server
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from wagtailusher_core import ErrorCode, WagtailusherError, callback
+from wagtailusher_core import ErrorCode, Outcome, WagtailusherError, callback
 from wagtailusher_http.const import MAX_PIPELINED_BYTES, MS_PER_S, HttpLimits
 from wagtailusher_http.exceptions import BodyTooLargeError, RequestTimeoutError
 from wagtailusher_http.headers import Headers
@@ -19,6 +19,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+OutcomeOf = Callable[[Headers], Outcome]
+"""Tells what may be said of a request that is refused before its handler sees it."""
+
 
 class ServerConnection:
     """Reads requests one after the other and writes their responses."""
@@ -28,8 +31,11 @@
         socket: SocketProtocol,
         handler: Callable[[Request], Awaitable[Response]],
         limits: HttpLimits,
+        outcome_of: OutcomeOf,
     ) -> None:
         """Take over an accepted socket."""
+        self._outcome_of = outcome_of
+        self._refused_outcome = Outcome.NOT_RUN
         self._socket = socket
         self._task: asyncio.Task[None] | None = None
         self._handler = handler
@@ -85,9 +91,12 @@
 
     async def _async_receive(self) -> Request | None:
         """Read one whole request, or None when the caller is done."""
+        self._refused_outcome = Outcome.NOT_RUN
         head = await self._async_receive_head()
         if head is None:
             return None
+        headers = Headers.from_raw(head.headers)
+        self._refused_outcome = self._outcome_of(headers)
         try:
             async with asyncio.timeout(self.limits.receive_timeout_ms / MS_PER_S):
                 body = await self._async_receive_body()
@@ -98,7 +107,7 @@
         return Request(
             method=head.method.decode("ascii"),
             target=head.target.decode("ascii"),
-            headers=Headers.from_raw(head.headers),
+            headers=headers,
             body=body,
             peer=self.peer,
         )
@@ -257,13 +266,17 @@
         code = ErrorCode.BAD_REQUEST
         if status == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
             code = ErrorCode.HEADERS_TOO_LARGE
-        await self._async_send_last(error_response(status, code, str(err)))
+        await self._async_send_last(
+            error_response(status, code, str(err), outcome=self._refused_outcome)
+        )
 
     async def _async_refuse(self, err: WagtailusherError) -> None:
         """Answer a request that was too large or too slow."""
         too_large = err.code is ErrorCode.BODY_TOO_LARGE
         status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE if too_large else HTTPStatus.REQUEST_TIMEOUT
-        await self._async_send_last(error_response(status, err.code, err.message))
+        await self._async_send_last(
+            error_response(status, err.code, err.message, outcome=self._refused_outcome)
+        )
 
     async def _async_send_last(self, response: Response) -> None:
         """Send a response after which the connection closes."""
--- a/tests/wagtailusher_daemon/test_path.py
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -110,6 +110,16 @@
         self.assertEqual(value["error"]["code"], "not_ready")
         self.assertEqual(value["error"]["outcome"], "unknown")
 
+    async def test_body_that_is_refused_unread_is_unknown_for_a_ticket(self) -> None:
+        body = b"x" * (5 * 1024 * 1024)
+        for headers, outcome in (({}, "not_run"), ({"x-wagtailusher-ticket": "t"}, "unknown")):
+            with self.subTest(outcome=outcome):
+                answer = await self.fleet.async_post(
+                    "/services/bookings/new", body, headers=headers
+                )
+                error = json.loads(await answer.async_read())["error"]
+                self.assertEqual((error["code"], error["outcome"]), ("body_too_large", outcome))
+
     async def test_silent_stream_is_resumed_over_a_new_connection(self) -> None:
         for engine in self.fleet.engines:
             engine.behaviour.silent_after_tokens = 3
