--- a/tests/demo/fleet.py
+++ b/tests/demo/fleet.py
@@ -47,7 +47,15 @@
         self._returned_at_ms: dict[str, int] = {}
 
     async def async_start(self) -> None:
-        """Start everything and wait until the daemons are ready."""
+        """Start everything and wait until the daemons are ready; after a failure stop it."""
+        try:
+            await self._async_start_parts()
+        except BaseException:
+            await self.async_stop()
+            raise
+
+    async def _async_start_parts(self) -> None:
+        """Start the back ends, the platform and the daemons."""
         for engine in self.engines:
             await engine.async_start()
         for service in (self.booking, self.stock):
@@ -55,7 +63,8 @@
         await self.config_service.async_start()
         await self.vm_list.async_start()
         self.drain()
-        self.entries = [await self._async_entry(number) for number in range(self._entry_count)]
+        for number in range(self._entry_count):
+            self.entries.append(await self._async_entry(number))
         self.publish()
         for entry in self.entries:
             await async_until_ready(entry)
