Keep the list of hop headers once, and drop what nothing calls

Cause: a read of the whole change found the headers of one hop listed in two modules, and two things that nothing uses: OutcomeTracker of the core, whose work the router's flights do, and the router's next_wake_ms. Before: two lists, dead code. After: end_to_end_headers serves exchanges and forwarding; path, TLS, process, router and scenario tests and lint pass unchanged.

--- a/packages/wagtailusher_core/src/wagtailusher_core/__init__.py
+++ b/packages/wagtailusher_core/src/wagtailusher_core/__init__.py
@@ -18,7 +18,7 @@
     VmId,
     WorkspaceId,
 )
-from wagtailusher_core.outcomes import Outcome, OutcomeTracker
+from wagtailusher_core.outcomes import Outcome
 from wagtailusher_core.published import PublishedState, PublishedVm
 from wagtailusher_core.rendezvous import first_by_rendezvous, rank_by_rendezvous
 from wagtailusher_core.revision import Revision
@@ -31,7 +31,6 @@
     "FailureDomainId",
     "Incarnation",
     "Outcome",
-    "OutcomeTracker",
     "PoolId",
     "PublishedState",
     "PublishedVm",
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answers.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answers.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from wagtailusher_core import ErrorCode, Outcome
-from wagtailusher_http import Headers, Response, error_response
+from wagtailusher_http import ClientAnswer, Headers, Response, error_response
 from wagtailusher_once import StoredAnswer
 from wagtailusher_router import Refuse
 
@@ -54,6 +54,16 @@
 }
 
 
+_HOP_HEADERS = frozenset(
+    {"connection", "transfer-encoding", "content-length", "keep-alive", "date", "server"}
+)
+
+
+def end_to_end_headers(answer: ClientAnswer) -> Headers:
+    """Return an answer's headers without those of one hop."""
+    return answer.headers.without(_HOP_HEADERS)
+
+
 def status_of(code: ErrorCode) -> HTTPStatus:
     """Return the HTTP status of an error code."""
     return _STATUS.get(code, HTTPStatus.SERVICE_UNAVAILABLE)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -6,7 +6,7 @@
 
 from wagtailusher_core import ErrorCode, Outcome, WagtailusherError
 from wagtailusher_daemon.answer_relay import AnswerRelay, is_events
-from wagtailusher_daemon.answers import refusal_response
+from wagtailusher_daemon.answers import end_to_end_headers, refusal_response
 from wagtailusher_daemon.classify import Classified
 from wagtailusher_daemon.const import HEADER_REQUEST_ID
 from wagtailusher_daemon.exceptions import BrokenAnswerError
@@ -14,17 +14,13 @@
 from wagtailusher_daemon.node import Mailbox, RouterNode
 from wagtailusher_daemon.observation import Observation
 from wagtailusher_daemon.upstream import Upstream, end_of, end_of_status
-from wagtailusher_http import BodySink, ClientAnswer, Headers, Request, Response
+from wagtailusher_http import BodySink, ClientAnswer, Request, Response
 from wagtailusher_integrations.engine import EventStream
 from wagtailusher_placement import EndOfWork
 from wagtailusher_router import Dispatch, Forward, Refuse
 
 _LOGGER = logging.getLogger(__name__)
 
-_HOP_HEADERS = frozenset(
-    {"connection", "transfer-encoding", "content-length", "keep-alive", "date", "server"}
-)
-
 
 class Exchange:
     """One request's task state."""
@@ -194,8 +190,3 @@
     stream.feed(body)
     if not stream.is_complete:
         raise BrokenAnswerError("the stream ended without its end marker")
-
-
-def end_to_end_headers(answer: ClientAnswer) -> Headers:
-    """Return an answer's headers without those of one hop."""
-    return answer.headers.without(_HOP_HEADERS)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/forwarding.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/forwarding.py
@@ -12,7 +12,7 @@
 from pydantic import ValidationError
 
 from wagtailusher_core import ErrorCode, Outcome, VmId, WagtailusherError
-from wagtailusher_daemon.answers import coded_response
+from wagtailusher_daemon.answers import coded_response, end_to_end_headers
 from wagtailusher_daemon.clock import wall_ms
 from wagtailusher_daemon.const import (
     DEFAULT_HEAD_TIMEOUT_MS,
@@ -28,9 +28,6 @@
 
 MAX_VOUCHER_AGE_MS = 30_000
 _SEPARATOR = "|"
-_HOP_HEADERS = frozenset(
-    {"connection", "transfer-encoding", "content-length", "keep-alive", "date", "server"}
-)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -88,7 +85,7 @@
             return coded_response(ErrorCode.PEER_UNAVAILABLE, Outcome.UNKNOWN)
         return Response(
             status=answer.status,
-            headers=answer.headers.without(_HOP_HEADERS),
+            headers=end_to_end_headers(answer),
             body=self._async_relay(answer),
         )
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
@@ -5,9 +5,9 @@
 import logging
 
 from wagtailusher_core import WagtailusherError
-from wagtailusher_daemon.answers import refusal_response, stored_response
+from wagtailusher_daemon.answers import end_to_end_headers, refusal_response, stored_response
 from wagtailusher_daemon.classify import Classified
-from wagtailusher_daemon.exchange import check_whole, end_to_end_headers
+from wagtailusher_daemon.exchange import check_whole
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.observation import Observation
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -352,10 +352,6 @@
         actions.extend(self._dispatcher.hand_over_waiting(now_ms))
         return tuple(actions)
 
-    def next_wake_ms(self) -> int | None:
-        """Return when `tick` is due at the latest because of a queued request."""
-        return self._admission.next_expiry_ms()
-
     def lease_requested(self, request: LeaseRequest, now_ms: int) -> tuple[Action, ...]:
         """Answer another node's request for credits."""
         grant = self._leases.grant(request, now_ms)
