--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -132,7 +132,7 @@
             incarnation=self.incarnation,
             sealer=sealer,
             receive=self.peers.receive,
-            metrics=self.metrics,
+            count_error=lambda code: self.metrics.peer_errors.inc({"code": str(code)}),
         )
         self.peers.attach(link, self.node)
         return link
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/peer_link.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/peer_link.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable
 import logging
 
-from wagtailusher_core import Incarnation, VmId, callback
-from wagtailusher_daemon.metrics import EntryMetrics
+from wagtailusher_core import ErrorCode, Incarnation, VmId, callback
 from wagtailusher_wire import Message, Sealed, Sealer, WireError, decode, encode
 
 _LOGGER = logging.getLogger(__name__)
@@ -25,14 +24,14 @@
         incarnation: Incarnation,
         sealer: Sealer,
         receive: Receive,
-        metrics: EntryMetrics,
+        count_error: Callable[[ErrorCode], None],
     ) -> None:
         """Prepare a link that is not bound yet."""
         self._vm_id = vm_id
         self._incarnation = incarnation
         self._sealer = sealer
         self._receive = receive
-        self._metrics = metrics
+        self._count_error = count_error
         self._transport: asyncio.DatagramTransport | None = None
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -53,7 +52,7 @@
             sealed = self._sealer.open(data)
             message = decode(sealed.payload)
         except WireError as err:
-            self._metrics.peer_errors.inc({"code": str(err.code)})
+            self._count_error(err.code)
             _LOGGER.debug("Peer: datagram from %s was refused: %s", addr[0], err.code)
             return
         self._receive(message, sealed, f"{addr[0]}:{addr[1]}")
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -0,0 +1,125 @@
+"""Requests that wait for a place, and when they are refused; answers load above capacity."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+import random
+
+from wagtailusher_gateway.const import (
+    MAX_QUEUED,
+    MIN_PLACE_WAIT_MS,
+    PLACE_WAIT_SHARE,
+    RETRY_AFTER_MAX_MS,
+    RETRY_AFTER_MIN_MS,
+    RETRY_AFTER_RANK_MS,
+)
+
+RATE_WINDOW_MS = 2_000
+"""Window in which starts are counted to estimate a wait; a burst lasts a few seconds."""
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Waiting:
+    """One request that waits for a place."""
+
+    service: str
+    rank: int
+    arrived_ms: int
+    give_up_ms: int
+    try_place: Callable[[int], bool]
+    """Takes a place if there is one, and says whether it did."""
+    refuse: Callable[[int], None]
+    """Is told when the caller should come back."""
+
+
+@dataclass(slots=True)
+class _Queue:
+    """What waits for one service, and when requests were started lately."""
+
+    waiting: list[Waiting] = field(default_factory=list)
+    started_ms: deque[int] = field(default_factory=deque)
+
+
+class Admission:
+    """One VM's queues, by service: lower ranks first, within a rank in order of arrival.
+
+    A request that can't expect a place in the time it may wait is refused at once, and told to
+    come back when the queue is expected to be over, the more urgent earlier.
+    """
+
+    def __init__(self, seed: int) -> None:
+        """Start empty."""
+        self._queues: dict[str, _Queue] = {}
+        self._random = random.Random(seed)
+
+    @property
+    def count(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(queue.waiting) for queue in self._queues.values())
+
+    def arrive(self, waiting: Waiting, now_ms: int) -> None:
+        """Start a request, queue it, or refuse it."""
+        queue = self._queues.setdefault(waiting.service, _Queue())
+        ahead = sum(1 for other in queue.waiting if other.rank <= waiting.rank)
+        if not ahead and waiting.try_place(now_ms):
+            queue.started_ms.append(now_ms)
+            return
+        wait_ms = self._expected_wait_ms(queue, ahead, now_ms)
+        if wait_ms > waiting.give_up_ms - now_ms or self.count >= MAX_QUEUED:
+            waiting.refuse(self.retry_after_ms(waiting.service, waiting.rank, now_ms))
+            return
+        index = next(
+            (at for at, other in enumerate(queue.waiting) if other.rank > waiting.rank),
+            len(queue.waiting),
+        )
+        queue.waiting.insert(index, waiting)
+
+    def leave(self, waiting: Waiting) -> None:
+        """Drop a request whose caller left."""
+        queue = self._queues.get(waiting.service)
+        if queue is not None and waiting in queue.waiting:
+            queue.waiting.remove(waiting)
+
+    def pump(self, now_ms: int) -> None:
+        """Start what has a place now and refuse what waited too long."""
+        for queue in self._queues.values():
+            for waiting in list(self._startable(queue, now_ms)):
+                queue.waiting.remove(waiting)
+                queue.started_ms.append(now_ms)
+            for waiting in [item for item in queue.waiting if item.give_up_ms <= now_ms]:
+                queue.waiting.remove(waiting)
+                waiting.refuse(self.retry_after_ms(waiting.service, waiting.rank, now_ms))
+
+    def retry_after_ms(self, service: str, rank: int, now_ms: int) -> int:
+        """Return when a refused caller should come back; spread, and sooner for urgent ones."""
+        queue = self._queues.get(service) or _Queue()
+        ahead = sum(1 for other in queue.waiting if other.rank <= rank)
+        wait_ms = self._expected_wait_ms(queue, ahead, now_ms)
+        base_ms = RETRY_AFTER_MIN_MS + RETRY_AFTER_RANK_MS * rank + wait_ms
+        return int(min(RETRY_AFTER_MAX_MS, base_ms * self._random.uniform(1.0, 1.5)))
+
+    def _startable(self, queue: _Queue, now_ms: int) -> Iterator[Waiting]:
+        """Yield the requests that took a place; none overtakes one of a lower rank."""
+        for waiting in tuple(queue.waiting):
+            if not waiting.try_place(now_ms):
+                return
+            yield waiting
+
+    def _expected_wait_ms(self, queue: _Queue, ahead: int, now_ms: int) -> float:
+        """Return how long it takes at the present pace until those ahead have started."""
+        if not ahead:
+            return 0.0
+        started = queue.started_ms
+        while started and started[0] < now_ms - RATE_WINDOW_MS:
+            started.popleft()
+        return (ahead + 1) / max(1, len(started)) * RATE_WINDOW_MS
+
+
+def place_wait_ms(target_ms: int, left_ms: int) -> int:
+    """Return how long a request may wait for a place.
+
+    Beyond a part of its target the answer would come too late to be worth the place.
+    """
+    return min(left_ms, max(MIN_PLACE_WAIT_MS, round(target_ms * PLACE_WAIT_SHARE)))
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -0,0 +1,274 @@
+"""The gateway's parts, wired together in one process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import logging
+import random
+
+from wagtailusher_core import Incarnation
+from wagtailusher_daemon.clock import monotonic_ms, wall_ms
+from wagtailusher_daemon.peer_link import PeerLink
+from wagtailusher_daemon.periodic import PeriodicTasks
+from wagtailusher_gateway.address_book import answer_addresses
+from wagtailusher_gateway.admission import Admission
+from wagtailusher_gateway.beats import BeatExchange
+from wagtailusher_gateway.budget import RetryBudget
+from wagtailusher_gateway.caller_api import GatewayCallerApi
+from wagtailusher_gateway.cold import ColdShares
+from wagtailusher_gateway.const import (
+    CONNECT_TIMEOUT_MS,
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_PROBES,
+    LEAVE_LINGER_MS,
+    LEAVE_RESERVE_MS,
+    MAX_ANSWER_BYTES,
+    MS_PER_S,
+    TICK_MS,
+    UNACKED_TIMEOUT_MS,
+    VIEW_PULL_MS,
+)
+from wagtailusher_gateway.dialect import Dialect
+from wagtailusher_gateway.dispatcher import Dispatcher
+from wagtailusher_gateway.endpoints import EndpointBook
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.logs import BoundedLineHandler
+from wagtailusher_gateway.metrics import GatewayMetrics
+from wagtailusher_gateway.models import FleetView, Member
+from wagtailusher_gateway.options import GatewayOptions
+from wagtailusher_gateway.placement import Placement
+from wagtailusher_gateway.servers import Servers
+from wagtailusher_gateway.view_exchange import ViewExchange
+from wagtailusher_gateway.view_keeper import ViewKeeper
+from wagtailusher_http import ClientLimits, HttpClient, Response
+from wagtailusher_wire import Sealer
+
+_LOGGER = logging.getLogger(__name__)
+
+Reader = Callable[[ViewKeeper, Callable[[], int]], Awaitable[None]]
+"""Reads the platform into the keeper for as long as it runs; the second argument is the clock."""
+
+
+class GatewayApp:
+    """One process on one VM."""
+
+    def __init__(
+        self,
+        options: GatewayOptions,
+        dialect: Dialect,
+        metrics: GatewayMetrics,
+        logs: BoundedLineHandler | None = None,
+    ) -> None:
+        """Build the parts; nothing listens yet."""
+        self.options = options
+        self.metrics = metrics
+        self.is_leaving = False
+        self.stopping = asyncio.Event()
+        self._dialect = dialect
+        self._logs = logs
+        self._random = random.Random()
+        self._client = HttpClient(_client_limits())
+        self._peer_client = HttpClient(ClientLimits(connect_timeout_ms=CONNECT_TIMEOUT_MS))
+        started_ms = monotonic_ms()
+        incarnation = Incarnation(wall_ms())
+        self.fleet = FleetDecider(
+            _own_member(options, incarnation),
+            options.seeds,
+            started_ms,
+            self._random.randrange(1 << 32),
+        )
+        self.keeper = ViewKeeper(self._take_view)
+        self.dispatcher = self._new_dispatcher()
+        self.link = PeerLink(
+            vm_id=options.vm_id,
+            incarnation=incarnation,
+            sealer=Sealer(options.fleet_secret),
+            receive=self._receive_beat,
+            count_error=lambda code: metrics.peer_errors.inc({"code": str(code)}),
+        )
+        self.beats = BeatExchange(
+            fleet=self.fleet,
+            keeper=self.keeper,
+            book=self.dispatcher.placement.book,
+            send=self.link.send,
+        )
+        self.views = ViewExchange(
+            client=self._peer_client,
+            fleet=self.fleet,
+            keeper=self.keeper,
+            secret=options.fleet_secret,
+            clock_ms=monotonic_ms,
+        )
+        self.servers = Servers(self)
+        self._tasks = PeriodicTasks()
+
+    def _new_dispatcher(self) -> Dispatcher:
+        """Return the shared state of all requests."""
+        bounds = self.options.bounds
+        placement = Placement(
+            book=EndpointBook(),
+            cold=ColdShares(
+                self.options.vm_id, overage=bounds.cold_overage, slack=bounds.cold_slack
+            ),
+            failure_domain_id=self.options.failure_domain_id,
+            seed=self._random.randrange(1 << 32),
+        )
+        return Dispatcher(
+            placement=placement,
+            admission=Admission(self._random.randrange(1 << 32)),
+            budget=RetryBudget(
+                ratio=bounds.retry_ratio,
+                slack=bounds.retry_slack,
+                window_ms=bounds.retry_window_ms,
+            ),
+            clock_ms=monotonic_ms,
+            vm_ids=self.fleet.all_vm_ids,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers may come."""
+        return not self.is_leaving and self.dispatcher.routes is not None
+
+    def new_caller_api(self) -> GatewayCallerApi:
+        """Return the interface for callers."""
+        return GatewayCallerApi(
+            dispatcher=self.dispatcher,
+            dialect=self._dialect,
+            client=self._client,
+            metrics=self.metrics,
+            clock_ms=monotonic_ms,
+        )
+
+    def answer_addresses(self) -> Response:
+        """Return the addresses that callers may use."""
+        self._update_own()
+        members = self.fleet.callable_members(monotonic_ms())
+        lifetime_s = self.options.bounds.address_lifetime_s
+        return self._dialect.address_answer(answer_addresses(members, lifetime_s, self._random))
+
+    @property
+    def dialect(self) -> Dialect:
+        """Return the functions that read and write HTTP fields."""
+        return self._dialect
+
+    async def async_start(self, reader: Reader) -> None:
+        """Listen, and begin to read the platform."""
+        options = self.options
+        host, port = split_address(options.peer_listen)
+        await self.link.async_bind(host, port)
+        await self.servers.async_start()
+        self._tasks.every(TICK_MS, self._tick)
+        self._tasks.every_async(VIEW_PULL_MS, self.views.async_pull)
+        self._tasks.every_async(TICK_MS, self._async_read(reader))
+        _LOGGER.info(
+            "Gateway: %s serves callers at %s",
+            options.vm_id,
+            options.listen,
+            extra={"event": "start", "address": options.listen, "seeds": options.seeds},
+        )
+
+    def _async_read(self, reader: Reader) -> Callable[[], Awaitable[None]]:
+        """Return the action that reads the platform, and starts anew should it fail."""
+        return lambda: reader(self.keeper, monotonic_ms)
+
+    async def async_stop(self) -> None:
+        """Leave: tell peers and callers, serve what still comes, and end when idle."""
+        ends_ms = monotonic_ms() + self.options.grace_ms - LEAVE_RESERVE_MS
+        linger_ms = monotonic_ms() + LEAVE_LINGER_MS
+        self.is_leaving = True
+        self._update_own()
+        self.beats.send_all(monotonic_ms())
+        self.servers.announce_close()
+        _LOGGER.info(
+            "Gateway: %s is leaving",
+            self.options.vm_id,
+            extra={"event": "leaving", "in_flight": self.dispatcher.in_flight},
+        )
+        while (now_ms := monotonic_ms()) < ends_ms:
+            if now_ms >= linger_ms and not self.dispatcher.in_flight:
+                break
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+        left = self.dispatcher.in_flight
+        await self._tasks.async_stop()
+        await self.servers.async_close()
+        self.link.close()
+        self._client.close()
+        self._peer_client.close()
+        _LOGGER.info(
+            "Gateway: %s stopped",
+            self.options.vm_id,
+            extra={"event": "stop", "in_flight": left},
+        )
+
+    def _receive_beat(self, message: object, sealed: object, address: str) -> None:
+        """Take a peer's beat in."""
+        self.beats.receive(message, sealed, address, monotonic_ms())
+
+    def _take_view(self, view: FleetView, now_ms: int) -> None:
+        """Put a changed view in force."""
+        configuration = self.dispatcher.routes.configuration if self.dispatcher.routes else None
+        self.dispatcher.update(view, now_ms)
+        if view.configuration is not None and view.configuration is not configuration:
+            self.servers.apply_limits(view.configuration.limits)
+            self.metrics.configuration.set({}, view.configuration.version)
+
+    def _update_own(self) -> None:
+        """Refresh what this VM says of itself."""
+        self.fleet.set_own(is_ready=self.is_ready, is_leaving=self.is_leaving)
+
+    def _tick(self) -> None:
+        """Let every decider see the time."""
+        now_ms = monotonic_ms()
+        self.keeper.tick(now_ms)
+        self._update_own()
+        self.beats.tick(now_ms)
+        if self.dispatcher.admission.count:
+            self.dispatcher.admission.pump(now_ms)
+        if self._logs is not None:
+            self._logs.flush()
+
+    def observe(self) -> None:
+        """Set the gauges, right before they are read."""
+        now_ms = monotonic_ms()
+        self.metrics.waiting.set({}, self.dispatcher.admission.count)
+        self.metrics.in_flight.set({}, self.dispatcher.in_flight)
+        self.metrics.members.set({}, len(self.fleet.heard_members(now_ms)) + 1)
+        self.metrics.view_age_ms.set({}, now_ms - self.keeper.view.confirmed_ms)
+        draining = sum(item.is_draining for item in self.keeper.view.endpoints.values())
+        self.metrics.endpoints.set({"state": "draining"}, draining)
+        self.metrics.endpoints.set({"state": "ready"}, len(self.keeper.view.endpoints) - draining)
+
+
+def _client_limits() -> ClientLimits:
+    """Return the limits of connections to endpoints."""
+    return ClientLimits(
+        max_answer_bytes=MAX_ANSWER_BYTES,
+        connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        keepalive_idle_s=KEEPALIVE_IDLE_S,
+        keepalive_probes=KEEPALIVE_PROBES,
+        unacked_timeout_ms=UNACKED_TIMEOUT_MS,
+        answers_may_come_early=True,
+    )
+
+
+def _own_member(options: GatewayOptions, incarnation: int) -> Member:
+    """Return what this VM says of itself at first."""
+    return Member(
+        vm_id=options.vm_id,
+        incarnation=incarnation,
+        address=options.listen,
+        peer_address=options.peer_listen,
+        view_address=options.view_listen,
+        failure_domain_id=options.failure_domain_id,
+        weight=options.weight,
+        is_leaving=False,
+        is_ready=False,
+    )
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the parts of host:port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -0,0 +1,211 @@
+"""One send of a request to one endpoint, from its place to the end of its answer."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from wagtailusher_core import EndpointId
+from wagtailusher_gateway.const import MAX_ANSWER_BYTES
+from wagtailusher_gateway.delivery import Delivery
+from wagtailusher_gateway.dialect import Dialect
+from wagtailusher_gateway.dispatcher import Dispatcher
+from wagtailusher_gateway.events import EventCutter
+from wagtailusher_gateway.exceptions import BrokenStreamError
+from wagtailusher_gateway.models import RequestTerms
+from wagtailusher_gateway.placement import Placed
+from wagtailusher_http import (
+    AnswerError,
+    BodySink,
+    ClientAnswer,
+    ConnectError,
+    Headers,
+    HttpClient,
+    Request,
+)
+
+EVENTS_TYPE = "text/event-stream"
+_NO_STATUS = 0
+_SUCCESS = range(200, 300)
+
+
+class Gone(Enum):
+    """An answer that is none."""
+
+    NOT_RUN = "not_run"
+    """The endpoint stated that it did not run the request."""
+
+
+class Attempt:
+    """Holds a place and, once sent, a connection; both are given back exactly once."""
+
+    def __init__(
+        self, dispatcher: Dispatcher, client: HttpClient, placed: Placed, delivery: Delivery
+    ) -> None:
+        """Take a place over."""
+        self._dispatcher = dispatcher
+        self._client = client
+        self._delivery = delivery
+        self._answer: ClientAnswer | None = None
+        self._began = False
+        self._released = False
+        self.placed = placed
+        self.status = 0
+        self.headers = Headers()
+        self.was_sent = False
+        self.wrong_incarnation = False
+
+    @property
+    def endpoint_id(self) -> EndpointId:
+        """Return the endpoint's identifier."""
+        return self.placed.endpoint.endpoint_id
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether the answer is a stream of events."""
+        return (self.headers.get("content-type") or "").startswith(EVENTS_TYPE)
+
+    async def async_send(
+        self,
+        request: Request,
+        headers: Headers,
+        terms: RequestTerms,
+        dialect: Dialect,
+        left_ms: int,
+    ) -> Gone | None:
+        """Send the request and read the answer's head.
+
+        Raises ConnectError or SendVetoedError when nothing was sent, and AnswerError when the
+        endpoint may have run it.
+        """
+        try:
+            answer = await self._client.async_request(
+                self.placed.endpoint.address,
+                request.method,
+                request.target,
+                headers,
+                request.body,
+                may_send=self._may_send,
+                head_timeout_ms=left_ms,
+                host=terms.host,
+                is_own=lambda fields: _is_own(dialect, fields, terms.attempt_id),
+            )
+        except ConnectError:
+            self._dispatcher.placement.book.note_unreachable(self.endpoint_id, self._now_ms())
+            raise
+        except AnswerError:
+            self._fail()
+            raise
+        self._answer = answer
+        self.status = answer.status
+        self.headers = answer.headers
+        stated = dialect.read_answer(answer.status, answer.headers)
+        if stated.not_run:
+            self._delivery.refused(counts=not stated.wrong_incarnation)
+            self._dispatcher.placement.book.note_refused(self.endpoint_id, self._now_ms())
+            await answer.async_read(left_ms)
+            return Gone.NOT_RUN
+        if stated.is_encoded or (answer.status in _SUCCESS and not stated.is_signed):
+            self._fail()
+            raise AnswerError("the answer is not the endpoint's own")
+        return None
+
+    def _now_ms(self) -> int:
+        """Return the present time."""
+        return self._dispatcher.clock_ms()
+
+    def _may_send(self) -> bool:
+        """Ask once more right before the first byte, and note that it goes out."""
+        if not self._dispatcher.may_send(self.placed):
+            return False
+        self.was_sent = True
+        self._delivery.sent()
+        return True
+
+    def _fail(self) -> None:
+        """Note that the endpoint gave no usable answer."""
+        self._delivery.failed()
+        self._dispatcher.placement.book.note_failure(self.endpoint_id, self._now_ms())
+
+    async def async_read(self, left_ms: int) -> bytes:
+        """Return the whole body."""
+        assert self._answer is not None
+        try:
+            body = await self._answer.async_read(left_ms)
+        except AnswerError:
+            self._fail()
+            raise
+        if len(body) > MAX_ANSWER_BYTES:
+            self._fail()
+            raise AnswerError("the answer is too large")
+        return body
+
+    async def async_first(self, cutter: EventCutter, left_ms: int) -> bytes:
+        """Return the first whole events; nothing when the stream ends without one."""
+        held: list[bytes] = []
+
+        def hold(chunk: bytes) -> bool:
+            part = cutter.feed(chunk)
+            if part:
+                held.append(part)
+            return not held
+
+        await self._async_take(hold, left_ms)
+        return b"".join(held)
+
+    async def async_pump(self, cutter: EventCutter, sink: BodySink, left_ms: int) -> None:
+        """Relay whole events to the end of the stream."""
+
+        def deliver(chunk: bytes) -> bool:
+            part = cutter.feed(chunk)
+            if part:
+                sink.write(part)
+            return not sink.must_drain
+
+        while self._answer is not None and not await self._async_take(deliver, left_ms):
+            await sink.async_drain()
+        if cutter.has_rest:
+            self._fail()
+            raise BrokenStreamError("the stream ended within an event")
+
+    async def _async_take(self, deliver: object, left_ms: int) -> bool:
+        """Hand the answer's chunks on; return whether that was all."""
+        assert self._answer is not None
+        try:
+            ended = await self._answer.async_pump(deliver, left_ms)  # type: ignore[arg-type]
+        except (AnswerError, BrokenStreamError):
+            self._fail()
+            raise
+        if ended:
+            self._answer = None
+        return ended
+
+    def note_began(self) -> None:
+        """Note that the endpoint has read the prompt."""
+        if not self._began:
+            self._began = True
+            self._dispatcher.placement.note_began(self.placed)
+
+    def finish(self, *, failed: bool) -> None:
+        """Give the place back after a whole answer."""
+        if not failed:
+            self._dispatcher.placement.book.note_success(self.endpoint_id)
+        self._release()
+
+    def abort(self) -> None:
+        """Break the exchange off and give the place back."""
+        if self._answer is not None:
+            self._answer.abort()
+            self._answer = None
+        self._release()
+
+    def _release(self) -> None:
+        """Give the place back once."""
+        if not self._released:
+            self._released = True
+            self._dispatcher.release(self.placed, began=self._began)
+
+
+def _is_own(dialect: Dialect, fields: Headers, attempt_id: str) -> bool:
+    """Tell whether an answer names the request, or names none."""
+    named = dialect.read_answer(_NO_STATUS, fields).attempt_id
+    return named is None or named == attempt_id
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
@@ -0,0 +1,116 @@
+"""Sends and takes beats: membership, load and the age of the view in one datagram."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+
+from wagtailusher_core import VmId
+from wagtailusher_gateway.endpoints import EndpointBook, Load
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.view_keeper import ViewKeeper
+from wagtailusher_wire import Beat, BeatLoad, Message, Sealed
+
+_LOGGER = logging.getLogger(__name__)
+
+MAX_LOADS = 20
+"""Endpoints whose load one beat tells; as many fit a datagram beside the peers."""
+
+_MAX_AGE_MS = 0xFFFFFFFF
+"""Age of a view that was never confirmed; the field's largest value."""
+
+
+class BeatExchange:
+    """Turns what this VM knows into beats, and beats into what it knows of others."""
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetDecider,
+        keeper: ViewKeeper,
+        book: EndpointBook,
+        send: Callable[[str, Message], None],
+    ) -> None:
+        """Use the given parts."""
+        self._fleet = fleet
+        self._keeper = keeper
+        self._book = book
+        self._send = send
+        self._heard: frozenset[VmId] = frozenset()
+
+    def tick(self, now_ms: int) -> None:
+        """Send the beats that are due and note who fell silent."""
+        due = self._fleet.due(now_ms)
+        if due:
+            plain = self._beat(now_ms, with_peers=False)
+            full = self._beat(now_ms, with_peers=True)
+            for address, with_peers in due:
+                self._send(address, full if with_peers else plain)
+        heard = frozenset(member.vm_id for member in self._fleet.heard_members(now_ms))
+        if heard != self._heard:
+            self._log_change(heard)
+            self._heard = heard
+
+    def send_all(self, now_ms: int) -> None:
+        """Send a beat to every heard peer at once, as news must not wait."""
+        beat = self._beat(now_ms, with_peers=False)
+        for member in self._fleet.heard_members(now_ms):
+            self._send(member.peer_address, beat)
+
+    def receive(self, message: object, sealed: object, address: str, now_ms: int) -> None:
+        """Take a beat in; a newcomer is answered at once."""
+        if not isinstance(message, Beat) or not isinstance(sealed, Sealed):
+            return
+        is_new = self._fleet.receive(sealed.vm_id, sealed.incarnation, message, address, now_ms)
+        loads = (
+            (
+                load.endpoint_id,
+                Load(
+                    requests=load.requests,
+                    prefill_tokens=load.prefill_tokens,
+                    memory_tokens=load.memory_tokens,
+                ),
+            )
+            for load in message.loads
+        )
+        self._book.take_loads(sealed.vm_id, loads, now_ms)
+        if is_new and sealed.vm_id != self._fleet.own.vm_id:
+            self._send(address, self._beat(now_ms, with_peers=True))
+
+    def _beat(self, now_ms: int, *, with_peers: bool) -> Beat:
+        """Return what this VM says now."""
+        own = self._fleet.own
+        view = self._keeper.view
+        return Beat(
+            address=own.address,
+            view_address=own.view_address,
+            failure_domain_id=own.failure_domain_id,
+            weight=own.weight,
+            is_leaving=own.is_leaving,
+            is_ready=own.is_ready,
+            view_revision=view.revision,
+            view_age_ms=min(_MAX_AGE_MS, now_ms - view.confirmed_ms),
+            loads=tuple(
+                BeatLoad(
+                    endpoint_id=endpoint_id,
+                    requests=load.requests,
+                    prefill_tokens=max(0, load.prefill_tokens),
+                    memory_tokens=max(0, load.memory_tokens),
+                )
+                for endpoint_id, load in self._book.own_loads()[:MAX_LOADS]
+            ),
+            peers=self._fleet.rumours() if with_peers else (),
+        )
+
+    def _log_change(self, heard: frozenset[VmId]) -> None:
+        """Log who joined and who fell silent."""
+        _LOGGER.info(
+            "Fleet: %s VMs are heard",
+            len(heard),
+            extra={
+                "event": "members",
+                "joined": sorted(heard - self._heard),
+                "silent": sorted(self._heard - heard),
+                "interval_ms": self._fleet.interval_ms,
+            },
+        )
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -0,0 +1,142 @@
+"""The interface for callers: from an HTTP request to a routed exchange."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+
+from wagtailusher_core import ErrorCode
+from wagtailusher_gateway.const import DEADLINE_RESERVE_MS, DEFAULT_DEADLINE_MS, RETRY_AFTER_MIN_MS
+from wagtailusher_gateway.dialect import Dialect
+from wagtailusher_gateway.dispatcher import Dispatcher, Wanted
+from wagtailusher_gateway.exceptions import RefusedError
+from wagtailusher_gateway.exchange import Exchange
+from wagtailusher_gateway.metrics import GatewayMetrics
+from wagtailusher_gateway.models import RequestTerms, Route
+from wagtailusher_gateway.record import RequestRecord
+from wagtailusher_gateway.routes import RouteTable, rank_of, service_of
+from wagtailusher_http import HttpClient, Request, Response, error_response
+
+
+class GatewayCallerApi:
+    """Answers each request once."""
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        dialect: Dialect,
+        client: HttpClient,
+        metrics: GatewayMetrics,
+        clock_ms: Callable[[], int],
+    ) -> None:
+        """Use the given parts."""
+        self._dispatcher = dispatcher
+        self._dialect = dialect
+        self._client = client
+        self._metrics = metrics
+        self._clock_ms = clock_ms
+
+    async def async_handle(self, request: Request) -> Response:
+        """Answer one request."""
+        try:
+            terms = self._dialect.read_request(request.headers)
+        except RefusedError as refusal:
+            self._metrics.refusals.inc({"code": str(refusal.code), "outcome": "not_run"})
+            return self._refusal(refusal)
+        record = RequestRecord(terms, self._dispatcher.view, self._metrics, self._clock_ms)
+        self._dispatcher.in_flight += 1
+        try:
+            return self._counted(await self._async_answer(request, terms, record))
+        except BaseException:
+            self._dispatcher.in_flight -= 1
+            raise
+
+    async def _async_answer(
+        self, request: Request, terms: RequestTerms, record: RequestRecord
+    ) -> Response:
+        """Return an endpoint's answer or a refusal."""
+        try:
+            return await self._exchange(request, terms, record).async_run()
+        except RefusedError as refusal:
+            record.refused(refusal)
+            return self._refusal(refusal)
+        except asyncio.CancelledError:
+            record.caller_left()
+            raise
+
+    def _counted(self, response: Response) -> Response:
+        """Return the response, counted until it was sent."""
+        inner = response.on_end
+
+        def ended() -> None:
+            self._dispatcher.in_flight -= 1
+            if inner is not None:
+                inner()
+
+        response.on_end = ended
+        return response
+
+    def _exchange(self, request: Request, terms: RequestTerms, record: RequestRecord) -> Exchange:
+        """Return the exchange of a request, or raise RefusedError."""
+        table = self._table()
+        route = table.match(terms.host, request.path)
+        workspace = table.workspace(route, terms.api_key)
+        name = service_of(route, terms)
+        record.routed(route, name)
+        service = table.configuration.services.get(name)
+        if service is None:
+            raise _not_ready("the route's service is not configured")
+        now_ms = self._clock_ms()
+        self._dispatcher.budget.note_request(name, now_ms)
+        wanted = Wanted(
+            terms=terms,
+            route=route,
+            service=service,
+            rank=rank_of(route, workspace),
+            ends_ms=now_ms + time_left_ms(terms, route),
+        )
+        return Exchange(
+            dispatcher=self._dispatcher,
+            dialect=self._dialect,
+            client=self._client,
+            request=request,
+            wanted=wanted,
+            workspace=workspace,
+            record=record,
+        )
+
+    def _table(self) -> RouteTable:
+        """Return the routes in force."""
+        if self._dispatcher.routes is None:
+            raise _not_ready("no configuration is known yet")
+        return self._dispatcher.routes
+
+    def _refusal(self, refusal: RefusedError) -> Response:
+        """Return the response of a refusal."""
+        response = error_response(
+            refusal.status, refusal.code, refusal.message, outcome=refusal.outcome
+        )
+        if refusal.retry_after_ms is not None:
+            value = self._dialect.retry_after(refusal.retry_after_ms)
+            response.headers = response.headers.with_field("retry-after", value)
+        return response
+
+
+def time_left_ms(terms: RequestTerms, route: Route) -> int:
+    """Return how long a request may take: the caller's time, and at most the route's."""
+    deadline_ms = DEFAULT_DEADLINE_MS
+    if terms.deadline_ms is not None:
+        deadline_ms = max(1, terms.deadline_ms - DEADLINE_RESERVE_MS)
+    return min(deadline_ms, route.timeout_ms) if route.timeout_ms else deadline_ms
+
+
+def _not_ready(message: str) -> RefusedError:
+    """Return the refusal of a VM that can't route yet."""
+    return RefusedError(
+        message,
+        code=ErrorCode.NOT_READY,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        retry_after_ms=RETRY_AFTER_MIN_MS,
+    )
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoints.py
@@ -0,0 +1,166 @@
+"""What this VM knows of each endpoint: its entry, its load, its failures and its restarts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wagtailusher_core import EndpointId, VmId
+from wagtailusher_gateway.const import (
+    EJECT_FAILURES,
+    EJECT_MS,
+    MAX_EJECTED_SHARE,
+    PREFILL_TOKENS_PER_MS,
+    REFUSED_MS,
+    UNREACHABLE_MS,
+    UNSEEN_RESTART_MS,
+)
+from wagtailusher_gateway.models import Endpoint, FleetView, Service
+
+PEER_LOAD_AGE_MS = 1_500
+"""Age beyond which a peer's load no longer counts; several beats."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Load:
+    """Work at an endpoint that one VM sent there."""
+
+    requests: int = 0
+    prefill_tokens: int = 0
+    """Prompt tokens of requests that have not begun to answer."""
+    memory_tokens: int = 0
+    """Prompt and output tokens of all requests."""
+    seen_ms: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Tracked:
+    """An endpoint and what was seen of it."""
+
+    endpoint: Endpoint
+    own: Load = field(default_factory=Load)
+    peers: dict[VmId, Load] = field(default_factory=dict)
+    failures_in_row: int = 0
+    avoided_until_ms: int = 0
+    cold_suspected_until_ms: int = 0
+
+    def total(self, now_ms: int) -> Load:
+        """Return the load of all VMs; what peers had waiting is taken to shrink as it is read."""
+        requests, prefill, memory = (
+            self.own.requests,
+            float(self.own.prefill_tokens),
+            self.own.memory_tokens,
+        )
+        for load in self.peers.values():
+            age_ms = now_ms - load.seen_ms
+            if age_ms > PEER_LOAD_AGE_MS:
+                continue
+            requests += load.requests
+            memory += load.memory_tokens
+            prefill += max(0.0, load.prefill_tokens - age_ms * PREFILL_TOKENS_PER_MS)
+        return Load(requests=requests, prefill_tokens=int(prefill), memory_tokens=memory)
+
+
+class EndpointBook:
+    """All endpoints by service."""
+
+    def __init__(self) -> None:
+        """Start without endpoints."""
+        self._tracked: dict[EndpointId, Tracked] = {}
+        self._by_service: dict[str, list[Tracked]] = {}
+
+    def get(self, endpoint_id: EndpointId) -> Tracked | None:
+        """Return an endpoint that is known."""
+        return self._tracked.get(endpoint_id)
+
+    def update(self, view: FleetView, now_ms: int) -> tuple[EndpointId, ...]:
+        """Take a view over; return the endpoints that restarted."""
+        restarted = []
+        for endpoint in view.endpoints.values():
+            known = self._tracked.get(endpoint.endpoint_id)
+            if known is None:
+                self._tracked[endpoint.endpoint_id] = Tracked(endpoint=endpoint)
+                continue
+            if known.endpoint.born_ms != endpoint.born_ms:
+                restarted.append(endpoint.endpoint_id)
+                known.failures_in_row = 0
+                known.avoided_until_ms = 0
+            known.endpoint = endpoint
+        for endpoint_id in self._tracked.keys() - view.endpoints.keys():
+            if not self._tracked[endpoint_id].own.requests:
+                del self._tracked[endpoint_id]
+        self._by_service = {}
+        for tracked in self._tracked.values():
+            if tracked.endpoint.endpoint_id in view.endpoints:
+                self._by_service.setdefault(tracked.endpoint.service, []).append(tracked)
+        return tuple(restarted)
+
+    def take_loads(
+        self, vm_id: VmId, loads: Iterable[tuple[EndpointId, Load]], now_ms: int
+    ) -> None:
+        """Replace what a peer has at the endpoints."""
+        told = dict(loads)
+        for endpoint_id, tracked in self._tracked.items():
+            load = told.get(endpoint_id)
+            if load is None:
+                tracked.peers.pop(vm_id, None)
+                continue
+            load.seen_ms = now_ms
+            tracked.peers[vm_id] = load
+
+    def own_loads(self) -> list[tuple[EndpointId, Load]]:
+        """Return this VM's load, the busiest endpoints first."""
+        busy = [(key, entry.own) for key, entry in self._tracked.items() if entry.own.requests]
+        return sorted(busy, key=lambda item: -item[1].requests)
+
+    def usable(self, service: str, view: FleetView, now_ms: int) -> list[Tracked]:
+        """Return the endpoints of a service that may get work, without those that fail.
+
+        At most a share is left out for failures, so that a common cause doesn't take out all.
+        """
+        allowed = [
+            tracked
+            for tracked in self._by_service.get(service, ())
+            if not tracked.endpoint.is_draining
+            and tracked.endpoint.failure_domain_id not in view.evacuated
+        ]
+        sound = [tracked for tracked in allowed if tracked.avoided_until_ms <= now_ms]
+        if len(sound) >= len(allowed) * (1 - MAX_EJECTED_SHARE):
+            return sound
+        allowed.sort(key=lambda tracked: tracked.avoided_until_ms)
+        return allowed[: max(1, round(len(allowed) * (1 - MAX_EJECTED_SHARE)))]
+
+    def is_cold(self, tracked: Tracked, service: Service, now_ms: int, *, view_stale: bool) -> bool:
+        """Tell whether an endpoint must be taken to be in cold start."""
+        if service.cold_requests_per_s <= 0:
+            return False
+        cold_until_ms = max(tracked.endpoint.cold_until_ms, tracked.cold_suspected_until_ms)
+        return view_stale or now_ms < cold_until_ms
+
+    def note_success(self, endpoint_id: EndpointId) -> None:
+        """Note an answer."""
+        tracked = self._tracked.get(endpoint_id)
+        if tracked is not None:
+            tracked.failures_in_row = 0
+
+    def note_failure(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Note a request without a usable answer; several in a row take the endpoint out."""
+        tracked = self._tracked.get(endpoint_id)
+        if tracked is None:
+            return
+        tracked.failures_in_row += 1
+        if tracked.failures_in_row >= EJECT_FAILURES:
+            tracked.avoided_until_ms = now_ms + EJECT_MS
+
+    def note_unreachable(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Note a connection that was not made; the endpoint may come back cold."""
+        tracked = self._tracked.get(endpoint_id)
+        if tracked is not None:
+            tracked.avoided_until_ms = max(tracked.avoided_until_ms, now_ms + UNREACHABLE_MS)
+            tracked.cold_suspected_until_ms = now_ms + UNSEEN_RESTART_MS
+
+    def note_refused(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Note that the endpoint had no room."""
+        tracked = self._tracked.get(endpoint_id)
+        if tracked is not None:
+            tracked.avoided_until_ms = max(tracked.avoided_until_ms, now_ms + REFUSED_MS)
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -0,0 +1,170 @@
+"""Which VMs belong to the fleet, found by seeds and beats alone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+import random
+
+from wagtailusher_core import VmId
+from wagtailusher_gateway.const import (
+    BEAT_INTERVAL_MS,
+    BEATS_PER_S,
+    FORGET_PEER_MS,
+    MISSED_BEATS,
+    MS_PER_S,
+    RUMOUR_BEATS,
+    SETTLE_MS,
+)
+from wagtailusher_gateway.models import Member
+from wagtailusher_wire import Beat, BeatPeer
+
+MAX_RUMOURS = 12
+"""Peers named in one beat; as many fit a datagram beside the loads."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Peer:
+    """A VM that was heard of."""
+
+    peer_address: str
+    heard_ms: int
+    """When its last beat came, or when it was heard of."""
+    due_ms: int = 0
+    member: Member | None = None
+    view_revision: int = 0
+    view_confirmed_ms: int = 0
+
+
+class FleetDecider:
+    """One VM's view of the fleet; every VM beats to every other one.
+
+    Beats come more slowly in a larger fleet, so that a VM's work for them stays the same.
+    """
+
+    def __init__(self, own: Member, seeds: tuple[str, ...], started_ms: int, seed: int) -> None:
+        """Start with the peer addresses of some VMs, which may be gone."""
+        self.own = own
+        self._seeds = tuple(address for address in seeds if address != own.peer_address)
+        self._started_ms = started_ms
+        self._peers: dict[VmId, _Peer] = {}
+        self._seeds_due_ms = started_ms
+        self._beats = 0
+        self._random = random.Random(seed)
+        self._largest = 1
+
+    def set_own(self, *, is_ready: bool, is_leaving: bool) -> None:
+        """Change what this VM says of itself."""
+        self.own = replace(self.own, is_ready=is_ready, is_leaving=is_leaving)
+
+    @property
+    def interval_ms(self) -> int:
+        """Return the time between beats to one peer."""
+        return max(BEAT_INTERVAL_MS, len(self._peers) * MS_PER_S // BEATS_PER_S)
+
+    def receive(self, vm_id: VmId, incarnation: int, beat: Beat, source: str, now_ms: int) -> bool:
+        """Take a beat in; return whether its sender is new or has restarted."""
+        if vm_id == self.own.vm_id:
+            return False
+        known = self._peers.get(vm_id)
+        before = known.member if known is not None else None
+        if before is not None and before.incarnation > incarnation:
+            return False
+        member = Member(
+            vm_id=vm_id,
+            incarnation=incarnation,
+            address=beat.address,
+            peer_address=source,
+            view_address=beat.view_address,
+            failure_domain_id=beat.failure_domain_id,
+            weight=beat.weight,
+            is_leaving=beat.is_leaving,
+            is_ready=beat.is_ready,
+        )
+        self._peers[vm_id] = _Peer(
+            peer_address=source,
+            heard_ms=now_ms,
+            due_ms=known.due_ms if known is not None else now_ms,
+            member=member,
+            view_revision=beat.view_revision,
+            view_confirmed_ms=now_ms - beat.view_age_ms,
+        )
+        for rumour in beat.peers:
+            self._hear_of(rumour, now_ms)
+        self._largest = max(self._largest, len(self._peers) + 1)
+        return before is None or before.incarnation < incarnation
+
+    def _hear_of(self, rumour: BeatPeer, now_ms: int) -> None:
+        """Note a VM that a peer knows."""
+        if rumour.vm_id == self.own.vm_id or rumour.vm_id in self._peers:
+            return
+        self._peers[rumour.vm_id] = _Peer(
+            peer_address=rumour.peer_address, heard_ms=now_ms, due_ms=now_ms
+        )
+
+    def due(self, now_ms: int) -> list[tuple[str, bool]]:
+        """Return whom to send a beat now, and whether it names the known peers."""
+        for vm_id, peer in tuple(self._peers.items()):
+            if now_ms - peer.heard_ms > FORGET_PEER_MS:
+                del self._peers[vm_id]
+        due = [peer for peer in self._peers.values() if peer.due_ms <= now_ms]
+        addresses = []
+        for peer in due:
+            self._beats += 1
+            peer.due_ms = now_ms + self.interval_ms
+            unheard = peer.member is None
+            addresses.append((peer.peer_address, unheard or self._beats % RUMOUR_BEATS == 0))
+        if self._seeds_due_ms <= now_ms:
+            self._seeds_due_ms = now_ms + self.interval_ms * RUMOUR_BEATS
+            known = {peer.peer_address for peer in self._peers.values() if peer.member is not None}
+            addresses.extend((address, True) for address in self._seeds if address not in known)
+        return addresses
+
+    def rumours(self) -> tuple[BeatPeer, ...]:
+        """Return some of the peers that were heard themselves."""
+        heard = [
+            BeatPeer(vm_id=vm_id, peer_address=peer.peer_address)
+            for vm_id, peer in self._peers.items()
+            if peer.member is not None
+        ]
+        return tuple(self._random.sample(heard, min(MAX_RUMOURS, len(heard))))
+
+    def is_settled(self, now_ms: int) -> bool:
+        """Tell whether this VM had time to hear of the others."""
+        return now_ms - self._started_ms >= SETTLE_MS
+
+    def heard_members(self, now_ms: int) -> tuple[Member, ...]:
+        """Return the peers whose beats arrive."""
+        limit_ms = self.interval_ms * MISSED_BEATS
+        return tuple(
+            peer.member
+            for peer in self._peers.values()
+            if peer.member is not None and now_ms - peer.heard_ms <= limit_ms
+        )
+
+    def callable_members(self, now_ms: int) -> tuple[Member, ...]:
+        """Return the VMs that callers may be sent to, this one included if it is ready."""
+        members = (*self.heard_members(now_ms), self.own)
+        return tuple(member for member in members if member.is_ready and not member.is_leaving)
+
+    def all_vm_ids(self) -> tuple[VmId, ...]:
+        """Return every VM that may still send work: the heard, the silent and this one."""
+        return (self.own.vm_id, *self._peers)
+
+    @property
+    def largest_size(self) -> int:
+        """Return the most VMs that were known at once."""
+        return self._largest
+
+    def freshest_view(self, now_ms: int) -> tuple[Member, int, int] | None:
+        """Return the heard peer whose view was confirmed last, its revision and that time."""
+        limit_ms = self.interval_ms * MISSED_BEATS
+        heard = [
+            (peer.view_confirmed_ms, peer)
+            for peer in self._peers.values()
+            if peer.member is not None and now_ms - peer.heard_ms <= limit_ms
+        ]
+        if not heard:
+            return None
+        confirmed_ms, peer = max(heard, key=lambda item: item[0])
+        assert peer.member is not None
+        return peer.member, peer.view_revision, confirmed_ms
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -0,0 +1,228 @@
+"""Chooses an endpoint for a request; answers bursts of long prompts and of shared prompts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+import random
+
+from wagtailusher_core import EndpointId, FailureDomainId, VmId, rank_by_rendezvous
+from wagtailusher_gateway.cold import ColdShares
+from wagtailusher_gateway.const import (
+    FOREIGN_DOMAIN_COST_MS,
+    KV_SHARE,
+    PREFILL_CAP_MS,
+    PREFILL_TOKENS_PER_MS,
+    RUNNING_COST_MS,
+    STALE_VIEW_MS,
+)
+from wagtailusher_gateway.endpoints import EndpointBook, Load, Tracked
+from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
+from wagtailusher_gateway.prefixes import PrefixMemory
+
+ASSUMED_MISS = 0.3
+"""Part of a prompt's shared tokens taken as missing at the endpoint that all VMs prefer."""
+
+PLAIN_QUEUE = 1
+"""Requests beyond its slots that a plain endpoint may get; covers the time between two."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Placed:
+    """An endpoint with a place that this VM took, to be given back."""
+
+    endpoint: Endpoint
+    prefill_tokens: int
+    memory_tokens: int
+    is_cold: bool
+    cost_ms: float
+
+
+class Placement:
+    """Places of all endpoints as this VM sees them."""
+
+    def __init__(
+        self,
+        *,
+        book: EndpointBook,
+        cold: ColdShares,
+        failure_domain_id: FailureDomainId,
+        seed: int,
+    ) -> None:
+        """Start with the given beliefs."""
+        self.book = book
+        self._cold = cold
+        self._failure_domain_id = failure_domain_id
+        self._prefixes = PrefixMemory()
+        self._random = random.Random(seed)
+
+    def update(self, view: FleetView, now_ms: int) -> None:
+        """Take a view over."""
+        for endpoint_id in self.book.update(view, now_ms):
+            self._prefixes.forget(endpoint_id)
+        self._cold.keep_only(frozenset(view.endpoints))
+
+    def take(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        view: FleetView,
+        vm_ids: tuple[VmId, ...],
+        now_ms: int,
+        *,
+        avoid: frozenset[EndpointId] = frozenset(),
+    ) -> Placed | None:
+        """Take a place at the endpoint where the request is expected to begin first."""
+        open_places = list(self._open(service, terms, view, vm_ids, now_ms))
+        fresh = [place for place in open_places if place[0].endpoint.endpoint_id not in avoid]
+        open_places = fresh or open_places
+        if not open_places:
+            return None
+        costs = self._costs(service, terms, open_places, now_ms)
+        best = min(range(len(open_places)), key=lambda index: costs[index])
+        tracked, _, is_cold = open_places[best]
+        return self._occupy(service, terms, tracked, is_cold, costs[best], now_ms)
+
+    def release(self, placed: Placed, *, began: bool) -> None:
+        """Give a place back; `began` says that the prompt was already counted as read."""
+        tracked = self.book.get(placed.endpoint.endpoint_id)
+        if tracked is None:
+            return
+        tracked.own.requests -= 1
+        tracked.own.memory_tokens -= placed.memory_tokens
+        if not began:
+            tracked.own.prefill_tokens -= placed.prefill_tokens
+
+    def note_began(self, placed: Placed) -> None:
+        """Note that the prompt was read."""
+        tracked = self.book.get(placed.endpoint.endpoint_id)
+        if tracked is not None:
+            tracked.own.prefill_tokens -= placed.prefill_tokens
+
+    def room_share(self, service: Service, view: FleetView, now_ms: int) -> float:
+        """Return the part of a service's slots that is free."""
+        usable = self.book.usable(service.name, view, now_ms)
+        slots = sum(tracked.endpoint.slots for tracked in usable)
+        taken = sum(tracked.total(now_ms).requests for tracked in usable)
+        return max(0.0, 1 - taken / slots) if slots else 0.0
+
+    def _open(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        view: FleetView,
+        vm_ids: tuple[VmId, ...],
+        now_ms: int,
+    ) -> Iterator[tuple[Tracked, Load, bool]]:
+        """Yield the endpoints with room, their load and whether they are cold."""
+        stale = now_ms - view.confirmed_ms > STALE_VIEW_MS
+        for tracked in self.book.usable(service.name, view, now_ms):
+            load = tracked.total(now_ms)
+            if not _has_room(tracked.endpoint, service, terms, load):
+                continue
+            is_cold = self.book.is_cold(tracked, service, now_ms, view_stale=stale)
+            if is_cold and not self._cold.may_send(
+                tracked.endpoint.endpoint_id, service.cold_requests_per_s, vm_ids, now_ms
+            ):
+                continue
+            yield tracked, load, is_cold
+
+    def _costs(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        open_places: list[tuple[Tracked, Load, bool]],
+        now_ms: int,
+    ) -> list[float]:
+        """Return the expected delay at each place, in ms; chance decides between equals."""
+        preferred = _preferred(terms, open_places) if service.engine is not None else None
+        return [
+            self._cost(service, terms, tracked, load, preferred, now_ms)
+            + (COLD_COST_MS if is_cold else 0.0)
+            for tracked, load, is_cold in open_places
+        ]
+
+    def _cost(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        tracked: Tracked,
+        load: Load,
+        preferred: EndpointId | None,
+        now_ms: int,
+    ) -> float:
+        """Return the expected delay at one endpoint."""
+        endpoint = tracked.endpoint
+        cost = self._random.random()
+        if endpoint.failure_domain_id != self._failure_domain_id:
+            cost += FOREIGN_DOMAIN_COST_MS
+        if service.engine is None:
+            return cost + PLAIN_REQUEST_COST_MS * load.requests / max(1, endpoint.slots)
+        missing = self._prefixes.missing_tokens(terms.shared_parts, endpoint.endpoint_id, now_ms)
+        if endpoint.endpoint_id == preferred:
+            missing = int(missing * ASSUMED_MISS)
+        waiting_ms = (load.prefill_tokens + missing) / PREFILL_TOKENS_PER_MS
+        return cost + waiting_ms + RUNNING_COST_MS * load.requests
+
+    def _occupy(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        tracked: Tracked,
+        is_cold: bool,
+        cost_ms: float,
+        now_ms: int,
+    ) -> Placed:
+        """Count a request at an endpoint."""
+        endpoint_id = tracked.endpoint.endpoint_id
+        own_tokens = terms.prompt_tokens - sum(part.tokens for part in terms.shared_parts)
+        missing = self._prefixes.missing_tokens(terms.shared_parts, endpoint_id, now_ms)
+        placed = Placed(
+            endpoint=tracked.endpoint,
+            prefill_tokens=max(0, own_tokens) + missing if service.engine is not None else 0,
+            memory_tokens=_memory_tokens(terms),
+            is_cold=is_cold,
+            cost_ms=cost_ms,
+        )
+        tracked.own.requests += 1
+        tracked.own.prefill_tokens += placed.prefill_tokens
+        tracked.own.memory_tokens += placed.memory_tokens
+        self._cold.note_sent(endpoint_id, now_ms)
+        self._prefixes.note_used(terms.shared_parts, endpoint_id, now_ms)
+        return placed
+
+
+COLD_COST_MS = 60.0
+"""Handicap of an endpoint in cold start, which serves more slowly."""
+
+PLAIN_REQUEST_COST_MS = 60.0
+"""Delay at a plain endpoint whose slots are all taken; a few service times."""
+
+
+def _memory_tokens(terms: RequestTerms) -> int:
+    """Return the tokens of its own that a request holds in an engine's memory."""
+    shared = sum(part.tokens for part in terms.shared_parts)
+    return max(0, terms.prompt_tokens - shared) + terms.max_output_tokens
+
+
+def _has_room(endpoint: Endpoint, service: Service, terms: RequestTerms, load: Load) -> bool:
+    """Tell whether one more request fits at an endpoint."""
+    engine = service.engine
+    if engine is None:
+        return load.requests < endpoint.slots + PLAIN_QUEUE
+    if load.requests >= endpoint.slots:
+        return False
+    if load.requests and load.prefill_tokens > PREFILL_CAP_MS * PREFILL_TOKENS_PER_MS:
+        return False
+    taken = load.memory_tokens + _memory_tokens(terms)
+    return not load.requests or taken <= engine.memory_tokens * KV_SHARE
+
+
+def _preferred(
+    terms: RequestTerms, open_places: list[tuple[Tracked, Load, bool]]
+) -> EndpointId | None:
+    """Return the endpoint that all VMs prefer for a shared prompt."""
+    if not terms.shared_parts:
+        return None
+    ids = [place[0].endpoint.endpoint_id for place in open_places]
+    return EndpointId(rank_by_rendezvous(terms.shared_parts[-1].part_id, ids)[0])
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/routes.py
@@ -0,0 +1,68 @@
+"""Which route, workspace and service a request belongs to; answers any load the same way."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from xxhash import xxh3_64_intdigest
+
+from wagtailusher_core import ErrorCode
+from wagtailusher_gateway.exceptions import RefusedError
+from wagtailusher_gateway.models import Configuration, RequestTerms, Route, Workspace
+
+
+class RouteTable:
+    """The routes of one configuration, by host and longest prefix."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        """Index a configuration."""
+        self.configuration = configuration
+        self._by_host: dict[str, list[Route]] = {}
+        for route in sorted(configuration.routes, key=lambda route: -len(route.prefix)):
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+
+    def match(self, host: str, path: str) -> Route:
+        """Return the route with the longest prefix of the path, or raise RefusedError."""
+        name = host.lower()
+        routes = self._by_host.get(name) or self._by_host.get(name.partition(":")[0], [])
+        found = next((route for route in routes if path.startswith(route.prefix)), None)
+        if found is None:
+            raise RefusedError(
+                "no route matches this host and path",
+                code=ErrorCode.UNKNOWN_ROUTE,
+                status=HTTPStatus.NOT_FOUND,
+            )
+        return found
+
+    def workspace(self, route: Route, api_key: str | None) -> Workspace | None:
+        """Return the workspace of a key, None where none is needed, or raise RefusedError."""
+        if not self.configuration.has_workspaces:
+            return None
+        workspace = self.configuration.workspaces.get(api_key) if api_key is not None else None
+        if workspace is None and not route.is_public:
+            raise RefusedError(
+                "the API key is unknown",
+                code=ErrorCode.UNAUTHORIZED,
+                status=HTTPStatus.UNAUTHORIZED,
+            )
+        return workspace
+
+
+def service_of(route: Route, terms: RequestTerms) -> str:
+    """Return the service of a request; requests with the same shared prompt go to the same one."""
+    if len(route.splits) == 1:
+        return route.splits[0].service
+    key = terms.shared_parts[-1].part_id if terms.shared_parts else terms.attempt_id
+    point = xxh3_64_intdigest(key.encode()) % max(1, sum(split.weight for split in route.splits))
+    for split in route.splits:
+        point -= split.weight
+        if point < 0:
+            return split.service
+    return route.splits[-1].service
+
+
+def rank_of(route: Route, workspace: Workspace | None) -> int:
+    """Return a request's rank, 0 first; a workspace's own rank goes before its route's."""
+    if workspace is not None and workspace.rank is not None:
+        return workspace.rank
+    return route.rank
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
@@ -0,0 +1,113 @@
+"""Hands this VM's view to peers and fetches a fresher one; serves VMs that the platform refuses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+import logging
+
+import msgspec
+
+from wagtailusher_core import Incarnation, VmId, WagtailusherError
+from wagtailusher_gateway.const import VIEW_PULL_AGE_MS, VIEW_PULL_TIMEOUT_MS
+from wagtailusher_gateway.exceptions import ViewError
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.models import FleetView
+from wagtailusher_gateway.view_keeper import ViewKeeper
+from wagtailusher_http import HttpClient, Request, Response
+from wagtailusher_wire import MAX_STREAM_MESSAGE_BYTES, Sealer
+
+_LOGGER = logging.getLogger(__name__)
+
+PATH_VIEW = "/view"
+
+_DECODER = msgspec.msgpack.Decoder(FleetView)
+_FRESHER_BY_MS = 200
+"""Time by which a peer's view must be fresher to be worth a call; one beat."""
+
+
+class ViewExchange:
+    """Both sides of the exchange of views between peers."""
+
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        fleet: FleetDecider,
+        keeper: ViewKeeper,
+        secret: bytes,
+        clock_ms: Callable[[], int],
+    ) -> None:
+        """Use the given parts."""
+        self._client = client
+        self._fleet = fleet
+        self._keeper = keeper
+        self._sealer = Sealer(secret, max_bytes=MAX_STREAM_MESSAGE_BYTES)
+        self._opener = Sealer(secret, max_bytes=MAX_STREAM_MESSAGE_BYTES)
+        self._clock_ms = clock_ms
+
+    def answer(self, request: Request) -> Response:
+        """Return this VM's view, sealed."""
+        view = shifted(self._keeper.view, -self._clock_ms())
+        payload = msgspec.msgpack.encode(view)
+        own = self._fleet.own
+        return Response(body=self._sealer.seal(own.vm_id, Incarnation(own.incarnation), payload))
+
+    async def async_pull(self) -> None:
+        """Fetch the freshest peer's view when this VM's own is old."""
+        now_ms = self._clock_ms()
+        if now_ms - self._keeper.view.confirmed_ms < VIEW_PULL_AGE_MS:
+            return
+        freshest = self._fleet.freshest_view(now_ms)
+        if freshest is None:
+            return
+        member, revision, confirmed_ms = freshest
+        if confirmed_ms <= self._keeper.view.confirmed_ms + _FRESHER_BY_MS or not revision:
+            return
+        try:
+            await self._async_fetch(member.vm_id, member.view_address)
+        except WagtailusherError as err:
+            _LOGGER.info(
+                "View: peer %s gave no view: %s",
+                member.vm_id,
+                err.message,
+                extra={"event": "view_pull_failed", "peer": member.vm_id, "code": str(err.code)},
+            )
+
+    async def _async_fetch(self, vm_id: VmId, address: str) -> None:
+        """Fetch and adopt one peer's view."""
+        answer = await self._client.async_request(
+            address, "GET", PATH_VIEW, head_timeout_ms=VIEW_PULL_TIMEOUT_MS
+        )
+        body = await answer.async_read(VIEW_PULL_TIMEOUT_MS)
+        view = read_view(self._opener.open(body).payload, self._clock_ms())
+        age_ms = self._clock_ms() - view.confirmed_ms
+        _LOGGER.info(
+            "View: taken from peer %s",
+            vm_id,
+            extra={
+                "event": "view_pull",
+                "peer": vm_id,
+                "revision": view.revision,
+                "view_age_ms": age_ms,
+            },
+        )
+        self._keeper.adopt(view, f"peer {vm_id}", self._clock_ms())
+
+
+def read_view(payload: bytes, now_ms: int) -> FleetView:
+    """Return a peer's view with its times on this VM's clock, or raise ViewError."""
+    try:
+        view = _DECODER.decode(payload)
+    except msgspec.MsgspecError as err:
+        raise ViewError(f"the view can't be read: {err}") from err
+    return shifted(view, now_ms)
+
+
+def shifted(view: FleetView, by_ms: int) -> FleetView:
+    """Return a view with its times moved, to or from ages."""
+    endpoints = {
+        key: replace(endpoint, cold_until_ms=endpoint.cold_until_ms + by_ms)
+        for key, endpoint in view.endpoints.items()
+    }
+    return replace(view, confirmed_ms=view.confirmed_ms + by_ms, endpoints=endpoints)
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_keeper.py
@@ -0,0 +1,162 @@
+"""Keeps what was read from the platform; never goes back to an older version."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+import logging
+
+from wagtailusher_core import EndpointId, FailureDomainId
+from wagtailusher_gateway.models import Configuration, Endpoint, FleetView
+
+_LOGGER = logging.getLogger(__name__)
+
+LAPSE_GRACE_MS = 2_000
+"""Time after the platform's return in which lapsed entries may come back, as it promises."""
+
+AWAY_MS = 1_000
+"""Time without an answer after which entries may have lapsed unseen; below a heartbeat."""
+
+EMPTY_VIEW = FleetView(
+    revision=0, confirmed_ms=0, configuration=None, endpoints={}, evacuated=frozenset()
+)
+
+Listener = Callable[[FleetView, int], None]
+
+
+class ViewKeeper:
+    """The view in force and what is taken into it."""
+
+    def __init__(self, listener: Listener) -> None:
+        """Start with nothing known; the listener is told of each change."""
+        self.view = EMPTY_VIEW
+        self._listener = listener
+        self._lapsed: dict[EndpointId, int] = {}
+        self._regained_ms = 0
+
+    def is_news(self, revision: int) -> bool:
+        """Tell whether a change is later than what the view already holds, whoever brought it."""
+        return revision > self.view.revision
+
+    def confirm(self, revision: int, now_ms: int) -> None:
+        """Note that the platform answered, and that the view is complete up to a revision."""
+        if self.view.confirmed_ms and now_ms - self.view.confirmed_ms > AWAY_MS:
+            self._regained_ms = now_ms
+        self._set(
+            replace(
+                self.view,
+                revision=max(revision, self.view.revision),
+                confirmed_ms=max(now_ms, self.view.confirmed_ms),
+            ),
+            now_ms,
+        )
+
+    def set_configuration(self, configuration: Configuration, source: str, now_ms: int) -> None:
+        """Take a configuration over unless it is older than the one in force."""
+        current = self.view.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        _LOGGER.info(
+            "View: configuration %s in force",
+            configuration.version,
+            extra={
+                "event": "configuration",
+                "version": configuration.version,
+                "was": current.version if current is not None else None,
+                "source": source,
+                "revision": self.view.revision,
+            },
+        )
+        self._set(replace(self.view, configuration=configuration), now_ms)
+
+    def set_endpoint(self, endpoint: Endpoint, now_ms: int) -> None:
+        """Take an endpoint's entry over."""
+        self._lapsed.pop(endpoint.endpoint_id, None)
+        before = self.view.endpoints.get(endpoint.endpoint_id)
+        if before is not None and before.born_ms > endpoint.born_ms:
+            return
+        if before == endpoint:
+            return
+        self._log_endpoint(endpoint, "draining" if endpoint.is_draining else "ready", now_ms)
+        endpoints = {**self.view.endpoints, endpoint.endpoint_id: endpoint}
+        self._set(replace(self.view, endpoints=endpoints), now_ms)
+
+    def remove_endpoint(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Drop an endpoint; one that may have lapsed while the platform was away waits a while."""
+        endpoint = self.view.endpoints.get(endpoint_id)
+        if endpoint is None:
+            return
+        regained_ms = self._regained_ms
+        if regained_ms and now_ms - regained_ms < LAPSE_GRACE_MS and not endpoint.is_draining:
+            self._lapsed.setdefault(endpoint_id, regained_ms + LAPSE_GRACE_MS)
+            self._log_endpoint(endpoint, "lapsed", now_ms)
+            return
+        self._drop(endpoint_id, now_ms)
+
+    def keep_endpoints(self, endpoint_ids: frozenset[EndpointId], now_ms: int) -> None:
+        """Drop all endpoints but these, after a reading of the whole list."""
+        for endpoint_id in tuple(self.view.endpoints.keys() - endpoint_ids):
+            self.remove_endpoint(endpoint_id, now_ms)
+
+    def set_evacuated(self, failure_domain_ids: frozenset[FailureDomainId], now_ms: int) -> None:
+        """Take over which failure domains get nothing."""
+        if failure_domain_ids == self.view.evacuated:
+            return
+        _LOGGER.info(
+            "View: evacuated failure domains are %s",
+            sorted(failure_domain_ids),
+            extra={"event": "evacuation", "domains": sorted(failure_domain_ids)},
+        )
+        self._set(replace(self.view, evacuated=failure_domain_ids), now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Drop the endpoints that did not come back."""
+        for endpoint_id, until_ms in tuple(self._lapsed.items()):
+            if until_ms <= now_ms:
+                self._drop(endpoint_id, now_ms)
+
+    def adopt(self, view: FleetView, source: str, now_ms: int) -> None:
+        """Take over a peer's view that was confirmed later than this one."""
+        if view.confirmed_ms <= self.view.confirmed_ms or view.revision < self.view.revision:
+            return
+        self._lapsed.clear()
+        if view.configuration is not None:
+            self.set_configuration(view.configuration, source, now_ms)
+        self._set(replace(view, configuration=self.view.configuration), now_ms)
+
+    def _drop(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Remove an endpoint from the view."""
+        self._lapsed.pop(endpoint_id, None)
+        endpoint = self.view.endpoints.get(endpoint_id)
+        if endpoint is None:
+            return
+        self._log_endpoint(endpoint, "gone", now_ms)
+        endpoints = {key: item for key, item in self.view.endpoints.items() if key != endpoint_id}
+        self._set(replace(self.view, endpoints=endpoints), now_ms)
+
+    def _set(self, view: FleetView, now_ms: int) -> None:
+        """Put a view in force."""
+        before, self.view = self.view, view
+        if (
+            before.configuration is not view.configuration
+            or before.endpoints is not view.endpoints
+            or before.evacuated != view.evacuated
+        ):
+            self._listener(view, now_ms)
+
+    def _log_endpoint(self, endpoint: Endpoint, state: str, now_ms: int) -> None:
+        """Log what is believed of an endpoint."""
+        _LOGGER.info(
+            "View: endpoint %s is %s",
+            endpoint.endpoint_id,
+            state,
+            extra={
+                "event": "endpoint",
+                "endpoint": endpoint.endpoint_id,
+                "service": endpoint.service,
+                "state": state,
+                "cold_ms": max(0, endpoint.cold_until_ms - now_ms),
+                "revision": self.view.revision,
+                "view_age_ms": now_ms - self.view.confirmed_ms,
+            },
+        )
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -14,15 +14,19 @@
 from wagtailusher_http.const import (
     DEFAULT_HEAD_TIMEOUT_MS,
     DEFAULT_SILENCE_TIMEOUT_MS,
+    KEEP_ALIVE_SHARE,
+    MAX_STRAY_ANSWERS,
     MS_PER_S,
     ClientLimits,
 )
-from wagtailusher_http.exceptions import BodyTooLargeError, SendVetoedError
+from wagtailusher_http.exceptions import AnswerProtocolError, BodyTooLargeError, SendVetoedError
 from wagtailusher_http.headers import Headers
 
 _HOP_HEADERS = frozenset({"host", "content-length", "transfer-encoding", "connection"})
 
 MaySend = Callable[[], bool]
+IsOwn = Callable[[Headers], bool]
+"""Tells by its head whether an answer is to the request that was sent."""
 
 
 class ClientAnswer:
@@ -99,15 +103,18 @@
         may_send: MaySend | None = None,
         fresh: bool = False,
         head_timeout_ms: int = DEFAULT_HEAD_TIMEOUT_MS,
+        host: str | None = None,
+        is_own: IsOwn | None = None,
     ) -> ClientAnswer:
         """Send a request to `host:port` and return the answer once its head is there.
 
         `may_send` is asked right before the first byte; when it says no, SendVetoedError is
-        raised and nothing was sent. `fresh` demands a new connection. Raises ConnectError when
-        nothing was sent and AnswerError when something may have been.
+        raised and nothing was sent. `fresh` demands a new connection. `host` names another host
+        than the address. Answers that `is_own` rejects are skipped, a few at most. Raises
+        ConnectError when nothing was sent and AnswerError when something may have been.
         """
         head = h11.Request(
-            method=method, target=target, headers=_request_headers(address, headers, body)
+            method=method, target=target, headers=_request_headers(host or address, headers, body)
         )
         connection = None if fresh else self._take_idle(address)
         if connection is None:
@@ -118,10 +125,16 @@
         try:
             await connection.async_send(head, body)
             answer_head = await connection.async_receive_head(head_timeout_ms)
+            if is_own is not None:
+                answer_head = await _async_own_head(
+                    connection, answer_head, is_own, method, head_timeout_ms
+                )
         except BaseException:
             connection.abort()
             raise
-        return ClientAnswer(self, connection, answer_head)
+        answer = ClientAnswer(self, connection, answer_head)
+        connection.note_keep_alive(answer.headers.get("keep-alive"))
+        return answer
 
     def _take_idle(self, address: str) -> ClientConnection | None:
         """Return an idle connection that is young and open."""
@@ -129,12 +142,19 @@
         while idle:
             connection = idle.pop()
             age_ms = _loop_now_ms() - connection.idle_since_ms
-            if connection.is_reusable and age_ms <= self.limits.max_idle_age_ms:
+            if connection.is_reusable and age_ms <= self._max_idle_ms(connection):
                 connection.start_next_cycle()
                 return connection
             connection.close()
         return None
 
+    def _max_idle_ms(self, connection: ClientConnection) -> float:
+        """Return how long a connection may be idle to be used again."""
+        kept_ms = connection.keep_alive_ms
+        if kept_ms is None:
+            return self.limits.max_idle_age_ms
+        return min(self.limits.max_idle_age_ms, kept_ms * KEEP_ALIVE_SHARE)
+
     @callback
     def release(self, connection: ClientConnection, whole: bool) -> None:
         """Keep a connection for later, or drop it when its exchange was not whole."""
@@ -157,17 +177,31 @@
         self._idle.clear()
 
 
+async def _async_own_head(
+    connection: ClientConnection,
+    head: h11.Response,
+    is_own: IsOwn,
+    method: str,
+    timeout_ms: int,
+) -> h11.Response:
+    """Return the head of the own answer, skipping those to other requests."""
+    for _ in range(MAX_STRAY_ANSWERS):
+        if is_own(Headers.from_raw(head.headers)):
+            return head
+        await connection.async_skip_answer(method, timeout_ms)
+        head = await connection.async_receive_head(timeout_ms)
+    raise AnswerProtocolError(f"{connection.address} sent only answers to other requests")
+
+
 def _loop_now_ms() -> int:
     """Return the event loop's time."""
     return int(asyncio.get_running_loop().time() * MS_PER_S)
 
 
-def _request_headers(
-    address: str, headers: Headers | None, body: bytes
-) -> list[tuple[bytes, bytes]]:
+def _request_headers(host: str, headers: Headers | None, body: bytes) -> list[tuple[bytes, bytes]]:
     """Return a request's header fields with those of this hop."""
     kept = headers.without(_HOP_HEADERS).raw if headers is not None else []
-    fields = [(b"host", address.encode("ascii")), *kept]
+    fields = [(b"host", host.encode("latin-1")), *kept]
     if body:
         fields.append((b"content-length", str(len(body)).encode("ascii")))
     return fields
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -4,7 +4,18 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+import re
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+)
 import ssl
+from typing import Any
 
 import h11
 
@@ -20,6 +31,7 @@
 from wagtailusher_http.socket_protocol import SocketProtocol
 
 _CHUNK_END = b"\r\n"
+_KEEP_ALIVE = re.compile(r"timeout=(\d{1,6})")
 
 
 Release = Callable[["ClientConnection", bool], None]
@@ -35,6 +47,7 @@
         self.idle_since_ms = 0
         self._socket = socket
         self._received_bytes = 0
+        self._keep_alive_ms: int | None = None
         self._limits = limits
         self._http = self._new_state()
 
@@ -50,17 +63,28 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(limits.connect_timeout_ms / MS_PER_S):
-                _, socket = await asyncio.get_running_loop().create_connection(
+                transport, socket = await asyncio.get_running_loop().create_connection(
                     SocketProtocol, host, int(port), ssl=ssl_context
                 )
+            _watch_path(transport.get_extra_info("socket"), limits)
         except (OSError, ValueError) as err:
             raise ConnectError(f"no connection to {address}: {err}") from err
         return cls(address, socket, limits)
 
+    @property
+    def keep_alive_ms(self) -> int | None:
+        """Return how long the other side keeps an idle connection, if it said so."""
+        return self._keep_alive_ms
+
+    def note_keep_alive(self, value: str | None) -> None:
+        """Take the field in which the other side states how long it keeps the connection."""
+        found = _KEEP_ALIVE.search(value) if value else None
+        self._keep_alive_ms = int(found[1]) * MS_PER_S if found else None
+
     @property
     def is_reusable(self) -> bool:
         """Tell whether another exchange may follow on this connection."""
-        if self._socket.is_ended:
+        if self._socket.is_ended or self._socket.has_news or self._http.trailing_data[0]:
             return False
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
@@ -87,7 +111,8 @@
         parts.append(self._http.send(h11.EndOfMessage()))
         try:
             self._socket.write(b"".join(part for part in parts if part))
-            await self._socket.async_drain(self._limits.send_timeout_ms / MS_PER_S)
+            if not self._limits.answers_may_come_early:
+                await self._socket.async_drain(self._limits.send_timeout_ms / MS_PER_S)
         except (OSError, TimeoutError) as err:
             raise AnswerError(f"sending to {self.address} failed: {err}") from err
 
@@ -102,6 +127,17 @@
             elif not isinstance(event, h11.InformationalResponse):
                 raise AnswerTruncatedError(f"{self.address} closed before its answer")
 
+    async def async_skip_answer(self, method: str, timeout_ms: int) -> None:
+        """Read the rest of an answer to another request, and expect the own one after it."""
+        async for _ in self.async_iter_body(timeout_ms, lambda *_: None):
+            pass
+        arrived, _ = self._http.trailing_data
+        self._http = self._new_state()
+        self._http.send(h11.Request(method=method, target="*", headers=[(b"host", b"-")]))
+        self._http.send(h11.EndOfMessage())
+        if arrived:
+            self._receive(arrived)
+
     async def async_iter_body(
         self, silence_timeout_ms: int, release: Release
     ) -> AsyncIterator[bytes]:
@@ -126,7 +162,7 @@
         ended = False
         try:
             found = self._pump_at_hand(deliver)
-            if found is None and self._socket.has_news:
+            while found is None and self._socket.has_news:
                 found = self._pump_arrived(deliver)
             if found is None:
                 found = await self._async_listen(deliver, silence_timeout_ms)
@@ -220,3 +256,14 @@
     def _broken(self, err: OSError) -> AnswerTruncatedError:
         """Return the error of a broken connection."""
         return AnswerTruncatedError(f"connection to {self.address} broke: {err}")
+
+
+def _watch_path(socket: Any, limits: ClientLimits) -> None:
+    """Let the kernel find out that the other side became unreachable."""
+    if socket is None or limits.keepalive_idle_s is None:
+        return
+    socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, limits.keepalive_idle_s)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, limits.keepalive_idle_s)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, limits.keepalive_probes)
+    socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, limits.unacked_timeout_ms)
--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -10,6 +10,9 @@
 BACKLOG = 1024
 MS_PER_S = 1000
 
+LINGER_MS = 1_000
+"""Time in which the rest of a refused request is read, so that its answer arrives."""
+
 DEFAULT_MAX_HEAD_BYTES = 32 * 1024
 DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024
 DEFAULT_MAX_CONNECTIONS = 4096
@@ -22,6 +25,12 @@
 DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
 DEFAULT_IDLE_PER_ADDRESS = 32
 DEFAULT_MAX_IDLE_AGE_MS = 15_000
+DEFAULT_KEEPALIVE_PROBES = 2
+DEFAULT_UNACKED_TIMEOUT_MS = 2_000
+MAX_STRAY_ANSWERS = 3
+"""Answers to other requests that are skipped before a connection is given up."""
+KEEP_ALIVE_SHARE = 0.7
+"""Part of the time that the other side keeps an idle connection in which it is used again."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,3 +55,9 @@
     send_timeout_ms: int = DEFAULT_SEND_TIMEOUT_MS
     idle_per_address: int = DEFAULT_IDLE_PER_ADDRESS
     max_idle_age_ms: int = DEFAULT_MAX_IDLE_AGE_MS
+    keepalive_idle_s: int | None = None
+    """Silence after which the kernel probes the path; None leaves it alone."""
+    keepalive_probes: int = DEFAULT_KEEPALIVE_PROBES
+    unacked_timeout_ms: int = DEFAULT_UNACKED_TIMEOUT_MS
+    answers_may_come_early: bool = False
+    """Read the answer while a long body is still being sent."""
--- a/packages/wagtailusher_http/src/wagtailusher_http/server.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server.py
@@ -27,6 +27,7 @@
         self._server: asyncio.Server | None = None
         self._connections: dict[ServerConnection, asyncio.Task[None]] = {}
         self._draining = False
+        self._closing_after_answer = False
 
     @property
     def port(self) -> int:
@@ -54,6 +55,8 @@
             socket.close()
             return
         connection = ServerConnection(socket, self._handler, self._limits, self._outcome_of)
+        if self._closing_after_answer:
+            connection.close_after_answer()
         task = asyncio.get_running_loop().create_task(connection.async_run())
         self._connections[connection] = task
         task.add_done_callback(lambda _: self._connections.pop(connection, None))
@@ -61,9 +64,21 @@
     @callback
     def allow_bodies(self, max_body_bytes: int) -> None:
         """Change how large a body may be, for open connections as well."""
-        self._limits = replace(self._limits, max_body_bytes=max_body_bytes)
+        self.change_limits(replace(self._limits, max_body_bytes=max_body_bytes))
+
+    @callback
+    def change_limits(self, limits: HttpLimits) -> None:
+        """Change the limits, for open connections from their next request on."""
+        self._limits = limits
+        for connection in self._connections:
+            connection.limits = limits
+
+    @callback
+    def announce_close(self) -> None:
+        """Close each connection after its next answer, and say so in it; go on accepting."""
+        self._closing_after_answer = True
         for connection in self._connections:
-            connection.limits = self._limits
+            connection.close_after_answer()
 
     @callback
     def refuse_new(self) -> None:
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -11,7 +11,7 @@
 import h11
 
 from wagtailusher_core import ErrorCode, Outcome, WagtailusherError, callback
-from wagtailusher_http.const import MAX_PIPELINED_BYTES, MS_PER_S, HttpLimits
+from wagtailusher_http.const import LINGER_MS, MAX_PIPELINED_BYTES, MS_PER_S, HttpLimits
 from wagtailusher_http.exceptions import BodyTooLargeError, RequestTimeoutError
 from wagtailusher_http.headers import Headers
 from wagtailusher_http.messages import BodyPump, Request, Response, error_response
@@ -53,6 +53,11 @@
         if not self._busy:
             self._socket.close()
 
+    @callback
+    def close_after_answer(self) -> None:
+        """Close after the next answer, which says so."""
+        self._closing = True
+
     async def async_run(self) -> None:
         """Serve requests until the connection ends."""
         self._task = asyncio.current_task()
@@ -97,6 +102,8 @@
             return None
         headers = Headers.from_raw(head.headers)
         self._refused_outcome = self._outcome_of(headers)
+        if "transfer-encoding" in headers and "content-length" in headers:
+            raise h11.RemoteProtocolError("a request has two lengths")
         try:
             async with asyncio.timeout(self.limits.receive_timeout_ms / MS_PER_S):
                 body = await self._async_receive_body()
@@ -285,3 +292,12 @@
             return
         with suppress(h11.LocalProtocolError, OSError):
             await self._async_send(response)
+            await self._async_discard_rest()
+
+    async def _async_discard_rest(self) -> None:
+        """Read on for a moment, as closing with unread bytes would destroy the answer."""
+        self._socket.end_writing()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_MS / MS_PER_S):
+                while not self._socket.is_eof:
+                    await self._socket.async_read()
--- a/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
@@ -264,6 +264,12 @@
         if self._lost:
             raise ConnectionResetError("the connection is closed")
 
+    @callback
+    def end_writing(self) -> None:
+        """Send the end of what is written, and go on reading."""
+        if not self._lost and self.transport.can_write_eof():
+            self.transport.write_eof()
+
     @callback
     def close(self) -> None:
         """Close the socket after what was written."""
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -13,7 +13,7 @@
 
 from wagtailusher_wire.const import MAX_NESTING, MAX_STREAM_MESSAGE_BYTES
 from wagtailusher_wire.errors import MalformedMessageError, WireVersionError
-from wagtailusher_wire.messages import MESSAGE_TYPES, LeaseBatch, Message
+from wagtailusher_wire.messages import MESSAGE_TYPES, Beat, LeaseBatch, Message
 from wagtailusher_wire.plans import from_plain, to_plain
 from wagtailusher_wire.rows import from_row, row_type, to_row
 
@@ -35,7 +35,10 @@
 
 DEFAULT_CODEC = Codec.CAPNP
 
-_CODEC_BY_TYPE: dict[type[Message], Codec] = {LeaseBatch: Codec.MSGPACK}
+_CODEC_BY_TYPE: dict[type[Message], Codec] = {
+    LeaseBatch: Codec.MSGPACK,
+    Beat: Codec.MSGPACK,
+}
 """Messages that each node sends many times a second take the codec that costs least."""
 
 
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -145,6 +145,31 @@
   loads @3 :List(EndpointLoad);
 }
 
+struct BeatLoad {
+  endpointId @0 :Text;
+  requests @1 :UInt32;
+  prefillTokens @2 :UInt32;
+  memoryTokens @3 :UInt32;
+}
+
+struct BeatPeer {
+  vmId @0 :Text;
+  peerAddress @1 :Text;
+}
+
+struct Beat {
+  address @0 :Text;
+  viewAddress @1 :Text;
+  failureDomainId @2 :Text;
+  weight @3 :UInt32;
+  isLeaving @4 :Bool;
+  isReady @5 :Bool;
+  viewRevision @6 :UInt64;
+  viewAgeMs @7 :UInt32;
+  loads @8 :List(BeatLoad);
+  peers @9 :List(BeatPeer);
+}
+
 struct QuarantineEntry {
   fingerprint @0 :Text;
   endpointIds @1 :List(Text);
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -329,6 +329,40 @@
     grants: tuple[QuotaGrant, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeatLoad:
+    """What the sender has in flight at one endpoint."""
+
+    endpoint_id: EndpointId
+    requests: int
+    prefill_tokens: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeatPeer:
+    """A VM that the sender hears."""
+
+    vm_id: VmId
+    peer_address: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Beat:
+    """Says that its sender lives, how it is reached, what it knows and what it has in flight."""
+
+    address: str
+    view_address: str
+    failure_domain_id: FailureDomainId
+    weight: int
+    is_leaving: bool
+    is_ready: bool
+    view_revision: int
+    view_age_ms: int
+    loads: tuple[BeatLoad, ...] = ()
+    peers: tuple[BeatPeer, ...] = ()
+
+
 Message = (
     Ping
     | Ack
@@ -349,6 +383,7 @@
     | QuotaClaims
     | QuotaGrants
     | LeaseBatch
+    | Beat
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -371,5 +406,6 @@
     QuotaClaims,
     QuotaGrants,
     LeaseBatch,
+    Beat,
 )
 """In the order of their numbers on the wire; only appended to."""
