--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -109,7 +109,7 @@
         if path == PATH_READY:
             return self._answer_ready()
         if path == PATH_MODELS:
-            return self._answer_models()
+            return self._answer_models(request)
         if path == PATH_ADDRESSES:
             return json_response(HTTPStatus.OK, self._addresses().answer(self._pool_of(request)))
         if path == PATH_CONFIGURATION:
@@ -138,9 +138,14 @@
             return json_response(HTTPStatus.OK, {"status": "ready"})
         return coded_response(ErrorCode.NOT_READY, Outcome.NOT_RUN, "not ready")
 
-    def _answer_models(self) -> Response:
-        """List the models."""
+    def _answer_models(self, request: Request) -> Response:
+        """List the models for a caller with a known key."""
         settings = self.settings()
+        if settings is not None:
+            try:
+                settings.workspace_by_api_key(api_key_of(request))
+            except WagtailusherError as err:
+                return coded_response(err.code, Outcome.NOT_RUN, err.message)
         model_ids = sorted(settings.model_ids) if settings is not None else []
         models = [
             {"id": model_id, "object": "model", "owned_by": "wagtailusher"}
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/models.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/models.py
@@ -15,6 +15,8 @@
     model: str = Field(min_length=1)
     messages: list[Any] = Field(min_length=1)
     stream: bool = False
+    max_tokens: int | None = Field(default=None, ge=1)
+    max_completion_tokens: int | None = Field(default=None, ge=1)
 
 
 class TicketAnswer(BaseModel):
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -19,6 +19,9 @@
 RATE_WINDOW_MS = 2_000
 """Window in which starts are counted to estimate a wait; a burst lasts a few seconds."""
 
+MIN_RATE_WINDOW_MS = 100
+"""Time for which a queue must have been busy before its pace says anything."""
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Waiting:
@@ -36,10 +39,29 @@
 
 @dataclass(slots=True)
 class _Queue:
-    """What waits for one service, and when requests were started lately."""
+    """What waits for one service, and when waiting requests were started lately."""
 
     waiting: list[Waiting] = field(default_factory=list)
     started_ms: deque[int] = field(default_factory=deque)
+    busy_since_ms: int = 0
+    """Since when something has waited without a break; meaningless while nothing waits."""
+
+    def note_starts(self, count: int, now_ms: int) -> None:
+        """Count starts from the queue; an empty queue says nothing of the pace."""
+        self.started_ms.extend([now_ms] * count)
+        if not self.waiting:
+            self.started_ms.clear()
+
+    def expected_wait_ms(self, ahead: int, now_ms: int) -> float:
+        """Return how long those ahead take at the present pace; 0 while that is unknown."""
+        window_ms = min(RATE_WINDOW_MS, now_ms - self.busy_since_ms)
+        if not ahead or window_ms < MIN_RATE_WINDOW_MS:
+            return 0.0
+        while self.started_ms and self.started_ms[0] < now_ms - window_ms:
+            self.started_ms.popleft()
+        if not self.started_ms:
+            return 0.0
+        return (ahead + 1) * window_ms / len(self.started_ms)
 
 
 class Admission:
@@ -64,9 +86,8 @@
         queue = self._queues.setdefault(waiting.service, _Queue())
         ahead = sum(1 for other in queue.waiting if other.rank <= waiting.rank)
         if not ahead and waiting.try_place(now_ms):
-            queue.started_ms.append(now_ms)
             return
-        wait_ms = self._expected_wait_ms(queue, ahead, now_ms)
+        wait_ms = queue.expected_wait_ms(ahead, now_ms)
         if wait_ms > waiting.give_up_ms - now_ms or self.count >= MAX_QUEUED:
             waiting.refuse(self.retry_after_ms(waiting.service, waiting.rank, now_ms))
             return
@@ -74,6 +95,8 @@
             (at for at, other in enumerate(queue.waiting) if other.rank > waiting.rank),
             len(queue.waiting),
         )
+        if not queue.waiting:
+            queue.busy_since_ms = now_ms
         queue.waiting.insert(index, waiting)
 
     def leave(self, waiting: Waiting) -> None:
@@ -85,18 +108,19 @@
     def pump(self, now_ms: int) -> None:
         """Start what has a place now and refuse what waited too long."""
         for queue in self._queues.values():
-            for waiting in list(self._startable(queue, now_ms)):
+            started = list(self._startable(queue, now_ms))
+            for waiting in started:
                 queue.waiting.remove(waiting)
-                queue.started_ms.append(now_ms)
             for waiting in [item for item in queue.waiting if item.give_up_ms <= now_ms]:
                 queue.waiting.remove(waiting)
                 waiting.refuse(self.retry_after_ms(waiting.service, waiting.rank, now_ms))
+            queue.note_starts(len(started), now_ms)
 
     def retry_after_ms(self, service: str, rank: int, now_ms: int) -> int:
         """Return when a refused caller should come back; spread, and sooner for urgent ones."""
         queue = self._queues.get(service) or _Queue()
         ahead = sum(1 for other in queue.waiting if other.rank <= rank)
-        wait_ms = self._expected_wait_ms(queue, ahead, now_ms)
+        wait_ms = queue.expected_wait_ms(ahead, now_ms)
         base_ms = RETRY_AFTER_MIN_MS + RETRY_AFTER_RANK_MS * rank + wait_ms
         return int(min(RETRY_AFTER_MAX_MS, base_ms * self._random.uniform(1.0, 1.5)))
 
@@ -107,15 +131,6 @@
                 return
             yield waiting
 
-    def _expected_wait_ms(self, queue: _Queue, ahead: int, now_ms: int) -> float:
-        """Return how long it takes at the present pace until those ahead have started."""
-        if not ahead:
-            return 0.0
-        started = queue.started_ms
-        while started and started[0] < now_ms - RATE_WINDOW_MS:
-            started.popleft()
-        return (ahead + 1) / max(1, len(started)) * RATE_WINDOW_MS
-
 
 def place_wait_ms(target_ms: int, left_ms: int) -> int:
     """Return how long a request may wait for a place.
--- /dev/null
+++ b/tests/standins/platform_store.py
@@ -0,0 +1,110 @@
+"""A stand-in of the platform's store: range and watch, down, silent, refusing, forgetting."""
+
+from __future__ import annotations
+
+import asyncio
+from base64 import b64encode
+from dataclasses import dataclass, field
+from http import HTTPStatus
+import json
+from typing import Any
+
+from wagtailusher_http import HttpServer, Request, Response, async_serve, json_response
+
+PAGE_ITEMS = 3
+"""Items in one page, so that tests meet several pages."""
+
+
+@dataclass(slots=True)
+class PlatformStore:
+    """Holds items with revisions; tests write as operators and endpoints do."""
+
+    status: int = HTTPStatus.OK
+    """What calls are answered while it is not OK."""
+    is_silent: bool = False
+    items: dict[str, dict[str, Any]] = field(default_factory=dict)
+    changes: list[dict[str, Any]] = field(default_factory=list)
+    revision: int = 1
+    oldest: int = 0
+    """Watches from before this revision are gone."""
+    calls: int = 0
+    _server: HttpServer | None = None
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def async_start(self) -> str:
+        """Listen and return the address."""
+        self._server = await async_serve(self._async_handle)
+        return f"127.0.0.1:{self._server.port}"
+
+    async def async_stop(self) -> None:
+        """Close every socket."""
+        if self._server is not None:
+            await self._server.async_close()
+
+    def put(self, key: str, value: object) -> None:
+        """Write an item; bytes are written as they are."""
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": b64encode(content).decode(),
+            "revision": self.revision,
+            "create_revision": self.revision,
+            "lease": 0,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        del self.items[key]
+        self._note({"key": key, "revision": self.revision, "removed": True})
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.oldest = self.revision
+        self.changes.clear()
+        self._changed.set()
+
+    def _note(self, change: dict[str, Any]) -> None:
+        """Keep a change and wake the watches."""
+        self.changes.append(change)
+        self._changed.set()
+
+    async def _async_handle(self, request: Request) -> Response:
+        """Answer one call."""
+        self.calls += 1
+        if self.is_silent:
+            await asyncio.Event().wait()
+        if self.status != HTTPStatus.OK:
+            return Response(status=self.status)
+        if request.path == "/kv-range":
+            return self._range(request.query.get("prefix", ""), request.query.get("after", ""))
+        return await self._async_watch(request.query)
+
+    def _range(self, prefix: str, after: str) -> Response:
+        """Return one page."""
+        keys = [key for key in sorted(self.items) if key.startswith(prefix) and key > after]
+        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        value = {
+            "items": page,
+            "truncated": len(keys) > PAGE_ITEMS,
+            "current_rev": self.revision,
+        }
+        return json_response(HTTPStatus.OK, value)
+
+    async def _async_watch(self, query: dict[str, str]) -> Response:
+        """Return the changes after a revision, waiting for one."""
+        after = int(query["after"])
+        try:
+            async with asyncio.timeout(int(query["wait_ms"]) / 1000):
+                while after >= self.oldest and self.revision <= after:
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        if after < self.oldest:
+            return Response(status=HTTPStatus.GONE)
+        events = [change for change in self.changes if change["revision"] > after]
+        return json_response(HTTPStatus.OK, {"events": events, "current_rev": self.revision})
--- /dev/null
+++ b/tests/standins/runner.py
@@ -0,0 +1,311 @@
+"""A stand-in of one endpoint on the platform, with every fault that the platform's pages name."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+import socket
+import struct
+
+from wagtailusher_core import callback
+
+STAMP = "3e1b.07.5a2"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Received:
+    """A request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Behaviour = Callable[["RunnerStandin", Received, asyncio.StreamWriter], Awaitable[bool]]
+"""Answers one request and returns whether the connection goes on."""
+
+
+@dataclass(slots=True)
+class RunnerStandin:
+    """Listens, checks who is expected, and answers with the next behaviour, or the last."""
+
+    instance_id: str = "i-1"
+    behaviours: list[Behaviour] = field(default_factory=list)
+    received: list[Received] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    """Identifiers of the requests that were run."""
+    broken_off: int = 0
+    """Connections that the other side closed while a request ran."""
+    address: str = ""
+    connections: int = 0
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def async_start(self, host: str = "127.0.0.1") -> str:
+        """Listen and return the address."""
+        self._server = await asyncio.start_server(self._async_accept, host, 0)
+        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
+        return self.address
+
+    async def async_stop(self) -> None:
+        """Close every socket."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.close()
+        await asyncio.sleep(0)
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while (request := await _async_read(reader)) is not None:
+                self.received.append(request)
+                if not await self._async_answer(request, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.broken_off += 1
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _async_answer(
+        self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one request, and notice when the other side leaves meanwhile."""
+        expected = request.headers.get("x-expect-instance")
+        if expected not in (None, self.instance_id):
+            return await wrong_instance(self, request, writer)
+        behaviour = self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
+        answering = asyncio.ensure_future(behaviour(self, request, writer))
+        leaving = asyncio.ensure_future(_async_left(reader))
+        await asyncio.wait((answering, leaving), return_when=asyncio.FIRST_COMPLETED)
+        leaving.cancel()
+        if answering.done():
+            return answering.result()
+        answering.cancel()
+        self.broken_off += 1
+        return False
+
+    @callback
+    def note_run(self, request: Received) -> None:
+        """Note that a request is run."""
+        self.ran.append(request.headers.get("x-attempt-id", ""))
+
+
+async def _async_left(reader: asyncio.StreamReader) -> None:
+    """Return when the other side closed its connection."""
+    while not reader.at_eof():  # noqa: ASYNC110 - the reader tells nobody of its end
+        await asyncio.sleep(0.005)
+
+
+async def _async_read(reader: asyncio.StreamReader) -> Received | None:
+    """Read one request, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    fields = (line.split(":", 1) for line in lines[1:] if line)
+    headers = {name.lower(): value.strip() for name, value in fields}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Received(method=method, target=target, headers=headers, body=body)
+
+
+def _head(request: Received, status: str, *lines: str, attempt_id: str | None = None) -> bytes:
+    """Return the head of a signed answer."""
+    named = attempt_id or request.headers.get("x-attempt-id", "")
+    fields = (f"HTTP/1.1 {status}", f"X-Attempt-Id: {named}", f"X-Server-Stamp: {STAMP}", *lines)
+    return "\r\n".join((*fields, "", "")).encode()
+
+
+def answer(body: bytes = b"done", status: str = "200 OK", *lines: str) -> Behaviour:
+    """Run the request and answer whole."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        writer.write(_head(request, status, f"Content-Length: {len(body)}", *lines) + body)
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def unsigned(body: bytes = b"done") -> Behaviour:
+    """Run the request and answer without a signature."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def extra_answer(body: bytes = b"done") -> Behaviour:
+    """Run the request, answer it, and send an answer to another request after it."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        length = f"Content-Length: {len(body)}"
+        writer.write(_head(request, "200 OK", length) + body)
+        writer.write(_head(request, "200 OK", length, attempt_id="another") + b"X" * len(body))
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def stray_then_answer(body: bytes = b"done") -> Behaviour:
+    """Send an answer to another request right before the own one."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        writer.write(_head(request, "200 OK", "Content-Length: 5", attempt_id="another") + b"wrong")
+        await asyncio.sleep(0.01)
+        writer.write(_head(request, "200 OK", f"Content-Length: {len(body)}") + body)
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def unframed(body: bytes = b"done", *, reset: bool = False) -> Behaviour:
+    """Answer without a length; the end of the connection ends the answer."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        writer.write(_head(request, "200 OK", "Connection: close") + body)
+        await writer.drain()
+        if reset:
+            await asyncio.sleep(0.02)
+            _reset(writer)
+        return False
+
+    return behave
+
+
+def truncated(body: bytes = b"done") -> Behaviour:
+    """Run the request and break its answer off."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        writer.write(_head(request, "200 OK", f"Content-Length: {len(body) + 1}") + body)
+        await writer.drain()
+        return False
+
+    return behave
+
+
+def reset_after_run() -> Behaviour:
+    """Run the request and reset the connection."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        _reset(writer)
+        return False
+
+    return behave
+
+
+def silent() -> Behaviour:
+    """Run the request and never answer."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        await asyncio.Event().wait()
+        return False
+
+    return behave
+
+
+def refuse() -> Behaviour:
+    """Say that the request was not run, for want of room."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        await writer.drain()
+        return True
+
+    return behave
+
+
+async def wrong_instance(
+    runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Say that another incarnation has the address."""
+    writer.write(b"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-other\r\n")
+    writer.write(b"Content-Length: 0\r\n\r\n")
+    await writer.drain()
+    return True
+
+
+def stream(
+    count: int,
+    *,
+    cut_after: int | None = None,
+    within_event: bool = False,
+    gap_s: float = 0.0,
+) -> Behaviour:
+    """Stream events 1 to count, or those after the one that the request names."""
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.note_run(request)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        writer.write(_head(request, "200 OK", *lines))
+        for number in range(first, count + 1):
+            if cut_after is not None and number > cut_after:
+                if within_event:
+                    writer.write(_chunk(b"id: %d\nda" % number))
+                await writer.drain()
+                return False
+            writer.write(_chunk(b"id: %d\ndata: token %d\n\n" % (number, number)))
+            await writer.drain()
+            await asyncio.sleep(gap_s)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def _chunk(data: bytes) -> bytes:
+    """Return a chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection: closing it at once, with nothing lingering, sends no proper end."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/tests/wagtailusher_daemon/test_path.py
+++ b/tests/wagtailusher_daemon/test_path.py
@@ -43,6 +43,8 @@
         cases = [
             (b"{broken", {}, 400, "bad_request"),
             (chat | {"messages": []}, {}, 400, "bad_request"),
+            (chat | {"max_tokens": -5}, {}, 400, "bad_request"),
+            (chat | {"max_completion_tokens": 0}, {}, 400, "bad_request"),
             (chat | {"model": "none"}, {}, 404, "unknown_model"),
             (chat, {"authorization": "Bearer wrong"}, 401, "unauthorized"),
             (chat, {"x-wagtailusher-class": "none"}, 400, "unknown_class"),
@@ -57,6 +59,13 @@
                 self.assertEqual(error["outcome"], "not_run")
         self.assertEqual(sum(engine.counters.started for engine in self.fleet.engines), 0)
 
+    async def test_models_are_listed_for_known_keys_only(self) -> None:
+        for headers, status in (({}, 200), ({"authorization": "Bearer wrong"}, 401)):
+            answer = await self.fleet.client.async_request(
+                self.fleet.apps[0].address, "GET", "/v1/models", self.fleet.headers(headers)
+            )
+            self.assertEqual(answer.status, status)
+
     async def test_fleet_wide_values_are_heeded(self) -> None:
         document = settings_document(2, max_body_bytes=200, ticket_lifetime_ms=1)
         self.fleet.config_service.publish("settings", document)
--- /dev/null
+++ b/tests/wagtailusher_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- /dev/null
+++ b/tests/wagtailusher_gateway/builders.py
@@ -0,0 +1,129 @@
+"""Small configurations, endpoints and requests for the gateway's tests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from wagtailusher_core import EndpointId, FailureDomainId, VmId, WorkspaceId
+from wagtailusher_gateway.models import (
+    CallerLimits,
+    Configuration,
+    Endpoint,
+    Engine,
+    FleetView,
+    Member,
+    PromptPart,
+    Repeat,
+    RequestTerms,
+    Route,
+    Service,
+    Split,
+    Workspace,
+)
+
+ENGINES = Service(
+    name="engines",
+    max_connections=100,
+    cold_start_ms=3_000,
+    cold_requests_per_s=16.0,
+    engine=Engine(batch_requests=48, memory_tokens=400_000),
+)
+DESK = Service(name="desk", max_connections=100)
+
+
+def route(**changes: Any) -> Route:
+    """Return a route of requests that run at most once."""
+    plain = Route(
+        name="book",
+        host="shop.example",
+        prefix="/book/",
+        repeat=Repeat.ONCE,
+        splits=(Split(service="desk", weight=1),),
+        timeout_ms=1_000,
+        target_ms=100,
+        rank=2,
+        max_attempts=1,
+    )
+    return replace(plain, **changes)
+
+
+def configuration(version: int = 1, *routes: Route) -> Configuration:
+    """Return a configuration with two services."""
+    return Configuration(
+        version=version,
+        routes=routes or (route(),),
+        services={"engines": ENGINES, "desk": DESK},
+        limits=CallerLimits(
+            max_head_bytes=16_384,
+            max_body_bytes=65_536,
+            head_timeout_ms=3_000,
+            idle_timeout_ms=15_000,
+        ),
+        workspaces={"key": Workspace(workspace_id=WorkspaceId("members"), rank=1)},
+    )
+
+
+def endpoint(number: int, service: str = "engines", **changes: Any) -> Endpoint:
+    """Return a warm endpoint in one of three failure domains."""
+    plain = Endpoint(
+        endpoint_id=EndpointId(f"i-{number}"),
+        service=service,
+        address=f"10.0.0.{number}:80",
+        failure_domain_id=FailureDomainId("abc"[number % 3]),
+        slots=48 if service == "engines" else 6,
+        is_draining=False,
+        born_ms=1,
+        cold_until_ms=0,
+    )
+    return replace(plain, **changes)
+
+
+def view(*endpoints: Endpoint, confirmed_ms: int = 0, **changes: Any) -> FleetView:
+    """Return a view with a configuration and endpoints."""
+    plain = FleetView(
+        revision=1,
+        confirmed_ms=confirmed_ms,
+        configuration=configuration(),
+        endpoints={item.endpoint_id: item for item in endpoints},
+        evacuated=frozenset(),
+    )
+    return replace(plain, **changes)
+
+
+def terms(number: int = 1, *, session: str = "s", shared: int = 6_000, own: int = 2_900) -> Any:
+    """Return a request with a long shared prompt."""
+    return RequestTerms(
+        attempt_id=f"attempt-{number}",
+        host="shop.example",
+        deadline_ms=4_000,
+        api_key="key",
+        prompt_tokens=shared + own,
+        max_output_tokens=60,
+        parts=(
+            PromptPart(part_id=session, tokens=shared),
+            PromptPart(part_id=f"own-{number}", tokens=own),
+        ),
+    )
+
+
+def plain_terms(number: int = 1) -> RequestTerms:
+    """Return a request without a prompt."""
+    return RequestTerms(
+        attempt_id=f"attempt-{number}", host="shop.example", deadline_ms=1_000, api_key="key"
+    )
+
+
+def member(number: int) -> Member:
+    """Return a VM of the fleet."""
+    return Member(
+        vm_id=VmId(f"vm-{number}"),
+        incarnation=1,
+        address=f"10.1.0.{number}:80",
+        peer_address=f"10.1.0.{number}:7200",
+        view_address=f"10.1.0.{number}:81",
+        failure_domain_id=FailureDomainId("a"),
+        weight=100,
+        is_leaving=False,
+        is_ready=True,
+    )
--- a/tests/wagtailusher_http/test_server.py
+++ b/tests/wagtailusher_http/test_server.py
@@ -120,6 +120,33 @@
         answer = await self.client.async_request(self.address, "GET", "/alive")
         self.assertEqual(json.loads(await answer.async_read())["path"], "/alive")
 
+    async def test_two_lengths_are_refused(self) -> None:
+        data = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n"
+        data += b"transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n"
+        reply = await self._async_raw(data)
+        self.assertTrue(reply.startswith(b"HTTP/1.1 400"), reply)
+        self.assertEqual(reply.count(b"HTTP/1.1"), 1)
+        self.assertFalse(self.entered.is_set())
+
+    async def test_huge_head_is_answered_before_the_close(self) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: x\r\nx-long: ")
+        for _ in range(160):
+            writer.write(b"y" * 65_536)
+        await writer.drain()
+        reply = await reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(reply.startswith(b"HTTP/1.1 431"), reply)
+        writer.close()
+
+    async def test_announced_close_serves_on(self) -> None:
+        first = await self.client.async_request(self.address, "GET", "/a")
+        await first.async_read()
+        self.server.announce_close()
+        for _ in range(2):
+            reply = await self.client.async_request(self.address, "GET", "/a")
+            self.assertEqual(reply.headers.get("connection"), "close")
+            await reply.async_read()
+
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         one = b"GET /%d HTTP/1.1\r\nhost: a\r\n%s\r\n"
         data = one % (1, b"") + one % (2, b"") + one % (3, b"connection: close\r\n")
--- a/tests/wagtailusher_placement/test_decider.py
+++ b/tests/wagtailusher_placement/test_decider.py
@@ -96,6 +96,18 @@
         self.assertIsNone(target.choose(ask("x", excluded=frozenset({freed})), 10))
         self.assertEqual(place(target, "y", 10), freed)
 
+    def test_lease_is_checked_again_right_before_a_send(self) -> None:
+        target = decider(endpoint("a"))
+        requests = [ask(f"r{index}") for index in range(4)]
+        for request in requests:
+            choice = target.choose(request, 0)
+            assert choice is not None
+            target.start(choice, request, 0)
+        report = LoadReport(endpoint_id=EndpointId("a"), reported_at_ms=1, cold=True)
+        target.observe_report(report, 1)
+        sent = [target.may_send(request.request_id, 2) for request in requests]
+        self.assertEqual(sent, [True, True, False, False])
+
     def test_drained_and_leaving_endpoints_get_nothing_and_come_back_cold(self) -> None:
         infos = (endpoint("a"), endpoint("b", failure_domain_id=FAR))
         target = decider(*infos)
--- /dev/null
+++ b/tests/wagtailusher_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's adapter."""
--- /dev/null
+++ b/tests/wagtailusher_platform/test_headers.py
@@ -0,0 +1,90 @@
+"""Tests of the platform's fields."""
+
+from __future__ import annotations
+
+import unittest
+
+from wagtailusher_core import EndpointId, WorkspaceId
+from wagtailusher_gateway import RefusedError, Sending
+from wagtailusher_http import Headers
+from wagtailusher_platform.headers import (
+    read_answer,
+    read_request,
+    request_headers,
+    retry_after,
+)
+
+OWN = {"host": "shop.example", "x-attempt-id": "a1"}
+
+
+class HeadersTest(unittest.TestCase):
+    """Fields are decoded once and never passed on as a caller forged them."""
+
+    def test_terms_of_a_prompt(self) -> None:
+        """Tokens and parts are read; the last part is the request's own."""
+        fields = OWN | {
+            "x-token-count": "1460,80",
+            "x-prompt-prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+            "x-deadline-ms": "4000",
+            "authorization": "Bearer key",
+        }
+        terms = read_request(Headers(fields.items()))
+        self.assertEqual((terms.prompt_tokens, terms.max_output_tokens), (1460, 80))
+        self.assertEqual([part.tokens for part in terms.shared_parts], [800, 410])
+        self.assertEqual((terms.deadline_ms, terms.api_key), (4000, "key"))
+
+    def test_unreadable_estimates_are_left_out(self) -> None:
+        """Figures that only help placing never make a request fail."""
+        fields = OWN | {"x-token-count": "many", "x-prompt-prefix": "a:b,,c", "x-deadline-ms": "-5"}
+        terms = read_request(Headers(fields.items()))
+        self.assertEqual((terms.prompt_tokens, terms.parts, terms.deadline_ms), (0, (), None))
+
+    def test_request_without_identifier_is_refused(self) -> None:
+        """Without an identifier an answer can't be told from another one's."""
+        for missing in OWN:
+            fields = {name: value for name, value in OWN.items() if name != missing}
+            with self.assertRaises(RefusedError) as caught:
+                read_request(Headers(fields.items()))
+            self.assertEqual(caught.exception.status, 400)
+
+    def test_forged_and_hop_fields_are_dropped(self) -> None:
+        """Fields of the system, of one hop, and those that it names do not pass."""
+        forged = (
+            "x-tenant",
+            "x-hold",
+            "x-pin-ms",
+            "x-kv-backup",
+            "kv-from",
+            "kv-fetch",
+            "x-request-priority",
+            "x-expect-version",
+            "authorization",
+            "x-one-hop",
+        )
+        fields = OWN | dict.fromkeys(forged, "forged") | {"connection": "close, X-One-Hop"}
+        sending = Sending(
+            endpoint_id=EndpointId("i-1"),
+            left_ms=250,
+            workspace_id=WorkspaceId("members"),
+            rank=12,
+        )
+        passed = dict(request_headers(Headers(fields.items()), sending))
+        self.assertNotIn("forged", passed.values())
+        self.assertNotIn("connection", passed)
+        self.assertEqual(passed["x-deadline-ms"], "250")
+        self.assertEqual((passed["x-tenant"], passed["x-request-priority"]), ("members", "9"))
+
+    def test_what_answers_state(self) -> None:
+        """Only a statement of the endpoint says that a request was not run."""
+        self.assertTrue(read_answer(503, Headers([("x-not-executed", "1")])).not_run)
+        self.assertFalse(read_answer(503, Headers()).not_run)
+        misdirected = read_answer(421, Headers())
+        self.assertTrue(misdirected.not_run and misdirected.wrong_incarnation)
+
+    def test_retry_after_has_fractions(self) -> None:
+        """Times below a second are not rounded."""
+        self.assertEqual(retry_after(150), "0.150")
+
+
+if __name__ == "__main__":
+    unittest.main()
