Drop lapsed endpoints in their time; keep long prompts and long answers on different engines

Ruled out: the budget (its refusals followed from the 421s), the store (it removed the entries). Now the reader says when the store does not answer, lapsing entries travel with their ends, and an address at which another endpoint answers is avoided for 3 s.

Ruled out: processor time (0.09 cores), connections, queues. Engines are now split between long prompts and other requests in proportion to demand.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -27,7 +27,8 @@
 class Waiting:
     """One request that waits for a place."""
 
-    service: str
+    queue: str
+    """Requests of one queue compete for the same places."""
     rank: int
     arrived_ms: int
     give_up_ms: int
@@ -39,7 +40,7 @@
 
 @dataclass(slots=True)
 class _Queue:
-    """What waits for one service, and when waiting requests were started lately."""
+    """What waits for the same places, and when waiting requests were started lately."""
 
     waiting: list[Waiting] = field(default_factory=list)
     started_ms: deque[int] = field(default_factory=deque)
@@ -65,7 +66,7 @@
 
 
 class Admission:
-    """One VM's queues, by service: lower ranks first, within a rank in order of arrival.
+    """One VM's queues: lower ranks first, within a rank in order of arrival.
 
     A request that can't expect a place in the time it may wait is refused at once, and told to
     come back when the queue is expected to be over, the more urgent earlier.
@@ -83,13 +84,13 @@
 
     def arrive(self, waiting: Waiting, now_ms: int) -> None:
         """Start a request, queue it, or refuse it."""
-        queue = self._queues.setdefault(waiting.service, _Queue())
+        queue = self._queues.setdefault(waiting.queue, _Queue())
         ahead = sum(1 for other in queue.waiting if other.rank <= waiting.rank)
         if not ahead and waiting.try_place(now_ms):
             return
         wait_ms = queue.expected_wait_ms(ahead, now_ms)
         if wait_ms > waiting.give_up_ms - now_ms or self.count >= MAX_QUEUED:
-            waiting.refuse(self.retry_after_ms(waiting.service, waiting.rank, now_ms))
+            waiting.refuse(self.retry_after_ms(waiting.queue, waiting.rank, now_ms))
             return
         index = next(
             (at for at, other in enumerate(queue.waiting) if other.rank > waiting.rank),
@@ -101,7 +102,7 @@
 
     def leave(self, waiting: Waiting) -> None:
         """Drop a request whose caller left."""
-        queue = self._queues.get(waiting.service)
+        queue = self._queues.get(waiting.queue)
         if queue is not None and waiting in queue.waiting:
             queue.waiting.remove(waiting)
 
@@ -113,12 +114,12 @@
                 queue.waiting.remove(waiting)
             for waiting in [item for item in queue.waiting if item.give_up_ms <= now_ms]:
                 queue.waiting.remove(waiting)
-                waiting.refuse(self.retry_after_ms(waiting.service, waiting.rank, now_ms))
+                waiting.refuse(self.retry_after_ms(waiting.queue, waiting.rank, now_ms))
             queue.note_starts(len(started), now_ms)
 
-    def retry_after_ms(self, service: str, rank: int, now_ms: int) -> int:
+    def retry_after_ms(self, name: str, rank: int, now_ms: int) -> int:
         """Return when a refused caller should come back; spread, and sooner for urgent ones."""
-        queue = self._queues.get(service) or _Queue()
+        queue = self._queues.get(name) or _Queue()
         ahead = sum(1 for other in queue.waiting if other.rank <= rank)
         wait_ms = queue.expected_wait_ms(ahead, now_ms)
         base_ms = RETRY_AFTER_MIN_MS + RETRY_AFTER_RANK_MS * rank + wait_ms
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -52,7 +52,8 @@
         self.status = 0
         self.headers = Headers()
         self.was_sent = False
-        self.wrong_incarnation = False
+        self.longest_pause_ms = 0
+        self._last_part_ms = 0
 
     @property
     def endpoint_id(self) -> EndpointId:
@@ -101,7 +102,11 @@
         stated = dialect.read_answer(answer.status, answer.headers)
         if stated.not_run:
             self._delivery.refused(counts=not stated.wrong_incarnation)
-            self._dispatcher.placement.book.note_refused(self.endpoint_id, self._now_ms())
+            book = self._dispatcher.placement.book
+            if stated.wrong_incarnation:
+                book.note_misdirected(self.endpoint_id, self._now_ms())
+            else:
+                book.note_refused(self.endpoint_id, self._now_ms())
             await answer.async_read(left_ms)
             return Gone.NOT_RUN
         if stated.is_encoded or (answer.status in _SUCCESS and not stated.is_signed):
@@ -159,6 +164,7 @@
             part = cutter.feed(chunk)
             if part:
                 sink.write(part)
+                self._note_part(self._now_ms())
             return not sink.must_drain
 
         while self._answer is not None and not await self._async_take(deliver, left_ms):
@@ -167,6 +173,12 @@
             self._fail()
             raise BrokenStreamError("the stream ended within an event")
 
+    def _note_part(self, now_ms: int) -> None:
+        """Note when a part of the stream was passed on."""
+        if self._last_part_ms:
+            self.longest_pause_ms = max(self.longest_pause_ms, now_ms - self._last_part_ms)
+        self._last_part_ms = now_ms
+
     async def _async_take(self, deliver: object, left_ms: int) -> bool:
         """Hand the answer's chunks on; return whether that was all."""
         assert self._answer is not None
@@ -183,6 +195,7 @@
         """Note that the endpoint has read the prompt."""
         if not self._began:
             self._began = True
+            self._note_part(self._now_ms())
             self._dispatcher.placement.note_began(self.placed)
 
     def finish(self, *, failed: bool) -> None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -90,6 +90,7 @@
             raise _not_ready("the route's service is not configured")
         now_ms = self._clock_ms()
         self._dispatcher.budget.note_request(name, now_ms)
+        self._dispatcher.placement.note_demand(service, terms, now_ms)
         wanted = Wanted(
             terms=terms,
             route=route,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -84,6 +84,10 @@
 REFUSED_MS: Final = 50
 """Time for which an endpoint that refused for want of room is avoided; about one service time."""
 
+MISDIRECTED_MS: Final = 3_000
+"""Time for which an endpoint is avoided at whose address another one answers; longer than the
+entry of an endpoint that is gone stays."""
+
 PREFILL_TOKENS_PER_MS: Final = 90.0
 """Prompt tokens that an engine reads in a ms; the slowest engine of the users' sheets."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -11,6 +11,7 @@
 from wagtailusher_gateway.admission import Admission, Waiting, place_wait_ms
 from wagtailusher_gateway.budget import RetryBudget
 from wagtailusher_gateway.exceptions import RefusedError
+from wagtailusher_gateway.lanes import is_prompt_heavy
 from wagtailusher_gateway.models import FleetView, RequestTerms, Route, Service
 from wagtailusher_gateway.placement import Placed, Placement
 from wagtailusher_gateway.routes import RouteTable
@@ -93,7 +94,7 @@
                 future.set_exception(_no_place(retry_after_ms))
 
         waiting = Waiting(
-            service=wanted.service.name,
+            queue=queue_of(wanted),
             rank=wanted.rank,
             arrived_ms=now_ms,
             give_up_ms=now_ms + place_wait_ms(wanted.route.target_ms, wanted.ends_ms - now_ms),
@@ -117,6 +118,13 @@
             self.admission.pump(self.clock_ms())
 
 
+def queue_of(wanted: Wanted) -> str:
+    """Return the queue of a request; long prompts wait apart, as they use other engines."""
+    if wanted.service.engine is not None and is_prompt_heavy(wanted.terms):
+        return f"{wanted.service.name} long prompts"
+    return wanted.service.name
+
+
 def _no_place(retry_after_ms: int) -> RefusedError:
     """Return the refusal of a request that got no place."""
     return RefusedError(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoints.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoints.py
@@ -10,6 +10,7 @@
     EJECT_FAILURES,
     EJECT_MS,
     MAX_EJECTED_SHARE,
+    MISDIRECTED_MS,
     PREFILL_TOKENS_PER_MS,
     REFUSED_MS,
     UNREACHABLE_MS,
@@ -159,6 +160,12 @@
             tracked.avoided_until_ms = max(tracked.avoided_until_ms, now_ms + UNREACHABLE_MS)
             tracked.cold_suspected_until_ms = now_ms + UNSEEN_RESTART_MS
 
+    def note_misdirected(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Note that another endpoint answers at the address."""
+        tracked = self._tracked.get(endpoint_id)
+        if tracked is not None:
+            tracked.avoided_until_ms = now_ms + MISDIRECTED_MS
+
     def note_refused(self, endpoint_id: EndpointId, now_ms: int) -> None:
         """Note that the endpoint had no room."""
         tracked = self._tracked.get(endpoint_id)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -10,7 +10,7 @@
 from wagtailusher_gateway.const import MS_PER_S, RETRY_AFTER_MIN_MS
 from wagtailusher_gateway.delivery import Delivery, DeliveryState
 from wagtailusher_gateway.dialect import Dialect, Sending
-from wagtailusher_gateway.dispatcher import Dispatcher, Wanted
+from wagtailusher_gateway.dispatcher import Dispatcher, Wanted, queue_of
 from wagtailusher_gateway.events import EventCutter
 from wagtailusher_gateway.exceptions import BrokenStreamError, RefusedError
 from wagtailusher_gateway.models import Workspace
@@ -168,7 +168,7 @@
         return max(
             RETRY_AFTER_MIN_MS,
             self._dispatcher.admission.retry_after_ms(
-                self._wanted.service.name, self._wanted.rank, now_ms
+                queue_of(self._wanted), self._wanted.rank, now_ms
             ),
         )
 
@@ -218,7 +218,7 @@
             raise BrokenStreamError("the request's time is over") from None
         current.finish(failed=False)
         self._attempt = None
-        self._record.stream_whole()
+        self._record.stream_whole(current.longest_pause_ms)
 
     async def _async_resume(self, attempt: Attempt, err: WagtailusherError) -> Attempt:
         """Return an attempt that goes on with a broken stream."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -44,6 +44,8 @@
     is_public: bool = False
     has_prompt: bool = False
     may_resume: bool = False
+    pause_target_ms: int = 0
+    """Longest pause between events with which a stream is on time; 0 for no target."""
 
     @property
     def may_repeat(self) -> bool:
@@ -125,7 +127,8 @@
     configuration: Configuration | None
     endpoints: Mapping[EndpointId, Endpoint]
     evacuated: frozenset[FailureDomainId]
-    evacuations_ended_ms: Mapping[FailureDomainId, int] = field(default_factory=dict)
+    lapsing_ms: Mapping[EndpointId, int] = field(default_factory=dict)
+    """When endpoints are dropped whose entries went while the platform may have been away."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -17,6 +17,7 @@
     STALE_VIEW_MS,
 )
 from wagtailusher_gateway.endpoints import EndpointBook, Load, Tracked
+from wagtailusher_gateway.lanes import Lanes
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
 from wagtailusher_gateway.prefixes import PrefixMemory
 
@@ -54,6 +55,7 @@
         self._cold = cold
         self._failure_domain_id = failure_domain_id
         self._prefixes = PrefixMemory()
+        self._lanes: dict[str, Lanes] = {}
         self._random = random.Random(seed)
 
     def update(self, view: FleetView, now_ms: int) -> None:
@@ -62,6 +64,12 @@
             self._prefixes.forget(endpoint_id)
         self._cold.keep_only(frozenset(view.endpoints))
 
+    def note_demand(self, service: Service, terms: RequestTerms, now_ms: int) -> None:
+        """Count a request that arrives, whether or not it finds a place."""
+        if service.engine is not None:
+            lanes = self._lanes.setdefault(service.name, Lanes())
+            lanes.note(terms, service.engine.batch_requests, now_ms)
+
     def take(
         self,
         service: Service,
@@ -73,12 +81,18 @@
         avoid: frozenset[EndpointId] = frozenset(),
     ) -> Placed | None:
         """Take a place at the endpoint where the request is expected to begin first."""
-        open_places = list(self._open(service, terms, view, vm_ids, now_ms))
+        usable = self.book.usable(service.name, view, now_ms)
+        handicaps = self._handicaps_ms(service, terms, usable)
+        open_places = [
+            place
+            for place in self._open(service, terms, view, vm_ids, now_ms)
+            if place[0].endpoint.endpoint_id in handicaps
+        ]
         fresh = [place for place in open_places if place[0].endpoint.endpoint_id not in avoid]
         open_places = fresh or open_places
         if not open_places:
             return None
-        costs = self._costs(service, terms, open_places, now_ms)
+        costs = self._costs(service, terms, handicaps, open_places, now_ms)
         best = min(range(len(open_places)), key=lambda index: costs[index])
         tracked, _, is_cold = open_places[best]
         return self._occupy(service, terms, tracked, is_cold, costs[best], now_ms)
@@ -106,6 +120,15 @@
         taken = sum(tracked.total(now_ms).requests for tracked in usable)
         return max(0.0, 1 - taken / slots) if slots else 0.0
 
+    def _handicaps_ms(
+        self, service: Service, terms: RequestTerms, usable: list[Tracked]
+    ) -> dict[EndpointId, float]:
+        """Return the endpoints that a request may use, with each one's handicap in ms."""
+        ids = [tracked.endpoint.endpoint_id for tracked in usable]
+        if service.engine is None:
+            return dict.fromkeys(ids, 0.0)
+        return self._lanes.setdefault(service.name, Lanes()).handicaps_ms(terms, ids)
+
     def _open(
         self,
         service: Service,
@@ -131,13 +154,15 @@
         self,
         service: Service,
         terms: RequestTerms,
+        handicaps: dict[EndpointId, float],
         open_places: list[tuple[Tracked, Load, bool]],
         now_ms: int,
     ) -> list[float]:
         """Return the expected delay at each place, in ms; chance decides between equals."""
-        preferred = _preferred(terms, open_places) if service.engine is not None else None
+        preferred = _preferred(terms, open_places, handicaps) if service.engine else None
         return [
             self._cost(service, terms, tracked, load, preferred, now_ms)
+            + handicaps[tracked.endpoint.endpoint_id]
             + (COLD_COST_MS if is_cold else 0.0)
             for tracked, load, is_cold in open_places
         ]
@@ -219,10 +244,13 @@
 
 
 def _preferred(
-    terms: RequestTerms, open_places: list[tuple[Tracked, Load, bool]]
+    terms: RequestTerms,
+    open_places: list[tuple[Tracked, Load, bool]],
+    handicaps: dict[EndpointId, float],
 ) -> EndpointId | None:
     """Return the endpoint that all VMs prefer for a shared prompt."""
     if not terms.shared_parts:
         return None
     ids = [place[0].endpoint.endpoint_id for place in open_places]
-    return EndpointId(rank_by_rendezvous(terms.shared_parts[-1].part_id, ids)[0])
+    own_lane = [endpoint_id for endpoint_id in ids if not handicaps.get(endpoint_id)]
+    return EndpointId(rank_by_rendezvous(terms.shared_parts[-1].part_id, own_lane or ids)[0])
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/record.py
@@ -39,6 +39,7 @@
         self._status = 0
         self._broke: str | None = None
         self._is_whole = False
+        self._longest_pause_ms = 0
 
     def routed(self, route: Route, service: str) -> None:
         """Note the route."""
@@ -79,9 +80,10 @@
         self._status = status
         self._first_ms = now_ms
 
-    def stream_whole(self) -> None:
-        """Note that a stream came to its end."""
+    def stream_whole(self, longest_pause_ms: int) -> None:
+        """Note that a stream came to its end, and its longest pause between parts."""
         self._is_whole = True
+        self._longest_pause_ms = longest_pause_ms
 
     def stream_broke(self, reason: str) -> None:
         """Note why a stream was broken off."""
@@ -120,6 +122,16 @@
             "view_age_ms": self._arrived_ms - self._view.confirmed_ms,
         }
 
+    @property
+    def _is_late(self) -> bool:
+        """Tell whether the answer began, or paused, beyond its route's targets."""
+        route = self._route
+        if route is None or self._first_ms is None:
+            return False
+        if route.target_ms and self._first_ms - self._arrived_ms > route.target_ms:
+            return True
+        return bool(route.pause_target_ms) and self._longest_pause_ms > route.pause_target_ms
+
     def _log_end(self, outcome: str, **details: object) -> None:
         """Log the request's one closing line."""
         now_ms = self._clock_ms()
@@ -131,7 +143,8 @@
             outcome,
             extra={
                 "event": "request",
-                "went_well": outcome == "answered",
+                "went_well": outcome == "answered" and not self._is_late,
+                "late": self._is_late,
                 "request": self._terms.attempt_id,
                 "route": route,
                 "service": self._service,
@@ -141,6 +154,7 @@
                 "wait_ms": self._placed_ms - self._arrived_ms,
                 "first_ms": self._first_ms - self._arrived_ms if self._first_ms else None,
                 "total_ms": now_ms - self._arrived_ms,
+                "pause_ms": self._longest_pause_ms,
                 **self._ages(),
                 **{name: value for name, value in details.items() if value is not None},
             },
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
@@ -110,4 +110,9 @@
         key: replace(endpoint, cold_until_ms=endpoint.cold_until_ms + by_ms)
         for key, endpoint in view.endpoints.items()
     }
-    return replace(view, confirmed_ms=view.confirmed_ms + by_ms, endpoints=endpoints)
+    return replace(
+        view,
+        confirmed_ms=view.confirmed_ms + by_ms,
+        endpoints=endpoints,
+        lapsing_ms={key: until_ms + by_ms for key, until_ms in view.lapsing_ms.items()},
+    )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_keeper.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_keeper.py
@@ -14,9 +14,6 @@
 LAPSE_GRACE_MS = 2_000
 """Time after the platform's return in which lapsed entries may come back, as it promises."""
 
-AWAY_MS = 1_000
-"""Time without an answer after which entries may have lapsed unseen; below a heartbeat."""
-
 EMPTY_VIEW = FleetView(
     revision=0, confirmed_ms=0, configuration=None, endpoints={}, evacuated=frozenset()
 )
@@ -31,16 +28,21 @@
         """Start with nothing known; the listener is told of each change."""
         self.view = EMPTY_VIEW
         self._listener = listener
-        self._lapsed: dict[EndpointId, int] = {}
-        self._regained_ms = 0
+        self._is_away = False
+        self._regained_ms: int | None = None
 
     def is_news(self, revision: int) -> bool:
         """Tell whether a change is later than what the view already holds, whoever brought it."""
         return revision > self.view.revision
 
+    def note_away(self) -> None:
+        """Note that the platform does not answer, so that entries may lapse unseen."""
+        self._is_away = True
+
     def confirm(self, revision: int, now_ms: int) -> None:
         """Note that the platform answered, and that the view is complete up to a revision."""
-        if self.view.confirmed_ms and now_ms - self.view.confirmed_ms > AWAY_MS:
+        if self._is_away:
+            self._is_away = False
             self._regained_ms = now_ms
         self._set(
             replace(
@@ -71,7 +73,7 @@
 
     def set_endpoint(self, endpoint: Endpoint, now_ms: int) -> None:
         """Take an endpoint's entry over."""
-        self._lapsed.pop(endpoint.endpoint_id, None)
+        self._keep(endpoint.endpoint_id, now_ms)
         before = self.view.endpoints.get(endpoint.endpoint_id)
         if before is not None and before.born_ms > endpoint.born_ms:
             return
@@ -87,9 +89,12 @@
         if endpoint is None:
             return
         regained_ms = self._regained_ms
-        if regained_ms and now_ms - regained_ms < LAPSE_GRACE_MS and not endpoint.is_draining:
-            self._lapsed.setdefault(endpoint_id, regained_ms + LAPSE_GRACE_MS)
-            self._log_endpoint(endpoint, "lapsed", now_ms)
+        may_return = regained_ms is not None and now_ms - regained_ms < LAPSE_GRACE_MS
+        if regained_ms is not None and may_return and not endpoint.is_draining:
+            if endpoint_id not in self.view.lapsing_ms:
+                lapsing_ms = {**self.view.lapsing_ms, endpoint_id: regained_ms + LAPSE_GRACE_MS}
+                self._set(replace(self.view, lapsing_ms=lapsing_ms), now_ms)
+                self._log_endpoint(endpoint, "lapsed", now_ms)
             return
         self._drop(endpoint_id, now_ms)
 
@@ -111,7 +116,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Drop the endpoints that did not come back."""
-        for endpoint_id, until_ms in tuple(self._lapsed.items()):
+        for endpoint_id, until_ms in tuple(self.view.lapsing_ms.items()):
             if until_ms <= now_ms:
                 self._drop(endpoint_id, now_ms)
 
@@ -119,14 +124,33 @@
         """Take over a peer's view that was confirmed later than this one."""
         if view.confirmed_ms <= self.view.confirmed_ms or view.revision < self.view.revision:
             return
-        self._lapsed.clear()
         if view.configuration is not None:
             self.set_configuration(view.configuration, source, now_ms)
+        self._log_differences(view, now_ms)
         self._set(replace(view, configuration=self.view.configuration), now_ms)
 
+    def _log_differences(self, view: FleetView, now_ms: int) -> None:
+        """Log what a peer's view changes."""
+        for endpoint_id, endpoint in view.endpoints.items():
+            if self.view.endpoints.get(endpoint_id) != endpoint:
+                state = "draining" if endpoint.is_draining else "ready"
+                self._log_endpoint(endpoint, state, now_ms)
+        for endpoint_id in self.view.endpoints.keys() - view.endpoints.keys():
+            self._log_endpoint(self.view.endpoints[endpoint_id], "gone", now_ms)
+
+    def _keep(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Take back that an endpoint is to be dropped."""
+        if endpoint_id in self.view.lapsing_ms:
+            lapsing_ms = {
+                key: until_ms
+                for key, until_ms in self.view.lapsing_ms.items()
+                if key != endpoint_id
+            }
+            self._set(replace(self.view, lapsing_ms=lapsing_ms), now_ms)
+
     def _drop(self, endpoint_id: EndpointId, now_ms: int) -> None:
         """Remove an endpoint from the view."""
-        self._lapsed.pop(endpoint_id, None)
+        self._keep(endpoint_id, now_ms)
         endpoint = self.view.endpoints.get(endpoint_id)
         if endpoint is None:
             return
--- a/tests/wagtailusher_gateway/test_placement.py
+++ b/tests/wagtailusher_gateway/test_placement.py
@@ -57,6 +57,7 @@
         placement = new_placement(current)
         found: Counter[EndpointId] = Counter()
         for number in range(60):
+            placement.note_demand(ENGINES, terms(number), 0)
             placed = placement.take(ENGINES, terms(number), current, VM_IDS, 0)
             if placed is not None:
                 found[placed.endpoint.endpoint_id] += 1
@@ -96,6 +97,16 @@
             sent += 1
         self.assertLessEqual(sent, 5)
 
+    def test_address_of_another_endpoint_is_avoided(self) -> None:
+        """An endpoint whose address another one has gets nothing while there are others."""
+        current = view(endpoint(0, "desk"), endpoint(1, "desk"))
+        placement = new_placement(current)
+        placement.book.note_misdirected(EndpointId("i-0"), 0)
+        for number in range(5):
+            placed = placement.take(DESK, plain_terms(number), current, VM_IDS, 1_000)
+            assert placed is not None
+            self.assertEqual(placed.endpoint.endpoint_id, "i-1")
+
     def test_draining_and_evacuated_get_nothing(self) -> None:
         """What leaves or was taken out is no place."""
         current = view(
