--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 import logging
 import random
 
@@ -39,13 +40,15 @@
 from wagtailusher_gateway.options import GatewayOptions
 from wagtailusher_gateway.placement import Placement
 from wagtailusher_gateway.servers import Servers
-from wagtailusher_gateway.view_exchange import ViewExchange
+from wagtailusher_gateway.view_exchange import PATH_VIEW, ViewExchange
 from wagtailusher_gateway.view_keeper import ViewKeeper
-from wagtailusher_http import ClientLimits, HttpClient, Response
+from wagtailusher_http import ClientLimits, HttpClient, Request, Response
 from wagtailusher_wire import Sealer
 
 _LOGGER = logging.getLogger(__name__)
 
+PATH_METRICS = "/metrics"
+
 Reader = Callable[[ViewKeeper, Callable[[], int]], Awaitable[None]]
 """Reads the platform into the keeper for as long as it runs; the second argument is the clock."""
 
@@ -100,7 +103,7 @@
             secret=options.fleet_secret,
             clock_ms=monotonic_ms,
         )
-        self.servers = Servers(self)
+        self.servers = Servers(options.max_connections)
         self._tasks = PeriodicTasks()
 
     def _new_dispatcher(self) -> Dispatcher:
@@ -141,24 +144,44 @@
             clock_ms=monotonic_ms,
         )
 
-    def answer_addresses(self) -> Response:
-        """Return the addresses that callers may use."""
+    async def _async_listen(self) -> None:
+        """Listen wherever the options say."""
+        options = self.options
+        serve = self.servers.async_serve_path
+        await serve(options.view_listen, PATH_VIEW, self._async_answer_view)
+        await serve(options.ready_listen, self._dialect.ready_path, self._async_answer_ready)
+        directory_path = self._dialect.address_path
+        await serve(options.directory_listen, directory_path, self._async_answer_addresses)
+        await serve(options.metrics_listen, PATH_METRICS, self._async_answer_metrics)
+        api = self.new_caller_api()
+        await self.servers.async_serve_callers(options.listen, api.async_handle)
+
+    async def _async_answer_view(self, request: Request) -> Response:
+        """Hand this VM's view to a peer."""
+        return self.views.answer(request)
+
+    async def _async_answer_ready(self, request: Request) -> Response:
+        """Say whether callers may come."""
+        return Response(status=HTTPStatus.OK if self.is_ready else HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def _async_answer_metrics(self, request: Request) -> Response:
+        """Serve the metrics."""
+        self.observe()
+        return self.metrics.render(request.headers.get("accept") or "text/plain")
+
+    async def _async_answer_addresses(self, request: Request) -> Response:
+        """Say which addresses callers may use."""
         self._update_own()
         members = self.fleet.callable_members(monotonic_ms())
         lifetime_s = self.options.bounds.address_lifetime_s
         return self._dialect.address_answer(answer_addresses(members, lifetime_s, self._random))
 
-    @property
-    def dialect(self) -> Dialect:
-        """Return the functions that read and write HTTP fields."""
-        return self._dialect
-
     async def async_start(self, reader: Reader) -> None:
         """Listen, and begin to read the platform."""
         options = self.options
         host, port = split_address(options.peer_listen)
         await self.link.async_bind(host, port)
-        await self.servers.async_start()
+        await self._async_listen()
         self._tasks.every(TICK_MS, self._tick)
         self._tasks.every_async(VIEW_PULL_MS, self.views.async_pull)
         self._tasks.every_async(TICK_MS, self._async_read(reader))
