--- a/packages/wagtailusher_admission/src/wagtailusher_admission/entry.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/entry.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from wagtailusher_admission.const import DEFAULT_SERVICE_MS, LEAD_DEVIATIONS, MAX_LEAD_SHARE
 from wagtailusher_admission.estimate import TimeEstimate
-from wagtailusher_admission.heap import Handle
+from wagtailusher_admission.heap import Handle, HandleHeap
 from wagtailusher_admission.request import PendingRequest
 from wagtailusher_core import ClassKey, RequestId
 
-if TYPE_CHECKING:
-    from wagtailusher_admission.fair_queue import Lane
-
 
 class EntryState(IntEnum):
     """Where a request stands."""
@@ -133,3 +130,33 @@
         newest_first = reversed(self.queued.values())
         fresh = (entry for entry in newest_first if not entry.is_requeued)
         return next(fresh, next(iter(self.queued.values()), None))
+
+
+class Flow:
+    """The lanes of one workspace, and its virtual tag."""
+
+    __slots__ = ("handle", "is_eligible", "lanes", "order", "tag", "waiting_lanes", "weight")
+
+    def __init__(self, order: int, tag: float) -> None:
+        """Start without requests."""
+        self.order = order
+        self.tag = tag
+        self.weight = 1.0
+        self.is_eligible = True
+        self.lanes: list[Lane] = []
+        self.waiting_lanes = 0
+        self.handle: Handle | None = None
+
+
+class Lane:
+    """The requests of one class in one fair queue, by deadline."""
+
+    __slots__ = ("entries", "flow", "handle", "holder", "shown")
+
+    def __init__(self, holder: PoolClass, flow: Flow) -> None:
+        """Start without requests."""
+        self.holder = holder
+        self.flow = flow
+        self.shown: Entry | None = None
+        self.handle: Handle | None = None
+        self.entries: HandleHeap[Entry] = HandleHeap()
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/fair_queue.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/fair_queue.py
@@ -12,41 +12,11 @@
 from itertools import chain
 
 from wagtailusher_admission.const import MIN_COST_MS
-from wagtailusher_admission.entry import Entry, PoolClass
-from wagtailusher_admission.heap import Handle, HandleHeap
+from wagtailusher_admission.entry import Entry, Flow, Lane, PoolClass
+from wagtailusher_admission.heap import HandleHeap
 from wagtailusher_core import WorkspaceId
 
 
-class Flow:
-    """The lanes of one workspace, and its virtual tag."""
-
-    __slots__ = ("handle", "is_eligible", "lanes", "order", "tag", "waiting_lanes", "weight")
-
-    def __init__(self, order: int, tag: float) -> None:
-        """Start without requests."""
-        self.order = order
-        self.tag = tag
-        self.weight = 1.0
-        self.is_eligible = True
-        self.lanes: list[Lane] = []
-        self.waiting_lanes = 0
-        self.handle: Handle | None = None
-
-
-class Lane:
-    """The requests of one class in one fair queue, by deadline."""
-
-    __slots__ = ("entries", "flow", "handle", "holder", "shown")
-
-    def __init__(self, holder: PoolClass, flow: Flow) -> None:
-        """Start without requests."""
-        self.holder = holder
-        self.flow = flow
-        self.shown: Entry | None = None
-        self.handle: Handle | None = None
-        self.entries: HandleHeap[Entry] = HandleHeap()
-
-
 class FairQueue:
     """The requests of one tier that are all in time, or all late."""
 
--- a/packages/wagtailusher_admission/src/wagtailusher_admission/tier.py
+++ b/packages/wagtailusher_admission/src/wagtailusher_admission/tier.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from wagtailusher_admission.entry import LATE, Entry, PoolClass
-from wagtailusher_admission.fair_queue import FairQueue, Lane
+from wagtailusher_admission.entry import LATE, Entry, Lane, PoolClass
+from wagtailusher_admission.fair_queue import FairQueue
 from wagtailusher_admission.heap import HandleHeap
 from wagtailusher_admission.request import AdmissionLimits
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -29,6 +29,7 @@
 )
 from wagtailusher_daemon.exceptions import RefusedRequestError
 from wagtailusher_daemon.exchange import Exchange
+from wagtailusher_daemon.exchange_context import ExchangeContext
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.models import TicketAnswer
@@ -184,28 +185,27 @@
 
     def _new_exchange(self, request: Request, classified: Classified) -> Exchange:
         """Start a repeatable request."""
-        return Exchange(
-            request,
-            classified,
+        return Exchange(self._context(request, classified, self._silence_timeout_ms()))
+
+    def _context(
+        self, request: Request, classified: Classified, silence_timeout_ms: int
+    ) -> ExchangeContext:
+        """Return what an exchange needs."""
+        return ExchangeContext(
+            request=request,
+            classified=classified,
             node=self.node,
             upstream=self.upstream,
             forwarder=self.forwarder,
             observation=self.observer.begin(classified.arrival, request.headers),
-            silence_timeout_ms=self._silence_timeout_ms(),
+            silence_timeout_ms=silence_timeout_ms,
         )
 
     async def _async_run_once(self, request: Request, classified: Classified) -> Response:
         """Run a request that may not be repeated in a task that outlives its caller."""
-        exchange = OnceExchange(
-            request,
-            classified,
-            node=self.node,
-            upstream=self.upstream,
-            forwarder=self.forwarder,
-            observation=self.observer.begin(classified.arrival, request.headers),
-            silence_timeout_ms=classified.arrival.policy.answer_target_ms
-            + self._silence_timeout_ms(),
-        )
+        answer_target_ms = classified.arrival.policy.answer_target_ms
+        silence_timeout_ms = answer_target_ms + self._silence_timeout_ms()
+        exchange = OnceExchange(self._context(request, classified, silence_timeout_ms))
         task = asyncio.create_task(exchange.async_run())
         self.once_tasks.add(task)
         task.add_done_callback(self.once_tasks.discard)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -2,52 +2,31 @@
 
 from __future__ import annotations
 
-import logging
-
 from wagtailusher_core import ErrorCode, Outcome, WagtailusherError
 from wagtailusher_daemon.answer_relay import AnswerRelay, is_events
 from wagtailusher_daemon.answers import end_to_end_headers, refusal_response
-from wagtailusher_daemon.classify import Classified
 from wagtailusher_daemon.const import HEADER_REQUEST_ID
 from wagtailusher_daemon.exceptions import BrokenAnswerError
-from wagtailusher_daemon.forwarding import Forwarder
-from wagtailusher_daemon.node import Mailbox, RouterNode
-from wagtailusher_daemon.observation import Observation
-from wagtailusher_daemon.upstream import Upstream, end_of, end_of_status
-from wagtailusher_http import BodySink, ClientAnswer, Request, Response
+from wagtailusher_daemon.exchange_context import ExchangeContext
+from wagtailusher_daemon.node import Mailbox
+from wagtailusher_daemon.upstream import end_of, end_of_status
+from wagtailusher_http import BodySink, ClientAnswer, Response
 from wagtailusher_integrations.engine import EventStream
-from wagtailusher_placement import EndOfWork
 from wagtailusher_router import Dispatch, Forward, Refuse
 
-_LOGGER = logging.getLogger(__name__)
-
 
 class Exchange:
     """One request's task state."""
 
-    def __init__(
-        self,
-        request: Request,
-        classified: Classified,
-        *,
-        node: RouterNode,
-        upstream: Upstream,
-        forwarder: Forwarder,
-        observation: Observation,
-        silence_timeout_ms: int,
-    ) -> None:
+    def __init__(self, context: ExchangeContext) -> None:
         """Hand the request to the node."""
-        self._request = request
-        self._classified = classified
-        self._node = node
-        self._upstream = upstream
-        self._forwarder = forwarder
-        self._observation = observation
-        self._silence_timeout_ms = silence_timeout_ms
-        self._request_id = classified.arrival.request_id
+        self._context = context
+        self._node = context.node
+        self._observation = context.observation
+        self._request_id = context.request_id
         self._done = False
         self._relay: AnswerRelay | None = None
-        self._mailbox: Mailbox = node.arrive(classified.arrival)
+        self._mailbox: Mailbox = context.node.arrive(context.classified.arrival)
 
     async def async_answer(self) -> Response:
         """Return the answer; its body relays what the endpoint sends."""
@@ -69,10 +48,7 @@
             self._done = True
             self._end()
             if isinstance(message, Forward):
-                self._observation.forwarded(message)
-                return await self._forwarder.async_forward(
-                    self._request, message, self._observation.age_ms
-                )
+                return await self._context.async_forward(message)
             assert isinstance(message, Refuse)
             self._observation.refused(message.code, message.outcome)
             return refusal_response(message)
@@ -80,17 +56,16 @@
     async def _async_attempt(self, dispatch: Dispatch) -> Response | None:
         """Open an answer and wait for its first part; None when the attempt failed."""
         try:
-            answer = await self._async_open(dispatch)
+            answer = await self._context.async_open(dispatch)
             failed = end_of_status(answer.status)
             if failed is not None:
                 answer.abort()
-                self._fail(failed)
+                self._context.fail(failed)
                 return None
             relay = self._new_relay(answer)
             first = await relay.async_first()
         except WagtailusherError as err:
-            self._log_failure(dispatch, err)
-            self._fail(end_of(err))
+            self._context.fail_with(dispatch, err)
             return None
         headers = end_to_end_headers(answer).with_field(HEADER_REQUEST_ID, self._request_id)
         return Response(
@@ -102,7 +77,7 @@
 
     def _new_relay(self, answer: ClientAnswer) -> AnswerRelay:
         """Return the relay of an answer, given up when this exchange ends before."""
-        self._relay = AnswerRelay(answer, self._progress, self._silence_timeout_ms)
+        self._relay = AnswerRelay(answer, self._progress, self._context.silence_timeout_ms)
         return self._relay
 
     def _progress(self, events: int) -> None:
@@ -110,20 +85,10 @@
         self._node.progress(self._request_id, events)
         self._observation.progress(events)
 
-    async def _async_open(self, dispatch: Dispatch) -> ClientAnswer:
-        """Send the request or resume its answer."""
-        traceparent = self._observation.dispatched(dispatch)
-        return await self._upstream.async_open(
-            dispatch,
-            self._classified.call,
-            traceparent=traceparent,
-            may_send=lambda: self._node.may_send(self._request_id),
-        )
-
     async def _async_body(self, relay: AnswerRelay, first: bytes, sink: BodySink) -> None:
         """Relay the parts, resuming over a new connection where that is possible."""
         if first:
-            self._note_first()
+            self._context.note_first_token()
             sink.write(first)
         while True:
             try:
@@ -137,7 +102,7 @@
 
     async def _async_resume(self, err: WagtailusherError) -> AnswerRelay:
         """Return the relay of a resumed answer, or raise that the answer is broken."""
-        self._fail(end_of(err))
+        self._context.fail(end_of(err))
         while True:
             message = await self._mailbox.get()
             if not isinstance(message, Dispatch) or message.resume_from is None:
@@ -146,30 +111,9 @@
                 self._observation.refused(ErrorCode.ANSWER_TRUNCATED, outcome)
                 raise BrokenAnswerError("the endpoint's answer broke off") from err
             try:
-                return self._new_relay(await self._async_open(message))
+                return self._new_relay(await self._context.async_open(message))
             except WagtailusherError as again:
-                self._log_failure(message, again)
-                self._fail(end_of(again))
-
-    def _note_first(self) -> None:
-        """Note when the answer began."""
-        self._observation.first_token()
-        self._node.first_token(self._request_id)
-
-    def _fail(self, end: EndOfWork) -> None:
-        """Tell the node how the attempt ended."""
-        self._observation.attempt_failed(end)
-        self._node.attempt_failed(self._request_id, end)
-
-    def _log_failure(self, dispatch: Dispatch, err: WagtailusherError) -> None:
-        """Log a failed attempt."""
-        _LOGGER.info(
-            "Exchange: attempt %s of %s at %s failed: %s",
-            dispatch.attempt,
-            self._request_id,
-            dispatch.endpoint_id,
-            err.code,
-        )
+                self._context.fail_with(message, again)
 
     def _end(self) -> None:
         """Close the mailbox; a request that is not done lost its caller."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_api.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from pydantic import BaseModel
 
-from wagtailusher_core import ErrorCode, FailureDomainId
+from wagtailusher_core import ErrorCode, FailureDomainId, Incarnation, VmId
+from wagtailusher_daemon.books import Books
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.const import PATH_HEALTH, PATH_METRICS, PATH_READY
+from wagtailusher_daemon.fleet_talk import FleetTalk
+from wagtailusher_daemon.fleet_view import FleetView
+from wagtailusher_daemon.journal import Journal
+from wagtailusher_daemon.metrics import EntryMetrics
+from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.operator_answers import (
     books_answer,
     drain_answer,
@@ -20,6 +26,7 @@
     request_answer,
     settings_answer,
 )
+from wagtailusher_daemon.options import EntryOptions
 from wagtailusher_http import Headers, Request, Response, error_response, json_response
 from wagtailusher_operator.const import (
     PATH_BOOKS,
@@ -41,17 +48,36 @@
     SettingsAnswer,
 )
 
-if TYPE_CHECKING:
-    from wagtailusher_daemon.app import EntryApp
-
 _DRAIN_PREFIX = PATH_DRAIN.partition("{")[0]
 _REQUEST_PREFIX = PATH_REQUEST.partition("{")[0]
 
 
+class OperatedApp(Protocol):
+    """What operators may ask a daemon about."""
+
+    options: EntryOptions
+    vm_id: VmId
+    incarnation: Incarnation
+    metrics: EntryMetrics
+    journal: Journal
+    books: Books
+    node: RouterNode
+    view: FleetView
+    talk: FleetTalk | None
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether requests are taken."""
+
+    @property
+    def service_problem(self) -> str | None:
+        """Return what is wrong with reading the configuration service."""
+
+
 class OperatorApi:
     """Answers operators about this VM and what it sees."""
 
-    def __init__(self, app: EntryApp) -> None:
+    def __init__(self, app: OperatedApp) -> None:
         """Answer about an app."""
         self._app = app
         self._answers = {
