Let one VM of each failure domain read the store; log what a place was chosen by

Others now read when a peer has heard of news or nobody confirmed their view for 1.5 s. Ruled out: peers handing on every change (an endpoint's news would cross 5 Mbit/s links as whole views).

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/__init__.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/__init__.py
@@ -23,6 +23,7 @@
     Workspace,
 )
 from wagtailusher_gateway.options import FleetBounds, GatewayOptions
+from wagtailusher_gateway.reading import Reading
 from wagtailusher_gateway.view_keeper import ViewKeeper
 
 __all__ = [
@@ -41,6 +42,7 @@
     "GatewayOptions",
     "PromptPart",
     "Reader",
+    "Reading",
     "RefusedError",
     "Repeat",
     "RequestTerms",
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -39,6 +39,7 @@
 from wagtailusher_gateway.models import FleetView, Member
 from wagtailusher_gateway.options import GatewayOptions
 from wagtailusher_gateway.placement import Placement
+from wagtailusher_gateway.reading import Reading, is_reading_due
 from wagtailusher_gateway.servers import Servers
 from wagtailusher_gateway.view_exchange import PATH_VIEW, ViewExchange
 from wagtailusher_gateway.view_keeper import ViewKeeper
@@ -49,8 +50,8 @@
 
 PATH_METRICS = "/metrics"
 
-Reader = Callable[[ViewKeeper, Callable[[], int]], Awaitable[None]]
-"""Reads the platform into the keeper for as long as it runs; the second argument is the clock."""
+Reader = Callable[[Reading], Awaitable[None]]
+"""Reads the platform into the keeper for as long as it runs."""
 
 
 class GatewayApp:
@@ -194,7 +195,12 @@
 
     def _async_read(self, reader: Reader) -> Callable[[], Awaitable[None]]:
         """Return the action that reads the platform, and starts anew should it fail."""
-        return lambda: reader(self.keeper, monotonic_ms)
+        reading = Reading(
+            keeper=self.keeper,
+            clock_ms=monotonic_ms,
+            is_due=lambda: is_reading_due(self.fleet, self.keeper, monotonic_ms()),
+        )
+        return lambda: reader(reading)
 
     async def async_stop(self) -> None:
         """Leave: tell peers and callers, serve what still comes, and end when idle."""
@@ -233,6 +239,8 @@
         """Put a changed view in force."""
         configuration = self.dispatcher.routes.configuration if self.dispatcher.routes else None
         self.dispatcher.update(view, now_ms)
+        if self.fleet.is_reader(now_ms):
+            self.beats.send_all(now_ms)
         if view.configuration is not None and view.configuration is not configuration:
             self.servers.apply_limits(view.configuration.limits)
             self.metrics.configuration.set({}, view.configuration.version)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
@@ -62,6 +62,8 @@
         if not isinstance(message, Beat) or not isinstance(sealed, Sealed):
             return
         is_new = self._fleet.receive(sealed.vm_id, sealed.incarnation, message, address, now_ms)
+        confirmed_ms = now_ms - message.view_age_ms
+        self._keeper.confirm_by_peer(message.view_revision, confirmed_ms, now_ms)
         loads = (
             (
                 load.endpoint_id,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -51,9 +51,6 @@
 FORGET_PEER_MS: Final = 30_000
 """Silence after which a peer is forgotten; longer than a restart or a partition of seconds."""
 
-SETTLE_MS: Final = 1_500
-"""Time after the start in which a VM may not know its peers yet; several beats and a retry."""
-
 RUMOUR_BEATS: Final = 5
 """One beat in so many names all known peers; a newcomer learns the fleet within a second."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 import random
 
-from wagtailusher_core import VmId
+from wagtailusher_core import VmId, first_by_rendezvous
 from wagtailusher_gateway.const import (
     BEAT_INTERVAL_MS,
     BEATS_PER_S,
@@ -13,7 +13,6 @@
     MISSED_BEATS,
     MS_PER_S,
     RUMOUR_BEATS,
-    SETTLE_MS,
 )
 from wagtailusher_gateway.models import Member
 from wagtailusher_wire import Beat, BeatPeer
@@ -45,12 +44,11 @@
         """Start with the peer addresses of some VMs, which may be gone."""
         self.own = own
         self._seeds = tuple(address for address in seeds if address != own.peer_address)
-        self._started_ms = started_ms
         self._peers: dict[VmId, _Peer] = {}
         self._seeds_due_ms = started_ms
         self._beats = 0
         self._random = random.Random(seed)
-        self._largest = 1
+        self.heard_revision = 0
 
     def set_own(self, *, is_ready: bool, is_leaving: bool) -> None:
         """Change what this VM says of itself."""
@@ -88,9 +86,9 @@
             view_revision=beat.view_revision,
             view_confirmed_ms=now_ms - beat.view_age_ms,
         )
+        self.heard_revision = max(self.heard_revision, beat.view_revision)
         for rumour in beat.peers:
             self._hear_of(rumour, now_ms)
-        self._largest = max(self._largest, len(self._peers) + 1)
         return before is None or before.incarnation < incarnation
 
     def _hear_of(self, rumour: BeatPeer, now_ms: int) -> None:
@@ -128,10 +126,6 @@
         ]
         return tuple(self._random.sample(heard, min(MAX_RUMOURS, len(heard))))
 
-    def is_settled(self, now_ms: int) -> bool:
-        """Tell whether this VM had time to hear of the others."""
-        return now_ms - self._started_ms >= SETTLE_MS
-
     def heard_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the peers whose beats arrive."""
         limit_ms = self.interval_ms * MISSED_BEATS
@@ -146,15 +140,21 @@
         members = (*self.heard_members(now_ms), self.own)
         return tuple(member for member in members if member.is_ready and not member.is_leaving)
 
+    def is_reader(self, now_ms: int) -> bool:
+        """Tell whether this VM is the one of its failure domain that reads the platform."""
+        domain_id = self.own.failure_domain_id
+        candidates = [
+            member.vm_id
+            for member in self.heard_members(now_ms)
+            if member.failure_domain_id == domain_id and not member.is_leaving
+        ]
+        first = first_by_rendezvous(domain_id, (*candidates, self.own.vm_id))
+        return first == self.own.vm_id and not self.own.is_leaving
+
     def all_vm_ids(self) -> tuple[VmId, ...]:
         """Return every VM that may still send work: the heard, the silent and this one."""
         return (self.own.vm_id, *self._peers)
 
-    @property
-    def largest_size(self) -> int:
-        """Return the most VMs that were known at once."""
-        return self._largest
-
     def freshest_view(self, now_ms: int) -> tuple[Member, int, int] | None:
         """Return the heard peer whose view was confirmed last, its revision and that time."""
         limit_ms = self.interval_ms * MISSED_BEATS
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -37,6 +37,11 @@
     memory_tokens: int
     is_cold: bool
     cost_ms: float
+    """Expected delay and handicaps, by which the endpoint was chosen."""
+    waiting_tokens: int
+    """Prompt tokens that were taken to wait there."""
+    running: int
+    """Requests that were taken to run there."""
 
 
 class Placement:
@@ -94,8 +99,7 @@
             return None
         costs = self._costs(service, terms, handicaps, open_places, now_ms)
         best = min(range(len(open_places)), key=lambda index: costs[index])
-        tracked, _, is_cold = open_places[best]
-        return self._occupy(service, terms, tracked, is_cold, costs[best], now_ms)
+        return self._occupy(service, terms, open_places[best], costs[best], now_ms)
 
     def release(self, placed: Placed, *, began: bool) -> None:
         """Give a place back; `began` says that the prompt was already counted as read."""
@@ -193,12 +197,12 @@
         self,
         service: Service,
         terms: RequestTerms,
-        tracked: Tracked,
-        is_cold: bool,
+        place: tuple[Tracked, Load, bool],
         cost_ms: float,
         now_ms: int,
     ) -> Placed:
         """Count a request at an endpoint."""
+        tracked, load, is_cold = place
         endpoint_id = tracked.endpoint.endpoint_id
         own_tokens = terms.prompt_tokens - sum(part.tokens for part in terms.shared_parts)
         missing = self._prefixes.missing_tokens(terms.shared_parts, endpoint_id, now_ms)
@@ -208,6 +212,8 @@
             memory_tokens=_memory_tokens(terms),
             is_cold=is_cold,
             cost_ms=cost_ms,
+            waiting_tokens=load.prefill_tokens,
+            running=load.requests,
         )
         tracked.own.requests += 1
         tracked.own.prefill_tokens += placed.prefill_tokens
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/reading.py
@@ -0,0 +1,35 @@
+"""Which VMs read the platform, and when; answers fleets of any size before one store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.view_keeper import ViewKeeper
+
+READ_ALONE_MS = 1_500
+"""Age of the view at which a VM reads by itself; a reader's wait, its pause and a beat."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """What a reader of the platform is given."""
+
+    keeper: ViewKeeper
+    clock_ms: Callable[[], int]
+    is_due: Callable[[], bool]
+    """Tells whether to read now; otherwise peers keep the view current."""
+
+
+def is_reading_due(fleet: FleetDecider, keeper: ViewKeeper, now_ms: int) -> bool:
+    """Tell whether this VM should read the platform now.
+
+    One VM of each failure domain always reads. The others read when a peer has heard of news, or
+    when nobody has confirmed their view for a while, so that a lost reader costs only time.
+    """
+    if keeper.view.configuration is None or fleet.is_reader(now_ms):
+        return True
+    if fleet.heard_revision > keeper.view.revision:
+        return True
+    return now_ms - keeper.view.confirmed_ms > READ_ALONE_MS
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/record.py
@@ -32,7 +32,7 @@
         self._arrived_ms = clock_ms()
         self._route: Route | None = None
         self._service = ""
-        self._endpoint = ""
+        self._placed: Placed | None = None
         self._sends = 0
         self._placed_ms = self._arrived_ms
         self._first_ms: int | None = None
@@ -48,7 +48,7 @@
 
     def placed(self, placed: Placed, now_ms: int) -> None:
         """Note a place."""
-        self._endpoint = placed.endpoint.endpoint_id
+        self._placed = placed
         self._sends += 1
         self._placed_ms = now_ms
 
@@ -113,6 +113,20 @@
         """Log that the caller left before an answer."""
         self._log_end("caller_left")
 
+    def _place(self) -> dict[str, str | int | bool]:
+        """Return the last place and what it was chosen by."""
+        placed = self._placed
+        if placed is None:
+            return {}
+        return {
+            "endpoint": placed.endpoint.endpoint_id,
+            "is_cold": placed.is_cold,
+            "cost_ms": round(placed.cost_ms),
+            "prompt_tokens": placed.prefill_tokens,
+            "waiting_tokens": placed.waiting_tokens,
+            "running": placed.running,
+        }
+
     def _ages(self) -> dict[str, int | None]:
         """Return the version and age of the view that was decided on."""
         configuration = self._view.configuration
@@ -148,7 +162,7 @@
                 "request": self._terms.attempt_id,
                 "route": route,
                 "service": self._service,
-                "endpoint": self._endpoint,
+                **self._place(),
                 "status": self._status,
                 "sends": self._sends,
                 "wait_ms": self._placed_ms - self._arrived_ms,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_keeper.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_keeper.py
@@ -53,6 +53,11 @@
             now_ms,
         )
 
+    def confirm_by_peer(self, revision: int, confirmed_ms: int, now_ms: int) -> None:
+        """Note that a peer found the same revision to be current."""
+        if revision == self.view.revision and confirmed_ms > self.view.confirmed_ms:
+            self._set(replace(self.view, confirmed_ms=confirmed_ms), now_ms)
+
     def set_configuration(self, configuration: Configuration, source: str, now_ms: int) -> None:
         """Take a configuration over unless it is older than the one in force."""
         current = self.view.configuration
