--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -117,6 +117,8 @@
             ),
             failure_domain_id=self.options.failure_domain_id,
             seed=self._random.randrange(1 << 32),
+            far_interval_ms=lambda: self.fleet.far_interval_ms,
+            on_long_prompt=lambda now_ms: self.beats.hasten(now_ms),
         )
         return Dispatcher(
             placement=placement,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
@@ -6,6 +6,7 @@
 import logging
 
 from wagtailusher_core import VmId
+from wagtailusher_gateway.const import HASTENED_PAUSE_MS
 from wagtailusher_gateway.endpoints import EndpointBook, Load
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.view_keeper import ViewKeeper
@@ -37,6 +38,8 @@
         self._book = book
         self._send = send
         self._heard: frozenset[VmId] = frozenset()
+        self._hastened_ms = 0
+        self._is_hasty = False
 
     def tick(self, now_ms: int) -> None:
         """Send the beats that are due and note who fell silent."""
@@ -46,11 +49,23 @@
             full = self._beat(now_ms, with_peers=True)
             for address, with_peers in due:
                 self._send(address, full if with_peers else plain)
+        if self._is_hasty:
+            self.hasten(now_ms)
         heard = frozenset(member.vm_id for member in self._fleet.heard_members(now_ms))
         if heard != self._heard:
             self._log_change(heard)
             self._heard = heard
 
+    def hasten(self, now_ms: int) -> None:
+        """Tell of a long prompt soon, so that peers don't choose the same engine."""
+        self._is_hasty = now_ms - self._hastened_ms < HASTENED_PAUSE_MS
+        if self._is_hasty:
+            return
+        self._hastened_ms = now_ms
+        beat = self._beat(now_ms, with_peers=False)
+        for member in self._fleet.hastened(now_ms):
+            self._send(member.peer_address, beat)
+
     def send_all(self, now_ms: int) -> None:
         """Send a beat to every heard peer at once, as news must not wait."""
         beat = self._beat(now_ms, with_peers=False)
@@ -113,6 +128,6 @@
                 "event": "members",
                 "joined": sorted(heard - self._heard),
                 "silent": sorted(self._heard - heard),
-                "interval_ms": self._fleet.interval_ms,
+                "interval_ms": self._fleet.far_interval_ms,
             },
         )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -48,6 +48,18 @@
 MISSED_BEATS: Final = 6
 """Beats missed before a peer is no longer named to callers; survives several lost datagrams."""
 
+MAX_BEAT_INTERVAL_MS: Final = 1_600
+"""Longest time between beats to a peer; three fit into the longest silence."""
+
+MAX_SILENCE_MS: Final = 5_000
+"""Longest silence of a peer that is named to callers; below the platform's bound of 6 s."""
+
+HASTENED_FLEET: Final = 12
+"""Peers up to which news of a long prompt go to all; beyond, only to the own failure domain."""
+
+HASTENED_PAUSE_MS: Final = 25
+"""Least time between two hastened beats; gathers the prompts of one moment."""
+
 FORGET_PEER_MS: Final = 30_000
 """Silence after which a peer is forgotten; longer than a restart or a partition of seconds."""
 
@@ -100,6 +112,10 @@
 RUNNING_COST_MS: Final = 2.0
 """Delay that each running request adds to a new one; one request's share of a prefill step."""
 
+FAR_LOAD_COST: Final = 0.03
+"""Handicap for each ms by which loads in other failure domains are told more rarely than every
+200 ms; the older a load, the likelier that others saw the same gap."""
+
 FOREIGN_DOMAIN_COST_MS: Final = 4.0
 """Handicap of an endpoint in another failure domain; a round trip and the traffic's price."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoints.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoints.py
@@ -18,8 +18,8 @@
 )
 from wagtailusher_gateway.models import Endpoint, FleetView, Service
 
-PEER_LOAD_AGE_MS = 1_500
-"""Age beyond which a peer's load no longer counts; several beats."""
+PEER_LOAD_AGE_MS = 2_500
+"""Age beyond which a peer's load no longer counts; nearly two beats of the largest fleets."""
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -10,6 +10,9 @@
     BEAT_INTERVAL_MS,
     BEATS_PER_S,
     FORGET_PEER_MS,
+    HASTENED_FLEET,
+    MAX_BEAT_INTERVAL_MS,
+    MAX_SILENCE_MS,
     MISSED_BEATS,
     MS_PER_S,
     RUMOUR_BEATS,
@@ -37,7 +40,8 @@
 class FleetDecider:
     """One VM's view of the fleet; every VM beats to every other one.
 
-    Beats come more slowly in a larger fleet, so that a VM's work for them stays the same.
+    Beats come more slowly in a larger fleet, and slowest between failure domains, so that a VM's
+    work for them stays bounded.
     """
 
     def __init__(self, own: Member, seeds: tuple[str, ...], started_ms: int, seed: int) -> None:
@@ -55,9 +59,25 @@
         self.own = replace(self.own, is_ready=is_ready, is_leaving=is_leaving)
 
     @property
-    def interval_ms(self) -> int:
-        """Return the time between beats to one peer."""
-        return max(BEAT_INTERVAL_MS, len(self._peers) * MS_PER_S // BEATS_PER_S)
+    def near_interval_ms(self) -> int:
+        """Return the time between beats to a peer of the own failure domain."""
+        return _interval_ms(sum(self._is_near(peer) for peer in self._peers.values()))
+
+    @property
+    def far_interval_ms(self) -> int:
+        """Return the time between beats to a peer of another failure domain."""
+        return _interval_ms(len(self._peers))
+
+    def _is_near(self, peer: _Peer) -> bool:
+        """Tell whether a peer is of the own failure domain."""
+        member = peer.member
+        return member is not None and member.failure_domain_id == self.own.failure_domain_id
+
+    def _is_heard(self, peer: _Peer, now_ms: int) -> bool:
+        """Tell whether a peer's beats arrive."""
+        interval_ms = self.near_interval_ms if self._is_near(peer) else self.far_interval_ms
+        limit_ms = min(MAX_SILENCE_MS, interval_ms * MISSED_BEATS)
+        return peer.member is not None and now_ms - peer.heard_ms <= limit_ms
 
     def receive(self, vm_id: VmId, incarnation: int, beat: Beat, source: str, now_ms: int) -> bool:
         """Take a beat in; return whether its sender is new or has restarted."""
@@ -105,14 +125,15 @@
             if now_ms - peer.heard_ms > FORGET_PEER_MS:
                 del self._peers[vm_id]
         due = [peer for peer in self._peers.values() if peer.due_ms <= now_ms]
+        near_ms, far_ms = self.near_interval_ms, self.far_interval_ms
         addresses = []
         for peer in due:
             self._beats += 1
-            peer.due_ms = now_ms + self.interval_ms
+            peer.due_ms = now_ms + (near_ms if self._is_near(peer) else far_ms)
             unheard = peer.member is None
             addresses.append((peer.peer_address, unheard or self._beats % RUMOUR_BEATS == 0))
         if self._seeds_due_ms <= now_ms:
-            self._seeds_due_ms = now_ms + self.interval_ms * RUMOUR_BEATS
+            self._seeds_due_ms = now_ms + far_ms * RUMOUR_BEATS
             known = {peer.peer_address for peer in self._peers.values() if peer.member is not None}
             addresses.extend((address, True) for address in self._seeds if address not in known)
         return addresses
@@ -128,13 +149,20 @@
 
     def heard_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the peers whose beats arrive."""
-        limit_ms = self.interval_ms * MISSED_BEATS
         return tuple(
             peer.member
             for peer in self._peers.values()
-            if peer.member is not None and now_ms - peer.heard_ms <= limit_ms
+            if peer.member is not None and self._is_heard(peer, now_ms)
         )
 
+    def hastened(self, now_ms: int) -> tuple[Member, ...]:
+        """Return the peers that hear at once of a long prompt that was placed."""
+        members = self.heard_members(now_ms)
+        if len(members) <= HASTENED_FLEET:
+            return members
+        domain_id = self.own.failure_domain_id
+        return tuple(member for member in members if member.failure_domain_id == domain_id)
+
     def callable_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the VMs that callers may be sent to, this one included if it is ready."""
         members = (*self.heard_members(now_ms), self.own)
@@ -157,14 +185,19 @@
 
     def freshest_view(self, now_ms: int) -> tuple[Member, int, int] | None:
         """Return the heard peer whose view was confirmed last, its revision and that time."""
-        limit_ms = self.interval_ms * MISSED_BEATS
         heard = [
             (peer.view_confirmed_ms, peer)
             for peer in self._peers.values()
-            if peer.member is not None and now_ms - peer.heard_ms <= limit_ms
+            if self._is_heard(peer, now_ms)
         ]
         if not heard:
             return None
         confirmed_ms, peer = max(heard, key=lambda item: item[0])
         assert peer.member is not None
         return peer.member, peer.view_revision, confirmed_ms
+
+
+def _interval_ms(peer_count: int) -> int:
+    """Return the time between beats to each of so many peers."""
+    interval_ms = peer_count * MS_PER_S // BEATS_PER_S
+    return min(MAX_BEAT_INTERVAL_MS, max(BEAT_INTERVAL_MS, interval_ms))
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/lanes.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/lanes.py
@@ -26,7 +26,7 @@
 STEP_MS_PER_REQUEST = 0.047
 """Time that each running request adds to a step; from the users' sheets."""
 
-PROMPT_HEADROOM = 1.5
+PROMPT_HEADROOM = 2.5
 """Factor on the work of long prompts, which come to wait well before their engines are full."""
 
 SHARED_MISS = 0.4
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 import random
 
 from wagtailusher_core import EndpointId, FailureDomainId, VmId, rank_by_rendezvous
 from wagtailusher_gateway.cold import ColdShares
 from wagtailusher_gateway.const import (
+    BEAT_INTERVAL_MS,
+    FAR_LOAD_COST,
     FOREIGN_DOMAIN_COST_MS,
     KV_SHARE,
     PREFILL_CAP_MS,
@@ -17,7 +19,7 @@
     STALE_VIEW_MS,
 )
 from wagtailusher_gateway.endpoints import EndpointBook, Load, Tracked
-from wagtailusher_gateway.lanes import Lanes
+from wagtailusher_gateway.lanes import Lanes, is_prompt_heavy
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
 from wagtailusher_gateway.prefixes import PrefixMemory
 
@@ -54,8 +56,16 @@
         cold: ColdShares,
         failure_domain_id: FailureDomainId,
         seed: int,
+        far_interval_ms: Callable[[], int] = lambda: BEAT_INTERVAL_MS,
+        on_long_prompt: Callable[[int], None] = lambda now_ms: None,
     ) -> None:
-        """Start with the given beliefs."""
+        """Start with the given beliefs.
+
+        `far_interval_ms` tells how often loads of other failure domains are heard, and
+        `on_long_prompt` is told when one was placed.
+        """
+        self._far_interval_ms = far_interval_ms
+        self._on_long_prompt = on_long_prompt
         self.book = book
         self._cold = cold
         self._failure_domain_id = failure_domain_id
@@ -163,14 +173,29 @@
         now_ms: int,
     ) -> list[float]:
         """Return the expected delay at each place, in ms; chance decides between equals."""
-        preferred = _preferred(terms, open_places, handicaps) if service.engine else None
+        far_cost_ms = self._far_cost_ms()
+        preferred = None
+        if service.engine is not None:
+            own = [place for place in open_places if not self._is_far(place[0].endpoint)]
+            near = own if own and far_cost_ms > FOREIGN_DOMAIN_COST_MS else open_places
+            preferred = _preferred(terms, near, handicaps)
         return [
             self._cost(service, terms, tracked, load, preferred, now_ms)
             + handicaps[tracked.endpoint.endpoint_id]
             + (COLD_COST_MS if is_cold else 0.0)
+            + (far_cost_ms if self._is_far(tracked.endpoint) else 0.0)
             for tracked, load, is_cold in open_places
         ]
 
+    def _is_far(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint is in another failure domain."""
+        return endpoint.failure_domain_id != self._failure_domain_id
+
+    def _far_cost_ms(self) -> float:
+        """Return the handicap of endpoints in other failure domains, in ms."""
+        late_ms = self._far_interval_ms() - BEAT_INTERVAL_MS
+        return FOREIGN_DOMAIN_COST_MS + FAR_LOAD_COST * max(0, late_ms)
+
     def _cost(
         self,
         service: Service,
@@ -183,8 +208,6 @@
         """Return the expected delay at one endpoint."""
         endpoint = tracked.endpoint
         cost = self._random.random()
-        if endpoint.failure_domain_id != self._failure_domain_id:
-            cost += FOREIGN_DOMAIN_COST_MS
         if service.engine is None:
             return cost + PLAIN_REQUEST_COST_MS * load.requests / max(1, endpoint.slots)
         missing = self._prefixes.missing_tokens(terms.shared_parts, endpoint.endpoint_id, now_ms)
@@ -220,6 +243,8 @@
         tracked.own.memory_tokens += placed.memory_tokens
         self._cold.note_sent(endpoint_id, now_ms)
         self._prefixes.note_used(terms.shared_parts, endpoint_id, now_ms)
+        if is_prompt_heavy(terms):
+            self._on_long_prompt(now_ms)
         return placed
 
 
--- a/tests/wagtailusher_gateway/test_fleet.py
+++ b/tests/wagtailusher_gateway/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 import unittest
 
@@ -16,7 +17,7 @@
 class Fleet:
     """Deciders that exchange beats, some of which are lost."""
 
-    def __init__(self, count: int, seed: int, loss: float = 0.0) -> None:
+    def __init__(self, count: int, seed: int, loss: float = 0.0, domains: int = 1) -> None:
         self.random = Random(seed)
         self.loss = loss
         self.now_ms = 0
@@ -24,7 +25,8 @@
         self.deciders: dict[str, FleetDecider] = {}
         seeds = tuple(member(number).peer_address for number in range(min(3, count)))
         for number in range(count):
-            own = member(number)
+            domain_id = FailureDomainId(f"domain-{number % domains}")
+            own = replace(member(number), failure_domain_id=domain_id)
             self.deciders[own.peer_address] = FleetDecider(own, seeds, 0, seed + number)
 
     def run(self, duration_ms: int) -> None:
@@ -45,7 +47,7 @@
         beat = Beat(
             address=own.address,
             view_address=own.view_address,
-            failure_domain_id=FailureDomainId("a"),
+            failure_domain_id=own.failure_domain_id,
             weight=own.weight,
             is_leaving=own.is_leaving,
             is_ready=own.is_ready,
@@ -99,6 +101,32 @@
         others = fleet.deciders[member(0).peer_address].callable_members(fleet.now_ms)
         self.assertEqual({item.vm_id for item in others}, {VmId("vm-0"), VmId("vm-2")})
 
+    def test_beats_stay_bounded_in_a_large_fleet(self) -> None:
+        """A VM of 68 sends at most twice the beats that one of 10 does."""
+        sent = {}
+        for count in (10, 68):
+            fleet = Fleet(count, seed=1)
+            fleet.run(4_000)
+            decider = fleet.deciders[member(0).peer_address]
+            before_ms = fleet.now_ms
+            total = 0
+            while fleet.now_ms < before_ms + 4_000:
+                total += len(decider.due(fleet.now_ms))
+                fleet.run(STEP_MS)
+            sent[count] = total
+        self.assertLessEqual(sent[68], 2 * sent[10])
+
+    def test_news_of_long_prompts_stay_near_in_a_large_fleet(self) -> None:
+        """In a small fleet all hear of a long prompt, in a large one the own failure domain."""
+        small = Fleet(9, seed=1)
+        small.run(2_000)
+        decider = small.deciders[member(0).peer_address]
+        self.assertEqual(len(decider.hastened(small.now_ms)), 8)
+        large = Fleet(30, seed=1, domains=3)
+        large.run(4_000)
+        decider = large.deciders[member(0).peer_address]
+        self.assertEqual(len(decider.hastened(large.now_ms)), 9)
+
     def test_older_incarnation_is_not_believed(self) -> None:
         """A late datagram of a process that was replaced changes nothing."""
         fleet = Fleet(2, seed=1)
