--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -44,7 +44,7 @@
 from wagtailusher_gateway.view_exchange import PATH_VIEW, ViewExchange
 from wagtailusher_gateway.view_keeper import ViewKeeper
 from wagtailusher_http import ClientLimits, HttpClient, Request, Response
-from wagtailusher_wire import Sealer
+from wagtailusher_wire import Message, Sealed, Sealer
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -74,23 +74,13 @@
         self._random = random.Random()
         self._client = HttpClient(_client_limits())
         self._peer_client = HttpClient(ClientLimits(connect_timeout_ms=CONNECT_TIMEOUT_MS))
-        started_ms = monotonic_ms()
         incarnation = Incarnation(wall_ms())
-        self.fleet = FleetDecider(
-            _own_member(options, incarnation),
-            options.seeds,
-            started_ms,
-            self._random.randrange(1 << 32),
-        )
+        own = _own_member(options, incarnation)
+        seed = self._random.randrange(1 << 32)
+        self.fleet = FleetDecider(own, options.seeds, monotonic_ms(), seed)
         self.keeper = ViewKeeper(self._take_view)
         self.dispatcher = self._new_dispatcher()
-        self.link = PeerLink(
-            vm_id=options.vm_id,
-            incarnation=incarnation,
-            sealer=Sealer(options.fleet_secret),
-            receive=self._receive_beat,
-            count_error=lambda code: metrics.peer_errors.inc({"code": str(code)}),
-        )
+        self.link = self._new_link(incarnation)
         self.beats = BeatExchange(
             fleet=self.fleet,
             keeper=self.keeper,
@@ -107,6 +97,16 @@
         self.servers = Servers(options.max_connections)
         self._tasks = PeriodicTasks()
 
+    def _new_link(self, incarnation: Incarnation) -> PeerLink:
+        """Return the socket to the peers."""
+        return PeerLink(
+            vm_id=self.options.vm_id,
+            incarnation=incarnation,
+            sealer=Sealer(self.options.fleet_secret),
+            receive=self._receive_beat,
+            count_error=lambda code: self.metrics.peer_errors.inc({"code": str(code)}),
+        )
+
     def _new_dispatcher(self) -> Dispatcher:
         """Return the shared state of all requests."""
         bounds = self.options.bounds
@@ -233,7 +233,7 @@
             extra={"event": "stop", "in_flight": left},
         )
 
-    def _receive_beat(self, message: object, sealed: object, address: str) -> None:
+    def _receive_beat(self, message: Message, sealed: Sealed, address: str) -> None:
         """Take a peer's beat in."""
         self.beats.receive(message, sealed, address, monotonic_ms())
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 from wagtailusher_core import EndpointId
@@ -11,7 +12,7 @@
 from wagtailusher_gateway.dispatcher import Dispatcher
 from wagtailusher_gateway.events import EventCutter
 from wagtailusher_gateway.exceptions import BrokenStreamError
-from wagtailusher_gateway.models import RequestTerms
+from wagtailusher_gateway.models import AnswerTerms, RequestTerms
 from wagtailusher_gateway.placement import Placed
 from wagtailusher_http import (
     AnswerError,
@@ -78,8 +79,31 @@
         Raises ConnectError or SendVetoedError when nothing was sent, and AnswerError when the
         endpoint may have run it.
         """
+        answer = await self._async_request(request, headers, terms, dialect, left_ms)
+        self._answer = answer
+        self.status = answer.status
+        self.headers = answer.headers
+        stated = dialect.read_answer(answer.status, answer.headers)
+        if stated.not_run:
+            self._note_not_run(stated)
+            await answer.async_read(left_ms)
+            return Gone.NOT_RUN
+        if stated.is_encoded or (answer.status in _SUCCESS and not stated.is_signed):
+            self._fail()
+            raise AnswerError("the answer is not the endpoint's own")
+        return None
+
+    async def _async_request(
+        self,
+        request: Request,
+        headers: Headers,
+        terms: RequestTerms,
+        dialect: Dialect,
+        left_ms: int,
+    ) -> ClientAnswer:
+        """Send the request and return the answer once its head is there."""
         try:
-            answer = await self._client.async_request(
+            return await self._client.async_request(
                 self.placed.endpoint.address,
                 request.method,
                 request.target,
@@ -96,23 +120,15 @@
         except AnswerError:
             self._fail()
             raise
-        self._answer = answer
-        self.status = answer.status
-        self.headers = answer.headers
-        stated = dialect.read_answer(answer.status, answer.headers)
-        if stated.not_run:
-            self._delivery.refused(counts=not stated.wrong_incarnation)
-            book = self._dispatcher.placement.book
-            if stated.wrong_incarnation:
-                book.note_misdirected(self.endpoint_id, self._now_ms())
-            else:
-                book.note_refused(self.endpoint_id, self._now_ms())
-            await answer.async_read(left_ms)
-            return Gone.NOT_RUN
-        if stated.is_encoded or (answer.status in _SUCCESS and not stated.is_signed):
-            self._fail()
-            raise AnswerError("the answer is not the endpoint's own")
-        return None
+
+    def _note_not_run(self, stated: AnswerTerms) -> None:
+        """Note that the endpoint stated not to have run the request."""
+        self._delivery.refused(counts=not stated.wrong_incarnation)
+        book = self._dispatcher.placement.book
+        if stated.wrong_incarnation:
+            book.note_misdirected(self.endpoint_id, self._now_ms())
+        else:
+            book.note_refused(self.endpoint_id, self._now_ms())
 
     def _now_ms(self) -> int:
         """Return the present time."""
@@ -179,11 +195,11 @@
             self.longest_pause_ms = max(self.longest_pause_ms, now_ms - self._last_part_ms)
         self._last_part_ms = now_ms
 
-    async def _async_take(self, deliver: object, left_ms: int) -> bool:
+    async def _async_take(self, deliver: Callable[[bytes], bool], left_ms: int) -> bool:
         """Hand the answer's chunks on; return whether that was all."""
         assert self._answer is not None
         try:
-            ended = await self._answer.async_pump(deliver, left_ms)  # type: ignore[arg-type]
+            ended = await self._answer.async_pump(deliver, left_ms)
         except (AnswerError, BrokenStreamError):
             self._fail()
             raise
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
@@ -72,9 +72,9 @@
         for member in self._fleet.heard_members(now_ms):
             self._send(member.peer_address, beat)
 
-    def receive(self, message: object, sealed: object, address: str, now_ms: int) -> None:
+    def receive(self, message: Message, sealed: Sealed, address: str, now_ms: int) -> None:
         """Take a beat in; a newcomer is answered at once."""
-        if not isinstance(message, Beat) or not isinstance(sealed, Sealed):
+        if not isinstance(message, Beat):
             return
         is_new = self._fleet.receive(sealed.vm_id, sealed.incarnation, message, address, now_ms)
         confirmed_ms = now_ms - message.view_age_ms
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -100,9 +100,6 @@
 PREFILL_TOKENS_PER_MS: Final = 90.0
 """Prompt tokens that an engine reads in a ms; the slowest engine of the users' sheets."""
 
-DECODE_MS_PER_EVENT: Final = 40.0
-"""Time of one event of a stream under load; six tokens at about 6 ms."""
-
 PREFIX_MEMORY_MS: Final = 8_000
 """How long an endpoint is taken to keep a prompt's shared parts; the users' reuse window."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/delivery.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/delivery.py
@@ -35,11 +35,6 @@
         self.refused_sends = 0
         self.state = DeliveryState.NOT_SENT
 
-    @property
-    def is_first_send(self) -> bool:
-        """Tell whether the next send is the first."""
-        return not self.sends and not self.refused_sends
-
     def sent(self) -> None:
         """Note that the first byte is about to go to an endpoint."""
         self.sends += 1
@@ -65,6 +60,11 @@
         """Note that an answer was passed on."""
         self.state = DeliveryState.ANSWERED
 
+    def broke_off(self) -> None:
+        """Note that an answer that was being passed on broke off."""
+        self._was_run = True
+        self.state = DeliveryState.MAY_HAVE_RUN
+
     @property
     def may_send(self) -> bool:
         """Tell whether the request may go to another endpoint from its start."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 
 from wagtailusher_core import EndpointId, ErrorCode, WagtailusherError
 from wagtailusher_gateway.attempt import Attempt, Gone
 from wagtailusher_gateway.const import MS_PER_S, RETRY_AFTER_MIN_MS
-from wagtailusher_gateway.delivery import Delivery, DeliveryState
+from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.dialect import Dialect, Sending
 from wagtailusher_gateway.dispatcher import Dispatcher, Wanted, queue_of
 from wagtailusher_gateway.events import EventCutter
@@ -17,8 +16,6 @@
 from wagtailusher_gateway.record import RequestRecord
 from wagtailusher_http import BodySink, Headers, HttpClient, Request, Response
 
-_LOGGER = logging.getLogger(__name__)
-
 MAX_UNREACHED = 4
 """Endpoints that take no connection before the caller is told to come back."""
 
@@ -226,11 +223,11 @@
         attempt.abort()
         self._attempt = None
         self._avoid |= {attempt.endpoint_id}
+        self._delivery.broke_off()
         while self._delivery.may_resume and self._cutter.last_id is not None:
             now_ms = self._dispatcher.clock_ms()
             if not self._dispatcher.take_retry(self._wanted.service, now_ms):
                 break
-            self._delivery.state = DeliveryState.NOT_SENT
             try:
                 resumed = await self._async_open()
             except RefusedError as refusal:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -42,7 +42,6 @@
     rank: int
     max_attempts: int
     is_public: bool = False
-    has_prompt: bool = False
     may_resume: bool = False
     pause_target_ms: int = 0
     """Longest pause between events with which a stream is on time; 0 for no target."""
@@ -66,8 +65,6 @@
     """A set of interchangeable endpoints."""
 
     name: str
-    max_connections: int
-    cold_start_ms: int = 0
     cold_requests_per_s: float = 0.0
     engine: Engine | None = None
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -127,13 +127,6 @@
         if tracked is not None:
             tracked.own.prefill_tokens -= placed.prefill_tokens
 
-    def room_share(self, service: Service, view: FleetView, now_ms: int) -> float:
-        """Return the part of a service's slots that is free."""
-        usable = self.book.usable(service.name, view, now_ms)
-        slots = sum(tracked.endpoint.slots for tracked in usable)
-        taken = sum(tracked.total(now_ms).requests for tracked in usable)
-        return max(0.0, 1 - taken / slots) if slots else 0.0
-
     def _handicaps_ms(
         self, service: Service, terms: RequestTerms, usable: list[Tracked]
     ) -> dict[EndpointId, float]:
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -113,12 +113,9 @@
         than the address. Answers that `is_own` rejects are skipped, a few at most. Raises
         ConnectError when nothing was sent and AnswerError when something may have been.
         """
-        head = h11.Request(
-            method=method, target=target, headers=_request_headers(host or address, headers, body)
-        )
-        connection = None if fresh else self._take_idle(address)
-        if connection is None:
-            connection = await ClientConnection.async_open(address, self.limits, self._ssl_context)
+        fields = _request_headers(host or address, headers, body)
+        head = h11.Request(method=method, target=target, headers=fields)
+        connection = await self._async_connection(address, fresh=fresh)
         if may_send is not None and not may_send():
             connection.abort()
             raise SendVetoedError(f"the request to {address} was withdrawn before it was sent")
@@ -136,6 +133,13 @@
         connection.note_keep_alive(answer.headers.get("keep-alive"))
         return answer
 
+    async def _async_connection(self, address: str, *, fresh: bool) -> ClientConnection:
+        """Return an idle connection or a new one."""
+        connection = None if fresh else self._take_idle(address)
+        if connection is not None:
+            return connection
+        return await ClientConnection.async_open(address, self.limits, self._ssl_context)
+
     def _take_idle(self, address: str) -> ClientConnection | None:
         """Return an idle connection that is young and open."""
         idle = self._idle.get(address, [])
--- a/tests/wagtailusher_gateway/builders.py
+++ b/tests/wagtailusher_gateway/builders.py
@@ -24,12 +24,10 @@
 
 ENGINES = Service(
     name="engines",
-    max_connections=100,
-    cold_start_ms=3_000,
     cold_requests_per_s=16.0,
     engine=Engine(batch_requests=48, memory_tokens=400_000),
 )
-DESK = Service(name="desk", max_connections=100)
+DESK = Service(name="desk")
 
 
 def route(**changes: Any) -> Route:
