--- a/packages/wagtailusher_cli/src/wagtailusher_cli/main.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/main.py
@@ -12,6 +12,7 @@
 from wagtailusher_cli.live import advise, drains, explain, fleet, quarantine, refusals, stewards
 from wagtailusher_cli.offline import check, diff, pack, reach, show
 from wagtailusher_cli.output import write_error
+from wagtailusher_cli.story import story
 from wagtailusher_cli.watch import watch_drain
 
 COMMANDS = [
@@ -28,6 +29,7 @@
     explain,
     watch_drain,
     advise,
+    story,
 ]
 
 EPILOG = "Exit codes: 0 fine, 1 a problem was found, 2 wrong usage, 3 no daemon could be reached."
--- /dev/null
+++ b/tests/wagtailusher_cli/test_story.py
@@ -0,0 +1,61 @@
+"""Tests of one request's story out of captured logs."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+import unittest
+
+from wagtailusher_cli.main import run
+from wagtailusher_cli.story import read_lines, tell
+
+
+def line(vm: str, at_ms: int, event: str, **fields: object) -> str:
+    """Return a log line with something before it, as collectors write it."""
+    value = {"message": event, "event": event, "vm": vm, "at_ms": at_ms} | fields
+    return f"12.5 {vm} {json.dumps(value)}"
+
+
+LOG = [
+    line("vm-1", 10, "configuration", version=3),
+    line("vm-1", 11, "configuration", version=4),
+    line("vm-2", 12, "configuration", version=9),
+    line("vm-1", 13, "endpoint", endpoint="i-1", state="ready"),
+    line("vm-1", 14, "endpoint", endpoint="i-2", state="draining"),
+    "no log line {",
+    line("vm-1", 20, "attempt_failed", request="r1", endpoint="i-1", state="may_have_run"),
+    line("vm-1", 25, "request", request="r1", endpoint="i-1", status=502),
+    line("vm-1", 30, "configuration", version=5),
+    line("vm-1", 31, "request", request="r2", endpoint="i-2", status=200),
+]
+
+
+class StoryTest(unittest.TestCase):
+    """The lines of one request, and what its VM believed before."""
+
+    def test_request_with_its_beliefs(self) -> None:
+        """The newest belief of each kind is shown, of this VM and these endpoints only."""
+        told = tell(read_lines(LOG), "r1")
+        self.assertEqual([item["at_ms"] for item in told], [11, 13, 20, 25])
+
+    def test_command(self) -> None:
+        """The command ends with 1 for an unknown request and 2 for a missing file."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "log"
+            path.write_text("\n".join(LOG), encoding="utf-8")
+            for arguments, code, text in (
+                ([str(path), "r1"], 0, "status=502"),
+                ([str(path), "r9"], 1, "not in"),
+                ([str(path) + "x", "r1"], 2, ""),
+            ):
+                out = io.StringIO()
+                with contextlib.redirect_stdout(out), contextlib.redirect_stderr(io.StringIO()):
+                    self.assertEqual(run(["story", *arguments]), code)
+                self.assertIn(text, out.getvalue())
+
+
+if __name__ == "__main__":
+    unittest.main()
