Keep no promise after an endpoint's error; count endpoints' errors as failures

Cause (read-through): a repeatable request that ran at one endpoint with an error of its own and was then refused by a second one was answered 503, which promises that it has not run. Errors that are passed on now count towards leaving an endpoint out for a while.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -215,11 +215,17 @@
             self._dispatcher.placement.note_began(self.placed)
 
     def finish(self, *, failed: bool) -> None:
-        """Give the place back after a whole answer."""
-        if not failed:
+        """Give the place back after a whole answer, which may be the endpoint's own error."""
+        if failed:
+            self._fail()
+        else:
             self._dispatcher.placement.book.note_success(self.endpoint_id)
         self._release()
 
+    def finish_unrun(self) -> None:
+        """Give the place back after the endpoint refused."""
+        self._release()
+
     def abort(self) -> None:
         """Break the exchange off and give the place back."""
         if self._answer is not None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -90,12 +90,12 @@
         except WagtailusherError as err:
             self._failed(attempt, err)
             return None
+        attempt.finish(failed=attempt.status >= _SERVER_ERROR)
+        self._attempt = None
         if attempt.status >= _SERVER_ERROR and self._may_repeat():
+            self._avoid |= {attempt.endpoint_id}
             self._note_end(attempt, "endpoint error, repeated")
-            attempt.finish(failed=True)
             return None
-        attempt.finish(failed=attempt.status >= _SERVER_ERROR)
-        self._attempt = None
         self._delivery.answered()
         self._record.answered(attempt.status)
         return Response(status=attempt.status, headers=_end_to_end(attempt.headers), body=body)
@@ -147,7 +147,7 @@
         self._attempt = None
         self._avoid |= {attempt.endpoint_id}
         self._note_end(attempt, "not run by the endpoint")
-        attempt.finish(failed=False)
+        attempt.finish_unrun()
         if not self._may_repeat():
             raise self._delivery.error(
                 "the endpoint has no room", ErrorCode.QUEUE_FULL, self._retry_after_ms()
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -166,6 +166,7 @@
             connection.abort()
             return
         idle = self._idle.setdefault(connection.address, [])
+        idle[:] = [other for other in idle if other.is_reusable]
         if not connection.is_reusable or len(idle) >= self.limits.idle_per_address:
             connection.close()
             return
