Let decisions see each confirmation of the view

Cause: a request's log line showed view_age_ms 12226 and is_cold at a warm engine. The view that decisions use was replaced only when its content changed, so that after 2.5 quiet seconds every VM took every engine for cold and kept to its cold share. Ruled out: the store (one call a second a reader) and the beats (the keeper's own view was fresh). The test of the listener failed first.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -237,8 +237,11 @@
         """Take a peer's beat in."""
         self.beats.receive(message, sealed, address, monotonic_ms())
 
-    def _take_view(self, view: FleetView, now_ms: int) -> None:
-        """Put a changed view in force."""
+    def _take_view(self, view: FleetView, changed: bool, now_ms: int) -> None:
+        """Put a view in force."""
+        if not changed:
+            self.dispatcher.view = view
+            return
         configuration = self.dispatcher.routes.configuration if self.dispatcher.routes else None
         self.dispatcher.update(view, now_ms)
         if self.fleet.is_reader(now_ms):
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_keeper.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_keeper.py
@@ -18,14 +18,15 @@
     revision=0, confirmed_ms=0, configuration=None, endpoints={}, evacuated=frozenset()
 )
 
-Listener = Callable[[FleetView, int], None]
+Listener = Callable[[FleetView, bool, int], None]
+"""Is told of a view, whether more changed in it than its age, and the time."""
 
 
 class ViewKeeper:
     """The view in force and what is taken into it."""
 
     def __init__(self, listener: Listener) -> None:
-        """Start with nothing known; the listener is told of each change."""
+        """Start with nothing known; the listener is told of each change and confirmation."""
         self.view = EMPTY_VIEW
         self._listener = listener
         self._is_away = False
@@ -166,12 +167,12 @@
     def _set(self, view: FleetView, now_ms: int) -> None:
         """Put a view in force."""
         before, self.view = self.view, view
-        if (
+        changed = (
             before.configuration is not view.configuration
             or before.endpoints is not view.endpoints
             or before.evacuated != view.evacuated
-        ):
-            self._listener(view, now_ms)
+        )
+        self._listener(view, changed, now_ms)
 
     def _log_endpoint(self, endpoint: Endpoint, state: str, now_ms: int) -> None:
         """Log what is believed of an endpoint."""
--- a/tests/wagtailusher_gateway/test_reading.py
+++ b/tests/wagtailusher_gateway/test_reading.py
@@ -13,7 +13,7 @@
 
 def new_keeper(revision: int, confirmed_ms: int) -> ViewKeeper:
     """Return a keeper that knows a configuration."""
-    keeper = ViewKeeper(lambda view, now_ms: None)
+    keeper = ViewKeeper(lambda view, changed, now_ms: None)
     keeper.set_configuration(configuration(), "store", confirmed_ms)
     keeper.confirm(revision, confirmed_ms)
     return keeper
@@ -54,7 +54,7 @@
     def test_vm_without_configuration_reads(self) -> None:
         """A VM that starts waits for nobody."""
         decider = FleetDecider(member(1), (), 0, 1)
-        keeper = ViewKeeper(lambda view, now_ms: None)
+        keeper = ViewKeeper(lambda view, changed, now_ms: None)
         self.assertTrue(is_reading_due(decider, keeper, 0))
 
     def test_peer_confirms_the_same_revision_only(self) -> None:
--- a/tests/wagtailusher_gateway/test_view_keeper.py
+++ b/tests/wagtailusher_gateway/test_view_keeper.py
@@ -19,10 +19,21 @@
     """Whatever source brings an older state, the newer one stays."""
 
     def setUp(self) -> None:
-        self.heard: list[FleetView] = []
-        self.keeper = ViewKeeper(lambda current, now_ms: self.heard.append(current))
+        self.heard: list[tuple[FleetView, bool]] = []
+        self.keeper = ViewKeeper(
+            lambda current, changed, now_ms: self.heard.append((current, changed))
+        )
         self.keeper.confirm(5, 1_000)
 
+    def test_confirmations_are_told(self) -> None:
+        """Whoever decides by the age of the view hears of each confirmation."""
+        self.keeper.set_endpoint(endpoint(1), 1_000)
+        self.assertTrue(self.heard[-1][1])
+        self.keeper.confirm(5, 3_000)
+        self.keeper.confirm_by_peer(5, 4_000, 4_100)
+        told = [(current.confirmed_ms, changed) for current, changed in self.heard[-2:]]
+        self.assertEqual(told, [(3_000, False), (4_000, False)])
+
     def test_configuration_never_goes_back(self) -> None:
         """An older version is ignored, from the store and from peers."""
         self.keeper.set_configuration(configuration(7), "store", 1_000)
--- a/tests/wagtailusher_platform/test_path.py
+++ b/tests/wagtailusher_platform/test_path.py
@@ -326,6 +326,19 @@
         await asyncio.sleep(0.1)
         self.assertEqual((await self.async_ask(app, "/book/", b"x")).status, 200)
 
+    async def test_quiet_view_stays_fresh(self) -> None:
+        """While nothing changes, what is decided on is confirmed again and again."""
+        await self.async_runner("engines", "i-1", stream(1))
+        first = await self.async_gateway(1)
+        second = await self.async_gateway(2)
+        for app in (first, second):
+            await self.async_ready(app, 1)
+        begun_ms = monotonic_ms()
+        for app in (first, second):
+            await self.async_until(
+                lambda app=app: app.dispatcher.view.confirmed_ms > begun_ms  # type: ignore[misc]
+            )
+
     async def test_dropped_history_is_read_anew(self) -> None:
         """Changes within a gap of the history are found."""
         first = await self.async_runner("desk", "i-1")
