Test that an ended ticket and a second send are barred right before the first byte

Found by breaking the checks on the way to a send one by one: without the ticket's check, or without the check of the request's phase, all 105 tests of router, placement, once and scenarios passed.

--- a/tests/wagtailusher_router/test_decider.py
+++ b/tests/wagtailusher_router/test_decider.py
@@ -61,6 +61,19 @@
             self.assertEqual(self.recorder.outcomes[request_id], Outcome.UNKNOWN)
         self.assertEqual(sum(self.recorder.sent.values()), 1)
 
+    def test_ticket_that_ended_before_the_first_byte_bars_the_send(self) -> None:
+        once = policy(0, repeatable=False)
+        ticket = self.recorder.mint.mint(0)
+        request_id = self.recorder.arrive("r1", once, 0, ticket=ticket)
+        self.assertIn(request_id, self.recorder.running)
+        self.assertFalse(self.recorder.send(request_id, 60_001))
+        self.assertEqual(sum(self.recorder.sent.values()), 0)
+
+    def test_request_is_sent_once_for_each_dispatch(self) -> None:
+        request_id = self.recorder.arrive("r1", policy(), 0)
+        self.assertTrue(self.recorder.send(request_id, 1))
+        self.assertFalse(self.recorder.router.may_send(request_id, 2))
+
     def test_caller_that_leaves_does_not_end_a_request_that_others_wait_for(self) -> None:
         once = policy(0, repeatable=False)
         ticket = self.recorder.mint.mint(0)
