--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from inspect import Parameter, Signature
 import json
 import logging
 import signal
@@ -19,59 +21,55 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-def entry(
-    *,
-    vm_id: str | None = None,
-    failure_domain: str | None = None,
-    fleet_secret: str | None = None,
-    previous_fleet_secret: str | None = None,
-    config_service: str | None = None,
-    vm_list: str | None = None,
-    listen: str | None = None,
-    peer_listen: str | None = None,
-    operator_listen: str | None = None,
-    tls_certificate: str | None = None,
-    tls_key: str | None = None,
-    tls_ca: str | None = None,
-    log_level: str | None = None,
-    log_format: str | None = None,
-    trace_file: str | None = None,
-    otlp_address: str | None = None,
-    tick_interval_ms: str | None = None,
-    load_poll_interval_ms: str | None = None,
-    lease_lifetime_ms: str | None = None,
-    list_lag_ms: str | None = None,
-    pause_tolerance_ms: str | None = None,
-) -> None:
-    """Run the entry daemon on one VM.
-
-    Each flag may be set as an environment variable instead: WAGTAILUSHER_VM_ID for --vm-id and
-    so on. A flag wins over its variable. Once it listens, the daemon prints its addresses as one
-    JSON object.
-
-    :param vm_id: this VM's name in the platform's list (required)
-    :param failure_domain: the failure domain of this VM (required)
-    :param fleet_secret: the secret that the fleet's VMs share, 16 characters or more (required)
-    :param previous_fleet_secret: a secret that is accepted as well, for a rotation (none)
-    :param config_service: the configuration service as host:port (required)
-    :param vm_list: the platform's list of VMs as host:port (required)
-    :param listen: where callers are served, host:port; port 0 takes a free one (127.0.0.1:0)
-    :param peer_listen: where datagrams of other VMs arrive, host:port (127.0.0.1:0)
-    :param operator_listen: where operators and scrapers are served, host:port (127.0.0.1:0)
-    :param tls_certificate: file with the certificate chain for callers, PEM (no TLS)
-    :param tls_key: file with the certificate's key, PEM (in the certificate's file)
-    :param tls_ca: file with the authority that signed the other VMs' certificates, PEM (system's)
-    :param log_level: debug, info, warning or error (info)
-    :param log_format: text, or json for one object a line (text)
-    :param trace_file: file to which spans are written, one JSON object a line (none)
-    :param otlp_address: OTLP collector for spans as host:port (none)
-    :param tick_interval_ms: time between ticks of the decider, in ms (50)
-    :param load_poll_interval_ms: time between load polls of an endpoint, in ms (250)
-    :param lease_lifetime_ms: how long a lease on an endpoint lasts, in ms (2000)
-    :param list_lag_ms: the most that the platform's list lags, in ms (5000)
-    :param pause_tolerance_ms: the longest pause after which leases are still trusted, ms (1000)
-    """
-    sys.exit(run_with_flags(dict(locals())))
+FLAGS = {
+    "vm_id": "this VM's name in the platform's list (required)",
+    "failure_domain": "the failure domain of this VM (required)",
+    "fleet_secret": "the secret that the fleet's VMs share, 16 characters or more (required)",
+    "previous_fleet_secret": "a secret that is accepted as well, for a rotation (none)",
+    "config_service": "the configuration service as host:port (required)",
+    "vm_list": "the platform's list of VMs as host:port (required)",
+    "listen": "where callers are served, host:port; port 0 takes a free one (127.0.0.1:0)",
+    "peer_listen": "where datagrams of other VMs arrive, host:port (127.0.0.1:0)",
+    "operator_listen": "where operators and scrapers are served, host:port (127.0.0.1:0)",
+    "tls_certificate": "file with the certificate chain for callers, PEM (no TLS)",
+    "tls_key": "file with the certificate's key, PEM (in the certificate's file)",
+    "tls_ca": "file with the authority that signed the other VMs' certificates, PEM (system's)",
+    "log_level": "debug, info, warning or error (info)",
+    "log_format": "text, or json for one object a line (text)",
+    "trace_file": "file to which spans are written, one JSON object a line (none)",
+    "otlp_address": "OTLP collector for spans as host:port (none)",
+    "tick_interval_ms": "time between ticks of the decider, in ms (50)",
+    "load_poll_interval_ms": "time between load polls of an endpoint, in ms (250)",
+    "lease_lifetime_ms": "how long a lease on an endpoint lasts, in ms (2000)",
+    "list_lag_ms": "the most that the platform's list lags, in ms (5000)",
+    "pause_tolerance_ms": "the longest pause after which leases are still trusted, ms (1000)",
+}
+"""Each flag with its help; a flag's environment variable has the same name."""
+
+_DESCRIPTION = """Run the entry daemon on one VM.
+
+Each flag may be set as an environment variable instead: WAGTAILUSHER_VM_ID for --vm-id and
+so on. A flag wins over its variable. Once it listens, the daemon prints its addresses as one
+JSON object.
+"""
+
+
+def new_command() -> Callable[..., None]:
+    """Return the command with a signature and help for each flag, which `defopt` reads."""
+
+    def entry(**flags: str | None) -> None:
+        sys.exit(run_with_flags({name: flags.get(name) for name in FLAGS}))
+
+    flag_type = str | None
+    parameters = [
+        Parameter(name, Parameter.KEYWORD_ONLY, default=None, annotation=flag_type)
+        for name in FLAGS
+    ]
+    entry.__signature__ = Signature(parameters)  # type: ignore[attr-defined]
+    entry.__annotations__ = dict.fromkeys(FLAGS, flag_type)
+    helps = "\n".join(f":param {name}: {text}" for name, text in FLAGS.items())
+    entry.__doc__ = f"{_DESCRIPTION}\n{helps}\n"
+    return entry
 
 
 def run_with_flags(flags: dict[str, str | None]) -> int:
@@ -116,4 +114,4 @@
 
 def main() -> None:
     """Run the command line."""
-    defopt.run(entry, show_defaults=False)
+    defopt.run(new_command(), show_defaults=False)
