Call what stands already: hop fields, event cutting, metric registry; look once a tick

Fields of one hop, cutting streams at events, the content type of events and the registry of metrics stood twice; each is one piece now. Delivery.broke_off was Delivery.failed. The endpoints that may get work were found twice for each place, and the intervals of the fleet counted anew for each peer, which made a look at the members quadratic. Beats are built only if they are sent; an answer's identifier is read by a function of its own instead of with a made-up status.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
@@ -6,10 +6,9 @@
 
 from wagtailusher_core import WagtailusherError, callback
 from wagtailusher_daemon.exceptions import BrokenAnswerError
-from wagtailusher_http import BodySink, ClientAnswer
+from wagtailusher_http import BodySink, ClientAnswer, is_events
 from wagtailusher_integrations.engine import EventStream
 
-EVENTS_TYPE = "text/event-stream"
 PROGRESS_EVENTS = 8
 
 
@@ -23,7 +22,7 @@
         self._answer = answer
         self._progress = progress
         self._silence_timeout_ms = silence_timeout_ms
-        self._stream = EventStream() if is_events(answer) else None
+        self._stream = EventStream() if is_events(answer.headers) else None
         self._untold = 0
         self._ended = False
 
@@ -96,8 +95,3 @@
         if self._untold:
             self._progress(self._untold)
             self._untold = 0
-
-
-def is_events(answer: ClientAnswer) -> bool:
-    """Tell whether an answer is a stream of server-sent events."""
-    return (answer.headers.get("content-type") or "").startswith(EVENTS_TYPE)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from wagtailusher_core import ErrorCode, Outcome, WagtailusherError
-from wagtailusher_daemon.answer_relay import AnswerRelay, is_events
+from wagtailusher_daemon.answer_relay import AnswerRelay
 from wagtailusher_daemon.answers import end_to_end_headers, refusal_response
 from wagtailusher_daemon.const import HEADER_REQUEST_ID
 from wagtailusher_daemon.exceptions import BrokenAnswerError
 from wagtailusher_daemon.exchange_context import ExchangeContext
 from wagtailusher_daemon.node import Mailbox
 from wagtailusher_daemon.upstream import end_of, end_of_status
-from wagtailusher_http import BodySink, ClientAnswer, Response
+from wagtailusher_http import BodySink, ClientAnswer, Response, is_events
 from wagtailusher_integrations.engine import EventStream
 from wagtailusher_router import Dispatch, Forward, Refuse
 
@@ -128,7 +128,7 @@
 
 def check_whole(answer: ClientAnswer, body: bytes) -> None:
     """Raise when a body that was read at once is a stream without its end marker."""
-    if not is_events(answer):
+    if not is_events(answer.headers):
         return
     stream = EventStream()
     stream.feed(body)
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/metric_registry.py
@@ -0,0 +1,34 @@
+"""A registry of metrics whose names share a prefix, and its rendering."""
+
+from __future__ import annotations
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from wagtailusher_http import Headers, Response
+
+
+class MetricRegistry:
+    """The metrics of one process."""
+
+    def __init__(self, prefix: str) -> None:
+        """Start without metrics."""
+        self._prefix = prefix
+        self.registry = Registry()
+
+    def counter(self, name: str, doc: str) -> Counter:
+        """Register a counter."""
+        return Counter(f"{self._prefix}_{name}_total", doc, registry=self.registry)
+
+    def gauge(self, name: str, doc: str) -> Gauge:
+        """Register a gauge."""
+        return Gauge(f"{self._prefix}_{name}", doc, registry=self.registry)
+
+    def histogram(self, name: str, doc: str, buckets: tuple[float, ...]) -> Histogram:
+        """Register a histogram."""
+        return Histogram(f"{self._prefix}_{name}", doc, registry=self.registry, buckets=buckets)
+
+    def render(self, accept: str) -> Response:
+        """Return the metrics in the format that the scraper accepts."""
+        content, headers = render(self.registry, [accept])
+        return Response(headers=Headers(headers.items()), body=content)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/metrics.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/metrics.py
@@ -2,44 +2,32 @@
 
 from __future__ import annotations
 
-from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
-
 from wagtailusher_core import ErrorCode, Outcome
 from wagtailusher_daemon.const import MS_PER_S
-from wagtailusher_http import Headers, Response
+from wagtailusher_daemon.metric_registry import MetricRegistry
 
 _LATENCY_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 0.75, 1.1, 1.5, 2.5, 5.0, 10.0, 30.0, float("inf"))
 
 
-class EntryMetrics:
+class EntryMetrics(MetricRegistry):
     """The metrics of one process."""
 
     def __init__(self) -> None:
         """Register every metric."""
-        self.registry = Registry()
-        self.requests = self._counter("requests", "Requests by tier and outcome")
-        self.refusals = self._counter("refusals", "Refusals by code and outcome")
-        self.targets = self._counter("target", "Requests by tier and whether the target was met")
-        self.retries = self._counter("attempts_failed", "Attempts without a whole answer, by end")
-        self.forwards = self._counter("forwards", "Requests handed to another VM, by reason")
-        self.peer_errors = self._counter("peer_errors", "Peer messages refused, by code")
-        self.first_token_s = Histogram(
-            "wagtailusher_first_token_seconds",
+        super().__init__("wagtailusher")
+        self.requests = self.counter("requests", "Requests by tier and outcome")
+        self.refusals = self.counter("refusals", "Refusals by code and outcome")
+        self.targets = self.counter("target", "Requests by tier and whether the target was met")
+        self.retries = self.counter("attempts_failed", "Attempts without a whole answer, by end")
+        self.forwards = self.counter("forwards", "Requests handed to another VM, by reason")
+        self.peer_errors = self.counter("peer_errors", "Peer messages refused, by code")
+        self.first_token_s = self.histogram(
+            "first_token_seconds",
             "Time to the first part of the answer, by tier",
-            registry=self.registry,
-            buckets=_LATENCY_BUCKETS_S,
+            _LATENCY_BUCKETS_S,
         )
-        self.held = self._gauge("requests_held", "Requests queued or in flight")
-        self.revision = self._gauge("settings_revision", "Number of the revision in force")
-
-    def _counter(self, name: str, doc: str) -> Counter:
-        """Register a counter."""
-        return Counter(f"wagtailusher_{name}_total", doc, registry=self.registry)
-
-    def _gauge(self, name: str, doc: str) -> Gauge:
-        """Register a gauge."""
-        return Gauge(f"wagtailusher_{name}", doc, registry=self.registry)
+        self.held = self.gauge("requests_held", "Requests queued or in flight")
+        self.revision = self.gauge("settings_revision", "Number of the revision in force")
 
     def count_refusal(self, code: ErrorCode, outcome: Outcome) -> None:
         """Count an error answer."""
@@ -51,8 +39,3 @@
         self.requests.inc({"tier": label, "outcome": str(Outcome.COMPLETED)})
         self.targets.inc({"tier": label, "target": "met" if met else "missed"})
         self.first_token_s.observe({"tier": label}, first_token_ms / MS_PER_S)
-
-    def render(self, accept: str) -> Response:
-        """Return the metrics in the format that the scraper accepts."""
-        content, headers = render(self.registry, [accept])
-        return Response(headers=Headers(headers.items()), body=content)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -30,7 +30,6 @@
     queue: str
     """Requests of one queue compete for the same places."""
     rank: int
-    arrived_ms: int
     give_up_ms: int
     try_place: Callable[[int], bool]
     """Takes a place if there is one, and says whether it did."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -22,10 +22,9 @@
     Headers,
     HttpClient,
     Request,
+    is_events,
 )
 
-EVENTS_TYPE = "text/event-stream"
-_NO_STATUS = 0
 _SUCCESS = range(200, 300)
 
 
@@ -64,7 +63,7 @@
     @property
     def is_stream(self) -> bool:
         """Tell whether the answer is a stream of events."""
-        return (self.headers.get("content-type") or "").startswith(EVENTS_TYPE)
+        return is_events(self.headers)
 
     async def async_send(
         self,
@@ -112,7 +111,7 @@
                 may_send=self._may_send,
                 head_timeout_ms=left_ms,
                 host=terms.host,
-                is_own=lambda fields: _is_own(dialect, fields, terms.attempt_id),
+                is_own=lambda fields: dialect.answer_id(fields) in (None, terms.attempt_id),
             )
         except ConnectError:
             self._dispatcher.placement.book.note_unreachable(self.endpoint_id, self._now_ms())
@@ -238,9 +237,3 @@
         if not self._released:
             self._released = True
             self._dispatcher.release(self.placed, began=self._began)
-
-
-def _is_own(dialect: Dialect, fields: Headers, attempt_id: str) -> bool:
-    """Tell whether an answer names the request, or names none."""
-    named = dialect.read_answer(_NO_STATUS, fields).attempt_id
-    return named is None or named == attempt_id
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/beats.py
@@ -44,11 +44,10 @@
     def tick(self, now_ms: int) -> None:
         """Send the beats that are due and note who fell silent."""
         due = self._fleet.due(now_ms)
-        if due:
-            plain = self._beat(now_ms, with_peers=False)
-            full = self._beat(now_ms, with_peers=True)
-            for address, with_peers in due:
-                self._send(address, full if with_peers else plain)
+        kinds = {with_peers for _, with_peers in due}
+        beats = {kind: self._beat(now_ms, with_peers=kind) for kind in kinds}
+        for address, with_peers in due:
+            self._send(address, beats[with_peers])
         if self._is_hasty:
             self.hasten(now_ms)
         heard = frozenset(member.vm_id for member in self._fleet.heard_members(now_ms))
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/delivery.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/delivery.py
@@ -60,11 +60,6 @@
         """Note that an answer was passed on."""
         self.state = DeliveryState.ANSWERED
 
-    def broke_off(self) -> None:
-        """Note that an answer that was being passed on broke off."""
-        self._was_run = True
-        self.state = DeliveryState.MAY_HAVE_RUN
-
     @property
     def may_send(self) -> bool:
         """Tell whether the request may go to another endpoint from its start."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dialect.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dialect.py
@@ -38,6 +38,8 @@
     """Raises RefusedError for fields that can't be read."""
     request_headers: Callable[[Headers, Sending], Headers]
     read_answer: Callable[[int, Headers], AnswerTerms]
+    answer_id: Callable[[Headers], str | None]
+    """Returns the identifier of the request that an answer names, if it names one."""
     retry_after: Callable[[int], str]
     """Turns a time in ms into the value of the Retry-After field."""
     address_answer: Callable[[AddressAnswer], Response]
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -96,7 +96,6 @@
         waiting = Waiting(
             queue=queue_of(wanted),
             rank=wanted.rank,
-            arrived_ms=now_ms,
             give_up_ms=now_ms + place_wait_ms(wanted.route.target_ms, wanted.ends_ms - now_ms),
             try_place=try_place,
             refuse=refuse,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -6,7 +6,7 @@
 
 from wagtailusher_core import EndpointId, ErrorCode, WagtailusherError
 from wagtailusher_gateway.attempt import Attempt, Gone
-from wagtailusher_gateway.const import MS_PER_S, RETRY_AFTER_MIN_MS
+from wagtailusher_gateway.const import MS_PER_S
 from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.dialect import Dialect, Sending
 from wagtailusher_gateway.dispatcher import Dispatcher, Wanted, queue_of
@@ -14,14 +14,12 @@
 from wagtailusher_gateway.exceptions import BrokenStreamError, RefusedError
 from wagtailusher_gateway.models import Workspace
 from wagtailusher_gateway.record import RequestRecord
-from wagtailusher_http import BodySink, Headers, HttpClient, Request, Response
+from wagtailusher_http import BodySink, HttpClient, Request, Response
 
 MAX_UNREACHED = 4
 """Endpoints that take no connection before the caller is told to come back."""
 
-_HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade"}
-)
+_RESTATED_FIELDS = frozenset({"content-length"})
 _SERVER_ERROR = 500
 
 
@@ -98,7 +96,9 @@
             return None
         self._delivery.answered()
         self._record.answered(attempt.status)
-        return Response(status=attempt.status, headers=_end_to_end(attempt.headers), body=body)
+        return Response(
+            status=attempt.status, headers=attempt.headers.end_to_end(_RESTATED_FIELDS), body=body
+        )
 
     async def _async_open(self) -> Attempt | None:
         """Send the request to an endpoint; return the attempt once its answer has begun."""
@@ -161,13 +161,8 @@
 
     def _retry_after_ms(self) -> int:
         """Return when the caller should come back."""
-        now_ms = self._dispatcher.clock_ms()
-        return max(
-            RETRY_AFTER_MIN_MS,
-            self._dispatcher.admission.retry_after_ms(
-                queue_of(self._wanted), self._wanted.rank, now_ms
-            ),
-        )
+        admission, now_ms = self._dispatcher.admission, self._dispatcher.clock_ms()
+        return admission.retry_after_ms(queue_of(self._wanted), self._wanted.rank, now_ms)
 
     def _note_end(self, attempt: Attempt, reason: str) -> None:
         """Log an attempt without a usable answer."""
@@ -183,7 +178,7 @@
         self._delivery.answered()
         attempt.note_began()
         self._record.began(attempt.status, self._dispatcher.clock_ms())
-        headers = _end_to_end(attempt.headers)
+        headers = attempt.headers.end_to_end(_RESTATED_FIELDS)
 
         async def async_body(sink: BodySink) -> None:
             await self._async_pump(attempt, first, sink)
@@ -223,7 +218,7 @@
         attempt.abort()
         self._attempt = None
         self._avoid |= {attempt.endpoint_id}
-        self._delivery.broke_off()
+        self._delivery.failed()
         while self._delivery.may_resume and self._cutter.last_id is not None:
             now_ms = self._dispatcher.clock_ms()
             if not self._dispatcher.take_retry(self._wanted.service, now_ms):
@@ -240,9 +235,3 @@
                 resumed.abort()
         self._record.stream_broke(err.message)
         raise BrokenStreamError("the endpoint's stream broke off") from err
-
-
-def _end_to_end(headers: Headers) -> Headers:
-    """Return an answer's fields without those of the connection that it came on."""
-    named = (headers.get("connection") or "").lower().split(",")
-    return headers.without(_HOP_HEADERS | {name.strip() for name in named if name.strip()})
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 import random
 
@@ -73,11 +74,14 @@
         member = peer.member
         return member is not None and member.failure_domain_id == self.own.failure_domain_id
 
-    def _is_heard(self, peer: _Peer, now_ms: int) -> bool:
-        """Tell whether a peer's beats arrive."""
-        interval_ms = self.near_interval_ms if self._is_near(peer) else self.far_interval_ms
-        limit_ms = min(MAX_SILENCE_MS, interval_ms * MISSED_BEATS)
-        return peer.member is not None and now_ms - peer.heard_ms <= limit_ms
+    def _heard(self, now_ms: int) -> Iterator[tuple[_Peer, Member]]:
+        """Yield the peers whose beats arrive."""
+        near_ms = min(MAX_SILENCE_MS, self.near_interval_ms * MISSED_BEATS)
+        far_ms = min(MAX_SILENCE_MS, self.far_interval_ms * MISSED_BEATS)
+        for peer in self._peers.values():
+            limit_ms = near_ms if self._is_near(peer) else far_ms
+            if peer.member is not None and now_ms - peer.heard_ms <= limit_ms:
+                yield peer, peer.member
 
     def receive(self, vm_id: VmId, incarnation: int, beat: Beat, source: str, now_ms: int) -> bool:
         """Take a beat in; return whether its sender is new or has restarted."""
@@ -149,11 +153,7 @@
 
     def heard_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the peers whose beats arrive."""
-        return tuple(
-            peer.member
-            for peer in self._peers.values()
-            if peer.member is not None and self._is_heard(peer, now_ms)
-        )
+        return tuple(member for _, member in self._heard(now_ms))
 
     def hastened(self, now_ms: int) -> tuple[Member, ...]:
         """Return the peers that hear at once of a long prompt that was placed."""
@@ -185,16 +185,13 @@
 
     def freshest_view(self, now_ms: int) -> tuple[Member, int, int] | None:
         """Return the heard peer whose view was confirmed last, its revision and that time."""
-        heard = [
-            (peer.view_confirmed_ms, peer)
-            for peer in self._peers.values()
-            if self._is_heard(peer, now_ms)
-        ]
-        if not heard:
+        freshest = max(
+            self._heard(now_ms), key=lambda item: item[0].view_confirmed_ms, default=None
+        )
+        if freshest is None:
             return None
-        confirmed_ms, peer = max(heard, key=lambda item: item[0])
-        assert peer.member is not None
-        return peer.member, peer.view_revision, confirmed_ms
+        peer, member = freshest
+        return member, peer.view_revision, peer.view_confirmed_ms
 
 
 def _interval_ms(peer_count: int) -> int:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -161,7 +161,6 @@
 
     not_run: bool
     is_signed: bool
-    attempt_id: str | None
     is_encoded: bool = False
     wrong_incarnation: bool = False
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -29,6 +29,12 @@
 PLAIN_QUEUE = 1
 """Requests beyond its slots that a plain endpoint may get; covers the time between two."""
 
+COLD_COST_MS = 60.0
+"""Handicap of an endpoint in cold start, which serves more slowly."""
+
+PLAIN_REQUEST_COST_MS = 60.0
+"""Delay at a plain endpoint whose slots are all taken; a few service times."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Placed:
@@ -100,7 +106,7 @@
         handicaps = self._handicaps_ms(service, terms, usable)
         open_places = [
             place
-            for place in self._open(service, terms, view, vm_ids, now_ms)
+            for place in self._open(service, terms, usable, view, vm_ids, now_ms)
             if place[0].endpoint.endpoint_id in handicaps
         ]
         fresh = [place for place in open_places if place[0].endpoint.endpoint_id not in avoid]
@@ -140,13 +146,14 @@
         self,
         service: Service,
         terms: RequestTerms,
+        usable: list[Tracked],
         view: FleetView,
         vm_ids: tuple[VmId, ...],
         now_ms: int,
     ) -> Iterator[tuple[Tracked, Load, bool]]:
         """Yield the endpoints with room, their load and whether they are cold."""
         stale = now_ms - view.confirmed_ms > STALE_VIEW_MS
-        for tracked in self.book.usable(service.name, view, now_ms):
+        for tracked in usable:
             load = tracked.total(now_ms)
             if not _has_room(tracked.endpoint, service, terms, load):
                 continue
@@ -241,13 +248,6 @@
         return placed
 
 
-COLD_COST_MS = 60.0
-"""Handicap of an endpoint in cold start, which serves more slowly."""
-
-PLAIN_REQUEST_COST_MS = 60.0
-"""Delay at a plain endpoint whose slots are all taken; a few service times."""
-
-
 def _memory_tokens(terms: RequestTerms) -> int:
     """Return the tokens of its own that a request holds in an engine's memory."""
     shared = sum(part.tokens for part in terms.shared_parts)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
@@ -43,7 +43,6 @@
         self._fleet = fleet
         self._keeper = keeper
         self._sealer = Sealer(secret, max_bytes=MAX_STREAM_MESSAGE_BYTES)
-        self._opener = Sealer(secret, max_bytes=MAX_STREAM_MESSAGE_BYTES)
         self._clock_ms = clock_ms
 
     def answer(self, request: Request) -> Response:
@@ -80,7 +79,7 @@
             address, "GET", PATH_VIEW, head_timeout_ms=VIEW_PULL_TIMEOUT_MS
         )
         body = await answer.async_read(VIEW_PULL_TIMEOUT_MS)
-        view = read_view(self._opener.open(body).payload, self._clock_ms())
+        view = read_view(self._sealer.open(body).payload, self._clock_ms())
         age_ms = self._clock_ms() - view.confirmed_ms
         _LOGGER.info(
             "View: taken from peer %s",
--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -4,6 +4,7 @@
 
 from wagtailusher_http.client import ClientAnswer, HttpClient
 from wagtailusher_http.const import ClientLimits, HttpLimits
+from wagtailusher_http.events import EVENT_END, cut_events, is_events
 from wagtailusher_http.exceptions import (
     AnswerError,
     AnswerTruncatedError,
@@ -33,6 +34,7 @@
     "ClientAnswer",
     "ClientLimits",
     "ConnectError",
+    "EVENT_END",
     "Handler",
     "Headers",
     "HttpClient",
@@ -44,6 +46,8 @@
     "SendVetoedError",
     "SilentConnectionError",
     "async_serve",
+    "cut_events",
     "error_response",
+    "is_events",
     "json_response",
 ]
--- a/packages/wagtailusher_http/src/wagtailusher_http/headers.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/headers.py
@@ -6,6 +6,11 @@
 
 RawHeader = tuple[bytes, bytes]
 
+HOP_FIELDS = frozenset(
+    {"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade"}
+)
+"""Fields that concern one connection only."""
+
 
 class Headers:
     """Header fields in order; names are kept in lower case."""
@@ -43,6 +48,11 @@
         unwanted = {name.encode("ascii") for name in names}
         return Headers.from_raw(item for item in self._raw if item[0] not in unwanted)
 
+    def end_to_end(self, also: frozenset[str] = frozenset()) -> Headers:
+        """Return a copy without the fields of one hop, those that it names, and given others."""
+        named = (self.get("connection") or "").lower().split(",")
+        return self.without(HOP_FIELDS | also | {name.strip() for name in named if name.strip()})
+
     def with_field(self, name: str, value: str) -> Headers:
         """Return a copy in which a field has only the given value."""
         copy = self.without(frozenset({name.lower()}))
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/event_stream.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/event_stream.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from wagtailusher_http import EVENT_END, cut_events
 from wagtailusher_integrations.engine.exceptions import EngineError
 
-_EVENT_END = b"\n\n"
 _END_MARKER = b"data: [DONE]\n\n"
 _MAX_EVENT_BYTES = 1024 * 1024
 
@@ -22,15 +22,11 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the whole events at hand, possibly none."""
-        data = self._rest + chunk if self._rest else chunk
-        end = data.rfind(_EVENT_END) + len(_EVENT_END)
-        if end < len(_EVENT_END):
-            if len(data) > _MAX_EVENT_BYTES:
+        events, self._rest = cut_events(self._rest, chunk)
+        if not events:
+            if len(self._rest) > _MAX_EVENT_BYTES:
                 raise EngineError("an event of the stream is too large")
-            self._rest = data
             return b""
-        self._rest = data[end:]
-        events = data[:end] if self._rest else data
-        self.event_count += events.count(_EVENT_END)
+        self.event_count += events.count(EVENT_END)
         self.is_complete = events.endswith(_END_MARKER)
         return events
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 import socket
 import struct
@@ -11,6 +11,8 @@
 from wagtailusher_core import callback
 
 STAMP = "3e1b.07.5a2"
+PART_GAP_S = 0.01
+"""Time between parts of an answer, so that they arrive one by one."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -125,64 +127,54 @@
     return "\r\n".join((*fields, "", "")).encode()
 
 
-def answer(body: bytes = b"done", status: str = "200 OK", *lines: str) -> Behaviour:
-    """Run the request and answer whole."""
+def _writing(parts: Callable[[Received], Iterable[bytes]], *, goes_on: bool = True) -> Behaviour:
+    """Run the request and write parts, a moment apart."""
 
     async def behave(
         runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
     ) -> bool:
         runner.note_run(request)
-        writer.write(_head(request, status, f"Content-Length: {len(body)}", *lines) + body)
-        await writer.drain()
-        return True
+        for part in parts(request):
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(PART_GAP_S)
+        return goes_on
 
     return behave
 
 
-def unsigned(body: bytes = b"done") -> Behaviour:
-    """Run the request and answer without a signature."""
+def _whole(request: Received, body: bytes, attempt_id: str | None = None) -> bytes:
+    """Return a signed answer with its length."""
+    return _head(request, "200 OK", f"Content-Length: {len(body)}", attempt_id=attempt_id) + body
 
-    async def behave(
-        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
-    ) -> bool:
-        runner.note_run(request)
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        await writer.drain()
-        return True
 
-    return behave
+def answer(body: bytes = b"done", status: str = "200 OK", *lines: str) -> Behaviour:
+    """Run the request and answer whole."""
+    length = f"Content-Length: {len(body)}"
+    return _writing(lambda request: [_head(request, status, length, *lines) + body])
 
 
-def extra_answer(body: bytes = b"done") -> Behaviour:
-    """Run the request, answer it, and send an answer to another request after it."""
+def unsigned(body: bytes = b"done") -> Behaviour:
+    """Run the request and answer without a signature."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    return _writing(lambda request: [head + body])
 
-    async def behave(
-        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
-    ) -> bool:
-        runner.note_run(request)
-        length = f"Content-Length: {len(body)}"
-        writer.write(_head(request, "200 OK", length) + body)
-        writer.write(_head(request, "200 OK", length, attempt_id="another") + b"X" * len(body))
-        await writer.drain()
-        return True
 
-    return behave
+def extra_answer(body: bytes = b"done") -> Behaviour:
+    """Run the request, answer it, and send an answer to another request with it."""
+    other = b"X" * len(body)
+    return _writing(lambda request: [_whole(request, body) + _whole(request, other, "another")])
 
 
 def stray_then_answer(body: bytes = b"done") -> Behaviour:
     """Send an answer to another request right before the own one."""
+    return _writing(lambda request: [_whole(request, b"wrong", "another"), _whole(request, body)])
 
-    async def behave(
-        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
-    ) -> bool:
-        runner.note_run(request)
-        writer.write(_head(request, "200 OK", "Content-Length: 5", attempt_id="another") + b"wrong")
-        await asyncio.sleep(0.01)
-        writer.write(_head(request, "200 OK", f"Content-Length: {len(body)}") + body)
-        await writer.drain()
-        return True
 
-    return behave
+def truncated(body: bytes = b"done") -> Behaviour:
+    """Run the request and break its answer off."""
+    length = f"Content-Length: {len(body) + 1}"
+    return _writing(lambda request: [_head(request, "200 OK", length) + body], goes_on=False)
 
 
 def unframed(body: bytes = b"done", *, reset: bool = False) -> Behaviour:
@@ -202,20 +194,6 @@
     return behave
 
 
-def truncated(body: bytes = b"done") -> Behaviour:
-    """Run the request and break its answer off."""
-
-    async def behave(
-        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
-    ) -> bool:
-        runner.note_run(request)
-        writer.write(_head(request, "200 OK", f"Content-Length: {len(body) + 1}") + body)
-        await writer.drain()
-        return False
-
-    return behave
-
-
 def reset_after_run() -> Behaviour:
     """Run the request and reset the connection."""
 
--- a/tests/wagtailusher_gateway/test_admission.py
+++ b/tests/wagtailusher_gateway/test_admission.py
@@ -29,7 +29,6 @@
         return Waiting(
             queue="desk",
             rank=rank,
-            arrived_ms=now_ms,
             give_up_ms=now_ms + wait_ms,
             try_place=try_place,
             refuse=lambda retry_after_ms: self.refused.append((rank, retry_after_ms)),
