--- a/tests/wagtailusher_admission/test_decider.py
+++ b/tests/wagtailusher_admission/test_decider.py
@@ -274,6 +274,16 @@
         (refusal,) = model.decider.offer(make_request(2, deadline_ms=10), 11)
         self.assertIs(refusal.code, ErrorCode.DEADLINE_UNREACHABLE)
 
+    def test_what_is_past_its_deadline_never_starts_even_before_it_is_expired(self) -> None:
+        model = Model(self, LIMITS)
+        model.offer(make_request(1, deadline_ms=10), 0)
+        model.offer(make_request(2, workspace="w1", deadline_ms=10), 0)
+        model.offer(make_request(3, workspace="w2", deadline_ms=500), 0)
+        on_time = [request.request_id for request in model.decider.candidates(POOL, 10)]
+        self.assertEqual(on_time, ["r1", "r2", "r3"])
+        late = [request.request_id for request in model.decider.candidates(POOL, 11)]
+        self.assertEqual(late, ["r3"])
+
     def test_late_goes_after_those_in_time_and_before_lower_tiers(self) -> None:
         model = Model(self, LIMITS)
         serve_late = DeadlineBehaviour.SERVE_LATE
--- a/tests/wagtailusher_router/test_decider.py
+++ b/tests/wagtailusher_router/test_decider.py
@@ -5,7 +5,8 @@
 import unittest
 
 from tests.wagtailusher_router.node import Recorder, endpoint, new_router, policy
-from wagtailusher_core import FailureDomainId, Outcome, RequestId
+from wagtailusher_core import EndpointId, FailureDomainId, Outcome, RequestId
+from wagtailusher_once import QuarantineDecider
 from wagtailusher_placement import EndOfWork
 
 
@@ -125,6 +126,20 @@
         self.assertLessEqual(len(crashed), 2)
         self.assertEqual(self.recorder.ends[RequestId("r5")], ["quarantined"])
 
+    def test_quarantined_request_is_refused_on_arrival_though_every_place_is_taken(self) -> None:
+        self.recorder.take(self.router.update_endpoints([endpoint("e0", limit=1)], 0))
+        peer = QuarantineDecider()
+        for name in ("e1", "e2"):
+            peer.crashed("bad", EndpointId(name), 2)
+        self.router.merge_quarantine(peer.summary(3), 3)
+        holder = self.recorder.arrive("holder", policy(), 4)
+        self.assertTrue(self.recorder.send(holder, 4))
+        waiting = self.recorder.arrive("waiting", policy(), 5)
+        self.assertEqual(self.recorder.ends[waiting], [])
+        refused = self.recorder.arrive("refused", policy(), 6, fingerprint="bad")
+        self.assertEqual(self.recorder.ends[refused], ["quarantined"])
+        self.assertEqual(self.recorder.outcomes[refused], Outcome.NOT_RUN)
+
 
 if __name__ == "__main__":
     unittest.main()
