Weigh a shared prompt part read anew by what waits for it, and agree on a second engine

An engine's waiting tokens were also counted as if nothing was kept, unless this VM itself had sent the session there.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/lanes.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/lanes.py
@@ -54,7 +54,7 @@
 def work_ms(terms: RequestTerms, batch_requests: int) -> float:
     """Return the engine time that a request takes, in ms, when the engine's batch is full."""
     shared = sum(part.tokens for part in terms.shared_parts)
-    read = max(0, terms.prompt_tokens - shared) + SHARED_MISS * shared
+    read = terms.own_prompt_tokens + SHARED_MISS * shared
     token_ms = STEP_MS / max(1, batch_requests) + STEP_MS_PER_REQUEST
     return read / PREFILL_TOKENS_PER_MS + terms.max_output_tokens * token_ms
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -154,6 +154,11 @@
         """Return the parts that other requests may share: all but the last."""
         return self.parts[:-1]
 
+    @property
+    def own_prompt_tokens(self) -> int:
+        """Return the prompt tokens outside of the shared parts."""
+        return max(0, self.prompt_tokens - sum(part.tokens for part in self.shared_parts))
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerTerms:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 import random
 
@@ -21,10 +21,16 @@
 from wagtailusher_gateway.endpoints import EndpointBook, Load, Tracked
 from wagtailusher_gateway.lanes import Lanes, is_prompt_heavy
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
-from wagtailusher_gateway.prefixes import PrefixMemory
+from wagtailusher_gateway.prefixes import MissingTokens, PrefixMemory
 
-ASSUMED_MISS = 0.3
-"""Part of a prompt's shared tokens taken as missing at the endpoint that all VMs prefer."""
+KEPT_BY_RANK = (0.9, 0.5)
+"""Chance that the first and the second endpoint on which all VMs agree keep a shared prompt."""
+
+REREAD_WEIGHT_MAX = 6.0
+"""Most weight of a shared part read anew at busy endpoints, where it delays all who wait."""
+
+REREAD_WAIT_MS = 40.0
+"""Mean wait for reading that adds one to that weight; about the reading of one shared part."""
 
 PLAIN_QUEUE = 1
 """Requests beyond its slots that a plain endpoint may get; covers the time between two."""
@@ -113,9 +119,15 @@
         open_places = fresh or open_places
         if not open_places:
             return None
-        costs = self._costs(service, terms, handicaps, open_places, now_ms)
+        kept = self._kept_by_agreement(service, terms, handicaps, open_places)
+        fleet_factor = max(1, len(vm_ids)) / len(open_places)
+        missing = self._prefixes.expect_missing(terms.shared_parts, fleet_factor, now_ms)
+        costs = self._costs(service, handicaps, open_places, kept, missing)
         best = min(range(len(open_places)), key=lambda index: costs[index])
-        return self._occupy(service, terms, open_places[best], costs[best], now_ms)
+        endpoint_id = open_places[best][0].endpoint.endpoint_id
+        chance = kept.get(endpoint_id, 0.0) * self._prefixes.repeat_chance(len(vm_ids))
+        unread_tokens = terms.own_prompt_tokens + missing(endpoint_id, chance)
+        return self._occupy(service, terms, open_places[best], costs[best], unread_tokens, now_ms)
 
     def release(self, placed: Placed, *, began: bool) -> None:
         """Give a place back; `began` says that the prompt was already counted as read."""
@@ -167,25 +179,43 @@
     def _costs(
         self,
         service: Service,
-        terms: RequestTerms,
         handicaps: dict[EndpointId, float],
         open_places: list[tuple[Tracked, Load, bool]],
-        now_ms: int,
+        kept: dict[EndpointId, float],
+        missing: MissingTokens,
     ) -> list[float]:
         """Return the expected delay at each place, in ms; chance decides between equals."""
         far_cost_ms = self._far_cost_ms()
-        preferred = None
-        if service.engine is not None:
-            own = [place for place in open_places if not self._is_far(place[0].endpoint)]
-            near = own if own and far_cost_ms > FOREIGN_DOMAIN_COST_MS else open_places
-            preferred = _preferred(terms, near, handicaps)
-        return [
-            self._cost(service, terms, tracked, load, preferred, now_ms)
-            + handicaps[tracked.endpoint.endpoint_id]
-            + (COLD_COST_MS if is_cold else 0.0)
-            + (far_cost_ms if self._is_far(tracked.endpoint) else 0.0)
-            for tracked, load, is_cold in open_places
-        ]
+        reread_ms = _reread_weight(load for _, load, _ in open_places) / PREFILL_TOKENS_PER_MS
+
+        def cost_ms(place: tuple[Tracked, Load, bool]) -> float:
+            tracked, load, is_cold = place
+            endpoint_id = tracked.endpoint.endpoint_id
+            return (
+                self._random.random()
+                + _delay_ms(service, tracked.endpoint, load)
+                + reread_ms * missing(endpoint_id, kept.get(endpoint_id, 0.0))
+                + handicaps[endpoint_id]
+                + (COLD_COST_MS if is_cold else 0.0)
+                + (far_cost_ms if self._is_far(tracked.endpoint) else 0.0)
+            )
+
+        return [cost_ms(place) for place in open_places]
+
+    def _kept_by_agreement(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        handicaps: dict[EndpointId, float],
+        open_places: list[tuple[Tracked, Load, bool]],
+    ) -> dict[EndpointId, float]:
+        """Return the chances that the endpoints on which all VMs agree keep a shared prompt."""
+        if service.engine is None or not terms.shared_parts:
+            return {}
+        own = [place for place in open_places if not self._is_far(place[0].endpoint)]
+        is_local = own and self._far_cost_ms() > FOREIGN_DOMAIN_COST_MS
+        agreed = _agreed(terms, own if is_local else open_places, handicaps)
+        return dict(zip(agreed, KEPT_BY_RANK, strict=False))
 
     def _is_far(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint is in another failure domain."""
@@ -196,42 +226,21 @@
         late_ms = self._far_interval_ms() - BEAT_INTERVAL_MS
         return FOREIGN_DOMAIN_COST_MS + FAR_LOAD_COST * max(0, late_ms)
 
-    def _cost(
-        self,
-        service: Service,
-        terms: RequestTerms,
-        tracked: Tracked,
-        load: Load,
-        preferred: EndpointId | None,
-        now_ms: int,
-    ) -> float:
-        """Return the expected delay at one endpoint."""
-        endpoint = tracked.endpoint
-        cost = self._random.random()
-        if service.engine is None:
-            return cost + PLAIN_REQUEST_COST_MS * load.requests / max(1, endpoint.slots)
-        missing = self._prefixes.missing_tokens(terms.shared_parts, endpoint.endpoint_id, now_ms)
-        if endpoint.endpoint_id == preferred:
-            missing = int(missing * ASSUMED_MISS)
-        waiting_ms = (load.prefill_tokens + missing) / PREFILL_TOKENS_PER_MS
-        return cost + waiting_ms + RUNNING_COST_MS * load.requests
-
     def _occupy(
         self,
         service: Service,
         terms: RequestTerms,
         place: tuple[Tracked, Load, bool],
         cost_ms: float,
+        unread_tokens: int,
         now_ms: int,
     ) -> Placed:
         """Count a request at an endpoint."""
         tracked, load, is_cold = place
         endpoint_id = tracked.endpoint.endpoint_id
-        own_tokens = terms.prompt_tokens - sum(part.tokens for part in terms.shared_parts)
-        missing = self._prefixes.missing_tokens(terms.shared_parts, endpoint_id, now_ms)
         placed = Placed(
             endpoint=tracked.endpoint,
-            prefill_tokens=max(0, own_tokens) + missing if service.engine is not None else 0,
+            prefill_tokens=unread_tokens if service.engine is not None else 0,
             memory_tokens=_memory_tokens(terms),
             is_cold=is_cold,
             cost_ms=cost_ms,
@@ -248,10 +257,23 @@
         return placed
 
 
+def _reread_weight(loads: Iterable[Load]) -> float:
+    """Return the weight of a shared part read anew; it grows as more prompts wait."""
+    waiting = [load.prefill_tokens for load in loads]
+    mean_wait_ms = sum(waiting) / len(waiting) / PREFILL_TOKENS_PER_MS
+    return min(REREAD_WEIGHT_MAX, 1.0 + mean_wait_ms / REREAD_WAIT_MS)
+
+
+def _delay_ms(service: Service, endpoint: Endpoint, load: Load) -> float:
+    """Return how long the work at an endpoint is expected to delay a new request."""
+    if service.engine is None:
+        return PLAIN_REQUEST_COST_MS * load.requests / max(1, endpoint.slots)
+    return load.prefill_tokens / PREFILL_TOKENS_PER_MS + RUNNING_COST_MS * load.requests
+
+
 def _memory_tokens(terms: RequestTerms) -> int:
     """Return the tokens of its own that a request holds in an engine's memory."""
-    shared = sum(part.tokens for part in terms.shared_parts)
-    return max(0, terms.prompt_tokens - shared) + terms.max_output_tokens
+    return terms.own_prompt_tokens + terms.max_output_tokens
 
 
 def _has_room(endpoint: Endpoint, service: Service, terms: RequestTerms, load: Load) -> bool:
@@ -267,14 +289,13 @@
     return not load.requests or taken <= engine.memory_tokens * KV_SHARE
 
 
-def _preferred(
+def _agreed(
     terms: RequestTerms,
     open_places: list[tuple[Tracked, Load, bool]],
     handicaps: dict[EndpointId, float],
-) -> EndpointId | None:
-    """Return the endpoint that all VMs prefer for a shared prompt."""
-    if not terms.shared_parts:
-        return None
+) -> list[EndpointId]:
+    """Return the endpoints in the order in which all VMs prefer them for a shared prompt."""
     ids = [place[0].endpoint.endpoint_id for place in open_places]
     own_lane = [endpoint_id for endpoint_id in ids if not handicaps.get(endpoint_id)]
-    return EndpointId(rank_by_rendezvous(terms.shared_parts[-1].part_id, own_lane or ids)[0])
+    ranked = rank_by_rendezvous(terms.shared_parts[-1].part_id, own_lane or ids)
+    return [EndpointId(endpoint_id) for endpoint_id in ranked]
--- a/tests/wagtailusher_gateway/builders.py
+++ b/tests/wagtailusher_gateway/builders.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from wagtailusher_core import EndpointId, FailureDomainId, VmId, WorkspaceId
+from wagtailusher_gateway.cold import ColdShares
+from wagtailusher_gateway.endpoints import EndpointBook
 from wagtailusher_gateway.models import (
     CallerLimits,
     Configuration,
@@ -21,6 +23,7 @@
     Split,
     Workspace,
 )
+from wagtailusher_gateway.placement import Placement
 
 ENGINES = Service(
     name="engines",
@@ -29,6 +32,8 @@
 )
 DESK = Service(name="desk")
 
+VM_IDS = tuple(VmId(f"vm-{number}") for number in range(9))
+
 
 def route(**changes: Any) -> Route:
     """Return a route of requests that run at most once."""
@@ -125,3 +130,15 @@
         is_leaving=False,
         is_ready=True,
     )
+
+
+def new_placement(current: FleetView, seed: int = 1) -> Placement:
+    """Return a placement that knows a view."""
+    placement = Placement(
+        book=EndpointBook(),
+        cold=ColdShares(VmId("vm-1"), overage=1.5, slack=5),
+        failure_domain_id=FailureDomainId("a"),
+        seed=seed,
+    )
+    placement.update(current, 0)
+    return placement
--- a/tests/wagtailusher_gateway/test_lanes.py
+++ b/tests/wagtailusher_gateway/test_lanes.py
@@ -5,8 +5,14 @@
 from dataclasses import replace
 import unittest
 
-from tests.wagtailusher_gateway.builders import ENGINES, endpoint, terms, view
-from tests.wagtailusher_gateway.test_placement import VM_IDS, new_placement
+from tests.wagtailusher_gateway.builders import (
+    ENGINES,
+    VM_IDS,
+    endpoint,
+    new_placement,
+    terms,
+    view,
+)
 from wagtailusher_core import EndpointId
 from wagtailusher_gateway.lanes import Lanes, is_prompt_heavy
 from wagtailusher_gateway.models import RequestTerms
--- a/tests/wagtailusher_gateway/test_placement.py
+++ b/tests/wagtailusher_gateway/test_placement.py
@@ -8,31 +8,16 @@
 from tests.wagtailusher_gateway.builders import (
     DESK,
     ENGINES,
+    VM_IDS,
     endpoint,
+    new_placement,
     plain_terms,
     terms,
     view,
 )
 from wagtailusher_core import EndpointId, FailureDomainId, VmId
-from wagtailusher_gateway.cold import ColdShares
 from wagtailusher_gateway.const import STALE_VIEW_MS
-from wagtailusher_gateway.endpoints import EndpointBook, Load
-from wagtailusher_gateway.models import FleetView
-from wagtailusher_gateway.placement import Placement
-
-VM_IDS = tuple(VmId(f"vm-{number}") for number in range(9))
-
-
-def new_placement(current: FleetView, seed: int = 1) -> Placement:
-    """Return a placement that knows a view."""
-    placement = Placement(
-        book=EndpointBook(),
-        cold=ColdShares(VmId("vm-1"), overage=1.5, slack=5),
-        failure_domain_id=FailureDomainId("a"),
-        seed=seed,
-    )
-    placement.update(current, 0)
-    return placement
+from wagtailusher_gateway.endpoints import Load
 
 
 class PlacementTest(unittest.TestCase):
