Gather news before followers read the store; wait for the first configuration with the reader

Two groups of calls serve nobody: all VMs polled from their start until the operator's first configuration, and each change that a reader told made every follower call at once, four times a second while endpoints are replaced.

Left: changes could be handed on by the reader instead.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -201,6 +201,7 @@
             keeper=self.keeper,
             clock_ms=monotonic_ms,
             is_due=lambda: is_reading_due(self.fleet, self.keeper, monotonic_ms()),
+            is_reader=lambda: self.fleet.is_reader(monotonic_ms()),
         )
         return lambda: reader(reading)
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/reading.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/reading.py
@@ -20,15 +20,18 @@
     clock_ms: Callable[[], int]
     is_due: Callable[[], bool]
     """Tells whether to read now; otherwise peers keep the view current."""
+    is_reader: Callable[[], bool]
+    """Tells whether peers rely on this VM's reading, which must not pause for long."""
 
 
 def is_reading_due(fleet: FleetDecider, keeper: ViewKeeper, now_ms: int) -> bool:
     """Tell whether this VM should read the platform now.
 
-    One VM of each failure domain always reads. The others read when a peer has heard of news, or
-    when nobody has confirmed their view for a while, so that a lost reader costs only time.
+    One VM of each failure domain always reads. The others read once at their start, when a peer
+    has heard of news, or when nobody has confirmed their view for a while, so that a lost reader
+    costs only time.
     """
-    if keeper.view.configuration is None or fleet.is_reader(now_ms):
+    if not keeper.view.confirmed_ms or fleet.is_reader(now_ms):
         return True
     if fleet.heard_revision > keeper.view.revision:
         return True
--- a/tests/wagtailusher_gateway/test_reading.py
+++ b/tests/wagtailusher_gateway/test_reading.py
@@ -57,6 +57,17 @@
         keeper = ViewKeeper(lambda view, changed, now_ms: None)
         self.assertTrue(is_reading_due(decider, keeper, 0))
 
+    def test_vm_that_has_read_waits_for_the_first_configuration_with_its_reader(self) -> None:
+        """A fleet that starts before the operator writes does not poll as a whole."""
+        fleet = Fleet(9, seed=5)
+        fleet.run(2_000)
+        _, others = self._split(fleet)
+        keeper = ViewKeeper(lambda view, changed, now_ms: None)
+        keeper.confirm(3, fleet.now_ms)
+        self.assertFalse(is_reading_due(others[0], keeper, fleet.now_ms))
+        late_ms = fleet.now_ms + READ_ALONE_MS + 1
+        self.assertTrue(is_reading_due(others[0], keeper, late_ms))
+
     def test_peer_confirms_the_same_revision_only(self) -> None:
         """What a peer found current confirms the own view only if both are the same."""
         keeper = new_keeper(7, 1_000)
--- /dev/null
+++ b/tests/wagtailusher_platform/test_coordinator.py
@@ -0,0 +1,63 @@
+"""Tests of how often the store is read while much changes in it."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.standins.platform_store import PlatformStore
+from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_gateway import Reading, ViewKeeper
+from wagtailusher_http import HttpClient
+from wagtailusher_platform.const import FOLLOWER_PAUSE_MS, MS_PER_S, WATCH_PAUSE_MS
+from wagtailusher_platform.coordinator import StoreCoordinator
+from wagtailusher_platform.store import StoreClient
+
+CHANGES = 60
+CHANGE_PAUSE_S = 0.025
+CHURN_MS = int(CHANGES * CHANGE_PAUSE_S * MS_PER_S)
+FIRST_CALLS = 2
+"""The list of everything and the first watch."""
+
+
+class CoordinatorTest(unittest.IsolatedAsyncioTestCase):
+    """Calls to the store while endpoints come and go."""
+
+    async def async_calls(self, *, is_reader: bool) -> int:
+        """Return the calls that one VM makes while the store changes without a break."""
+        store = PlatformStore()
+        address = await store.async_start()
+        keeper = ViewKeeper(lambda view, changed, now_ms: None)
+        reading = Reading(
+            keeper=keeper,
+            clock_ms=monotonic_ms,
+            is_due=lambda: True,
+            is_reader=lambda: is_reader,
+        )
+        client = StoreClient(HttpClient(), address, lambda outcome: None)
+        task = asyncio.create_task(StoreCoordinator(client).async_run(reading))
+        try:
+            for number in range(CHANGES):
+                store.put(f"op/evacuate/zone-{number}", {})
+                await asyncio.sleep(CHANGE_PAUSE_S)
+            last = store.revision
+            async with asyncio.timeout(2 * FOLLOWER_PAUSE_MS / MS_PER_S):
+                while keeper.view.revision < last:  # noqa: ASYNC110 - the keeper has no event
+                    await asyncio.sleep(CHANGE_PAUSE_S)
+        finally:
+            task.cancel()
+            await store.async_stop()
+        return store.calls
+
+    async def test_reader_gathers_changes(self) -> None:
+        calls = await self.async_calls(is_reader=True)
+        self.assertLessEqual(calls, FIRST_CALLS + 2 * CHURN_MS / WATCH_PAUSE_MS)
+
+    async def test_vm_that_follows_a_reader_gathers_more(self) -> None:
+        """Each change reaches all VMs of a large fleet, whose calls are counted together."""
+        calls = await self.async_calls(is_reader=False)
+        self.assertLessEqual(calls, FIRST_CALLS + 2 * CHURN_MS / FOLLOWER_PAUSE_MS)
+
+
+if __name__ == "__main__":
+    unittest.main()
