--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 import random
+from zlib import crc32
 
 from tests.soak.const import CALLER_COUNT, DEADLINE_MS, MS_PER_S
 from tests.soak.observations import Answered, Kind, Observations, Sent
@@ -22,6 +23,13 @@
 GIVE_UP_S = 0.03
 """Time after which an impatient caller leaves; within a stream or before its first event."""
 
+SESSION_COUNT = 12
+PROMPTS = {
+    Kind.REVIEW: ("6200,60", "policy:2500,session-{session}:1500,own-{attempt_id}:2200"),
+    Kind.CHAT: ("800,120", "greeting:200,own-{attempt_id}:600"),
+}
+"""Tokens in and out, and the parts of a prompt, of each kind of stream."""
+
 Tamper = Callable[[Sent, bytes], bytes]
 """Changes what a caller got; a fault planted on purpose, to test the checks."""
 
@@ -98,13 +106,7 @@
                 address,
                 "POST" if sent.kind is Kind.BOOK else "GET",
                 sent.path,
-                Headers(
-                    {
-                        "x-attempt-id": sent.attempt_id,
-                        "x-deadline-ms": str(DEADLINE_MS),
-                        "authorization": f"Bearer {KEY}",
-                    }.items()
-                ),
+                _headers(sent),
                 b"order" if sent.kind is Kind.BOOK else b"",
                 host=HOST,
             )
@@ -117,3 +119,18 @@
     except (HttpError, TimeoutError):
         return status, b"".join(parts), False
     return status, b"".join(parts), is_whole
+
+
+def _headers(sent: Sent) -> Headers:
+    """Return the fields of a caller's request; sessions come again."""
+    fields = {
+        "x-attempt-id": sent.attempt_id,
+        "x-deadline-ms": str(DEADLINE_MS),
+        "authorization": f"Bearer {KEY}",
+    }
+    if sent.kind in PROMPTS:
+        tokens, parts = PROMPTS[sent.kind]
+        session = crc32(sent.attempt_id.encode()) % SESSION_COUNT
+        fields["x-token-count"] = tokens
+        fields["x-prompt-prefix"] = parts.format(session=session, attempt_id=sent.attempt_id)
+    return Headers(fields.items())
