--- a/tests/wagtailusher_gateway/test_fleet.py
+++ b/tests/wagtailusher_gateway/test_fleet.py
@@ -22,6 +22,8 @@
         self.loss = loss
         self.now_ms = 0
         self.down: set[str] = set()
+        self.cut: frozenset[str] = frozenset()
+        """VMs that hear each other and nobody else."""
         self.deciders: dict[str, FleetDecider] = {}
         seeds = tuple(member(number).peer_address for number in range(min(3, count)))
         for number in range(count):
@@ -43,6 +45,8 @@
         """Carry one beat."""
         if address in self.down or self.random.random() < self.loss:
             return
+        if (source in self.cut) != (address in self.cut):
+            return
         own = sender.own
         beat = Beat(
             address=own.address,
