Give a VM its part of shared bounds only once it has found its fleet

A VM now sends to cold endpoints and uses the retry slack only when it has heard of nobody new for a second (two beat intervals in a large fleet), and starts over when it has forgotten all. Ruled out: counting the seeds (three of nine), and waiting a fixed time (68 VMs find each other in up to 6 s).

test_fleet_rules plays 1, 6, 9, 30 and 68 eager VMs from their start, and one that slept 32 s; both failed before. Three tests that repeat a send right after a gateway's start now wait until it is settled; they check what they did.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -113,7 +113,10 @@
         placement = Placement(
             book=EndpointBook(),
             cold=ColdShares(
-                self.options.vm_id, overage=bounds.cold_overage, slack=bounds.cold_slack
+                self.options.vm_id,
+                overage=bounds.cold_overage,
+                slack=bounds.cold_slack,
+                knows_fleet=self.fleet.is_settled,
             ),
             failure_domain_id=self.options.failure_domain_id,
             seed=self._random.randrange(1 << 32),
@@ -127,6 +130,7 @@
                 ratio=bounds.retry_ratio,
                 slack=bounds.retry_slack,
                 window_ms=bounds.retry_window_ms,
+                knows_fleet=self.fleet.is_settled,
             ),
             clock_ms=monotonic_ms,
             vm_ids=self.fleet.all_vm_ids,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/budget.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from wagtailusher_gateway.const import RETRY_SLACK_SHARE
 
@@ -14,8 +15,16 @@
     slack and a share of only its own requests.
     """
 
-    def __init__(self, *, ratio: float, slack: float, window_ms: int) -> None:
-        """Set the fleet's bounds."""
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_ms: int,
+        knows_fleet: Callable[[int], bool] = lambda now_ms: True,
+    ) -> None:
+        """Set the fleet's bounds; while `knows_fleet` denies, no slack is given out."""
+        self._knows_fleet = knows_fleet
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
@@ -30,7 +39,8 @@
         """Return how many repeats are left in the window."""
         requests = len(self._recent(self._requests, service, now_ms))
         repeats = len(self._recent(self._repeats, service, now_ms))
-        share = self._slack * RETRY_SLACK_SHARE / max(1, vm_count)
+        slack = self._slack if self._knows_fleet(now_ms) else 0.0
+        share = slack * RETRY_SLACK_SHARE / max(1, vm_count)
         return share + self._ratio * RETRY_SLACK_SHARE * requests - repeats
 
     def take(self, service: str, vm_count: int, now_ms: int) -> bool:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/cold.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/cold.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 import math
 
 from wagtailusher_core import EndpointId, VmId, rank_by_rendezvous
@@ -17,8 +18,20 @@
     may send at all.
     """
 
-    def __init__(self, vm_id: VmId, *, overage: float, slack: float) -> None:
-        """Set the factor and the constant by which the fleet may exceed an endpoint's limit."""
+    def __init__(
+        self,
+        vm_id: VmId,
+        *,
+        overage: float,
+        slack: float,
+        knows_fleet: Callable[[int], bool] = lambda now_ms: True,
+    ) -> None:
+        """Set the factor and the constant by which the fleet may exceed an endpoint's limit.
+
+        `knows_fleet` tells whether the VMs that are known can be divided by; before that nothing
+        may be sent.
+        """
+        self._knows_fleet = knows_fleet
         self._vm_id = vm_id
         self._overage = overage
         self._slack = slack
@@ -30,6 +43,8 @@
         """Tell whether this VM may send one request to a cold endpoint now."""
         if per_s <= 0:
             return True
+        if not self._knows_fleet(now_ms):
+            return False
         return len(self._recent(endpoint_id, now_ms)) < self.share(endpoint_id, per_s, vm_ids)
 
     def share(self, endpoint_id: EndpointId, per_s: float, vm_ids: tuple[VmId, ...]) -> int:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -25,6 +25,13 @@
 """Peers named in one beat; as many fit a datagram beside the loads."""
 
 
+SETTLE_MS = 1_000
+"""Time without a new VM after which the fleet is taken to be known; five beats of a small one."""
+
+SETTLE_INTERVALS = 2
+"""Beat intervals of a large fleet for the same; one may be lost."""
+
+
 @dataclass(slots=True, kw_only=True)
 class _Peer:
     """A VM that was heard of."""
@@ -52,6 +59,8 @@
         self._peers: dict[VmId, _Peer] = {}
         self._seeds_due_ms = started_ms
         self._beats = 0
+        self._grown_ms = started_ms
+        self._is_settled = False
         self._random = random.Random(seed)
         self.heard_revision = 0
 
@@ -88,6 +97,8 @@
         if vm_id == self.own.vm_id:
             return False
         known = self._peers.get(vm_id)
+        if known is None:
+            self._grown_ms = now_ms
         before = known.member if known is not None else None
         if before is not None and before.incarnation > incarnation:
             return False
@@ -119,15 +130,23 @@
         """Note a VM that a peer knows."""
         if rumour.vm_id == self.own.vm_id or rumour.vm_id in self._peers:
             return
+        self._grown_ms = now_ms
         self._peers[rumour.vm_id] = _Peer(
             peer_address=rumour.peer_address, heard_ms=now_ms, due_ms=now_ms
         )
 
-    def due(self, now_ms: int) -> list[tuple[str, bool]]:
-        """Return whom to send a beat now, and whether it names the known peers."""
+    def _forget_silent(self, now_ms: int) -> None:
+        """Forget peers that fell silent long ago; whoever forgets all was suspended or cut off."""
         for vm_id, peer in tuple(self._peers.items()):
             if now_ms - peer.heard_ms > FORGET_PEER_MS:
                 del self._peers[vm_id]
+                if not self._peers:
+                    self._is_settled = False
+                    self._grown_ms = now_ms
+
+    def due(self, now_ms: int) -> list[tuple[str, bool]]:
+        """Return whom to send a beat now, and whether it names the known peers."""
+        self._forget_silent(now_ms)
         due = [peer for peer in self._peers.values() if peer.due_ms <= now_ms]
         near_ms, far_ms = self.near_interval_ms, self.far_interval_ms
         addresses = []
@@ -179,6 +198,17 @@
         first = first_by_rendezvous(domain_id, (*candidates, self.own.vm_id))
         return first == self.own.vm_id and not self.own.is_leaving
 
+    def is_settled(self, now_ms: int) -> bool:
+        """Tell whether this VM has found its fleet, and may take its part of what all share.
+
+        Right after its start a VM knows too few others, and its part would be too large. Once
+        it has heard of nobody new for a while, it stays settled: later ones make its part smaller.
+        """
+        pause_ms = max(SETTLE_MS, SETTLE_INTERVALS * self.far_interval_ms)
+        if now_ms - self._grown_ms >= pause_ms:
+            self._is_settled = True
+        return self._is_settled
+
     def all_vm_ids(self) -> tuple[VmId, ...]:
         """Return every VM that may still send work: the heard, the silent and this one."""
         return (self.own.vm_id, *self._peers)
--- a/tests/wagtailusher_gateway/test_fleet_rules.py
+++ b/tests/wagtailusher_gateway/test_fleet_rules.py
@@ -42,17 +42,27 @@
 class Eager:
     """A fleet whose VMs send to one cold endpoint as often as they may, and repeat all they may."""
 
-    def __init__(self, count: int, seed: int) -> None:
+    def __init__(self, count: int, seed: int, settled_ms: int = SETTLED_MS) -> None:
         self.fleet = Fleet(count, seed, loss=0.03)
-        self.fleet.run(SETTLED_MS)
+        self.fleet.run(settled_ms)
         self._random = Random(seed)
         self._shares = {
-            address: ColdShares(decider.own.vm_id, overage=OVERAGE, slack=SLACK)
+            address: ColdShares(
+                decider.own.vm_id,
+                overage=OVERAGE,
+                slack=SLACK,
+                knows_fleet=decider.is_settled,
+            )
             for address, decider in self.fleet.deciders.items()
         }
         self._budgets = {
-            address: RetryBudget(ratio=RATIO, slack=RETRY_SLACK, window_ms=WINDOW_MS)
-            for address in self.fleet.deciders
+            address: RetryBudget(
+                ratio=RATIO,
+                slack=RETRY_SLACK,
+                window_ms=WINDOW_MS,
+                knows_fleet=decider.is_settled,
+            )
+            for address, decider in self.fleet.deciders.items()
         }
         self.paused: set[str] = set()
         self.sent_ms: list[int] = []
@@ -116,6 +126,16 @@
                 self.assertLessEqual(eager.busiest_second(), LIMIT)
                 self.assertLessEqual(eager.most_beyond_budget(), 0)
 
+    def test_bounds_hold_when_all_vms_start_at_once(self) -> None:
+        """Each knows only itself at first, and would take the whole for its part."""
+        for count in (1, 6, 9, 30, 68):
+            with self.subTest(count=count):
+                eager = Eager(count, seed=count, settled_ms=0)
+                eager.run(WINDOW_MS + SETTLED_MS)
+                self.assertLessEqual(eager.busiest_second(), LIMIT)
+                self.assertLessEqual(eager.most_beyond_budget(), 0)
+                self.assertGreater(eager.busiest_second(), LIMIT / 3)
+
     def test_bounds_hold_when_paused_vms_wake_together(self) -> None:
         eager = Eager(9, seed=4)
         for _ in range(3):
@@ -126,6 +146,15 @@
         self.assertLessEqual(eager.busiest_second(), LIMIT)
         self.assertLessEqual(eager.most_beyond_budget(), 0)
 
+    def test_bounds_hold_when_a_vm_wakes_that_has_forgotten_its_peers(self) -> None:
+        eager = Eager(9, seed=4)
+        eager.paused = {member(8).peer_address}
+        eager.run(FORGET_PEER_MS + 2_000)
+        eager.paused = set()
+        eager.run(SETTLED_MS)
+        self.assertLessEqual(eager.busiest_second(), LIMIT)
+        self.assertLessEqual(eager.most_beyond_budget(), 0)
+
     def test_bounds_hold_in_a_fleet_that_is_larger_than_the_limit(self) -> None:
         eager = Eager(40, seed=2)
         eager.fleet.cut = half(40)
--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -12,6 +12,7 @@
 
 from tests.standins.platform_store import PlatformStore
 from tests.standins.runner import RunnerStandin, answer
+from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_gateway import GatewayApp, GatewayMetrics
 from wagtailusher_http import ClientAnswer, ClientLimits, Headers, HttpClient
 from wagtailusher_platform.coordinator import StoreCoordinator
@@ -171,6 +172,10 @@
         """Wait until a gateway knows its configuration and so many endpoints."""
         await self.async_until(lambda: app.is_ready and len(app.keeper.view.endpoints) == endpoints)
 
+    async def async_settled(self, app: GatewayApp) -> None:
+        """Wait until a gateway takes its part of what the fleet shares, as repeated sends."""
+        await self.async_until(lambda: app.fleet.is_settled(monotonic_ms()))
+
     async def async_ask(
         self, app: GatewayApp, path: str, body: bytes = b"", **fields: str
     ) -> ClientAnswer:
--- a/tests/wagtailusher_platform/test_path.py
+++ b/tests/wagtailusher_platform/test_path.py
@@ -120,6 +120,7 @@
             # A VM that nobody names as a seed; one that saw a failure asks the other first.
             app = await self.async_gateway(3 + number)
             await self.async_ready(app, 2)
+            await self.async_settled(app)
             reply = await self.async_ask(app, "/look/")
             self.assertEqual(reply.status, HTTPStatus.BAD_GATEWAY)
             self.assertEqual(len(near.ran), number + 1)
@@ -139,6 +140,7 @@
         right = await self.async_runner("desk", "i-2", answer())
         app = await self.async_gateway()
         await self.async_ready(app, 2)
+        await self.async_settled(app)
         for _ in range(6):
             reply = await self.async_ask(app, "/book/", b"order")
             self.assertEqual(reply.status, HTTPStatus.OK)
@@ -248,6 +250,7 @@
             await self.async_runner("engines", f"i-{number}", *behaviours)
         app = await self.async_gateway()
         await self.async_ready(app, 2)
+        await self.async_settled(app)
         reply = await self.async_ask(app, "/review/", b"p")
         self.assertEqual(_numbers(await reply.async_read()), list(range(1, 11)))
         resumed = [item for runner in self.runners for item in runner.received[:]]
