--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,8 +7,8 @@
 import random
 from zlib import crc32
 
-from tests.soak.const import CALLER_COUNT, DEADLINE_MS, MS_PER_S
-from tests.soak.observations import Answered, Kind, Observations, Sent
+from tests.soak.const import CALLER_COUNT, DEADLINE_MS, GUEST_KEY, GUEST_SHARE, MS_PER_S
+from tests.soak.observations import GUESTS, MEMBERS, Answered, Kind, Observations, Sent
 from tests.soak.processes import EntryProcess
 from tests.wagtailusher_platform.fleet import HOST, KEY
 from wagtailusher_daemon.clock import monotonic_ms
@@ -23,6 +23,7 @@
 GIVE_UP_S = 0.03
 """Time after which an impatient caller leaves; within a stream or before its first event."""
 
+KEYS = {MEMBERS: KEY, GUESTS: GUEST_KEY}
 SESSION_COUNT = 12
 PROMPTS = {
     Kind.REVIEW: ("6200,60", "policy:2500,session-{session}:1500,own-{attempt_id}:2200"),
@@ -73,6 +74,7 @@
             incarnation=process.incarnation,
             at_ms=monotonic_ms(),
             path=f"/{kind}/{attempt_id}",
+            workspace=GUESTS if chance.random() < GUEST_SHARE else MEMBERS,
         )
         seen.sent[attempt_id] = sent
         patience_s = GIVE_UP_S if chance.random() < GIVE_UP_SHARE else 2 * DEADLINE_MS / MS_PER_S
@@ -126,7 +128,7 @@
     fields = {
         "x-attempt-id": sent.attempt_id,
         "x-deadline-ms": str(DEADLINE_MS),
-        "authorization": f"Bearer {KEY}",
+        "authorization": f"Bearer {KEYS[sent.workspace]}",
     }
     if sent.kind in PROMPTS:
         tokens, parts = PROMPTS[sent.kind]
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,7 +18,7 @@
     SERVED_SHARE,
     STREAM_EVENTS,
 )
-from tests.soak.observations import Answered, Kind, Observations, Run
+from tests.soak.observations import MEMBERS, Answered, Kind, Observations, Run
 
 NOT_RUN = frozenset(
     {
@@ -30,6 +30,8 @@
 )
 """Statuses that promise that the request has not run and never will."""
 
+DENIED = frozenset({HTTPStatus.UNAUTHORIZED, HTTPStatus.FORBIDDEN, HTTPStatus.NOT_FOUND})
+
 PROBE_BODY = b"version "
 """What an answer to a probe begins with; its version follows."""
 
@@ -90,8 +92,24 @@
             yield f"{run.endpoint_id} ran {run.attempt_id}, which nobody sent"
         elif sent.path != run.path:
             yield f"{run.attempt_id} was sent to {sent.path} and ran as {run.path}"
-        elif run.workspace != "members":
-            yield f"{run.attempt_id} ran for {run.workspace!r}"
+        elif run.workspace != sent.workspace:
+            yield f"{run.attempt_id} of {sent.workspace} ran for {run.workspace!r}"
+
+
+def check_keys(seen: Observations) -> Iterator[str]:
+    """A key that was taken away lets nobody in after its time, and one in force always does."""
+    for answer in seen.answered:
+        sent = seen.sent[answer.attempt_id]
+        if answer.status in DENIED and sent.workspace == MEMBERS:
+            yield f"{answer.attempt_id} was denied with {answer.status}"
+    for start_ms, end_ms, workspace in _spans(seen, "revoke", "restore"):
+        for run in seen.runs:
+            sent_run = seen.sent.get(run.attempt_id)
+            if sent_run is None or sent_run.workspace != workspace:
+                continue
+            is_late = start_ms + CONFIG_APPLY_MS < sent_run.at_ms and run.at_ms < end_ms
+            if is_late and _came_by_calm_vm(seen, run):
+                yield f"{run.attempt_id} ran with a key that was taken away"
 
 
 def check_drained(seen: Observations) -> Iterator[str]:
@@ -111,7 +129,7 @@
     runs = defaultdict(list)
     for run in seen.runs:
         runs[run.endpoint_id].append(run.at_ms)
-    for start_ms, end_ms, endpoint_id in _cold_spans(seen):
+    for start_ms, end_ms, endpoint_id in _spans(seen, "cold", "warm"):
         times = sorted(at_ms for at_ms in runs[endpoint_id] if start_ms <= at_ms < end_ms)
         for at_ms in times:
             count = sum(1 for other in times if at_ms <= other < at_ms + MS_PER_S)
@@ -186,13 +204,13 @@
     return seen.is_calm((sent.entry, run.endpoint_id), run.at_ms, CONTACT_MS)
 
 
-def _cold_spans(seen: Observations) -> Iterator[tuple[int, int, str]]:
-    """Yield from when to when each endpoint was cold."""
+def _spans(seen: Observations, first: str, last: str) -> Iterator[tuple[int, int, str]]:
+    """Yield from when to when each subject was between two kinds of change."""
     began: dict[str, int] = {}
     for change in sorted(seen.changes, key=lambda item: item.at_ms):
-        if change.what == "cold":
+        if change.what == first:
             began[change.subject] = change.at_ms
-        elif change.what == "warm" and change.subject in began:
+        elif change.what == last and change.subject in began:
             yield began.pop(change.subject), change.at_ms, change.subject
 
 
@@ -201,6 +219,7 @@
     check_refusals,
     check_bodies,
     check_asked,
+    check_keys,
     check_drained,
     check_cold,
     check_versions,
--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -46,7 +46,11 @@
 COLD_START_S: Final = 1.5
 """Time for which an endpoint that came back is cold."""
 
-MAX_VERSION: Final = 6
+GUEST_KEY: Final = "guest-key"
+GUEST_SHARE: Final = 0.2
+"""Share of requests with the guests' key."""
+
+MAX_VERSION: Final = 8
 """Versions of the configuration that a play may reach; each has a probe service of its own."""
 
 STREAM_EVENTS: Final = 6
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,8 @@
 import random
 import signal
 
-from tests.soak.const import DRAIN_MS, FAULTS_S, MAX_VERSION, MS_PER_S
+from tests.soak.const import CONFIG_APPLY_MS, DRAIN_MS, FAULTS_S, MAX_VERSION, MS_PER_S
+from tests.soak.observations import GUESTS
 from tests.soak.proxy import FaultProxy
 from tests.soak.world import DESK, ENGINES, Place, World
 from wagtailusher_daemon.clock import monotonic_ms
@@ -103,11 +104,24 @@
 async def async_fault_configuration(world: World, chance: random.Random) -> None:
     """Change the configuration, at times twice in quick succession."""
     for _ in range(chance.randint(1, CONFIGURATIONS_IN_SERIES)):
-        if world.version < MAX_VERSION:
+        if world.version + 2 < MAX_VERSION:
             world.put_configuration(world.version + 1)
         await asyncio.sleep(chance.uniform(0.0, RESTART_PAUSE_S))
 
 
+async def async_fault_revoke(world: World, chance: random.Random) -> None:
+    """Take the guests' key away, and give it back some time after that is in force."""
+    if world.version + 1 >= MAX_VERSION or not world.has_guests:
+        return
+    world.has_guests = False
+    world.put_configuration(world.version + 1)
+    world.note("revoke", GUESTS)
+    await asyncio.sleep(CONFIG_APPLY_MS / MS_PER_S + chance.uniform(0.5, MAX_HOLD_S))
+    world.note("restore", GUESTS)
+    world.has_guests = True
+    world.put_configuration(world.version + 1)
+
+
 FAULTS: tuple[Fault, ...] = (
     async_fault_kill,
     async_fault_restart,
@@ -119,6 +133,7 @@
     async_fault_drain,
     async_fault_crash,
     async_fault_configuration,
+    async_fault_revoke,
 )
 
 
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -6,6 +6,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+MEMBERS = "members"
+GUESTS = "guests"
+"""Workspaces; the guests' key is taken away now and then."""
+
 
 class Kind(StrEnum):
     """The first part of a path, which tells what may be done with its requests."""
@@ -33,6 +37,8 @@
     """Counts the starts of the entry's process."""
     at_ms: int
     path: str
+    workspace: str = MEMBERS
+    """Whose key the caller shows."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,9 +70,9 @@
 
     at_ms: int
     what: str
-    """`drain`, `cold`, `warm` or `version`."""
+    """`drain`, `cold`, `warm`, `version`, `revoke` or `restore`."""
     subject: str
-    """The endpoint or the version."""
+    """The endpoint, the version or the workspace whose key is concerned."""
 
 
 @dataclass(slots=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,8 +9,8 @@
 
 from tests.soak.callers import Tamper
 from tests.soak.checks import PROBE_BODY, event
-from tests.soak.const import COLD_PER_S
-from tests.soak.observations import Kind, Sent
+from tests.soak.const import CALM_S, COLD_PER_S
+from tests.soak.observations import GUESTS, Kind, Sent
 from tests.soak.play import Played, async_play
 from tests.soak.world import ENGINES, World
 from tests.standins.runner import Received, RunnerStandin
@@ -108,6 +108,18 @@
 
         await self._assert_tampering_is_found(go_back, "check_versions")
 
+    async def test_key_that_outlives_its_end_is_found(self) -> None:
+        """The operator takes a key away that the configuration in force still holds."""
+
+        async def revoke(world: World, request: Received, runner: RunnerStandin) -> None:
+            if not any(change.what == "revoke" for change in world.seen.changes):
+                world.note("revoke", GUESTS)
+                await asyncio.sleep(CALM_S - 0.5)
+                world.note("restore", GUESTS)
+
+        played = await self.async_played(PLANTED_SEED, has_faults=False, after_run=revoke)
+        self.assert_found(played, "check_keys")
+
     async def test_answer_to_another_request_is_found(self) -> None:
         def swap(sent: Sent, body: bytes) -> bytes:
             return body.replace(sent.attempt_id.encode(), b"another")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,11 +17,12 @@
     ENGINE_COUNT,
     ENTRY_COUNT,
     EVENT_GAP_S,
+    GUEST_KEY,
     MAX_VERSION,
     MS_PER_S,
     STREAM_EVENTS,
 )
-from tests.soak.observations import Change, Kind, Observations, Run
+from tests.soak.observations import GUESTS, Change, Kind, Observations, Run
 from tests.soak.processes import EntryProcess
 from tests.soak.proxy import FaultProxy
 from tests.standins.platform_store import PlatformStore
@@ -62,6 +63,8 @@
     entries: list[EntryProcess] = field(default_factory=list)
     store_links: list[FaultProxy] = field(default_factory=list)
     version: int = 1
+    has_guests: bool = True
+    """Whether the configuration in force holds the guests' key."""
     after_run: AfterRun | None = None
     """A fault planted on purpose, to test the checks."""
     _instances: int = 0
@@ -119,6 +122,9 @@
             document["services"][0] | {"name": probe_service(number)}
             for number in range(1, MAX_VERSION + 1)
         ]
+        if self.has_guests:
+            guests = {"name": GUESTS, "api_keys": [GUEST_KEY], "priority": 1}
+            document["tenants"] = [*document["tenants"], guests]
         self.version = version
         self.store.put("op/config", document)
         self.note("version", str(version))
