End the soak's processes also when a play is cancelled twice

An interrupt cancels a play twice, the second time while it stops, and the wait for its processes was given up.

The test failed first.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 import shutil
+from tempfile import TemporaryDirectory
 from typing import Any
 import unittest
 
 from tests.soak.callers import Tamper
 from tests.soak.checks import PROBE_BODY, event
-from tests.soak.const import CALM_S, COLD_PER_S
+from tests.soak.const import CALM_S, COLD_PER_S, START_TIMEOUT_S
 from tests.soak.observations import GUESTS, Kind, Sent
 from tests.soak.play import Played, async_play
 from tests.soak.world import ENGINES, World
@@ -60,6 +62,23 @@
                 self.assertEqual(played.violations, [], played.folder)
                 self.assertGreater(len(played.seen.runs), 100)
 
+    async def test_play_that_is_cancelled_twice_leaves_no_process(self) -> None:
+        """As when a soak by hand is interrupted: the second comes while the play stops."""
+        with TemporaryDirectory() as folder:
+            world = World(folder=Path(folder))
+            await world.async_start()
+            stopping = asyncio.create_task(world.async_stop())
+            await asyncio.sleep(0)
+            stopping.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await stopping
+            for entry in world.entries:
+                assert entry.process is not None
+                async with asyncio.timeout(START_TIMEOUT_S):
+                    await entry.process.wait()
+            self.assertTrue(all(item.process.returncode for item in world.entries if item.process))
+            await world.async_stop()
+
     def assert_found(self, played: Played, check: str) -> None:
         """A planted fault is found by its check."""
         found = [text for text in played.violations if text.startswith(f"{check}:")]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -100,7 +100,12 @@
         for process in self.entries:
             if process.process is not None and process.process.returncode is not None:
                 self.seen.ended_alone.append(process.name)
-        await asyncio.gather(*(item.async_end(signal.SIGTERM) for item in self.entries))
+        try:
+            await asyncio.gather(*(item.async_end(signal.SIGTERM) for item in self.entries))
+        finally:
+            # A play that is cancelled while it stops must leave no process behind.
+            for item in self.entries:
+                item.send(signal.SIGKILL)
         for task in self._tasks:
             task.cancel()
         for place in self.places:
