Let the soak's endpoints answer with the runner stand-in's own pieces

The soak wrote the stand-in's signed head, chunks and stream a second time. The stand-in's stream takes its events as an argument now; what goes over the wire is the same but for the moment that the stand-in waits after a plain answer.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 import signal
 
-from tests.soak.checks import PROBE_BODY, event, expected_body
+from tests.soak.checks import PROBE_BODY, STREAMS, event, expected_body
 from tests.soak.const import (
     COLD_PER_S,
     COLD_START_S,
@@ -26,7 +26,7 @@
 from tests.soak.processes import EntryProcess
 from tests.soak.proxy import FaultProxy
 from tests.standins.platform_store import PlatformStore
-from tests.standins.runner import STAMP, Behaviour, Received, RunnerStandin
+from tests.standins.runner import Behaviour, Received, RunnerStandin, answer, stream
 from tests.wagtailusher_platform.fleet import configuration, entry, free_ports
 from wagtailusher_daemon.clock import monotonic_ms
 
@@ -218,16 +218,14 @@
             if self.after_run is not None:
                 self._spawn(self.after_run(self, request, runner))
             kind = Kind(request.target.split("/")[1])
-            if kind in (Kind.REVIEW, Kind.CHAT):
-                await _async_stream(request, attempt_id, writer)
-                return True
+            if kind in STREAMS:
+                events = stream(STREAM_EVENTS, gap_s=EVENT_GAP_S, event_of=_event_of)
+                return await events(runner, request, writer)
             await asyncio.sleep(WORK_S)
             body = expected_body(attempt_id, kind)
             if kind is Kind.PROBE:
                 body = PROBE_BODY + service.rpartition("-")[2].encode()
-            writer.write(_head(attempt_id, f"Content-Length: {len(body)}") + body)
-            await writer.drain()
-            return True
+            return await answer(body)(runner, request, writer)
 
         return behave
 
@@ -237,21 +235,6 @@
     return f"probe-{version}"
 
 
-async def _async_stream(request: Received, attempt_id: str, writer: asyncio.StreamWriter) -> None:
-    """Write the events that the request asks for."""
-    first = int(request.headers.get("last-event-id", "0")) + 1
-    lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-    writer.write(_head(attempt_id, *lines))
-    for number in range(first, STREAM_EVENTS + 1):
-        data = event(attempt_id, number)
-        writer.write(b"%x\r\n%b\r\n" % (len(data), data))
-        await writer.drain()
-        await asyncio.sleep(EVENT_GAP_S)
-    writer.write(b"0\r\n\r\n")
-    await writer.drain()
-
-
-def _head(attempt_id: str, *lines: str) -> bytes:
-    """Return the head of a signed success."""
-    fields = ("HTTP/1.1 200 OK", f"X-Attempt-Id: {attempt_id}", f"X-Server-Stamp: {STAMP}")
-    return "\r\n".join((*fields, *lines, "", "")).encode()
+def _event_of(request: Received, number: int) -> bytes:
+    """Return an event that names its request."""
+    return event(request.headers.get("x-attempt-id", ""), number)
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -245,12 +245,18 @@
     return True
 
 
+def token_event(request: Received, number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
 def stream(
     count: int,
     *,
     cut_after: int | None = None,
     within_event: bool = False,
     gap_s: float = 0.0,
+    event_of: Callable[[Received, int], bytes] = token_event,
 ) -> Behaviour:
     """Stream events 1 to count, or those after the one that the request names."""
 
@@ -267,7 +273,7 @@
                     writer.write(_chunk(b"id: %d\nda" % number))
                 await writer.drain()
                 return False
-            writer.write(_chunk(b"id: %d\ndata: token %d\n\n" % (number, number)))
+            writer.write(_chunk(event_of(request, number)))
             await writer.drain()
             await asyncio.sleep(gap_s)
         writer.write(b"0\r\n\r\n")
