--- a/tests/wagtailusher_gateway/test_fleet_rules.py
+++ b/tests/wagtailusher_gateway/test_fleet_rules.py
@@ -126,6 +126,12 @@
                 self.assertLessEqual(eager.busiest_second(), LIMIT)
                 self.assertLessEqual(eager.most_beyond_budget(), 0)
 
+    def test_bounds_hold_in_a_cut_that_outlasts_the_memory_of_peers(self) -> None:
+        eager = Eager(9, seed=9)
+        eager.fleet.cut = half(9)
+        eager.run(FORGET_PEER_MS + 15_000)
+        self.assertLessEqual(eager.busiest_second(), LIMIT)
+
     def test_bounds_hold_when_all_vms_start_at_once(self) -> None:
         """Each knows only itself at first, and would take the whole for its part."""
         for count in (1, 6, 9, 30, 68):
