Log a request's rank and workspace, and how old the load was that placed it

No line told which rank a request had at its endpoint, whose work the assumed load counted, or how old the reports were. The request line now has workspace, rank, own_running and load_age_ms.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -83,7 +83,8 @@
         route = table.match(terms.host, request.path)
         workspace = table.workspace(route, terms.api_key)
         name = choose_service(route, terms)
-        record.record_route(route, name)
+        rank = effective_rank(route, workspace)
+        record.record_route(route, name, workspace, rank)
         service = table.configuration.services.get(name)
         if service is None:
             raise _not_ready("the route's service is not configured")
@@ -94,7 +95,7 @@
             terms=terms,
             route=route,
             service=service,
-            rank=effective_rank(route, workspace),
+            rank=rank,
             ends_ms=now_ms + time_left_ms(terms, route),
         )
         return Exchange(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -42,6 +42,7 @@
     failures: float = 0.0
     """Recent requests that ended without a usable answer."""
     received_ms: int = 0
+    """When a peer's report arrived; of a total, when the oldest one in it did."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -68,6 +69,7 @@
             self.own_load.memory_tokens,
         )
         answers, failures = self.outcomes.recent(now_ms)
+        oldest_ms = now_ms
         for load in self.peer_loads.values():
             age_ms = now_ms - load.received_ms
             if age_ms > PEER_LOAD_AGE_MS:
@@ -77,12 +79,14 @@
             prefill += max(0.0, load.prefill_tokens - age_ms * PREFILL_TOKENS_PER_MS)
             answers += load.answers
             failures += load.failures
+            oldest_ms = min(oldest_ms, load.received_ms)
         return Load(
             requests=requests,
             prefill_tokens=int(prefill),
             memory_tokens=memory,
             answers=answers,
             failures=failures,
+            received_ms=oldest_ms,
         )
 
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -58,6 +58,10 @@
     """Prompt tokens assumed to be queued at the endpoint when it was chosen."""
     running: int
     """Requests assumed to run at the endpoint when it was chosen."""
+    own_running: int
+    """Those among them that this VM sent."""
+    load_age_ms: int
+    """Age of the oldest peer's report that the assumed load is based on; 0 without any."""
 
 
 class Placement:
@@ -262,6 +266,8 @@
             cost_ms=cost_ms,
             waiting_tokens=load.prefill_tokens,
             running=load.requests,
+            own_running=tracked.own_load.requests,
+            load_age_ms=now_ms - load.received_ms,
         )
         tracked.own_load.requests += 1
         tracked.own_load.prefill_tokens += reservation.prefill_tokens
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
@@ -8,7 +8,7 @@
 from wagtailusher_gateway.delivery import DeliveryState
 from wagtailusher_gateway.exceptions import RefusedError
 from wagtailusher_gateway.metrics import GatewayMetrics
-from wagtailusher_gateway.models import FleetView, RequestTerms, Route
+from wagtailusher_gateway.models import FleetView, RequestTerms, Route, Workspace
 from wagtailusher_gateway.placement import Reservation
 
 _LOGGER = logging.getLogger(__name__)
@@ -31,6 +31,8 @@
         self._arrived_ms = clock_ms()
         self._route: Route | None = None
         self._service = ""
+        self._workspace: Workspace | None = None
+        self._rank: int | None = None
         self._reservation: Reservation | None = None
         self._sends = 0
         self._reserved_ms = self._arrived_ms
@@ -40,10 +42,14 @@
         self._is_complete = False
         self._longest_gap_ms = 0
 
-    def record_route(self, route: Route, service: str) -> None:
-        """Record the route and the service."""
+    def record_route(
+        self, route: Route, service: str, workspace: Workspace | None, rank: int
+    ) -> None:
+        """Record the route, the service, the workspace and the rank."""
         self._route = route
         self._service = service
+        self._workspace = workspace
+        self._rank = rank
 
     def record_reservation(self, reservation: Reservation, now_ms: int) -> None:
         """Record the endpoint reserved for the next send."""
@@ -126,6 +132,8 @@
             "prompt_tokens": reservation.prefill_tokens,
             "waiting_tokens": reservation.waiting_tokens,
             "running": reservation.running,
+            "own_running": reservation.own_running,
+            "load_age_ms": reservation.load_age_ms,
         }
 
     def _view_fields(self) -> dict[str, int | None]:
@@ -163,6 +171,8 @@
                 "request": self._terms.attempt_id,
                 "route": route,
                 "service": self._service,
+                "workspace": self._workspace.workspace_id if self._workspace else None,
+                "rank": self._rank,
                 **self._reservation_fields(),
                 "status": self._status,
                 "sends": self._sends,
