--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -281,8 +281,12 @@
     within_event: bool = False,
     gap_s: float = 0.0,
     event_of: Callable[[Received, int], bytes] = token_event,
+    may_continue: Callable[[], Awaitable[object]] | None = None,
 ) -> Behaviour:
-    """Stream events 1 to `count`, or those after the request's `Last-Event-ID`."""
+    """Stream events 1 to `count`, or those after the request's `Last-Event-ID`.
+
+    `may_continue` is awaited before each event.
+    """
 
     async def behave(
         runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
@@ -297,6 +301,8 @@
                     writer.write(_chunk(b"id: %d\nda" % number))
                 await writer.drain()
                 return False
+            if may_continue is not None:
+                await may_continue()
             writer.write(_chunk(event_of(request, number)))
             await writer.drain()
             await asyncio.sleep(gap_s)
