Tell endpoints the rank of the route within the workspace's

Endpoints order requests by one number. A workspace's rank replaced its route's, so all requests of a workspace had one number, and of equals an engine preempts the newest, whatever its route.

Change: a request's rank is its place among all pairs of workspace's and route's rank that its service may get.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -15,7 +15,7 @@
 from wagtailusher_gateway.metrics import GatewayMetrics
 from wagtailusher_gateway.models import RequestTerms, Route
 from wagtailusher_gateway.request_record import RequestRecord
-from wagtailusher_gateway.routes import RouteTable, choose_service, effective_rank
+from wagtailusher_gateway.routes import RouteTable, choose_service
 from wagtailusher_http import HttpClient, Request, Response, error_response
 
 
@@ -83,7 +83,7 @@
         route = table.match(terms.host, request.path)
         workspace = table.workspace(route, terms.api_key)
         name = choose_service(route, terms)
-        rank = effective_rank(route, workspace)
+        rank = table.rank(route, workspace, name)
         record.record_route(route, name, workspace, rank)
         service = table.configuration.services.get(name)
         if service is None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/routes.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/routes.py
@@ -19,6 +19,7 @@
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(configuration.routes, key=lambda route: -len(route.prefix)):
             self._by_host.setdefault(route.host.lower(), []).append(route)
+        self._urgencies = _collect_urgencies(configuration)
 
     def match(self, host: str, path: str) -> Route:
         """Return the route with the longest prefix of the path, or raise RefusedError."""
@@ -49,6 +50,14 @@
             )
         return workspace
 
+    def rank(self, route: Route, workspace: Workspace | None, service: str) -> int:
+        """Return a request's rank among all that its service may get, 0 being the most urgent.
+
+        Endpoints order requests by one number only, so it has to tell apart all of them.
+        """
+        workspace_rank = workspace.rank if workspace is not None else None
+        return self._urgencies[service].index(_urgency(route, workspace_rank))
+
 
 def choose_service(route: Route, terms: RequestTerms) -> str:
     """Return the service of a request; requests with the same shared prompt get the same one."""
@@ -63,8 +72,18 @@
     return route.splits[-1].service
 
 
-def effective_rank(route: Route, workspace: Workspace | None) -> int:
-    """Return a request's rank, 0 being the most urgent; a workspace's overrides its route's."""
-    if workspace is not None and workspace.rank is not None:
-        return workspace.rank
-    return route.rank
+def _urgency(route: Route, workspace_rank: int | None) -> tuple[int, int]:
+    """Return the sort key of a request: its workspace's rank, if any, precedes its route's."""
+    return (route.rank if workspace_rank is None else workspace_rank, route.rank)
+
+
+def _collect_urgencies(configuration: Configuration) -> dict[str, list[tuple[int, int]]]:
+    """Return the sort keys that requests for each service may have, the most urgent first."""
+    workspace_ranks = {None, *(item.rank for item in configuration.workspaces.values())}
+    urgencies: dict[str, set[tuple[int, int]]] = {}
+    for route in configuration.routes:
+        for split in route.splits:
+            urgencies.setdefault(split.service, set()).update(
+                _urgency(route, workspace_rank) for workspace_rank in workspace_ranks
+            )
+    return {service: sorted(found) for service, found in urgencies.items()}
--- a/tests/wagtailusher_gateway/test_routes.py
+++ b/tests/wagtailusher_gateway/test_routes.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 import unittest
 
 from tests.wagtailusher_gateway.builders import configuration, plain_terms, route
 from wagtailusher_core import WorkspaceId
 from wagtailusher_gateway.exceptions import RefusedError
 from wagtailusher_gateway.models import Split, Workspace
-from wagtailusher_gateway.routes import RouteTable, choose_service, effective_rank
+from wagtailusher_gateway.routes import RouteTable, choose_service
 
 
 class RoutesTest(unittest.TestCase):
@@ -42,12 +43,26 @@
             self.assertEqual(caught.exception.status, 401)
             self.assertIsNone(table.workspace(route(is_public=True), key))
 
-    def test_rank_of_workspace_overrides_the_routes(self) -> None:
+    def test_requests_of_one_service_are_ordered_by_workspace_and_then_by_route(self) -> None:
         """A workspace without a rank uses the route's."""
-        plain = Workspace(workspace_id=WorkspaceId("w"))
-        self.assertEqual(effective_rank(route(rank=2), plain), 2)
-        ranked = Workspace(workspace_id=WorkspaceId("w"), rank=0)
-        self.assertEqual(effective_rank(route(rank=2), ranked), 0)
+        workspaces = {
+            str(rank): Workspace(workspace_id=WorkspaceId(f"w-{rank}"), rank=rank)
+            for rank in (None, 0, 1)
+        }
+        chat = route(name="chat", prefix="/chat/", rank=0)
+        review = route(name="review", prefix="/review/", rank=2)
+        other = route(prefix="/other/", rank=1, splits=(Split(service="other", weight=1),))
+        table = RouteTable(replace(configuration(1, chat, review, other), workspaces=workspaces))
+        ranks = {
+            (item.name, key): table.rank(item, workspaces[key], "desk")
+            for item in (chat, review)
+            for key in workspaces
+        }
+        self.assertEqual(ranks[("chat", "None")], ranks[("chat", "0")])
+        ordered = [("chat", "0"), ("review", "0"), ("chat", "1"), ("review", "1")]
+        self.assertEqual([ranks[key] for key in ordered], [0, 1, 2, 3])
+        self.assertEqual(ranks[("review", "None")], 4)
+        self.assertEqual(table.rank(review, None, "desk"), 4)
 
     def test_split_by_weight(self) -> None:
         """Requests are split by weight, and the same request always gets the same service."""
