Let only two VMs compete for each free place at an engine

The engine worked on for some callers that had left.

Cause: every VM adds up what its peers last reported, on grown fleets up to 1.4 s ago, which is longer than many requests last. When the reports show one free place in the fleet, all VMs with a request take it.

Change: each VM takes a place only where its position among all VMs by rendezvous hashing is below twice the number of free places. This needs no messages, and is the way in which VMs already share the limit of cold endpoints. Engines that probably have a request's prompt cached stay open to it, as prompts differ; plain services are left out, as their requests are shorter than any report's age.

Without the change the new test places 68 requests at one free place; now two at most. Tests give each VM its own id, as positions depend on it.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -29,6 +29,7 @@
     UNACKED_TIMEOUT_MS,
     VIEW_PULL_MS,
 )
+from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.dispatcher import Dispatcher
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry
 from wagtailusher_gateway.fleet import FleetDecider
@@ -116,6 +117,7 @@
                 slack=bounds.cold_slack,
                 is_fleet_settled=self.fleet.is_settled,
             ),
+            contention=PlaceContention(self.options.vm_id),
             failure_domain_id=self.options.failure_domain_id,
             seed=self._random.randrange(1 << 32),
             remote_interval_ms=lambda: self.fleet.remote_interval_ms,
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/contention.py
@@ -0,0 +1,44 @@
+"""Limits how many VMs compete for an endpoint's last free places.
+
+All VMs learn of a free place from the same reports, which are older than many requests last. If
+each of them took it, the endpoint would get as many requests as there are VMs.
+"""
+
+from __future__ import annotations
+
+from wagtailusher_core import EndpointId, VmId, rank_by_rendezvous
+
+CONTENDERS_PER_PLACE = 2
+"""VMs that may compete for each free place; a second one, as the first may have no request."""
+
+
+class PlaceContention:
+    """This VM's position among all VMs at each endpoint, by rendezvous hashing."""
+
+    def __init__(self, vm_id: VmId) -> None:
+        self._vm_id = vm_id
+        self._vm_ids: tuple[VmId, ...] = ()
+        self._positions: dict[EndpointId, int] = {}
+
+    def set_vm_ids(self, vm_ids: tuple[VmId, ...]) -> None:
+        """Set the VMs that may send requests, this one included."""
+        if vm_ids != self._vm_ids:
+            self._vm_ids = vm_ids
+            self._positions.clear()
+
+    def retain_endpoints(self, endpoint_ids: frozenset[EndpointId]) -> None:
+        """Drop the positions at all endpoints but these."""
+        for endpoint_id in self._positions.keys() - endpoint_ids:
+            del self._positions[endpoint_id]
+
+    def may_compete(self, endpoint_id: EndpointId, free_places: int) -> bool:
+        """Return whether this VM is among those that may take one of the free places."""
+        return self._position(endpoint_id) < CONTENDERS_PER_PLACE * free_places
+
+    def _position(self, endpoint_id: EndpointId) -> int:
+        position = self._positions.get(endpoint_id)
+        if position is None:
+            ranked = rank_by_rendezvous(endpoint_id, self._vm_ids)
+            position = ranked.index(self._vm_id) if self._vm_id in self._vm_ids else 0
+            self._positions[endpoint_id] = position
+        return position
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -18,6 +18,7 @@
     RUNNING_COST_MS,
     STALE_VIEW_MS,
 )
+from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load, TrackedEndpoint
 from wagtailusher_gateway.engine_partition import EnginePartition, is_prompt_heavy
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
@@ -44,6 +45,10 @@
 """Delay at a plain endpoint whose slots are all in use; a few service times."""
 
 
+Candidate = tuple[TrackedEndpoint, Load, bool]
+"""An endpoint with capacity, its load, and whether it is in cold start."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Reservation:
     """A slot that this VM reserved at an endpoint; it must be released."""
@@ -72,6 +77,7 @@
         *,
         registry: EndpointRegistry,
         cold_limiter: ColdStartLimiter,
+        contention: PlaceContention,
         failure_domain_id: FailureDomainId,
         seed: int,
         remote_interval_ms: Callable[[], int] = lambda: HEARTBEAT_INTERVAL_MS,
@@ -86,6 +92,7 @@
         self._on_long_prompt = on_long_prompt
         self.registry = registry
         self._cold_limiter = cold_limiter
+        self._contention = contention
         self._failure_domain_id = failure_domain_id
         self._prefixes = PrefixMemory()
         self._partitions: dict[str, EnginePartition] = {}
@@ -96,6 +103,7 @@
         for endpoint_id in self.registry.update(view, now_ms):
             self._prefixes.remove_endpoint(endpoint_id)
         self._cold_limiter.retain_endpoints(frozenset(view.endpoints))
+        self._contention.retain_endpoints(frozenset(view.endpoints))
 
     def record_arrival(self, service: Service, terms: RequestTerms, now_ms: int) -> None:
         """Add an arriving request to the demand estimate, whether or not it can be placed."""
@@ -119,20 +127,19 @@
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms)
         penalties = self._penalties_ms(service, terms, usable)
+        ranked = _rank_for_prompt(service, terms, usable, penalties)
+        preferred_ids = self._preferred_ids(ranked, penalties)
+        self._contention.set_vm_ids(vm_ids)
         candidates = [
             candidate
             for candidate in self._candidates(service, terms, usable, view, vm_ids, now_ms)
             if candidate[0].endpoint.endpoint_id in penalties
+            and self._may_compete(service, terms, candidate, preferred_ids)
         ]
-        not_excluded = [
-            candidate
-            for candidate in candidates
-            if candidate[0].endpoint.endpoint_id not in excluded
-        ]
-        candidates = not_excluded or candidates
+        candidates = _without_excluded(candidates, excluded) or candidates
         if not candidates:
             return None
-        cached_chances = self._cached_chances(service, terms, penalties, candidates)
+        cached_chances = self._cached_chances(ranked, penalties, candidates)
         fleet_factor = max(1, len(vm_ids)) / len(candidates)
         missing = self._prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
         costs = self._costs(service, penalties, candidates, cached_chances, missing)
@@ -175,7 +182,7 @@
         view: FleetView,
         vm_ids: tuple[VmId, ...],
         now_ms: int,
-    ) -> Iterator[tuple[TrackedEndpoint, Load, bool]]:
+    ) -> Iterator[Candidate]:
         """Yield the endpoints with capacity, their load and whether they are cold."""
         stale = now_ms - view.confirmed_ms > STALE_VIEW_MS
         for tracked in usable:
@@ -193,7 +200,7 @@
         self,
         service: Service,
         penalties: dict[EndpointId, float],
-        candidates: list[tuple[TrackedEndpoint, Load, bool]],
+        candidates: list[Candidate],
         cached_chances: dict[EndpointId, float],
         missing: MissingTokens,
     ) -> list[float]:
@@ -204,9 +211,7 @@
             expected_failure_rate(load.answers, load.failures) for _, load, _ in candidates
         )
 
-        def cost_ms(
-            candidate: tuple[TrackedEndpoint, Load, bool], failure_penalty_ms: float
-        ) -> float:
+        def cost_ms(candidate: Candidate, failure_penalty_ms: float) -> float:
             tracked, load, is_cold = candidate
             endpoint_id = tracked.endpoint.endpoint_id
             return (
@@ -221,22 +226,48 @@
 
         return [cost_ms(*pair) for pair in zip(candidates, failure_penalties, strict=True)]
 
+    def _preferred_ids(
+        self, ranked: Iterable[Endpoint], penalties: dict[EndpointId, float]
+    ) -> list[EndpointId]:
+        """Return which of the endpoints, ranked for a shared prompt, probably have it cached.
+
+        While reports from other failure domains are old, each domain prefers its own endpoints.
+        """
+        preferred = list(ranked)
+        if self._remote_cost_ms() > REMOTE_DOMAIN_COST_MS:
+            preferred = [item for item in preferred if not self._is_remote(item)] or preferred
+        preferred = [item for item in preferred if not penalties[item.endpoint_id]] or preferred
+        return [item.endpoint_id for item in preferred[: len(CACHED_CHANCE_BY_RANK)]]
+
     def _cached_chances(
         self,
-        service: Service,
-        terms: RequestTerms,
+        ranked: list[Endpoint],
         penalties: dict[EndpointId, float],
-        candidates: list[tuple[TrackedEndpoint, Load, bool]],
+        candidates: list[Candidate],
     ) -> dict[EndpointId, float]:
-        """Return the chance of a cached shared prompt for the endpoints preferred by all VMs."""
-        if service.engine is None or not terms.shared_parts:
-            return {}
-        local_candidates = [
-            candidate for candidate in candidates if not self._is_remote(candidate[0].endpoint)
-        ]
-        is_local = local_candidates and self._remote_cost_ms() > REMOTE_DOMAIN_COST_MS
-        preferred = _rank_preferred(terms, local_candidates if is_local else candidates, penalties)
-        return dict(zip(preferred, CACHED_CHANCE_BY_RANK, strict=False))
+        """Return the chance of a cached shared prompt for the candidates preferred by all VMs."""
+        candidate_ids = {candidate[0].endpoint.endpoint_id for candidate in candidates}
+        available = (endpoint for endpoint in ranked if endpoint.endpoint_id in candidate_ids)
+        preferred_ids = self._preferred_ids(available, penalties)
+        return dict(zip(preferred_ids, CACHED_CHANCE_BY_RANK, strict=False))
+
+    def _may_compete(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        candidate: Candidate,
+        preferred_ids: list[EndpointId],
+    ) -> bool:
+        """Return whether this VM may take a place at an engine, or leaves it to other VMs.
+
+        The engines that probably have its prompt cached are exempt: those of others differ.
+        """
+        tracked, load, _ = candidate
+        endpoint_id = tracked.endpoint.endpoint_id
+        if service.engine is None or endpoint_id in preferred_ids:
+            return True
+        free_places = _free_places(tracked.endpoint, terms, load)
+        return self._contention.may_compete(endpoint_id, free_places)
 
     def _is_remote(self, endpoint: Endpoint) -> bool:
         return endpoint.failure_domain_id != self._failure_domain_id
@@ -250,7 +281,7 @@
         self,
         service: Service,
         terms: RequestTerms,
-        candidate: tuple[TrackedEndpoint, Load, bool],
+        candidate: Candidate,
         cost_ms: float,
         uncached_tokens: int,
         now_ms: int,
@@ -311,13 +342,33 @@
     return not load.requests or used_tokens <= engine.memory_tokens * KV_SHARE
 
 
-def _rank_preferred(
+def _without_excluded(
+    candidates: list[Candidate], excluded: frozenset[EndpointId]
+) -> list[Candidate]:
+    """Return the candidates that are not excluded."""
+    return [item for item in candidates if item[0].endpoint.endpoint_id not in excluded]
+
+
+def _rank_for_prompt(
+    service: Service,
     terms: RequestTerms,
-    candidates: list[tuple[TrackedEndpoint, Load, bool]],
+    usable: list[TrackedEndpoint],
     penalties: dict[EndpointId, float],
-) -> list[EndpointId]:
+) -> list[Endpoint]:
     """Return the endpoints by rendezvous rank for a shared prompt, which is the same on all VMs."""
-    ids = [candidate[0].endpoint.endpoint_id for candidate in candidates]
-    own_partition = [endpoint_id for endpoint_id in ids if not penalties.get(endpoint_id)]
-    ranked = rank_by_rendezvous(terms.shared_parts[-1].part_id, own_partition or ids)
-    return [EndpointId(endpoint_id) for endpoint_id in ranked]
+    if service.engine is None or not terms.shared_parts:
+        return []
+    endpoints = {
+        item.endpoint.endpoint_id: item.endpoint
+        for item in usable
+        if item.endpoint.endpoint_id in penalties
+    }
+    ranked = rank_by_rendezvous(terms.shared_parts[-1].part_id, endpoints)
+    return [endpoints[EndpointId(endpoint_id)] for endpoint_id in ranked]
+
+
+def _free_places(endpoint: Endpoint, terms: RequestTerms, load: Load) -> int:
+    """Return how many requests like this one an engine with capacity can take."""
+    room_tokens = max(0, PREFILL_CAP_MS * PREFILL_TOKENS_PER_MS - load.prefill_tokens)
+    by_prefill = 1 + int(room_tokens / max(1, terms.prompt_tokens))
+    return max(1, min(endpoint.slots - load.requests, by_prefill))
--- a/tests/wagtailusher_gateway/builders.py
+++ b/tests/wagtailusher_gateway/builders.py
@@ -7,6 +7,7 @@
 
 from wagtailusher_core import EndpointId, FailureDomainId, VmId, WorkspaceId
 from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
+from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry
 from wagtailusher_gateway.models import (
     CallerLimits,
@@ -132,12 +133,15 @@
     )
 
 
-def new_placement(current: FleetView, seed: int = 1) -> Placement:
-    """Return a placement with a view applied."""
+def new_placement(
+    current: FleetView, seed: int = 1, vm_id: VmId = VM_IDS[1], domain: str = "a"
+) -> Placement:
+    """Return a VM's placement with a view applied."""
     placement = Placement(
         registry=EndpointRegistry(),
-        cold_limiter=ColdStartLimiter(VmId("vm-1"), overage=1.5, slack=5),
-        failure_domain_id=FailureDomainId("a"),
+        cold_limiter=ColdStartLimiter(vm_id, overage=1.5, slack=5),
+        contention=PlaceContention(vm_id),
+        failure_domain_id=FailureDomainId(domain),
         seed=seed,
     )
     placement.update(current, 0)
--- /dev/null
+++ b/tests/wagtailusher_gateway/test_contention.py
@@ -0,0 +1,67 @@
+"""Tests of the choice of an engine by many VMs that know the same reports.
+
+They guard against engines that get a request from every VM for one place that a report showed free.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+import unittest
+
+from tests.wagtailusher_gateway.builders import endpoint, new_placement, terms, view
+from wagtailusher_core import EndpointId, VmId
+from wagtailusher_gateway.contention import CONTENDERS_PER_PLACE, PlaceContention
+from wagtailusher_gateway.endpoint_registry import Load
+from wagtailusher_gateway.models import Engine, Service
+
+BATCH = 12
+ENGINE_COUNT = 70
+VM_IDS = tuple(VmId(f"vm-{number}") for number in range(68))
+OTHER_VM = VmId("vm-other")
+SERVICE = Service(name="engines", engine=Engine(batch_requests=BATCH, memory_tokens=360_000))
+
+
+def place_at_once(requests_by_engine: dict[EndpointId, int]) -> Counter[EndpointId]:
+    """Let each VM place one request by the same reports; return the requests by engine."""
+    current = view(*(endpoint(number, slots=BATCH) for number in range(ENGINE_COUNT)))
+    placed: Counter[EndpointId] = Counter()
+    for number, vm_id in enumerate(VM_IDS):
+        placement = new_placement(current, number, vm_id)
+        reports = ((key, Load(requests=count)) for key, count in requests_by_engine.items())
+        placement.registry.set_peer_loads(OTHER_VM, reports, 0)
+        request = replace(terms(number, shared=0, own=600), parts=())
+        reservation = placement.try_reserve(SERVICE, request, current, VM_IDS, 0)
+        if reservation is not None:
+            placed[reservation.endpoint.endpoint_id] += 1
+    return placed
+
+
+class ContentionTest(unittest.TestCase):
+    """Free places of engines, offered to 68 VMs by the same reports."""
+
+    def test_last_free_place_is_not_taken_by_every_vm(self) -> None:
+        for free_places in (1, 3):
+            with self.subTest(free_places=free_places):
+                loads = {EndpointId(f"i-{number}"): BATCH for number in range(ENGINE_COUNT)}
+                loads[EndpointId("i-7")] = BATCH - free_places
+                placed = place_at_once(loads)
+                self.assertLessEqual(placed.total(), CONTENDERS_PER_PLACE * free_places)
+                self.assertGreaterEqual(placed.total(), free_places)
+
+    def test_every_vm_finds_a_place_at_idle_engines(self) -> None:
+        self.assertEqual(place_at_once({}).total(), len(VM_IDS))
+
+    def test_every_free_place_is_offered(self) -> None:
+        contentions = [PlaceContention(vm_id) for vm_id in VM_IDS]
+        for contention in contentions:
+            contention.set_vm_ids(VM_IDS)
+        for number in range(ENGINE_COUNT):
+            contenders = sum(
+                contention.may_compete(EndpointId(f"i-{number}"), 2) for contention in contentions
+            )
+            self.assertEqual(contenders, 2 * CONTENDERS_PER_PLACE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/wagtailusher_gateway/test_outcomes.py
+++ b/tests/wagtailusher_gateway/test_outcomes.py
@@ -94,7 +94,10 @@
         """Return how many of the last two thirds of requests went to failing engines or others."""
         rng = random.Random(seed)
         current = view(*(endpoint(number) for number in range(9)))
-        vms = {VmId(f"vm-{number}"): new_placement(current, number) for number in range(VM_COUNT)}
+        vms = {
+            vm_id: new_placement(current, number, vm_id)
+            for number, vm_id in enumerate(VM_IDS[:VM_COUNT])
+        }
         counts: Counter[bool] = Counter()
         for number in range(REQUESTS):
             now_ms = number * STEP_MS
