Let the daemon, too, send no request whose caller has already left

Callers of the daemon are met by the same fault as the gateway's: its exchange takes a dispatch that is already queued without giving way to the event loop.

The pass of the event loop moves from the gateway's exchange to HttpClient.async_request, right before the choice of a connection; both send through it.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -118,8 +118,6 @@
             resume_after=self._framer.last_id,
         )
         headers = self._http_mapping.request_headers(self._request.headers, forward_context)
-        # Lets the event loop read a disconnect of the caller that came while it was busy.
-        await asyncio.sleep(0)
         try:
             answer = await attempt.async_send(
                 self._request,
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -116,6 +116,8 @@
         """
         fields = _request_headers(host or address, headers, body)
         head = h11.Request(method=method, target=target, headers=fields)
+        # A disconnect of the caller that is already in its socket cancels the request here.
+        await asyncio.sleep(0)
         connection = await self._async_get_connection(address, new_connection=new_connection)
         if may_send is not None and not may_send():
             connection.abort()
