Keep a remote peer's queued prompts until its next report

What callers saw: reviews and chats were sent to engines with tens of thousands of prompt tokens queued, and waited there for 1 to 3 s.

Cause: a VM reduces what peers reported as queued by what the engine can have processed since. That holds for peers that report each new long prompt at once. In fleets of more than 12 peers only those of the same failure domain do; the others' reports are up to 1.4 s old, in which an engine processes 126,000 tokens, so their queues always counted as done.

Change: only reports of peers that report new prompts at once shrink with their age.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -43,6 +43,9 @@
     """Recent requests that ended without a usable answer."""
     received_ms: int = 0
     """When a peer's report arrived; of a total, when the oldest one in it did."""
+    is_updated_early: bool = True
+    """Whether the peer reports each new long prompt at once, so that what it has queued at the
+    endpoint only shrinks between its reports."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -61,7 +64,7 @@
         """Return the load of all VMs.
 
         The queued prefill that peers reported is reduced by what the engine can have processed
-        since the report.
+        since the report, unless they may have added to it without another one.
         """
         requests, prefill, memory = (
             self.own_load.requests,
@@ -76,7 +79,8 @@
                 continue
             requests += load.requests
             memory += load.memory_tokens
-            prefill += max(0.0, load.prefill_tokens - age_ms * PREFILL_TOKENS_PER_MS)
+            done_tokens = age_ms * PREFILL_TOKENS_PER_MS if load.is_updated_early else 0.0
+            prefill += max(0.0, load.prefill_tokens - done_tokens)
             answers += load.answers
             failures += load.failures
             oldest_ms = min(oldest_ms, load.received_ms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, replace
 import random
 
-from wagtailusher_core import VmId, first_by_rendezvous
+from wagtailusher_core import FailureDomainId, VmId, first_by_rendezvous
 from wagtailusher_gateway.const import (
     EARLY_HEARTBEAT_MAX_PEERS,
     GOSSIP_EVERY_HEARTBEATS,
@@ -201,6 +201,11 @@
         domain_id = self.own_member.failure_domain_id
         return tuple(member for member in members if member.failure_domain_id == domain_id)
 
+    def gets_early_heartbeats_from(self, failure_domain_id: FailureDomainId) -> bool:
+        """Return whether peers in a failure domain report a long prompt to this VM at once."""
+        is_small = len(self._peers) <= EARLY_HEARTBEAT_MAX_PEERS
+        return is_small or failure_domain_id == self.own_member.failure_domain_id
+
     def serving_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the VMs that callers may be sent to, including this one if it is ready."""
         members = (*self.live_members(now_ms), self.own_member)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -81,6 +81,7 @@
         )
         confirmed_ms = now_ms - message.view_age_ms
         self._view_cache.confirm_by_peer(message.view_revision, confirmed_ms, now_ms)
+        is_updated_early = self._fleet.gets_early_heartbeats_from(message.failure_domain_id)
         loads = (
             (
                 load.endpoint_id,
@@ -90,6 +91,7 @@
                     memory_tokens=load.memory_tokens,
                     answers=load.recent_answers,
                     failures=load.recent_failures,
+                    is_updated_early=is_updated_early,
                 ),
             )
             for load in message.loads
--- /dev/null
+++ b/tests/wagtailusher_gateway/test_peer_loads.py
@@ -0,0 +1,80 @@
+"""Tests of what a VM assumes of an engine's queue between the reports of its peers.
+
+They guard against engines that are taken for idle because the reports on their queues are old.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.wagtailusher_gateway.builders import endpoint, member, view
+from tests.wagtailusher_gateway.test_fleet import Fleet
+from wagtailusher_core import EndpointId, Incarnation, VmId
+from wagtailusher_gateway.const import EARLY_HEARTBEAT_MAX_PEERS
+from wagtailusher_gateway.endpoint_registry import EndpointRegistry
+from wagtailusher_gateway.heartbeat_exchange import HeartbeatExchange
+from wagtailusher_gateway.view_cache import ViewCache
+from wagtailusher_wire import AuthenticatedMessage, Beat, BeatLoad
+
+ENGINE = EndpointId("i-1")
+QUEUED_TOKENS = 20_000
+REPORT_AGE_MS = 1_000
+"""Time in which an engine prefills more than is queued."""
+SETTLED_MS = 6_000
+
+
+def assumed_tokens(vm_count: int, reporter: int) -> int:
+    """Return the queue that VM 0 of two failure domains assumes some time after a VM's report."""
+    fleet = Fleet(vm_count, seed=vm_count, domains=2)
+    fleet.run(SETTLED_MS)
+    decider = fleet.deciders[member(0).peer_address]
+    registry = EndpointRegistry()
+    registry.update(view(endpoint(1)), fleet.now_ms)
+    heartbeats = HeartbeatExchange(
+        fleet=decider,
+        view_cache=ViewCache(lambda current, changed, now_ms: None),
+        registry=registry,
+        send=lambda address, message: None,
+    )
+    sender = fleet.deciders[member(reporter).peer_address].own_member
+    heartbeats.receive(
+        Beat(
+            address=sender.address,
+            view_address=sender.view_address,
+            failure_domain_id=sender.failure_domain_id,
+            weight=sender.weight,
+            is_leaving=False,
+            is_ready=True,
+            view_revision=1,
+            view_age_ms=0,
+            loads=(
+                BeatLoad(
+                    endpoint_id=ENGINE, requests=3, prefill_tokens=QUEUED_TOKENS, memory_tokens=0
+                ),
+            ),
+        ),
+        AuthenticatedMessage(
+            vm_id=VmId(sender.vm_id), incarnation=Incarnation(1), sequence=1, payload=b""
+        ),
+        sender.peer_address,
+        fleet.now_ms,
+    )
+    tracked = registry.get(ENGINE)
+    assert tracked is not None
+    return tracked.total_load(fleet.now_ms + REPORT_AGE_MS).prefill_tokens
+
+
+class PeerLoadsTest(unittest.TestCase):
+    """A queue shrinks between reports only if the peer would have reported what it added."""
+
+    def test_queue_of_another_domain_is_not_taken_for_done_before_the_next_report(self) -> None:
+        self.assertEqual(assumed_tokens(EARLY_HEARTBEAT_MAX_PEERS + 2, reporter=1), QUEUED_TOKENS)
+
+    def test_queue_shrinks_where_long_prompts_are_reported_at_once(self) -> None:
+        for vm_count, reporter in ((EARLY_HEARTBEAT_MAX_PEERS + 2, 2), (9, 1)):
+            with self.subTest(vm_count=vm_count, reporter=reporter):
+                self.assertEqual(assumed_tokens(vm_count, reporter), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
