Count silent VMs in fleet-wide bounds until they announce their leave

What callers would see: in a partition of more than 30 s each half of the fleet removed the other, divided the fleet-wide bounds by fewer VMs, and used all of them; engines in cold start then crash (FAILBACK).

Cause: the list of peers that get heartbeats also said by how many VMs a bound is divided, so a VM that heard nothing of its peers for 30 s took their part of what endpoints bear.

Change: a peer that is removed without having announced its leave still counts for the bounds. That needs no message, and is wrong only towards sending less. A VM that announced its leave no longer counts (new test).

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -60,6 +60,8 @@
         self.own_member = own_member
         self._seeds = tuple(address for address in seeds if address != own_member.peer_address)
         self._peers: dict[VmId, _Peer] = {}
+        self._silent_ids: set[VmId] = set()
+        """Removed peers that did not announce that they leave; they may still send requests."""
         self._seeds_due_ms = started_ms
         self._heartbeats_sent = 0
         self._last_growth_ms = started_ms
@@ -117,6 +119,7 @@
             is_leaving=heartbeat.is_leaving,
             is_ready=heartbeat.is_ready,
         )
+        self._silent_ids.discard(vm_id)
         self._peers[vm_id] = _Peer(
             peer_address=source,
             last_seen_ms=now_ms,
@@ -135,6 +138,7 @@
         if gossip_peer.vm_id == self.own_member.vm_id or gossip_peer.vm_id in self._peers:
             return
         self._last_growth_ms = now_ms
+        self._silent_ids.discard(gossip_peer.vm_id)
         self._peers[gossip_peer.vm_id] = _Peer(
             peer_address=gossip_peer.peer_address, last_seen_ms=now_ms, due_ms=now_ms
         )
@@ -147,6 +151,8 @@
         for vm_id, peer in tuple(self._peers.items()):
             if now_ms - peer.last_seen_ms > PEER_RETENTION_MS:
                 del self._peers[vm_id]
+                if peer.member is None or not peer.member.is_leaving:
+                    self._silent_ids.add(vm_id)
                 if not self._peers:
                     self._is_settled = False
                     self._last_growth_ms = now_ms
@@ -234,8 +240,12 @@
         return self._is_settled
 
     def all_vm_ids(self) -> tuple[VmId, ...]:
-        """Return every VM that may still send requests: this one and all peers, live or not."""
-        return (self.own_member.vm_id, *self._peers)
+        """Return every VM that may still send requests.
+
+        A peer that fell silent may be cut off from this VM only, so it counts until it is known to
+        have left.
+        """
+        return (self.own_member.vm_id, *self._peers, *self._silent_ids)
 
     def freshest_view(self, now_ms: int) -> tuple[Member, int, int] | None:
         """Return the live peer whose view was confirmed last, with its revision and that time."""
--- a/tests/wagtailusher_gateway/test_fleet.py
+++ b/tests/wagtailusher_gateway/test_fleet.py
@@ -11,6 +11,7 @@
 
 from tests.wagtailusher_gateway.builders import member
 from wagtailusher_core import FailureDomainId, VmId
+from wagtailusher_gateway.const import PEER_RETENTION_MS
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_wire import Beat
 
@@ -100,6 +101,17 @@
         decider = fleet.deciders[member(0).peer_address]
         self.assertEqual(len(decider.all_vm_ids()), 9)
 
+    def test_vm_that_announced_its_leave_stops_counting_for_shares(self) -> None:
+        fleet = Fleet(4, seed=3)
+        fleet.run(2_000)
+        leaving, killed = member(1).peer_address, member(2).peer_address
+        fleet.deciders[leaving].set_own_state(is_ready=False, is_leaving=True)
+        fleet.run(1_000)
+        fleet.down |= {leaving, killed}
+        fleet.run(PEER_RETENTION_MS + 1_000)
+        decider = fleet.deciders[member(0).peer_address]
+        self.assertEqual(set(decider.all_vm_ids()), {member(number).vm_id for number in (0, 2, 3)})
+
     def test_leaving_vm_is_no_longer_listed(self) -> None:
         """A VM that announces its leave is left out from its next heartbeat on."""
         fleet = Fleet(3, seed=1)
--- a/tests/wagtailusher_gateway/test_fleet_rules.py
+++ b/tests/wagtailusher_gateway/test_fleet_rules.py
@@ -1,7 +1,7 @@
 """Tests of fleet-wide limits while VMs are partitioned, paused or just starting.
 
 Each VM divides a limit by the VMs that it knows, so the sum over all VMs stays within the limit as
-long as no VM knows fewer than there are. A peer without heartbeats is kept for `PEER_RETENTION_MS`.
+long as no VM counts fewer than there are. A silent peer counts until it announces its leave.
 """
 
 from __future__ import annotations
