--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/contention.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/contention.py
@@ -6,12 +6,22 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from wagtailusher_core import EndpointId, VmId, rank_by_rendezvous
 
 CONTENDERS_PER_PLACE = 2
 """VMs that may compete for each free place; a second one, as the first may have no request."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FreePlaces:
+    """How many more requests of a kind fit at an endpoint, and which share of it that is."""
+
+    count: int
+    share: float
+
+
 class PlaceContention:
     """This VM's position among all VMs at each endpoint, by rendezvous hashing."""
 
@@ -31,9 +41,16 @@
         for endpoint_id in self._positions.keys() - endpoint_ids:
             del self._positions[endpoint_id]
 
-    def may_compete(self, endpoint_id: EndpointId, free_places: int) -> bool:
-        """Return whether this VM is among those that may take one of the free places."""
-        return self._position(endpoint_id) < CONTENDERS_PER_PLACE * free_places
+    def may_compete(self, endpoint_id: EndpointId, free_places: FreePlaces) -> bool:
+        """Return whether this VM is among those that may take one of the free places.
+
+        All VMs may use an idle endpoint. Their number falls with the square of the free share, as
+        the emptier endpoints are, the fewer requests of other VMs meet at one of them.
+        """
+        contenders = max(
+            CONTENDERS_PER_PLACE * free_places.count, len(self._vm_ids) * free_places.share**2
+        )
+        return self._position(endpoint_id) < contenders
 
     def _position(self, endpoint_id: EndpointId) -> int:
         position = self._positions.get(endpoint_id)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -18,7 +18,7 @@
     RUNNING_COST_MS,
     STALE_VIEW_MS,
 )
-from wagtailusher_gateway.contention import PlaceContention
+from wagtailusher_gateway.contention import FreePlaces, PlaceContention
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load, TrackedEndpoint
 from wagtailusher_gateway.engine_partition import EnginePartition, is_prompt_heavy
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
@@ -140,7 +140,7 @@
         if not candidates:
             return None
         cached_chances = self._cached_chances(ranked, penalties, candidates)
-        fleet_factor = max(1, len(vm_ids)) / len(candidates)
+        fleet_factor = max(1, len(vm_ids)) / len(penalties)
         missing = self._prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
         costs = self._costs(service, penalties, candidates, cached_chances, missing)
         best = min(range(len(candidates)), key=lambda index: costs[index])
@@ -367,8 +367,13 @@
     return [endpoints[EndpointId(endpoint_id)] for endpoint_id in ranked]
 
 
-def _free_places(endpoint: Endpoint, terms: RequestTerms, load: Load) -> int:
-    """Return how many requests like this one an engine with capacity can take."""
-    room_tokens = max(0, PREFILL_CAP_MS * PREFILL_TOKENS_PER_MS - load.prefill_tokens)
+def _free_places(endpoint: Endpoint, terms: RequestTerms, load: Load) -> FreePlaces:
+    """Return how many requests like this one fit into an engine's slots and prefill queue."""
+    free_slots = endpoint.slots - load.requests
+    cap_tokens = PREFILL_CAP_MS * PREFILL_TOKENS_PER_MS
+    room_tokens = max(0.0, cap_tokens - load.prefill_tokens)
     by_prefill = 1 + int(room_tokens / max(1, terms.prompt_tokens))
-    return max(1, min(endpoint.slots - load.requests, by_prefill))
+    return FreePlaces(
+        count=max(1, min(free_slots, by_prefill)),
+        share=min(free_slots / endpoint.slots, room_tokens / cap_tokens),
+    )
--- a/tests/wagtailusher_gateway/test_contention.py
+++ b/tests/wagtailusher_gateway/test_contention.py
@@ -11,7 +11,7 @@
 
 from tests.wagtailusher_gateway.builders import endpoint, new_placement, terms, view
 from wagtailusher_core import EndpointId, VmId
-from wagtailusher_gateway.contention import CONTENDERS_PER_PLACE, PlaceContention
+from wagtailusher_gateway.contention import CONTENDERS_PER_PLACE, FreePlaces, PlaceContention
 from wagtailusher_gateway.endpoint_registry import Load
 from wagtailusher_gateway.models import Engine, Service
 
@@ -22,9 +22,11 @@
 SERVICE = Service(name="engines", engine=Engine(batch_requests=BATCH, memory_tokens=360_000))
 
 
-def place_at_once(requests_by_engine: dict[EndpointId, int]) -> Counter[EndpointId]:
+def place_at_once(
+    requests_by_engine: dict[EndpointId, int], engine_count: int = ENGINE_COUNT
+) -> Counter[EndpointId]:
     """Let each VM place one request by the same reports; return the requests by engine."""
-    current = view(*(endpoint(number, slots=BATCH) for number in range(ENGINE_COUNT)))
+    current = view(*(endpoint(number, slots=BATCH) for number in range(engine_count)))
     placed: Counter[EndpointId] = Counter()
     for number, vm_id in enumerate(VM_IDS):
         placement = new_placement(current, number, vm_id)
@@ -50,7 +52,9 @@
                 self.assertGreaterEqual(placed.total(), free_places)
 
     def test_every_vm_finds_a_place_at_idle_engines(self) -> None:
-        self.assertEqual(place_at_once({}).total(), len(VM_IDS))
+        for engine_count in (1, 2, ENGINE_COUNT):
+            with self.subTest(engine_count=engine_count):
+                self.assertEqual(place_at_once({}, engine_count).total(), len(VM_IDS))
 
     def test_every_free_place_is_offered(self) -> None:
         contentions = [PlaceContention(vm_id) for vm_id in VM_IDS]
@@ -58,7 +62,10 @@
             contention.set_vm_ids(VM_IDS)
         for number in range(ENGINE_COUNT):
             contenders = sum(
-                contention.may_compete(EndpointId(f"i-{number}"), 2) for contention in contentions
+                contention.may_compete(
+                    EndpointId(f"i-{number}"), FreePlaces(count=2, share=2 / BATCH)
+                )
+                for contention in contentions
             )
             self.assertEqual(contenders, 2 * CONTENDERS_PER_PLACE)
 
