Let more VMs compete for a free place with an urgent request

Change: eight VMs compete for a place with a request of the most urgent rank of its service, four with the second, two with all others.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/contention.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/contention.py
@@ -10,8 +10,9 @@
 
 from wagtailusher_core import EndpointId, VmId, rank_by_rendezvous
 
-CONTENDERS_PER_PLACE = 2
-"""VMs that may compete for each free place; a second one, as the first may have no request."""
+CONTENDERS_BY_RANK = (8, 4, 2)
+"""VMs that may compete for each free place, by the rank of the request; the last number is for all
+less urgent ones too. One VM of two may have no request; urgent requests are run first anyway."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,15 +42,14 @@
         for endpoint_id in self._positions.keys() - endpoint_ids:
             del self._positions[endpoint_id]
 
-    def may_compete(self, endpoint_id: EndpointId, free_places: FreePlaces) -> bool:
+    def may_compete(self, endpoint_id: EndpointId, free_places: FreePlaces, rank: int) -> bool:
         """Return whether this VM is among those that may take one of the free places.
 
         All VMs may use an idle endpoint. Their number falls with the square of the free share, as
-        the emptier endpoints are, the fewer requests of other VMs meet at one of them.
+        requests of more VMs meet at one endpoint where few have free places.
         """
-        contenders = max(
-            CONTENDERS_PER_PLACE * free_places.count, len(self._vm_ids) * free_places.share**2
-        )
+        per_place = CONTENDERS_BY_RANK[min(rank, len(CONTENDERS_BY_RANK) - 1)]
+        contenders = max(per_place * free_places.count, len(self._vm_ids) * free_places.share**2)
         return self._position(endpoint_id) < contenders
 
     def _position(self, endpoint_id: EndpointId) -> int:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -83,7 +83,13 @@
             if future.done():
                 return True
             reservation = self.placement.try_reserve(
-                request.service, request.terms, self.view, self.vm_ids(), now_ms, excluded=excluded
+                request.service,
+                request.terms,
+                self.view,
+                self.vm_ids(),
+                now_ms,
+                rank=request.rank,
+                excluded=excluded,
             )
             if reservation is None:
                 return False
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -119,6 +119,7 @@
         vm_ids: tuple[VmId, ...],
         now_ms: int,
         *,
+        rank: int,
         excluded: frozenset[EndpointId] = frozenset(),
     ) -> Reservation | None:
         """Reserve a slot at the endpoint with the lowest cost; return None if all are full.
@@ -134,7 +135,7 @@
             candidate
             for candidate in self._candidates(service, terms, usable, view, vm_ids, now_ms)
             if candidate[0].endpoint.endpoint_id in penalties
-            and self._may_compete(service, terms, candidate, preferred_ids)
+            and self._may_compete(service, terms, candidate, preferred_ids, rank)
         ]
         candidates = _without_excluded(candidates, excluded) or candidates
         if not candidates:
@@ -257,6 +258,7 @@
         terms: RequestTerms,
         candidate: Candidate,
         preferred_ids: list[EndpointId],
+        rank: int,
     ) -> bool:
         """Return whether this VM may take a place at an engine, or leaves it to other VMs.
 
@@ -267,7 +269,7 @@
         if service.engine is None or endpoint_id in preferred_ids:
             return True
         free_places = _free_places(tracked.endpoint, terms, load)
-        return self._contention.may_compete(endpoint_id, free_places)
+        return self._contention.may_compete(endpoint_id, free_places, rank)
 
     def _is_remote(self, endpoint: Endpoint) -> bool:
         return endpoint.failure_domain_id != self._failure_domain_id
