Split the reservation and the choice of a connection for their length

No change of behaviour: the placement call of Dispatcher.async_reserve has a method of its own, and the pass of the event loop before a send moves into HttpClient._async_get_connection.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -82,15 +82,7 @@
         def try_start(now_ms: int) -> bool:
             if future.done():
                 return True
-            reservation = self.placement.try_reserve(
-                request.service,
-                request.terms,
-                self.view,
-                self.vm_ids(),
-                now_ms,
-                rank=request.rank,
-                excluded=excluded,
-            )
+            reservation = self._try_reserve(request, excluded, now_ms)
             if reservation is None:
                 return False
             future.set_result(reservation)
@@ -117,6 +109,19 @@
             future.cancel()
             raise
 
+    def _try_reserve(
+        self, request: RoutedRequest, excluded: frozenset[EndpointId], now_ms: int
+    ) -> Reservation | None:
+        return self.placement.try_reserve(
+            request.service,
+            request.terms,
+            self.view,
+            self.vm_ids(),
+            now_ms,
+            rank=request.rank,
+            excluded=excluded,
+        )
+
     def release(self, reservation: Reservation, *, is_prefill_done: bool) -> None:
         """Release a reservation and start queued requests."""
         self.placement.release(reservation, is_prefill_done=is_prefill_done)
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -116,8 +116,6 @@
         """
         fields = _request_headers(host or address, headers, body)
         head = h11.Request(method=method, target=target, headers=fields)
-        # A disconnect of the caller that is already in its socket cancels the request here.
-        await asyncio.sleep(0)
         connection = await self._async_get_connection(address, new_connection=new_connection)
         if may_send is not None and not may_send():
             connection.abort()
@@ -140,6 +138,8 @@
         self, address: str, *, new_connection: bool
     ) -> ClientConnection:
         """Return an idle connection or a new one."""
+        # A disconnect of the caller that is already in its socket cancels the request here.
+        await asyncio.sleep(0)
         connection = None if new_connection else self._pop_idle(address)
         if connection is not None:
             return connection
