--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,7 +25,9 @@
 SHORT_SEEDS = (1, 2)
 """Seeds that every test run executes."""
 
-REGRESSION_SEEDS: dict[int, str] = {}
+REGRESSION_SEEDS: dict[int, str] = {
+    602: "a reload requested while a restarted process was importing ended it",
+}
 """Seeds that failed in the past, with the cause of each failure."""
 
 INJECTED_FAULT_SEED = 7
