--- a/tests/standins/batching_engine.py
+++ b/tests/standins/batching_engine.py
@@ -9,7 +9,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from tests.standins.runner import Received, RunnerStandin, stream, token_event
+from tests.standins.runner import Received, RunnerStandin, stream
 
 EVENT_GAP_S = 0.01
 DEFAULT_PRIORITY = "5"
@@ -63,7 +63,6 @@
             return await stream(
                 self._event_count,
                 gap_s=EVENT_GAP_S,
-                event_of=token_event,
                 may_continue=run.may_run.wait,
             )(runner, request, writer)
         finally:
