--- a/tests/wagtailusher_gateway/builders.py
+++ b/tests/wagtailusher_gateway/builders.py
@@ -133,15 +133,13 @@
     )
 
 
-def new_placement(
-    current: FleetView, seed: int = 1, vm_id: VmId = VM_IDS[1], domain: str = "a"
-) -> Placement:
+def new_placement(current: FleetView, seed: int = 1, vm_id: VmId = VM_IDS[1]) -> Placement:
     """Return a VM's placement with a view applied."""
     placement = Placement(
         registry=EndpointRegistry(),
         cold_limiter=ColdStartLimiter(vm_id, overage=1.5, slack=5),
         contention=PlaceContention(vm_id),
-        failure_domain_id=FailureDomainId(domain),
+        failure_domain_id=FailureDomainId("a"),
         seed=seed,
     )
     placement.update(current, 0)
