Pass over a known red test when only its subtests fail

The test runner compared the identifiers of failed subtests, which carry their parameters, with those of the tests in KNOWN-RED.txt.

--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -31,12 +31,23 @@
     return loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
 
 
+def _test_id(test: unittest.TestCase) -> str:
+    """Return a test's identifier; a subtest has that of the test it belongs to."""
+    owner: unittest.TestCase = getattr(test, "test_case", test)
+    return owner.id()
+
+
+def failed_test_ids(result: unittest.TestResult) -> set[str]:
+    """Return the identifiers of the tests that failed, also in one of their subtests."""
+    failed = {_test_id(test) for test, _ in result.failures + result.errors}
+    return failed | {_test_id(test) for test in result.unexpectedSuccesses}
+
+
 def main() -> int:
     """Run the tests and return 1 on an unexpected failure or without tests, otherwise 0."""
     sys.path.insert(0, str(ROOT))
     result = unittest.TextTestRunner(verbosity=1).run(load_suite(sys.argv[1:]))
-    failed = {test.id() for test, _ in result.failures + result.errors}
-    failed |= {test.id() for test in result.unexpectedSuccesses}
+    failed = failed_test_ids(result)
     known_red = read_known_red()
     for test_id in sorted(failed & known_red):
         print(f"known red: {test_id}")
