Log which bytes a connection delivered as an answer

The lines request and attempt_failed did not tell a part of an event left by a failed attempt, a late answer on a kept connection and an answer that only the connection's end delimits apart. They now have the requests and skipped responses of the answer's connection, what delimits the body, whether the answer states its request, and the size of an incomplete event.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -49,6 +49,8 @@
         self._client = client
         self._delivery = delivery
         self._answer: ClientAnswer | None = None
+        self._last_answer: ClientAnswer | None = None
+        self._has_answer_id = False
         self._is_prefill_done = False
         self._released = False
         self.reservation = reservation
@@ -63,6 +65,19 @@
         """Return the endpoint's identifier."""
         return self.reservation.endpoint.endpoint_id
 
+    @property
+    def answer_fields(self) -> dict[str, int | bool]:
+        """Return the log fields that tell which bytes a connection delivered as the answer."""
+        answer = self._last_answer
+        if answer is None:
+            return {}
+        return {
+            "connection_requests": answer.connection_requests,
+            "skipped_responses": answer.skipped_responses,
+            "ends_with_connection": answer.is_delimited_by_close,
+            "has_answer_id": self._has_answer_id,
+        }
+
     @property
     def is_stream(self) -> bool:
         """Return whether the answer is a stream of events."""
@@ -82,9 +97,10 @@
         endpoint may have run the request.
         """
         answer = await self._async_request(request, headers, terms, http_mapping, left_ms)
-        self._answer = answer
+        self._answer = self._last_answer = answer
         self.status = answer.status
         self.headers = answer.headers
+        self._has_answer_id = http_mapping.answer_id(answer.headers) is not None
         stated = http_mapping.read_answer(answer.status, answer.headers)
         if stated.not_run:
             self._record_not_run(stated)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
@@ -33,6 +33,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._partial_event)
 
+    @property
+    def partial_event_bytes(self) -> int:
+        """Return the size of the buffered incomplete event."""
+        return len(self._partial_event)
+
     def begin_resumed_stream(self) -> None:
         """Expect the stream of another endpoint, which continues after the last event."""
         self._partial_event = b""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -129,6 +129,7 @@
         except WagtailusherError as err:
             self._handle_failure(attempt, err)
             return None
+        self._record.record_answer_fields(attempt.answer_fields)
         if answer is SendResult.NOT_RUN:
             self._handle_refusal(attempt)
             return None
@@ -178,7 +179,12 @@
 
     def _record_attempt_end(self, attempt: Attempt, reason: str) -> None:
         """Log an attempt without a usable answer."""
-        self._record.record_attempt_failure(attempt.reservation, reason, self._delivery.state)
+        self._record.record_attempt_failure(
+            attempt.reservation,
+            reason,
+            self._delivery.state,
+            {**attempt.answer_fields, "partial_event_bytes": self._framer.partial_event_bytes},
+        )
 
     async def _async_begin_stream(self, attempt: Attempt) -> Response | None:
         """Wait for the first event, so that the caller does not see an early failure."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import logging
 
 from wagtailusher_gateway.delivery import DeliveryState
@@ -41,6 +41,7 @@
         self._break_reason: str | None = None
         self._is_complete = False
         self._longest_gap_ms = 0
+        self._answer_fields: dict[str, int | bool] = {}
 
     def record_route(
         self, route: Route, service: str, workspace: Workspace | None, rank: int
@@ -58,7 +59,11 @@
         self._reserved_ms = now_ms
 
     def record_attempt_failure(
-        self, reservation: Reservation, reason: str, state: DeliveryState
+        self,
+        reservation: Reservation,
+        reason: str,
+        state: DeliveryState,
+        answer_fields: Mapping[str, int | bool],
     ) -> None:
         """Log and count an attempt without a usable answer."""
         self._metrics.attempts_failed.inc({"service": self._service})
@@ -72,10 +77,15 @@
                 "endpoint": reservation.endpoint.endpoint_id,
                 "is_cold": reservation.is_cold,
                 "state": str(state),
+                **answer_fields,
                 **self._view_fields(),
             },
         )
 
+    def record_answer_fields(self, answer_fields: Mapping[str, int | bool]) -> None:
+        """Record which connection delivered the answer, and what delimits its body."""
+        self._answer_fields = dict(answer_fields)
+
     def record_answer(self, status: int) -> None:
         """Record the complete answer of an endpoint and log the request."""
         self._status = status
@@ -174,6 +184,7 @@
                 "workspace": self._workspace.workspace_id if self._workspace else None,
                 "rank": self._rank,
                 **self._reservation_fields(),
+                **self._answer_fields,
                 "status": self._status,
                 "sends": self._sends,
                 "wait_ms": self._reserved_ms - self._arrived_ms,
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -39,6 +39,13 @@
         self._connection = connection
         self.status: int = head.status_code
         self.headers = Headers.from_raw(head.headers)
+        self.connection_requests = connection.requests
+        self.skipped_responses = connection.skipped_responses
+
+    @property
+    def is_delimited_by_close(self) -> bool:
+        """Return whether the end of the connection is the only end of the body."""
+        return "content-length" not in self.headers and "transfer-encoding" not in self.headers
 
     def iter_chunks(
         self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -45,6 +45,8 @@
         """Use a connected socket; `address` is the peer's `host:port`."""
         self.address = address
         self.idle_since_ms = 0
+        self.requests = 0
+        self.skipped_responses = 0
         self._socket = socket
         self._received_bytes = 0
         self._keep_alive_ms: int | None = None
@@ -105,6 +107,7 @@
 
     async def async_send(self, head: h11.Request, body: bytes) -> None:
         """Send a complete request; raise AnswerError on failure."""
+        self.requests += 1
         parts = [self._http.send(head)]
         if body:
             parts.append(self._http.send(h11.Data(data=body)))
@@ -131,6 +134,7 @@
 
     async def async_skip_answer(self, method: str, timeout_ms: int) -> None:
         """Discard the body of an unmatched response and expect another response after it."""
+        self.skipped_responses += 1
         async for _ in self.async_iter_body(timeout_ms, lambda *_: None):
             pass
         unparsed, _ = self._http.trailing_data
--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -162,6 +162,19 @@
         self.apps.append(app)
         return app
 
+    async def async_endpoints_and_gateway(
+        self, service: str, *behaviours: tuple[Any, ...]
+    ) -> tuple[GatewayApp, list[RunnerStandin]]:
+        """Start an endpoint for each tuple of behaviours and a settled gateway that knows them."""
+        runners = [
+            await self.async_runner(service, f"i-{number}", *items)
+            for number, items in enumerate(behaviours, start=1)
+        ]
+        app = await self.async_gateway()
+        await self.async_ready(app, len(runners))
+        await self.async_settled(app)
+        return app, runners
+
     async def async_until(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition holds."""
         async with asyncio.timeout(WAIT_S):
