--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -123,7 +123,7 @@
     return Received(method=method, target=target, headers=headers, body=body)
 
 
-def _response_head(
+def response_head(
     request: Received, status: str, *lines: str, attempt_id: str | None = None
 ) -> bytes:
     """Return the status line and header fields of a signed answer."""
@@ -137,7 +137,7 @@
     return "\r\n".join((*fields, "", "")).encode()
 
 
-def _write_parts(
+def write_parts(
     parts: Callable[[Received], Iterable[bytes]], *, keeps_connection: bool = True
 ) -> Behaviour:
     """Execute the request and write the parts of its answer with a delay between them."""
@@ -155,10 +155,10 @@
     return behave
 
 
-def _signed_answer(request: Received, body: bytes, attempt_id: str | None = None) -> bytes:
+def signed_answer(request: Received, body: bytes, attempt_id: str | None = None) -> bytes:
     """Return a complete signed answer with its content length."""
     return (
-        _response_head(request, "200 OK", f"Content-Length: {len(body)}", attempt_id=attempt_id)
+        response_head(request, "200 OK", f"Content-Length: {len(body)}", attempt_id=attempt_id)
         + body
     )
 
@@ -166,29 +166,29 @@
 def answer(body: bytes = b"done", status: str = "200 OK", *lines: str) -> Behaviour:
     """Execute the request and send a complete answer."""
     length = f"Content-Length: {len(body)}"
-    return _write_parts(lambda request: [_response_head(request, status, length, *lines) + body])
+    return write_parts(lambda request: [response_head(request, status, length, *lines) + body])
 
 
 def unsigned(body: bytes = b"done") -> Behaviour:
     """Execute the request and answer without a signature."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
-    return _write_parts(lambda request: [head + body])
+    return write_parts(lambda request: [head + body])
 
 
 def extra_answer(body: bytes = b"done") -> Behaviour:
     """Execute the request and send an answer to another request after its own."""
     other = b"X" * len(body)
-    return _write_parts(
-        lambda request: [_signed_answer(request, body) + _signed_answer(request, other, "another")]
+    return write_parts(
+        lambda request: [signed_answer(request, body) + signed_answer(request, other, "another")]
     )
 
 
 def mismatched_then_answer(body: bytes = b"done") -> Behaviour:
     """Execute the request and send an answer to another request before its own."""
-    return _write_parts(
+    return write_parts(
         lambda request: [
-            _signed_answer(request, b"wrong", "another"),
-            _signed_answer(request, body),
+            signed_answer(request, b"wrong", "another"),
+            signed_answer(request, body),
         ]
     )
 
@@ -196,8 +196,8 @@
 def truncated(body: bytes = b"done") -> Behaviour:
     """Execute the request and close the connection before the end of the answer."""
     length = f"Content-Length: {len(body) + 1}"
-    return _write_parts(
-        lambda request: [_response_head(request, "200 OK", length) + body], keeps_connection=False
+    return write_parts(
+        lambda request: [response_head(request, "200 OK", length) + body], keeps_connection=False
     )
 
 
@@ -208,7 +208,7 @@
         runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
     ) -> bool:
         runner.record_execution(request)
-        writer.write(_response_head(request, "200 OK", "Connection: close") + body)
+        writer.write(response_head(request, "200 OK", "Connection: close") + body)
         await writer.drain()
         if reset:
             await asyncio.sleep(0.02)
@@ -294,16 +294,16 @@
         runner.record_execution(request)
         first = int(request.headers.get("last-event-id", "0")) + 1
         lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-        writer.write(_response_head(request, "200 OK", *lines))
+        writer.write(response_head(request, "200 OK", *lines))
         for number in range(first, count + 1):
             if cut_after is not None and number > cut_after:
                 if within_event:
-                    writer.write(_chunk(b"id: %d\nda" % number))
+                    writer.write(chunk(b"id: %d\nda" % number))
                 await writer.drain()
                 return False
             if may_continue is not None:
                 await may_continue()
-            writer.write(_chunk(event_of(request, number)))
+            writer.write(chunk(event_of(request, number)))
             await writer.drain()
             await asyncio.sleep(gap_s)
         writer.write(b"0\r\n\r\n")
@@ -313,7 +313,7 @@
     return behave
 
 
-def _chunk(data: bytes) -> bytes:
+def chunk(data: bytes) -> bytes:
     """Return data in the chunked transfer encoding."""
     return b"%x\r\n%b\r\n" % (len(data), data)
 
