Frame the events of each attempt on its own

An endpoint that failed within its first event left a part of it in the request's framer; the next endpoint's first event was joined to it.

Cause: parser state that outlived its attempt; it was reset only when a stream resumed. An attempt now owns its framer, and only the position in the caller's stream is shared, so there is nothing to reset. A stream that ends within its first event is a failed attempt. An event with a number that the caller has already ends the stream, after the events before it.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -9,7 +9,7 @@
 from wagtailusher_gateway.const import MAX_ANSWER_BYTES
 from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.dispatcher import Dispatcher
-from wagtailusher_gateway.events import EventFramer
+from wagtailusher_gateway.events import EventFramer, StreamPosition
 from wagtailusher_gateway.exceptions import BrokenStreamError
 from wagtailusher_gateway.http_mapping import HttpMapping
 from wagtailusher_gateway.models import AnswerTerms, RequestTerms
@@ -44,6 +44,7 @@
         client: HttpClient,
         reservation: Reservation,
         delivery: Delivery,
+        position: StreamPosition,
     ) -> None:
         self._dispatcher = dispatcher
         self._client = client
@@ -59,6 +60,7 @@
         self.was_sent = False
         self.longest_gap_ms = 0
         self._last_event_ms = 0
+        self._framer = EventFramer(position)
 
     @property
     def endpoint_id(self) -> EndpointId:
@@ -76,6 +78,7 @@
             "skipped_responses": answer.skipped_responses,
             "ends_with_connection": answer.is_delimited_by_close,
             "has_answer_id": self._has_answer_id,
+            "partial_event_bytes": self._framer.partial_event_bytes,
         }
 
     @property
@@ -180,34 +183,44 @@
             raise AnswerError("the answer exceeds the size limit")
         return body
 
-    async def async_read_first(self, framer: EventFramer, left_ms: int) -> bytes:
+    async def async_read_first(self, left_ms: int) -> bytes:
         """Return the first complete events; empty if the stream ends without one."""
         buffered: list[bytes] = []
 
         def buffer_events(chunk: bytes) -> bool:
-            events = framer.feed(chunk)
+            events = self._framer.feed(chunk)
             if events:
                 buffered.append(events)
-            return not buffered
+            return not buffered and not self._framer.has_failed
 
         await self._async_relay(buffer_events, left_ms)
+        if not buffered:
+            self._check(self._framer.finish)
         return b"".join(buffered)
 
-    async def async_relay_body(self, framer: EventFramer, sink: BodySink, left_ms: int) -> None:
+    async def async_relay_body(self, sink: BodySink, left_ms: int) -> None:
         """Relay complete events until the end of the stream."""
 
         def deliver(chunk: bytes) -> bool:
-            events = framer.feed(chunk)
+            events = self._framer.feed(chunk)
             if events:
                 sink.write(events)
                 self._record_event_sent(self._now_ms())
-            return not sink.needs_drain
+            return not sink.needs_drain and not self._framer.has_failed
 
+        self._check(self._framer.raise_failure)
         while self._answer is not None and not await self._async_relay(deliver, left_ms):
+            self._check(self._framer.raise_failure)
             await sink.async_drain()
-        if framer.has_partial_event:
+        self._check(self._framer.finish)
+
+    def _check(self, raise_failure: Callable[[], None]) -> None:
+        """Record a failure that the framer raises."""
+        try:
+            raise_failure()
+        except BrokenStreamError:
             self._record_failure()
-            raise BrokenStreamError("the stream ended within an event")
+            raise
 
     def _record_event_sent(self, now_ms: int) -> None:
         """Update the longest gap between relayed events."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from dataclasses import dataclass
 import re
 
 from wagtailusher_gateway.const import MAX_EVENT_BYTES
@@ -12,72 +12,88 @@
 _ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 
 
+@dataclass(slots=True, kw_only=True)
+class StreamPosition:
+    """The last event of a caller's stream; the attempts that bring its events share it."""
+
+    last_id: str | None = None
+    count: int = 0
+
+
 class EventFramer:
-    """Buffers an incomplete event until the rest of it arrives.
+    """Splits one attempt's answer into complete events and advances the caller's position.
 
-    After a resume, events that the caller already received are dropped, and a missing event raises
-    BrokenStreamError.
+    An attempt that continues a stream may repeat events that the caller has; these are dropped.
+    Events that are missing or repeated later on end the stream with BrokenStreamError, after the
+    events before them.
     """
 
-    __slots__ = ("_is_resumed", "_partial_event", "count", "last_id")
+    __slots__ = ("_failure", "_has_new_event", "_is_continued", "_partial_event", "_position")
 
-    def __init__(self, last_id: str | None = None) -> None:
-        """Start a stream, or continue one after the event `last_id`."""
+    def __init__(self, position: StreamPosition) -> None:
+        """Start with the attempt's first byte."""
         self._partial_event = b""
-        self._is_resumed = False
-        self.last_id = last_id
-        self.count = 0
-
-    @property
-    def has_partial_event(self) -> bool:
-        """Return whether an incomplete event is buffered."""
-        return bool(self._partial_event)
+        self._position = position
+        self._is_continued = position.last_id is not None
+        self._has_new_event = False
+        self._failure: BrokenStreamError | None = None
 
     @property
     def partial_event_bytes(self) -> int:
         """Return the size of the buffered incomplete event."""
         return len(self._partial_event)
 
-    def begin_resumed_stream(self) -> None:
-        """Expect the stream of another endpoint, which continues after the last event."""
-        self._partial_event = b""
-        self._is_resumed = True
+    @property
+    def has_failed(self) -> bool:
+        """Return whether nothing more of the answer can be relayed."""
+        return self._failure is not None
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the complete events so far, possibly none."""
-        events, self._partial_event = split_complete_events(self._partial_event, chunk)
-        if not events:
-            if len(self._partial_event) > MAX_EVENT_BYTES:
-                raise BrokenStreamError("an event of the stream is too large")
+        if self._failure is not None:
             return b""
-        if self._is_resumed:
-            return b"".join(self._new_events(events))
-        self.count += events.count(EVENT_DELIMITER)
-        self._record_last_id(events)
-        return events
-
-    def _record_last_id(self, events: bytes) -> None:
-        last = events[events.rfind(EVENT_DELIMITER, 0, -len(EVENT_DELIMITER)) + 1 :]
-        found = _ID.search(last)
-        if found is not None:
-            self.last_id = found[1].decode("latin-1").strip()
-
-    def _new_events(self, events: bytes) -> Iterator[bytes]:
-        """Yield the events that follow the last relayed one."""
+        events, self._partial_event = split_complete_events(self._partial_event, chunk)
+        if not events and len(self._partial_event) > MAX_EVENT_BYTES:
+            self._failure = BrokenStreamError("an event of the stream is too large")
+        accepted: list[bytes] = []
         for event in events.split(EVENT_DELIMITER)[:-1]:
             complete_event = event + EVENT_DELIMITER
-            found = _ID.search(complete_event)
-            number = _number(found[1].decode("latin-1")) if found else None
-            last = _number(self.last_id)
-            if number is not None and last is not None:
-                if number <= last:
-                    continue
-                if number > last + 1:
-                    raise BrokenStreamError("the resumed stream is missing an event")
-            if found is not None:
-                self.last_id = found[1].decode("latin-1").strip()
-            self.count += 1
-            yield complete_event
+            try:
+                if self._is_new(complete_event):
+                    accepted.append(complete_event)
+            except BrokenStreamError as err:
+                self._failure = err
+                break
+        return b"".join(accepted)
+
+    def raise_failure(self) -> None:
+        """Raise BrokenStreamError if nothing more of the answer can be relayed."""
+        if self._failure is not None:
+            raise self._failure
+
+    def finish(self) -> None:
+        """Raise BrokenStreamError if the answer did not end after a complete event."""
+        self.raise_failure()
+        if self._partial_event:
+            raise BrokenStreamError("the stream ended within an event")
+
+    def _is_new(self, event: bytes) -> bool:
+        """Return whether to relay an event, and advance the position if so."""
+        found = _ID.search(event)
+        event_id = found[1].decode("latin-1").strip() if found is not None else None
+        number, last = _number(event_id), _number(self._position.last_id)
+        if number is not None and last is not None:
+            if number <= last:
+                if self._is_continued and not self._has_new_event:
+                    return False
+                raise BrokenStreamError("the stream repeats an event")
+            if self._is_continued and number > last + 1:
+                raise BrokenStreamError("the resumed stream is missing an event")
+        if event_id is not None:
+            self._position.last_id = event_id
+        self._position.count += 1
+        self._has_new_event = True
+        return True
 
 
 def _number(text: str | None) -> int | None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -9,7 +9,7 @@
 from wagtailusher_gateway.const import MS_PER_S
 from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest, queue_name
-from wagtailusher_gateway.events import EventFramer
+from wagtailusher_gateway.events import StreamPosition
 from wagtailusher_gateway.exceptions import BrokenStreamError, RefusedError
 from wagtailusher_gateway.http_mapping import ForwardContext, HttpMapping
 from wagtailusher_gateway.models import Workspace
@@ -47,7 +47,7 @@
         self._delivery = Delivery(routed_request.route)
         self._excluded: frozenset[EndpointId] = frozenset()
         self._connect_failures = 0
-        self._framer = EventFramer(routed_request.terms.resume_after)
+        self._position = StreamPosition(last_id=routed_request.terms.resume_after)
         self._attempt: Attempt | None = None
 
     async def async_run(self) -> Response:
@@ -108,14 +108,16 @@
         """
         reservation = await self._dispatcher.async_reserve(self._routed_request, self._excluded)
         self._record.record_reservation(reservation, self._dispatcher.clock_ms())
-        attempt = Attempt(self._dispatcher, self._client, reservation, self._delivery)
+        attempt = Attempt(
+            self._dispatcher, self._client, reservation, self._delivery, self._position
+        )
         self._attempt = attempt
         forward_context = ForwardContext(
             endpoint_id=reservation.endpoint.endpoint_id,
             left_ms=self._left_ms(),
             workspace_id=self._workspace.workspace_id if self._workspace else None,
             rank=self._routed_request.rank,
-            resume_after=self._framer.last_id,
+            resume_after=self._position.last_id,
         )
         headers = self._http_mapping.request_headers(self._request.headers, forward_context)
         try:
@@ -180,16 +182,13 @@
     def _record_attempt_end(self, attempt: Attempt, reason: str) -> None:
         """Log an attempt without a usable answer."""
         self._record.record_attempt_failure(
-            attempt.reservation,
-            reason,
-            self._delivery.state,
-            {**attempt.answer_fields, "partial_event_bytes": self._framer.partial_event_bytes},
+            attempt.reservation, reason, self._delivery.state, attempt.answer_fields
         )
 
     async def _async_begin_stream(self, attempt: Attempt) -> Response | None:
         """Wait for the first event, so that the caller does not see an early failure."""
         try:
-            first = await attempt.async_read_first(self._framer, self._left_ms())
+            first = await attempt.async_read_first(self._left_ms())
         except WagtailusherError as err:
             self._handle_failure(attempt, err)
             return None
@@ -208,7 +207,7 @@
     def _stream_ended(self) -> None:
         """Release what a stream holds, whether or not it was complete."""
         self._give_up()
-        self._record.record_stream_end(self._framer.count)
+        self._record.record_stream_end(self._position.count)
 
     async def _async_relay_stream(self, attempt: Attempt, first: bytes, sink: BodySink) -> None:
         """Relay events, resuming at another endpoint if the route allows it."""
@@ -219,7 +218,7 @@
                 current = attempt
                 while True:
                     try:
-                        await current.async_relay_body(self._framer, sink, self._left_ms())
+                        await current.async_relay_body(sink, self._left_ms())
                         break
                     except WagtailusherError as err:
                         current = await self._async_resume(current, err)
@@ -237,7 +236,7 @@
         self._attempt = None
         self._excluded |= {attempt.endpoint_id}
         self._delivery.record_failure()
-        while self._delivery.may_resume and self._framer.last_id is not None:
+        while self._delivery.may_resume and self._position.last_id is not None:
             now_ms = self._dispatcher.clock_ms()
             if not self._dispatcher.try_spend_retry(self._routed_request.service, now_ms):
                 break
@@ -247,7 +246,6 @@
                 self._record.record_stream_broken(refusal.message)
                 raise BrokenStreamError(refusal.message) from err
             if resumed is not None and resumed.is_stream and resumed.status < _SERVER_ERROR:
-                self._framer.begin_resumed_stream()
                 return resumed
             if resumed is not None:
                 resumed.abort()
