Relay no second answer behind one without a length

An endpoint that answers twice sent the caller both, if only the end of the connection delimits the first answer.

Cause: all bytes up to the end of the connection count as the body. A body without a length in which another response's head is found is now a failed attempt; a stream ends with the events before it and is not complete. Where a length or chunks delimit the body nothing is searched.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -22,6 +22,7 @@
     Headers,
     HttpClient,
     Request,
+    contains_response_head,
     is_event_stream,
 )
 
@@ -173,11 +174,15 @@
     async def async_read(self, left_ms: int) -> bytes:
         """Return the complete body."""
         assert self._answer is not None
+        answer = self._answer
         try:
-            body = await self._answer.async_read(left_ms)
+            body = await answer.async_read(left_ms)
         except AnswerError:
             self._record_failure()
             raise
+        if answer.is_delimited_by_close and contains_response_head(body):
+            self._record_failure()
+            raise AnswerError("another answer follows one without a length")
         if len(body) > MAX_ANSWER_BYTES:
             self._record_failure()
             raise AnswerError("the answer exceeds the size limit")
@@ -188,7 +193,7 @@
         buffered: list[bytes] = []
 
         def buffer_events(chunk: bytes) -> bool:
-            events = self._framer.feed(chunk)
+            events = self._feed(chunk)
             if events:
                 buffered.append(events)
             return not buffered and not self._framer.has_failed
@@ -202,7 +207,7 @@
         """Relay complete events until the end of the stream."""
 
         def deliver(chunk: bytes) -> bool:
-            events = self._framer.feed(chunk)
+            events = self._feed(chunk)
             if events:
                 sink.write(events)
                 self._record_event_sent(self._now_ms())
@@ -214,6 +219,11 @@
             await sink.async_drain()
         self._check(self._framer.finish)
 
+    def _feed(self, chunk: bytes) -> bytes:
+        """Return the complete events that a chunk of the answer brings."""
+        is_delimited = self._answer is None or not self._answer.is_delimited_by_close
+        return self._framer.feed(chunk, is_delimited=is_delimited)
+
     def _check(self, raise_failure: Callable[[], None]) -> None:
         """Record a failure that the framer raises."""
         try:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
@@ -7,7 +7,7 @@
 
 from wagtailusher_gateway.const import MAX_EVENT_BYTES
 from wagtailusher_gateway.exceptions import BrokenStreamError
-from wagtailusher_http import EVENT_DELIMITER, split_complete_events
+from wagtailusher_http import EVENT_DELIMITER, contains_response_head, split_complete_events
 
 _ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 
@@ -24,8 +24,8 @@
     """Splits one attempt's answer into complete events and advances the caller's position.
 
     An attempt that continues a stream may repeat events that the caller has; these are dropped.
-    Events that are missing or repeated later on end the stream with BrokenStreamError, after the
-    events before them.
+    Events that are missing, repeated later on or part of another answer end the stream with
+    BrokenStreamError, after the events before them.
     """
 
     __slots__ = ("_failure", "_has_new_event", "_is_continued", "_partial_event", "_position")
@@ -48,8 +48,12 @@
         """Return whether nothing more of the answer can be relayed."""
         return self._failure is not None
 
-    def feed(self, chunk: bytes) -> bytes:
-        """Add a chunk and return the complete events so far, possibly none."""
+    def feed(self, chunk: bytes, *, is_delimited: bool = True) -> bytes:
+        """Add a chunk and return the complete events so far, possibly none.
+
+        `is_delimited` is false if only the end of the connection ends the answer, so that another
+        answer may follow in it.
+        """
         if self._failure is not None:
             return b""
         events, self._partial_event = split_complete_events(self._partial_event, chunk)
@@ -59,7 +63,7 @@
         for event in events.split(EVENT_DELIMITER)[:-1]:
             complete_event = event + EVENT_DELIMITER
             try:
-                if self._is_new(complete_event):
+                if self._is_new(complete_event, is_delimited=is_delimited):
                     accepted.append(complete_event)
             except BrokenStreamError as err:
                 self._failure = err
@@ -77,8 +81,10 @@
         if self._partial_event:
             raise BrokenStreamError("the stream ended within an event")
 
-    def _is_new(self, event: bytes) -> bool:
+    def _is_new(self, event: bytes, *, is_delimited: bool) -> bool:
         """Return whether to relay an event, and advance the position if so."""
+        if not is_delimited and contains_response_head(event):
+            raise BrokenStreamError("another answer follows the stream")
         found = _ID.search(event)
         event_id = found[1].decode("latin-1").strip() if found is not None else None
         number, last = _number(event_id), _number(self._position.last_id)
--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -4,7 +4,12 @@
 
 from wagtailusher_http.client import ClientAnswer, HttpClient
 from wagtailusher_http.const import ClientLimits, HttpLimits
-from wagtailusher_http.events import EVENT_DELIMITER, is_event_stream, split_complete_events
+from wagtailusher_http.events import (
+    EVENT_DELIMITER,
+    contains_response_head,
+    is_event_stream,
+    split_complete_events,
+)
 from wagtailusher_http.exceptions import (
     AnswerError,
     AnswerTruncatedError,
@@ -46,6 +51,7 @@
     "Response",
     "SendCancelledError",
     "async_serve",
+    "contains_response_head",
     "error_response",
     "is_event_stream",
     "json_response",
--- a/packages/wagtailusher_http/src/wagtailusher_http/events.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/events.py
@@ -2,12 +2,26 @@
 
 from __future__ import annotations
 
+import re
+
 from wagtailusher_http.headers import Headers
 
 EVENTS_TYPE = "text/event-stream"
 EVENT_DELIMITER = b"\n\n"
 
 
+_RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r?\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
+"""A status line and the name of the first header field."""
+
+
+def contains_response_head(body: bytes) -> bool:
+    """Return whether a part of a body looks like another response's head.
+
+    Where only the end of the connection delimits a body, nothing else tells them apart.
+    """
+    return _RESPONSE_HEAD.search(body) is not None
+
+
 def is_event_stream(headers: Headers) -> bool:
     """Return whether the response is a stream of server-sent events."""
     return (headers.get("content-type") or "").startswith(EVENTS_TYPE)
--- a/tests/wagtailusher_gateway/test_events.py
+++ b/tests/wagtailusher_gateway/test_events.py
@@ -60,6 +60,13 @@
         with self.assertRaises(BrokenStreamError):
             framer.finish()
 
+    def test_head_of_another_answer_ends_a_stream_without_length(self) -> None:
+        """Events behind another answer's head are not relayed, whatever their numbers are."""
+        framer = EventFramer(StreamPosition())
+        head = b"HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n"
+        self.assertEqual(framer.feed(event(1) + head + event(2), is_delimited=False), event(1))
+        self.assertTrue(framer.has_failed)
+
     def test_end_within_an_event_is_a_failure(self) -> None:
         """A stream must end after a complete event."""
         framer = EventFramer(StreamPosition())
