Close a connection that brought an answer to another request

The answer to another request was skipped and the connection used again, although more bytes of that answer may follow. Failing before: test_connection_with_an_answer_to_another_request_is_not_used_again, one connection for three such answers. Such a connection now carries no further request.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -86,6 +86,8 @@
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection can carry another exchange."""
+        if self.skipped_responses:
+            return False
         if self._socket.is_ended or self._socket.has_unread_input or self._http.trailing_data[0]:
             return False
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
