Send a request's next attempt on a connection without an earlier one

A caller was told that its request has not run though it ran: attempts share the caller's identifier, so on one connection a late copy of the refusal passed as the answer to the retry. An address that was tried already gets a new connection.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -94,13 +94,17 @@
         terms: RequestTerms,
         http_mapping: HttpMapping,
         left_ms: int,
+        *,
+        new_connection: bool = False,
     ) -> SendResult | None:
         """Send the request and read the answer's head.
 
         Raises ConnectError or SendCancelledError if nothing was sent, and AnswerError if the
         endpoint may have run the request.
         """
-        answer = await self._async_request(request, headers, terms, http_mapping, left_ms)
+        answer = await self._async_request(
+            request, headers, terms, http_mapping, left_ms, new_connection=new_connection
+        )
         self._answer = self._last_answer = answer
         self.status = answer.status
         self.headers = answer.headers
@@ -124,6 +128,8 @@
         terms: RequestTerms,
         http_mapping: HttpMapping,
         left_ms: int,
+        *,
+        new_connection: bool,
     ) -> ClientAnswer:
         """Send the request and return the answer once its head has arrived."""
         try:
@@ -134,6 +140,7 @@
                 headers,
                 request.body,
                 may_send=self._may_send,
+                new_connection=new_connection,
                 head_timeout_ms=left_ms,
                 host=terms.host,
                 matches_request=lambda fields: http_mapping.answer_id(fields)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -46,6 +46,7 @@
         self._record = record
         self._delivery = Delivery(routed_request.route)
         self._excluded: frozenset[EndpointId] = frozenset()
+        self._tried_addresses: set[str] = set()
         self._connect_failures = 0
         self._position = StreamPosition(last_id=routed_request.terms.resume_after)
         self._attempt: Attempt | None = None
@@ -120,6 +121,10 @@
             resume_after=self._position.last_id,
         )
         headers = self._http_mapping.request_headers(self._request.headers, forward_context)
+        address = reservation.endpoint.address
+        # All attempts have the caller's identifier, so a connection must not carry two of them.
+        new_connection = address in self._tried_addresses
+        self._tried_addresses.add(address)
         try:
             answer = await attempt.async_send(
                 self._request,
@@ -127,6 +132,7 @@
                 self._routed_request.terms,
                 self._http_mapping,
                 self._left_ms(),
+                new_connection=new_connection,
             )
         except WagtailusherError as err:
             self._handle_failure(attempt, err)
