Relay no answer that does not state its request

An answer without an identifier counted as a match, so a late one reached the next caller. The only answer that still counts without one is a refusal that is the first answer on its connection; that connection carries no further request. All others are failed attempts: the request may have run.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -110,6 +110,8 @@
         self.headers = answer.headers
         self._has_answer_id = http_mapping.answer_id(answer.headers) is not None
         stated = http_mapping.read_answer(answer.status, answer.headers)
+        if not self._has_answer_id:
+            self._check_unidentified(answer, stated)
         if stated.not_run:
             self._record_not_run(stated)
             await answer.async_read(left_ms)
@@ -121,6 +123,17 @@
             )
         return None
 
+    def _check_unidentified(self, answer: ClientAnswer, stated: AnswerTerms) -> None:
+        """Raise AnswerError unless an answer without an identifier can only be to this request.
+
+        A refusal that is the first answer on its connection is; others may be late answers.
+        """
+        if stated.not_run and answer.connection_requests == 1:
+            answer.prevent_reuse()
+            return
+        self._record_failure()
+        raise AnswerError("the answer does not state its request")
+
     async def _async_request(
         self,
         request: Request,
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -78,6 +78,11 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
+    @callback
+    def prevent_reuse(self) -> None:
+        """Close the connection after this exchange, as it may bring bytes of another one."""
+        self._connection.prevent_reuse()
+
     @callback
     def abort(self) -> None:
         """Abort the exchange and close its connection."""
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -47,6 +47,7 @@
         self.idle_since_ms = 0
         self.requests = 0
         self.skipped_responses = 0
+        self._is_reuse_prevented = False
         self._socket = socket
         self._received_bytes = 0
         self._keep_alive_ms: int | None = None
@@ -86,12 +87,17 @@
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection can carry another exchange."""
-        if self.skipped_responses:
+        if self._is_reuse_prevented or self.skipped_responses:
             return False
         if self._socket.is_ended or self._socket.has_unread_input or self._http.trailing_data[0]:
             return False
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
+    @callback
+    def prevent_reuse(self) -> None:
+        """Close the connection after its current exchange."""
+        self._is_reuse_prevented = True
+
     @callback
     def start_next_cycle(self) -> None:
         """Reset the protocol state for another exchange."""
