--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -212,7 +212,7 @@
         await writer.drain()
         if reset:
             await asyncio.sleep(0.02)
-            _reset(writer)
+            reset_connection(writer)
         return False
 
     return behave
@@ -225,7 +225,7 @@
         runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
     ) -> bool:
         runner.record_execution(request)
-        _reset(writer)
+        reset_connection(writer)
         return False
 
     return behave
@@ -318,7 +318,7 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Reset the connection: closing with a linger time of 0 sends RST instead of FIN."""
     raw = writer.get_extra_info("socket")
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
