--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -116,6 +116,8 @@
     born_ms: int
     cold_until_ms: int
     """On the clock of the VM that holds the view; 0 when the endpoint is warm."""
+    software_version: str = ""
+    """Version of the endpoint's software, not of its model; empty if it is unknown."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -148,6 +150,8 @@
     deadline_ms: int | None
     api_key: str | None
     resume_after: str | None = None
+    resumes_id: str | None = None
+    """Identifier of the attempt that brought the first event of the stream to resume."""
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
@@ -75,6 +75,7 @@
                 "event": "attempt_failed",
                 "request": self._terms.attempt_id,
                 "endpoint": reservation.endpoint.endpoint_id,
+                "software_version": reservation.endpoint.software_version,
                 "is_cold": reservation.is_cold,
                 "state": str(state),
                 **answer_fields,
@@ -137,6 +138,7 @@
             return {}
         return {
             "endpoint": reservation.endpoint.endpoint_id,
+            "software_version": reservation.endpoint.software_version,
             "is_cold": reservation.is_cold,
             "cost_ms": round(reservation.cost_ms),
             "prompt_tokens": reservation.prefill_tokens,
@@ -183,6 +185,7 @@
                 "service": self._service,
                 "workspace": self._workspace.workspace_id if self._workspace else None,
                 "rank": self._rank,
+                "resumes": self._terms.resumes_id,
                 **self._reservation_fields(),
                 **self._answer_fields,
                 "status": self._status,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -190,6 +190,7 @@
                 "event": "endpoint",
                 "endpoint": endpoint.endpoint_id,
                 "service": endpoint.service,
+                "software_version": endpoint.software_version,
                 "state": state,
                 "cold_ms": max(0, endpoint.cold_until_ms - now_ms),
                 "revision": self.view.revision,
--- a/tests/wagtailusher_gateway/test_request_record.py
+++ b/tests/wagtailusher_gateway/test_request_record.py
@@ -30,7 +30,7 @@
     """The line has the rank, the workspace and what was known of the endpoint's load."""
 
     def test_line_tells_rank_and_age_of_the_assumed_load(self) -> None:
-        current = view(endpoint(1))
+        current = view(endpoint(1, software_version="v2"))
         placement = new_placement(current)
         for number, received_ms in ((1, 300), (2, 900)):
             placement.registry.set_peer_loads(
@@ -48,6 +48,7 @@
         self.assertEqual((line["workspace"], line["rank"]), ("members", 3))
         self.assertEqual((line["running"], line["own_running"]), (5, 1))
         self.assertEqual(line["load_age_ms"], 700)
+        self.assertEqual(line["software_version"], "v2")
 
 
 if __name__ == "__main__":
--- a/tests/wagtailusher_platform/test_headers.py
+++ b/tests/wagtailusher_platform/test_headers.py
@@ -37,6 +37,10 @@
         self.assertEqual([part.tokens for part in terms.shared_parts], [800, 410])
         self.assertEqual((terms.deadline_ms, terms.api_key), (4000, "key"))
 
+    def test_terms_of_a_resumed_stream(self) -> None:
+        terms = read_request(Headers((REQUIRED | {"last-event-id": "3", "resumes": "a0"}).items()))
+        self.assertEqual((terms.resume_after, terms.resumes_id), ("3", "a0"))
+
     def test_invalid_estimates_are_ignored(self) -> None:
         """Invalid values that are only used for placement never make a request fail."""
         fields = REQUIRED | {
