--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -118,12 +118,8 @@
 
     async def asyncTearDown(self) -> None:
         self.client.close()
-        for app in self.apps:
-            await app._tasks.async_stop()
-            await app.servers.async_close()
-            app.link.close()
-            app._client.close()
-            app._peer_client.close()
+        for app in tuple(self.apps):
+            await self.async_kill(app)
         for runner in self.runners:
             await runner.async_stop()
         await self.store.async_stop()
@@ -138,7 +134,9 @@
         self.store.put(f"servers/{instance_id}", entry(runner, service, **changes))
         return runner
 
-    async def async_gateway(self, number: int = 1, store_address: str | None = None) -> GatewayApp:
+    async def async_gateway(
+        self, number: int = 1, store_address: str | None = None, zone: str = "a"
+    ) -> GatewayApp:
         """Start a gateway at a loopback address of its own and wait until it is ready."""
         host = f"127.0.0.{number}"
         ports = free_ports(host, 4)
@@ -147,7 +145,7 @@
             {
                 "node_name": f"front-{number}",
                 "ip": host,
-                "zone": "a",
+                "zone": zone,
                 "listen": {name: f"{host}:{port}" for name, port in zip(names, ports, strict=True)},
                 "internal_ports": [self.peer_port, self.peer_port],
                 "seeds": ["127.0.0.1:1", "127.0.0.2:1"],
@@ -175,6 +173,15 @@
         await self.async_settled(app)
         return app, runners
 
+    async def async_kill(self, app: GatewayApp) -> None:
+        """Stop a gateway without notice to callers and peers."""
+        self.apps.remove(app)
+        await app._tasks.async_stop()
+        await app.servers.async_close()
+        app.link.close()
+        app._client.close()
+        app._peer_client.close()
+
     async def async_until(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition holds."""
         async with asyncio.timeout(WAIT_S):
