Add messages that tell and ask for the software version of a stream

Appended to the message types; a build that doesn't know them raises WireVersionError, which the peer link counts and drops (test with the types of such a build).

--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -15,14 +15,19 @@
     WireError,
     WireVersionError,
 )
+from wagtailusher_wire.gateway_messages import (
+    Beat,
+    BeatLoad,
+    BeatPeer,
+    StreamVersionAnswer,
+    StreamVersionQuery,
+    StreamVersionRecord,
+)
 from wagtailusher_wire.message_auth import AuthenticatedMessage, MessageAuthenticator
 from wagtailusher_wire.messages import (
     MESSAGE_TYPES,
     NO_REVISION,
     Ack,
-    Beat,
-    BeatLoad,
-    BeatPeer,
     ClassDemand,
     ConfigurationAnnounce,
     ConfigurationQuery,
@@ -101,6 +106,9 @@
     "QuotaGrants",
     "ReplayGuard",
     "RoomSummary",
+    "StreamVersionAnswer",
+    "StreamVersionQuery",
+    "StreamVersionRecord",
     "SummaryGossip",
     "TableDigest",
     "UnauthenticatedPeerError",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -14,7 +14,13 @@
 from wagtailusher_wire.capnp_conversion import from_plain, to_plain
 from wagtailusher_wire.const import MAX_NESTING, MAX_STREAM_MESSAGE_BYTES
 from wagtailusher_wire.errors import MalformedMessageError, WireVersionError
-from wagtailusher_wire.messages import MESSAGE_TYPES, Beat, LeaseBatch, Message
+from wagtailusher_wire.gateway_messages import (
+    Beat,
+    StreamVersionAnswer,
+    StreamVersionQuery,
+    StreamVersionRecord,
+)
+from wagtailusher_wire.messages import MESSAGE_TYPES, LeaseBatch, Message
 from wagtailusher_wire.msgpack_rows import from_row, row_type, to_row
 
 _SCHEMA_FILE = Path(__file__).with_name("messages.capnp")
@@ -38,6 +44,9 @@
 _CODEC_BY_TYPE: dict[type[Message], Codec] = {
     LeaseBatch: Codec.MSGPACK,
     Beat: Codec.MSGPACK,
+    StreamVersionRecord: Codec.MSGPACK,
+    StreamVersionQuery: Codec.MSGPACK,
+    StreamVersionAnswer: Codec.MSGPACK,
 }
 """Messages that each node sends many times a second use the codec with the lowest CPU cost."""
 
--- /dev/null
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -0,0 +1,75 @@
+"""Messages between gateways."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from wagtailusher_core import EndpointId, FailureDomainId, VmId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeatLoad:
+    """The sender's load in flight at one endpoint and its recent results there."""
+
+    endpoint_id: EndpointId
+    requests: int
+    prefill_tokens: int
+    memory_tokens: int
+    recent_answers: int = 0
+    recent_failures: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeatPeer:
+    """A VM from which the sender receives heartbeats."""
+
+    vm_id: VmId
+    peer_address: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Beat:
+    """Heartbeat with the sender's addresses, state, view revision, load in flight and peers."""
+
+    address: str
+    view_address: str
+    failure_domain_id: FailureDomainId
+    weight: int
+    is_leaving: bool
+    is_ready: bool
+    view_revision: int
+    view_age_ms: int
+    loads: tuple[BeatLoad, ...] = ()
+    peers: tuple[BeatPeer, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamVersionRecord:
+    """Tells a holder at which software version of a service a stream began."""
+
+    stream_id: str
+    """Identifier of the caller's attempt that brought the first event."""
+    service: str
+    software_version: str
+    age_ms: int
+    lifetime_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamVersionQuery:
+    """Asks a holder at which software version a stream began."""
+
+    sequence: int
+    stream_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamVersionAnswer:
+    """Answers a query; the version is empty if the holder has no record."""
+
+    sequence: int
+    stream_id: str
+    service: str = ""
+    software_version: str = ""
+    age_ms: int = 0
+    lifetime_ms: int = 0
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -172,6 +172,28 @@
   peers @9 :List(BeatPeer);
 }
 
+struct StreamVersionRecord {
+  streamId @0 :Text;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+  ageMs @3 :UInt32;
+  lifetimeMs @4 :UInt32;
+}
+
+struct StreamVersionQuery {
+  sequence @0 :UInt64;
+  streamId @1 :Text;
+}
+
+struct StreamVersionAnswer {
+  sequence @0 :UInt64;
+  streamId @1 :Text;
+  service @2 :Text;
+  softwareVersion @3 :Text;
+  ageMs @4 :UInt32;
+  lifetimeMs @5 :UInt32;
+}
+
 struct QuarantineEntry {
   fingerprint @0 :Text;
   endpointIds @1 :List(Text);
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -15,6 +15,12 @@
     VmId,
     WorkspaceId,
 )
+from wagtailusher_wire.gateway_messages import (
+    Beat,
+    StreamVersionAnswer,
+    StreamVersionQuery,
+    StreamVersionRecord,
+)
 
 NO_REVISION = Revision(epoch=0, number=0)
 
@@ -329,42 +335,6 @@
     grants: tuple[QuotaGrant, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class BeatLoad:
-    """The sender's load in flight at one endpoint and its recent results there."""
-
-    endpoint_id: EndpointId
-    requests: int
-    prefill_tokens: int
-    memory_tokens: int
-    recent_answers: int = 0
-    recent_failures: int = 0
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class BeatPeer:
-    """A VM from which the sender receives heartbeats."""
-
-    vm_id: VmId
-    peer_address: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Beat:
-    """Heartbeat with the sender's addresses, state, view revision, load in flight and peers."""
-
-    address: str
-    view_address: str
-    failure_domain_id: FailureDomainId
-    weight: int
-    is_leaving: bool
-    is_ready: bool
-    view_revision: int
-    view_age_ms: int
-    loads: tuple[BeatLoad, ...] = ()
-    peers: tuple[BeatPeer, ...] = ()
-
-
 Message = (
     Ping
     | Ack
@@ -386,6 +356,9 @@
     | QuotaGrants
     | LeaseBatch
     | Beat
+    | StreamVersionRecord
+    | StreamVersionQuery
+    | StreamVersionAnswer
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -409,5 +382,8 @@
     QuotaGrants,
     LeaseBatch,
     Beat,
+    StreamVersionRecord,
+    StreamVersionQuery,
+    StreamVersionAnswer,
 )
 """Message types by their number on the wire; new types are only appended."""
--- a/tests/wagtailusher_wire/test_codec.py
+++ b/tests/wagtailusher_wire/test_codec.py
@@ -8,6 +8,7 @@
 
 from random import Random
 from unittest import TestCase
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -15,6 +16,7 @@
 from wagtailusher_core import ErrorCode, Incarnation, Revision, VmId
 from wagtailusher_wire import (
     MESSAGE_TYPES,
+    Beat,
     Codec,
     ContentAnswer,
     DeltaStep,
@@ -24,7 +26,10 @@
     Message,
     Nack,
     Ping,
+    StreamVersionQuery,
+    StreamVersionRecord,
     WireError,
+    WireVersionError,
     decode,
     encode,
 )
@@ -115,6 +120,16 @@
         with self.assertRaises(MalformedMessageError):
             decode(content, max_bytes=1_000)
 
+    def test_build_that_does_not_know_a_kind_raises_a_wire_error(self) -> None:
+        query = StreamVersionQuery(sequence=1, stream_id="attempt")
+        known = MESSAGE_TYPES[: MESSAGE_TYPES.index(StreamVersionRecord)]
+        self.assertEqual(known[-1], Beat)
+        with (
+            patch("wagtailusher_wire.codec.MESSAGE_TYPES", known),
+            self.assertRaises(WireVersionError),
+        ):
+            decode(encode(query))
+
     def test_mutated_nested_messages_raise_only_wire_errors(self) -> None:
         generator = Random(5)
         update = MemberUpdate(
