--- a/packages/wagtailusher_core/src/wagtailusher_core/errors.py
+++ b/packages/wagtailusher_core/src/wagtailusher_core/errors.py
@@ -21,6 +21,7 @@
     QUOTA_EXCEEDED = "quota_exceeded"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_ENDPOINT = "no_endpoint"
+    VERSION_UNKNOWN = "version_unknown"
     QUARANTINED = "quarantined"
     DRAINING = "draining"
     NOT_READY = "not_ready"
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -163,6 +163,47 @@
 MAX_ADDRESSES: Final = 64
 """Most addresses in one answer; callers read no more."""
 
+STREAM_RECORD_TIMEOUTS: Final = 2
+"""Life of a stream's record in timeouts of its route: one in which the stream may break, and one in
+which its caller may take it up."""
+
+MIN_STREAM_RECORD_MS: Final = 10_000
+"""Shortest life of a stream's record; several of the longest retry delays."""
+
+MAX_STREAM_RECORD_MS: Final = 120_000
+"""Longest life of a stream's record, whatever the timeout of its route; bounds memory use."""
+
+MAX_STREAM_RECORDS: Final = 16_384
+"""Most records of streams that a VM keeps; bounds memory use."""
+
+MAX_STREAM_ID_BYTES: Final = 128
+"""Longest identifier of a stream that is recorded; eight times the usual length."""
+
+HOLDERS_ASKED: Final = 2
+"""VMs of each failure domain that are asked for a stream's record; VMs that just stopped are still
+ranked by some."""
+
+HOLDER_WAIT_MS: Final = 150
+"""Longest wait for the answers of holders; many round trips between failure domains."""
+
+HOLDER_REPEAT_MS: Final = 50
+"""Part of that wait after which holders that have not answered are asked once more."""
+
+VIEW_WAIT_MS: Final = 2_500
+"""Longest wait for a confirmed view before the version of a resumed stream counts as unknown; two
+watches of the store."""
+
+VIEW_DELAY_MS: Final = 1_000
+"""By how much a view may be older than the time of its confirmation: the longest delay of an answer
+of the store and of a heartbeat."""
+
+MAX_PEER_VIEW_AGE_MS: Final = 5_000
+"""Age of a peer's view beyond which it may send to endpoints that were removed long ago; as long as
+the longest silence of a live peer."""
+
+UNKNOWN_VERSION_RETRY_MS: Final = 500
+"""Retry delay of a stream whose version is unknown; holders may be in touch again by then."""
+
 LEAVE_LINGER_MS: Final = 3_600
 """How long a leaving VM keeps serving callers that cached its address; three lifetimes and a
 reserve."""
