Resume a broken stream only at the software version that began it

Callers saw streams that went on at another version within one answer: the endpoint was chosen without regard to versions.

The version of the endpoint that brought the first event is required from there on, as a filter before any other choice. Requests that require a version queue apart, as they wait for other endpoints, and are refused at once when no endpoint of it is left. An unknown version meets no requirement. Right before the first byte the entry must have the start and the version of the reservation, since an endpoint may restart under its identifier.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -10,6 +10,8 @@
 from wagtailusher_core import EndpointId, ErrorCode, VmId
 from wagtailusher_gateway.admission import Admission, QueuedRequest, queue_wait_ms
 from wagtailusher_gateway.budget import RetryBudget
+from wagtailusher_gateway.const import RETRY_AFTER_MAX_MS
+from wagtailusher_gateway.endpoint_registry import may_get_requests
 from wagtailusher_gateway.engine_partition import is_prompt_heavy
 from wagtailusher_gateway.exceptions import RefusedError
 from wagtailusher_gateway.models import FleetView, RequestTerms, Route, Service
@@ -27,6 +29,8 @@
     service: Service
     rank: int
     ends_ms: int
+    software_version: str | None = None
+    """Version of the endpoints that may get the request; None for any, empty if it is unknown."""
 
 
 class Dispatcher:
@@ -63,10 +67,13 @@
 
     def may_send(self, reservation: Reservation) -> bool:
         """Return whether a request with a reservation may still be sent to its endpoint."""
-        endpoint = self.view.endpoints.get(reservation.endpoint.endpoint_id)
-        if endpoint is None or endpoint.is_draining:
+        reserved = reservation.endpoint
+        endpoint = self.view.endpoints.get(reserved.endpoint_id)
+        if endpoint is None or endpoint.born_ms != reserved.born_ms:
             return False
-        return endpoint.failure_domain_id not in self.view.evacuated
+        if endpoint.software_version != reserved.software_version:
+            return False
+        return may_get_requests(endpoint, self.view)
 
     def try_spend_retry(self, service: Service, now_ms: int) -> bool:
         """Spend one retry from the budget; return whether it allowed one."""
@@ -75,13 +82,19 @@
     async def async_reserve(
         self, request: RoutedRequest, excluded: frozenset[EndpointId]
     ) -> Reservation:
-        """Wait for a reservation; raise RefusedError if there is none in time."""
+        """Wait for a reservation; raise RefusedError if there is none in time.
+
+        A request whose required software version no endpoint has is refused at once.
+        """
         future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         now_ms = self.clock_ms()
 
         def try_start(now_ms: int) -> bool:
             if future.done():
                 return True
+            if not self._has_version(request):
+                future.set_exception(_no_endpoint_of_version())
+                return True
             reservation = self._try_reserve(request, excluded, now_ms)
             if reservation is None:
                 return False
@@ -120,6 +133,15 @@
             now_ms,
             rank=request.rank,
             excluded=excluded,
+            software_version=request.software_version,
+        )
+
+    def _has_version(self, request: RoutedRequest) -> bool:
+        """Return whether any endpoint has the software version that a request requires."""
+        return request.software_version is None or any(
+            endpoint.service == request.service.name
+            and may_get_requests(endpoint, self.view, request.software_version)
+            for endpoint in self.view.endpoints.values()
         )
 
     def release(self, reservation: Reservation, *, is_prefill_done: bool) -> None:
@@ -130,10 +152,17 @@
 
 
 def queue_name(request: RoutedRequest) -> str:
-    """Return a request's queue; long prompts have their own, as they use other engines."""
+    """Return a request's queue.
+
+    Long prompts and requests that require a software version have their own, as they use other
+    endpoints.
+    """
+    name = request.service.name
     if request.service.engine is not None and is_prompt_heavy(request.terms):
-        return f"{request.service.name} long prompts"
-    return request.service.name
+        name = f"{name} long prompts"
+    if request.software_version is not None:
+        name = f"{name} version {request.software_version}"
+    return name
 
 
 def _no_capacity(retry_after_ms: int) -> RefusedError:
@@ -143,3 +172,12 @@
         status=HTTPStatus.SERVICE_UNAVAILABLE,
         retry_after_ms=retry_after_ms,
     )
+
+
+def _no_endpoint_of_version() -> RefusedError:
+    return RefusedError(
+        "no endpoint has the software version that began the stream",
+        code=ErrorCode.NO_ENDPOINT,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        retry_after_ms=RETRY_AFTER_MAX_MS,
+    )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -152,16 +152,18 @@
                 )
         return sorted(reported, key=lambda item: (-round(item[1].failures), -item[1].requests))
 
-    def usable_endpoints(self, service: str, view: FleetView, now_ms: int) -> list[TrackedEndpoint]:
+    def usable_endpoints(
+        self, service: str, view: FleetView, now_ms: int, software_version: str | None = None
+    ) -> list[TrackedEndpoint]:
         """Return the endpoints of a service that may get requests, without the ejected ones.
 
-        At most `MAX_EJECTED_SHARE` of them is left out, so that a common cause does not eject all.
+        Only those of a software version if one is required. At most `MAX_EJECTED_SHARE` of them is
+        left out, so that a common cause does not eject all.
         """
         allowed = [
             tracked
             for tracked in self._by_service.get(service, ())
-            if not tracked.endpoint.is_draining
-            and tracked.endpoint.failure_domain_id not in view.evacuated
+            if may_get_requests(tracked.endpoint, view, software_version)
         ]
         healthy = [tracked for tracked in allowed if tracked.ejected_until_ms <= now_ms]
         if len(healthy) >= len(allowed) * (1 - MAX_EJECTED_SHARE):
@@ -213,3 +215,17 @@
         tracked = self._tracked.get(endpoint_id)
         if tracked is not None:
             tracked.ejected_until_ms = max(tracked.ejected_until_ms, now_ms + REFUSED_EJECT_MS)
+
+
+def may_get_requests(
+    endpoint: Endpoint, view: FleetView, software_version: str | None = None
+) -> bool:
+    """Return whether an endpoint may get requests that require a software version, if any.
+
+    An unknown version, which is empty, meets no requirement.
+    """
+    if endpoint.is_draining or endpoint.failure_domain_id in view.evacuated:
+        return False
+    if software_version is None:
+        return True
+    return bool(software_version) and endpoint.software_version == software_version
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from wagtailusher_core import EndpointId, ErrorCode, WagtailusherError
 from wagtailusher_gateway.attempt import Attempt, SendResult
@@ -198,6 +199,8 @@
         except WagtailusherError as err:
             self._handle_failure(attempt, err)
             return None
+        if first:
+            self._require_version(attempt)
         self._delivery.record_answered()
         attempt.record_prefill_done()
         self._record.record_first_event(attempt.status, self._dispatcher.clock_ms())
@@ -210,6 +213,13 @@
             status=attempt.status, headers=headers, body=async_body, on_end=self._stream_ended
         )
 
+    def _require_version(self, attempt: Attempt) -> None:
+        """Require the software version of the first event for the rest of the stream."""
+        endpoint = attempt.reservation.endpoint
+        self._routed_request = replace(
+            self._routed_request, software_version=endpoint.software_version
+        )
+
     def _stream_ended(self) -> None:
         """Release what a stream holds, whether or not it was complete."""
         self._give_up()
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -121,12 +121,14 @@
         *,
         rank: int,
         excluded: frozenset[EndpointId] = frozenset(),
+        software_version: str | None = None,
     ) -> Reservation | None:
         """Reserve a slot at the endpoint with the lowest cost; return None if all are full.
 
-        `excluded` endpoints are used only if no other one has capacity.
+        `excluded` endpoints are used only if no other one has capacity, and endpoints of other
+        versions than a required `software_version` not at all.
         """
-        usable = self.registry.usable_endpoints(service.name, view, now_ms)
+        usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties = self._penalties_ms(service, terms, usable)
         ranked = _rank_for_prompt(service, terms, usable, penalties)
         preferred_ids = self._preferred_ids(ranked, penalties)
