Take a stream up only at the software version that began it

Cause: nothing of a stream outlived its VM, and Resumes was not read.

The VM that relays the first event keeps a record and sends it to a holder in each failure domain; a VM that gets a resume asks the first two VMs of each, for 150 ms at most. A peer's view of an older build no longer erases known versions.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -42,6 +42,7 @@
 from wagtailusher_gateway.placement import Placement
 from wagtailusher_gateway.platform_reads import ReaderContext, is_read_due
 from wagtailusher_gateway.servers import Servers
+from wagtailusher_gateway.stream_version_exchange import StreamVersionExchange
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_gateway.view_exchange import PATH_VIEW, ViewExchange
 from wagtailusher_http import ClientLimits, HttpClient, Request, Response
@@ -88,6 +89,13 @@
             registry=self.dispatcher.placement.registry,
             send=self.link.send,
         )
+        self.stream_versions = StreamVersionExchange(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            send=self.link.send,
+            clock_ms=monotonic_ms,
+            count_event=lambda event: metrics.stream_versions.inc({"event": event}),
+        )
         self.view_exchange = ViewExchange(
             client=self._peer_client,
             fleet=self.fleet,
@@ -103,7 +111,7 @@
             vm_id=self.options.vm_id,
             incarnation=incarnation,
             authenticator=MessageAuthenticator(self.options.fleet_secret),
-            receive=self._receive_heartbeat,
+            receive=self._receive_message,
             count_error=lambda code: self.metrics.peer_errors.inc({"code": str(code)}),
         )
 
@@ -148,6 +156,7 @@
             http_mapping=self._http_mapping,
             client=self._client,
             metrics=self.metrics,
+            stream_versions=self.stream_versions,
             clock_ms=monotonic_ms,
         )
 
@@ -241,10 +250,12 @@
             extra={"event": "stop", "in_flight": left},
         )
 
-    def _receive_heartbeat(
+    def _receive_message(
         self, message: Message, authenticated: AuthenticatedMessage, address: str
     ) -> None:
-        self.heartbeats.receive(message, authenticated, address, monotonic_ms())
+        now_ms = monotonic_ms()
+        self.heartbeats.receive(message, authenticated, address, now_ms)
+        self.stream_versions.receive(message, authenticated, address, now_ms)
 
     def _apply_view(self, view: FleetView, changed: bool, now_ms: int) -> None:
         """Apply a view, and announce changes at once if this VM is the elected reader."""
@@ -252,6 +263,7 @@
             self.dispatcher.view = view
             return
         configuration = self.dispatcher.routes.configuration if self.dispatcher.routes else None
+        self.stream_versions.observe(view, now_ms)
         self.dispatcher.update(view, now_ms)
         if self.fleet.is_reader(now_ms):
             self.heartbeats.send_all(now_ms)
@@ -269,6 +281,7 @@
         self.view_cache.tick(now_ms)
         self._update_own_state()
         self.heartbeats.tick(now_ms)
+        self.stream_versions.tick(now_ms)
         if self.dispatcher.admission.count:
             self.dispatcher.admission.process_queues(now_ms)
         if self._logs is not None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -7,15 +7,21 @@
 from http import HTTPStatus
 
 from wagtailusher_core import ErrorCode
-from wagtailusher_gateway.const import DEADLINE_RESERVE_MS, DEFAULT_DEADLINE_MS, RETRY_AFTER_MIN_MS
+from wagtailusher_gateway.const import (
+    DEADLINE_RESERVE_MS,
+    DEFAULT_DEADLINE_MS,
+    RETRY_AFTER_MIN_MS,
+    UNKNOWN_VERSION_RETRY_MS,
+)
 from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest
 from wagtailusher_gateway.exceptions import RefusedError
 from wagtailusher_gateway.exchange import Exchange
 from wagtailusher_gateway.http_mapping import HttpMapping
 from wagtailusher_gateway.metrics import GatewayMetrics
-from wagtailusher_gateway.models import RequestTerms, Route
+from wagtailusher_gateway.models import Repeat, RequestTerms, Route, Workspace
 from wagtailusher_gateway.request_record import RequestRecord
 from wagtailusher_gateway.routes import RouteTable, choose_service
+from wagtailusher_gateway.stream_version_exchange import KnownVersion, StreamVersionExchange
 from wagtailusher_http import HttpClient, Request, Response, error_response
 
 
@@ -29,12 +35,14 @@
         http_mapping: HttpMapping,
         client: HttpClient,
         metrics: GatewayMetrics,
+        stream_versions: StreamVersionExchange,
         clock_ms: Callable[[], int],
     ) -> None:
         self._dispatcher = dispatcher
         self._http_mapping = http_mapping
         self._client = client
         self._metrics = metrics
+        self._stream_versions = stream_versions
         self._clock_ms = clock_ms
 
     async def async_handle(self, request: Request) -> Response:
@@ -57,7 +65,8 @@
     ) -> Response:
         """Return an endpoint's answer, or the response of a refusal."""
         try:
-            return await self._exchange(request, terms, record).async_run()
+            exchange = await self._async_exchange(request, terms, record)
+            return await exchange.async_run()
         except RefusedError as refusal:
             record.record_refusal(refusal)
             return self._refusal_response(refusal)
@@ -77,37 +86,71 @@
         response.on_end = decrement_in_flight
         return response
 
-    def _exchange(self, request: Request, terms: RequestTerms, record: RequestRecord) -> Exchange:
+    async def _async_exchange(
+        self, request: Request, terms: RequestTerms, record: RequestRecord
+    ) -> Exchange:
         """Return the exchange of a request; raise RefusedError if it can't be routed."""
         table = self._route_table()
         route = table.match(terms.host, request.path)
         workspace = table.workspace(route, terms.api_key)
+        now_ms = self._clock_ms()
+        ends_ms = now_ms + time_left_ms(terms, route)
         name = choose_service(route, terms)
-        rank = table.rank(route, workspace, name)
-        record.record_route(route, name, workspace, rank)
+        record.record_route(route, name, workspace, table.rank(route, workspace, name))
+        known = await self._async_known_version(route, name, terms, ends_ms)
+        if known is not None:
+            name = known.service
+            record.record_stream_version(known)
+            record.record_route(route, name, workspace, table.rank(route, workspace, name))
         service = table.configuration.services.get(name)
         if service is None:
             raise _not_ready("the route's service is not configured")
-        now_ms = self._clock_ms()
         self._dispatcher.budget.record_request(name, now_ms)
         self._dispatcher.placement.record_arrival(service, terms, now_ms)
         routed_request = RoutedRequest(
             terms=terms,
             route=route,
             service=service,
-            rank=rank,
-            ends_ms=now_ms + time_left_ms(terms, route),
+            rank=table.rank(route, workspace, name),
+            ends_ms=ends_ms,
+            software_version=known.software_version if known is not None else None,
         )
+        return self._new_exchange(request, routed_request, workspace, record)
+
+    def _new_exchange(
+        self,
+        request: Request,
+        routed_request: RoutedRequest,
+        workspace: Workspace | None,
+        record: RequestRecord,
+    ) -> Exchange:
         return Exchange(
             dispatcher=self._dispatcher,
             http_mapping=self._http_mapping,
             client=self._client,
+            stream_versions=self._stream_versions,
             request=request,
             routed_request=routed_request,
             workspace=workspace,
             record=record,
         )
 
+    async def _async_known_version(
+        self, route: Route, service: str, terms: RequestTerms, ends_ms: int
+    ) -> KnownVersion | None:
+        """Return the version that a resumed stream began at, or None for a new stream.
+
+        Raises RefusedError if it is unknown, or of a service that the route no longer uses.
+        """
+        if route.repeat is not Repeat.STREAM or not terms.resume_after:
+            return None
+        known = await self._stream_versions.async_find(terms.resumes_id, service, ends_ms)
+        if known is None:
+            raise _version_unknown("the software version that began the stream is unknown")
+        if known.service not in {split.service for split in route.splits}:
+            raise _version_unknown("the route no longer uses the service that began the stream")
+        return known
+
     def _route_table(self) -> RouteTable:
         """Return the current routes; raise RefusedError while there is no configuration."""
         if self._dispatcher.routes is None:
@@ -140,3 +183,13 @@
         status=HTTPStatus.SERVICE_UNAVAILABLE,
         retry_after_ms=RETRY_AFTER_MIN_MS,
     )
+
+
+def _version_unknown(message: str) -> RefusedError:
+    """Return the refusal of a resumed stream that may not go on at any endpoint."""
+    return RefusedError(
+        message,
+        code=ErrorCode.VERSION_UNKNOWN,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        retry_after_ms=UNKNOWN_VERSION_RETRY_MS,
+    )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -15,6 +15,8 @@
 from wagtailusher_gateway.http_mapping import ForwardContext, HttpMapping
 from wagtailusher_gateway.models import Workspace
 from wagtailusher_gateway.request_record import RequestRecord
+from wagtailusher_gateway.stream_version_exchange import StreamVersionExchange
+from wagtailusher_gateway.stream_versions import record_life_ms
 from wagtailusher_http import BodySink, HttpClient, Request, Response
 
 MAX_CONNECT_FAILURES = 4
@@ -33,6 +35,7 @@
         dispatcher: Dispatcher,
         http_mapping: HttpMapping,
         client: HttpClient,
+        stream_versions: StreamVersionExchange,
         request: Request,
         routed_request: RoutedRequest,
         workspace: Workspace | None,
@@ -41,6 +44,7 @@
         self._dispatcher = dispatcher
         self._http_mapping = http_mapping
         self._client = client
+        self._stream_versions = stream_versions
         self._request = request
         self._routed_request = routed_request
         self._workspace = workspace
@@ -214,8 +218,19 @@
         )
 
     def _require_version(self, attempt: Attempt) -> None:
-        """Require the software version of the first event for the rest of the stream."""
+        """Require the software version of the first event for the rest of the stream.
+
+        Where callers may resume it, its record is told to peers before the event is written.
+        """
         endpoint = attempt.reservation.endpoint
+        terms, route = self._routed_request.terms, self._routed_request.route
+        if route.may_resume:
+            self._stream_versions.record_begin(
+                terms.stream_id,
+                self._routed_request.service.name,
+                endpoint.software_version,
+                record_life_ms(route.timeout_ms),
+            )
         self._routed_request = replace(
             self._routed_request, software_version=endpoint.software_version
         )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -239,6 +239,12 @@
             self._is_settled = True
         return self._is_settled
 
+    def has_current_views(self, now_ms: int, max_age_ms: int) -> bool:
+        """Return whether every VM ever learned of has a view confirmed within `max_age_ms`."""
+        return not self._silent_ids and all(
+            now_ms - peer.view_confirmed_ms <= max_age_ms for peer in self._peers.values()
+        )
+
     def all_vm_ids(self) -> tuple[VmId, ...]:
         """Return every VM that may still send requests.
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -15,6 +15,9 @@
         self.requests = self.counter("requests", "Requests by rank and outcome")
         self.refusals = self.counter("refusals", "Answers of the gateway's own, by code")
         self.attempts_failed = self.counter("attempts_failed", "Sends without a usable answer")
+        self.stream_versions = self.counter(
+            "stream_versions", "Records of streams' software versions, by what happened to them"
+        )
         self.peer_errors = self.counter("peer_errors", "Peer messages refused, by code")
         self.platform_calls = self.counter("platform_calls", "Calls to the platform, by outcome")
         self.dropped_log_lines = self.counter("dropped_log_lines", "Log lines dropped, by kind")
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -156,6 +156,11 @@
     max_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def stream_id(self) -> str:
+        """Return the identifier of the attempt that began the stream, if it is a stream."""
+        return (self.resume_after and self.resumes_id) or self.attempt_id
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """Return the parts that other requests may share: all but the last."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
@@ -10,6 +10,7 @@
 from wagtailusher_gateway.metrics import GatewayMetrics
 from wagtailusher_gateway.models import FleetView, RequestTerms, Route, Workspace
 from wagtailusher_gateway.placement import Reservation
+from wagtailusher_gateway.stream_version_exchange import KnownVersion
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -33,6 +34,7 @@
         self._service = ""
         self._workspace: Workspace | None = None
         self._rank: int | None = None
+        self._known_version: KnownVersion | None = None
         self._reservation: Reservation | None = None
         self._sends = 0
         self._reserved_ms = self._arrived_ms
@@ -52,6 +54,10 @@
         self._workspace = workspace
         self._rank = rank
 
+    def record_stream_version(self, known: KnownVersion) -> None:
+        """Record at which version a resumed stream began, and who told it."""
+        self._known_version = known
+
     def record_reservation(self, reservation: Reservation, now_ms: int) -> None:
         """Record the endpoint reserved for the next send."""
         self._reservation = reservation
@@ -148,6 +154,17 @@
             "load_age_ms": reservation.load_age_ms,
         }
 
+    def _version_fields(self) -> dict[str, str | int]:
+        """Return the log fields of the version at which a resumed stream began."""
+        known = self._known_version
+        if known is None:
+            return {}
+        return {
+            "required_version": known.software_version,
+            "version_told_by": known.told_by,
+            "version_age_ms": known.age_ms,
+        }
+
     def _view_fields(self) -> dict[str, int | None]:
         """Return the log fields for the version and age of the view used for decisions."""
         configuration = self._view.configuration
@@ -186,6 +203,7 @@
                 "workspace": self._workspace.workspace_id if self._workspace else None,
                 "rank": self._rank,
                 "resumes": self._terms.resumes_id,
+                **self._version_fields(),
                 **self._reservation_fields(),
                 **self._answer_fields,
                 "status": self._status,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 import logging
 
@@ -29,6 +29,8 @@
     def __init__(self, listener: ViewListener) -> None:
         """Start with an empty view; the listener is called on each change and confirmation."""
         self.view = EMPTY_VIEW
+        self.is_gap = False
+        """Set while the listener is called for a view that may not show every change before it."""
         self._listener = listener
         self._is_store_unavailable = False
         self._store_recovered_ms: int | None = None
@@ -98,6 +100,7 @@
         """
         endpoint = self.view.endpoints.get(endpoint_id)
         if endpoint is None:
+            self._apply_after_gap(self.view, now_ms)
             return
         recovered_ms = self._store_recovered_ms
         may_reappear = recovered_ms is not None and now_ms - recovered_ms < EXPIRY_GRACE_MS
@@ -113,6 +116,7 @@
         """Remove all endpoints but these, after a read of the complete list."""
         for endpoint_id in tuple(self.view.endpoints.keys() - endpoint_ids):
             self.remove_endpoint(endpoint_id, now_ms)
+        self._apply_after_gap(self.view, now_ms)
 
     def set_evacuated(self, failure_domain_ids: frozenset[FailureDomainId], now_ms: int) -> None:
         """Set the failure domains that get no requests."""
@@ -141,7 +145,10 @@
         if view.configuration is not None:
             self.set_configuration(view.configuration, source, now_ms)
         self._log_differences(view, now_ms)
-        self._apply(replace(view, configuration=self.view.configuration), now_ms)
+        endpoints = _with_known_versions(view.endpoints, self.view.endpoints)
+        self._apply_after_gap(
+            replace(view, configuration=self.view.configuration, endpoints=endpoints), now_ms
+        )
 
     def _log_differences(self, view: FleetView, now_ms: int) -> None:
         """Log the endpoints that a peer's view changes."""
@@ -178,9 +185,18 @@
             previous.configuration is not view.configuration
             or previous.endpoints is not view.endpoints
             or previous.evacuated != view.evacuated
+            or self.is_gap
         )
         self._listener(view, changed, now_ms)
 
+    def _apply_after_gap(self, view: FleetView, now_ms: int) -> None:
+        """Set a view between which and the one before changes may have been missed."""
+        self.is_gap = True
+        try:
+            self._apply(view, now_ms)
+        finally:
+            self.is_gap = False
+
     def _log_endpoint(self, endpoint: Endpoint, state: str, now_ms: int) -> None:
         _LOGGER.info(
             "View: endpoint %s is %s",
@@ -197,3 +213,17 @@
                 "view_age_ms": now_ms - self.view.confirmed_ms,
             },
         )
+
+
+def _with_known_versions(
+    endpoints: Mapping[EndpointId, Endpoint], known: Mapping[EndpointId, Endpoint]
+) -> dict[EndpointId, Endpoint]:
+    """Return endpoints with the software versions that a peer of an older build left out."""
+
+    def with_version(endpoint: Endpoint) -> Endpoint:
+        previous = known.get(endpoint.endpoint_id)
+        if endpoint.software_version or previous is None or previous.born_ms != endpoint.born_ms:
+            return endpoint
+        return replace(endpoint, software_version=previous.software_version)
+
+    return {key: with_version(endpoint) for key, endpoint in endpoints.items()}
--- a/tests/wagtailusher_gateway/test_fleet.py
+++ b/tests/wagtailusher_gateway/test_fleet.py
@@ -101,6 +101,16 @@
         decider = fleet.deciders[member(0).peer_address]
         self.assertEqual(len(decider.all_vm_ids()), 9)
 
+    def test_views_are_current_only_while_every_known_vm_confirms_its_own(self) -> None:
+        fleet = Fleet(4, seed=3)
+        fleet.run(2_000)
+        decider = fleet.deciders[member(0).peer_address]
+        self.assertTrue(decider.has_current_views(fleet.now_ms, 5_000))
+        fleet.down.add(member(2).peer_address)
+        for _ in range(3):
+            fleet.run(PEER_RETENTION_MS // 2)
+            self.assertFalse(decider.has_current_views(fleet.now_ms, 5_000))
+
     def test_vm_that_announced_its_leave_stops_counting_for_shares(self) -> None:
         fleet = Fleet(4, seed=3)
         fleet.run(2_000)
--- a/tests/wagtailusher_gateway/test_view_cache.py
+++ b/tests/wagtailusher_gateway/test_view_cache.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import unittest
 
 import msgspec
@@ -60,6 +61,39 @@
         self.view_cache.merge_peer_view(view(revision=6, confirmed_ms=2_000), "peer", 2_000)
         self.assertEqual(self.view_cache.view.endpoints, {})
 
+    def test_versions_survive_the_view_of_a_peer_that_does_not_know_them(self) -> None:
+        self.view_cache.set_endpoint(endpoint(1, software_version="v1"), 1_000)
+        for number, (stated, expected) in enumerate(
+            (
+                (endpoint(1), "v1"),
+                (endpoint(1, software_version="v2"), "v2"),
+                (endpoint(1, born_ms=2), ""),
+            )
+        ):
+            at_ms = 2_000 + number
+            self.view_cache.merge_peer_view(
+                view(stated, revision=6, confirmed_ms=at_ms), "p", at_ms
+            )
+            self.assertEqual(self.view_cache.view.endpoints[I1].software_version, expected)
+
+    def test_listener_learns_of_gaps(self) -> None:
+        """After a list, a peer's view, or the end of an unknown endpoint, changes may be missed."""
+        gaps: list[bool] = []
+        view_cache = ViewCache(lambda current, changed, now_ms: gaps.append(view_cache.is_gap))
+        view_cache.set_endpoint(endpoint(1), 1_000)
+        view_cache.confirm_revision(5, 1_000)
+        view_cache.remove_endpoint(I1, 1_000)
+        self.assertNotIn(True, gaps)
+        gap_makers: tuple[Callable[[], None], ...] = (
+            lambda: view_cache.remove_endpoint(I1, 1_000),
+            lambda: view_cache.retain_endpoints(frozenset(), 1_000),
+            lambda: view_cache.merge_peer_view(view(revision=6, confirmed_ms=2_000), "p", 2_000),
+        )
+        for make_gap in gap_makers:
+            make_gap()
+            self.assertTrue(gaps[-1])
+            self.assertFalse(view_cache.is_gap)
+
     def test_revisions_in_a_peers_view_are_not_newer(self) -> None:
         """After a peer's view was merged, this VM's own watch replays changes in it."""
         self.view_cache.merge_peer_view(view(revision=9, confirmed_ms=2_000), "peer", 2_000)
