--- a/tests/wagtailusher_gateway/test_stream_version_exchange.py
+++ b/tests/wagtailusher_gateway/test_stream_version_exchange.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from random import Random
 import unittest
 
 from tests.wagtailusher_gateway.builders import configuration, endpoint, member, route, view
@@ -44,6 +45,11 @@
 FAR_MS = 60_000
 WINDOW_MS = MIN_STREAM_RECORD_MS + MAX_PEER_VIEW_AGE_MS
 STEP_MS = 500
+LOSS = 0.1
+MIN_FOUND_SHARE = 0.5
+"""Share of the resumed streams that must go on, by the platform's rule."""
+STOPPED_COUNT = 3
+STREAM_COUNT = 300
 
 
 class Network:
@@ -177,6 +183,24 @@
             if number and item.vm_id not in told
         )
 
+    async def test_most_streams_are_found_while_datagrams_are_lost_and_vms_stopped(self) -> None:
+        random = Random(24)
+        self.network.loses = lambda source, target, message: random.random() < LOSS
+        for number in range(STREAM_COUNT):
+            self.network.begin(number % VM_COUNT, f"s{number}")
+        await asyncio.sleep(0)
+        self.network.down = {item.vm_id for item in self.network.members[:STOPPED_COUNT]}
+        found = await asyncio.gather(
+            *(
+                self.network.async_find(
+                    STOPPED_COUNT + number % (VM_COUNT - STOPPED_COUNT), f"s{number}"
+                )
+                for number in range(STREAM_COUNT)
+            )
+        )
+        share = sum(known is not None for known in found) / STREAM_COUNT
+        self.assertGreaterEqual(share, MIN_FOUND_SHARE)
+
     async def test_unknown_stream_is_not_waited_for_once_all_have_answered(self) -> None:
         started_ms = monotonic_ms()
         self.assertIsNone(await self.network.async_find(0))
