--- a/packages/wagtailusher_http/src/wagtailusher_http/events.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/events.py
@@ -10,8 +10,10 @@
 EVENT_DELIMITER = b"\n\n"
 
 
-_RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r?\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
-"""A status line and the name of the first header field."""
+_RESPONSE_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n[!#$%&'*+.^_`|~0-9A-Za-z-]*(?::|\Z)"
+)
+"""A status line and the name of the first header field, which the end may cut off."""
 
 
 def contains_response_head(body: bytes) -> bool:
--- a/tests/wagtailusher_platform/test_answer_ownership.py
+++ b/tests/wagtailusher_platform/test_answer_ownership.py
@@ -12,7 +12,7 @@
     unframed_then_second_answer,
     unidentified_then_answer,
 )
-from tests.standins.runner import answer, mismatched_then_answer, stream
+from tests.standins.runner import answer, mismatched_then_answer, stream, unframed
 from tests.wagtailusher_platform.fleet import PlatformTest
 from wagtailusher_http import AnswerTruncatedError
 
@@ -77,6 +77,12 @@
                 runners[0].behaviours = [unframed_then_second_answer(b"a", b"a", late=late)]
                 self.assertEqual((await self.async_ask(app, "/book/", b"x")).status, 502)
 
+    async def test_torn_second_answer_behind_a_body_without_length_is_not_relayed(self) -> None:
+        """The connection may end within the other answer's head."""
+        torn = b"mineHTTP/1.1 200 OK\r\nX-Atte"
+        app, _ = await self.async_endpoints_and_gateway("desk", (unframed(torn),))
+        self.assertEqual((await self.async_ask(app, "/book/", b"x")).status, 502)
+
     async def test_answer_without_identifier_is_not_relayed(self) -> None:
         """An answer that does not state its request may be a late one to another request."""
         app, _ = await self.async_endpoints_and_gateway(
