Continue a stream only from an identifier that tells what the caller has

Found by the review of the framer, each with a test in test_events that failed before: a caller's own resume failed if numbers rise by more than one; an identifier of 5,000 digits ended the request with an internal error that said 'not run'; an event without an identifier was repeated by a resume; an empty answer without a length looked complete.

Numbers of a caller's resume only have to rise, long ones are opaque, a stream is resumed only if the last identifier covers all events, and the end of a connection alone does not complete an answer without events.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -220,7 +220,7 @@
 
         await self._async_relay(buffer_events, left_ms)
         if not buffered:
-            self._check(self._framer.finish)
+            self._check(self._finish)
         return b"".join(buffered)
 
     async def async_relay_body(self, sink: BodySink, left_ms: int) -> None:
@@ -237,12 +237,20 @@
         while self._answer is not None and not await self._async_relay(deliver, left_ms):
             self._check(self._framer.raise_failure)
             await sink.async_drain()
-        self._check(self._framer.finish)
+        self._check(self._finish)
 
     def _feed(self, chunk: bytes) -> bytes:
         """Return the complete events that a chunk of the answer brings."""
-        is_delimited = self._answer is None or not self._answer.is_delimited_by_close
-        return self._framer.feed(chunk, is_delimited=is_delimited)
+        return self._framer.feed(chunk, is_delimited=self._is_delimited)
+
+    def _finish(self) -> None:
+        """Raise BrokenStreamError if the answer did not end after a complete event."""
+        self._framer.finish(is_delimited=self._is_delimited)
+
+    @property
+    def _is_delimited(self) -> bool:
+        """Return whether the answer has a length or chunks."""
+        return self._last_answer is None or not self._last_answer.is_delimited_by_close
 
     def _check(self, raise_failure: Callable[[], None]) -> None:
         """Record a failure that the framer raises."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
@@ -10,6 +10,9 @@
 from wagtailusher_http import EVENT_DELIMITER, contains_response_head, split_complete_events
 
 _ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
+_DATA = re.compile(rb"(?:^|\n)data")
+_MAX_NUMBER_DIGITS = 18
+"""Longest identifier that counts as a number; longer ones don't fit into 64 bits."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -18,6 +21,13 @@
 
     last_id: str | None = None
     count: int = 0
+    has_event_without_id: bool = False
+    """Whether an event without an identifier follows the last one that has one."""
+
+    @property
+    def can_resume(self) -> bool:
+        """Return whether the last identifier tells which events the caller has."""
+        return self.last_id is not None and not self.has_event_without_id
 
 
 class EventFramer:
@@ -28,13 +38,21 @@
     BrokenStreamError, after the events before them.
     """
 
-    __slots__ = ("_failure", "_has_new_event", "_is_continued", "_partial_event", "_position")
+    __slots__ = (
+        "_failure",
+        "_has_new_event",
+        "_is_continued",
+        "_is_resumed",
+        "_partial_event",
+        "_position",
+    )
 
     def __init__(self, position: StreamPosition) -> None:
         """Start with the attempt's first byte."""
         self._partial_event = b""
         self._position = position
         self._is_continued = position.last_id is not None
+        self._is_resumed = position.count > 0
         self._has_new_event = False
         self._failure: BrokenStreamError | None = None
 
@@ -75,11 +93,16 @@
         if self._failure is not None:
             raise self._failure
 
-    def finish(self) -> None:
-        """Raise BrokenStreamError if the answer did not end after a complete event."""
+    def finish(self, *, is_delimited: bool = True) -> None:
+        """Raise BrokenStreamError if the answer did not end after a complete event.
+
+        Without any event, the end of the connection alone does not make an answer complete.
+        """
         self.raise_failure()
         if self._partial_event:
             raise BrokenStreamError("the stream ended within an event")
+        if not is_delimited and not self._has_new_event:
+            raise BrokenStreamError("the connection ended without an event")
 
     def _is_new(self, event: bytes, *, is_delimited: bool) -> bool:
         """Return whether to relay an event, and advance the position if so."""
@@ -93,16 +116,20 @@
                 if self._is_continued and not self._has_new_event:
                     return False
                 raise BrokenStreamError("the stream repeats an event")
-            if self._is_continued and number > last + 1:
+            if self._is_resumed and number > last + 1:
                 raise BrokenStreamError("the resumed stream is missing an event")
         if event_id is not None:
             self._position.last_id = event_id
+            self._position.has_event_without_id = False
+            self._has_new_event = True
+        elif _DATA.search(event) is not None:
+            self._position.has_event_without_id = True
+            self._has_new_event = True
         self._position.count += 1
-        self._has_new_event = True
         return True
 
 
 def _number(text: str | None) -> int | None:
-    """Return the number in an identifier, or None if it is not decimal."""
+    """Return the number in an identifier, or None if it is not a short decimal."""
     text = (text or "").strip()
-    return int(text) if text.isdecimal() else None
+    return int(text) if text.isdecimal() and len(text) <= _MAX_NUMBER_DIGITS else None
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -267,7 +267,7 @@
         self._attempt = None
         self._excluded |= {attempt.endpoint_id}
         self._delivery.record_failure()
-        while self._delivery.may_resume and self._position.last_id is not None:
+        while self._delivery.may_resume and self._position.can_resume:
             now_ms = self._dispatcher.clock_ms()
             if not self._dispatcher.try_spend_retry(self._routed_request.service, now_ms):
                 break
--- a/tests/wagtailusher_gateway/test_events.py
+++ b/tests/wagtailusher_gateway/test_events.py
@@ -46,7 +46,9 @@
 
     def test_resumed_stream_with_a_missing_event_is_broken(self) -> None:
         """A resumed stream that is missing an event is not relayed."""
-        framer = EventFramer(StreamPosition(last_id="4"))
+        position = StreamPosition()
+        EventFramer(position).feed(event(4))
+        framer = EventFramer(position)
         self.assertEqual(framer.feed(event(6)), b"")
         with self.assertRaises(BrokenStreamError):
             framer.raise_failure()
@@ -67,6 +69,42 @@
         self.assertEqual(framer.feed(event(1) + head + event(2), is_delimited=False), event(1))
         self.assertTrue(framer.has_failed)
 
+    def test_quoted_response_is_no_answer_of_its_own(self) -> None:
+        """An event may quote HTTP; only the line ends of a real head tell another answer."""
+        framer = EventFramer(StreamPosition())
+        quoted = b"id: 1\ndata: HTTP/1.1 200 OK\ndata: Content-Type: a\n\n"
+        self.assertEqual(framer.feed(quoted, is_delimited=False), quoted)
+
+    def test_callers_resume_may_skip_numbers(self) -> None:
+        """Numbers only have to rise; what the caller has is known from its own identifier."""
+        framer = EventFramer(StreamPosition(last_id="10"))
+        self.assertEqual(framer.feed(event(20) + event(30)), event(20) + event(30))
+
+    def test_identifier_of_any_length_is_relayed(self) -> None:
+        """A number that is too long to be one is an opaque identifier."""
+        framer = EventFramer(StreamPosition())
+        long = b"id: " + b"1" * 5_000 + b"\ndata: x\n\n"
+        self.assertEqual(framer.feed(long), long)
+
+    def test_position_behind_an_event_without_identifier_cannot_be_resumed(self) -> None:
+        """A resume after the last identifier would repeat that event."""
+        position = StreamPosition()
+        framer = EventFramer(position)
+        framer.feed(event(1) + b"data: unnumbered\n\n")
+        self.assertFalse(position.can_resume)
+        framer.feed(event(2))
+        self.assertTrue(position.can_resume)
+
+    def test_end_of_connection_without_an_event_is_a_failure(self) -> None:
+        """Neither a first nor a resumed answer without a length is complete without an event."""
+        position = StreamPosition()
+        with self.assertRaises(BrokenStreamError):
+            EventFramer(position).finish(is_delimited=False)
+        EventFramer(position).feed(event(1))
+        with self.assertRaises(BrokenStreamError):
+            EventFramer(position).finish(is_delimited=False)
+        EventFramer(position).finish()
+
     def test_end_within_an_event_is_a_failure(self) -> None:
         """A stream must end after a complete event."""
         framer = EventFramer(StreamPosition())
