Bound the bytes of all buffered answers of a client together

Callers of other services lost their requests when one service answered without end: each answer that is read whole was bounded, all of them together were not, so that the process passed the memory of a small VM (128 MB).

HttpClient has a budget of bytes for them (`ClientLimits.max_buffered_bytes`, a quarter of `limits.memory_mb` in the gateway, 32 MiB elsewhere). Above it the largest answer gives way with AnswerEvictedError and its connection is closed; it is that of the sick service, so others are completed. An answer above its limit is now an AnswerError, so that the endpoint's failure is recorded; before, BodyTooLargeError passed by `Attempt._record_failure`. The default limit of one answer falls from 64 to 16 MiB, below the budget.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -74,7 +74,7 @@
         self._http_mapping = http_mapping
         self._logs = logs
         self._random = random.Random()
-        self._client = HttpClient(_client_limits())
+        self._client = HttpClient(_client_limits(options.max_buffered_bytes))
         self._peer_client = HttpClient(ClientLimits(connect_timeout_ms=CONNECT_TIMEOUT_MS))
         incarnation = Incarnation(wall_ms())
         own_member = _own_member(options, incarnation)
@@ -290,6 +290,8 @@
     def update_gauges(self) -> None:
         """Update the gauges before they are rendered."""
         now_ms = monotonic_ms()
+        self.metrics.buffered_bytes.set({}, self._client.budget.held_bytes)
+        self.metrics.answers_evicted.set({}, self._client.budget.evicted_count)
         self.metrics.waiting.set({}, self.dispatcher.admission.count)
         self.metrics.in_flight.set({}, self.dispatcher.in_flight)
         self.metrics.members.set({}, len(self.fleet.live_members(now_ms)) + 1)
@@ -301,10 +303,11 @@
         )
 
 
-def _client_limits() -> ClientLimits:
+def _client_limits(max_buffered_bytes: int) -> ClientLimits:
     """Return the limits of connections to endpoints."""
     return ClientLimits(
         max_answer_bytes=MAX_ANSWER_BYTES,
+        max_buffered_bytes=max_buffered_bytes,
         connect_timeout_ms=CONNECT_TIMEOUT_MS,
         keepalive_idle_s=KEEPALIVE_IDLE_S,
         keepalive_probes=KEEPALIVE_PROBES,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -26,6 +26,12 @@
             "Time to the answer or its first event, by rank",
             LATENCY_BUCKETS_S,
         )
+        self.buffered_bytes = self.gauge(
+            "buffered_answer_bytes", "Bytes held for answers that are read whole"
+        )
+        self.answers_evicted = self.counter(
+            "answers_evicted", "Answers dropped as the largest above the budget for buffered bytes"
+        )
         self.waiting = self.gauge("requests_waiting", "Requests that wait for a place")
         self.in_flight = self.gauge("requests_in_flight", "Requests that were read, not answered")
         self.members = self.gauge("members", "VMs whose beats arrive")
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/options.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/options.py
@@ -42,6 +42,8 @@
     weight: int
     """Capacity of this VM relative to the others."""
     max_connections: int
+    max_buffered_bytes: int
+    """Bytes held for all endpoints' answers that are read whole."""
     grace_ms: int
     fleet_secret: bytes
     log_level: str
--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -12,6 +12,8 @@
 )
 from wagtailusher_http.exceptions import (
     AnswerError,
+    AnswerEvictedError,
+    AnswerTooLargeError,
     AnswerTruncatedError,
     BodyTooLargeError,
     ConnectError,
@@ -32,6 +34,8 @@
 
 __all__ = [
     "AnswerError",
+    "AnswerEvictedError",
+    "AnswerTooLargeError",
     "AnswerTruncatedError",
     "BodyWriter",
     "BodySink",
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from contextlib import aclosing
 import ssl
 from typing import Self
 
 import h11
 
 from wagtailusher_core import callback
+from wagtailusher_http.buffer_budget import AnswerBuffer, BufferBudget
 from wagtailusher_http.client_connection import ClientConnection, Deliver
 from wagtailusher_http.const import (
     DEFAULT_HEAD_TIMEOUT_MS,
@@ -19,7 +21,12 @@
     MS_PER_S,
     ClientLimits,
 )
-from wagtailusher_http.exceptions import AnswerProtocolError, BodyTooLargeError, SendCancelledError
+from wagtailusher_http.exceptions import (
+    AnswerProtocolError,
+    AnswerTooLargeError,
+    AnswerTruncatedError,
+    SendCancelledError,
+)
 from wagtailusher_http.headers import Headers
 
 _HOP_HEADERS = frozenset({"host", "content-length", "transfer-encoding", "connection"})
@@ -49,7 +56,7 @@
 
     def iter_chunks(
         self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Yield the body; raise AnswerError when it is incomplete or the read times out."""
         return self._connection.async_iter_body(silence_timeout_ms, self._client.return_connection)
 
@@ -68,15 +75,33 @@
         )
 
     async def async_read(self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS) -> bytes:
-        """Return the complete body; raise BodyTooLargeError above `max_answer_bytes`."""
-        chunks: list[bytes] = []
-        size = 0
-        async for chunk in self.iter_chunks(silence_timeout_ms):
-            size += len(chunk)
-            if size > self._client.limits.max_answer_bytes:
-                raise BodyTooLargeError("response body exceeds the allowed size")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        """Return the complete body.
+
+        Raises AnswerTooLargeError above `max_answer_bytes`, or if this is the largest answer when
+        all buffered ones exceed `max_buffered_bytes`. The connection is closed then.
+        """
+        budget = self._client.budget
+        buffer = budget.open_buffer(self._connection)
+        try:
+            async with aclosing(self.iter_chunks(silence_timeout_ms)) as chunks:
+                await self._async_fill(buffer, chunks)
+            # Without a length, the end of the connection is the end of the body.
+            budget.check(buffer)
+            return buffer.content()
+        except AnswerTruncatedError:
+            budget.check(buffer)
+            raise
+        finally:
+            budget.release(buffer)
+
+    async def _async_fill(self, buffer: AnswerBuffer, chunks: AsyncIterator[bytes]) -> None:
+        """Add the chunks of the body to a buffer."""
+        async for chunk in chunks:
+            if buffer.size_bytes + len(chunk) > self._client.limits.max_answer_bytes:
+                raise AnswerTooLargeError(
+                    f"the answer of {self._connection.address} exceeds the allowed size"
+                )
+            self._client.budget.append(buffer, chunk)
 
     @callback
     def prevent_reuse(self) -> None:
@@ -96,6 +121,7 @@
         self, limits: ClientLimits | None = None, ssl_context: ssl.SSLContext | None = None
     ) -> None:
         self.limits = limits or ClientLimits()
+        self.budget = BufferBudget(self.limits.max_buffered_bytes)
         self._ssl_context = ssl_context
         self._idle: dict[str, list[ClientConnection]] = {}
 
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 import re
 from socket import (
     IPPROTO_TCP,
@@ -154,7 +154,7 @@
 
     async def async_iter_body(
         self, silence_timeout_ms: int, return_connection: ReturnConnection
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Yield the body, joining data received together; return the connection at the end."""
         ended = False
         try:
--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -22,7 +22,9 @@
 DEFAULT_CONNECT_TIMEOUT_MS = 1_000
 DEFAULT_HEAD_TIMEOUT_MS = 30_000
 DEFAULT_SILENCE_TIMEOUT_MS = 5_000
-DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+DEFAULT_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+DEFAULT_MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+"""A quarter of the memory of a small VM, which has 128 MB; the process itself needs 45 MB."""
 DEFAULT_IDLE_PER_ADDRESS = 32
 DEFAULT_MAX_IDLE_AGE_MS = 15_000
 DEFAULT_KEEPALIVE_PROBES = 2
@@ -51,6 +53,8 @@
 
     max_head_bytes: int = DEFAULT_MAX_HEAD_BYTES
     max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES
+    max_buffered_bytes: int = DEFAULT_MAX_BUFFERED_BYTES
+    """Bytes held for all answers that are read whole; above it the largest answer is dropped."""
     connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
     send_timeout_ms: int = DEFAULT_SEND_TIMEOUT_MS
     idle_per_address: int = DEFAULT_IDLE_PER_ADDRESS
--- a/packages/wagtailusher_http/src/wagtailusher_http/exceptions.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/exceptions.py
@@ -45,8 +45,18 @@
     code = ErrorCode.ENDPOINT_FAILED
 
 
+class AnswerTooLargeError(AnswerError):
+    """A body that is read whole exceeds the limit of one answer."""
+
+    code = ErrorCode.BODY_TOO_LARGE
+
+
+class AnswerEvictedError(AnswerTooLargeError):
+    """The answer was the largest one when all buffered answers exceeded their budget."""
+
+
 class BodyTooLargeError(HttpError):
-    """A body exceeds the allowed size."""
+    """A caller's request body exceeds the allowed size."""
 
     code = ErrorCode.BODY_TOO_LARGE
 
--- a/tests/wagtailusher_platform/test_settings.py
+++ b/tests/wagtailusher_platform/test_settings.py
@@ -46,6 +46,7 @@
         self.assertEqual(options.metrics_listen, "10.1.0.19:9464")
         self.assertIsNone(options.directory_listen)
         self.assertEqual((options.grace_ms, options.weight), (8000, 100))
+        self.assertEqual(options.max_buffered_bytes, 75_000_000)
         self.assertEqual(options.bounds.retry_window_ms, 10_000)
 
     def test_invalid_files_raise_errors_with_a_code(self) -> None:
