End the wait for a response that does not come among endless heads

An endpoint that sent only informational responses, or an endless response to another request, kept the event loop busy until the route's time-out, so other callers' requests waited with it. A head sent byte by byte also outlived its time-out, which only bounded the silence between two reads.

At most 16 informational responses are skipped before a response, and at most 1 MiB and 500 ms of a response to another request; the head has to be complete within `head_timeout_ms` as a whole.

tests/wagtailusher_http/test_endless.EndlessHeadTest fails on the code before in six cases (it ran into the 2 s); a head without end was bounded before, and the test of it passes on both.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -12,13 +12,12 @@
 
 from wagtailusher_core import callback
 from wagtailusher_http.buffer_budget import AnswerBuffer, BufferBudget
-from wagtailusher_http.client_connection import ClientConnection, Deliver
+from wagtailusher_http.client_connection import ClientConnection, Deliver, loop_now_ms
 from wagtailusher_http.const import (
     DEFAULT_HEAD_TIMEOUT_MS,
     DEFAULT_SILENCE_TIMEOUT_MS,
     KEEP_ALIVE_REUSE_SHARE,
     MAX_UNMATCHED_RESPONSES,
-    MS_PER_S,
     ClientLimits,
 )
 from wagtailusher_http.exceptions import (
@@ -188,7 +187,7 @@
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
-            age_ms = _loop_now_ms() - connection.idle_since_ms
+            age_ms = loop_now_ms() - connection.idle_since_ms
             if connection.is_reusable and age_ms <= self._max_idle_ms(connection):
                 connection.start_next_cycle()
                 return connection
@@ -213,7 +212,7 @@
         if not connection.is_reusable or len(idle) >= self.limits.idle_per_address:
             connection.close()
             return
-        connection.idle_since_ms = _loop_now_ms()
+        connection.idle_since_ms = loop_now_ms()
         idle.append(connection)
 
     @callback
@@ -232,20 +231,19 @@
     method: str,
     timeout_ms: int,
 ) -> h11.Response:
-    """Return the head of the matching response, skipping responses to other requests."""
+    """Return the head of the matching response, skipping responses to other requests.
+
+    Raises ReadTimeoutError when it does not arrive within the time-out.
+    """
+    ends_ms = loop_now_ms() + timeout_ms
     for _ in range(MAX_UNMATCHED_RESPONSES):
         if matches_request(Headers.from_raw(head.headers)):
             return head
-        await connection.async_skip_answer(method, timeout_ms)
-        head = await connection.async_receive_head(timeout_ms)
+        await connection.async_skip_answer(method, max(0, ends_ms - loop_now_ms()))
+        head = await connection.async_receive_head(max(0, ends_ms - loop_now_ms()))
     raise AnswerProtocolError(f"{connection.address} sent only responses to other requests")
 
 
-def _loop_now_ms() -> int:
-    """Return the event loop's time in milliseconds."""
-    return int(asyncio.get_running_loop().time() * MS_PER_S)
-
-
 def _request_headers(host: str, headers: Headers | None, body: bytes) -> list[tuple[bytes, bytes]]:
     """Return the request headers with Host and Content-Length set for this connection."""
     kept = headers.without(_HOP_HEADERS).raw if headers is not None else []
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -20,7 +20,14 @@
 import h11
 
 from wagtailusher_core import callback
-from wagtailusher_http.const import CHUNK_FRAME_BYTES, MS_PER_S, ClientLimits
+from wagtailusher_http.const import (
+    CHUNK_FRAME_BYTES,
+    MAX_INFORMATIONAL_RESPONSES,
+    MAX_SKIPPED_BYTES,
+    MS_PER_S,
+    SKIP_TIMEOUT_MS,
+    ClientLimits,
+)
 from wagtailusher_http.exceptions import (
     AnswerError,
     AnswerProtocolError,
@@ -128,23 +135,49 @@
             raise AnswerError(f"sending the request to {self.address} failed: {err}") from err
 
     async def async_receive_head(self, timeout_ms: int) -> h11.Response:
-        """Return the response head, skipping informational responses."""
-        while True:
+        """Return the response head, received completely within the time-out.
+
+        Skips MAX_INFORMATIONAL_RESPONSES at most.
+        """
+        started_ms = loop_now_ms()
+        left_ms = timeout_ms
+        informational = 0
+        while informational <= MAX_INFORMATIONAL_RESPONSES:
             event = self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if event is h11.NEED_DATA:
-                await self._async_read(timeout_ms)
-            elif not isinstance(event, h11.InformationalResponse):
+                if left_ms <= 0:
+                    raise self._read_timeout_error(timeout_ms, "no complete response head")
+                await self._async_read(left_ms)
+                left_ms = started_ms + timeout_ms - loop_now_ms()
+            elif isinstance(event, h11.InformationalResponse):
+                informational += 1
+            else:
                 raise AnswerTruncatedError(
                     f"{self.address} closed the connection before its response"
                 )
+        raise AnswerProtocolError(f"{self.address} sent only informational responses")
 
     async def async_skip_answer(self, method: str, timeout_ms: int) -> None:
-        """Discard the body of an unmatched response and expect another response after it."""
+        """Discard the body of an unmatched response and expect another response after it.
+
+        Raises AnswerError when the body is larger than MAX_SKIPPED_BYTES, or takes longer than the
+        time-out or SKIP_TIMEOUT_MS.
+        """
         self.skipped_responses += 1
-        async for _ in self.async_iter_body(timeout_ms, lambda *_: None):
-            pass
+        timeout_ms = min(timeout_ms, SKIP_TIMEOUT_MS)
+        skipped_bytes = 0
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                async for chunk in self.async_iter_body(timeout_ms, lambda *_: None):
+                    skipped_bytes += len(chunk)
+                    if skipped_bytes > MAX_SKIPPED_BYTES:
+                        raise AnswerProtocolError(
+                            f"{self.address} sent a long response to another request"
+                        )
+        except TimeoutError as err:
+            raise self._read_timeout_error(timeout_ms, "no end of another response") from err
         unparsed, _ = self._http.trailing_data
         self._http = self._new_state()
         self._http.send(h11.Request(method=method, target="*", headers=[(b"host", b"-")]))
@@ -269,13 +302,18 @@
         except h11.RemoteProtocolError as err:
             raise AnswerProtocolError(f"{self.address} sent invalid HTTP: {err}") from err
 
-    def _read_timeout_error(self, timeout_ms: int) -> ReadTimeoutError:
-        return ReadTimeoutError(f"{self.address} sent no data for {timeout_ms} ms")
+    def _read_timeout_error(self, timeout_ms: int, what: str = "no data") -> ReadTimeoutError:
+        return ReadTimeoutError(f"{self.address} sent {what} for {timeout_ms} ms")
 
     def _connection_lost_error(self, err: OSError) -> AnswerTruncatedError:
         return AnswerTruncatedError(f"connection to {self.address} was lost: {err}")
 
 
+def loop_now_ms() -> int:
+    """Return the event loop's time in milliseconds."""
+    return int(asyncio.get_running_loop().time() * MS_PER_S)
+
+
 def _set_tcp_keepalive(socket: Any, limits: ClientLimits) -> None:
     """Set TCP keepalive so that the kernel detects an unreachable peer."""
     if socket is None or limits.keepalive_idle_s is None:
--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -31,6 +31,12 @@
 DEFAULT_TCP_USER_TIMEOUT_MS = 2_000
 MAX_UNMATCHED_RESPONSES = 3
 """Responses to other requests that are skipped before the connection is closed."""
+MAX_SKIPPED_BYTES = 1024 * 1024
+"""Largest response to another request that is skipped."""
+SKIP_TIMEOUT_MS = 500
+"""Time for the rest of a response to another request, which usually arrives with its head."""
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Informational responses before a response; servers send one or two."""
 KEEP_ALIVE_REUSE_SHARE = 0.7
 """Part of the peer's keep-alive timeout within which an idle connection is reused."""
 
--- a/tests/wagtailusher_http/test_endless.py
+++ b/tests/wagtailusher_http/test_endless.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+import time
 import tracemalloc
 import unittest
 
 from tests.standins.endless import EndlessPeer
 from tests.standins.runner import RunnerStandin, answer
 from wagtailusher_core import WagtailusherError
-from wagtailusher_http import ClientLimits, HttpClient
+from wagtailusher_http import ClientLimits, HttpClient, ReadTimeoutError
 
 MIB = 1024 * 1024
 PEERS = 12
@@ -23,10 +26,33 @@
 SOCKET_BYTES = 768 * 1024
 """Most bytes of a connection that are read from its socket and not parsed."""
 WAIT_MS = 2_000
+EARLY_SHARE = 0.5
+"""Largest part of its time-out after which a wait for endless bytes ends."""
+BUSY_SHARE = 0.1
+"""Largest share of the time-out that a wait costs in processor time."""
+
+STATUS = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
+INFORMATIONAL = b"HTTP/1.1 102 Processing\r\n\r\n"
 UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 BLOCK = b"x" * 65536
 
 
+@asynccontextmanager
+async def async_short_and_cheap(share: float = EARLY_SHARE) -> AsyncIterator[None]:
+    """Fail unless the content raises an error of its own within the part of the time-out."""
+    started_s, busy_s = time.monotonic(), time.thread_time()
+    try:
+        async with asyncio.timeout(WAIT_MS / 1000):
+            yield
+    except WagtailusherError:
+        waited_s, busy_s = time.monotonic() - started_s, time.thread_time() - busy_s
+        assert waited_s < WAIT_MS / 1000 * share, f"waited {waited_s:.2f} s"
+        assert busy_s < WAIT_MS / 1000 * BUSY_SHARE, f"spent {busy_s:.2f} s of processor time"
+    else:
+        raise AssertionError("the answer was taken for complete")
+
+
 class EndlessBodyTest(unittest.IsolatedAsyncioTestCase):
     """Bodies that are read whole share a budget, and the largest one gives way."""
 
@@ -74,5 +100,49 @@
         self.assertEqual(self.client.budget.evicted_count, 1)
 
 
+class EndlessHeadTest(unittest.IsolatedAsyncioTestCase):
+    """The wait for a head ends early and costs next to nothing."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+
+    async def _async_get(self, address: str, *, matches: bool = True) -> None:
+        await self.client.async_request(
+            address, "GET", "/", head_timeout_ms=WAIT_MS, matches_request=lambda fields: matches
+        )
+
+    async def test_endless_informational_responses_end_the_wait(self) -> None:
+        for pause_s in (0.0, 0.01):
+            peer = EndlessPeer(b"", INFORMATIONAL * 8, pause_s=pause_s)
+            with self.subTest(pause_s=pause_s), peer:
+                async with async_short_and_cheap():
+                    await self._async_get(peer.address)
+
+    async def test_head_that_does_not_end_is_refused(self) -> None:
+        for name, block in (("fields", b"x-a: b\r\n" * 1000), ("one field", b"x" * 8000)):
+            with self.subTest(name), EndlessPeer(STATUS, block) as peer:
+                async with async_short_and_cheap():
+                    await self._async_get(peer.address)
+
+    async def test_head_timeout_bounds_a_head_that_arrives_byte_by_byte(self) -> None:
+        peer = EndlessPeer(STATUS + b"x-a: ", b"b", pause_s=0.05)
+        with peer, self.assertRaises(ReadTimeoutError):
+            async with asyncio.timeout(WAIT_MS / 1000):
+                await self.client.async_request(peer.address, "GET", "/", head_timeout_ms=200)
+
+    async def test_endless_answer_to_another_request_ends_the_wait(self) -> None:
+        chunk = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+        cases = {
+            "until close": (UNTIL_CLOSE, BLOCK, 0.0),
+            "chunked": (CHUNKED, chunk, 0.0),
+            "slow": (CHUNKED, b"1\r\nx\r\n", 0.05),
+        }
+        for name, (head, block, pause_s) in cases.items():
+            with self.subTest(name), EndlessPeer(head, block, pause_s=pause_s) as peer:
+                async with async_short_and_cheap():
+                    await self._async_get(peer.address, matches=False)
+
+
 if __name__ == "__main__":
     unittest.main()
