Give a flood of tiny chunks a bounded share of the event loop

A body in chunks of one byte kept the event loop to itself: up to 512 KiB of them were parsed in one turn, about 16 microseconds each, and then the next. Other callers' requests waited for it until the route's time-out, whether the body was read whole, skipped or relayed.

A turn ends after 256 chunks, and from the 2,048th chunk of a body on each full turn is followed by a pause of 100 ms. A body that is read whole is refused with more than 3,072 chunks beyond one for each 32 bytes. A full turn means that 256 chunks waited to be parsed, so streams at the pace of an engine have none.

tests/wagtailusher_http/test_endless.py fails on the code before in three cases with tiny chunks; one more test checks that turns and pauses lose nothing.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -17,7 +17,9 @@
     DEFAULT_HEAD_TIMEOUT_MS,
     DEFAULT_SILENCE_TIMEOUT_MS,
     KEEP_ALIVE_REUSE_SHARE,
+    MAX_TINY_CHUNKS,
     MAX_UNMATCHED_RESPONSES,
+    MIN_CHUNK_BYTES,
     ClientLimits,
 )
 from wagtailusher_http.exceptions import (
@@ -96,7 +98,10 @@
     async def _async_fill(self, buffer: AnswerBuffer, chunks: AsyncIterator[bytes]) -> None:
         """Add the chunks of the body to a buffer."""
         async for chunk in chunks:
-            if buffer.size_bytes + len(chunk) > self._client.limits.max_answer_bytes:
+            size_bytes = buffer.size_bytes + len(chunk)
+            if self._connection.chunk_count > MAX_TINY_CHUNKS + size_bytes // MIN_CHUNK_BYTES:
+                raise AnswerProtocolError(f"{self._connection.address} sent too many tiny chunks")
+            if size_bytes > self._client.limits.max_answer_bytes:
                 raise AnswerTooLargeError(
                     f"the answer of {self._connection.address} exceeds the allowed size"
                 )
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -22,6 +22,9 @@
 from wagtailusher_core import callback
 from wagtailusher_http.const import (
     CHUNK_FRAME_BYTES,
+    CHUNK_PAUSE_MS,
+    MAX_CHUNK_BURST,
+    MAX_CHUNKS_PER_TURN,
     MAX_INFORMATIONAL_RESPONSES,
     MAX_SKIPPED_BYTES,
     MS_PER_S,
@@ -57,6 +60,9 @@
         self._is_reuse_prevented = False
         self._socket = socket
         self._received_bytes = 0
+        self._is_turn_full = False
+        self.chunk_count = 0
+        """Chunks of the current response's body."""
         self._keep_alive_ms: int | None = None
         self._limits = limits
         self._http = self._new_state()
@@ -108,6 +114,7 @@
     @callback
     def start_next_cycle(self) -> None:
         """Reset the protocol state for another exchange."""
+        self.chunk_count = 0
         self._http.start_next_cycle()
 
     @callback
@@ -195,7 +202,9 @@
                 chunks, ended = self._parse_body()
                 if chunks:
                     yield chunks[0] if len(chunks) == 1 else b"".join(chunks)
-                if not ended:
+                if self._is_turn_full:
+                    await self._async_end_turn()
+                elif not ended:
                     await self._async_read(silence_timeout_ms)
         finally:
             return_connection(self, ended)
@@ -211,10 +220,14 @@
         ended = False
         try:
             result = self._relay_parsed(deliver)
-            while result is None and self._socket.has_unread_input:
-                result = self._relay_received(deliver)
-            if result is None:
-                result = await self._async_relay_incoming(deliver, silence_timeout_ms)
+            while result is None:
+                if self._is_turn_full:
+                    await self._async_end_turn()
+                    result = self._relay_parsed(deliver)
+                elif self._socket.has_unread_input:
+                    result = self._relay_received(deliver)
+                else:
+                    result = await self._async_relay_incoming(deliver, silence_timeout_ms)
             ended = result
             is_paused = not ended
         finally:
@@ -222,12 +235,22 @@
                 return_connection(self, ended)
         return ended
 
-    async def _async_relay_incoming(self, deliver: Deliver, silence_timeout_ms: int) -> bool:
-        """Relay body data as the socket receives it."""
+    async def _async_end_turn(self) -> None:
+        """Let the event loop run other tasks, for longer if the peer sends ever more chunks."""
+        self._is_turn_full = False
+        pause_ms = CHUNK_PAUSE_MS if self.chunk_count > MAX_CHUNK_BURST else 0
+        await asyncio.sleep(pause_ms / MS_PER_S)
+
+    async def _async_relay_incoming(self, deliver: Deliver, silence_timeout_ms: int) -> bool | None:
+        """Relay body data as the socket receives it; return None at the end of a full turn."""
+
+        def listener() -> bool | None:
+            result = self._relay_received(deliver)
+            return False if result is None and self._is_turn_full else result
+
         try:
-            return await self._socket.async_listen(
-                lambda: self._relay_received(deliver), silence_timeout_ms / MS_PER_S
-            )
+            result = await self._socket.async_listen(listener, silence_timeout_ms / MS_PER_S)
+            return None if self._is_turn_full else result
         except TimeoutError as err:
             raise self._read_timeout_error(silence_timeout_ms) from err
 
@@ -247,15 +270,25 @@
             accepts_more = deliver(chunks[0] if len(chunks) == 1 else b"".join(chunks))
         if ended:
             return True
-        return None if accepts_more else False
+        if accepts_more:
+            return None
+        self._is_turn_full = False
+        return False
 
     def _parse_body(self) -> tuple[list[bytes], bool]:
-        """Parse the received data; return its body chunks and whether the body is complete."""
+        """Parse the received data; return its body chunks and whether the body is complete.
+
+        `_is_turn_full` is set when MAX_CHUNKS_PER_TURN were parsed and more data may follow.
+        """
         chunks: list[bytes] = []
         while True:
+            if len(chunks) == MAX_CHUNKS_PER_TURN:
+                self._is_turn_full = True
+                return chunks, False
             event = self._next_event()
             if isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
+                self.chunk_count += 1
                 if self._is_input_exhausted(event):
                     return chunks, False
             elif isinstance(event, h11.EndOfMessage):
--- a/tests/wagtailusher_http/test_endless.py
+++ b/tests/wagtailusher_http/test_endless.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
 import time
 import tracemalloc
 import unittest
@@ -31,11 +32,15 @@
 BUSY_SHARE = 0.1
 """Largest share of the time-out that a wait costs in processor time."""
 
+LOOP_DELAY_S = 0.1
+"""Longest time for which the event loop may not run other tasks."""
+
 STATUS = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
 INFORMATIONAL = b"HTTP/1.1 102 Processing\r\n\r\n"
 UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 BLOCK = b"x" * 65536
+TINY_CHUNKS = b"1\r\nx\r\n" * 10_000
 
 
 @asynccontextmanager
@@ -57,6 +62,7 @@
     """Bodies that are read whole share a budget, and the largest one gives way."""
 
     async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)  # its checks cost more than what is measured
         self.client = HttpClient(
             ClientLimits(max_answer_bytes=64 * MIB, max_buffered_bytes=BUDGET_BYTES)
         )
@@ -99,11 +105,72 @@
                     await asyncio.sleep(0.01)
         self.assertEqual(self.client.budget.evicted_count, 1)
 
+    async def test_body_in_tiny_chunks_ends_early_at_little_cost(self) -> None:
+        with EndlessPeer(CHUNKED, TINY_CHUNKS) as peer:
+            async with async_short_and_cheap():
+                await self._async_read(peer.address)
+
+
+class EndlessRelayTest(unittest.IsolatedAsyncioTestCase):
+    """A body that is relayed may go on, and the event loop stays fair."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)  # its checks cost more than what is measured
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+
+    async def test_flood_of_tiny_chunks_delays_no_other_task(self) -> None:
+        """Bytes are passed on in order, and other tasks run in time."""
+        seen = bytearray()
+
+        def deliver(chunk: bytes) -> bool:
+            seen.extend(chunk)
+            return True
+
+        block = b"".join(b"1\r\n%c\r\n" % value for value in range(256)) * 40
+        with EndlessPeer(CHUNKED, block) as peer:
+            reply = await self.client.async_request(peer.address, "GET", "/")
+            relay = asyncio.ensure_future(reply.async_relay_body(deliver, WAIT_MS))
+            started_s, busy_s, longest_s = time.monotonic(), time.thread_time(), 0.0
+            while (now_s := time.monotonic()) < started_s + WAIT_MS / 1000:
+                await asyncio.sleep(0)
+                longest_s = max(longest_s, time.monotonic() - now_s)
+                await asyncio.sleep(0.005)
+            busy_s = time.thread_time() - busy_s
+            relay.cancel()
+            reply.abort()
+        self.assertFalse(relay.done() and not relay.cancelled())
+        self.assertGreater(len(seen), 0)
+        self.assertEqual(bytes(seen), (bytes(range(256)) * (len(seen) // 256 + 1))[: len(seen)])
+        self.assertLess(longest_s, LOOP_DELAY_S)
+        self.assertLess(busy_s, WAIT_MS / 1000 * BUSY_SHARE)
+
+    async def test_body_of_many_chunks_is_the_same_with_pauses(self) -> None:
+        """Turns of the parser and pauses of the reader lose and repeat nothing."""
+        random = Random(7)
+        body = random.randbytes(2_000)
+        whole = CHUNKED + b"".join(b"1\r\n%c\r\n" % value for value in body) + b"0\r\n\r\n"
+        with EndlessPeer(whole, b"", pause_s=0.01) as peer:
+            for _ in range(3):
+                seen = bytearray()
+
+                def deliver(chunk: bytes, seen: bytearray = seen) -> bool:
+                    seen.extend(chunk)
+                    return random.random() < 0.5
+
+                reply = await self.client.async_request(
+                    peer.address, "GET", "/", new_connection=True
+                )
+                while not await reply.async_relay_body(deliver, WAIT_MS):
+                    pass
+                self.assertEqual(bytes(seen), body)
+
 
 class EndlessHeadTest(unittest.IsolatedAsyncioTestCase):
     """The wait for a head ends early and costs next to nothing."""
 
     async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)  # its checks cost more than what is measured
         self.client = HttpClient()
         self.addCleanup(self.client.close)
 
@@ -136,6 +203,7 @@
         cases = {
             "until close": (UNTIL_CLOSE, BLOCK, 0.0),
             "chunked": (CHUNKED, chunk, 0.0),
+            "tiny chunks": (CHUNKED, TINY_CHUNKS, 0.0),
             "slow": (CHUNKED, b"1\r\nx\r\n", 0.05),
         }
         for name, (head, block, pause_s) in cases.items():
