Close an idle connection on the first byte that belongs to no exchange

Bytes that an endpoint sent after its answer were kept for as long as the connection waited for reuse: up to 256 KiB and one read each, 32 connections an address. They were never used, as such a connection is not taken again.

The pool now frees them and aborts the connection when they arrive.

tests/wagtailusher_http/test_endless.EndlessIdleTest fails on the code before: the connections stay open.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -218,6 +218,7 @@
             connection.close()
             return
         connection.idle_since_ms = loop_now_ms()
+        connection.start_idle()
         idle.append(connection)
 
     @callback
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -114,9 +114,21 @@
     @callback
     def start_next_cycle(self) -> None:
         """Reset the protocol state for another exchange."""
+        self._socket.on_data = None
         self.chunk_count = 0
         self._http.start_next_cycle()
 
+    @callback
+    def start_idle(self) -> None:
+        """Abort the connection if the peer sends anything before the next exchange."""
+        self._socket.on_data = self._drop_unexpected
+
+    @callback
+    def _drop_unexpected(self, unread_bytes: int) -> None:
+        """Free the bytes that belong to no exchange, and abort the connection."""
+        self._socket.read_buffered()
+        self._socket.abort()
+
     @callback
     def close(self) -> None:
         """Close the socket; an unfinished exchange is aborted."""
--- a/tests/wagtailusher_http/test_endless.py
+++ b/tests/wagtailusher_http/test_endless.py
@@ -166,6 +166,29 @@
                 self.assertEqual(bytes(seen), body)
 
 
+class EndlessIdleTest(unittest.IsolatedAsyncioTestCase):
+    """Bytes after an answer, on a connection that waits for reuse."""
+
+    async def test_endless_bytes_on_idle_connections_take_no_memory(self) -> None:
+        client = HttpClient()
+        self.addCleanup(client.close)
+        whole = STATUS + b"Content-Length: 2\r\n\r\nok"
+
+        async def async_get(address: str) -> bytes:
+            return await (await client.async_request(address, "GET", "/")).async_read()
+
+        with EndlessPeer(whole, BLOCK, start_s=0.2) as peer:
+            await asyncio.gather(*(async_get(peer.address) for _ in range(PEERS)))
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            async with asyncio.timeout(WAIT_MS / 1000):
+                while peer.closed < PEERS:  # noqa: ASYNC110 - the peer is in another thread
+                    await asyncio.sleep(0.01)
+            self.assertLess(tracemalloc.get_traced_memory()[0], MIB)
+            self.assertEqual(await async_get(peer.address), b"ok")
+            self.assertEqual(peer.connections, PEERS + 1)
+
+
 class EndlessHeadTest(unittest.IsolatedAsyncioTestCase):
     """The wait for a head ends early and costs next to nothing."""
 
