Bound the bytes and the time of calls to engines, peers, store and services

A call whose body never ended held up to the limit of any answer, and one whose body brought a byte now and then never ended at all, as only the silence between two reads was bounded: load reports, cancellations, tickets, configuration, VM list, peers' views and the store's pages. A store that always named one more page kept its reader in one list. A caller whose request was refused without being run waited for the rest of the refusal until the route's time-out.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/configuration_stream.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/configuration_stream.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 
 from wagtailusher_core import ErrorCode, Incarnation, VmId
-from wagtailusher_daemon.const import FETCH_TIMEOUT_MS, PATH_CONFIGURATION
+from wagtailusher_daemon.const import FETCH_TIMEOUT_MS, FULL_FETCH_TIMEOUT_MS, PATH_CONFIGURATION
 from wagtailusher_daemon.exceptions import PeerStreamError
 from wagtailusher_http import HttpClient, Request, Response, error_response
 from wagtailusher_wire import (
@@ -58,7 +58,11 @@
             body=self._sign(request),
             head_timeout_ms=FETCH_TIMEOUT_MS,
         )
-        body = await answer.async_read(FETCH_TIMEOUT_MS)
+        body = await answer.async_read(
+            FETCH_TIMEOUT_MS,
+            max_bytes=MAX_STREAM_MESSAGE_BYTES + _AUTH_MARGIN_BYTES,
+            timeout_ms=FULL_FETCH_TIMEOUT_MS,
+        )
         if answer.status != HTTPStatus.OK:
             raise PeerStreamError(f"the peer answered with status {answer.status}")
         _, message = self._verify(body)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -46,10 +46,14 @@
 QUARANTINE_FANOUT = 3
 QUARANTINE_INTERVAL_MS = 250
 FETCH_TIMEOUT_MS = 800
+FULL_FETCH_TIMEOUT_MS = 3_000
+"""Time for a peer's whole content, as long as membership waits for it."""
 FLEET_TICK_INTERVAL_MS = 100
 EXIT_UNCLEAN = 3
 MAX_REVISION_CHARS = 32
 TICKET_TIMEOUT_MS = 1_000
+MAX_TICKET_BYTES = 65_536
+"""Largest answer to a request for a ticket, which has some hundred bytes."""
 ISOLATION_MS = 4_000
 MIN_PEERS_FOR_ISOLATION = 2
 LOAD_REPORT_MAX_AGE_MS = 2_000
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/forwarding.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/forwarding.py
@@ -17,6 +17,7 @@
     DEFAULT_HEAD_TIMEOUT_MS,
     HEADER_FORWARDED,
     HEADER_TICKET,
+    MAX_TICKET_BYTES,
     PATH_TICKETS,
     TICKET_TIMEOUT_MS,
 )
@@ -103,7 +104,9 @@
             answer = await self._client.async_request(
                 address, "POST", PATH_TICKETS, head_timeout_ms=TICKET_TIMEOUT_MS
             )
-            body = await answer.async_read(TICKET_TIMEOUT_MS)
+            body = await answer.async_read(
+                TICKET_TIMEOUT_MS, max_bytes=MAX_TICKET_BYTES, timeout_ms=TICKET_TIMEOUT_MS
+            )
             return TicketAnswer.model_validate_json(body).ticket
         except (WagtailusherError, ValidationError):
             return None
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from wagtailusher_core import EndpointId
-from wagtailusher_gateway.const import MAX_ANSWER_BYTES
+from wagtailusher_gateway.const import MAX_ANSWER_BYTES, MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT_MS
 from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.dispatcher import Dispatcher
 from wagtailusher_gateway.events import EventFramer, StreamPosition
@@ -114,7 +114,8 @@
             self._check_unidentified(answer, stated)
         if stated.not_run:
             self._record_not_run(stated)
-            await answer.async_read(left_ms)
+            timeout_ms = min(left_ms, REFUSAL_TIMEOUT_MS)
+            await answer.async_read(timeout_ms, max_bytes=MAX_REFUSAL_BYTES, timeout_ms=timeout_ms)
             return SendResult.NOT_RUN
         if stated.is_encoded or (answer.status in _SUCCESS and not stated.is_signed):
             self._record_failure()
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -30,6 +30,12 @@
 MAX_ANSWER_BYTES: Final = 16_777_216
 """Largest answer that is buffered before it is relayed; bounds memory use."""
 
+MAX_REFUSAL_BYTES: Final = 65_536
+"""Largest body of an endpoint's statement that it did not run a request; it is not relayed."""
+
+REFUSAL_TIMEOUT_MS: Final = 500
+"""Time for the body of such a statement, after which the connection is closed."""
+
 MAX_EVENT_BYTES: Final = 262_144
 """Largest event of a stream; bounds memory use."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
@@ -81,7 +81,11 @@
         answer = await self._client.async_request(
             address, "GET", PATH_VIEW, head_timeout_ms=VIEW_PULL_TIMEOUT_MS
         )
-        body = await answer.async_read(VIEW_PULL_TIMEOUT_MS)
+        body = await answer.async_read(
+            VIEW_PULL_TIMEOUT_MS,
+            max_bytes=MAX_STREAM_MESSAGE_BYTES,
+            timeout_ms=VIEW_PULL_TIMEOUT_MS,
+        )
         view = decode_view(self._authenticator.verify(body).payload, self._clock_ms())
         age_ms = self._clock_ms() - view.confirmed_ms
         _LOGGER.info(
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -20,12 +20,14 @@
     MAX_TINY_CHUNKS,
     MAX_UNMATCHED_RESPONSES,
     MIN_CHUNK_BYTES,
+    MS_PER_S,
     ClientLimits,
 )
 from wagtailusher_http.exceptions import (
     AnswerProtocolError,
     AnswerTooLargeError,
     AnswerTruncatedError,
+    ReadTimeoutError,
     SendCancelledError,
 )
 from wagtailusher_http.headers import Headers
@@ -75,33 +77,51 @@
             deliver, silence_timeout_ms, self._client.return_connection
         )
 
-    async def async_read(self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS) -> bytes:
-        """Return the complete body.
-
-        Raises AnswerTooLargeError above `max_answer_bytes`, or if this is the largest answer when
-        all buffered ones exceed `max_buffered_bytes`. The connection is closed then.
+    async def async_read(
+        self,
+        silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS,
+        *,
+        max_bytes: int | None = None,
+        timeout_ms: int | None = None,
+    ) -> bytes:
+        """Return the complete body, read within `timeout_ms` where given.
+
+        Raises ReadTimeoutError after a time-out, and AnswerTooLargeError above `max_bytes` or the
+        client's `max_answer_bytes`, or if this is the largest answer when all buffered ones exceed
+        `max_buffered_bytes`. The connection is closed then.
         """
         budget = self._client.budget
+        max_answer_bytes = self._client.limits.max_answer_bytes
+        max_bytes = max_answer_bytes if max_bytes is None else min(max_bytes, max_answer_bytes)
         buffer = budget.open_buffer(self._connection)
         try:
-            async with aclosing(self.iter_chunks(silence_timeout_ms)) as chunks:
-                await self._async_fill(buffer, chunks)
+            async with (
+                asyncio.timeout(None if timeout_ms is None else timeout_ms / MS_PER_S),
+                aclosing(self.iter_chunks(silence_timeout_ms)) as chunks,
+            ):
+                await self._async_fill(buffer, chunks, max_bytes)
             # Without a length, the end of the connection is the end of the body.
             budget.check(buffer)
             return buffer.content()
         except AnswerTruncatedError:
             budget.check(buffer)
             raise
+        except TimeoutError as err:
+            raise ReadTimeoutError(
+                f"{self._connection.address} sent no complete body for {timeout_ms} ms"
+            ) from err
         finally:
             budget.release(buffer)
 
-    async def _async_fill(self, buffer: AnswerBuffer, chunks: AsyncIterator[bytes]) -> None:
+    async def _async_fill(
+        self, buffer: AnswerBuffer, chunks: AsyncIterator[bytes], max_bytes: int
+    ) -> None:
         """Add the chunks of the body to a buffer."""
         async for chunk in chunks:
             size_bytes = buffer.size_bytes + len(chunk)
             if self._connection.chunk_count > MAX_TINY_CHUNKS + size_bytes // MIN_CHUNK_BYTES:
                 raise AnswerProtocolError(f"{self._connection.address} sent too many tiny chunks")
-            if size_bytes > self._client.limits.max_answer_bytes:
+            if size_bytes > max_bytes:
                 raise AnswerTooLargeError(
                     f"the answer of {self._connection.address} exceeds the allowed size"
                 )
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/const.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/const.py
@@ -16,6 +16,8 @@
 """
 DEFAULT_WAIT_MARGIN_MS: Final = 800
 DEFAULT_READ_TIMEOUT_MS: Final = 2_000
+MAX_POLLED_BYTES: Final = 8 * 1024 * 1024
+"""Largest value read; values have 1 MiB at most, larger documents are read in chunks."""
 DEFAULT_MIN_INTERVAL_MS: Final = 100
 DEFAULT_BACKOFF_BASE_MS: Final = 200
 DEFAULT_BACKOFF_LIMIT_MS: Final = 5_000
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/long_poll.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/long_poll.py
@@ -11,6 +11,7 @@
 from wagtailusher_integrations.config_service.const import (
     HEADER_RETRY_AFTER,
     HEADER_VERSION,
+    MAX_POLLED_BYTES,
     MAX_RETRY_AFTER_MS,
     MS_PER_S,
 )
@@ -82,7 +83,11 @@
                 new_connection=self._failures > 0,
                 head_timeout_ms=timeout_ms,
             )
-            body = await answer.async_read(self.limits.read_timeout_ms)
+            body = await answer.async_read(
+                self.limits.read_timeout_ms,
+                max_bytes=MAX_POLLED_BYTES,
+                timeout_ms=self.limits.read_timeout_ms,
+            )
         except HttpError as error:
             raise PlatformError(f"{path} at {self._address}: {error.message}") from error
         retry_after = answer.headers.get(HEADER_RETRY_AFTER)
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/const.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/const.py
@@ -18,3 +18,5 @@
 DEFAULT_POLL_TIMEOUT_MS = 1_000
 DEFAULT_CANCEL_TIMEOUT_MS = 1_000
 MAX_POLLED_ENDPOINTS = 64
+MAX_REPORT_BYTES = 65_536
+"""Largest load report or answer to a cancellation; engines send some hundred bytes."""
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -20,6 +20,7 @@
     HEADER_REQUEST_ID,
     HEADER_TRACE,
     MAX_POLLED_ENDPOINTS,
+    MAX_REPORT_BYTES,
     PATH_CANCEL,
     PATH_CHAT,
     PATH_LOAD,
@@ -108,7 +109,7 @@
             answer = await self._client.async_request(
                 address, "POST", target, head_timeout_ms=DEFAULT_CANCEL_TIMEOUT_MS
             )
-            await answer.async_read()
+            await _async_read_report(answer, DEFAULT_CANCEL_TIMEOUT_MS)
         except WagtailusherError as err:
             _LOGGER.debug("Engine: cancel of %s failed: %s", request_id, err.code)
 
@@ -130,13 +131,18 @@
             answer = await self._client.async_request(
                 endpoint.address, "GET", PATH_LOAD, head_timeout_ms=DEFAULT_POLL_TIMEOUT_MS
             )
-            body = await answer.async_read(DEFAULT_POLL_TIMEOUT_MS)
+            body = await _async_read_report(answer, DEFAULT_POLL_TIMEOUT_MS)
             return LoadModel.model_validate_json(body).to_report(endpoint.endpoint_id, now_ms())
         except (WagtailusherError, ValidationError) as err:
             _LOGGER.debug("Engine: load poll of %s failed: %s", endpoint.endpoint_id, err)
             return None
 
 
+async def _async_read_report(answer: ClientAnswer, timeout_ms: int) -> bytes:
+    """Return a short body; raise AnswerError if it is long or not complete in time."""
+    return await answer.async_read(timeout_ms, max_bytes=MAX_REPORT_BYTES, timeout_ms=timeout_ms)
+
+
 def _check_request_id(answer: ClientAnswer, request_id: RequestId) -> None:
     """Raise RequestIdMismatchError if an answer has the ID of another request."""
     echoed = answer.headers.get(HEADER_REQUEST_ID)
--- a/tests/wagtailusher_platform/test_endless.py
+++ b/tests/wagtailusher_platform/test_endless.py
@@ -8,14 +8,42 @@
 
 import asyncio
 from http import HTTPStatus
+import time
 import unittest
 
 from tests.standins.endless import EndlessPeer, Head
 from tests.wagtailusher_platform.fleet import PlatformTest, entry
 from wagtailusher_gateway import GatewayApp
+from wagtailusher_http import (
+    AnswerTruncatedError,
+    ClientAnswer,
+    HttpClient,
+    Request,
+    Response,
+    async_serve,
+    json_response,
+)
+from wagtailusher_platform.const import (
+    CALL_TIMEOUT_MARGIN_MS,
+    MAX_CALL_BYTES,
+    MAX_RANGE_PAGES,
+    MS_PER_S,
+)
+from wagtailusher_platform.exceptions import StoreError
+from wagtailusher_platform.store import StoreClient
 
 PEERS = 12
 BLOCK = b"x" * 65536
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ROUTE_TIMEOUT_S = 2.0
+"""Time-out of the fixture's routes."""
+EARLY_SHARE = 0.5
+"""Largest part of it that a request spends on bytes that are no answer."""
+
+
+async def _async_count(reply: ClientAnswer) -> int:
+    """Read a body and return its size."""
+    return sum([len(chunk) async for chunk in reply.iter_chunks()])
 
 
 def signed_head(*lines: str) -> Head:
@@ -56,6 +84,90 @@
         metrics = str(app.metrics.render("text/plain").body)
         self.assertRegex(metrics, r"answers_evicted_total [1-9]")
 
+    async def test_refusal_without_end_is_still_not_run(self) -> None:
+        """The caller is told that its request has not run, without a wait for the rest."""
+        head = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        with EndlessPeer(head, b"1\r\nx\r\n", pause_s=0.05) as peer:
+            app = await self._async_start(peer)
+            started_s = time.monotonic()
+            reply = await self.async_ask(app, "/chat/")
+            self.assertLess(time.monotonic() - started_s, ROUTE_TIMEOUT_S * EARLY_SHARE)
+        self.assertEqual(reply.status, HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def test_informational_responses_without_end_are_a_failure(self) -> None:
+        """A request that may have run gets 502 early, and other requests are served meanwhile."""
+        with EndlessPeer(b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 8) as peer:
+            app = await self._async_start(peer)
+            started_s = time.monotonic()
+            sick = asyncio.ensure_future(self.async_ask(app, "/chat/"))
+            reply = await self.async_ask(app, "/look/")
+            self.assertEqual((reply.status, await reply.async_read()), (200, b"done"))
+            self.assertEqual((await sick).status, HTTPStatus.BAD_GATEWAY)
+            self.assertLess(time.monotonic() - started_s, ROUTE_TIMEOUT_S * EARLY_SHARE)
+
+    async def test_event_without_end_is_a_failure(self) -> None:
+        """A stream whose first event never ends gets 502, as nothing was relayed yet."""
+        head = signed_head("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        with EndlessPeer(head, b"40\r\n" + b"x" * 64 + b"\r\n") as peer:
+            app = await self._async_start(peer)
+            reply = await self.async_ask(app, "/chat/")
+            self.assertEqual(reply.status, HTTPStatus.BAD_GATEWAY)
+
+    async def test_stream_of_events_without_end_ends_at_the_routes_limit(self) -> None:
+        """The caller's stream is visibly broken, and other requests are served meanwhile."""
+        head = signed_head("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        event = b"id: 1\ndata: x\n\n"
+        with EndlessPeer(head, b"%x\r\n%b\r\n" % (len(event), event) * 1_000) as peer:
+            app = await self._async_start(peer)
+            started_s = time.monotonic()
+            stream = await self.async_ask(app, "/chat/")
+            relayed = asyncio.ensure_future(_async_count(stream))
+            while not relayed.done():
+                asked_s = time.monotonic()
+                reply = await self.async_ask(app, "/look/")
+                self.assertEqual((reply.status, await reply.async_read()), (200, b"done"))
+                self.assertLess(time.monotonic() - asked_s, ROUTE_TIMEOUT_S / 4)
+                await asyncio.sleep(0.02)
+            with self.assertRaises(AnswerTruncatedError):
+                await relayed
+            self.assertLess(time.monotonic() - started_s, ROUTE_TIMEOUT_S * 1.5)
+
+
+class EndlessStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Calls to the store end in time and hold no more than their limit."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+
+    async def _async_range(self, address: str) -> None:
+        async with asyncio.timeout(3 * CALL_TIMEOUT_MARGIN_MS / MS_PER_S):
+            with self.assertRaises(StoreError):
+                await StoreClient(self.client, address, lambda outcome: None).async_range("")
+
+    async def test_answer_without_end(self) -> None:
+        flood = b"10000\r\n" + BLOCK + b"\r\n"
+        for name, block, pause_s in (("flood", flood, 0.0), ("trickle", b"1\r\nx\r\n", 0.05)):
+            with self.subTest(name), EndlessPeer(CHUNKED, block, pause_s=pause_s) as peer:
+                await self._async_range(peer.address)
+                self.assertLessEqual(self.client.budget.peak_bytes, MAX_CALL_BYTES)
+
+    async def test_list_of_pages_without_end(self) -> None:
+        pages = 0
+
+        async def async_handle(request: Request) -> Response:
+            nonlocal pages
+            pages += 1
+            item = {"key": f"servers/{pages:09}", "value": "", "revision": 1}
+            return json_response(200, {"items": [item], "truncated": True, "current_rev": 1})
+
+        server = await async_serve(async_handle)
+        try:
+            await self._async_range(f"127.0.0.1:{server.port}")
+        finally:
+            await server.async_close()
+        self.assertEqual(pages, MAX_RANGE_PAGES)
+
 
 if __name__ == "__main__":
     unittest.main()
