Keep a budget for buffered answers whatever memory the settings state

A settings file with `memory_mb: 0` gave a budget of nothing, so that every answer that is read whole would have been dropped. The budget is 4 MiB at least.

--- a/tests/wagtailusher_platform/test_settings.py
+++ b/tests/wagtailusher_platform/test_settings.py
@@ -49,6 +49,14 @@
         self.assertEqual(options.max_buffered_bytes, 75_000_000)
         self.assertEqual(options.bounds.retry_window_ms, 10_000)
 
+    def test_buffered_answers_have_a_budget_whatever_memory_is_stated(self) -> None:
+        """No or little memory stated leaves room for ordinary answers."""
+        for stated, budget_bytes in (("", 32_000_000), ("memory_mb: 0, ", 4_194_304)):
+            content = SETTINGS.replace("memory_mb: 300, ", stated)
+            self.path.write_text(content, encoding="utf-8")
+            options = options_from(read_settings(self.path), {})
+            self.assertEqual(options.max_buffered_bytes, budget_bytes)
+
     def test_invalid_files_raise_errors_with_a_code(self) -> None:
         """A file that is malformed, incomplete or missing ends the start with an error."""
         for content in ("a: [", "node_name: x", SETTINGS.replace("[7200, 7215]", '"many"')):
