Bound the time of the whole answer to a request that may not be repeated

A service that sent a byte of its answer now and then held the daemon's request, its caller and its lease for as long as it went on, as only the silence between two reads was bounded.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
@@ -56,7 +56,8 @@
         try:
             answer = await self._context.async_open(dispatch)
             self._context.handle_first_token()
-            body = await answer.async_read(self._context.silence_timeout_ms)
+            timeout_ms = self._context.silence_timeout_ms
+            body = await answer.async_read(timeout_ms, timeout_ms=timeout_ms)
             check_complete(answer, body)
         except WagtailusherError as err:
             self._context.end_attempt_with_error(dispatch, err)
--- a/tests/standins/booking.py
+++ b/tests/standins/booking.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 import json
 
@@ -18,6 +19,7 @@
 )
 
 MS_PER_S = 1000
+TRICKLE_PAUSE_S = 0.05
 
 
 @dataclass(slots=True, kw_only=True)
@@ -26,6 +28,15 @@
 
     service_ms: int = 10
     silent_after_execution: bool = False
+    answers_without_end: bool = False
+    """Send one byte of the answer now and then, and never its end."""
+
+
+async def _async_trickle() -> AsyncIterator[bytes]:
+    """Yield a byte now and then, without end."""
+    while True:
+        yield b"x"
+        await asyncio.sleep(TRICKLE_PAUSE_S)
 
 
 class BookingStandin:
@@ -67,5 +78,7 @@
         self.executions[booking_id] += 1
         if self.behaviour.silent_after_execution:
             await asyncio.Event().wait()
+        if self.behaviour.answers_without_end:
+            return Response(body=_async_trickle())
         await asyncio.sleep(self.behaviour.service_ms / MS_PER_S)
         return json_response(200, {"booked": booking_id})
