Match every answer of an engine to its request

Callers of the daemon could get the answer to another request: an engine's answer without X-Request-Id counted as the own one, in a chat, a whole answer and a resumed stream, although engines echo the field. A late answer with another identifier ended the attempt, even where the own answer followed it, and of a field stated twice only the first value was looked at.

Cause: the coordinator looked at the identifier after the client had chosen the answer, and treated a missing one as a match. It now passes `matches_request` to the client, as the gateway does, with a matcher that needs the request's identifier exactly once. RequestIdMismatchError is gone with the check that raised it. The engine stand-in echoes the identifier in its 404 as well.

--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -22,6 +22,7 @@
     SendCancelledError,
 )
 from wagtailusher_http.headers import Headers
+from wagtailusher_http.matching import ResponseMatcher, match_identifier
 from wagtailusher_http.messages import (
     BodySink,
     BodyWriter,
@@ -53,11 +54,13 @@
     "ReadTimeoutError",
     "Request",
     "Response",
+    "ResponseMatcher",
     "SendCancelledError",
     "async_serve",
     "contains_response_head",
     "error_response",
     "is_event_stream",
     "json_response",
+    "match_identifier",
     "split_complete_events",
 ]
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -31,12 +31,11 @@
     SendCancelledError,
 )
 from wagtailusher_http.headers import Headers
+from wagtailusher_http.matching import ResponseMatcher
 
 _HOP_HEADERS = frozenset({"host", "content-length", "transfer-encoding", "connection"})
 
 MaySend = Callable[[], bool]
-ResponseMatcher = Callable[[Headers], bool]
-"""Returns, from the response headers, whether a response belongs to the request sent."""
 
 
 class ClientAnswer:
@@ -168,13 +167,15 @@
         head_timeout_ms: int = DEFAULT_HEAD_TIMEOUT_MS,
         host: str | None = None,
         matches_request: ResponseMatcher | None = None,
+        unmatched_timeout_ms: int | None = None,
     ) -> ClientAnswer:
         """Send a request to `host:port` and return the response once its head is received.
 
         `may_send` runs right before the first byte; False raises SendCancelledError, with nothing
         sent. `new_connection` bypasses the pool, `host` sets another Host header than the address.
-        At most MAX_UNMATCHED_RESPONSES that `matches_request` rejects are skipped. Raises
-        ConnectError when nothing was sent and AnswerError when part of the request may have been.
+        At most MAX_UNMATCHED_RESPONSES that `matches_request` rejects are skipped; after one, the
+        read time-out is `unmatched_timeout_ms` if given. Raises ConnectError when nothing was sent
+        and AnswerError when part of the request may have been.
         """
         fields = _request_headers(host or address, headers, body)
         head = h11.Request(method=method, target=target, headers=fields)
@@ -186,8 +187,9 @@
             await connection.async_send(head, body)
             answer_head = await connection.async_receive_head(head_timeout_ms)
             if matches_request is not None:
+                timeout_ms = unmatched_timeout_ms or head_timeout_ms
                 answer_head = await _async_receive_matching_head(
-                    connection, answer_head, matches_request, method, head_timeout_ms
+                    connection, answer_head, matches_request, method, timeout_ms
                 )
         except BaseException:
             connection.abort()
@@ -259,14 +261,19 @@
 ) -> h11.Response:
     """Return the head of the matching response, skipping responses to other requests.
 
-    Raises ReadTimeoutError when it does not arrive within the time-out.
+    Raises AnswerProtocolError when only others arrive within the time-out.
     """
     ends_ms = loop_now_ms() + timeout_ms
-    for _ in range(MAX_UNMATCHED_RESPONSES):
-        if matches_request(Headers.from_raw(head.headers)):
-            return head
-        await connection.async_skip_answer(method, max(0, ends_ms - loop_now_ms()))
-        head = await connection.async_receive_head(max(0, ends_ms - loop_now_ms()))
+    try:
+        for _ in range(MAX_UNMATCHED_RESPONSES):
+            if matches_request(Headers.from_raw(head.headers)):
+                return head
+            await connection.async_skip_answer(method, max(0, ends_ms - loop_now_ms()))
+            head = await connection.async_receive_head(max(0, ends_ms - loop_now_ms()))
+    except ReadTimeoutError as err:
+        raise AnswerProtocolError(
+            f"{connection.address} sent only a response to another request"
+        ) from err
     raise AnswerProtocolError(f"{connection.address} sent only responses to other requests")
 
 
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -10,12 +10,13 @@
 from pydantic import ValidationError
 
 from wagtailusher_core import RequestId, WagtailusherError, callback
-from wagtailusher_http import ClientAnswer, Headers, HttpClient
+from wagtailusher_http import ClientAnswer, Headers, HttpClient, ResponseMatcher, match_identifier
 from wagtailusher_integrations.engine.const import (
     CONTENT_TYPE_EVENTS,
     CONTENT_TYPE_JSON,
     DEFAULT_CANCEL_TIMEOUT_MS,
     DEFAULT_POLL_TIMEOUT_MS,
+    DEFAULT_UNMATCHED_TIMEOUT_MS,
     HEADER_PRIORITY,
     HEADER_REQUEST_ID,
     HEADER_TRACE,
@@ -26,7 +27,7 @@
     PATH_LOAD,
     PATH_RESUME,
 )
-from wagtailusher_integrations.engine.exceptions import EngineError, RequestIdMismatchError
+from wagtailusher_integrations.engine.exceptions import EngineError
 from wagtailusher_integrations.engine.models import ChatCall, LoadModel
 from wagtailusher_placement import EndpointInfo, LoadReport
 
@@ -51,8 +52,8 @@
     ) -> ClientAnswer:
         """Send a chat completion and return its answer.
 
-        Raises RequestIdMismatchError for the answer to another request, and EngineError for an
-        unexpected content type.
+        Answers that don't echo the request ID are skipped. Raises AnswerError when there is no
+        other one, and EngineError for an unexpected content type.
         """
         headers = Headers(
             (
@@ -72,8 +73,9 @@
             may_send=may_send,
             new_connection=new_connection,
             head_timeout_ms=head_timeout_ms,
+            matches_request=_match_request_id(call.request_id),
+            unmatched_timeout_ms=DEFAULT_UNMATCHED_TIMEOUT_MS,
         )
-        _check_request_id(answer, call.request_id)
         _check_content_type(answer, CONTENT_TYPE_EVENTS if call.streams else CONTENT_TYPE_JSON)
         return answer
 
@@ -87,11 +89,12 @@
             PATH_RESUME.format(request_id=request_id, offset=offset),
             new_connection=True,
             head_timeout_ms=head_timeout_ms,
+            matches_request=_match_request_id(request_id),
+            unmatched_timeout_ms=DEFAULT_UNMATCHED_TIMEOUT_MS,
         )
         if answer.status != HTTPStatus.OK:
             answer.abort()
             raise EngineError(f"the engine at {address} no longer holds the stream")
-        _check_request_id(answer, request_id)
         _check_content_type(answer, CONTENT_TYPE_EVENTS)
         return answer
 
@@ -143,12 +146,9 @@
     return await answer.async_read(timeout_ms, max_bytes=MAX_REPORT_BYTES, timeout_ms=timeout_ms)
 
 
-def _check_request_id(answer: ClientAnswer, request_id: RequestId) -> None:
-    """Raise RequestIdMismatchError if an answer has the ID of another request."""
-    echoed = answer.headers.get(HEADER_REQUEST_ID)
-    if echoed is not None and echoed != request_id:
-        answer.abort()
-        raise RequestIdMismatchError(f"the answer to {request_id} has request ID {echoed}")
+def _match_request_id(request_id: RequestId) -> ResponseMatcher:
+    """Return a matcher of the answers that echo a request ID."""
+    return match_identifier(HEADER_REQUEST_ID, request_id, required=True)
 
 
 def _check_content_type(answer: ClientAnswer, expected: str) -> None:
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/exceptions.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/exceptions.py
@@ -11,10 +11,6 @@
     code = ErrorCode.ENDPOINT_PROTOCOL
 
 
-class RequestIdMismatchError(EngineError):
-    """The answer has the ID of another request."""
-
-
 class IncompleteStreamError(EngineError):
     """The stream ended without its end marker."""
 
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 import json
 import time
 
@@ -245,7 +245,8 @@
         """Resume the stream of an answer at an event number."""
         generation = self._generations.get(request_id)
         if generation is None:
-            return error_response(404, ErrorCode.BAD_REQUEST, "no such request")
+            refusal = error_response(404, ErrorCode.BAD_REQUEST, "no such request")
+            return replace(refusal, headers=refusal.headers.with_header("x-request-id", request_id))
         self.counters.resumed += 1
         headers = Headers([("x-request-id", request_id), ("content-type", "text/event-stream")])
         return Response(headers=headers, body=generation.async_events(offset))
--- /dev/null
+++ b/tests/standins/raw_endpoint.py
@@ -0,0 +1,137 @@
+"""Stand-ins for endpoints that write arbitrary bytes in reply to a request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+import json
+
+from tests.standins.booking import BookingStandin
+from tests.standins.engine import EngineStandin
+
+LOAD_REPORT = json.dumps({"running": 0, "waiting": 0, "cold": False}).encode()
+
+
+@dataclass(slots=True)
+class RawRequest:
+    """One request; `earlier` are the previous requests of its connection but for load polls."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    earlier: list[RawRequest] = field(default_factory=list)
+
+    @property
+    def request_id(self) -> str:
+        """Return the identifier that an endpoint echoes."""
+        return self.headers.get("x-request-id") or self.target.split("/")[3]
+
+
+Reply = Callable[[RawRequest, asyncio.StreamWriter], Awaitable[None]]
+"""Writes the reply to a request and closes the writer to end the connection."""
+
+
+class RawServer:
+    """Answers load polls, and leaves every other request to a reply function."""
+
+    def __init__(self, reply: Reply) -> None:
+        """Create a server that does not listen until `async_start`."""
+        self.reply = reply
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def async_start(self) -> None:
+        """Start listening."""
+        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def async_stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve the requests of one connection."""
+        self._writers.append(writer)
+        earlier: list[RawRequest] = []
+        try:
+            while not writer.is_closing():
+                request = await _async_read(reader)
+                if request.target == "/load":
+                    writer.write(response(LOAD_REPORT))
+                else:
+                    request.earlier = list(earlier)
+                    earlier.append(request)
+                    await self.reply(request, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class RawEngine(EngineStandin):
+    """An engine whose replies are written by a function."""
+
+    def __init__(self, engine_id: str, reply: Reply) -> None:
+        super().__init__(engine_id)
+        self.server = RawServer(reply)
+
+    async def async_start(self, port: int = 0) -> None:
+        """Start listening on any port."""
+        await self.server.async_start()
+        self._port = self.server.port
+
+    async def async_stop(self) -> None:
+        """Stop listening and close all connections."""
+        await self.server.async_stop()
+
+
+class RawService(BookingStandin):
+    """A service whose replies are written by a function."""
+
+    def __init__(self, service_id: str, reply: Reply) -> None:
+        super().__init__(service_id)
+        self.server = RawServer(reply)
+
+    async def async_start(self) -> None:
+        """Start listening."""
+        await self.server.async_start()
+        self._port = self.server.port
+
+    async def async_stop(self) -> None:
+        """Stop listening and close all connections."""
+        await self.server.async_stop()
+
+
+def response(
+    body: bytes,
+    request_id: str | None = None,
+    *,
+    status: str = "200 OK",
+    content_type: str = "application/json",
+    has_length: bool = True,
+) -> bytes:
+    """Return a complete response; without a length its body ends with the connection."""
+    lines = [f"HTTP/1.1 {status}", f"content-type: {content_type}"]
+    if request_id is not None:
+        lines.append(f"x-request-id: {request_id}")
+    if has_length:
+        lines.append(f"content-length: {len(body)}")
+    return "\r\n".join((*lines, "", "")).encode() + body
+
+
+async def _async_read(reader: asyncio.StreamReader) -> RawRequest:
+    """Read one request with its body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.strip().split("\r\n")
+    method, target, _ = first.split(" ")
+    pairs = (line.split(":", 1) for line in lines)
+    headers = {name.strip().lower(): value.strip() for name, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return RawRequest(method=method, target=target, headers=headers, body=body)
--- /dev/null
+++ b/tests/wagtailusher_daemon/test_answer_matching.py
@@ -0,0 +1,146 @@
+"""End-to-end tests with endpoints whose bytes belong to another request or to none."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+import json
+import unittest
+
+from tests.standins.raw_endpoint import RawEngine, RawRequest, Reply, response
+from tests.wagtailusher_daemon.fleet import Fleet
+
+EVENT_STREAM = "text/event-stream"
+END_MARKER = b"data: [DONE]\n\n"
+OTHER_ID = "another-request"
+OWN_JSON = b'{"object": "chat.completion", "text": "own"}'
+OTHER_JSON = b'{"object": "chat.completion", "text": "other"}'
+
+Writes = Callable[[RawRequest], bytes]
+
+
+def events(text: str, count: int = 3) -> bytes:
+    """Return a number of events of a stream."""
+    return b"".join(f"data: {text} {number}\n\n".encode() for number in range(count))
+
+
+OWN_STREAM = events("own") + END_MARKER
+OTHER_STREAM = events("other") + END_MARKER
+
+
+def answer(
+    request_id: str | None, *, stream: bool, other: bool = False, has_length: bool = True
+) -> bytes:
+    """Return a complete answer of an engine."""
+    if stream:
+        body = OTHER_STREAM if other else OWN_STREAM
+        return response(body, request_id, content_type=EVENT_STREAM, has_length=has_length)
+    return response(OTHER_JSON if other else OWN_JSON, request_id, has_length=has_length)
+
+
+def no_answer(_: RawRequest) -> bytes:
+    """Return nothing."""
+    return b""
+
+
+def answer_to_none(_: RawRequest, *, stream: bool) -> bytes:
+    """Return an answer without an identifier."""
+    return answer(None, stream=stream, other=True)
+
+
+def late_answer(late_id: str | None, request: RawRequest, *, stream: bool) -> bytes:
+    """Return an answer to another request before the own one."""
+    late = answer(late_id, stream=stream, other=True)
+    return late + answer(request.request_id, stream=stream)
+
+
+def write_once(writes: Writes, *, closes: bool = False) -> Reply:
+    """Return a reply that writes bytes, and closes the connection on request."""
+
+    async def reply(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(writes(request))
+        await writer.drain()
+        if closes:
+            writer.close()
+
+    return reply
+
+
+class EngineAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bytes of another request's answer in the answer of an engine."""
+
+    async def asyncSetUp(self) -> None:
+        self.engines = [RawEngine(f"engine-{number}", write_once(no_answer)) for number in (0, 1)]
+        self.fleet = Fleet(vm_count=1, engine_count=0)
+        self.fleet.engines = [*self.engines]
+        await self.fleet.async_start()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.async_stop()
+
+    def _set_reply(self, reply: Reply) -> None:
+        for engine in self.engines:
+            engine.server.reply = reply
+
+    async def _async_chat(self, *, stream: bool) -> tuple[int, bytes]:
+        async with asyncio.timeout(10):
+            return await self.fleet.async_chat(stream=stream)
+
+    async def _async_expect_own(self, *, stream: bool) -> None:
+        status, body = await self._async_chat(stream=stream)
+        self.assertEqual((status, body), (200, OWN_STREAM if stream else OWN_JSON))
+
+    async def _async_expect_failure(self, *, stream: bool) -> None:
+        status, body = await self._async_chat(stream=stream)
+        self.assertEqual((status, json.loads(body)["error"]["code"]), (502, "endpoint_failed"))
+
+    async def test_answer_without_identifier_is_not_relayed(self) -> None:
+        for stream in (True, False):
+            with self.subTest(stream=stream):
+                self._set_reply(write_once(partial(answer_to_none, stream=stream)))
+                await self._async_expect_failure(stream=stream)
+
+    async def test_answer_with_two_identifiers_is_not_relayed(self) -> None:
+        def write(request: RawRequest) -> bytes:
+            line = f"x-request-id: {OTHER_ID}\r\n".encode()
+            head, body = answer(request.request_id, stream=True, other=True).split(b"\r\n\r\n")
+            return head + b"\r\n" + line + b"\r\n" + body
+
+        self._set_reply(write_once(write))
+        await self._async_expect_failure(stream=True)
+
+    async def test_late_answer_before_the_own_answer_is_not_relayed(self) -> None:
+        for stream in (True, False):
+            for late_id in (OTHER_ID, None):
+                with self.subTest(stream=stream, late_id=late_id):
+
+                    self._set_reply(write_once(partial(late_answer, late_id, stream=stream)))
+                    await self._async_expect_own(stream=stream)
+
+    async def test_resumed_stream_without_identifier_is_not_relayed(self) -> None:
+        own_part = events("own")
+
+        async def reply(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+            if request.method == "GET":
+                writer.write(answer(None, stream=True, other=True))
+                return
+            head = answer(request.request_id, stream=True).split(b"\r\n\r\n")[0]
+            writer.write(head + b"\r\n\r\n" + own_part)
+
+        self._set_reply(reply)
+        received = bytearray()
+        chat = await self.fleet.async_post(
+            "/v1/chat/completions",
+            {"model": "coach-7b", "stream": True, "messages": [{"role": "user", "content": "x"}]},
+        )
+        with self.assertRaises(Exception) as caught:
+            async with asyncio.timeout(10):
+                async for chunk in chat.iter_chunks():
+                    received += chunk
+        self.assertEqual(getattr(caught.exception, "code", None), "answer_truncated")
+        self.assertEqual(bytes(received), own_part)
+
+
+if __name__ == "__main__":
+    unittest.main()
