End a stream of the daemon at its end marker

Callers got bytes of another answer behind their own stream: everything up to the end of the HTTP message was relayed, with an answer that ends with its connection everything up to the close. A late stream behind the own one, with or without its head, passed as part of it and the whole as complete. A stored answer of a request that may not be repeated kept such bytes too.

Cause: the end marker only set a flag, which was compared with the last event received. The event stream now ends at the first end marker that begins a line; what follows is dropped, the relay ends the answer at once and closes the endpoint's connection. Relays of answers that end at their marker still return their connection to the pool.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
@@ -51,9 +51,9 @@
                 sink.write(part)
                 if self._unreported_events >= PROGRESS_BATCH_EVENTS:
                     self._report_progress()
-            return not sink.needs_drain
+            return not (sink.needs_drain or self._has_excess)
 
-        while not self._ended:
+        while not (self._ended or self._has_excess):
             self._ended = await self._async_relay_chunks(deliver)
             if not self._ended:
                 await sink.async_drain()
@@ -66,6 +66,11 @@
         if not self._ended:
             self._answer.abort()
 
+    @property
+    def _has_excess(self) -> bool:
+        """Return whether data followed the end marker, after which nothing is relayed."""
+        return self._stream is not None and self._stream.has_excess
+
     async def _async_relay_chunks(self, deliver: Callable[[bytes], bool]) -> bool:
         """Pass the answer's chunks to a function; return whether the answer has ended."""
         try:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -127,11 +127,15 @@
         self._node.remove(self._request_id)
 
 
-def check_complete(answer: ClientAnswer, body: bytes) -> None:
-    """Raise IncompleteAnswerError when a fully read event stream has no end marker."""
+def complete_body(answer: ClientAnswer, body: bytes) -> bytes:
+    """Return a fully read body, an event stream up to its end marker.
+
+    Raises IncompleteAnswerError when an event stream has no end marker.
+    """
     if not is_event_stream(answer.headers):
-        return
+        return body
     stream = EventStream()
-    stream.feed(body)
+    events = stream.feed(body)
     if not stream.is_complete:
         raise IncompleteAnswerError("event stream ended without its end marker")
+    return events
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/once_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from wagtailusher_core import WagtailusherError
-from wagtailusher_daemon.exchange import check_complete
+from wagtailusher_daemon.exchange import complete_body
 from wagtailusher_daemon.exchange_context import ExchangeContext
 from wagtailusher_daemon.responses import end_to_end_headers, refusal_response, stored_response
 from wagtailusher_http import Response
@@ -57,8 +57,8 @@
             answer = await self._context.async_open(dispatch)
             self._context.handle_first_token()
             timeout_ms = self._context.silence_timeout_ms
-            body = await answer.async_read(timeout_ms, timeout_ms=timeout_ms)
-            check_complete(answer, body)
+            read = await answer.async_read(timeout_ms, timeout_ms=timeout_ms)
+            body = complete_body(answer, read)
         except WagtailusherError as err:
             self._context.end_attempt_with_error(dispatch, err)
             return None
--- a/tests/wagtailusher_daemon/test_answer_matching.py
+++ b/tests/wagtailusher_daemon/test_answer_matching.py
@@ -55,6 +55,12 @@
     return late + answer(request.request_id, stream=stream)
 
 
+def own_stream_with_excess(excess: bytes, request: RawRequest, *, has_length: bool) -> bytes:
+    """Return the own stream with other data behind its end marker."""
+    body = OWN_STREAM + excess
+    return response(body, request.request_id, content_type=EVENT_STREAM, has_length=has_length)
+
+
 def write_once(writes: Writes, *, closes: bool = False) -> Reply:
     """Return a reply that writes bytes, and closes the connection on request."""
 
@@ -141,6 +147,30 @@
         self.assertEqual(getattr(caught.exception, "code", None), "answer_truncated")
         self.assertEqual(bytes(received), own_part)
 
+    async def test_bytes_behind_the_end_marker_are_not_relayed(self) -> None:
+        excess_bytes = (OTHER_STREAM, b"data: oth", response(OTHER_STREAM, OTHER_ID))
+        for has_length in (True, False):
+            for excess in excess_bytes:
+                with self.subTest(has_length=has_length, excess=excess):
+                    self._set_reply(
+                        write_once(
+                            partial(own_stream_with_excess, excess, has_length=has_length),
+                            closes=not has_length,
+                        )
+                    )
+                    await self._async_expect_own(stream=True)
+
+    async def test_endless_bytes_behind_the_end_marker_do_not_delay_the_answer(self) -> None:
+        async def reply(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request.request_id, stream=True, has_length=False))
+            while not writer.is_closing():
+                writer.write(OTHER_STREAM)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+
+        self._set_reply(reply)
+        await self._async_expect_own(stream=True)
+
 
 if __name__ == "__main__":
     unittest.main()
