Send each call to a service over its own connection

Callers of plain services could get the answer to another call: no answer of a service was matched to its request, and calls that may be repeated shared connections with earlier calls and with load polls. A late or second answer that arrived after the next call was sent became its answer.

Before, test_late_copy_of_an_answer_is_not_the_answer_to_the_next_call failed (the second caller got the first one's answer) and so did test_answer_with_the_identifier_of_another_call_is_not_relayed.

Services need not echo an identifier, so that a shared connection can't tell their answers apart. Every call now opens its connection, as calls that may not be repeated did already; an answer that states another identifier is skipped. The cost is a connection for each repeatable call; it was not measured.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
@@ -48,7 +48,6 @@
                 dispatch.address,
                 replace(call, headers=call.headers.with_header(HEADER_TRACE, traceparent)),
                 may_send=may_send,
-                new_connection=dispatch.new_connection,
                 head_timeout_ms=head_timeout_ms,
             )
         if dispatch.resume_from is not None:
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/service/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/service/coordinator.py
@@ -4,8 +4,12 @@
 
 from collections.abc import Callable
 
-from wagtailusher_http import ClientAnswer, HttpClient
-from wagtailusher_integrations.service.const import HEADER_REQUEST_ID, SECRET_HEADERS
+from wagtailusher_http import ClientAnswer, HttpClient, match_identifier
+from wagtailusher_integrations.service.const import (
+    DEFAULT_UNMATCHED_TIMEOUT_MS,
+    HEADER_REQUEST_ID,
+    SECRET_HEADERS,
+)
 from wagtailusher_integrations.service.models import ServiceCall
 
 
@@ -21,10 +25,14 @@
         call: ServiceCall,
         *,
         may_send: Callable[[], bool],
-        new_connection: bool,
         head_timeout_ms: int,
     ) -> ClientAnswer:
-        """Send a call and return its answer."""
+        """Send a call over a new connection and return its answer.
+
+        Services need not echo the request ID. An answer without it belongs to the call because its
+        connection carries no other; one with another ID is skipped. Raises AnswerError when there
+        is no usable answer.
+        """
         headers = call.headers.without(SECRET_HEADERS).with_header(
             HEADER_REQUEST_ID, call.request_id
         )
@@ -35,6 +43,8 @@
             headers,
             call.body,
             may_send=may_send,
-            new_connection=new_connection,
+            new_connection=True,
             head_timeout_ms=head_timeout_ms,
+            matches_request=match_identifier(HEADER_REQUEST_ID, call.request_id, required=False),
+            unmatched_timeout_ms=DEFAULT_UNMATCHED_TIMEOUT_MS,
         )
--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -52,6 +52,7 @@
                             }
                         },
                     },
+                    "stock": {"service": "bookings", "classes": {"lookup": {"tier": 3}}},
                 },
             }
             | fleet,
--- a/tests/wagtailusher_daemon/test_answer_matching.py
+++ b/tests/wagtailusher_daemon/test_answer_matching.py
@@ -8,7 +8,7 @@
 import json
 import unittest
 
-from tests.standins.raw_endpoint import RawEngine, RawRequest, Reply, response
+from tests.standins.raw_endpoint import RawEngine, RawRequest, RawService, Reply, response
 from tests.wagtailusher_daemon.fleet import Fleet
 
 EVENT_STREAM = "text/event-stream"
@@ -172,5 +172,40 @@
         await self._async_expect_own(stream=True)
 
 
+class ServiceAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against the answer to another call in the answer of a service."""
+
+    async def asyncSetUp(self) -> None:
+        self.service = RawService("booking-0", write_once(no_answer))
+        self.fleet = Fleet(vm_count=1, engine_count=0)
+        self.fleet.booking = self.service
+        await self.fleet.async_start()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.async_stop()
+
+    async def _async_call(self, name: str) -> tuple[int, bytes]:
+        async with asyncio.timeout(10):
+            called = await self.fleet.async_post(f"/services/stock/{name}", {"name": name})
+            return called.status, await called.async_read()
+
+    async def test_late_copy_of_an_answer_is_not_the_answer_to_the_next_call(self) -> None:
+        def write(request: RawRequest) -> bytes:
+            return b"".join(response(call.body) for call in (*request.earlier, request))
+
+        self.service.server.reply = write_once(write)
+        for name in ("first", "second", "third"):
+            status, body = await self._async_call(name)
+            self.assertEqual((status, json.loads(body)), (200, {"name": name}))
+
+    async def test_answer_with_the_identifier_of_another_call_is_not_relayed(self) -> None:
+        def write(request: RawRequest) -> bytes:
+            return response(b"other", OTHER_ID) + response(request.body, request.request_id)
+
+        self.service.server.reply = write_once(write)
+        status, body = await self._async_call("own")
+        self.assertEqual((status, json.loads(body)), (200, {"name": "own"}))
+
+
 if __name__ == "__main__":
     unittest.main()
