Reject a response head that was parsed from two heads

A caller could get the status and header fields of another answer with its own body: when only the first part of a late head had arrived and the own answer followed, the parser took the own status line as the end of a reason phrase or of a field's value. The fields behind it, with the own identifier, completed the merged head, which matched.

The test cuts them at every byte.

A head that contains a second status line now ends the exchange.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -31,7 +31,7 @@
     SendCancelledError,
 )
 from wagtailusher_http.headers import Headers
-from wagtailusher_http.matching import ResponseMatcher
+from wagtailusher_http.matching import ResponseMatcher, contains_status_line
 
 _HOP_HEADERS = frozenset({"host", "content-length", "transfer-encoding", "connection"})
 
@@ -266,6 +266,8 @@
     ends_ms = loop_now_ms() + timeout_ms
     try:
         for _ in range(MAX_UNMATCHED_RESPONSES):
+            if contains_status_line(head):
+                raise AnswerProtocolError(f"{connection.address} sent an incomplete head")
             if matches_request(Headers.from_raw(head.headers)):
                 return head
             await connection.async_skip_answer(method, max(0, ends_ms - loop_now_ms()))
--- a/tests/wagtailusher_http/test_client.py
+++ b/tests/wagtailusher_http/test_client.py
@@ -11,7 +11,14 @@
 from random import Random
 import unittest
 
-from wagtailusher_http import AnswerTruncatedError, ClientAnswer, HttpClient, ReadTimeoutError
+from wagtailusher_http import (
+    AnswerError,
+    AnswerTruncatedError,
+    ClientAnswer,
+    HttpClient,
+    ReadTimeoutError,
+    match_identifier,
+)
 
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 END = b"0\r\n\r\n"
@@ -154,6 +161,33 @@
                 with self.assertRaises(AnswerTruncatedError):
                     await answer.async_read()
 
+    async def test_part_of_a_late_answer_is_never_merged_with_the_next_answer(self) -> None:
+        own = b"HTTP/1.1 404 Not Found\r\nx-id: own\r\ncontent-length: 3\r\n\r\nown"
+        chunked = b"transfer-encoding: chunked\r\n\r\n5\r\nother\r\n" + END
+        for rest in (b"content-length: 5\r\n\r\nother", b"\r\nother", chunked):
+            late = b"HTTP/1.1 200 OK\r\nx-late: a b\r\nx-id: other\r\n" + rest
+            for cut in range(len(late) + 1):
+                with self.subTest(late=late[:cut]):
+                    self.peer.pieces = [late[:cut] + own]
+                    self.peer.closes = True
+                    self.peer.may_finish.set()
+                    await self._async_expect_own_or_error(404, b"own")
+
+    async def _async_expect_own_or_error(self, status: int, body: bytes) -> None:
+        """Expect the answer with the identifier `own` or an error."""
+        try:
+            answer = await self.client.async_request(
+                self.address,
+                "GET",
+                "/",
+                new_connection=True,
+                matches_request=match_identifier("x-id", "own", required=True),
+            )
+            received = answer.status, await answer.async_read()
+        except AnswerError:
+            return
+        self.assertEqual(received, (status, body))
+
 
 def _collect_into(seen: list[bytes]) -> Callable[[bytes], bool]:
     """Return a `deliver` function that appends each chunk to a list."""
