Reject an engine's whole answer without a length

Callers of a chat that isn't streamed could get a part of their answer as a complete one, or another answer behind it: where an engine states neither a length nor chunks, every byte up to the close passed as the body with status 200.

Before, test_whole_answer_of_unknown_length_is_not_relayed failed in both cases, a body closed early and one with a late answer behind it.

Nothing in such an answer shows where it ends, so that the attempt fails and is retried elsewhere. Streams end with their end marker and need no length. Plain services may answer without a length; there the end of the connection still counts as the end of the body.

--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -10,7 +10,14 @@
 from pydantic import ValidationError
 
 from wagtailusher_core import RequestId, WagtailusherError, callback
-from wagtailusher_http import ClientAnswer, Headers, HttpClient, ResponseMatcher, match_identifier
+from wagtailusher_http import (
+    ClientAnswer,
+    Headers,
+    HttpClient,
+    ResponseMatcher,
+    is_event_stream,
+    match_identifier,
+)
 from wagtailusher_integrations.engine.const import (
     CONTENT_TYPE_EVENTS,
     CONTENT_TYPE_JSON,
@@ -53,7 +60,7 @@
         """Send a chat completion and return its answer.
 
         Answers that don't echo the request ID are skipped. Raises AnswerError when there is no
-        other one, and EngineError for an unexpected content type.
+        other one, and EngineError for an unexpected content type or a body of unknown length.
         """
         headers = Headers(
             (
@@ -77,6 +84,7 @@
             unmatched_timeout_ms=DEFAULT_UNMATCHED_TIMEOUT_MS,
         )
         _check_content_type(answer, CONTENT_TYPE_EVENTS if call.streams else CONTENT_TYPE_JSON)
+        _check_length(answer)
         return answer
 
     async def async_resume(
@@ -157,3 +165,13 @@
     if answer.status == HTTPStatus.OK and not found.startswith(expected):
         answer.abort()
         raise EngineError(f"the engine answered with {found}")
+
+
+def _check_length(answer: ClientAnswer) -> None:
+    """Raise EngineError if nothing shows where an answer's body ends.
+
+    A stream of events ends with its end marker.
+    """
+    if answer.is_delimited_by_close and not is_event_stream(answer.headers):
+        answer.abort()
+        raise EngineError("the engine answered without the length of the body")
--- a/tests/wagtailusher_daemon/test_answer_matching.py
+++ b/tests/wagtailusher_daemon/test_answer_matching.py
@@ -61,6 +61,11 @@
     return response(body, request.request_id, content_type=EVENT_STREAM, has_length=has_length)
 
 
+def unframed(body: bytes, request: RawRequest) -> bytes:
+    """Return a whole answer whose body ends with its connection."""
+    return response(body, request.request_id, has_length=False)
+
+
 def write_once(writes: Writes, *, closes: bool = False) -> Reply:
     """Return a reply that writes bytes, and closes the connection on request."""
 
@@ -160,6 +165,12 @@
                     )
                     await self._async_expect_own(stream=True)
 
+    async def test_whole_answer_of_unknown_length_is_not_relayed(self) -> None:
+        for rest in (OWN_JSON[:20], OWN_JSON + response(OTHER_JSON, OTHER_ID)):
+            with self.subTest(rest=rest):
+                self._set_reply(write_once(partial(unframed, rest), closes=True))
+                await self._async_expect_failure(stream=False)
+
     async def test_endless_bytes_behind_the_end_marker_do_not_delay_the_answer(self) -> None:
         async def reply(request: RawRequest, writer: asyncio.StreamWriter) -> None:
             writer.write(answer(request.request_id, stream=True, has_length=False))
