--- a/tests/standins/raw_endpoint.py
+++ b/tests/standins/raw_endpoint.py
@@ -42,6 +42,7 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
+        self._tasks: set[asyncio.Task[None] | None] = set()
 
     async def async_start(self) -> None:
         """Start listening."""
@@ -54,12 +55,15 @@
             self._server.close()
         for writer in self._writers:
             writer.close()
+        await asyncio.gather(*(task for task in self._tasks if task is not None))
 
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve the requests of one connection."""
         self._writers.append(writer)
+        task = asyncio.current_task()
+        self._tasks.add(task)
         earlier: list[RawRequest] = []
         try:
             while not writer.is_closing():
@@ -73,6 +77,8 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        finally:
+            self._tasks.discard(task)
 
 
 class RawEngine(EngineStandin):
