Don't resume a stream behind its end marker

A caller could get another answer's bytes behind its own complete stream: when an endpoint sent the end marker and then went silent, without the end of the HTTP message, the exchange resumed the stream after its last event. The resumed attempt has its own event stream, which had not seen the marker, and relayed whatever the endpoint answered there.

The relay now completes at the end marker: an error behind it ends the endpoint's connection, not the answer.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
@@ -43,7 +43,10 @@
         return b""
 
     async def async_relay_rest(self, sink: BodySink) -> None:
-        """Relay the rest; raise IncompleteAnswerError when the end marker is missing."""
+        """Relay the rest; raise IncompleteAnswerError when the end marker is missing.
+
+        An error behind the end marker is ignored, as nothing is left to relay or to resume.
+        """
 
         def deliver(chunk: bytes) -> bool:
             part = self._split_events(chunk)
@@ -54,7 +57,12 @@
             return not (sink.needs_drain or self._has_excess)
 
         while not (self._ended or self._has_excess):
-            self._ended = await self._async_relay_chunks(deliver)
+            try:
+                self._ended = await self._async_relay_chunks(deliver)
+            except WagtailusherError:
+                if self._stream is None or not self._stream.is_complete:
+                    raise
+                break
             if not self._ended:
                 await sink.async_drain()
         self._check_complete()
--- a/tests/wagtailusher_daemon/test_answer_matching.py
+++ b/tests/wagtailusher_daemon/test_answer_matching.py
@@ -165,6 +165,19 @@
                     )
                     await self._async_expect_own(stream=True)
 
+    async def test_stream_is_not_resumed_behind_its_end_marker(self) -> None:
+        async def reply(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+            if request.method == "GET":
+                writer.write(own_stream_with_excess(OTHER_STREAM, request, has_length=True))
+                return
+            own = answer(request.request_id, stream=True, has_length=False)
+            head, body = own.split(b"\r\n\r\n")
+            chunk = b"%x\r\n%b\r\n" % (len(body), body)
+            writer.write(head + b"\r\ntransfer-encoding: chunked\r\n\r\n" + chunk)
+
+        self._set_reply(reply)
+        await self._async_expect_own(stream=True)
+
     async def test_whole_answer_of_unknown_length_is_not_relayed(self) -> None:
         for rest in (OWN_JSON[:20], OWN_JSON + response(OTHER_JSON, OTHER_ID)):
             with self.subTest(rest=rest):
