Don't say that a request has not run after a failed attempt

When an attempt had failed and no endpoint had room for the next one, callers were answered 503 with 'not run', though the first endpoint may have run the request. Failing before: test_refusal_after_a_failed_attempt_does_not_say_that_the_request_has_not_run (503). The refusal of a reservation now goes through the state of the delivery, as all other ends of an exchange do: 502.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -8,12 +8,13 @@
 from wagtailusher_core import EndpointId, ErrorCode, WagtailusherError
 from wagtailusher_gateway.attempt import Attempt, SendResult
 from wagtailusher_gateway.const import MS_PER_S
-from wagtailusher_gateway.delivery import Delivery
+from wagtailusher_gateway.delivery import Delivery, DeliveryState
 from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest, queue_name
 from wagtailusher_gateway.events import StreamPosition
 from wagtailusher_gateway.exceptions import BrokenStreamError, RefusedError
 from wagtailusher_gateway.http_mapping import ForwardContext, HttpMapping
 from wagtailusher_gateway.models import Workspace
+from wagtailusher_gateway.placement import Reservation
 from wagtailusher_gateway.request_record import RequestRecord
 from wagtailusher_gateway.stream_version_exchange import StreamVersionExchange
 from wagtailusher_gateway.stream_versions import record_life_ms
@@ -112,7 +113,7 @@
 
         Returns None if the attempt failed and another one may follow.
         """
-        reservation = await self._dispatcher.async_reserve(self._routed_request, self._excluded)
+        reservation = await self._async_reserve()
         self._record.record_reservation(reservation, self._dispatcher.clock_ms())
         attempt = Attempt(
             self._dispatcher, self._client, reservation, self._delivery, self._position
@@ -148,6 +149,17 @@
             return None
         return attempt
 
+    async def _async_reserve(self) -> Reservation:
+        """Wait for a reservation; a refusal after a failed attempt does not say "not run"."""
+        try:
+            return await self._dispatcher.async_reserve(self._routed_request, self._excluded)
+        except RefusedError as refusal:
+            if self._delivery.state is DeliveryState.NOT_SENT:
+                raise
+            raise self._delivery.error(
+                refusal.message, refusal.code, refusal.retry_after_ms or 0
+            ) from refusal
+
     def _handle_failure(self, attempt: Attempt, err: WagtailusherError) -> None:
         """Record a failed attempt; raise if no other one may follow."""
         self._attempt = None
--- a/tests/wagtailusher_platform/test_answer_ownership.py
+++ b/tests/wagtailusher_platform/test_answer_ownership.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from tests.standins.late_answers import (
     refused_then_repeated_late,
     unframed_stream,
@@ -12,7 +14,7 @@
     unframed_then_second_answer,
     unidentified_then_answer,
 )
-from tests.standins.runner import answer, mismatched_then_answer, stream, unframed
+from tests.standins.runner import answer, mismatched_then_answer, silent, stream, unframed
 from tests.wagtailusher_platform.fleet import PlatformTest
 from wagtailusher_http import AnswerTruncatedError
 
@@ -55,6 +57,19 @@
         self.assertEqual((reply.status, await reply.async_read()), (200, b"mine"))
         self.assertEqual(len(runners[0].executed_ids), 1)
 
+    async def test_refusal_after_a_failed_attempt_does_not_say_that_the_request_has_not_run(
+        self,
+    ) -> None:
+        """The first attempt may have run; no endpoint is left for another one."""
+        app, runners = await self.async_endpoints_and_gateway("desk", (silent(),))
+        asking = asyncio.ensure_future(self.async_ask(app, "/look/"))
+        await self.async_until(lambda: len(runners[0].executed_ids) == 1)
+        self.store.remove("servers/i-1")
+        await self.async_until(lambda: not app.view_cache.view.endpoints)
+        await runners[0].async_stop()
+        reply = await asking
+        self.assertEqual(reply.status, 502)
+
 
 class LateAnswerTest(PlatformTest):
     """Late and second answers do not reach callers."""
