Let any VM continue a stream at the few endpoints of its version

Of 68 VMs 12 could place a resumed stream at two engines of its version with three places free each, as few VMs compete for a place; callers resume at any VM. Requests that require a software version are now exempt. Failing before: test_any_vm_may_continue_a_stream_at_the_few_engines_of_its_version (12 of 68). The effect on preemption was not measured.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -126,7 +126,8 @@
         """Reserve a slot at the endpoint with the lowest cost; return None if all are full.
 
         `excluded` endpoints are used only if no other one has capacity, and endpoints of other
-        versions than a required `software_version` not at all.
+        versions than a required `software_version` not at all. A request with a required version
+        may take any free place, as it has few endpoints to choose from.
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties = self._penalties_ms(service, terms, usable)
@@ -137,7 +138,10 @@
             candidate
             for candidate in self._candidates(service, terms, usable, view, vm_ids, now_ms)
             if candidate[0].endpoint.endpoint_id in penalties
-            and self._may_compete(service, terms, candidate, preferred_ids, rank)
+            and (
+                software_version is not None
+                or self._may_compete(service, terms, candidate, preferred_ids, rank)
+            )
         ]
         candidates = _without_excluded(candidates, excluded) or candidates
         if not candidates:
