--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -320,6 +320,8 @@
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Reset the connection: closing with a linger time of 0 sends RST instead of FIN."""
+    if writer.is_closing():
+        return
     raw = writer.get_extra_info("socket")
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
