Test that a cold limit holds after an idle engine restarts

Callers saw: an engine that crashed while idle and was back cold within 200 ms got three chats at once from three VMs at a cold limit of 2, and crashed again.

--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -204,6 +204,7 @@
         failure_domain_id=FailureDomainId("domain-0"),
         address=engine.address,
         concurrency_limit=engine.behaviour.concurrency_limit,
+        cold_limit=engine.behaviour.cold_limit,
         resumes_streams=True,
     )
 
--- /dev/null
+++ b/tests/wagtailusher_daemon/test_cold_restart.py
@@ -0,0 +1,57 @@
+"""Tests of entry apps that share an engine which crashes while idle and restarts cold."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.wagtailusher_daemon.fleet import Fleet
+
+VM_COUNT = 3
+COLD_LIMIT = 2
+CHAT_COUNT = 6
+WARM_UP_ROUNDS = 3
+LEASE_SPREAD_S = 0.3
+ANSWERS_TIMEOUT_S = 5.0
+COLLAPSE_CHECK_S = 0.02
+
+
+class ColdRestartTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against more requests than a cold engine bears, sent before its restart is seen."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet(vm_count=VM_COUNT, engine_count=1)
+        self.engine = self.fleet.engines[0]
+        self.engine.behaviour.cold_limit = COLD_LIMIT
+        await self.fleet.async_start()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.async_stop()
+
+    async def test_cold_limit_holds_after_an_idle_engine_restarts(self) -> None:
+        for _ in range(WARM_UP_ROUNDS):
+            await asyncio.gather(*(self.fleet.async_chat(vm=vm) for vm in range(VM_COUNT)))
+        await asyncio.sleep(LEASE_SPREAD_S)
+        self.engine.behaviour.first_token_ms = 100
+        await self.engine.async_crash(down_ms=200)
+        statuses = await self._async_chat_until_collapse()
+        counters = self.engine.counters
+        self.assertEqual((counters.collapsed, counters.crashes), (0, 1))
+        self.assertLessEqual(counters.most_in_flight_cold, COLD_LIMIT)
+        self.assertEqual(statuses, [200] * CHAT_COUNT)
+
+    async def _async_chat_until_collapse(self) -> list[int]:
+        """Send chats to all VMs at once; return the statuses of those that ended in time."""
+        tasks = [
+            asyncio.create_task(self.fleet.async_chat(vm=number % VM_COUNT))
+            for number in range(CHAT_COUNT)
+        ]
+        ends_at_s = asyncio.get_running_loop().time() + ANSWERS_TIMEOUT_S
+        while not self.engine.counters.collapsed and not all(task.done() for task in tasks):
+            if asyncio.get_running_loop().time() > ends_at_s:
+                break
+            await asyncio.sleep(COLLAPSE_CHECK_S)
+        for task in tasks:
+            task.cancel()
+        answers = await asyncio.gather(*tasks, return_exceptions=True)
+        return [answer[0] for answer in answers if not isinstance(answer, BaseException)]
