Take an engine that refuses a load poll for cold

Callers saw: an idle engine that crashed and was back cold after 200 ms got three chats at once from three VMs at a cold limit of 2, and crashed again.

Cause: a failed load poll was only logged. Leases that were granted while the engine was warm stayed in force until a load report or a first token came.

Fix: a poll whose connection is refused tells the decider at once. This VM voids its lease and reports the endpoint as cold; the steward recalls the others'. No process listens where a connection is refused, so what listens later may be cold. Time-outs and connections closed without an answer don't count.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -369,7 +369,9 @@
         engines = [info for info in decider.tracked_endpoints if info.kind is EndpointKind.ENGINE]
         stewards = {info.endpoint_id: decider.steward_id(info.endpoint_id) for info in engines}
         engines_to_poll = self.load_cache.engines_to_poll(engines, stewards, monotonic_ms())
-        reports = await self.upstream.engines.async_poll_load(engines_to_poll, monotonic_ms)
+        reports = await self.upstream.engines.async_poll_load(
+            engines_to_poll, monotonic_ms, on_refused=self.node.observe_refused_connection
+        )
         self.node.observe_reports(reports)
 
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from wagtailusher_core import RequestId, callback
+from wagtailusher_core import EndpointId, RequestId, callback
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.load_reports import LoadReportCache
 from wagtailusher_once import ForwardTo, StoredAnswer
@@ -98,6 +98,11 @@
             self._load_reports.record(report, monotonic_ms())
             self.apply(self.decider.observe_report(report, monotonic_ms()))
 
+    @callback
+    def observe_refused_connection(self, endpoint_id: EndpointId) -> None:
+        """Process an endpoint's refusal of a connection."""
+        self.apply(self.decider.observe_refused_connection(endpoint_id, monotonic_ms()))
+
     @callback
     def handle_lease_request(self, request: LeaseRequest) -> None:
         """Process another VM's lease request."""
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -9,9 +9,10 @@
 
 from pydantic import ValidationError
 
-from wagtailusher_core import RequestId, WagtailusherError, callback
+from wagtailusher_core import EndpointId, RequestId, WagtailusherError, callback
 from wagtailusher_http import (
     ClientAnswer,
+    ConnectError,
     Headers,
     HttpClient,
     ResponseMatcher,
@@ -40,6 +41,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+OnRefused = Callable[[EndpointId], None]
+
 
 class EngineCoordinator:
     """Calls engines; to them a lower priority number is more urgent."""
@@ -125,17 +128,24 @@
             _LOGGER.debug("Engine: cancel of %s failed: %s", request_id, err.code)
 
     async def async_poll_load(
-        self, endpoints: Iterable[EndpointInfo], now_ms: Callable[[], int]
+        self,
+        endpoints: Iterable[EndpointInfo],
+        now_ms: Callable[[], int],
+        *,
+        on_refused: OnRefused | None = None,
     ) -> list[LoadReport]:
-        """Return the load of the endpoints that answer; at most MAX_POLLED_ENDPOINTS are polled."""
+        """Return the load of the endpoints that answer; at most MAX_POLLED_ENDPOINTS are polled.
+
+        `on_refused` is called at once for each endpoint that refuses the connection.
+        """
         polled = tuple(endpoints)[:MAX_POLLED_ENDPOINTS]
         reports = await asyncio.gather(
-            *(self._async_poll_endpoint(endpoint, now_ms) for endpoint in polled)
+            *(self._async_poll_endpoint(endpoint, now_ms, on_refused) for endpoint in polled)
         )
         return [report for report in reports if report is not None]
 
     async def _async_poll_endpoint(
-        self, endpoint: EndpointInfo, now_ms: Callable[[], int]
+        self, endpoint: EndpointInfo, now_ms: Callable[[], int], on_refused: OnRefused | None
     ) -> LoadReport | None:
         """Return one endpoint's load, or None if it does not answer or is malformed."""
         try:
@@ -146,9 +156,16 @@
             return LoadModel.model_validate_json(body).to_report(endpoint.endpoint_id, now_ms())
         except (WagtailusherError, ValidationError) as err:
             _LOGGER.debug("Engine: load poll of %s failed: %s", endpoint.endpoint_id, err)
+            if on_refused is not None and _is_refused(err):
+                on_refused(endpoint.endpoint_id)
             return None
 
 
+def _is_refused(err: Exception) -> bool:
+    """Return whether a connection was refused, as happens while no process listens."""
+    return isinstance(err, ConnectError) and isinstance(err.__cause__, ConnectionRefusedError)
+
+
 async def _async_read_report(answer: ClientAnswer, timeout_ms: int) -> bytes:
     """Return a short body; raise AnswerError if it is long or not complete in time."""
     return await answer.async_read(timeout_ms, max_bytes=MAX_REPORT_BYTES, timeout_ms=timeout_ms)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -95,6 +95,12 @@
         self._fleet.observe_report(report, now_ms)
         self._refresh_if_due(now_ms)
 
+    def observe_refused_connection(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Void the lease on an endpoint that refused a connection; it may return cold."""
+        endpoint = self._fleet.tracked.get(endpoint_id)
+        if endpoint is not None:
+            self._lease_holder.mark_cold(endpoint, now_ms)
+
     def observe_cache_event(self, event: CacheEvent, now_ms: int) -> None:
         """Apply a change of an endpoint's prefix cache."""
         self._fleet.prefixes.observe(event)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/steward.py
@@ -95,6 +95,13 @@
         if stewardship is not None:
             stewardship.observe_report(report, now_ms)
 
+    def observe_refused_connection(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Mark an endpoint cold that refused a connection, so its process does not run."""
+        self._check_pause(now_ms)
+        stewardship = self._stewardships.get(endpoint_id)
+        if stewardship is not None:
+            stewardship.mark_cold(now_ms)
+
     def grant_lease(self, request: LeaseRequest, now_ms: int) -> LeaseGrant | None:
         """Return the grant for a holder's request, or None.
 
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -164,6 +164,13 @@
         self._leases.observe_report(report, now_ms)
         return tuple(self._dispatcher.dispatch_all_pools(now_ms))
 
+    def observe_refused_connection(
+        self, endpoint_id: EndpointId, now_ms: int
+    ) -> tuple[Action, ...]:
+        """Treat an endpoint that refused a connection as cold; return the recalls of its leases."""
+        self._leases.observe_refused_connection(endpoint_id, now_ms)
+        return tuple(self._leases.due_recalls(now_ms))
+
     def start_draining(self) -> None:
         """Refuse new requests from now on; requests already tracked continue."""
         self._draining = True
@@ -306,13 +313,7 @@
 
     def find_handover_candidates(self, now_ms: int) -> tuple[HandoverCandidate, ...]:
         """Return the waiting requests to hand over, each again only after the retry interval."""
-        candidates = []
-        for tracked in self._gate.leaders():
-            peer_id = self._handover.peer_for_right_to_run(tracked, now_ms)
-            if peer_id is not None:
-                tracked.handover_tried_ms = now_ms
-                candidates.append(HandoverCandidate(request_id=tracked.request_id, peer_id=peer_id))
-        return tuple(candidates)
+        return tuple(self._handover.due_candidates(self._gate.leaders(), now_ms))
 
     def hand_over(
         self, request_id: RequestId, successor: ForwardTo, now_ms: int
--- a/packages/wagtailusher_router/src/wagtailusher_router/handover.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/handover.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from wagtailusher_core import EndpointId, ErrorCode, PoolId, VmId
 from wagtailusher_placement import EndpointInfo, PlacementDecider
+from wagtailusher_router.actions import HandoverCandidate
 from wagtailusher_router.const import (
     HANDOVER_RETRY_MS,
     HANDOVER_WAIT_MS,
@@ -41,7 +42,17 @@
             return None
         return self._find_peer(tracked, now_ms)
 
-    def peer_for_right_to_run(self, tracked: TrackedRequest, now_ms: int) -> VmId | None:
+    def due_candidates(
+        self, leaders: Iterable[TrackedRequest], now_ms: int
+    ) -> Iterator[HandoverCandidate]:
+        """Yield the requests whose right to run is to be handed over, and record the try."""
+        for tracked in leaders:
+            peer_id = self._peer_for_right_to_run(tracked, now_ms)
+            if peer_id is not None:
+                tracked.handover_tried_ms = now_ms
+                yield HandoverCandidate(request_id=tracked.request_id, peer_id=peer_id)
+
+    def _peer_for_right_to_run(self, tracked: TrackedRequest, now_ms: int) -> VmId | None:
         """Return the peer to hand the right to run to, or None; retries are spaced out."""
         if (
             tracked.phase is not Phase.QUEUED
--- a/packages/wagtailusher_router/src/wagtailusher_router/leasing.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/leasing.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator, Mapping
 
-from wagtailusher_core import FailureDomainId, PoolId, PublishedVm, VmId
+from wagtailusher_core import EndpointId, FailureDomainId, PoolId, PublishedVm, VmId
 from wagtailusher_placement import (
     EndpointInfo,
     LeaseGrant,
@@ -53,6 +53,11 @@
         """Apply an endpoint's load report."""
         self._steward.observe_report(report, now_ms)
 
+    def observe_refused_connection(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Apply an endpoint's refusal of a connection."""
+        self._placement.observe_refused_connection(endpoint_id, now_ms)
+        self._steward.observe_refused_connection(endpoint_id, now_ms)
+
     def due_requests(
         self, demand: Mapping[PoolId, Mapping[int, int]], now_ms: int
     ) -> Iterator[SendLeaseRequest]:
--- a/tests/wagtailusher_daemon/test_cold_restart.py
+++ b/tests/wagtailusher_daemon/test_cold_restart.py
@@ -19,21 +19,25 @@
 class ColdRestartTest(unittest.IsolatedAsyncioTestCase):
     """Guards against more requests than a cold engine bears, sent before its restart is seen."""
 
-    async def asyncSetUp(self) -> None:
-        self.fleet = Fleet(vm_count=VM_COUNT, engine_count=1)
+    async def test_cold_limit_holds_after_an_idle_engine_restarts(self) -> None:
+        await self._async_check_restart(down_ms=200, load_poll_interval_ms=50)
+
+    async def test_cold_limit_holds_after_a_restart_between_two_polls(self) -> None:
+        await self._async_check_restart(down_ms=20, load_poll_interval_ms=1_000)
+
+    async def _async_check_restart(self, *, down_ms: int, load_poll_interval_ms: int) -> None:
+        """Restart an idle engine, send chats to all VMs at once and check the cold limit."""
+        options = {"load_poll_interval_ms": load_poll_interval_ms}
+        self.fleet = Fleet(vm_count=VM_COUNT, engine_count=1, options=options)
         self.engine = self.fleet.engines[0]
         self.engine.behaviour.cold_limit = COLD_LIMIT
+        self.addAsyncCleanup(self.fleet.async_stop)
         await self.fleet.async_start()
-
-    async def asyncTearDown(self) -> None:
-        await self.fleet.async_stop()
-
-    async def test_cold_limit_holds_after_an_idle_engine_restarts(self) -> None:
         for _ in range(WARM_UP_ROUNDS):
             await asyncio.gather(*(self.fleet.async_chat(vm=vm) for vm in range(VM_COUNT)))
         await asyncio.sleep(LEASE_SPREAD_S)
         self.engine.behaviour.first_token_ms = 100
-        await self.engine.async_crash(down_ms=200)
+        await self.engine.async_crash(down_ms=down_ms)
         statuses = await self._async_chat_until_collapse()
         counters = self.engine.counters
         self.assertEqual((counters.collapsed, counters.crashes), (0, 1))
--- a/tests/wagtailusher_placement/test_leases.py
+++ b/tests/wagtailusher_placement/test_leases.py
@@ -297,6 +297,42 @@
             self.assertEqual([item.cold_since_ms for item in fleet.endpoints.values()], [None] * 2)
             self.assertGreater(fleet.allowed(EndpointId("a")), 2)
 
+    def test_an_endpoint_that_refused_a_connection_is_cold_for_every_node_after_a_lifetime(
+        self,
+    ) -> None:
+        for node_count, loss in ((1, 0.0), (3, 0.0), (9, 0.0), (3, 0.3), (9, 0.3)):
+            for reports_cold in (True, False):
+                with self.subTest(node_count=node_count, loss=loss, reports_cold=reports_cold):
+                    cold = endpoint("a")
+                    cold.reports_cold = reports_cold
+                    endpoints = [cold, endpoint("b"), endpoint("c")]
+                    fleet = FakeFleet(endpoints, node_count, seed=node_count, loss=loss)
+                    self.check_restart_after_refusal(fleet, cold)
+
+    def check_restart_after_refusal(self, fleet: FakeFleet, cold: FakeEndpoint) -> None:
+        """Let the steward of an idle endpoint see a refusal, and restart it a lifetime later."""
+        fleet.run(SETTLED_MS)
+        endpoint_id = cold.info.endpoint_id
+        self.assertGreater(fleet.allowed(endpoint_id), cold.info.cold_limit)
+        self.set_demand(fleet, 0)
+        fleet.run(8_000)
+        steward_id = find_steward(cold.info, fleet.lists[-1][1])
+        assert steward_id is not None
+        node = fleet.nodes[steward_id]
+        node.placement.observe_refused_connection(endpoint_id, fleet.now_ms)
+        node.steward.observe_refused_connection(endpoint_id, fleet.now_ms)
+        fleet.run(LIMITS.lifetime_ms)
+        cold.begin_cold_start(fleet.now_ms)
+        self.set_demand(fleet, 36 // len(fleet.nodes))
+        run_checked(self, fleet, 40_000)
+        self.assertEqual(cold.excess_sent_ms, [])
+        self.assertIsNone(cold.cold_since_ms)
+
+    def set_demand(self, fleet: FakeFleet, demand: int) -> None:
+        """Set the number of requests that each node keeps in flight."""
+        for node in fleet.nodes.values():
+            node.demand = demand
+
     def test_a_cold_endpoint_warms_up_though_its_steward_has_no_callers(self) -> None:
         fleet = FakeFleet([endpoint("a")], 5, seed=2)
         cold = fleet.endpoints[EndpointId("a")]
