Check in the fault soak that streams go on at the version that began them

The soak knew no software versions, so it couldn't find streams that hold events of two (ORDER), nor streams that are refused needlessly (LOST).

The engines now have two versions, two endpoints each, and restart as either one. Their events name the version that wrote them. Callers leave some resumable streams, and take up broken ones at any VM with Last-Event-Id and Resumes.

- check_software_versions allows no stream with events of two versions, in one answer or over its tries. check_bodies compares all bytes as before; only the version in an event may be either one there.
- check_lost has the platform's bound: of 12 or more streams taken up while two endpoints of their version serve, half of the share of new streams that begin.
It counts members' requests at VMs that have no fault when they are sent.

Both find an injected fault: a store that states v1 for all endpoints, and callers that name attempts which began no stream.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 
 from tests.soak.const import ENTRY_COUNT
 from tests.soak.seed_run import SeedResult, async_run_seed
+from tests.soak.stream_checks import count_streams
 
 
 def soak(*, first: int = 1, count: int = 50, at_once: int = 2, entries: int = ENTRY_COUNT) -> None:
@@ -50,6 +51,7 @@
         f"seed {result.seed}: {len(observations.sent)} requests, {served} served, "
         f"{len(observations.executions)} executions; {', '.join(result.faults)}"
     )
+    print(f"  {count_streams(observations)}")  # noqa: T201
     for text in result.violations[:10]:
         print(f"  {text}")  # noqa: T201
     if result.violations:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from http import HTTPStatus
+from itertools import chain, repeat
 
 from tests.soak.const import (
     COLD_OVERAGE,
@@ -16,9 +17,11 @@
     MS_PER_S,
     RECOVERY_MS,
     SERVED_SHARE,
+    SOFTWARE_VERSIONS,
     STREAM_EVENTS,
 )
 from tests.soak.observations import MEMBERS, CallerAnswer, Execution, Kind, Observations
+from tests.soak.stream_checks import check_lost, check_software_versions, event_versions
 
 NOT_RUN = frozenset(
     {
@@ -41,16 +44,23 @@
 Check = Callable[[Observations], Iterator[str]]
 
 
-def expected_body(attempt_id: str, kind: Kind) -> bytes:
-    """Return the complete answer of a fault-free endpoint."""
+def expected_body(
+    attempt_id: str, kind: Kind, after: int = 0, versions: Sequence[str] = ()
+) -> bytes:
+    """Return the complete answer of a fault-free endpoint.
+
+    A stream begins after event `after`; `versions` wrote its first events.
+    """
     if kind not in STREAMS:
         return f"done {attempt_id}".encode()
-    return b"".join(stream_event(attempt_id, number) for number in range(1, STREAM_EVENTS + 1))
+    numbers = range(after + 1, STREAM_EVENTS + 1)
+    writers = chain(versions, repeat(SOFTWARE_VERSIONS[0]))
+    return b"".join(map(stream_event, repeat(attempt_id), numbers, writers))
 
 
-def stream_event(attempt_id: str, number: int) -> bytes:
-    """Return one server-sent event of a stream."""
-    return f"id: {number}\ndata: {attempt_id} {number}\n\n".encode()
+def stream_event(attempt_id: str, number: int, software_version: str) -> bytes:
+    """Return one server-sent event of a stream, with the software version that writes it."""
+    return f"id: {number}\ndata: {attempt_id} {number} {software_version}\n\n".encode()
 
 
 def check_once(observations: Observations) -> Iterator[str]:
@@ -76,12 +86,17 @@
 
 
 def check_bodies(observations: Observations) -> Iterator[str]:
-    """Yield successful answers that are not the endpoint's answer to the same request."""
+    """Yield successful answers that are not the endpoint's answer to the same request.
+
+    Any version may write any event here; `check_software_versions` compares the versions.
+    """
     for answer in observations.answered:
-        kind = observations.sent[answer.attempt_id].kind
+        sent = observations.sent[answer.attempt_id]
+        kind = sent.kind
         if answer.status != HTTPStatus.OK or kind is Kind.PROBE:
             continue
-        expected = expected_body(answer.attempt_id, kind)
+        versions = event_versions(answer.body)
+        expected = expected_body(answer.attempt_id, kind, sent.resumes_after, versions)
         if answer.is_complete and answer.body != expected:
             yield f"{answer.attempt_id} received {answer.body[:80]!r}, not {expected[:80]!r}"
         if not answer.is_complete and not expected.startswith(answer.body):
@@ -235,6 +250,8 @@
     check_drained,
     check_cold,
     check_versions,
+    check_software_versions,
+    check_lost,
     check_recovery,
 )
 
--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -9,7 +9,8 @@
 ENTRY_COUNT: Final = 3
 CALLER_COUNT: Final = 10
 DESK_COUNT: Final = 2
-ENGINE_COUNT: Final = 3
+ENGINE_COUNT: Final = 4
+"""Two of each software version, as a stream taken up must go on while two serve."""
 
 FAULTS_S: Final = 6.0
 """Period in which faults begin; long enough for several overlapping faults."""
@@ -53,5 +54,14 @@
 MAX_VERSION: Final = 8
 """Highest configuration version of a run; each version has its own probe service."""
 
+SOFTWARE_VERSIONS: Final = ("v1", "v2")
+"""Software versions of the engines; they start in equal numbers."""
+
+MIN_LOST_STREAMS: Final = 12
+MIN_LOST_ENDPOINTS: Final = 2
+LOST_SHARE: Final = 0.5
+"""Of `MIN_LOST_STREAMS` streams taken up while `MIN_LOST_ENDPOINTS` of their version serve, at
+least `LOST_SHARE` of the share of new streams that begin must go on."""
+
 STREAM_EVENTS: Final = 6
 EVENT_GAP_S: Final = 0.02
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,14 @@
 import random
 import signal
 
-from tests.soak.const import CONFIG_APPLY_MS, DRAIN_MS, FAULTS_S, MAX_VERSION, MS_PER_S
+from tests.soak.const import (
+    CONFIG_APPLY_MS,
+    DRAIN_MS,
+    FAULTS_S,
+    MAX_VERSION,
+    MS_PER_S,
+    SOFTWARE_VERSIONS,
+)
 from tests.soak.observations import GUESTS
 from tests.soak.proxy import FaultProxy
 from tests.soak.world import DESK, ENGINES, EndpointSlot, World
@@ -79,7 +86,7 @@
 
 
 async def async_fault_drain(world: World, rng: random.Random) -> None:
-    """Drain an endpoint, remove it, and start a new incarnation."""
+    """Drain an endpoint, remove it, and start a new incarnation of any software version."""
     slot = _choose_ready_slot(world, rng)
     if slot is None:
         return
@@ -87,7 +94,7 @@
     await asyncio.sleep(1.2 * DRAIN_MS / MS_PER_S)
     world.remove(slot)
     await asyncio.sleep(RESTART_PAUSE_S)
-    world.start_incarnation(slot)
+    world.start_incarnation(slot, rng.choice(SOFTWARE_VERSIONS))
 
 
 async def async_fault_crash(world: World, rng: random.Random) -> None:
@@ -98,7 +105,7 @@
     slot.proxy.reset_all()
     world.remove(slot)
     await asyncio.sleep(rng.uniform(0.1, MAX_FAULT_S))
-    world.start_incarnation(slot)
+    world.start_incarnation(slot, rng.choice(SOFTWARE_VERSIONS))
 
 
 async def async_fault_configuration(world: World, rng: random.Random) -> None:
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from tests.soak.const import DEADLINE_MS
+
 MEMBERS = "members"
 GUESTS = "guests"
 """Workspaces; the guests' key is revoked and restored as a fault."""
@@ -39,6 +41,16 @@
     path: str
     workspace: str = MEMBERS
     """Workspace of the key that the caller sends."""
+    deadline_ms: int = DEADLINE_MS
+    resumes: str = ""
+    """The attempt that brought the first event of the stream that is taken up, if any."""
+    resumes_after: int = 0
+    """Number of the last event that the caller received."""
+
+    @property
+    def stream_id(self) -> str:
+        """Return the attempt that began the stream."""
+        return self.resumes or self.attempt_id
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,9 +82,9 @@
 
     at_ms: int
     change_kind: str
-    """`drain`, `cold`, `warm`, `version`, `revoke` or `restore`."""
+    """`drain`, `cold`, `warm`, `version`, `revoke`, `restore`, `serve` or `leave`."""
     subject: str
-    """The endpoint, the version, or the workspace that holds the key."""
+    """The endpoint, the version, the workspace that holds the key, or the software version."""
 
 
 @dataclass(slots=True)
--- a/tests/soak/seed_run.py
+++ b/tests/soak/seed_run.py
@@ -10,7 +10,7 @@
 import random
 from tempfile import mkdtemp
 
-from tests.soak.callers import Tamper, async_run_callers
+from tests.soak.callers import NameAttempt, Tamper, async_run_callers
 from tests.soak.checks import find_violations
 from tests.soak.const import ENTRY_COUNT, RECOVERY_PHASE_S, START_TIMEOUT_S
 from tests.soak.faults import async_inject_faults
@@ -44,17 +44,26 @@
     has_faults: bool = True,
     after_run: AfterRun | None = None,
     tamper: Tamper | None = None,
+    name_attempt: NameAttempt | None = None,
+    stated_version: str | None = None,
 ) -> SeedResult:
-    """Run one seed; `after_run` and `tamper` inject faults that the checks must find."""
+    """Run one seed; the parameters after `has_faults` inject faults that the checks must find."""
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
-    world = World(folder=folder, entry_count=entry_count, after_run=after_run)
+    world = World(
+        folder=folder,
+        entry_count=entry_count,
+        after_run=after_run,
+        stated_version=stated_version,
+    )
     stop_event = asyncio.Event()
     faults: list[str] = []
     try:
         await world.async_start()
         await _async_wait_until_ready(world)
         callers = asyncio.create_task(
-            async_run_callers(seed, world.observations, world.entries, stop_event, tamper)
+            async_run_callers(
+                seed, world.observations, world.entries, stop_event, tamper, name_attempt
+            )
         )
         if has_faults:
             faults = await async_inject_faults(world, random.Random(seed))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,7 +14,12 @@
 
 from tests.soak.callers import Tamper
 from tests.soak.checks import PROBE_BODY, stream_event
-from tests.soak.const import COLD_PER_S, RECOVERY_PHASE_S, START_TIMEOUT_S
+from tests.soak.const import (
+    COLD_PER_S,
+    RECOVERY_PHASE_S,
+    SOFTWARE_VERSIONS,
+    START_TIMEOUT_S,
+)
 from tests.soak.observations import GUESTS, Kind, SentRequest
 from tests.soak.seed_run import SeedResult, async_run_seed
 from tests.soak.world import ENGINES, World
@@ -167,11 +172,24 @@
 
     async def test_repeated_event_is_found(self) -> None:
         def repeat(sent: SentRequest, body: bytes) -> bytes:
-            first = stream_event(sent.attempt_id, 1)
-            return first + body if body.startswith(first) else body
+            firsts = [stream_event(sent.attempt_id, 1, version) for version in SOFTWARE_VERSIONS]
+            return next((first + body for first in firsts if body.startswith(first)), body)
 
         await self._assert_tampering_is_found(repeat, "check_bodies")
 
+    async def test_wrong_software_version_in_store_is_found(self) -> None:
+        result = await self.async_run_and_clean_up(
+            INJECTED_FAULT_SEED, has_faults=False, stated_version=SOFTWARE_VERSIONS[0]
+        )
+        self.assert_found(result, "check_software_versions")
+
+    async def test_refused_streams_are_found(self) -> None:
+        """Callers name attempts that began no stream, so that none may go on."""
+        result = await self.async_run_and_clean_up(
+            INJECTED_FAULT_SEED, has_faults=False, name_attempt=lambda name: f"{name}-unknown"
+        )
+        self.assert_found(result, "check_lost")
+
     async def _assert_tampering_is_found(self, tamper: Tamper, check: str) -> None:
         """Assert that a check finds changed answers."""
         result = await self.async_run_and_clean_up(
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,6 +20,7 @@
     GUEST_KEY,
     MAX_VERSION,
     MS_PER_S,
+    SOFTWARE_VERSIONS,
     STREAM_EVENTS,
 )
 from tests.soak.observations import GUESTS, Execution, Kind, Observations, RecordedChange
@@ -45,6 +46,7 @@
     service: str
     runner: RunnerStandin
     proxy: FaultProxy
+    software_version: str
     is_ready: bool = True
 
 
@@ -67,6 +69,10 @@
     """Whether the current configuration contains the guests' key."""
     after_run: AfterRun | None = None
     """Called when an endpoint executes a request; injects faults that the checks must find."""
+    stated_version: str | None = None
+    """Software version that the store states for all endpoints; injects a wrong one."""
+    software_versions: dict[str, str] = field(default_factory=dict)
+    """Software version of each incarnation."""
     _instances: int = 0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -75,8 +81,9 @@
         address = await self.store.async_start()
         for _ in range(DESK_COUNT):
             await self._async_start_slot(DESK)
-        for _ in range(ENGINE_COUNT):
-            await self._async_start_slot(ENGINES)
+        for number in range(ENGINE_COUNT):
+            software_version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
+            await self._async_start_slot(ENGINES, software_version)
         for version in range(1, MAX_VERSION + 1):
             await self._async_start_slot(probe_service(version))
         self.put_configuration(1)
@@ -142,39 +149,58 @@
 
     def drain(self, slot: EndpointSlot) -> None:
         """Publish an endpoint as draining."""
-        slot.is_ready = False
+        self._end_service(slot)
         self._put(slot, state="draining")
         self.record_change("drain", slot.runner.instance_id)
 
     def remove(self, slot: EndpointSlot) -> None:
         """Remove an endpoint's entry from the store."""
-        slot.is_ready = False
+        self._end_service(slot)
         self.store.remove(f"servers/{slot.runner.instance_id}")
 
-    def start_incarnation(self, slot: EndpointSlot) -> None:
-        """Start a new incarnation in a slot; engines start cold."""
+    def start_incarnation(self, slot: EndpointSlot, software_version: str = "") -> None:
+        """Start a new incarnation in a slot, of the same version by default; engines are cold."""
+        slot.software_version = software_version or slot.software_version
         slot.runner.instance_id = self._next_id(slot.service)
-        slot.is_ready = True
+        self._begin_service(slot)
         cold_ms = int(COLD_START_S * MS_PER_S) if slot.service == ENGINES else 0
         self._put(slot, state="ready", cold_left_ms=cold_ms)
         if cold_ms:
             self.record_change("cold", slot.runner.instance_id)
             self._spawn(self._async_end_cold_start(slot.runner.instance_id))
 
+    def _begin_service(self, slot: EndpointSlot) -> None:
+        """Record that an endpoint begins to serve."""
+        slot.is_ready = True
+        self.software_versions[slot.runner.instance_id] = slot.software_version
+        if slot.service == ENGINES:
+            self.record_change("serve", slot.software_version)
+
+    def _end_service(self, slot: EndpointSlot) -> None:
+        """Record that an endpoint no longer serves."""
+        if slot.is_ready and slot.service == ENGINES:
+            self.record_change("leave", slot.software_version)
+        slot.is_ready = False
+
     async def _async_end_cold_start(self, instance_id: str) -> None:
         """Record the end of a cold start."""
         await asyncio.sleep(COLD_START_S)
         self.record_change("warm", instance_id)
 
-    async def _async_start_slot(self, service: str) -> None:
+    async def _async_start_slot(
+        self, service: str, software_version: str = SOFTWARE_VERSIONS[0]
+    ) -> None:
         """Start an endpoint behind a proxy and publish its entry."""
         runner = RunnerStandin(instance_id=self._next_id(service))
         runner.behaviours.append(self._endpoint_behaviour(service))
         await runner.async_start()
         proxy = FaultProxy(target=lambda: runner.address)
         await proxy.async_start()
-        slot = EndpointSlot(service=service, runner=runner, proxy=proxy)
+        slot = EndpointSlot(
+            service=service, runner=runner, proxy=proxy, software_version=software_version
+        )
         self.endpoint_slots.append(slot)
+        self._begin_service(slot)
         self._put(slot, state="ready")
 
     def _next_id(self, service: str) -> str:
@@ -184,7 +210,10 @@
 
     def _put(self, slot: EndpointSlot, **changes: object) -> None:
         """Write an endpoint's entry to the store."""
-        document = entry(slot.runner, slot.service, born=self._instances, **changes)
+        version = self.stated_version or slot.software_version
+        document = entry(
+            slot.runner, slot.service, born=self._instances, version=version, **changes
+        )
         document["address"] = slot.proxy.address
         self.store.put(f"servers/{slot.runner.instance_id}", document)
 
@@ -221,7 +250,10 @@
                 self._spawn(self.after_run(self, request, runner))
             kind = Kind(request.target.split("/")[1])
             if kind in STREAMS:
-                events = stream(STREAM_EVENTS, gap_s=EVENT_GAP_S, event_of=_event_for_request)
+                # The incarnation that the request is for; the slot may have restarted since.
+                instance_id = request.headers.get("x-expect-instance", runner.instance_id)
+                event_of = _event_writer(self.software_versions[instance_id])
+                events = stream(STREAM_EVENTS, gap_s=EVENT_GAP_S, event_of=event_of)
                 return await events(runner, request, writer)
             await asyncio.sleep(SERVICE_TIME_S)
             body = expected_body(attempt_id, kind)
@@ -237,6 +269,10 @@
     return f"probe-{version}"
 
 
-def _event_for_request(request: Received, number: int) -> bytes:
-    """Return an event that contains its request's attempt id."""
-    return stream_event(request.headers.get("x-attempt-id", ""), number)
+def _event_writer(software_version: str) -> Callable[[Received, int], bytes]:
+    """Return a function that writes events with their request's attempt id and a version."""
+
+    def event(request: Received, number: int) -> bytes:
+        return stream_event(request.headers.get("x-attempt-id", ""), number, software_version)
+
+    return event
