--- a/tests/standins/scrambler.py
+++ b/tests/standins/scrambler.py
@@ -82,7 +82,7 @@
         late = earlier.get(writer, b"")
         refusal = response_head(request, REFUSED, "X-Not-Executed: 1", "Content-Length: 0")
         cut = own[: random.randrange(len(own))]
-        deeds: tuple[Callable[[], tuple[bytes, str]], ...] = (
+        actions: tuple[Callable[[], tuple[bytes, str]], ...] = (
             lambda: (own, "close" if framing == "close" else "keep"),
             lambda: (own, "close" if framing == "close" else "keep"),
             lambda: (late + own, "close" if framing == "close" else "keep"),
@@ -94,8 +94,8 @@
             lambda: (refusal, "keep"),
             lambda: (refusal + refusal, "keep"),
         )
-        number = random.randrange(len(deeds))
-        sent, end = deeds[number]()
+        number = random.randrange(len(actions))
+        sent, end = actions[number]()
         if sent[: len(refusal)] != refusal:
             runner.record_execution(request)
         earlier[writer] = own if framing != "close" else b""
