--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -223,6 +223,10 @@
 VIEW_PULL_TIMEOUT_MS: Final = 700
 """Timeout for fetching a peer's view, which has some tens of KB."""
 
+VIEW_BODY_TIMEOUT_MS: Final = 3_500
+"""Time for the whole body of a peer's view, whose sender may have little processor time and a link
+of 5 Mbit/s; as for a page of the store."""
+
 VIEW_PULL_AGE_MS: Final = 900
 """Age of this VM's view beyond which a newer one is fetched from a peer."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
@@ -9,7 +9,11 @@
 import msgspec
 
 from wagtailusher_core import Incarnation, VmId, WagtailusherError
-from wagtailusher_gateway.const import VIEW_PULL_AGE_MS, VIEW_PULL_TIMEOUT_MS
+from wagtailusher_gateway.const import (
+    VIEW_BODY_TIMEOUT_MS,
+    VIEW_PULL_AGE_MS,
+    VIEW_PULL_TIMEOUT_MS,
+)
 from wagtailusher_gateway.exceptions import ViewError
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.models import FleetView
@@ -84,7 +88,7 @@
         body = await answer.async_read(
             VIEW_PULL_TIMEOUT_MS,
             max_bytes=MAX_STREAM_MESSAGE_BYTES,
-            timeout_ms=VIEW_PULL_TIMEOUT_MS,
+            timeout_ms=VIEW_BODY_TIMEOUT_MS,
         )
         view = decode_view(self._authenticator.verify(body).payload, self._clock_ms())
         age_ms = self._clock_ms() - view.confirmed_ms
