Inject the reverted version early enough for a slow run of the soak

The test changes a VM's tenth answer to a probe and those after it; a run has few of them when it is slow (at a load of 14: 35, 18 and 14 at the three VMs). It now changes the fourth, and asserts that there was one, so a run in which nothing was injected fails for that reason. That the failed run had fewer than ten is likely and was not recorded.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -36,6 +36,9 @@
 """Seeds that failed in the past, with the cause of each failure."""
 
 INJECTED_FAULT_SEED = 7
+REVERTED_PROBE = 4
+"""Number of the answer to a VM's probes that states an older version than those before."""
+
 EXCESS_COLD_REQUESTS = 5 * COLD_PER_S
 """Requests sent at once by a VM that ignores its share of the cold limit."""
 
@@ -146,9 +149,10 @@
             if not body.startswith(PROBE_BODY):
                 return body
             probes[sent.entry] = probes.get(sent.entry, 0) + 1
-            return PROBE_BODY + (b"2" if probes[sent.entry] < 10 else b"1")
+            return PROBE_BODY + (b"2" if probes[sent.entry] < REVERTED_PROBE else b"1")
 
         await self._assert_tampering_is_found(revert, "check_versions")
+        self.assertGreaterEqual(max(probes.values()), REVERTED_PROBE)
 
     async def test_use_of_revoked_key_is_found(self) -> None:
         """The operator revokes a key that the applied configuration still contains."""
