Split the functions that the change made too long

app.__init__, async_reserve, try_reserve and async_request; no behaviour changes. The exemption of requests that require a version now stands with the other ones, in _may_compete.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -89,13 +89,7 @@
             registry=self.dispatcher.placement.registry,
             send=self.link.send,
         )
-        self.stream_versions = StreamVersionExchange(
-            fleet=self.fleet,
-            view_cache=self.view_cache,
-            send=self.link.send,
-            clock_ms=monotonic_ms,
-            count_event=lambda event: metrics.stream_versions.inc({"event": event}),
-        )
+        self.stream_versions = self._new_stream_versions()
         self.view_exchange = ViewExchange(
             client=self._peer_client,
             fleet=self.fleet,
@@ -115,6 +109,15 @@
             count_error=lambda code: self.metrics.peer_errors.inc({"code": str(code)}),
         )
 
+    def _new_stream_versions(self) -> StreamVersionExchange:
+        return StreamVersionExchange(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            send=self.link.send,
+            clock_ms=monotonic_ms,
+            count_event=lambda event: self.metrics.stream_versions.inc({"event": event}),
+        )
+
     def _new_dispatcher(self) -> Dispatcher:
         bounds = self.options.bounds
         placement = Placement(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -89,18 +89,6 @@
         future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         now_ms = self.clock_ms()
 
-        def try_start(now_ms: int) -> bool:
-            if future.done():
-                return True
-            if not self._has_version(request):
-                future.set_exception(_no_endpoint_of_version())
-                return True
-            reservation = self._try_reserve(request, excluded, now_ms)
-            if reservation is None:
-                return False
-            future.set_result(reservation)
-            return True
-
         def refuse(retry_after_ms: int) -> None:
             if not future.done():
                 future.set_exception(_no_capacity(retry_after_ms))
@@ -109,7 +97,7 @@
             queue=queue_name(request),
             rank=request.rank,
             expires_ms=now_ms + queue_wait_ms(request.route.target_ms, request.ends_ms - now_ms),
-            try_start=try_start,
+            try_start=lambda now_ms: self._try_start(future, request, excluded, now_ms),
             refuse=refuse,
         )
         self.admission.submit(queued_request, now_ms)
@@ -122,6 +110,25 @@
             future.cancel()
             raise
 
+    def _try_start(
+        self,
+        future: asyncio.Future[Reservation],
+        request: RoutedRequest,
+        excluded: frozenset[EndpointId],
+        now_ms: int,
+    ) -> bool:
+        """Set the result of a reservation; return False if the request has to wait."""
+        if future.done():
+            return True
+        if not self._has_version(request):
+            future.set_exception(_no_endpoint_of_version())
+            return True
+        reservation = self._try_reserve(request, excluded, now_ms)
+        if reservation is None:
+            return False
+        future.set_result(reservation)
+        return True
+
     def _try_reserve(
         self, request: RoutedRequest, excluded: frozenset[EndpointId], now_ms: int
     ) -> Reservation | None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -126,8 +126,7 @@
         """Reserve a slot at the endpoint with the lowest cost; return None if all are full.
 
         `excluded` endpoints are used only if no other one has capacity, and endpoints of other
-        versions than a required `software_version` not at all. A request with a required version
-        may take any free place, as it has few endpoints to choose from.
+        versions than a required `software_version` not at all.
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties = self._penalties_ms(service, terms, usable)
@@ -138,10 +137,7 @@
             candidate
             for candidate in self._candidates(service, terms, usable, view, vm_ids, now_ms)
             if candidate[0].endpoint.endpoint_id in penalties
-            and (
-                software_version is not None
-                or self._may_compete(service, terms, candidate, preferred_ids, rank)
-            )
+            and self._may_compete(service, terms, candidate, preferred_ids, rank, software_version)
         ]
         candidates = _without_excluded(candidates, excluded) or candidates
         if not candidates:
@@ -265,14 +261,16 @@
         candidate: Candidate,
         preferred_ids: list[EndpointId],
         rank: int,
+        software_version: str | None,
     ) -> bool:
         """Return whether this VM may take a place at an engine, or leaves it to other VMs.
 
-        The engines that probably have its prompt cached are exempt: those of others differ.
+        The engines that probably have its prompt cached are exempt: those of others differ. So is a
+        request that requires a software version, as it has few endpoints to choose from.
         """
         tracked, load, _ = candidate
         endpoint_id = tracked.endpoint.endpoint_id
-        if service.engine is None or endpoint_id in preferred_ids:
+        if service.engine is None or software_version is not None or endpoint_id in preferred_ids:
             return True
         free_places = _free_places(tracked.endpoint, terms, load)
         return self._contention.may_compete(endpoint_id, free_places, rank)
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -48,6 +48,7 @@
         self._connection = connection
         self.status: int = head.status_code
         self.headers = Headers.from_raw(head.headers)
+        connection.update_keep_alive(self.headers.get("keep-alive"))
         self.connection_requests = connection.requests
         self.skipped_responses = connection.skipped_responses
 
@@ -172,13 +173,11 @@
         """Send a request to `host:port` and return the response once its head is received.
 
         `may_send` runs right before the first byte; False raises SendCancelledError, with nothing
-        sent. `new_connection` bypasses the pool, `host` sets another Host header than the address.
-        At most MAX_UNMATCHED_RESPONSES that `matches_request` rejects are skipped; after one, the
-        read time-out is `unmatched_timeout_ms` if given. Raises ConnectError when nothing was sent
-        and AnswerError when part of the request may have been.
+        sent. `new_connection` bypasses the pool, `host` replaces the address as the Host header.
+        Responses that `matches_request` rejects are skipped, a few within `unmatched_timeout_ms`.
+        Raises ConnectError if nothing was sent, AnswerError if part of it may have been.
         """
-        fields = _request_headers(host or address, headers, body)
-        head = h11.Request(method=method, target=target, headers=fields)
+        head = _request_head(method, target, host or address, headers, body)
         connection = await self._async_get_connection(address, new_connection=new_connection)
         if may_send is not None and not may_send():
             connection.abort()
@@ -194,9 +193,7 @@
         except BaseException:
             connection.abort()
             raise
-        answer = ClientAnswer(self, connection, answer_head)
-        connection.update_keep_alive(answer.headers.get("keep-alive"))
-        return answer
+        return ClientAnswer(self, connection, answer_head)
 
     async def _async_get_connection(
         self, address: str, *, new_connection: bool
@@ -279,10 +276,12 @@
     raise AnswerProtocolError(f"{connection.address} sent only responses to other requests")
 
 
-def _request_headers(host: str, headers: Headers | None, body: bytes) -> list[tuple[bytes, bytes]]:
-    """Return the request headers with Host and Content-Length set for this connection."""
+def _request_head(
+    method: str, target: str, host: str, headers: Headers | None, body: bytes
+) -> h11.Request:
+    """Return the head of a request with Host and Content-Length set for this connection."""
     kept = headers.without(_HOP_HEADERS).raw if headers is not None else []
     fields = [(b"host", host.encode("latin-1")), *kept]
     if body:
         fields.append((b"content-length", str(len(body)).encode("ascii")))
-    return fields
+    return h11.Request(method=method, target=target, headers=fields)
