Log how many bytes followed an answer's declared end

The lines of attempts and requests told what delimits an answer, not whether other bytes came behind its end; that tells a cut answer whose rest another one filled from a whole answer with another one behind it.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -80,6 +80,7 @@
             "ends_with_connection": answer.is_delimited_by_close,
             "has_answer_id": self._has_answer_id,
             "partial_event_bytes": self._framer.partial_event_bytes,
+            "surplus_bytes": answer.surplus_bytes,
         }
 
     @property
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -94,6 +94,7 @@
         except WagtailusherError as err:
             self._handle_failure(attempt, err)
             return None
+        self._record.record_answer_fields(attempt.answer_fields)
         attempt.finish(failed=attempt.status >= _SERVER_ERROR)
         self._attempt = None
         if attempt.status >= _SERVER_ERROR and self._may_repeat():
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -57,6 +57,11 @@
         """Return whether the end of the connection is the only end of the body."""
         return "content-length" not in self.headers and "transfer-encoding" not in self.headers
 
+    @property
+    def surplus_bytes(self) -> int:
+        """Return how many bytes arrived together with the end of the body, but behind it."""
+        return len(self._connection.surplus)
+
     def iter_chunks(
         self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS
     ) -> AsyncGenerator[bytes, None]:
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -63,6 +63,8 @@
         self._is_turn_full = False
         self.chunk_count = 0
         """Chunks of the current response's body."""
+        self.surplus = b""
+        """Bytes received behind the declared end of the current response's body."""
         self._keep_alive_ms: int | None = None
         self._limits = limits
         self._http = self._new_state()
@@ -116,6 +118,7 @@
         """Reset the protocol state for another exchange."""
         self._socket.on_data = None
         self.chunk_count = 0
+        self.surplus = b""
         self._http.start_next_cycle()
 
     @callback
@@ -304,6 +307,7 @@
                 if self._is_input_exhausted(event):
                     return chunks, False
             elif isinstance(event, h11.EndOfMessage):
+                self.surplus = bytes(self._http.trailing_data[0])
                 return chunks, True
             elif event is h11.NEED_DATA:
                 return chunks, False
--- a/tests/wagtailusher_platform/test_answer_logs.py
+++ b/tests/wagtailusher_platform/test_answer_logs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.standins.runner import answer, mismatched_then_answer, unframed
+from tests.standins.runner import answer, extra_answer, mismatched_then_answer, unframed
 from tests.wagtailusher_platform.fleet import PlatformTest
 
 
@@ -23,3 +23,13 @@
             (skipped["ends_with_connection"], unframed_body["ends_with_connection"]), (False, True)
         )
         self.assertTrue(skipped["has_answer_id"])
+
+    async def test_log_line_has_the_bytes_behind_the_answers_end(self) -> None:
+        app, runners = await self.async_endpoints_and_gateway("desk", (answer(),))
+        with self.assertLogs("wagtailusher_gateway.request_record") as logs:
+            for behaviour in (answer(), extra_answer()):
+                runners[0].behaviours = [behaviour]
+                await (await self.async_ask(app, "/book/", b"x")).async_read()
+        own, extra = (vars(line) for line in logs.records)
+        self.assertEqual(own["surplus_bytes"], 0)
+        self.assertGreater(extra["surplus_bytes"], 0)
