--- a/tests/standins/late_answers.py
+++ b/tests/standins/late_answers.py
@@ -9,6 +9,7 @@
     Behaviour,
     Received,
     RunnerStandin,
+    chunk,
     response_head,
     signed_answer,
     token_event,
@@ -101,3 +102,37 @@
         return True
 
     return refuse, execute
+
+
+def cut_then_second_answer(
+    body: bytes, cut_bytes: int, *, is_chunked: bool = False, late: bool = False, split: int = 0
+) -> Behaviour:
+    """Declare a body, send only its first bytes, and answer once more on the same connection.
+
+    `split` is the size of the first write of the second answer; 0 writes it at once.
+    """
+    framing = "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {len(body)}"
+    declared = b"%x\r\n" % len(body) if is_chunked else b""
+    fields = ("Content-Type: text/event-stream",) if body.startswith(b"id:") else ()
+
+    async def behave(
+        runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        runner.record_execution(request)
+        head = response_head(request, "200 OK", framing, *fields)
+        second = head + (chunk(body) + b"0\r\n\r\n" if is_chunked else body)
+        writer.write(head + declared + body[:cut_bytes])
+        for part in filter(None, (second[:split], second[split:])):
+            if late:
+                await writer.drain()
+                await asyncio.sleep(LATE_S)
+            writer.write(part)
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def answer_then_surplus(body: bytes, surplus: bytes) -> Behaviour:
+    """Execute the request and send bytes behind the declared end of its answer."""
+    return write_parts(lambda request: [signed_answer(request, body) + surplus])
