Relay only events that can be the next ones of their stream

Callers got bytes that are no event of their stream: another response's head within an event that was cut ("id: HTTP/1.1 200 OK ..."), or garbage behind a stream without length. Any bytes between two delimiters passed as an event.

An event now consists of fields and comments, has one identifier at most, and follows a numbered event with a number. Where only the connection's end delimits a stream, each event of a numbered one has a number. Other bytes end the stream as broken, behind the events before them.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
@@ -7,9 +7,8 @@
 
 from wagtailusher_gateway.const import MAX_EVENT_BYTES
 from wagtailusher_gateway.exceptions import BrokenStreamError
-from wagtailusher_http import EVENT_DELIMITER, contains_response_head, split_complete_events
+from wagtailusher_http import EVENT_DELIMITER, event_id, is_event, split_complete_events
 
-_ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 _DATA = re.compile(rb"(?:^|\n)data")
 _MAX_NUMBER_DIGITS = 18
 """Longest identifier that counts as a number; longer ones don't fit into 64 bits."""
@@ -106,11 +105,10 @@
 
     def _is_new(self, event: bytes, *, is_delimited: bool) -> bool:
         """Return whether to relay an event, and advance the position if so."""
-        if not is_delimited and contains_response_head(event):
-            raise BrokenStreamError("another answer follows the stream")
-        found = _ID.search(event)
-        event_id = found[1].decode("latin-1").strip() if found is not None else None
-        number, last = _number(event_id), _number(self._position.last_id)
+        if not is_event(event):
+            raise BrokenStreamError("the stream contains bytes that are no event")
+        own_id = event_id(event)
+        number, last = _number(own_id), _number(self._position.last_id)
         if number is not None and last is not None:
             if number <= last:
                 if self._is_continued and not self._has_new_event:
@@ -118,8 +116,10 @@
                 raise BrokenStreamError("the stream repeats an event")
             if self._is_resumed and number > last + 1:
                 raise BrokenStreamError("the resumed stream is missing an event")
-        if event_id is not None:
-            self._position.last_id = event_id
+        if number is None and last is not None and self._has_new_event:
+            self._check_unnumbered(event, has_id=own_id is not None, is_delimited=is_delimited)
+        if own_id is not None:
+            self._position.last_id = own_id
             self._position.has_event_without_id = False
             self._has_new_event = True
         elif _DATA.search(event) is not None:
@@ -128,6 +128,15 @@
         self._position.count += 1
         return True
 
+    def _check_unnumbered(self, event: bytes, *, has_id: bool, is_delimited: bool) -> None:
+        """Raise BrokenStreamError if an event without a number can't follow numbered ones.
+
+        Where only the connection's end delimits the stream, its events must all have numbers, as
+        nothing else tells them from other bytes.
+        """
+        if has_id or (not is_delimited and _DATA.search(event) is not None):
+            raise BrokenStreamError("an event of the stream is out of order")
+
 
 def _number(text: str | None) -> int | None:
     """Return the number in an identifier, or None if it is not a short decimal."""
--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -7,6 +7,8 @@
 from wagtailusher_http.events import (
     EVENT_DELIMITER,
     contains_response_head,
+    event_id,
+    is_event,
     is_event_stream,
     split_complete_events,
 )
@@ -59,6 +61,8 @@
     "async_serve",
     "contains_response_head",
     "error_response",
+    "event_id",
+    "is_event",
     "is_event_stream",
     "json_response",
     "match_identifier",
--- a/packages/wagtailusher_http/src/wagtailusher_http/events.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/events.py
@@ -9,7 +9,6 @@
 EVENTS_TYPE = "text/event-stream"
 EVENT_DELIMITER = b"\n\n"
 
-
 _RESPONSE_HEAD = re.compile(
     rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n[!#$%&'*+.^_`|~0-9A-Za-z-]*(?::|\Z)"
 )
@@ -24,6 +23,28 @@
     return _RESPONSE_HEAD.search(body) is not None
 
 
+_LINE = re.compile(rb"(?:[A-Za-z][A-Za-z0-9_-]*)?:[^\r\n]*|data|event|id|retry")
+"""A field or a comment. Streams end their lines with a line feed only."""
+_ID = re.compile(rb"^id: ?(.*)$", re.MULTILINE)
+
+
+def is_event(block: bytes) -> bool:
+    """Return whether the lines between two delimiters are those of one event.
+
+    They are fields or comments, with one identifier at most. Bytes of another response aren't.
+    """
+    lines = block.strip(b"\n").split(b"\n")
+    if lines != [b""] and not all(_LINE.fullmatch(line) for line in lines):
+        return False
+    return len(_ID.findall(block)) <= 1
+
+
+def event_id(event: bytes) -> str | None:
+    """Return the identifier of an event, or None if it has none."""
+    found = _ID.search(event)
+    return found[1].decode("latin-1").strip() if found is not None else None
+
+
 def is_event_stream(headers: Headers) -> bool:
     """Return whether the response is a stream of server-sent events."""
     return (headers.get("content-type") or "").startswith(EVENTS_TYPE)
--- a/tests/wagtailusher_gateway/test_events.py
+++ b/tests/wagtailusher_gateway/test_events.py
@@ -69,6 +69,27 @@
         self.assertEqual(framer.feed(event(1) + head + event(2), is_delimited=False), event(1))
         self.assertTrue(framer.has_failed)
 
+    def test_event_that_another_answer_fills_is_not_relayed(self) -> None:
+        """An event was cut, and the head and the first event of another answer follow."""
+        other = b"HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n"
+        for cut in (b"", b"id: ", b"id: 2\ndata: tok", b"id: 2\ndata: token 2\n"):
+            for is_delimited in (True, False):
+                framer = EventFramer(StreamPosition())
+                fed = framer.feed(event(1) + cut + other + event(2), is_delimited=is_delimited)
+                self.assertEqual((fed, framer.has_failed), (event(1), True), cut)
+
+    def test_event_with_another_identifier_than_a_number_does_not_follow_numbers(self) -> None:
+        framer = EventFramer(StreamPosition())
+        self.assertEqual(framer.feed(event(1) + b"id: x\ndata: y\n\n"), event(1))
+        self.assertTrue(framer.has_failed)
+
+    def test_event_without_identifier_ends_a_numbered_stream_without_length(self) -> None:
+        """Nothing else tells it from other bytes; where the end is declared it may follow."""
+        for is_delimited in (True, False):
+            framer = EventFramer(StreamPosition())
+            framer.feed(event(1) + b": ping\n\n" + b"data: x\n\n", is_delimited=is_delimited)
+            self.assertIs(framer.has_failed, not is_delimited)
+
     def test_quoted_response_is_no_answer_of_its_own(self) -> None:
         """An event may quote HTTP; only the line ends of a real head tell another answer."""
         framer = EventFramer(StreamPosition())
--- a/tests/wagtailusher_http/test_events.py
+++ b/tests/wagtailusher_http/test_events.py
@@ -12,7 +12,7 @@
 
 from wagtailusher_gateway.events import EventFramer, StreamPosition
 from wagtailusher_gateway.exceptions import BrokenStreamError
-from wagtailusher_http import EVENT_DELIMITER, split_complete_events
+from wagtailusher_http import EVENT_DELIMITER, event_id, is_event, split_complete_events
 from wagtailusher_integrations.engine import EventStream
 from wagtailusher_integrations.engine.exceptions import EngineError
 
@@ -56,5 +56,33 @@
                 self.assertLess(time.thread_time() - busy_s, BUSY_S)
 
 
+class EventLinesTest(unittest.TestCase):
+    """An event consists of fields and comments and has one identifier at most."""
+
+    def test_blocks(self) -> None:
+        for event in (
+            b"id: 1\ndata: x\n\n",
+            b"\nid:1\ndata\n\n",
+            b"x-weight-versions: 2\nid: 1\ndata: x\n\n",
+            b": ping\n\n",
+            b"data: HTTP/1.1 200 OK\ndata: A: b\n\n",
+            b"data: \xff\x00\n\n",
+        ):
+            self.assertTrue(is_event(event), event)
+        for block in (
+            b"garbage\n\n",
+            b"id: 1\ndata: a\nid: 2\ndata: b\n\n",
+            b"id: HTTP/1.1 200 OK\r\nA: b\r\n\r\nid: 1\ndata: x\n\n",
+            b"\x16\x03\x01: x\n\n",
+            b"1d\r\nid: 1\ndata: x\n\n",
+        ):
+            self.assertFalse(is_event(block), block)
+
+    def test_identifier(self) -> None:
+        self.assertEqual(
+            (event_id(b"data: x\nid: 7\n\n"), event_id(b"data: id: 7\n\n")), ("7", None)
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
