Tell another answer's bytes from the rest of a cut body

Callers got a body like "mineHTTP/1.1 200 OK..." as their own, complete: an endpoint stopped within a declared length, and its second, late answer counted as the rest. Only bodies without a length were searched for another head.

A whole body is now checked before it is used. A body that quotes a response, and a whole one with another response behind it, pass as before. Streams with a length are checked for what follows, their events one by one.

Nothing tells a cut body from a whole one where the other bytes end exactly with the declared length, or where only the connection's end delimits it and they are no response.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -22,7 +22,6 @@
     Headers,
     HttpClient,
     Request,
-    contains_response_head,
     is_event_stream,
 )
 
@@ -160,6 +159,7 @@
                 host=terms.host,
                 matches_request=lambda fields: http_mapping.answer_id(fields)
                 in (None, terms.attempt_id),
+                states_request=lambda fields: _states_request(http_mapping, fields),
             )
         except ConnectError:
             self._dispatcher.placement.registry.record_unreachable(self.endpoint_id, self._now_ms())
@@ -202,9 +202,6 @@
         except AnswerError:
             self._record_failure()
             raise
-        if answer.is_delimited_by_close and contains_response_head(body):
-            self._record_failure()
-            raise AnswerError("another answer follows one without a length")
         if len(body) > MAX_ANSWER_BYTES:
             self._record_failure()
             raise AnswerError("the answer exceeds the size limit")
@@ -246,8 +243,10 @@
         return self._framer.feed(chunk, is_delimited=self._is_delimited)
 
     def _finish(self) -> None:
-        """Raise BrokenStreamError if the answer did not end after a complete event."""
+        """Raise BrokenStreamError if the answer did not end after a complete event of its own."""
         self._framer.finish(is_delimited=self._is_delimited)
+        if self._last_answer is not None and self._last_answer.has_doubtful_end:
+            raise BrokenStreamError("other bytes follow the stream")
 
     @property
     def _is_delimited(self) -> bool:
@@ -319,3 +318,9 @@
         if not self._released:
             self._released = True
             self._dispatcher.release(self.reservation, is_prefill_done=self._is_prefill_done)
+
+
+def _states_request(http_mapping: HttpMapping, headers: Headers) -> bool:
+    """Return whether a response's headers are those of an endpoint's answer."""
+    is_signed = http_mapping.read_answer(_SUCCESS.start, headers).is_signed
+    return is_signed or http_mapping.answer_id(headers) is not None
--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -6,7 +6,6 @@
 from wagtailusher_http.const import ClientLimits, HttpLimits
 from wagtailusher_http.events import (
     EVENT_DELIMITER,
-    contains_response_head,
     event_id,
     is_event,
     is_event_stream,
@@ -15,6 +14,7 @@
 from wagtailusher_http.exceptions import (
     AnswerError,
     AnswerEvictedError,
+    AnswerMixedError,
     AnswerTooLargeError,
     AnswerTruncatedError,
     BodyTooLargeError,
@@ -23,6 +23,7 @@
     ReadTimeoutError,
     SendCancelledError,
 )
+from wagtailusher_http.foreign_bytes import StatesRequest
 from wagtailusher_http.headers import Headers
 from wagtailusher_http.matching import ResponseMatcher, match_identifier
 from wagtailusher_http.messages import (
@@ -38,6 +39,7 @@
 __all__ = [
     "AnswerError",
     "AnswerEvictedError",
+    "AnswerMixedError",
     "AnswerTooLargeError",
     "AnswerTruncatedError",
     "BodyWriter",
@@ -58,8 +60,8 @@
     "Response",
     "ResponseMatcher",
     "SendCancelledError",
+    "StatesRequest",
     "async_serve",
-    "contains_response_head",
     "error_response",
     "event_id",
     "is_event",
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -21,15 +21,24 @@
     MAX_UNMATCHED_RESPONSES,
     MIN_CHUNK_BYTES,
     MS_PER_S,
+    SURPLUS_WAIT_MS,
     ClientLimits,
 )
 from wagtailusher_http.exceptions import (
+    AnswerMixedError,
     AnswerProtocolError,
     AnswerTooLargeError,
     AnswerTruncatedError,
     ReadTimeoutError,
     SendCancelledError,
 )
+from wagtailusher_http.foreign_bytes import (
+    StatesRequest,
+    begins_response,
+    contains_foreign_head,
+    contains_response_head,
+    ends_within_status_line,
+)
 from wagtailusher_http.headers import Headers
 from wagtailusher_http.matching import ResponseMatcher, contains_status_line
 
@@ -42,9 +51,14 @@
     """A response whose head was received; the caller reads the body."""
 
     def __init__(
-        self, client: HttpClient, connection: ClientConnection, head: h11.Response
+        self,
+        client: HttpClient,
+        connection: ClientConnection,
+        head: h11.Response,
+        states_request: StatesRequest,
     ) -> None:
         self._client = client
+        self._states_request = states_request
         self._connection = connection
         self.status: int = head.status_code
         self.headers = Headers.from_raw(head.headers)
@@ -57,6 +71,20 @@
         """Return whether the end of the connection is the only end of the body."""
         return "content-length" not in self.headers and "transfer-encoding" not in self.headers
 
+    @property
+    def has_doubtful_end(self) -> bool:
+        """Return whether bytes that begin no response followed the declared length.
+
+        They may be the end of other bytes that took the place of the body's rest. The end of a
+        chunked body is not declared before it is reached, so its surplus tells nothing.
+        """
+        surplus = self._connection.surplus
+        return self._has_length and not begins_response(surplus)
+
+    @property
+    def _has_length(self) -> bool:
+        return "content-length" in self.headers and "transfer-encoding" not in self.headers
+
     @property
     def surplus_bytes(self) -> int:
         """Return how many bytes arrived together with the end of the body, but behind it."""
@@ -91,23 +119,28 @@
     ) -> bytes:
         """Return the complete body, read within `timeout_ms` where given.
 
-        Raises ReadTimeoutError after a time-out, and AnswerTooLargeError above `max_bytes` or the
-        client's `max_answer_bytes`, or if this is the largest answer when all buffered ones exceed
-        `max_buffered_bytes`. The connection is closed then.
+        Raises ReadTimeoutError after a time-out, AnswerMixedError if other bytes may be part of the
+        body, and AnswerTooLargeError above `max_bytes` or the client's `max_answer_bytes`, or if
+        this is the largest answer when all buffered ones exceed `max_buffered_bytes`. The
+        connection is closed then.
         """
         budget = self._client.budget
         max_answer_bytes = self._client.limits.max_answer_bytes
         max_bytes = max_answer_bytes if max_bytes is None else min(max_bytes, max_answer_bytes)
         buffer = budget.open_buffer(self._connection)
+        is_whole = False
         try:
             async with (
                 asyncio.timeout(None if timeout_ms is None else timeout_ms / MS_PER_S),
-                aclosing(self.iter_chunks(silence_timeout_ms)) as chunks,
+                aclosing(self._iter_held(silence_timeout_ms)) as chunks,
             ):
                 await self._async_fill(buffer, chunks, max_bytes)
-            # Without a length, the end of the connection is the end of the body.
-            budget.check(buffer)
-            return buffer.content()
+                # Without a length, the end of the connection is the end of the body.
+                budget.check(buffer)
+                body = buffer.content()
+                await self._async_check_body(body)
+            is_whole = True
+            return body
         except AnswerTruncatedError:
             budget.check(buffer)
             raise
@@ -117,6 +150,22 @@
             ) from err
         finally:
             budget.release(buffer)
+            self._client.return_connection(self._connection, is_whole)
+
+    def _iter_held(self, silence_timeout_ms: int) -> AsyncGenerator[bytes, None]:
+        """Yield the body and keep the connection."""
+        return self._connection.async_iter_body(silence_timeout_ms, lambda *_: None)
+
+    async def _async_check_body(self, body: bytes) -> None:
+        """Raise AnswerMixedError if bytes of another response may be part of a complete body."""
+        if self.is_delimited_by_close:
+            is_mixed = contains_response_head(body)
+        else:
+            if self._has_length and ends_within_status_line(body):
+                await self._connection.async_read_surplus(SURPLUS_WAIT_MS)
+            is_mixed = self.has_doubtful_end or contains_foreign_head(body, self._states_request)
+        if is_mixed:
+            raise AnswerMixedError(f"{self._connection.address} sent other bytes within its answer")
 
     async def _async_fill(
         self, buffer: AnswerBuffer, chunks: AsyncIterator[bytes], max_bytes: int
@@ -173,6 +222,7 @@
         head_timeout_ms: int = DEFAULT_HEAD_TIMEOUT_MS,
         host: str | None = None,
         matches_request: ResponseMatcher | None = None,
+        states_request: StatesRequest = lambda headers: False,
         unmatched_timeout_ms: int | None = None,
     ) -> ClientAnswer:
         """Send a request to `host:port` and return the response once its head is received.
@@ -180,6 +230,8 @@
         `may_send` runs right before the first byte; False raises SendCancelledError, with nothing
         sent. `new_connection` bypasses the pool, `host` replaces the address as the Host header.
         Responses that `matches_request` rejects are skipped, a few within `unmatched_timeout_ms`.
+        `states_request` tells another response within the body from one that the body quotes;
+        without it, a head within the body counts as quoted.
         Raises ConnectError if nothing was sent, AnswerError if part of it may have been.
         """
         head = _request_head(method, target, host or address, headers, body)
@@ -198,7 +250,7 @@
         except BaseException:
             connection.abort()
             raise
-        return ClientAnswer(self, connection, answer_head)
+        return ClientAnswer(self, connection, answer_head, states_request)
 
     async def _async_get_connection(
         self, address: str, *, new_connection: bool
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -207,6 +207,16 @@
         if unparsed:
             self._feed_parser(unparsed)
 
+    async def async_read_surplus(self, timeout_ms: int) -> bytes:
+        """Return the bytes behind the declared end of the body, waiting for some."""
+        if not self.surplus:
+            try:
+                self.surplus = await self._socket.async_read(timeout_ms / MS_PER_S)
+            except (TimeoutError, OSError):
+                return b""
+            self.prevent_reuse()
+        return self.surplus
+
     async def async_iter_body(
         self, silence_timeout_ms: int, return_connection: ReturnConnection
     ) -> AsyncGenerator[bytes, None]:
--- a/packages/wagtailusher_http/src/wagtailusher_http/events.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/events.py
@@ -9,20 +9,6 @@
 EVENTS_TYPE = "text/event-stream"
 EVENT_DELIMITER = b"\n\n"
 
-_RESPONSE_HEAD = re.compile(
-    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n[!#$%&'*+.^_`|~0-9A-Za-z-]*(?::|\Z)"
-)
-"""A status line and the name of the first header field, which the end may cut off."""
-
-
-def contains_response_head(body: bytes) -> bool:
-    """Return whether a part of a body looks like another response's head.
-
-    Where only the end of the connection delimits a body, nothing else tells them apart.
-    """
-    return _RESPONSE_HEAD.search(body) is not None
-
-
 _LINE = re.compile(rb"(?:[A-Za-z][A-Za-z0-9_-]*)?:[^\r\n]*|data|event|id|retry")
 """A field or a comment. Streams end their lines with a line feed only."""
 _ID = re.compile(rb"^id: ?(.*)$", re.MULTILINE)
--- a/packages/wagtailusher_http/src/wagtailusher_http/exceptions.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/exceptions.py
@@ -39,6 +39,10 @@
     code = ErrorCode.ENDPOINT_PROTOCOL
 
 
+class AnswerMixedError(AnswerProtocolError):
+    """The body contains bytes of another response, or bytes that nothing vouches for."""
+
+
 class ReadTimeoutError(AnswerError):
     """No data arrived within the read time-out."""
 
--- a/tests/standins/scrambler.py
+++ b/tests/standins/scrambler.py
@@ -82,6 +82,12 @@
         late = earlier.get(writer, b"")
         refusal = response_head(request, REFUSED, "X-Not-Executed: 1", "Content-Length: 0")
         cut = own[: random.randrange(len(own))]
+        is_stream = request.target.startswith(("/chat", "/review"))
+
+        def ends_apart(garbage: bytes) -> bytes:
+            """Return garbage where something tells it from the end of a body."""
+            return garbage if is_stream or framing != "close" else b""
+
         actions: tuple[Callable[[], tuple[bytes, str]], ...] = (
             lambda: (own, "close" if framing == "close" else "keep"),
             lambda: (own, "close" if framing == "close" else "keep"),
@@ -90,6 +96,9 @@
             lambda: (own + own, "close" if framing == "close" else "keep"),
             lambda: (cut, "reset"),
             lambda: (cut if framing != "close" else b"", "close"),
+            lambda: (cut + own, "close"),
+            lambda: (cut + late, "reset" if framing == "close" else "close"),
+            lambda: (own + ends_apart(random.choice(GARBAGE)), "close"),
             lambda: (random.choice(GARBAGE), random.choice(("close", "reset"))),
             lambda: (refusal, "keep"),
             lambda: (refusal + refusal, "keep"),
--- a/tests/wagtailusher_platform/test_cut_answers.py
+++ b/tests/wagtailusher_platform/test_cut_answers.py
@@ -66,10 +66,10 @@
 
     async def test_cut_body_with_a_second_answer_is_repeated_elsewhere(self) -> None:
         """A request that may be repeated gets its answer from the other endpoint."""
-        cut = cut_then_second_answer(BODY, 10, late=True)
-        app, _ = await self.async_endpoints_and_gateway(
-            "desk", (cut, answer(BODY)), (cut, answer(BODY))
-        )
+        app, runners = await self.async_endpoints_and_gateway("desk", (answer(),), (answer(),))
+        shared = [cut_then_second_answer(BODY, 10, late=True), answer(BODY)]
+        for runner in runners:
+            runner.behaviours = shared
         reply = await self.async_ask(app, "/look/")
         self.assertEqual((reply.status, await reply.async_read()), (200, BODY))
 
