Move the quarantine to a package of its own

The gateway is to use it too, and its process should not import the rest of wagtailusher_once. Files moved and imports changed; no change of behaviour.

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/router_node.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/decisions/router_node.py
@@ -14,7 +14,7 @@
 from wagtailusher_bench.decisions.network import Network
 from wagtailusher_bench.fakes import JobEnd
 from wagtailusher_core import FailureDomainId, Incarnation, PublishedVm, RequestId, VmId
-from wagtailusher_once import OnceDecider, QuarantineDecider, StoredAnswer, Ticket
+from wagtailusher_once import OnceDecider, StoredAnswer, Ticket
 from wagtailusher_placement import (
     AttemptResult,
     CacheEvent,
@@ -25,6 +25,7 @@
     StewardDecider,
     choose_by_score,
 )
+from wagtailusher_quarantine import QuarantineDecider
 from wagtailusher_router import (
     Action,
     Cancel,
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
@@ -6,8 +6,8 @@
 from typing import Any, TypeVar
 
 from wagtailusher_daemon.const import PERMILLE
-from wagtailusher_once import QuarantineEntry, QuarantineSummary
 from wagtailusher_placement import LoadReport
+from wagtailusher_quarantine import QuarantineEntry, QuarantineSummary
 from wagtailusher_router import PoolLoad
 from wagtailusher_wire import ClassDemand, EndpointLoad, PoolDemand
 from wagtailusher_wire import QuarantineEntry as QuarantineEntryMessage
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
@@ -8,8 +8,9 @@
 from wagtailusher_core import FailureDomainId, Incarnation, VmId
 from wagtailusher_daemon.const import RENEWALS_PER_LIFETIME
 from wagtailusher_daemon.options import EntryOptions
-from wagtailusher_once import OnceDecider, QuarantineDecider
+from wagtailusher_once import OnceDecider
 from wagtailusher_placement import LeaseLimits, PlacementDecider, StewardDecider
+from wagtailusher_quarantine import QuarantineDecider
 from wagtailusher_router import QuotaShare, RouterComponents, RouterDecider
 
 _SEED_BITS = 63
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_answers.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_answers.py
@@ -9,7 +9,6 @@
 from wagtailusher_daemon.request_log import RequestLog, RequestRecord
 from wagtailusher_daemon.usage import UsageStats
 from wagtailusher_membership import Member
-from wagtailusher_once import QuarantineEntry
 from wagtailusher_operator.models import (
     AttemptAnswer,
     BooksAnswer,
@@ -34,6 +33,7 @@
     SettingsRefusalAnswer,
 )
 from wagtailusher_placement import CandidateScore, EndpointView
+from wagtailusher_quarantine import QuarantineEntry
 from wagtailusher_settings import Rejected, Settings
 
 
--- a/packages/wagtailusher_once/src/wagtailusher_once/__init__.py
+++ b/packages/wagtailusher_once/src/wagtailusher_once/__init__.py
@@ -1,13 +1,10 @@
-"""At-most-once execution by ticket and home VM, and quarantine of requests, without I/O."""
+"""At-most-once execution by ticket and home VM, without I/O."""
 
 from __future__ import annotations
 
 from wagtailusher_once.decider import OnceDecider
 from wagtailusher_once.errors import OnceError, TicketExpiredError, TicketInvalidError
-from wagtailusher_once.evidence import QuarantineStatus
 from wagtailusher_once.limits import OnceLimits
-from wagtailusher_once.quarantine import QuarantineDecider, QuarantineLimits
-from wagtailusher_once.quarantine_summary import QuarantineEntry, QuarantineSummary
 from wagtailusher_once.submission_results import (
     AlreadyRefused,
     AnswerEvicted,
@@ -32,11 +29,6 @@
     "OnceError",
     "OnceLimits",
     "OutcomeUnknown",
-    "QuarantineDecider",
-    "QuarantineEntry",
-    "QuarantineLimits",
-    "QuarantineStatus",
-    "QuarantineSummary",
     "Replay",
     "RunHere",
     "StoredAnswer",
--- a/packages/wagtailusher_once/src/wagtailusher_once/quarantine.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
@@ -7,7 +7,7 @@
 import heapq
 
 from wagtailusher_core import EndpointId
-from wagtailusher_once.const import (
+from wagtailusher_quarantine.const import (
     DEFAULT_CULPRIT_SENDS,
     DEFAULT_EVIDENCE_LIFETIME_MS,
     DEFAULT_EXPIRY_GRACE_MS,
@@ -17,8 +17,8 @@
     DEFAULT_SUMMARY_ENTRIES,
     DEFAULT_SUSPECT_SENDS,
 )
-from wagtailusher_once.evidence import Evidence, QuarantineStatus, is_only_common_fingerprint
-from wagtailusher_once.quarantine_summary import (
+from wagtailusher_quarantine.evidence import Evidence, QuarantineStatus, is_only_common_fingerprint
+from wagtailusher_quarantine.summary import (
     QuarantineEntry,
     QuarantineSummary,
     SummaryItem,
--- a/packages/wagtailusher_once/src/wagtailusher_once/evidence.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/evidence.py
@@ -8,7 +8,7 @@
 from itertools import combinations
 
 from wagtailusher_core import EndpointId
-from wagtailusher_once.const import DEFAULT_SAME_CRASH_MS, MAX_CRASHES_PER_FINGERPRINT
+from wagtailusher_quarantine.const import DEFAULT_SAME_CRASH_MS, MAX_CRASHES_PER_FINGERPRINT
 
 
 class QuarantineStatus(StrEnum):
--- a/packages/wagtailusher_once/src/wagtailusher_once/quarantine_summary.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/summary.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from wagtailusher_core import EndpointId
-from wagtailusher_once.evidence import Crash, Evidence
+from wagtailusher_quarantine.evidence import Crash, Evidence
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_router/src/wagtailusher_router/crash_isolation.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/crash_isolation.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 
 from wagtailusher_core import EndpointId
-from wagtailusher_once import QuarantineDecider, QuarantineStatus
+from wagtailusher_quarantine import QuarantineDecider, QuarantineStatus
 from wagtailusher_router.tracked_requests import TrackedRequest
 
 
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -15,14 +15,7 @@
     RequestId,
     VmId,
 )
-from wagtailusher_once import (
-    ForwardTo,
-    OnceDecider,
-    QuarantineDecider,
-    QuarantineEntry,
-    QuarantineSummary,
-    StoredAnswer,
-)
+from wagtailusher_once import ForwardTo, OnceDecider, StoredAnswer
 from wagtailusher_placement import (
     AttemptResult,
     EndpointInfo,
@@ -34,6 +27,7 @@
     PlacementDecider,
     StewardDecider,
 )
+from wagtailusher_quarantine import QuarantineDecider, QuarantineEntry, QuarantineSummary
 from wagtailusher_router.actions import (
     Action,
     Cancel,
--- a/tests/scenario/node.py
+++ b/tests/scenario/node.py
@@ -23,15 +23,9 @@
     RequestId,
     VmId,
 )
-from wagtailusher_once import (
-    ForwardTo,
-    OnceError,
-    OnceLimits,
-    QuarantineDecider,
-    TicketInvalidError,
-    TicketIssuer,
-)
+from wagtailusher_once import ForwardTo, OnceError, OnceLimits, TicketInvalidError, TicketIssuer
 from wagtailusher_placement import PlacementDecider, StewardDecider
+from wagtailusher_quarantine import QuarantineDecider
 from wagtailusher_router import (
     Action,
     Cancel,
--- a/tests/scenario/node_peers.py
+++ b/tests/scenario/node_peers.py
@@ -16,8 +16,8 @@
     SendDatagram,
 )
 from wagtailusher_membership.table import MemberTable
-from wagtailusher_once import QuarantineSummary
 from wagtailusher_placement import EndpointInfo
+from wagtailusher_quarantine import QuarantineSummary
 from wagtailusher_router import PeerAction, SendLeaseGrant, SendLeaseRecall, SendLeaseRequest
 from wagtailusher_wire import ContentAnswer
 
--- a/tests/wagtailusher_once/schedules/faults.py
+++ b/tests/wagtailusher_once/schedules/faults.py
@@ -6,14 +6,7 @@
 from enum import StrEnum
 
 from wagtailusher_core import Incarnation, VmId
-from wagtailusher_once import (
-    ForwardTo,
-    OnceDecider,
-    OnceLimits,
-    StoredAnswer,
-    Submission,
-    Ticket,
-)
+from wagtailusher_once import ForwardTo, OnceDecider, OnceLimits, StoredAnswer, Submission, Ticket
 from wagtailusher_once.key_admission import KeyAdmission, KeyAttempt
 
 
--- a/tests/wagtailusher_once/quarantine_fleet.py
+++ b/tests/wagtailusher_quarantine/quarantine_fleet.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from wagtailusher_core import EndpointId
-from wagtailusher_once import QuarantineDecider, QuarantineLimits
+from wagtailusher_quarantine import QuarantineDecider, QuarantineLimits
 
 GOSSIP_PERIOD_MS = 200
 GOSSIP_FANOUT = 3
--- a/tests/wagtailusher_once/test_quarantine.py
+++ b/tests/wagtailusher_quarantine/test_quarantine.py
@@ -12,9 +12,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.wagtailusher_once.quarantine_fleet import QuarantineFleet
+from tests.wagtailusher_quarantine.quarantine_fleet import QuarantineFleet
 from wagtailusher_core import EndpointId
-from wagtailusher_once import (
+from wagtailusher_quarantine import (
     QuarantineDecider,
     QuarantineEntry,
     QuarantineLimits,
--- a/tests/wagtailusher_router/node.py
+++ b/tests/wagtailusher_router/node.py
@@ -18,13 +18,14 @@
     VmId,
     WorkspaceId,
 )
-from wagtailusher_once import OnceDecider, QuarantineDecider, StoredAnswer, TicketIssuer
+from wagtailusher_once import OnceDecider, StoredAnswer, TicketIssuer
 from wagtailusher_placement import (
     AttemptResult,
     EndpointInfo,
     PlacementDecider,
     StewardDecider,
 )
+from wagtailusher_quarantine import QuarantineDecider
 from wagtailusher_router import (
     Action,
     ClassifiedRequest,
--- a/tests/wagtailusher_router/test_decider.py
+++ b/tests/wagtailusher_router/test_decider.py
@@ -9,8 +9,8 @@
 
 from tests.wagtailusher_router.node import RouterDriver, endpoint, new_router, policy
 from wagtailusher_core import EndpointId, FailureDomainId, Outcome, RequestId
-from wagtailusher_once import QuarantineDecider
 from wagtailusher_placement import AttemptResult
+from wagtailusher_quarantine import QuarantineDecider
 
 
 class RouterDeciderTest(unittest.TestCase):
