Accuse parts of prompts as well as whole requests in the quarantine

Fingerprints of parts add up over different requests. A part is refused once two crashes with different requests have only it in common, or after three crashes if other parts always come with it. A complete answer with a part speaks for it at all VMs. Requests that merely waited are bystanders of one whose answer had just begun. A quarantine lasts while requests come; two of them are let through by one VM each, 60 s and 300 s later.

Messages have new fields with defaults; older builds ignore them. Nothing uses parts yet.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/conversion.py
@@ -2,37 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import fields
-from typing import Any, TypeVar
-
 from wagtailusher_daemon.const import PERMILLE
 from wagtailusher_placement import LoadReport
-from wagtailusher_quarantine import QuarantineEntry, QuarantineSummary
 from wagtailusher_router import PoolLoad
 from wagtailusher_wire import ClassDemand, EndpointLoad, PoolDemand
-from wagtailusher_wire import QuarantineEntry as QuarantineEntryMessage
-from wagtailusher_wire import QuarantineSummary as QuarantineSummaryMessage
-
-ConvertedT = TypeVar("ConvertedT")
-
-
-def convert(message: Any, cls: type[ConvertedT]) -> ConvertedT:
-    """Return a message converted to another class with the same fields."""
-    return cls(**{field.name: getattr(message, field.name) for field in fields(message)})
-
-
-def quarantine_message(summary: QuarantineSummary) -> QuarantineSummaryMessage:
-    """Return the wire message of a quarantine summary."""
-    return QuarantineSummaryMessage(
-        entries=tuple(convert(entry, QuarantineEntryMessage) for entry in summary.entries)
-    )
-
-
-def quarantine_summary(message: QuarantineSummaryMessage) -> QuarantineSummary:
-    """Return the decider's quarantine summary of a wire message."""
-    return QuarantineSummary(
-        entries=tuple(convert(entry, QuarantineEntry) for entry in message.entries)
-    )
 
 
 def pool_demand(load: PoolLoad) -> PoolDemand:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_sync.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_sync.py
@@ -20,9 +20,10 @@
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_daemon.configuration_stream import ConfigurationStream
 from wagtailusher_daemon.const import ISOLATION_MS, MIN_PEERS_FOR_ISOLATION, QUARANTINE_FANOUT
-from wagtailusher_daemon.conversion import pool_demand, quarantine_message, quarantine_summary
+from wagtailusher_daemon.conversion import pool_demand
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.node import RouterNode
+from wagtailusher_daemon.quarantine_messages import quarantine_message, quarantine_summary
 from wagtailusher_integrations.config_service import ConfigServiceCoordinator
 from wagtailusher_membership import (
     ApplyConfiguration,
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/lease_transport.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/lease_transport.py
@@ -8,7 +8,8 @@
 
 from wagtailusher_core import VmId, callback
 from wagtailusher_daemon.clock import monotonic_ms
-from wagtailusher_daemon.conversion import convert, load_message, load_report
+from wagtailusher_daemon.conversion import load_message, load_report
+from wagtailusher_daemon.convert import convert
 from wagtailusher_daemon.lease_outbox import LeaseOutbox
 from wagtailusher_daemon.load_reports import LoadReportCache
 from wagtailusher_daemon.node import RouterNode
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/__init__.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/__init__.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from wagtailusher_quarantine.decider import QuarantineDecider, QuarantineLimits
-from wagtailusher_quarantine.evidence import QuarantineStatus
+from wagtailusher_quarantine.decider import QuarantineDecider
+from wagtailusher_quarantine.evidence import Crash, QuarantineStatus, Suspect
+from wagtailusher_quarantine.fingerprints import part_fingerprint
+from wagtailusher_quarantine.limits import QuarantineLimits
 from wagtailusher_quarantine.summary import QuarantineEntry, QuarantineSummary
 
 __all__ = [
+    "Crash",
     "QuarantineDecider",
     "QuarantineEntry",
     "QuarantineLimits",
     "QuarantineStatus",
     "QuarantineSummary",
+    "Suspect",
+    "part_fingerprint",
 ]
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
@@ -1,23 +1,22 @@
-"""Quarantines requests that crash endpoints, by evidence shared across the fleet."""
+"""Quarantines requests and prompt parts that crash endpoints, by evidence of the whole fleet."""
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 import heapq
 
 from wagtailusher_core import EndpointId
-from wagtailusher_quarantine.const import (
-    DEFAULT_CULPRIT_SENDS,
-    DEFAULT_EVIDENCE_LIFETIME_MS,
-    DEFAULT_EXPIRY_GRACE_MS,
-    DEFAULT_MAX_FINGERPRINTS,
-    DEFAULT_QUARANTINE_LIFETIME_MS,
-    DEFAULT_SPREAD_MS,
-    DEFAULT_SUMMARY_ENTRIES,
-    DEFAULT_SUSPECT_SENDS,
+from wagtailusher_quarantine.const import DEFAULT_EXPIRY_GRACE_MS, PROBE_BACKOFF
+from wagtailusher_quarantine.evidence import (
+    Crash,
+    Evidence,
+    QuarantineStatus,
+    Suspect,
+    is_culprit,
 )
-from wagtailusher_quarantine.evidence import Evidence, QuarantineStatus, is_only_common_fingerprint
+from wagtailusher_quarantine.fingerprints import is_part
+from wagtailusher_quarantine.limits import QuarantineLimits
 from wagtailusher_quarantine.summary import (
     QuarantineEntry,
     QuarantineSummary,
@@ -25,41 +24,125 @@
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QuarantineLimits:
-    """Limits of the quarantine decider, in time, memory and messages."""
-
-    quarantine_lifetime_ms: int = DEFAULT_QUARANTINE_LIFETIME_MS
-    evidence_lifetime_ms: int = DEFAULT_EVIDENCE_LIFETIME_MS
-    spread_ms: int = DEFAULT_SPREAD_MS
-    max_fingerprints: int = DEFAULT_MAX_FINGERPRINTS
-    summary_entries: int = DEFAULT_SUMMARY_ENTRIES
-    suspect_sends: int = DEFAULT_SUSPECT_SENDS
-    culprit_sends: int = DEFAULT_CULPRIT_SENDS
-
-
 class QuarantineDecider:
-    """Refuses a request once it is the only fingerprint common to two crashes."""
+    """Refuses requests of a fingerprint once it is the only one common to two crashes.
+
+    A fingerprint is that of a whole request, or of a part of prompts. A part must have come with
+    different requests, and complete answers of other requests with it speak for it.
+    """
 
     def __init__(self, *, limits: QuarantineLimits | None = None) -> None:
         self._limits = limits or QuarantineLimits()
         self._evidence: dict[str, Evidence] = {}
+        self._completed_ms: OrderedDict[str, int] = OrderedDict()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is accused."""
+        return not self._evidence
 
     def record_crash(self, fingerprint: str, endpoint_id: EndpointId, now_ms: int) -> None:
         """Record that an endpoint crashed while it ran a request of this fingerprint."""
-        evidence = self._get_or_add_evidence(fingerprint, now_ms)
-        if evidence.add_crash(endpoint_id, now_ms):
+        self.record_suspects((Suspect(fingerprint=fingerprint),), endpoint_id, now_ms)
+
+    def record_suspects(
+        self, suspects: Iterable[Suspect], endpoint_id: EndpointId, now_ms: int
+    ) -> None:
+        """Record that an endpoint crashed while it ran requests of all these fingerprints."""
+        changed = []
+        for suspect in suspects:
+            evidence = self._get_or_add_evidence(suspect.fingerprint, now_ms)
+            carriers = {suspect.carrier} if suspect.carrier else set()
+            crash = Crash(endpoint_id, now_ms, carriers=carriers, has_begun=suspect.has_begun)
+            if evidence.add_crash(crash):
+                changed.append(evidence)
+        for evidence in changed:
             self._evaluate_evidence(evidence, now_ms)
 
     def record_success(self, fingerprint: str, now_ms: int) -> None:
-        """Record a complete response to a request of this fingerprint."""
+        """Record a complete response to a request of this fingerprint.
+
+        It ends the quarantine of a part, as an answer with it should not have been possible.
+        """
+        if is_part(fingerprint):
+            self._record_completed(fingerprint, now_ms)
         evidence = self._evidence.get(fingerprint)
-        if (
-            evidence is not None
-            and self.classify(fingerprint, now_ms) is not QuarantineStatus.QUARANTINED
-        ):
+        if evidence is None:
+            return
+        status = self.classify(fingerprint, now_ms)
+        if is_part(fingerprint):
+            is_accused = status is not QuarantineStatus.CLEAR
+            evidence.clear(now_ms)
+            evidence.cleared_sends = 0 if is_accused else evidence.cleared_sends
+        elif status is not QuarantineStatus.QUARANTINED:
             evidence.clear(now_ms)
 
+    def _record_completed(self, fingerprint: str, now_ms: int) -> None:
+        """Remember when a part was in a complete answer last; the oldest ones are forgotten."""
+        self._completed_ms[fingerprint] = now_ms
+        self._completed_ms.move_to_end(fingerprint)
+        while len(self._completed_ms) > self._limits.max_completed:
+            self._completed_ms.popitem(last=False)
+
+    def record_refused(self, fingerprint: str, now_ms: int) -> None:
+        """Record that a request was refused; the quarantine lasts while such requests come."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is not None and evidence.quarantined_ms is not None:
+            evidence.requested_ms = now_ms
+
+    def is_probe_due(self, fingerprint: str, now_ms: int) -> bool:
+        """Return whether one request of a quarantined fingerprint may be let through.
+
+        To be asked at one VM only, so that the whole fleet pays for a probe once.
+        """
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None or evidence.quarantined_ms is None:
+            return False
+        wait_ms = self._limits.probe_after_ms * PROBE_BACKOFF**evidence.probes
+        is_left = evidence.probes < self._limits.max_probes
+        return is_left and now_ms - evidence.quarantined_ms >= wait_ms
+
+    def try_probe(self, fingerprint: str, now_ms: int) -> bool:
+        """Return whether to let one request through now, and count it."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None or not self.is_probe_due(fingerprint, now_ms):
+            return False
+        evidence.probes += 1
+        evidence.quarantine_sends = 0
+        return True
+
+    def retract_crash(self, endpoint_id: EndpointId, crashed_ms: int, now_ms: int) -> None:
+        """Drop a crash that was none, as the endpoint was seen again, and what follows from it."""
+        retracted = Crash(endpoint_id, crashed_ms)
+        for evidence in self._evidence.values():
+            crash = evidence.find_crash(retracted)
+            if crash is None:
+                continue
+            evidence.crashes.remove(crash)
+            is_refused = evidence.held_ms is not None or evidence.quarantined_ms is not None
+            if is_refused and not self._is_culprit(evidence, now_ms):
+                evidence.clear(now_ms - evidence.innocent_ms)
+                evidence.cleared_sends = 0
+
+    def crashes(self) -> tuple[tuple[EndpointId, int], ...]:
+        """Return the endpoint and the time of each crash that counts as evidence."""
+        return tuple(
+            {
+                (crash.endpoint_id, crash.crashed_ms)
+                for evidence in self._evidence.values()
+                for crash in evidence.crashes
+            }
+        )
+
+    def refused_fingerprints(self, now_ms: int) -> frozenset[str]:
+        """Return the fingerprints whose requests must not start now."""
+        return frozenset(item for item in self._evidence if self.is_quarantined(item, now_ms))
+
+    def find_crashes(self, fingerprint: str) -> tuple[Crash, ...]:
+        """Return the crashes that accuse a fingerprint, as far as this VM knows them."""
+        evidence = self._evidence.get(fingerprint)
+        return () if evidence is None else tuple(evidence.crashes)
+
     def classify(self, fingerprint: str, now_ms: int) -> QuarantineStatus:
         """Return the current status of a fingerprint."""
         evidence = self._evidence.get(fingerprint)
@@ -138,12 +221,12 @@
         """Return whether some evidence was sent fewer times than required to reach all VMs."""
         return any(item.sends < self._required_sends(item) for item in self._sendable_items(now_ms))
 
-    def merge(self, summary: QuarantineSummary, now_ms: int) -> None:
+    def merge(self, summary: QuarantineSummary, now_ms: int, *, told_by: str = "") -> None:
         """Merge another VM's evidence; the order and number of merges do not matter."""
         changed = [
             evidence
             for entry in summary.entries
-            if (evidence := self._merge_entry(entry, now_ms)) is not None
+            if (evidence := self._merge_entry(entry, now_ms, told_by)) is not None
         ]
         for evidence in changed:
             self._evaluate_evidence(evidence, now_ms)
@@ -157,27 +240,62 @@
         is_sent = item.sends >= self._required_sends(item)
         return (is_sent, not item.is_urgent, item.sends, -item.timestamp_ms)
 
-    def _merge_entry(self, entry: QuarantineEntry, now_ms: int) -> Evidence | None:
+    def _merge_entry(self, entry: QuarantineEntry, now_ms: int, told_by: str) -> Evidence | None:
         """Merge one entry; return its evidence when a crash was added."""
         timestamp_ms = now_ms - entry.age_ms
+        if entry.completed:
+            self._merge_completed(entry.fingerprint, timestamp_ms)
+            return None
         if entry.quarantined:
-            if entry.age_ms < self._limits.quarantine_lifetime_ms:
-                self._quarantine(self._get_or_add_evidence(entry.fingerprint, now_ms), timestamp_ms)
+            self._merge_quarantine(entry, now_ms)
             return None
         if entry.age_ms >= self._limits.evidence_lifetime_ms:
             return None
         evidence = self._get_or_add_evidence(entry.fingerprint, now_ms)
         added = [
-            evidence.add_crash(endpoint_id, timestamp_ms) for endpoint_id in entry.endpoint_ids
+            evidence.add_crash(
+                Crash(
+                    endpoint_id,
+                    timestamp_ms,
+                    carriers=set(entry.carriers),
+                    has_begun=entry.has_begun,
+                    told_by=told_by,
+                )
+            )
+            for endpoint_id in entry.endpoint_ids
         ]
         return evidence if any(added) else None
 
+    def _merge_completed(self, fingerprint: str, completed_ms: int) -> None:
+        """Apply another VM's complete answer to what is accused here."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None:
+            return
+        if evidence.cleared_ms is not None and evidence.cleared_ms >= completed_ms:
+            return
+        quarantined_ms = evidence.quarantined_ms
+        if quarantined_ms is None or quarantined_ms <= completed_ms + evidence.innocent_ms:
+            evidence.clear(completed_ms)
+            evidence.cleared_sends = 0
+
+    def _merge_quarantine(self, entry: QuarantineEntry, now_ms: int) -> None:
+        """Apply another VM's quarantine, with its last refusal and its probes."""
+        if min(entry.age_ms, entry.idle_ms) >= self._limits.quarantine_lifetime_ms:
+            return
+        evidence = self._get_or_add_evidence(entry.fingerprint, now_ms)
+        self._quarantine(evidence, now_ms - entry.age_ms)
+        if evidence.quarantined_ms is None:
+            return
+        evidence.probes = max(evidence.probes, entry.probes)
+        if entry.idle_ms < self._limits.quarantine_lifetime_ms:
+            evidence.requested_ms = max(evidence.requested_ms or 0, now_ms - entry.idle_ms)
+
     def _evaluate_evidence(self, evidence: Evidence, now_ms: int) -> None:
-        """Hold a fingerprint that, by the known evidence, is the only one common to two crashes."""
+        """Hold a fingerprint that the known crashes accuse."""
         self._update_status(evidence, now_ms)
         if evidence.quarantined_ms is not None or evidence.held_ms is not None:
             return
-        if self._is_only_common(evidence, now_ms):
+        if self._is_culprit(evidence, now_ms):
             evidence.held_ms = now_ms
 
     def _update_status(self, evidence: Evidence, now_ms: int) -> None:
@@ -185,35 +303,36 @@
 
         The hold becomes a quarantine unless another fingerprint explains the crashes too.
         """
-        quarantined_ms = evidence.quarantined_ms
-        if quarantined_ms is not None:
-            if now_ms - quarantined_ms >= self._limits.quarantine_lifetime_ms:
-                evidence.clear(now_ms)
-                evidence.quarantined_ms = None
+        if evidence.quarantined_ms is not None:
+            last_ms = max(evidence.quarantined_ms, evidence.requested_ms or 0)
+            if now_ms - last_ms >= self._limits.quarantine_lifetime_ms:
+                evidence.clear(now_ms - evidence.innocent_ms)
             return
         if evidence.held_ms is None or now_ms - evidence.held_ms < self._limits.spread_ms:
             return
         evidence.held_ms = None
-        if self._is_only_common(evidence, now_ms):
+        if self._is_culprit(evidence, now_ms):
             self._quarantine(evidence, now_ms)
 
     def _quarantine(self, evidence: Evidence, timestamp_ms: int) -> None:
         """Quarantine a fingerprint from a time on, unless it was cleared after that time."""
-        if evidence.cleared_ms is not None and timestamp_ms <= evidence.cleared_ms:
+        if evidence.is_cleared_at(timestamp_ms):
             return
         if evidence.quarantined_ms is None:
             evidence.quarantined_ms = timestamp_ms
             evidence.quarantine_sends = 0
 
-    def _is_only_common(self, evidence: Evidence, now_ms: int) -> bool:
-        """Return whether this fingerprint is the only one common to two recent crashes."""
+    def _is_culprit(self, evidence: Evidence, now_ms: int) -> bool:
+        """Return whether recent crashes accuse a fingerprint."""
         others = (other for other in self._evidence.values() if other is not evidence)
-        return is_only_common_fingerprint(evidence, others, self._evidence_since_ms(now_ms))
+        return is_culprit(evidence, others, self._evidence_since_ms(now_ms))
 
     def _sendable_items(self, now_ms: int) -> Iterator[SummaryItem]:
         """Yield the evidence that may be sent to other VMs."""
         since_ms = self._evidence_since_ms(now_ms)
         for evidence in self._evidence.values():
+            if evidence.cleared_sends is not None:
+                yield SummaryItem(evidence, None, is_completed=True)
             if evidence.quarantined_ms is not None:
                 yield SummaryItem(evidence, None)
                 continue
@@ -234,6 +353,10 @@
         if len(self._evidence) >= self._limits.max_fingerprints:
             del self._evidence[min(self._evidence.values(), key=_significance).fingerprint]
         evidence = Evidence(fingerprint)
+        if is_part(fingerprint):
+            evidence.innocent_ms = self._limits.innocent_ms
+            evidence.cleared_ms = self._completed_ms.get(fingerprint)
+            evidence.cleared_sends = None if evidence.cleared_ms is None else 0
         self._evidence[fingerprint] = evidence
         return evidence
 
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -20,7 +20,7 @@
     StreamVersionQuery,
     StreamVersionRecord,
 )
-from wagtailusher_wire.messages import MESSAGE_TYPES, LeaseBatch, Message
+from wagtailusher_wire.messages import MESSAGE_TYPES, LeaseBatch, Message, QuarantineSummary
 from wagtailusher_wire.msgpack_rows import from_row, row_type, to_row
 
 _SCHEMA_FILE = Path(__file__).with_name("messages.capnp")
@@ -43,6 +43,7 @@
 
 _CODEC_BY_TYPE: dict[type[Message], Codec] = {
     LeaseBatch: Codec.MSGPACK,
+    QuarantineSummary: Codec.MSGPACK,
     Beat: Codec.MSGPACK,
     StreamVersionRecord: Codec.MSGPACK,
     StreamVersionQuery: Codec.MSGPACK,
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -199,6 +199,11 @@
   endpointIds @1 :List(Text);
   quarantined @2 :Bool;
   ageMs @3 :UInt32;
+  carriers @4 :List(Text);
+  hasBegun @5 :Bool;
+  completed @6 :Bool;
+  probes @7 :UInt32;
+  idleMs @8 :UInt32 = 4294967295;
 }
 
 struct QuarantineSummary {
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -22,6 +22,8 @@
     StreamVersionRecord,
 )
 
+NEVER_MS = 0xFFFFFFFF
+"""Age of what never happened."""
 NO_REVISION = Revision(epoch=0, number=0)
 
 
@@ -225,12 +227,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuarantineEntry:
-    """The endpoints that one request's fingerprint has crashed."""
+    """The endpoints that a request or a prompt part crashed, its quarantine or a complete answer.
+
+    The fields behind the age are missing in messages of older builds.
+    """
 
     fingerprint: str
     endpoint_ids: tuple[EndpointId, ...]
     quarantined: bool
     age_ms: int
+    carriers: tuple[str, ...] = ()
+    has_begun: bool = False
+    completed: bool = False
+    probes: int = 0
+    idle_ms: int = NEVER_MS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
