Refuse requests and prompt parts that crash endpoints, in the whole fleet

Requests with one prompt part, no two alike and at any VM, ended endpoint after endpoint: the gateway knew no crashes at all.

An attempt whose connection ends before an event came is a suspect; with its answer's head there, its prompt parts are suspects, too, and it is not repeated before the check is done. The endpoint has crashed if its address refuses a connection; one that is draining or unlisted ends by plan. Evidence goes to all peers at once, is repeated to some, and a VM that is new gets it with the first heartbeat. What is refused gets 503, "quarantined", before anything is sent. A crash is retracted if its endpoint's entry outlives it.

Traps: endpoints that crash on their own, reset their connections or leave by plan while all requests share a part.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -30,6 +30,7 @@
     VIEW_PULL_MS,
 )
 from wagtailusher_gateway.contention import PlaceContention
+from wagtailusher_gateway.crash_watch import CrashWatch
 from wagtailusher_gateway.dispatcher import Dispatcher
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry
 from wagtailusher_gateway.fleet import FleetDecider
@@ -41,6 +42,7 @@
 from wagtailusher_gateway.options import GatewayOptions
 from wagtailusher_gateway.placement import Placement
 from wagtailusher_gateway.platform_reads import ReaderContext, is_read_due
+from wagtailusher_gateway.quarantine_exchange import QuarantineExchange
 from wagtailusher_gateway.servers import Servers
 from wagtailusher_gateway.stream_version_exchange import StreamVersionExchange
 from wagtailusher_gateway.view_cache import ViewCache
@@ -83,11 +85,18 @@
         self.view_cache = ViewCache(self._apply_view)
         self.dispatcher = self._new_dispatcher()
         self.link = self._new_link(incarnation)
+        self.quarantine = self._new_quarantine()
+        self.crash_watch = CrashWatch(
+            is_refused=self._client.async_is_refused,
+            on_crash=self.quarantine.record_crash,
+            clock_ms=monotonic_ms,
+        )
         self.heartbeats = HeartbeatExchange(
             fleet=self.fleet,
             view_cache=self.view_cache,
             registry=self.dispatcher.placement.registry,
             send=self.link.send,
+            on_new_peer=self.quarantine.greet,
         )
         self.stream_versions = self._new_stream_versions()
         self.view_exchange = ViewExchange(
@@ -118,6 +127,16 @@
             count_event=lambda event: self.metrics.stream_versions.inc({"event": event}),
         )
 
+    def _new_quarantine(self) -> QuarantineExchange:
+        return QuarantineExchange(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            send=self.link.send,
+            clock_ms=monotonic_ms,
+            count_event=lambda event: self.metrics.quarantine.inc({"event": event}),
+            seed=self._random.randrange(1 << 32),
+        )
+
     def _new_dispatcher(self) -> Dispatcher:
         bounds = self.options.bounds
         placement = Placement(
@@ -160,6 +179,8 @@
             client=self._client,
             metrics=self.metrics,
             stream_versions=self.stream_versions,
+            quarantine=self.quarantine,
+            crash_watch=self.crash_watch,
             clock_ms=monotonic_ms,
         )
 
@@ -242,6 +263,7 @@
                 break
             await asyncio.sleep(TICK_MS / MS_PER_S)
         left = self.dispatcher.in_flight
+        self.crash_watch.close()
         await self._tasks.async_stop()
         await self.servers.async_close()
         self.link.close()
@@ -259,6 +281,7 @@
         now_ms = monotonic_ms()
         self.heartbeats.receive(message, authenticated, address, now_ms)
         self.stream_versions.receive(message, authenticated, address, now_ms)
+        self.quarantine.receive(message, authenticated, address, now_ms)
 
     def _apply_view(self, view: FleetView, changed: bool, now_ms: int) -> None:
         """Apply a view, and announce changes at once if this VM is the elected reader."""
@@ -285,6 +308,8 @@
         self._update_own_state()
         self.heartbeats.tick(now_ms)
         self.stream_versions.tick(now_ms)
+        self.quarantine.tick(now_ms)
+        self.crash_watch.tick(now_ms)
         if self.dispatcher.admission.count:
             self.dispatcher.admission.process_queues(now_ms)
         if self._logs is not None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -45,7 +45,10 @@
         reservation: Reservation,
         delivery: Delivery,
         position: StreamPosition,
+        is_allowed: Callable[[], bool] = lambda: True,
     ) -> None:
+        """`is_allowed` is asked right before the first byte is sent."""
+        self._is_allowed = is_allowed
         self._dispatcher = dispatcher
         self._client = client
         self._delivery = delivery
@@ -82,6 +85,16 @@
             "surplus_bytes": answer.surplus_bytes,
         }
 
+    @property
+    def has_head(self) -> bool:
+        """Return whether the answer has begun."""
+        return self._last_answer is not None
+
+    @property
+    def has_event(self) -> bool:
+        """Return whether the answer brought a new event."""
+        return self._framer.has_new_event
+
     @property
     def is_stream(self) -> bool:
         """Return whether the answer is a stream of events."""
@@ -182,7 +195,7 @@
 
     def _may_send(self) -> bool:
         """Check the endpoint once more right before the first byte, and record the send."""
-        if not self._dispatcher.may_send(self.reservation):
+        if not self._dispatcher.may_send(self.reservation) or not self._is_allowed():
             return False
         self.was_sent = True
         self._delivery.record_sent()
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -13,12 +13,14 @@
     RETRY_AFTER_MIN_MS,
     UNKNOWN_VERSION_RETRY_MS,
 )
+from wagtailusher_gateway.crash_watch import CrashWatch
 from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest
 from wagtailusher_gateway.exceptions import RefusedError
 from wagtailusher_gateway.exchange import Exchange
 from wagtailusher_gateway.http_mapping import HttpMapping
 from wagtailusher_gateway.metrics import GatewayMetrics
 from wagtailusher_gateway.models import Repeat, RequestTerms, Route, Workspace
+from wagtailusher_gateway.quarantine_exchange import QuarantineExchange
 from wagtailusher_gateway.request_record import RequestRecord
 from wagtailusher_gateway.routes import RouteTable, choose_service
 from wagtailusher_gateway.stream_version_exchange import KnownVersion, StreamVersionExchange
@@ -36,6 +38,8 @@
         client: HttpClient,
         metrics: GatewayMetrics,
         stream_versions: StreamVersionExchange,
+        quarantine: QuarantineExchange,
+        crash_watch: CrashWatch,
         clock_ms: Callable[[], int],
     ) -> None:
         self._dispatcher = dispatcher
@@ -43,6 +47,8 @@
         self._client = client
         self._metrics = metrics
         self._stream_versions = stream_versions
+        self._quarantine = quarantine
+        self._crash_watch = crash_watch
         self._clock_ms = clock_ms
 
     async def async_handle(self, request: Request) -> Response:
@@ -129,6 +135,8 @@
             http_mapping=self._http_mapping,
             client=self._client,
             stream_versions=self._stream_versions,
+            quarantine=self._quarantine,
+            crash_watch=self._crash_watch,
             request=request,
             routed_request=routed_request,
             workspace=workspace,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -210,6 +210,35 @@
 UNKNOWN_VERSION_RETRY_MS: Final = 500
 """Retry delay of a stream whose version is unknown; holders may be in touch again by then."""
 
+CRASH_CHECK_DELAY_MS: Final = 20
+"""Wait after a request's connection ended until the endpoint's address is checked; its process may
+still be ending."""
+
+SAME_CRASH_MS: Final = 3_000
+"""Time in which the connections of requests end because of one crash; longer than their queues."""
+
+MAX_FINGERPRINT_PARTS: Final = 16
+"""Most parts of a prompt that are tracked; several times the usual number."""
+
+MAX_PART_ID_BYTES: Final = 40
+"""Longest identifier of a part that peers get as it is; eight of them fit into a datagram."""
+
+QUARANTINE_INTERVAL_MS: Final = 200
+"""Interval at which evidence of crashes is repeated; as that of heartbeats."""
+
+QUARANTINE_PEERS: Final = 6
+"""Peers that each repetition goes to; all of them learn it within a few."""
+
+QUARANTINE_REPEAT_MS: Final = 1_000
+"""Interval at which two peers get what is refused, for those that missed it; a part of the time in
+which the fleet must know."""
+
+MAX_SUMMARIES_PER_TICK: Final = 4
+"""Most messages of evidence at once; a crash accuses a few requests and their parts."""
+
+ENTRY_LAPSE_MS: Final = 10_000
+"""Time after which the entry of an endpoint that crashed has expired; several of its intervals."""
+
 LEAVE_LINGER_MS: Final = 3_600
 """How long a leaving VM keeps serving callers that cached its address; three lifetimes and a
 reserve."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -8,22 +8,26 @@
 from wagtailusher_core import EndpointId, ErrorCode, WagtailusherError
 from wagtailusher_gateway.attempt import Attempt, SendResult
 from wagtailusher_gateway.const import MS_PER_S
+from wagtailusher_gateway.crash_watch import CrashWatch
 from wagtailusher_gateway.delivery import Delivery, DeliveryState
 from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest, queue_name
 from wagtailusher_gateway.events import StreamPosition
 from wagtailusher_gateway.exceptions import BrokenStreamError, RefusedError
 from wagtailusher_gateway.http_mapping import ForwardContext, HttpMapping
-from wagtailusher_gateway.models import Workspace
+from wagtailusher_gateway.models import Endpoint, Workspace
 from wagtailusher_gateway.placement import Reservation
+from wagtailusher_gateway.quarantine_exchange import QuarantineExchange
+from wagtailusher_gateway.request_fingerprints import RequestFingerprints
 from wagtailusher_gateway.request_record import RequestRecord
 from wagtailusher_gateway.stream_version_exchange import StreamVersionExchange
 from wagtailusher_gateway.stream_versions import record_life_ms
-from wagtailusher_http import BodySink, HttpClient, Request, Response
+from wagtailusher_http import AnswerTruncatedError, BodySink, HttpClient, Request, Response
 
 MAX_CONNECT_FAILURES = 4
 """Endpoints that may fail to accept a connection before the request is answered with an error."""
 
 _RESTATED_FIELDS = frozenset({"content-length"})
+_CLIENT_ERROR = 400
 _SERVER_ERROR = 500
 
 
@@ -37,6 +41,8 @@
         http_mapping: HttpMapping,
         client: HttpClient,
         stream_versions: StreamVersionExchange,
+        quarantine: QuarantineExchange,
+        crash_watch: CrashWatch,
         request: Request,
         routed_request: RoutedRequest,
         workspace: Workspace | None,
@@ -46,7 +52,10 @@
         self._http_mapping = http_mapping
         self._client = client
         self._stream_versions = stream_versions
+        self._quarantine = quarantine
+        self._crash_watch = crash_watch
         self._request = request
+        self._fingerprints = RequestFingerprints(request, routed_request.terms)
         self._routed_request = routed_request
         self._workspace = workspace
         self._record = record
@@ -56,6 +65,8 @@
         self._connect_failures = 0
         self._position = StreamPosition(last_id=routed_request.terms.resume_after)
         self._attempt: Attempt | None = None
+        self._crash_suspect: Endpoint | None = None
+        """Endpoint that may have crashed as it began to answer; known before another attempt."""
 
     async def async_run(self) -> Response:
         """Return the answer, or raise RefusedError; a cancelled run releases what it holds."""
@@ -96,6 +107,8 @@
             return None
         self._record.record_answer_fields(attempt.answer_fields)
         attempt.finish(failed=attempt.status >= _SERVER_ERROR)
+        if attempt.status < _CLIENT_ERROR:
+            self._quarantine.record_complete(self._fingerprints)
         self._attempt = None
         if attempt.status >= _SERVER_ERROR and self._may_repeat():
             self._excluded |= {attempt.endpoint_id}
@@ -114,10 +127,19 @@
 
         Returns None if the attempt failed and another one may follow.
         """
+        if self._crash_suspect is not None:
+            await self._crash_watch.async_wait(self._crash_suspect)
+            self._crash_suspect = None
+        self._check_quarantine()
         reservation = await self._async_reserve()
         self._record.record_reservation(reservation, self._dispatcher.clock_ms())
         attempt = Attempt(
-            self._dispatcher, self._client, reservation, self._delivery, self._position
+            self._dispatcher,
+            self._client,
+            reservation,
+            self._delivery,
+            self._position,
+            is_allowed=lambda: self._quarantine.may_send(self._fingerprints),
         )
         self._attempt = attempt
         forward_context = ForwardContext(
@@ -150,6 +172,25 @@
             return None
         return attempt
 
+    def _check_quarantine(self) -> None:
+        """Raise RefusedError if the request, or a part of its prompt, crashes endpoints."""
+        refusal = self._quarantine.find_refusal(self._fingerprints)
+        if refusal is not None:
+            self._record.record_quarantine(refusal)
+            raise self._delivery.error(
+                "requests like this one crash endpoints",
+                ErrorCode.QUARANTINED,
+                refusal.retry_after_ms,
+            )
+
+    def _record_break(self, attempt: Attempt, err: WagtailusherError) -> None:
+        """Suspect a request whose connection ended before its answer brought anything."""
+        if isinstance(err, AnswerTruncatedError) and attempt.was_sent and not attempt.has_event:
+            endpoint = attempt.reservation.endpoint
+            suspects = self._fingerprints.suspects(has_begun=attempt.has_head)
+            self._crash_watch.record_break(endpoint, suspects)
+            self._crash_suspect = endpoint if attempt.has_head else None
+
     async def _async_reserve(self) -> Reservation:
         """Wait for a reservation; a refusal after a failed attempt does not say "not run"."""
         try:
@@ -166,6 +207,7 @@
         self._attempt = None
         self._excluded |= {attempt.endpoint_id}
         self._record_attempt_end(attempt, err.message)
+        self._record_break(attempt, err)
         attempt.abort()
         if not attempt.was_sent:
             self._connect_failures += 1
@@ -270,12 +312,14 @@
             self._record.record_stream_broken("the request's deadline has passed")
             raise BrokenStreamError("the request's deadline has passed") from None
         current.finish(failed=False)
+        self._quarantine.record_complete(self._fingerprints)
         self._attempt = None
         self._record.record_stream_complete(current.longest_gap_ms)
 
     async def _async_resume(self, attempt: Attempt, err: WagtailusherError) -> Attempt:
         """Return an attempt that continues a broken stream, or raise BrokenStreamError."""
         self._record_attempt_end(attempt, err.message)
+        self._record_break(attempt, err)
         attempt.abort()
         self._attempt = None
         self._excluded |= {attempt.endpoint_id}
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -31,7 +31,10 @@
         view_cache: ViewCache,
         registry: EndpointRegistry,
         send: Callable[[str, Message], None],
+        on_new_peer: Callable[[str, int], None] = lambda address, now_ms: None,
     ) -> None:
+        """`on_new_peer` gets the address of a VM that is new or has started anew, and the time."""
+        self._on_new_peer = on_new_peer
         self._fleet = fleet
         self._view_cache = view_cache
         self._registry = registry
@@ -99,6 +102,7 @@
         self._registry.set_peer_loads(authenticated.vm_id, loads, now_ms)
         if is_new and authenticated.vm_id != self._fleet.own_member.vm_id:
             self._send(address, self._new_heartbeat(now_ms, with_peers=True))
+            self._on_new_peer(address, now_ms)
 
     def _new_heartbeat(self, now_ms: int, *, with_peers: bool) -> Beat:
         own_member = self._fleet.own_member
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -18,6 +18,9 @@
         self.stream_versions = self.counter(
             "stream_versions", "Records of streams' software versions, by what happened to them"
         )
+        self.quarantine = self.counter(
+            "quarantine", "Requests that crash endpoints, by what happened to them"
+        )
         self.peer_errors = self.counter("peer_errors", "Peer messages refused, by code")
         self.platform_calls = self.counter("platform_calls", "Calls to the platform, by outcome")
         self.dropped_log_lines = self.counter("dropped_log_lines", "Log lines dropped, by kind")
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_fingerprints.py
@@ -0,0 +1,56 @@
+"""Fingerprints of a request and of the parts of its prompt, for the quarantine."""
+
+from __future__ import annotations
+
+from functools import cached_property
+
+from xxhash import xxh3_128_hexdigest
+
+from wagtailusher_gateway.const import MAX_FINGERPRINT_PARTS, MAX_PART_ID_BYTES
+from wagtailusher_gateway.models import RequestTerms
+from wagtailusher_http import Request
+from wagtailusher_quarantine import Suspect, part_fingerprint
+
+
+class RequestFingerprints:
+    """The fingerprints under which a request may be accused of crashing an endpoint.
+
+    The last part of a prompt is the request's own, so it is accused as the request.
+    """
+
+    def __init__(self, request: Request, terms: RequestTerms) -> None:
+        """Compute the parts' fingerprints; the request's follows when it is needed."""
+        self._request = request
+        self._terms = terms
+        self.parts = tuple(
+            part_fingerprint(_short(part.part_id))
+            for part in terms.shared_parts[:MAX_FINGERPRINT_PARTS]
+        )
+
+    @cached_property
+    def whole(self) -> str:
+        """Return the fingerprint of the path, the caller and the content."""
+        request = self._request
+        head = "\0".join((request.method, request.target, self._terms.api_key or "", ""))
+        return xxh3_128_hexdigest(head.encode() + request.body)
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        """Return all fingerprints."""
+        return (self.whole, *self.parts)
+
+    def suspects(self, *, has_begun: bool) -> tuple[Suspect, ...]:
+        """Return whom a crash accuses; the parts only if the answer had begun."""
+        request = Suspect(fingerprint=self.whole, has_begun=has_begun)
+        if not has_begun:
+            return (request,)
+        return (
+            request,
+            *(Suspect(fingerprint=part, carrier=self.whole, has_begun=True) for part in self.parts),
+        )
+
+
+def _short(part_id: str) -> str:
+    """Return a part's identifier, or its hash if it is long; callers may send any."""
+    content = part_id.encode()
+    return part_id if len(content) <= MAX_PART_ID_BYTES else xxh3_128_hexdigest(content)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
@@ -10,6 +10,7 @@
 from wagtailusher_gateway.metrics import GatewayMetrics
 from wagtailusher_gateway.models import FleetView, RequestTerms, Route, Workspace
 from wagtailusher_gateway.placement import Reservation
+from wagtailusher_gateway.quarantine_exchange import Refusal
 from wagtailusher_gateway.stream_version_exchange import KnownVersion
 
 _LOGGER = logging.getLogger(__name__)
@@ -44,6 +45,11 @@
         self._is_complete = False
         self._longest_gap_ms = 0
         self._answer_fields: dict[str, int | bool] = {}
+        self._quarantine: Refusal | None = None
+
+    def record_quarantine(self, refusal: Refusal) -> None:
+        """Record what the request is accused of, from which crashes, and who told them."""
+        self._quarantine = refusal
 
     def record_route(
         self, route: Route, service: str, workspace: Workspace | None, rank: int
@@ -166,6 +172,18 @@
             "version_age_ms": known.age_ms,
         }
 
+    def _quarantine_fields(self) -> dict[str, object]:
+        """Return the log fields that tell what a request is accused of, and by whom."""
+        refusal = self._quarantine
+        if refusal is None:
+            return {}
+        return {
+            "quarantined": refusal.fingerprint,
+            "quarantine_crashed": refusal.endpoint_ids,
+            "quarantine_told_by": refusal.told_by,
+            "quarantine_crash_age_ms": refusal.age_ms,
+        }
+
     def _view_fields(self) -> dict[str, int | None]:
         """Return the log fields for the version and age of the view used for decisions."""
         configuration = self._view.configuration
@@ -205,6 +223,7 @@
                 "rank": self._rank,
                 "resumes": self._terms.resumes_id,
                 **self._version_fields(),
+                **self._quarantine_fields(),
                 **self._reservation_fields(),
                 **self._answer_fields,
                 "status": self._status,
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -29,6 +29,7 @@
     AnswerProtocolError,
     AnswerTooLargeError,
     AnswerTruncatedError,
+    ConnectError,
     ReadTimeoutError,
     SendCancelledError,
 )
@@ -252,6 +253,15 @@
             raise
         return ClientAnswer(self, connection, answer_head, states_request)
 
+    async def async_is_refused(self, address: str) -> bool:
+        """Return whether a connection is refused, as happens while no process listens."""
+        try:
+            connection = await ClientConnection.async_open(address, self.limits, self._ssl_context)
+        except ConnectError as err:
+            return isinstance(err.__cause__, ConnectionRefusedError)
+        connection.close()
+        return False
+
     async def _async_get_connection(
         self, address: str, *, new_connection: bool
     ) -> ClientConnection:
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/const.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/const.py
@@ -7,7 +7,7 @@
 DEFAULT_SPREAD_MS = 1_500
 DEFAULT_MAX_FINGERPRINTS = 1_024
 DEFAULT_MAX_COMPLETED = 4_096
-"""Prompt parts whose last complete answer is remembered; a few times the sessions of a busy VM."""
+"""Fingerprints whose last complete answer is remembered; a busy VM's requests of many seconds."""
 DEFAULT_SUMMARY_ENTRIES = 8
 DEFAULT_SUSPECT_SENDS = 4
 DEFAULT_CULPRIT_SENDS = 12
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
@@ -62,23 +62,30 @@
     def record_success(self, fingerprint: str, now_ms: int) -> None:
         """Record a complete response to a request of this fingerprint.
 
-        It ends the quarantine of a part, as an answer with it should not have been possible.
+        Where it speaks for later requests, it ends a quarantine, too, as an answer should not have
+        been possible.
         """
-        if is_part(fingerprint):
+        speaks_for_later = self._innocent_ms(fingerprint) > 0
+        if speaks_for_later:
             self._record_completed(fingerprint, now_ms)
         evidence = self._evidence.get(fingerprint)
         if evidence is None:
             return
         status = self.classify(fingerprint, now_ms)
-        if is_part(fingerprint):
+        if speaks_for_later:
             is_accused = status is not QuarantineStatus.CLEAR
             evidence.clear(now_ms)
             evidence.cleared_sends = 0 if is_accused else evidence.cleared_sends
         elif status is not QuarantineStatus.QUARANTINED:
             evidence.clear(now_ms)
 
+    def _innocent_ms(self, fingerprint: str) -> int:
+        """Return the time after a complete answer in which a fingerprint is not accused."""
+        limits = self._limits
+        return limits.innocent_ms if is_part(fingerprint) else limits.request_innocent_ms
+
     def _record_completed(self, fingerprint: str, now_ms: int) -> None:
-        """Remember when a part was in a complete answer last; the oldest ones are forgotten."""
+        """Remember when an answer was complete last; the oldest ones are forgotten."""
         self._completed_ms[fingerprint] = now_ms
         self._completed_ms.move_to_end(fingerprint)
         while len(self._completed_ms) > self._limits.max_completed:
@@ -352,11 +359,9 @@
             self._expire(now_ms)
         if len(self._evidence) >= self._limits.max_fingerprints:
             del self._evidence[min(self._evidence.values(), key=_significance).fingerprint]
-        evidence = Evidence(fingerprint)
-        if is_part(fingerprint):
-            evidence.innocent_ms = self._limits.innocent_ms
-            evidence.cleared_ms = self._completed_ms.get(fingerprint)
-            evidence.cleared_sends = None if evidence.cleared_ms is None else 0
+        evidence = Evidence(fingerprint, innocent_ms=self._innocent_ms(fingerprint))
+        evidence.cleared_ms = self._completed_ms.get(fingerprint)
+        evidence.cleared_sends = None if evidence.cleared_ms is None else 0
         self._evidence[fingerprint] = evidence
         return evidence
 
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/limits.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/limits.py
@@ -31,6 +31,8 @@
     suspect_sends: int = DEFAULT_SUSPECT_SENDS
     culprit_sends: int = DEFAULT_CULPRIT_SENDS
     innocent_ms: int = DEFAULT_INNOCENT_MS
+    request_innocent_ms: int = 0
+    """The same time for whole requests; 0 where complete answers are not all recorded."""
     max_completed: int = DEFAULT_MAX_COMPLETED
     probe_after_ms: int = DEFAULT_PROBE_AFTER_MS
     max_probes: int = DEFAULT_MAX_PROBES
--- a/tests/standins/crashing_fleet.py
+++ b/tests/standins/crashing_fleet.py
@@ -79,6 +79,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def announce_leaving(self, runner: RunnerStandin) -> None:
+        """Announce that an endpoint leaves by plan."""
+        born_ms = int(runner.instance_id.removeprefix("i-"))
+        entry = self.entry(runner, self.service, state="draining", born=born_ms)
+        self.store.put(f"servers/{runner.instance_id}", entry)
+
     async def _async_replace(self, runner: RunnerStandin) -> None:
         """Remove the entry of a crashed endpoint and start another one."""
         await asyncio.sleep(LAPSE_S)
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -62,6 +62,12 @@
             writer.close()
         await asyncio.sleep(0)
 
+    @callback
+    def reset_connections(self) -> None:
+        """Reset all connections and go on listening."""
+        for writer in tuple(self._writers):
+            reset_connection(writer)
+
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/wagtailusher_platform/test_crashing_requests.py
+++ b/tests/wagtailusher_platform/test_crashing_requests.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Awaitable, Callable
 import json
 from random import Random
 import time
@@ -26,12 +27,16 @@
 """Requests that may reach an endpoint later than that, in the whole fleet."""
 SHARED = "5c1e07a2"
 POISON = "bad0bad0"
+POISONOUS = f"{SHARED}:200,{POISON}:50,0{{}}:50"
+"""Prompt parts of a request that crashes endpoints; the last one is its own."""
 INTERVAL_S = 0.05
+AT_ONCE_S = 0.2
+"""Longest time for a refusal; a part of the shortest target of a route."""
 SOUND_SHARE = 0.5
 """Least share of the sound requests that must be served; the platform's rule."""
 
 
-class CrashingRequestsTest(PlatformTest):
+class CrashingFleetTest(PlatformTest):
     """Three VMs, eight endpoints, and requests of one key and one first part at any VM."""
 
     async def async_start_fleet(self, crashes: Crashes) -> None:
@@ -101,17 +106,32 @@
             since_s = self.fleet.crashed_s[crash_count - 1] + CONTACT_S
             self.assertLessEqual(self.later_sends(since_s), MAX_LATER_SENDS, self.outcomes)
 
+    def check_sound(self) -> None:
+        """Check that sound requests were served, and none of them refused as a crashing one."""
+        sound = sum(n for name, n in self.outcomes.items() if name.startswith("sound"))
+        self.assertGreaterEqual(self.outcomes["sound served"], sound * SOUND_SHARE, self.outcomes)
+        self.assertEqual(self.outcomes["sound quarantined"], 0, self.outcomes)
+
+
+class CrashingRequestsTest(CrashingFleetTest):
+    """What crashes endpoints is refused by all VMs, and nothing else is."""
+
+    async def async_quarantine(self) -> None:
+        """Send requests with the part until all VMs refuse them."""
+        await self.async_start_fleet(has_part(POISON))
+        await self.async_load(1.0, POISONOUS)
+        self.assertGreater(self.outcomes["poison quarantined"], 0, self.outcomes)
+        await asyncio.sleep(INTERVAL_S)
+
     async def test_prompt_part_that_crashes_endpoints_is_quarantined_in_the_whole_fleet(
         self,
     ) -> None:
         """No two requests with the part are alike, and they come at any VM."""
         await self.async_start_fleet(has_part(POISON))
-        await self.async_load(3 * CONTACT_S, f"{SHARED}:200,{POISON}:50,0{{}}:50")
+        await self.async_load(3 * CONTACT_S, POISONOUS)
         self.assertGreater(len(self.fleet.crashed_s), 0)
         self.check_bound(5)
-        served = self.outcomes["sound served"]
-        sound = sum(n for name, n in self.outcomes.items() if name.startswith("sound"))
-        self.assertGreaterEqual(served, sound * SOUND_SHARE, self.outcomes)
+        self.check_sound()
 
     async def test_request_that_crashes_endpoints_is_quarantined_in_the_whole_fleet(self) -> None:
         """The same request comes again at any VM; its parts are those of sound ones."""
@@ -119,6 +139,79 @@
         await self.async_load(3 * CONTACT_S, f"{SHARED}:200,501:50,99:50", b"crash")
         self.assertGreater(len(self.fleet.crashed_s), 0)
         self.check_bound(3)
-        served = self.outcomes["sound served"]
-        sound = sum(n for name, n in self.outcomes.items() if name.startswith("sound"))
-        self.assertGreaterEqual(served, sound * SOUND_SHARE, self.outcomes)
+        self.check_sound()
+
+    async def test_refusal_of_a_crashing_request_is_true_and_given_at_once_at_any_vm(self) -> None:
+        await self.async_quarantine()
+        sent = len(self.fleet.sent_s)
+        for app in self.apps:
+            started_s = time.monotonic()
+            reply = await self.async_ask(
+                app, "/review/", b"new", x_prompt_prefix=POISONOUS.format(9), x_token_count="300,9"
+            )
+            error = json.loads(await reply.async_read())["error"]
+            self.assertEqual((reply.status, error["code"]), (503, "quarantined"))
+            self.assertEqual(error["outcome"], "not_run")
+            self.assertIn("retry-after", reply.headers)
+            self.assertLess(time.monotonic() - started_s, AT_ONCE_S)
+        self.assertEqual(len(self.fleet.sent_s), sent)
+
+    async def test_vm_started_anew_learns_what_crashes_endpoints_before_it_sends(self) -> None:
+        await self.async_quarantine()
+        sent = len(self.fleet.sent_s)
+        await self.async_kill(self.apps[0])
+        app = await self.async_gateway(VM_COUNT + 1)
+        await self.async_joined(app)
+        for number in range(5):
+            parts = POISONOUS.format(number)
+            self.assertEqual(await self.async_send("poison", app, parts, b"n"), "quarantined")
+        self.assertEqual(len(self.fleet.sent_s), sent)
+
+
+class OtherCausesTest(CrashingFleetTest):
+    """Endpoints end for other reasons while all requests share a part."""
+
+    async def async_load_beside(self, disruption: Callable[[], Awaitable[object]]) -> None:
+        """Send sound requests while endpoints are disrupted again and again."""
+        await self.async_start_fleet(lambda request: False)
+
+        async def async_disrupt() -> None:
+            while True:
+                await asyncio.sleep(0.3)
+                await disruption()
+
+        task = asyncio.create_task(async_disrupt())
+        await self.async_load(2.5, None)
+        task.cancel()
+
+    async def test_nothing_is_refused_because_endpoints_crash_on_their_own(self) -> None:
+        """Two at a time, as in an outage of a failure domain."""
+
+        async def async_crash_two() -> None:
+            for runner in self.random.sample(self.fleet.runners, 2):
+                await self.fleet.async_crash(runner)
+
+        await self.async_load_beside(async_crash_two)
+        self.check_sound()
+
+    async def test_nothing_is_refused_because_connections_are_reset(self) -> None:
+        async def async_reset() -> None:
+            for runner in self.fleet.runners:
+                runner.reset_connections()
+
+        await self.async_load_beside(async_reset)
+        self.check_sound()
+        self.assertEqual([app.quarantine.crash_count for app in self.apps], [0] * VM_COUNT)
+
+    async def test_nothing_is_refused_because_endpoints_leave_by_plan(self) -> None:
+        """They say that they leave, and end some of their requests all the same."""
+
+        async def async_leave() -> None:
+            runner = self.random.choice(self.fleet.runners)
+            self.fleet.announce_leaving(runner)
+            await asyncio.sleep(0.2)
+            await self.fleet.async_crash(runner)
+
+        await self.async_load_beside(async_leave)
+        self.check_sound()
+        self.assertEqual([app.quarantine.crash_count for app in self.apps], [0] * VM_COUNT)
--- a/tests/wagtailusher_quarantine/test_parts.py
+++ b/tests/wagtailusher_quarantine/test_parts.py
@@ -92,6 +92,17 @@
         self.assertIs(self.status(BAD, 2), QuarantineStatus.HELD)
         self.assertFalse(self.decider.is_quarantined("bystander", 2))
 
+    def test_request_that_many_callers_send_is_not_refused_beside_another(self) -> None:
+        """Its complete answers speak for it, so that it explains no crash."""
+        decider = QuarantineDecider(limits=QuarantineLimits(request_innocent_ms=10_000))
+        for fingerprint in ("popular", SHARED):
+            decider.record_success(fingerprint, 0)
+        for number in (1, 2):
+            for request in ("popular", "culprit"):
+                crash(decider, f"e{number}", number, request, SHARED)
+        self.assertTrue(decider.is_quarantined("culprit", 2))
+        self.assertFalse(decider.is_quarantined("popular", 2))
+
     def test_complete_answer_ends_a_wrong_quarantine(self) -> None:
         crash(self.decider, "e1", 0, "r1", SHARED)
         crash(self.decider, "e2", 0, "r2", SHARED)
