Check bodies in linear time, find torn status lines, relay unusual right answers

- a body that quotes many status lines held the process for seconds (64 KB: 4.6 s and 6.6 s), as each match searched the rest of its line and fields;
- a second status line passed if its line end arrived alone, or if it was torn at the end of a body without length; line feeds alone and folded fields hid a head;
- right answers were refused: one that ends with a quoted head and nothing behind it, a numbered stream with other bytes behind its length, one with [DONE] at its end, legal SSE lines, a whole body shortly before its deadline;
- the bytes behind an answer were read from the connection after its next use.

Lines are bounded and each head is parsed once. A body that may end within a head waits for what follows, line ends apart. Events may be unusual, but have a known field, and none has a status line beside unknown fields.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -256,10 +256,8 @@
         return self._framer.feed(chunk, is_delimited=self._is_delimited)
 
     def _finish(self) -> None:
-        """Raise BrokenStreamError if the answer did not end after a complete event of its own."""
+        """Raise BrokenStreamError if the answer did not end after a complete event."""
         self._framer.finish(is_delimited=self._is_delimited)
-        if self._last_answer is not None and self._last_answer.has_doubtful_end:
-            raise BrokenStreamError("other bytes follow the stream")
 
     @property
     def _is_delimited(self) -> bool:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
@@ -7,7 +7,13 @@
 
 from wagtailusher_gateway.const import MAX_EVENT_BYTES
 from wagtailusher_gateway.exceptions import BrokenStreamError
-from wagtailusher_http import EVENT_DELIMITER, event_id, is_event, split_complete_events
+from wagtailusher_http import (
+    END_MARKER,
+    EVENT_DELIMITER,
+    event_id,
+    is_event,
+    split_complete_events,
+)
 
 _DATA = re.compile(rb"(?:^|\n)data")
 _MAX_NUMBER_DIGITS = 18
@@ -137,9 +143,11 @@
         """Raise BrokenStreamError if an event without a number can't follow numbered ones.
 
         Where only the connection's end delimits the stream, its events must all have numbers, as
-        nothing else tells them from other bytes.
+        nothing else tells them from other bytes; comments and the end marker need none.
         """
-        if has_id or (not is_delimited and _DATA.search(event) is not None):
+        content = event.strip()
+        is_numbered_only = not is_delimited and not content.startswith(b":")
+        if has_id or (is_numbered_only and content not in (b"", END_MARKER)):
             raise BrokenStreamError("an event of the stream is out of order")
 
 
--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -5,6 +5,7 @@
 from wagtailusher_http.client import ClientAnswer, HttpClient
 from wagtailusher_http.const import ClientLimits, HttpLimits
 from wagtailusher_http.events import (
+    END_MARKER,
     EVENT_DELIMITER,
     event_id,
     is_event,
@@ -48,6 +49,7 @@
     "ClientAnswer",
     "ClientLimits",
     "ConnectError",
+    "END_MARKER",
     "EVENT_DELIMITER",
     "Handler",
     "Headers",
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -38,7 +38,7 @@
     begins_response,
     contains_foreign_head,
     contains_response_head,
-    ends_within_status_line,
+    may_end_within_head,
 )
 from wagtailusher_http.headers import Headers
 from wagtailusher_http.matching import ResponseMatcher, contains_status_line
@@ -60,6 +60,7 @@
     ) -> None:
         self._client = client
         self._states_request = states_request
+        self._surplus = b""
         self._connection = connection
         self.status: int = head.status_code
         self.headers = Headers.from_raw(head.headers)
@@ -72,16 +73,6 @@
         """Return whether the end of the connection is the only end of the body."""
         return "content-length" not in self.headers and "transfer-encoding" not in self.headers
 
-    @property
-    def has_doubtful_end(self) -> bool:
-        """Return whether bytes that begin no response followed the declared length.
-
-        They may be the end of other bytes that took the place of the body's rest. The end of a
-        chunked body is not declared before it is reached, so its surplus tells nothing.
-        """
-        surplus = self._connection.surplus
-        return self._has_length and not begins_response(surplus)
-
     @property
     def _has_length(self) -> bool:
         return "content-length" in self.headers and "transfer-encoding" not in self.headers
@@ -89,13 +80,13 @@
     @property
     def surplus_bytes(self) -> int:
         """Return how many bytes arrived together with the end of the body, but behind it."""
-        return len(self._connection.surplus)
+        return len(self._surplus)
 
     def iter_chunks(
         self, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS
     ) -> AsyncGenerator[bytes, None]:
         """Yield the body; raise AnswerError when it is incomplete or the read times out."""
-        return self._connection.async_iter_body(silence_timeout_ms, self._client.return_connection)
+        return self._connection.async_iter_body(silence_timeout_ms, self._return_connection)
 
     async def async_relay_body(
         self, deliver: Deliver, silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS
@@ -108,9 +99,15 @@
         incomplete or the read times out.
         """
         return await self._connection.async_relay_body(
-            deliver, silence_timeout_ms, self._client.return_connection
+            deliver, silence_timeout_ms, self._return_connection
         )
 
+    @callback
+    def _return_connection(self, connection: ClientConnection, is_complete: bool) -> None:
+        """Keep what followed the body, and return the connection."""
+        self._surplus = connection.surplus
+        self._client.return_connection(connection, is_complete)
+
     async def async_read(
         self,
         silence_timeout_ms: int = DEFAULT_SILENCE_TIMEOUT_MS,
@@ -136,10 +133,10 @@
                 aclosing(self._iter_held(silence_timeout_ms)) as chunks,
             ):
                 await self._async_fill(buffer, chunks, max_bytes)
-                # Without a length, the end of the connection is the end of the body.
-                budget.check(buffer)
-                body = buffer.content()
-                await self._async_check_body(body)
+            # Without a length, the end of the connection is the end of the body.
+            budget.check(buffer)
+            body = buffer.content()
+            await self._async_check_body(body, min(SURPLUS_WAIT_MS, silence_timeout_ms // 2))
             is_whole = True
             return body
         except AnswerTruncatedError:
@@ -151,20 +148,27 @@
             ) from err
         finally:
             budget.release(buffer)
-            self._client.return_connection(self._connection, is_whole)
+            self._return_connection(self._connection, is_whole)
 
     def _iter_held(self, silence_timeout_ms: int) -> AsyncGenerator[bytes, None]:
         """Yield the body and keep the connection."""
         return self._connection.async_iter_body(silence_timeout_ms, lambda *_: None)
 
-    async def _async_check_body(self, body: bytes) -> None:
-        """Raise AnswerMixedError if bytes of another response may be part of a complete body."""
+    async def _async_check_body(self, body: bytes, wait_ms: int) -> None:
+        """Raise AnswerMixedError if bytes of another response may be part of a complete body.
+
+        What follows a declared length and begins no response may be the end of other bytes that
+        took the place of the body's rest. The end of a chunked body is not declared before it is
+        reached, so what follows it tells nothing.
+        """
         if self.is_delimited_by_close:
             is_mixed = contains_response_head(body)
         else:
-            if self._has_length and ends_within_status_line(body):
-                await self._connection.async_read_surplus(SURPLUS_WAIT_MS)
-            is_mixed = self.has_doubtful_end or contains_foreign_head(body, self._states_request)
+            is_mixed = contains_foreign_head(body, self._states_request)
+        if self._has_length and not is_mixed:
+            if may_end_within_head(body):
+                await self._connection.async_read_surplus(wait_ms)
+            is_mixed = not begins_response(self._connection.surplus)
         if is_mixed:
             raise AnswerMixedError(f"{self._connection.address} sent other bytes within its answer")
 
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -38,6 +38,7 @@
     ConnectError,
     ReadTimeoutError,
 )
+from wagtailusher_http.foreign_bytes import EMPTY_LINES
 from wagtailusher_http.socket_protocol import SocketProtocol
 
 _CHUNK_END = b"\r\n"
@@ -207,15 +208,18 @@
         if unparsed:
             self._feed_parser(unparsed)
 
-    async def async_read_surplus(self, timeout_ms: int) -> bytes:
-        """Return the bytes behind the declared end of the body, waiting for some."""
-        if not self.surplus:
+    async def async_read_surplus(self, timeout_ms: int) -> None:
+        """Wait for bytes behind the declared end of the body other than line ends."""
+        ends_ms = loop_now_ms() + timeout_ms
+        while not self.surplus.strip(EMPTY_LINES) and (left_ms := ends_ms - loop_now_ms()) > 0:
             try:
-                self.surplus = await self._socket.async_read(timeout_ms / MS_PER_S)
+                data = await self._socket.async_read(left_ms / MS_PER_S)
             except (TimeoutError, OSError):
-                return b""
+                return
+            if not data:
+                return
+            self.surplus += data
             self.prevent_reuse()
-        return self.surplus
 
     async def async_iter_body(
         self, silence_timeout_ms: int, return_connection: ReturnConnection
--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -47,8 +47,9 @@
 SKIP_TIMEOUT_MS = 500
 """Time for the rest of a response to another request, which usually arrives with its head."""
 SURPLUS_WAIT_MS = 50
-"""Wait for bytes behind a body that may end within another response's status line; many gaps
-between the parts of one write."""
+"""Wait for bytes behind a body that may end within another response's head; many gaps between the
+parts of one write."""
+MAX_STATUS_LINE_BYTES = 300
 MAX_INFORMATIONAL_RESPONSES = 16
 """Informational responses before a response; servers send one or two."""
 KEEP_ALIVE_REUSE_SHARE = 0.7
--- a/packages/wagtailusher_http/src/wagtailusher_http/foreign_bytes.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/foreign_bytes.py
@@ -6,24 +6,33 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 import re
 
-from wagtailusher_http.headers import Headers
+from wagtailusher_http.const import MAX_STATUS_LINE_BYTES
+from wagtailusher_http.headers import Headers, RawHeader
+
+EMPTY_LINES = b"\r\n"
+"""Line ends that may precede a response."""
 
 StatesRequest = Callable[[Headers], bool]
 """Returns whether a response's headers state the request that it belongs to."""
 
 _RESPONSE_HEAD = re.compile(
-    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n[!#$%&'*+.^_`|~0-9A-Za-z-]*(?::|\Z)"
-    rb"|HTTP/1\.[01] [^\r\n]*\r\n(?:[^\r\n]*\r\n)?\r\n"
+    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,256}\r\n[!#$%&'*+.^_`|~0-9A-Za-z-]*(?::|\Z)"
+    rb"|HTTP/1\.[01] [^\r\n]{0,256}\r\n(?:[^\r\n]{0,256}\r\n)?\r\n"
 )
 """A status line and the name of the first header field, which the end may cut off; or the lines of
-a malformed head without fields."""
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n")
-_FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n]*)\r\n")
+a malformed head without fields. Lines are short, so that a search takes linear time."""
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,256}\r?\n")
+_FIELD = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+)[ \t]*:[ \t]*([^\r\n]*)\r?\n(?:[ \t][^\r\n]*\r?\n)*"
+)
+"""A field with its continuation lines."""
 _CUT_FIELD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]*(?::[^\r\n]*)?\r?\Z")
-_CUT_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r?\Z")
+_CUT_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,256}\r?\Z")
+_MIN_CUT_BYTES = len(b"HTTP/1.")
+"""Part of a status line that no body without a length may end with."""
 _STATUS_PREFIX = (
     b"H",
     b"T",
@@ -45,35 +54,46 @@
 
     Where only the end of the connection delimits a body, nothing else tells them apart.
     """
-    return _RESPONSE_HEAD.search(body) is not None
+    return _RESPONSE_HEAD.search(body) is not None or _ends_within_status_line(body, _MIN_CUT_BYTES)
 
 
 def contains_foreign_head(body: bytes, states_request: StatesRequest) -> bool:
-    """Return whether a body contains a response's head that states a request, or ends within one.
+    """Return whether a body contains a response's head that states a request.
 
     A body that quotes a response contains a head, too, but states no request in it.
     """
-    for line in _STATUS_LINE.finditer(body):
+    return any(states_request(Headers.from_raw(fields)) for fields, _ in _iter_heads(body))
+
+
+def may_end_within_head(body: bytes) -> bool:
+    """Return whether a body may end within another response's head."""
+    if _ends_within_status_line(body, 1):
+        return True
+    return any(_CUT_FIELD.match(body, end) for _, end in _iter_heads(body))
+
+
+def _iter_heads(body: bytes) -> Iterator[tuple[list[RawHeader], int]]:
+    """Yield the fields of each response head within a body, and where they end."""
+    position = 0
+    while (line := _STATUS_LINE.search(body, position)) is not None:
         fields, position = [], line.end()
         while (field := _FIELD.match(body, position)) is not None:
             fields.append((field[1].lower(), field[2]))
             position = field.end()
-        if _CUT_FIELD.match(body, position) or states_request(Headers.from_raw(fields)):
-            return True
-    return False
+        yield fields, position
 
 
-def ends_within_status_line(body: bytes) -> bool:
-    """Return whether a body may end within another response's status line."""
-    if _CUT_STATUS_LINE.search(body):
+def _ends_within_status_line(body: bytes, min_bytes: int) -> bool:
+    """Return whether a body ends with a part of a status line, not including its end."""
+    if _CUT_STATUS_LINE.search(body, max(0, len(body) - MAX_STATUS_LINE_BYTES)):
         return True
     longest = min(len(body), len(_STATUS_PREFIX))
-    return any(_is_status_prefix(body[-size:]) for size in range(1, longest + 1))
+    return any(_is_status_prefix(body[-size:]) for size in range(min_bytes, longest + 1))
 
 
 def begins_response(data: bytes) -> bool:
     """Return whether data is the beginning of a response, possibly behind empty lines."""
-    return _is_status_prefix(data.lstrip(b"\r\n"))
+    return _is_status_prefix(data.lstrip(EMPTY_LINES))
 
 
 def _is_status_prefix(data: bytes) -> bool:
