Bound a turn of tiny chunks by processor time

LOOP_DELAY_S is 0.1; the only bound of 0.2 in the test is that of the processor time of 2 s of flood (BUSY_SHARE of WAIT_MS), so cost failed, not delay.

Cause, in two parts. A turn was bounded by its number of chunks, so its cost and that of the burst before the first pause grew with the price of a parser step, while the pause stayed 100 ms: the share of the processor was a share only on a fast machine. And more than half of what the test measured was its own loop that watches for delays: 0.05 to 0.06 s of 0.09 s without any flood.

Ruled out by measurement: h11's receive buffer (6.8 us a step with 600 KB unparsed, 8.2 us with 768 bytes; feeding 600 KB takes 0.5 ms), and garbage collection (none within the 2 s, with all test modules imported).

A turn now also ends after 2 ms of the thread's processor time, and pauses begin after eight full turns instead of 1,024 chunks, so at any speed a flood takes 16 ms and then 2 ms in each 102 ms. Processor time and not elapsed time, so that other processes don't shorten a turn.

The test of cost is now on its own, with nothing but the flood in the thread; bound and length are the same, and what is taken out is not the client's. The test of delays keeps its check and bound. A new test makes each parser step 0.1 ms longer; it fails before.

Open: a peer that sends fewer than 128 tiny chunks at a time, often, fills no turn and meets no pause, before and after.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -15,6 +15,7 @@
     TCP_USER_TIMEOUT,
 )
 import ssl
+from time import thread_time
 from typing import Any
 
 import h11
@@ -23,10 +24,12 @@
 from wagtailusher_http.const import (
     CHUNK_FRAME_BYTES,
     CHUNK_PAUSE_MS,
-    MAX_CHUNK_BURST,
+    CHUNKS_PER_CLOCK_READ,
     MAX_CHUNKS_PER_TURN,
+    MAX_FULL_TURNS,
     MAX_INFORMATIONAL_RESPONSES,
     MAX_SKIPPED_BYTES,
+    MAX_TURN_MS,
     MS_PER_S,
     SKIP_TIMEOUT_MS,
     ClientLimits,
@@ -61,6 +64,7 @@
         self._socket = socket
         self._received_bytes = 0
         self._is_turn_full = False
+        self._full_turns = 0
         self.chunk_count = 0
         """Chunks of the current response's body."""
         self.surplus = b""
@@ -117,6 +121,7 @@
     def start_next_cycle(self) -> None:
         """Reset the protocol state for another exchange."""
         self._socket.on_data = None
+        self._full_turns = 0
         self.chunk_count = 0
         self.surplus = b""
         self._http.start_next_cycle()
@@ -263,7 +268,8 @@
     async def _async_end_turn(self) -> None:
         """Let the event loop run other tasks, for longer if the peer sends ever more chunks."""
         self._is_turn_full = False
-        pause_ms = CHUNK_PAUSE_MS if self.chunk_count > MAX_CHUNK_BURST else 0
+        self._full_turns += 1
+        pause_ms = CHUNK_PAUSE_MS if self._full_turns > MAX_FULL_TURNS else 0
         await asyncio.sleep(pause_ms / MS_PER_S)
 
     async def _async_relay_incoming(self, deliver: Deliver, silence_timeout_ms: int) -> bool | None:
@@ -303,11 +309,12 @@
     def _parse_body(self) -> tuple[list[bytes], bool]:
         """Parse the received data; return its body chunks and whether the body is complete.
 
-        `_is_turn_full` is set when MAX_CHUNKS_PER_TURN were parsed and more data may follow.
+        `_is_turn_full` is set when the turn was used up and more data may follow.
         """
         chunks: list[bytes] = []
+        started_s = thread_time()
         while True:
-            if len(chunks) == MAX_CHUNKS_PER_TURN:
+            if _is_turn_used_up(len(chunks), started_s):
                 self._is_turn_full = True
                 return chunks, False
             event = self._next_event()
@@ -368,6 +375,15 @@
         return AnswerTruncatedError(f"connection to {self.address} was lost: {err}")
 
 
+def _is_turn_used_up(chunk_count: int, started_s: float) -> bool:
+    """Return whether a turn parsed the most chunks, or took the most processor time."""
+    if chunk_count == 0 or chunk_count % CHUNKS_PER_CLOCK_READ:
+        return False
+    if chunk_count >= MAX_CHUNKS_PER_TURN:
+        return True
+    return (thread_time() - started_s) * MS_PER_S >= MAX_TURN_MS
+
+
 def loop_now_ms() -> int:
     """Return the event loop's time in milliseconds."""
     return int(asyncio.get_running_loop().time() * MS_PER_S)
--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -7,12 +7,15 @@
 MAX_UNREAD_BYTES = 256 * 1024
 CHUNK_FRAME_BYTES = 32
 MAX_CHUNKS_PER_TURN = 128
-"""Chunks of one body that are parsed before the event loop runs other tasks; about 2 ms."""
-MAX_CHUNK_BURST = 1024
-"""Chunks of one body after which a full turn is followed by a pause; about 17 ms of parsing."""
+"""Chunks of one body that are parsed before the event loop runs other tasks; a multiple of
+CHUNKS_PER_CLOCK_READ."""
+MAX_TURN_MS = 2
+"""Processor time after which such a turn ends earlier, on a slow or busy machine."""
+CHUNKS_PER_CLOCK_READ = 8
+MAX_FULL_TURNS = 8
+"""Full turns of one body after which each further one is followed by a pause."""
 CHUNK_PAUSE_MS = 100
-"""Pause after a full turn, so that a flood of tiny chunks takes a few hundredths of the time, and
-less than a tenth on a busy machine."""
+"""Pause after a full turn, so that a flood of tiny chunks takes a few hundredths of the time."""
 MAX_TINY_CHUNKS = 2048
 """Chunks of a body that is read whole, beyond one for each MIN_CHUNK_BYTES."""
 MIN_CHUNK_BYTES = 32
--- a/tests/wagtailusher_http/test_endless.py
+++ b/tests/wagtailusher_http/test_endless.py
@@ -13,6 +13,9 @@
 import time
 import tracemalloc
 import unittest
+from unittest.mock import patch
+
+import h11
 
 from tests.standins.endless import EndlessPeer
 from tests.standins.runner import RunnerStandin, answer
@@ -34,6 +37,8 @@
 
 LOOP_DELAY_S = 0.1
 """Longest time for which the event loop may not run other tasks."""
+SLOW_STEP_S = 0.0001
+"""Processor time that a parser step takes longer on a slow machine; about ten times its own."""
 
 STATUS = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -119,8 +124,9 @@
         self.client = HttpClient()
         self.addCleanup(self.client.close)
 
-    async def test_flood_of_tiny_chunks_delays_no_other_task(self) -> None:
-        """Bytes are passed on in order, and other tasks run in time."""
+    @asynccontextmanager
+    async def _async_flood(self) -> AsyncIterator[None]:
+        """Relay a flood of tiny chunks meanwhile, and check that its bytes come in order."""
         seen = bytearray()
 
         def deliver(chunk: bytes) -> bool:
@@ -131,19 +137,44 @@
         with EndlessPeer(CHUNKED, block) as peer:
             reply = await self.client.async_request(peer.address, "GET", "/")
             relay = asyncio.ensure_future(reply.async_relay_body(deliver, WAIT_MS))
-            started_s, busy_s, longest_s = time.monotonic(), time.thread_time(), 0.0
-            while (now_s := time.monotonic()) < started_s + WAIT_MS / 1000:
-                await asyncio.sleep(0)
-                longest_s = max(longest_s, time.monotonic() - now_s)
-                await asyncio.sleep(0.005)
-            busy_s = time.thread_time() - busy_s
+            yield
             relay.cancel()
             reply.abort()
         self.assertFalse(relay.done() and not relay.cancelled())
         self.assertGreater(len(seen), 0)
         self.assertEqual(bytes(seen), (bytes(range(256)) * (len(seen) // 256 + 1))[: len(seen)])
+
+    async def _async_flood_busy_s(self) -> float:
+        """Return the processor time of WAIT_MS of the flood, with no other task."""
+        async with self._async_flood():
+            busy_s = time.thread_time()
+            await asyncio.sleep(WAIT_MS / 1000)
+            return time.thread_time() - busy_s
+
+    async def test_flood_of_tiny_chunks_delays_no_other_task(self) -> None:
+        """Bytes are passed on in order, and other tasks run in time."""
+        async with self._async_flood():
+            started_s, longest_s = time.monotonic(), 0.0
+            while (now_s := time.monotonic()) < started_s + WAIT_MS / 1000:
+                await asyncio.sleep(0)
+                longest_s = max(longest_s, time.monotonic() - now_s)
+                await asyncio.sleep(0.005)
         self.assertLess(longest_s, LOOP_DELAY_S)
-        self.assertLess(busy_s, WAIT_MS / 1000 * BUSY_SHARE)
+
+    async def test_flood_of_tiny_chunks_costs_little(self) -> None:
+        self.assertLess(await self._async_flood_busy_s(), WAIT_MS / 1000 * BUSY_SHARE)
+
+    async def test_flood_of_tiny_chunks_costs_little_on_a_slow_machine(self) -> None:
+        next_event = h11.Connection.next_event
+
+        def next_event_slowly(connection: h11.Connection) -> object:
+            ends_s = time.thread_time() + SLOW_STEP_S
+            while time.thread_time() < ends_s:
+                pass
+            return next_event(connection)
+
+        with patch.object(h11.Connection, "next_event", next_event_slowly):
+            self.assertLess(await self._async_flood_busy_s(), WAIT_MS / 1000 * BUSY_SHARE)
 
     async def test_body_of_many_chunks_is_the_same_with_pauses(self) -> None:
         """Turns of the parser and pauses of the reader lose and repeat nothing."""
