Spread evidence of crashes with fewer messages, and accuse requests that waited later

In a fleet of 68 VMs each suspect was sent on by all VMs, several times, also after ordinary crashes of endpoints. Now a VM tells all peers at once only if an answer had just begun, nobody sends on what others say of mere suspects, and each VM sends what is refused 4 times instead of 12.

A request that waited at two crashes was refused for a minute or more, though two endpoints of a failure domain that goes down may take a repeat along. It now takes three such crashes; one whose answer had begun still takes two.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -227,7 +227,14 @@
 """Interval at which evidence of crashes is repeated; as that of heartbeats."""
 
 QUARANTINE_PEERS: Final = 6
-"""Peers that each repetition goes to; all of them learn it within a few."""
+"""Peers that each repetition goes to, besides the first message, which goes to all."""
+
+CULPRIT_SENDS: Final = 4
+"""How often each VM sends what is refused, before it only repeats it to those that missed it."""
+
+MIN_WAITING_CRASHES: Final = 3
+"""Crashes that accuse a request whose answer had begun at none of them; two may be chance, as when
+a failure domain goes down and a repeat goes down with it."""
 
 QUARANTINE_REPEAT_MS: Final = 1_000
 """Interval at which two peers get what is refused, for those that missed it; a part of the time in
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/quarantine_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/quarantine_exchange.py
@@ -10,8 +10,10 @@
 from wagtailusher_core import EndpointId, first_by_rendezvous
 from wagtailusher_daemon.quarantine_messages import quarantine_message, quarantine_summary
 from wagtailusher_gateway.const import (
+    CULPRIT_SENDS,
     ENTRY_LAPSE_MS,
     MAX_SUMMARIES_PER_TICK,
+    MIN_WAITING_CRASHES,
     QUARANTINE_INTERVAL_MS,
     QUARANTINE_PEERS,
     QUARANTINE_REPEAT_MS,
@@ -71,7 +73,12 @@
         self._count_event = count_event
         self._random = random.Random(seed)
         self._decider = QuarantineDecider(
-            limits=QuarantineLimits(request_innocent_ms=DEFAULT_INNOCENT_MS)
+            limits=QuarantineLimits(
+                culprit_sends=CULPRIT_SENDS,
+                relays_suspects=False,
+                min_waiting_crashes=MIN_WAITING_CRASHES,
+                request_innocent_ms=DEFAULT_INNOCENT_MS,
+            )
         )
         self._refused: frozenset[str] = frozenset()
         self._born_ms: dict[EndpointId, int] = {}
@@ -132,10 +139,11 @@
         )
 
     def record_crash(self, endpoint: Endpoint, suspects: Iterable[Suspect]) -> None:
-        """Record that an endpoint crashed, and tell all peers at once.
+        """Record that an endpoint crashed; if an answer had just begun, tell all peers at once.
 
         An endpoint that is draining or no longer listed may end by plan.
         """
+        suspects = tuple(suspects)
         listed = self._view_cache.view.endpoints.get(endpoint.endpoint_id)
         if listed is None or listed.is_draining or listed.born_ms != endpoint.born_ms:
             return
@@ -143,7 +151,8 @@
         self.crash_count += 1
         self._count_event("crash")
         self._decider.record_suspects(suspects, endpoint.endpoint_id, now_ms)
-        self._spread(list(self._fleet.live_members(now_ms)), now_ms)
+        if any(suspect.has_begun for suspect in suspects):
+            self._spread(list(self._fleet.live_members(now_ms)), now_ms)
         self._update_refused(now_ms)
 
     def record_complete(self, fingerprints: RequestFingerprints) -> None:
@@ -169,13 +178,13 @@
 
     def tick(self, now_ms: int) -> None:
         """Spread what peers may not know yet, and repeat what is refused."""
-        if self._decider.is_empty:
+        if self._decider.is_empty or now_ms - self._sent_ms < QUARANTINE_INTERVAL_MS:
             return
+        self._sent_ms = now_ms
         self._retract_crashes(now_ms)
         self._update_refused(now_ms)
         members = list(self._fleet.live_members(now_ms))
-        is_due = now_ms - self._sent_ms >= QUARANTINE_INTERVAL_MS
-        if is_due and self._decider.has_unsent_evidence(now_ms):
+        if self._decider.has_unsent_evidence(now_ms):
             self._spread(self._sample(members, QUARANTINE_PEERS), now_ms)
         elif self._refused and now_ms - self._repeated_ms >= QUARANTINE_REPEAT_MS:
             self._repeated_ms = now_ms
@@ -186,7 +195,6 @@
 
     def _spread(self, members: list[Member], now_ms: int) -> None:
         """Send evidence that was not sent often enough to some peers."""
-        self._sent_ms = now_ms
         addresses = [member.peer_address for member in members]
         for _ in range(MAX_SUMMARIES_PER_TICK):
             if not addresses or not self._decider.has_unsent_evidence(now_ms):
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
@@ -267,6 +267,7 @@
                     carriers=set(entry.carriers),
                     has_begun=entry.has_begun,
                     told_by=told_by,
+                    sends=0 if self._limits.relays_suspects else self._limits.suspect_sends,
                 )
             )
             for endpoint_id in entry.endpoint_ids
@@ -332,7 +333,12 @@
     def _is_culprit(self, evidence: Evidence, now_ms: int) -> bool:
         """Return whether recent crashes accuse a fingerprint."""
         others = (other for other in self._evidence.values() if other is not evidence)
-        return is_culprit(evidence, others, self._evidence_since_ms(now_ms))
+        return is_culprit(
+            evidence,
+            others,
+            self._evidence_since_ms(now_ms),
+            min_waiting_crashes=self._limits.min_waiting_crashes,
+        )
 
     def _sendable_items(self, now_ms: int) -> Iterator[SummaryItem]:
         """Yield the evidence that may be sent to other VMs."""
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/evidence.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/evidence.py
@@ -132,11 +132,14 @@
         return [crash for crash in self.crashes if crash.crashed_ms > since_ms]
 
 
-def is_culprit(evidence: Evidence, others: Iterable[Evidence], since_ms: int) -> bool:
+def is_culprit(
+    evidence: Evidence, others: Iterable[Evidence], since_ms: int, *, min_waiting_crashes: int
+) -> bool:
     """Return whether the crashes after since_ms accuse this fingerprint.
 
     They do if some two of them have only this fingerprint in common. A part must have come with
-    different requests, as the parts of one request can't be told from the request.
+    different requests, as the parts of one request can't be told from the request. A request that
+    waited at all of its crashes, which may be chance, needs `min_waiting_crashes` of them.
     """
     others = tuple(others)
     crashes = [
@@ -146,6 +149,8 @@
     ]
     if is_part(evidence.fingerprint) and _is_ambiguous_part(crashes):
         return True
+    if len(crashes) < min_waiting_crashes and not any(crash.has_begun for crash in crashes):
+        return False
     return any(
         not any(_explains(other, evidence, pair, others) for other in others)
         for pair in combinations(crashes, 2)
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/limits.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/limits.py
@@ -31,6 +31,10 @@
     suspect_sends: int = DEFAULT_SUSPECT_SENDS
     culprit_sends: int = DEFAULT_CULPRIT_SENDS
     innocent_ms: int = DEFAULT_INNOCENT_MS
+    relays_suspects: bool = True
+    """Whether to send on what other VMs tell of mere suspects; needless where each tells all."""
+    min_waiting_crashes: int = 2
+    """Crashes that accuse a request whose answer had begun at none of them."""
     request_innocent_ms: int = 0
     """The same time for whole requests; 0 where complete answers are not all recorded."""
     max_completed: int = DEFAULT_MAX_COMPLETED
--- a/tests/wagtailusher_quarantine/test_parts.py
+++ b/tests/wagtailusher_quarantine/test_parts.py
@@ -92,6 +92,13 @@
         self.assertIs(self.status(BAD, 2), QuarantineStatus.HELD)
         self.assertFalse(self.decider.is_quarantined("bystander", 2))
 
+    def test_request_that_waited_at_two_crashes_is_not_refused_where_three_are_needed(self) -> None:
+        decider = QuarantineDecider(limits=QuarantineLimits(min_waiting_crashes=3))
+        for number in range(3):
+            self.assertFalse(decider.is_quarantined("unlucky", number))
+            crash(decider, f"e{number}", number, "unlucky", has_begun=False)
+        self.assertTrue(decider.is_quarantined("unlucky", 2))
+
     def test_request_that_many_callers_send_is_not_refused_beside_another(self) -> None:
         """Its complete answers speak for it, so that it explains no crash."""
         decider = QuarantineDecider(limits=QuarantineLimits(request_innocent_ms=10_000))
