--- a/packages/wagtailusher_cli/src/wagtailusher_cli/request_log.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/request_log.py
@@ -18,6 +18,9 @@
 
 DEPENDENCY_EVENTS = frozenset({"dependency_lost", "dependency_regained"})
 
+QUARANTINE_EVENTS = frozenset({"quarantined", "released"})
+"""Events about a fingerprint that crashes endpoints; shown for requests that it refused."""
+
 _HIDDEN = frozenset({"message", "level", "vm", "at_ms", "event", "request", "went_well"})
 
 
@@ -70,18 +73,23 @@
             states_by_vm.setdefault(str(line["vm"]), {})[key] = line
     if not request_lines:
         return []
-    endpoints = {str(line.get("endpoint")) for line in request_lines}
-    state_lines = [
-        line for key, line in vm_states.items() if key[0] != "endpoint" or key[1] in endpoints
-    ]
+    state_lines = [line for key, line in vm_states.items() if _concerns(key, request_lines)]
     return sorted([*state_lines, *request_lines], key=lambda line: int(line.get("at_ms", 0)))
 
 
+def _concerns(key: tuple[str, ...], request_lines: Iterable[Line]) -> bool:
+    """Return whether a state line concerns one request: its endpoints, and what refused it."""
+    field = {"endpoint": "endpoint", "quarantine": "quarantined"}.get(key[0])
+    return field is None or key[1] in {str(line.get(field)) for line in request_lines}
+
+
 def _state_key(line: Line) -> tuple[str, ...] | None:
     """Return the key under which a later state line replaces this one, None for others."""
     event = str(line["event"])
     if event == "endpoint":
         return event, str(line.get("endpoint"))
+    if event in QUARANTINE_EVENTS:
+        return "quarantine", str(line.get("fingerprint"))
     if event in DEPENDENCY_EVENTS:
         return "dependency", str(line.get("dependency"))
     return (event,) if event in STATE_EVENTS else None
--- a/tests/wagtailusher_cli/test_request_log.py
+++ b/tests/wagtailusher_cli/test_request_log.py
@@ -44,6 +44,15 @@
         selected = select_lines(read_lines(LOG), "r1")
         self.assertEqual([item["at_ms"] for item in selected], [11, 13, 20, 25])
 
+    def test_refused_request_with_what_it_is_accused_of(self) -> None:
+        """The quarantine of its fingerprint is shown, others are not."""
+        log = [
+            line("vm-1", 10, "quarantined", fingerprint="part:a", told_by=["vm-2"]),
+            line("vm-1", 11, "quarantined", fingerprint="part:b"),
+            line("vm-1", 20, "request", request="r1", quarantined="part:a", code="quarantined"),
+        ]
+        self.assertEqual([item["at_ms"] for item in select_lines(read_lines(log), "r1")], [10, 20])
+
     def test_command(self) -> None:
         """The command ends with 1 for an unknown request and 2 for a missing file."""
         with TemporaryDirectory() as folder:
