Relay only events within an engine's stream through the daemon

Callers of the daemon got bytes that are no event of their stream, and such a stream looked complete: "dataHTTP/1.1 200 OK..." where an engine stopped within a declared length and a second answer followed, or garbage between two events.

Any bytes between two delimiters passed as an event. Other bytes end the stream as broken, behind the events before them; an end marker behind them does not count. Streams that are read whole (requests that may not be repeated) are checked alike. The connection of a stream that breaks or has no end marker is closed at once.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
@@ -34,7 +34,7 @@
             part = self._split_events(chunk)
             if part:
                 first_parts.append(part)
-            return not first_parts
+            return not (first_parts or self._is_broken)
 
         self._ended = await self._async_relay_chunks(keep_first)
         if first_parts:
@@ -45,7 +45,8 @@
     async def async_relay_rest(self, sink: BodySink) -> None:
         """Relay the rest; raise IncompleteAnswerError when the end marker is missing.
 
-        An error behind the end marker is ignored, as nothing is left to relay or to resume.
+        Raises BrokenStreamError when bytes that are no event follow the relayed events. An error
+        behind the end marker is ignored, as nothing is left to relay or to resume.
         """
 
         def deliver(chunk: bytes) -> bool:
@@ -54,9 +55,9 @@
                 sink.write(part)
                 if self._unreported_events >= PROGRESS_BATCH_EVENTS:
                     self._report_progress()
-            return not (sink.needs_drain or self._has_excess)
+            return not (sink.needs_drain or self._has_excess or self._is_broken)
 
-        while not (self._ended or self._has_excess):
+        while not (self._ended or self._has_excess or self._is_broken):
             try:
                 self._ended = await self._async_relay_chunks(deliver)
             except WagtailusherError:
@@ -79,6 +80,11 @@
         """Return whether data followed the end marker, after which nothing is relayed."""
         return self._stream is not None and self._stream.has_excess
 
+    @property
+    def _is_broken(self) -> bool:
+        """Return whether bytes that are no event have ended the stream."""
+        return self._stream is not None and self._stream.is_broken
+
     async def _async_relay_chunks(self, deliver: Callable[[bytes], bool]) -> bool:
         """Pass the answer's chunks to a function; return whether the answer has ended."""
         try:
@@ -98,10 +104,13 @@
         return part
 
     def _check_complete(self) -> None:
-        """Raise IncompleteAnswerError when an event stream ended without its end marker."""
+        """Raise an error when an event stream broke or ended without its end marker."""
         self._report_progress()
-        if self._stream is not None and not self._stream.is_complete:
-            raise IncompleteAnswerError("event stream ended without its end marker")
+        if self._stream is None or self._stream.is_complete:
+            return
+        self.abort()
+        self._stream.raise_broken()
+        raise IncompleteAnswerError("event stream ended without its end marker")
 
     def _report_progress(self) -> None:
         """Report the events relayed since the last report."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -130,12 +130,14 @@
 def complete_body(answer: ClientAnswer, body: bytes) -> bytes:
     """Return a fully read body, an event stream up to its end marker.
 
-    Raises IncompleteAnswerError when an event stream has no end marker.
+    Raises BrokenStreamError when bytes that are no event precede a stream's end marker, and
+    IncompleteAnswerError when a stream has none.
     """
     if not is_event_stream(answer.headers):
         return body
     stream = EventStream()
     events = stream.feed(body)
+    stream.raise_broken()
     if not stream.is_complete:
         raise IncompleteAnswerError("event stream ended without its end marker")
     return events
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/exceptions.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/exceptions.py
@@ -11,6 +11,10 @@
     code = ErrorCode.ENDPOINT_PROTOCOL
 
 
+class BrokenStreamError(EngineError):
+    """The stream contains bytes that are no event."""
+
+
 class IncompleteStreamError(EngineError):
     """The stream ended without its end marker."""
 
--- a/tests/standins/raw_endpoint.py
+++ b/tests/standins/raw_endpoint.py
@@ -132,6 +132,23 @@
     return "\r\n".join((*lines, "", "")).encode() + body
 
 
+def cut_then_second(
+    body: bytes,
+    cut_bytes: int,
+    request_id: str | None,
+    *,
+    content_type: str = "application/json",
+    is_chunked: bool = False,
+) -> tuple[bytes, bytes]:
+    """Return the beginning of an answer, and the whole answer that fills its declared rest."""
+    head = response(b"", request_id, content_type=content_type, has_length=False)[:-2]
+    if not is_chunked:
+        framed = head + b"content-length: %d\r\n\r\n" % len(body)
+        return framed + body[:cut_bytes], framed + body
+    framed = head + b"transfer-encoding: chunked\r\n\r\n" + b"%x\r\n" % len(body)
+    return framed + body[:cut_bytes], framed + body + b"\r\n0\r\n\r\n"
+
+
 async def _async_read(reader: asyncio.StreamReader) -> RawRequest:
     """Read one request with its body."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
--- /dev/null
+++ b/tests/wagtailusher_daemon/test_cut_answers.py
@@ -0,0 +1,177 @@
+"""End-to-end tests of endpoints that cut an answer and send other bytes where its rest is due.
+
+They guard against bytes of a late answer, or of none, within the answer that a caller gets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from itertools import product
+from typing import Any
+import unittest
+
+from tests.standins.raw_endpoint import (
+    RawEngine,
+    RawRequest,
+    RawService,
+    Reply,
+    cut_then_second,
+    response,
+)
+from tests.wagtailusher_daemon.fleet import MODEL, Fleet
+from wagtailusher_core import WagtailusherError
+from wagtailusher_http import ClientAnswer
+
+EVENT_STREAM = "text/event-stream"
+END_MARKER = b"data: [DONE]\n\n"
+EVENTS = tuple(b'data: {"text": "own %d"}\n\n' % number for number in range(20))
+OWN_STREAM = b"".join(EVENTS) + END_MARKER
+LATE_S = 0.02
+TIMEOUT_S = 10
+
+Parts = Callable[[RawRequest], tuple[bytes, ...]]
+
+
+def cuts(body: bytes) -> tuple[int, ...]:
+    """Return where a body is cut, so that another head ends within, at and behind its rest."""
+    return (0, 4, len(body) - 150, len(body) - 60, len(body) - 16, len(body) - 3)
+
+
+def write_parts(parts: Parts, *, late: bool = False, end: str = "keep") -> Reply:
+    """Return a reply that writes parts, with pauses if late, and then closes or resets."""
+
+    async def reply(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        for number, part in enumerate(parts(request)):
+            if late and number:
+                await asyncio.sleep(LATE_S)
+            writer.write(part)
+            await writer.drain()
+        if end == "close":
+            writer.close()
+        elif end == "reset":
+            await asyncio.sleep(LATE_S)
+            writer.transport.abort()
+
+    return reply
+
+
+def without_resume(parts: Parts) -> Parts:
+    """Return parts that are the answers to all requests but those to resume a stream."""
+
+    def answer(request: RawRequest) -> tuple[bytes, ...]:
+        if request.method == "GET":
+            return (response(b"", request.request_id, status="404 Not Found"),)
+        return parts(request)
+
+    return answer
+
+
+class CutAnswerCase(unittest.IsolatedAsyncioTestCase):
+    """Base class with two engines and a service whose replies a test sets."""
+
+    async def asyncSetUp(self) -> None:
+        silent = write_parts(lambda request: ())
+        self.engines = [RawEngine(f"engine-{number}", silent) for number in (0, 1)]
+        self.service = RawService("booking-0", silent)
+        self.fleet = Fleet(vm_count=1, engine_count=0)
+        self.fleet.engines = [*self.engines]
+        self.fleet.booking = self.service
+        await self.fleet.async_start()
+        self.addAsyncCleanup(self.fleet.async_stop)
+
+    def set_reply(self, reply: Reply) -> None:
+        """Let all endpoints reply alike."""
+        for server in (self.service.server, *(engine.server for engine in self.engines)):
+            server.reply = reply
+
+    async def async_chat(self, *, stream: bool) -> tuple[int, bytes, bool]:
+        """Request a chat completion; return its status, its body and whether that is complete."""
+        messages = [{"role": "user", "content": "x"}]
+        value = {"model": MODEL, "stream": stream, "messages": messages}
+        return await self.async_receive("/v1/chat/completions", value)
+
+    async def async_receive(
+        self, path: str, value: Any, headers: dict[str, str] | None = None
+    ) -> tuple[int, bytes, bool]:
+        """Send a request; return its status, its body and whether that is complete."""
+        async with asyncio.timeout(TIMEOUT_S):
+            return await _async_read(await self.fleet.async_post(path, value, headers=headers))
+
+    async def async_expect_broken_stream(self) -> None:
+        """Check that a stream fails, or breaks off behind a part of its own events."""
+        status, body, is_complete = await self.async_chat(stream=True)
+        if status != 200:
+            self.assertEqual(status, 502)
+            return
+        self.assertEqual(body, OWN_STREAM[: len(body)])
+        self.assertFalse(is_complete and body != OWN_STREAM, body)
+
+
+async def _async_read(answer: ClientAnswer) -> tuple[int, bytes, bool]:
+    """Return an answer's status, the received part of its body, and whether that is all."""
+    received = bytearray()
+    try:
+        async for chunk in answer.iter_chunks():
+            received += chunk
+    except WagtailusherError:
+        return answer.status, bytes(received), False
+    return answer.status, bytes(received), True
+
+
+class CutStreamTest(CutAnswerCase):
+    """Bytes that are no event of a stream are not relayed within it."""
+
+    async def test_second_answer_does_not_fill_the_rest_of_a_cut_stream(self) -> None:
+        """The cuts are before, at and within events, and near the stream's end."""
+        places = (len(b"".join(EVENTS[:2])), 4, *cuts(OWN_STREAM))
+        for cut_bytes, late, is_chunked in product(places, (False, True), (False, True)):
+            with self.subTest(cut_bytes=cut_bytes, late=late, is_chunked=is_chunked):
+
+                def parts(
+                    request: RawRequest, cut_bytes: int = cut_bytes, is_chunked: bool = is_chunked
+                ) -> tuple[bytes, ...]:
+                    return cut_then_second(
+                        OWN_STREAM,
+                        cut_bytes,
+                        request.request_id,
+                        content_type=EVENT_STREAM,
+                        is_chunked=is_chunked,
+                    )
+
+                self.set_reply(write_parts(without_resume(parts), late=late))
+                await self.async_expect_broken_stream()
+
+    async def test_garbage_within_a_stream_is_not_relayed_as_an_event(self) -> None:
+        """The end marker behind it doesn't make the stream complete."""
+        for garbage, has_length in product(
+            (b"garbage\n\n", b"\x16\x03\x01\n\n", b"own 1\n\n"), (True, False)
+        ):
+            with self.subTest(garbage=garbage, has_length=has_length):
+                body = b"".join(EVENTS[:3]) + garbage + END_MARKER
+
+                def parts(
+                    request: RawRequest, body: bytes = body, has_length: bool = has_length
+                ) -> tuple[bytes, ...]:
+                    return (
+                        response(
+                            body,
+                            request.request_id,
+                            content_type=EVENT_STREAM,
+                            has_length=has_length,
+                        ),
+                    )
+
+                end = "keep" if has_length else "close"
+                self.set_reply(write_parts(without_resume(parts), end=end))
+                await self.async_expect_broken_stream()
+
+    async def test_garbage_before_the_first_event_is_tried_elsewhere(self) -> None:
+        async def reply(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+            body = OWN_STREAM if failed else b"garbage\n\n" + OWN_STREAM
+            failed.append(request.request_id)
+            writer.write(response(body, request.request_id, content_type=EVENT_STREAM))
+
+        failed: list[str] = []
+        self.set_reply(reply)
+        self.assertEqual(await self.async_chat(stream=True), (200, OWN_STREAM, True))
