Resume an engine's stream behind which other bytes came

Callers of a resumable stream got it broken off once other bytes took the place of its rest, although the engine still held the answer. Only a silent stream was resumed; one with bytes that are no event, or with invalid chunks, counted as a failed attempt.

Behind its first event such a stream now ends with the result BROKEN, which is a failure of the endpoint and is resumed like SILENT, behind the last good event. Before the first event the request is sent elsewhere, as before.

test_stream_is_resumed_behind_the_event_that_precedes_other_bytes failed before in its 4 cases.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -9,7 +9,7 @@
 from wagtailusher_daemon.exchange_context import ExchangeContext
 from wagtailusher_daemon.node import MessageQueue
 from wagtailusher_daemon.responses import end_to_end_headers, refusal_response
-from wagtailusher_daemon.upstream import classify_error, classify_status
+from wagtailusher_daemon.upstream import classify_status, classify_stream_error
 from wagtailusher_http import BodySink, ClientAnswer, Response, is_event_stream
 from wagtailusher_integrations.engine import EventStream
 from wagtailusher_router import Dispatch, Forward, Refuse
@@ -101,7 +101,7 @@
 
     async def _async_resume(self, err: WagtailusherError) -> AnswerRelay:
         """Return the relay of a resumed answer, or raise IncompleteAnswerError."""
-        self._context.end_attempt(classify_error(err))
+        self._context.end_attempt(classify_stream_error(err))
         while True:
             message = await self._message_queue.get()
             if not isinstance(message, Dispatch) or message.resume_from is None:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
@@ -9,6 +9,7 @@
 from wagtailusher_core import WagtailusherError, callback
 from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS, HEADER_TRACE
 from wagtailusher_http import (
+    AnswerProtocolError,
     AnswerTruncatedError,
     ClientAnswer,
     ConnectError,
@@ -16,7 +17,7 @@
     ReadTimeoutError,
     SendCancelledError,
 )
-from wagtailusher_integrations.engine import ChatCall, EngineCoordinator
+from wagtailusher_integrations.engine import BrokenStreamError, ChatCall, EngineCoordinator
 from wagtailusher_integrations.service import ServiceCall, ServiceCoordinator
 from wagtailusher_placement import AttemptResult
 from wagtailusher_router import Cancel, Dispatch
@@ -86,6 +87,13 @@
     return AttemptResult.FAILED
 
 
+def classify_stream_error(err: WagtailusherError) -> AttemptResult:
+    """Return the result of an attempt whose stream ended with an error behind its first event."""
+    if isinstance(err, BrokenStreamError | AnswerProtocolError):
+        return AttemptResult.BROKEN
+    return classify_error(err)
+
+
 def classify_status(status: int) -> AttemptResult | None:
     """Return the result of an attempt refused or failed by its HTTP status, otherwise None."""
     if status in _REFUSED_STATUSES:
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/__init__.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/__init__.py
@@ -4,7 +4,7 @@
 
 from wagtailusher_integrations.engine.coordinator import EngineCoordinator
 from wagtailusher_integrations.engine.event_stream import EventStream
-from wagtailusher_integrations.engine.exceptions import EngineError
+from wagtailusher_integrations.engine.exceptions import BrokenStreamError, EngineError
 from wagtailusher_integrations.engine.models import ChatCall
 
-__all__ = ["ChatCall", "EngineCoordinator", "EngineError", "EventStream"]
+__all__ = ["BrokenStreamError", "ChatCall", "EngineCoordinator", "EngineError", "EventStream"]
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/endpoints.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/endpoints.py
@@ -32,6 +32,8 @@
     CRASHED = "crashed"
     CANCELLED = "cancelled"
     SILENT = "silent"
+    BROKEN = "broken"
+    """A stream contained bytes that are not its own behind its first event."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/in_flight_accounting.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/in_flight_accounting.py
@@ -23,7 +23,13 @@
 from wagtailusher_placement.tracked_endpoint import PlacedRequest, Pool, TrackedEndpoint
 
 FAILURES = frozenset(
-    {AttemptResult.FAILED, AttemptResult.CRASHED, AttemptResult.SILENT, AttemptResult.REFUSED}
+    {
+        AttemptResult.FAILED,
+        AttemptResult.CRASHED,
+        AttemptResult.SILENT,
+        AttemptResult.BROKEN,
+        AttemptResult.REFUSED,
+    }
 )
 
 
--- a/packages/wagtailusher_router/src/wagtailusher_router/next_step.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/next_step.py
@@ -8,6 +8,9 @@
 from wagtailusher_router.const import MAX_RESUMES
 from wagtailusher_router.tracked_requests import Phase, TrackedRequest
 
+_RESUMED = frozenset({AttemptResult.SILENT, AttemptResult.BROKEN})
+"""Results after which the endpoint may still hold the answer."""
+
 
 class NextStep(StrEnum):
     """The next steps after a failed attempt."""
@@ -28,7 +31,7 @@
         return NextStep.GIVE_UP
     if tracked.phase is not Phase.SENT:
         return _retry_if_attempts_left(tracked)
-    if result is AttemptResult.SILENT and resumable and tracked.resume_count < MAX_RESUMES:
+    if result in _RESUMED and resumable and tracked.resume_count < MAX_RESUMES:
         return NextStep.RESUME
     if not tracked.may_repeat or tracked.relayed_events:
         return NextStep.GIVE_UP
--- a/tests/wagtailusher_daemon/test_cut_answers.py
+++ b/tests/wagtailusher_daemon/test_cut_answers.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from itertools import product
+import json
 from typing import Any
 import unittest
 
@@ -27,6 +28,9 @@
 END_MARKER = b"data: [DONE]\n\n"
 EVENTS = tuple(b'data: {"text": "own %d"}\n\n' % number for number in range(20))
 OWN_STREAM = b"".join(EVENTS) + END_MARKER
+OWN_JSON = json.dumps({"object": "chat.completion", "text": "own answer " * 20}).encode()
+OWN_TEXT = b"".join(b"line %d of the own answer\n" % number for number in range(20))
+QUOTE = b"GET / gave HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nand a body"
 LATE_S = 0.02
 TIMEOUT_S = 10
 
@@ -107,6 +111,12 @@
         self.assertEqual(body, OWN_STREAM[: len(body)])
         self.assertFalse(is_complete and body != OWN_STREAM, body)
 
+    async def async_expect_failure(self, path: str, value: Any, **headers: str) -> None:
+        """Check that a request fails before any byte of an answer is relayed."""
+        fields = {name.replace("_", "-"): text for name, text in headers.items()}
+        status, body, _ = await self.async_receive(path, value, fields)
+        self.assertEqual(status, 502, body)
+
 
 async def _async_read(answer: ClientAnswer) -> tuple[int, bytes, bool]:
     """Return an answer's status, the received part of its body, and whether that is all."""
@@ -175,3 +185,26 @@
         failed: list[str] = []
         self.set_reply(reply)
         self.assertEqual(await self.async_chat(stream=True), (200, OWN_STREAM, True))
+
+    async def test_stream_is_resumed_behind_the_event_that_precedes_other_bytes(self) -> None:
+        """The cuts are at and within the second event."""
+        for is_chunked, cut_bytes in product((False, True), (len(EVENTS[0]), len(EVENTS[0]) + 9)):
+            with self.subTest(is_chunked=is_chunked, cut_bytes=cut_bytes):
+
+                def parts(
+                    request: RawRequest, is_chunked: bool = is_chunked, cut_bytes: int = cut_bytes
+                ) -> tuple[bytes, ...]:
+                    if request.method == "GET":
+                        offset = int(request.target.rpartition("=")[2])
+                        rest = b"".join((*EVENTS, END_MARKER)[offset:])
+                        return (response(rest, request.request_id, content_type=EVENT_STREAM),)
+                    return cut_then_second(
+                        OWN_STREAM,
+                        cut_bytes,
+                        request.request_id,
+                        content_type=EVENT_STREAM,
+                        is_chunked=is_chunked,
+                    )
+
+                self.set_reply(write_parts(parts, late=True))
+                self.assertEqual(await self.async_chat(stream=True), (200, OWN_STREAM, True))
--- a/tests/wagtailusher_router/test_decider.py
+++ b/tests/wagtailusher_router/test_decider.py
@@ -41,16 +41,18 @@
         self.assertEqual(self.driver.outcomes[request_id], Outcome.NOT_RUN)
 
     def test_relayed_stream_is_resumed_at_its_endpoint_and_never_restarted_elsewhere(self) -> None:
-        request_id = self.driver.submit_request("r", policy(), 0)
-        first = self.driver.running[request_id]
-        self.driver.send(request_id, 1)
-        self.router.record_first_token(request_id, 2)
-        self.router.record_progress(request_id, 5, 3)
-        self.driver.fail(request_id, AttemptResult.SILENT, 4)
-        resumed = self.driver.running[request_id]
-        self.assertEqual((resumed.endpoint_id, resumed.resume_from), (first.endpoint_id, 5))
-        self.driver.fail(request_id, AttemptResult.CRASHED, 5)
-        self.assertEqual(self.driver.outcomes[request_id], Outcome.UNKNOWN)
+        for name, result in (("r", AttemptResult.SILENT), ("s", AttemptResult.BROKEN)):
+            with self.subTest(result=result):
+                request_id = self.driver.submit_request(name, policy(), 0)
+                first = self.driver.running[request_id]
+                self.driver.send(request_id, 1)
+                self.router.record_first_token(request_id, 2)
+                self.router.record_progress(request_id, 5, 3)
+                self.driver.fail(request_id, result, 4)
+                resumed = self.driver.running[request_id]
+                self.assertEqual((resumed.endpoint_id, resumed.resume_from), (first.endpoint_id, 5))
+                self.driver.fail(request_id, AttemptResult.CRASHED, 5)
+                self.assertEqual(self.driver.outcomes[request_id], Outcome.UNKNOWN)
 
     def test_unrepeatable_request_is_sent_once_and_its_outcome_is_reported_to_repeats(self) -> None:
         once_policy = policy(0, repeatable=False)
--- a/tests/wagtailusher_router/test_random_events.py
+++ b/tests/wagtailusher_router/test_random_events.py
@@ -14,7 +14,13 @@
 from wagtailusher_placement import AttemptResult
 
 ENDS = st.sampled_from(
-    [AttemptResult.FAILED, AttemptResult.CRASHED, AttemptResult.SILENT, AttemptResult.REFUSED]
+    [
+        AttemptResult.FAILED,
+        AttemptResult.CRASHED,
+        AttemptResult.SILENT,
+        AttemptResult.BROKEN,
+        AttemptResult.REFUSED,
+    ]
 )
 NUMBERS = st.integers(0, 1_000)
 
