Relay an answer that is no event stream once it is whole

Callers of the daemon got another answer's bytes in an engine's JSON or in a service's answer, as a complete one: an endpoint stopped within a declared length, and its second answer counted as the rest. Where it stopped within a chunk, they got a 200 that broke off, though the request could have been sent elsewhere.

AnswerRelay passed such bodies chunk by chunk, before anything could tell what they are part of. Any head within an engine's JSON is another answer's, as JSON can't contain unescaped ends of lines. A cut answer is a failed attempt, so a request that may be repeated is sent elsewhere.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
@@ -1,4 +1,4 @@
-"""Relays an endpoint's answer in complete events as they arrive, and counts them."""
+"""Relays an endpoint's answer: complete events as they arrive, any other body once it is whole."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from wagtailusher_integrations.engine import EventStream
 
 PROGRESS_BATCH_EVENTS = 8
+RELAYED_PART_BYTES = 64 * 1024
 
 
 class AnswerRelay:
@@ -23,11 +24,20 @@
         self._on_progress = on_progress
         self._silence_timeout_ms = silence_timeout_ms
         self._stream = EventStream() if is_event_stream(answer.headers) else None
+        self._rest = memoryview(b"")
         self._unreported_events = 0
         self._ended = False
 
     async def async_read_first(self) -> bytes:
-        """Return the first bytes that can be relayed, empty when the body is empty."""
+        """Return the first bytes that can be relayed, empty when the body is empty.
+
+        Bytes of another answer can't be told from those of a body that is no event stream before
+        it is whole, so it is read first.
+        """
+        if self._stream is None:
+            self._rest = memoryview(await self._answer.async_read(self._silence_timeout_ms))
+            self._ended = True
+            return self._take_part()
         first_parts: list[bytes] = []
 
         def keep_first(chunk: bytes) -> bool:
@@ -57,6 +67,9 @@
                     self._report_progress()
             return not (sink.needs_drain or self._has_excess or self._is_broken)
 
+        while self._rest:
+            await sink.async_drain()
+            sink.write(self._take_part())
         while not (self._ended or self._has_excess or self._is_broken):
             try:
                 self._ended = await self._async_relay_chunks(deliver)
@@ -68,6 +81,12 @@
                 await sink.async_drain()
         self._check_complete()
 
+    def _take_part(self) -> bytes:
+        """Return the next part of a body that was read whole."""
+        part = bytes(self._rest[:RELAYED_PART_BYTES])
+        self._rest = self._rest[RELAYED_PART_BYTES:]
+        return part
+
     @callback
     def abort(self) -> None:
         """Report pending events and abort an answer that has not ended."""
@@ -94,10 +113,9 @@
             raise
 
     def _split_events(self, chunk: bytes) -> bytes:
-        """Return the complete events; a body that is not an event stream passes unchanged."""
+        """Return the complete events of a stream."""
         stream = self._stream
-        if stream is None:
-            return chunk
+        assert stream is not None
         before = stream.event_count
         part = stream.feed(chunk)
         self._unreported_events += stream.event_count - before
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -84,6 +84,7 @@
             new_connection=new_connection,
             head_timeout_ms=head_timeout_ms,
             matches_request=_match_request_id(call.request_id),
+            states_request=_is_foreign_head,
             unmatched_timeout_ms=DEFAULT_UNMATCHED_TIMEOUT_MS,
         )
         _check_content_type(answer, CONTENT_TYPE_EVENTS if call.streams else CONTENT_TYPE_JSON)
@@ -176,6 +177,14 @@
     return match_identifier(HEADER_REQUEST_ID, request_id, required=True)
 
 
+def _is_foreign_head(_: Headers) -> bool:
+    """Return that a head within an answer is that of another one.
+
+    JSON escapes the ends of lines, so an answer can't quote one.
+    """
+    return True
+
+
 def _check_content_type(answer: ClientAnswer, expected: str) -> None:
     """Raise EngineError if a completion has another content type than expected."""
     found = answer.headers.get("content-type") or "no content type"
--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -80,6 +80,7 @@
             EngineStandin(f"engine-{number}", EngineBehaviour()) for number in range(engine_count)
         ]
         self.booking = BookingStandin("booking-0")
+        self.more_services: list[BookingStandin] = []
         self.config_service = ConfigService()
         self.vm_list = VmListService()
         self.vm_count = vm_count
@@ -90,7 +91,8 @@
         """Start all processes, publish them and wait until all apps are ready."""
         for engine in self.engines:
             await engine.async_start()
-        await self.booking.async_start()
+        for service in (self.booking, *self.more_services):
+            await service.async_start()
         await self.config_service.async_start()
         await self.vm_list.async_start()
         self.config_service.publish("settings", settings_document())
@@ -105,7 +107,8 @@
         self.client.close()
         await asyncio.gather(*(app.async_stop(grace_ms=100) for app in self.apps))
         await asyncio.gather(*(engine.async_stop() for engine in self.engines))
-        await self.booking.async_stop()
+        for service in (self.booking, *self.more_services):
+            await service.async_stop()
         await self.config_service.async_close()
         await self.vm_list.async_close()
 
@@ -139,7 +142,10 @@
         ]
         endpoints = [
             *map(engine_info, self.engines),
-            service_info(self.booking, self._booking_cold_limit),
+            *(
+                service_info(service, self._booking_cold_limit)
+                for service in (self.booking, *self.more_services)
+            ),
         ]
         self.vm_list.publish_vms(vms, endpoints)
 
--- a/tests/wagtailusher_daemon/test_cut_answers.py
+++ b/tests/wagtailusher_daemon/test_cut_answers.py
@@ -72,35 +72,39 @@
 
 
 class CutAnswerCase(unittest.IsolatedAsyncioTestCase):
-    """Base class with two engines and a service whose replies a test sets."""
+    """Base class with two engines and two services whose replies a test sets."""
 
     async def asyncSetUp(self) -> None:
+        self.count = 0
+        """Requests so far; each is another one, as one that crashes endpoints is quarantined."""
         silent = write_parts(lambda request: ())
         self.engines = [RawEngine(f"engine-{number}", silent) for number in (0, 1)]
-        self.service = RawService("booking-0", silent)
+        self.services = [RawService(f"booking-{number}", silent) for number in (0, 1)]
         self.fleet = Fleet(vm_count=1, engine_count=0)
         self.fleet.engines = [*self.engines]
-        self.fleet.booking = self.service
+        self.fleet.booking = self.services[0]
+        self.fleet.more_services = [self.services[1]]
         await self.fleet.async_start()
         self.addAsyncCleanup(self.fleet.async_stop)
 
     def set_reply(self, reply: Reply) -> None:
         """Let all endpoints reply alike."""
-        for server in (self.service.server, *(engine.server for engine in self.engines)):
-            server.reply = reply
+        for engine in self.engines:
+            engine.server.reply = reply
+        for service in self.services:
+            service.server.reply = reply
 
     async def async_chat(self, *, stream: bool) -> tuple[int, bytes, bool]:
         """Request a chat completion; return its status, its body and whether that is complete."""
-        messages = [{"role": "user", "content": "x"}]
+        self.count += 1
+        messages = [{"role": "user", "content": f"question {self.count}"}]
         value = {"model": MODEL, "stream": stream, "messages": messages}
         return await self.async_receive("/v1/chat/completions", value)
 
-    async def async_receive(
-        self, path: str, value: Any, headers: dict[str, str] | None = None
-    ) -> tuple[int, bytes, bool]:
+    async def async_receive(self, path: str, value: Any) -> tuple[int, bytes, bool]:
         """Send a request; return its status, its body and whether that is complete."""
         async with asyncio.timeout(TIMEOUT_S):
-            return await _async_read(await self.fleet.async_post(path, value, headers=headers))
+            return await _async_read(await self.fleet.async_post(path, value))
 
     async def async_expect_broken_stream(self) -> None:
         """Check that a stream fails, or breaks off behind a part of its own events."""
@@ -111,10 +115,10 @@
         self.assertEqual(body, OWN_STREAM[: len(body)])
         self.assertFalse(is_complete and body != OWN_STREAM, body)
 
-    async def async_expect_failure(self, path: str, value: Any, **headers: str) -> None:
-        """Check that a request fails before any byte of an answer is relayed."""
-        fields = {name.replace("_", "-"): text for name, text in headers.items()}
-        status, body, _ = await self.async_receive(path, value, fields)
+    async def async_expect_failed_call(self) -> None:
+        """Check that a call to a service fails before any byte of an answer is relayed."""
+        self.count += 1
+        status, body, _ = await self.async_receive(f"/services/stock/{self.count}", {})
         self.assertEqual(status, 502, body)
 
 
@@ -208,3 +212,92 @@
 
                 self.set_reply(write_parts(parts, late=True))
                 self.assertEqual(await self.async_chat(stream=True), (200, OWN_STREAM, True))
+
+
+class CutWholeAnswerTest(CutAnswerCase):
+    """A cut answer that is no stream is not relayed, whatever fills its rest."""
+
+    async def test_second_answer_does_not_fill_the_rest_of_an_engines_cut_answer(self) -> None:
+        for cut_bytes, late, is_chunked in product(cuts(OWN_JSON), (False, True), (False, True)):
+            with self.subTest(cut_bytes=cut_bytes, late=late, is_chunked=is_chunked):
+
+                def parts(
+                    request: RawRequest, cut_bytes: int = cut_bytes, is_chunked: bool = is_chunked
+                ) -> tuple[bytes, ...]:
+                    return cut_then_second(
+                        OWN_JSON, cut_bytes, request.request_id, is_chunked=is_chunked
+                    )
+
+                self.set_reply(write_parts(parts, late=late))
+                status, body, _ = await self.async_chat(stream=False)
+                self.assertEqual(status, 502, body)
+
+    async def test_cut_answer_is_repeated_elsewhere(self) -> None:
+        """Nothing was relayed yet, so a request that may be repeated is."""
+        cut: list[str] = []
+
+        def parts(request: RawRequest) -> tuple[bytes, ...]:
+            if cut:
+                return (response(OWN_JSON, request.request_id),)
+            cut.append(request.request_id)
+            return cut_then_second(OWN_JSON, 10, request.request_id)
+
+        self.set_reply(write_parts(parts))
+        self.assertEqual(await self.async_chat(stream=False), (200, OWN_JSON, True))
+
+    async def test_end_of_the_connection_does_not_complete_a_cut_answer(self) -> None:
+        """A length or chunks tell where the answer ends."""
+        for end, is_chunked in product(("close", "reset"), (False, True)):
+            with self.subTest(end=end, is_chunked=is_chunked):
+
+                def parts(request: RawRequest, is_chunked: bool = is_chunked) -> tuple[bytes, ...]:
+                    own = cut_then_second(OWN_JSON, 40, request.request_id, is_chunked=is_chunked)
+                    return own[:1]
+
+                self.set_reply(write_parts(parts, end=end))
+                status, body, _ = await self.async_chat(stream=False)
+                self.assertEqual(status, 502, body)
+                await self.async_expect_failed_call()
+
+    async def test_second_answer_does_not_fill_the_rest_of_a_services_cut_answer(self) -> None:
+        """Services need not state the request in their answers."""
+        for cut_bytes, late, is_chunked, has_id in product(
+            cuts(OWN_TEXT), (False, True), (False, True), (False, True)
+        ):
+            with self.subTest(cut_bytes=cut_bytes, late=late, chunked=is_chunked, has_id=has_id):
+                self._cut_service(cut_bytes, late=late, is_chunked=is_chunked, has_id=has_id)
+                await self.async_expect_failed_call()
+
+    async def test_second_answer_does_not_fill_the_rest_of_an_answer_that_is_kept(self) -> None:
+        """The outcome of a request that may not be repeated is unknown then."""
+        for cut_bytes, is_chunked, has_id in product(cuts(OWN_TEXT), (False, True), (False, True)):
+            with self.subTest(cut_bytes=cut_bytes, chunked=is_chunked, has_id=has_id):
+                self._cut_service(cut_bytes, late=False, is_chunked=is_chunked, has_id=has_id)
+                ticket = await self.fleet.async_ticket()
+                status, value = await self.fleet.async_book("b", ticket)
+                self.assertEqual((status, value["error"]["outcome"]), (502, "unknown"))
+
+    async def test_services_answer_that_quotes_a_response_is_relayed(self) -> None:
+        """An answer that states its request tells a quoted response from another answer."""
+        self.set_reply(write_parts(lambda request: (response(QUOTE, request.request_id),)))
+        received = await self.async_receive("/services/stock/x", {})
+        self.assertEqual(received, (200, QUOTE, True))
+
+    async def test_large_answer_of_a_service_is_relayed_to_a_slow_caller(self) -> None:
+        """It is read whole before its first byte is relayed."""
+        body = OWN_TEXT * 12_000
+        self.set_reply(write_parts(lambda request: (response(body, request.request_id),)))
+        answer = await self.fleet.async_post("/services/stock/x", {})
+        await asyncio.sleep(0.3)
+        self.assertEqual(await _async_read(answer), (200, body, True))
+
+    def _cut_service(self, cut_bytes: int, *, late: bool, is_chunked: bool, has_id: bool) -> None:
+        """Let the service cut its answers and answer once more."""
+
+        def parts(request: RawRequest) -> tuple[bytes, ...]:
+            request_id = request.request_id if has_id else None
+            return cut_then_second(
+                OWN_TEXT, cut_bytes, request_id, content_type="text/plain", is_chunked=is_chunked
+            )
+
+        self.set_reply(write_parts(parts, late=late))
