--- a/tests/wagtailusher_daemon/test_cut_answers.py
+++ b/tests/wagtailusher_daemon/test_cut_answers.py
@@ -277,6 +277,28 @@
                 status, value = await self.fleet.async_book("b", ticket)
                 self.assertEqual((status, value["error"]["outcome"]), (502, "unknown"))
 
+    async def test_second_answer_in_parts_does_not_fill_the_rest_of_a_cut_answer(self) -> None:
+        """Its first part ends with the declared length, so nothing follows the body at first."""
+        for rest_bytes, has_id in product((1, 5, 12, 17, 30, 120), (False, True)):
+            with self.subTest(rest_bytes=rest_bytes, has_id=has_id):
+
+                def parts(
+                    request: RawRequest, rest_bytes: int = rest_bytes, has_id: bool = has_id
+                ) -> tuple[bytes, ...]:
+                    cut, second = cut_then_second(
+                        OWN_TEXT,
+                        len(OWN_TEXT) - rest_bytes,
+                        request.request_id if has_id else None,
+                        content_type="text/plain",
+                    )
+                    return cut, second[:rest_bytes], second[rest_bytes:]
+
+                self.set_reply(write_parts(parts, late=True))
+                await self.async_expect_failed_call()
+                ticket = await self.fleet.async_ticket()
+                status, value = await self.fleet.async_book("b", ticket)
+                self.assertEqual((status, value["error"]["outcome"]), (502, "unknown"))
+
     async def test_services_answer_that_quotes_a_response_is_relayed(self) -> None:
         """An answer that states its request tells a quoted response from another answer."""
         self.set_reply(write_parts(lambda request: (response(QUOTE, request.request_id),)))
