Refuse a YAML document whose end only the connection tells

A configuration service that ended a YAML answer early, without a length, made the daemon read the part as the whole document: all workspaces behind the cut were gone. A part of a YAML text is mostly a valid one.

PolledValue tells whether only the end of the connection ended the value; a document that isn't JSON is refused then, and the last settings stay in use. A part of a JSON text can't be parsed, and a chunk of a large document has a digest.

--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/coordinator.py
@@ -16,6 +16,7 @@
 from wagtailusher_integrations.config_service.long_poll import LongPoll
 from wagtailusher_integrations.config_service.models import (
     LongPollLimits,
+    PolledValue,
     PollStatus,
     ServiceContent,
 )
@@ -24,6 +25,7 @@
     ChunkReference,
     SettingsError,
     canonical_bytes,
+    is_json,
     parse_manifest,
     parse_revision,
 )
@@ -121,7 +123,7 @@
             self._poll.record_unchanged(_now_ms())
             return None
         try:
-            content = await self._async_read_document(value.content)
+            content = await self._async_read_document(value)
             revision = parse_revision(content)
         except SettingsError as error:
             self._version = value.version
@@ -133,11 +135,14 @@
         self._store_and_notify(read_content)
         return read_content
 
-    async def _async_read_document(self, value_content: bytes) -> bytes:
+    async def _async_read_document(self, value: PolledValue) -> bytes:
         """Return a value's document in canonical form; read a manifest's chunks first."""
-        manifest = parse_manifest(value_content)
+        manifest = parse_manifest(value.content)
         if manifest is None:
-            return canonical_bytes(value_content)
+            # A JSON text that is cut can't be parsed, a YAML text can.
+            if value.ends_with_connection and not is_json(value.content):
+                raise MalformedValueError(f"{self._path}: the service stated no length")
+            return canonical_bytes(value.content)
         for chunk in self._assembler.set_manifest(manifest):
             await self._async_read_chunk(chunk)
         document = self._assembler.assemble()
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/long_poll.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/long_poll.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from wagtailusher_core import ErrorCode, WagtailusherError, callback
-from wagtailusher_http import HttpClient, HttpError
+from wagtailusher_http import ClientAnswer, HttpClient, HttpError
 from wagtailusher_integrations.config_service.const import (
     HEADER_RETRY_AFTER,
     HEADER_VERSION,
@@ -90,20 +90,17 @@
             )
         except HttpError as error:
             raise PlatformError(f"{path} at {self._address}: {error.message}") from error
-        retry_after = answer.headers.get(HEADER_RETRY_AFTER)
-        return self._read_answer(
-            path, answer.status, answer.headers.get(HEADER_VERSION), retry_after, body
-        )
+        return self._read_answer(path, answer, body)
 
-    def _read_answer(
-        self, path: str, status: int, version: str | None, retry_after: str | None, body: bytes
-    ) -> PolledValue | None:
+    def _read_answer(self, path: str, answer: ClientAnswer, body: bytes) -> PolledValue | None:
         """Return the value in an answer, None if it has not changed."""
+        status = answer.status
+        version = answer.headers.get(HEADER_VERSION)
         if status == HTTPStatus.TOO_MANY_REQUESTS:
             self._throttled += 1
             raise ThrottledError(
                 f"{path}: the service's call limit is reached",
-                retry_after_ms=_parse_retry_after(retry_after),
+                retry_after_ms=_parse_retry_after(answer.headers.get(HEADER_RETRY_AFTER)),
             )
         if status == HTTPStatus.NOT_MODIFIED:
             return None
@@ -111,7 +108,11 @@
             raise PlatformError(f"{path}: the service answered with status {status}")
         if version is None or not version.isdecimal() or len(version) > 18:
             raise MalformedValueError(f"{path}: the answer has no valid version header")
-        return PolledValue(version=int(version), content=body)
+        return PolledValue(
+            version=int(version),
+            content=body,
+            ends_with_connection=answer.is_delimited_by_close,
+        )
 
     @callback
     def record_success(self, now_ms: int) -> None:
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/models.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/config_service/models.py
@@ -33,6 +33,8 @@
 
     version: int
     content: bytes
+    ends_with_connection: bool
+    """Whether only the end of the connection ended the value, so that it may be cut."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
+++ b/packages/wagtailusher_settings/src/wagtailusher_settings/__init__.py
@@ -15,7 +15,7 @@
     split_document,
 )
 from wagtailusher_settings.diff import Change, PolicyChange, diff_policies, diff_settings
-from wagtailusher_settings.document import load_document
+from wagtailusher_settings.document import is_json, load_document
 from wagtailusher_settings.errors import Problem, SettingsError, UnknownKeyError
 from wagtailusher_settings.parse import parse_settings
 from wagtailusher_settings.policy import ClassPolicy, DeadlineBehaviour, FleetPolicy
@@ -52,6 +52,7 @@
     "canonical_bytes",
     "diff_policies",
     "diff_settings",
+    "is_json",
     "load_document",
     "parse_manifest",
     "parse_revision",
