--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -9,7 +9,7 @@
 from wagtailusher_daemon.exchange_context import ExchangeContext
 from wagtailusher_daemon.node import MessageQueue
 from wagtailusher_daemon.responses import end_to_end_headers, refusal_response
-from wagtailusher_daemon.upstream import classify_error, classify_status
+from wagtailusher_daemon.upstream import classify_status, classify_stream_error
 from wagtailusher_http import BodySink, ClientAnswer, Response, is_event_stream
 from wagtailusher_integrations.engine import EventStream
 from wagtailusher_router import Dispatch, Forward, Refuse
@@ -101,7 +101,7 @@
 
     async def _async_resume(self, err: WagtailusherError) -> AnswerRelay:
         """Return the relay of a resumed answer, or raise IncompleteAnswerError."""
-        self._context.end_attempt(classify_error(err))
+        self._context.end_attempt(classify_stream_error(err))
         while True:
             message = await self._message_queue.get()
             if not isinstance(message, Dispatch) or message.resume_from is None:
@@ -130,12 +130,14 @@
 def complete_body(answer: ClientAnswer, body: bytes) -> bytes:
     """Return a fully read body, an event stream up to its end marker.
 
-    Raises IncompleteAnswerError when an event stream has no end marker.
+    Raises BrokenStreamError when bytes that are no event precede a stream's end marker, and
+    IncompleteAnswerError when a stream has none.
     """
     if not is_event_stream(answer.headers):
         return body
     stream = EventStream()
     events = stream.feed(body)
+    stream.raise_broken()
     if not stream.is_complete:
         raise IncompleteAnswerError("event stream ended without its end marker")
     return events
