--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/event_stream.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/event_stream.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from wagtailusher_http import EVENT_DELIMITER, is_event, split_complete_events
+from wagtailusher_http import END_MARKER, EVENT_DELIMITER, is_event, split_complete_events
 from wagtailusher_integrations.engine.exceptions import BrokenStreamError, EngineError
 
-_END_MARKER = b"data: [DONE]"
 _MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -56,7 +55,7 @@
                 self.is_broken = True
                 break
             accepted.append(block + EVENT_DELIMITER)
-            if block.rpartition(b"\n")[2] == _END_MARKER:
+            if block.rpartition(b"\n")[2] == END_MARKER:
                 self.is_complete = True
                 break
         self.event_count += len(accepted)
