Let the daemon's answer fuzz send a second answer behind a cut one

Behind a part of its own answer an endpoint sent nothing, so the fuzz could not show that a second answer fills the declared rest.

--- a/tests/wagtailusher_daemon/test_answer_fuzz.py
+++ b/tests/wagtailusher_daemon/test_answer_fuzz.py
@@ -81,7 +81,10 @@
             writer.close()
 
     def _parts(self, request: RawRequest, call: Call) -> Iterator[bytes]:
-        """Yield the parts of a reply; behind a part of the own answer nothing follows."""
+        """Yield the parts of a reply; another answer may follow a part of the own one.
+
+        Garbage does not, as nothing tells it from the rest of an event or of a service's body.
+        """
         generator = self._generator
         if generator.random() < 0.25:
             yield self._late_answer(request, call)
@@ -93,6 +96,8 @@
         own = self._own_answer(request, call)
         if generator.random() < 0.2:
             yield own[: generator.randrange(len(own))]
+            if generator.random() < 0.5:
+                yield generator.choice((own, self._late_answer(request, call)))
             return
         yield own
         for _ in range(generator.randrange(3)):
