Add a test of a forwarded answer that breaks off at the peer

The VM that forwarded a request sees that a peer's answer is not complete, as a peer closes the connection without the end of the body.

--- a/tests/wagtailusher_daemon/test_cut_answers.py
+++ b/tests/wagtailusher_daemon/test_cut_answers.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from itertools import product
 import json
 from typing import Any
@@ -21,8 +21,18 @@
     response,
 )
 from tests.wagtailusher_daemon.fleet import MODEL, Fleet
-from wagtailusher_core import WagtailusherError
-from wagtailusher_http import ClientAnswer
+from wagtailusher_core import RequestId, VmId, WagtailusherError
+from wagtailusher_daemon.forwarding import Forwarder
+from wagtailusher_http import (
+    AnswerTruncatedError,
+    ClientAnswer,
+    Headers,
+    HttpClient,
+    Request,
+    Response,
+    async_serve,
+)
+from wagtailusher_router import Forward, ForwardReason
 
 EVENT_STREAM = "text/event-stream"
 END_MARKER = b"data: [DONE]\n\n"
@@ -323,3 +333,38 @@
             )
 
         self.set_reply(write_parts(parts, late=late))
+
+
+class ForwardedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A peer's answer that breaks off is not complete at the VM that forwarded the request."""
+
+    async def test_answer_that_breaks_off_at_a_peer_is_not_complete(self) -> None:
+        async def async_body() -> AsyncIterator[bytes]:
+            yield EVENTS[0]
+            raise WagtailusherError("the endpoint's answer broke off")
+
+        async def async_handle(request: Request) -> Response:
+            return Response(body=async_body())
+
+        server = await async_serve(async_handle)
+        self.addAsyncCleanup(server.async_close)
+        client = HttpClient()
+        self.addCleanup(client.close)
+        forwarder = Forwarder(
+            client,
+            vm_id=VmId("vm-1"),
+            secrets=(b"s" * 16,),
+            address_of=lambda vm_id: f"127.0.0.1:{server.port}",
+            silence_timeout_ms=lambda: 1_000,
+        )
+        request = Request(method="GET", target="/x", headers=Headers(), body=b"", peer="caller")
+        forward = Forward(
+            request_id=RequestId("r"), vm_id=VmId("vm-2"), reason=ForwardReason.CREDITS
+        )
+        response = await forwarder.async_forward(request, forward, 0)
+        received = bytearray()
+        assert isinstance(response.body, AsyncIterator)
+        with self.assertRaises(AnswerTruncatedError):
+            async for chunk in response.body:
+                received += chunk
+        self.assertEqual(bytes(received), EVENTS[0])
