--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
@@ -282,8 +282,10 @@
             return
         quarantined_ms = evidence.quarantined_ms
         if quarantined_ms is None or quarantined_ms <= completed_ms + evidence.innocent_ms:
+            # Told on only where it changed something, or VMs would tell it to each other for ever.
+            is_accused = quarantined_ms is not None or bool(evidence.crashes)
             evidence.clear(completed_ms)
-            evidence.cleared_sends = 0
+            evidence.cleared_sends = 0 if is_accused else evidence.cleared_sends
 
     def _merge_quarantine(self, entry: QuarantineEntry, now_ms: int) -> None:
         """Apply another VM's quarantine, with its last refusal and its probes."""
--- a/tests/wagtailusher_quarantine/test_parts.py
+++ b/tests/wagtailusher_quarantine/test_parts.py
@@ -103,6 +103,18 @@
         self.assertTrue(decider.is_quarantined("culprit", 2))
         self.assertFalse(decider.is_quarantined("popular", 2))
 
+    def test_bystander_is_not_refused_when_the_culprit_crashes_many_more(self) -> None:
+        """A part was in flight at two of eight crashes; its reports came first."""
+        self.decider.record_success(SHARED, 0)
+        for number in range(2):
+            crash(self.decider, f"e{number}", 100 * number, f"b{number}", SHARED, OTHER)
+            crash(self.decider, f"e{number}", 100 * number, f"r{number}", SHARED, BAD)
+        for number in range(2, 8):
+            crash(self.decider, f"e{number}", 100 * number, f"r{number}", SHARED, BAD)
+        later_ms = 800 + SPREAD_MS
+        self.assertIs(self.status(BAD, later_ms), QuarantineStatus.QUARANTINED)
+        self.assertIs(self.status(OTHER, later_ms), QuarantineStatus.SUSPECT)
+
     def test_complete_answer_ends_a_wrong_quarantine(self) -> None:
         crash(self.decider, "e1", 0, "r1", SHARED)
         crash(self.decider, "e2", 0, "r2", SHARED)
@@ -152,6 +164,18 @@
         for decider in (self.first, self.second):
             self.assertIs(decider.classify(SHARED, 300), QuarantineStatus.CLEAR)
 
+    def test_complete_answers_are_not_told_on_for_ever(self) -> None:
+        """Answers with the shared part complete at both VMs all the time."""
+        first, second = QuarantineDecider(), QuarantineDecider()
+        crash(first, "e1", 100, "r1", SHARED, BAD)
+        exchange(first, second, 150)
+        for now_ms in range(200, 60_000, 200):
+            for decider in (first, second):
+                decider.record_success(SHARED, now_ms + 10 * (decider is second))
+            exchange(first, second, now_ms + 20)
+        for decider in (first, second):
+            self.assertFalse(decider.has_unsent_evidence(60_000))
+
     def test_vm_started_anew_learns_the_quarantine(self) -> None:
         crash(self.first, "e1", 0, "r1", BAD)
         crash(self.first, "e2", 0, "r2", BAD)
