Tell the crashes of what is quarantined, which explain those of its bystanders

A VM started anew learned the quarantine without its crashes, and the crashes of the bystanders. It held a bystander, quarantined it 1.5 s later and told all VMs.

--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/decider.py
@@ -337,14 +337,16 @@
         return is_culprit(evidence, others, self._evidence_since_ms(now_ms))
 
     def _sendable_items(self, now_ms: int) -> Iterator[SummaryItem]:
-        """Yield the evidence that may be sent to other VMs."""
+        """Yield the evidence that may be sent to other VMs.
+
+        The crashes of a quarantined fingerprint explain those of its bystanders.
+        """
         since_ms = self._evidence_since_ms(now_ms)
         for evidence in self._evidence.values():
             if evidence.cleared_sends is not None:
                 yield SummaryItem(evidence, None, is_completed=True)
             if evidence.quarantined_ms is not None:
                 yield SummaryItem(evidence, None)
-                continue
             for crash in evidence.crashes_since(since_ms):
                 yield SummaryItem(evidence, crash)
 
--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/summary.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/summary.py
@@ -54,7 +54,9 @@
     @property
     def is_urgent(self) -> bool:
         """Return whether the item ends a refusal, or is evidence for one here."""
-        return self.crash is None or self.evidence.held_ms is not None
+        evidence = self.evidence
+        is_refused = evidence.held_ms is not None or evidence.quarantined_ms is not None
+        return self.crash is None or is_refused
 
     @property
     def timestamp_ms(self) -> int:
--- a/tests/wagtailusher_quarantine/test_parts.py
+++ b/tests/wagtailusher_quarantine/test_parts.py
@@ -164,6 +164,21 @@
         for decider in (self.first, self.second):
             self.assertIs(decider.classify(SHARED, 300), QuarantineStatus.CLEAR)
 
+    def test_vm_started_anew_does_not_accuse_a_bystander_of_what_is_quarantined(self) -> None:
+        """It learns what explains the crashes that it is told of."""
+        for number in range(2):
+            crash(self.first, f"e{number}", 100 * number, f"b{number}", SHARED, OTHER)
+            crash(self.first, f"e{number}", 100 * number, f"r{number}", SHARED, BAD)
+        crash(self.first, "e2", 200, "r2", SHARED, BAD)
+        start_ms = 200 + SPREAD_MS
+        self.assertIs(self.first.classify(BAD, start_ms), QuarantineStatus.QUARANTINED)
+        anew = QuarantineDecider()
+        for now_ms in range(start_ms, start_ms + 4 * SPREAD_MS, 200):
+            exchange(self.first, anew, now_ms)
+        for decider in (self.first, anew):
+            self.assertIs(decider.classify(BAD, now_ms), QuarantineStatus.QUARANTINED)
+            self.assertIs(decider.classify(OTHER, now_ms), QuarantineStatus.SUSPECT)
+
     def test_complete_answers_are_not_told_on_for_ever(self) -> None:
         """Answers with the shared part complete at both VMs all the time."""
         first, second = QuarantineDecider(), QuarantineDecider()
