--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/const.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/const.py
@@ -22,7 +22,7 @@
 PROBE_BACKOFF = 5
 """Factor by which the time until each further probe grows."""
 MAX_CRASHES_PER_FINGERPRINT = 16
-"""More than one part can cause until all VMs refuse it; a crash that is forgotten no longer explains
+"""More than one part causes until all VMs refuse it; a crash that is forgotten no longer explains
 those of its bystanders, and they would be accused instead."""
 AMBIGUOUS_CRASHES = 3
 """Crashes after which a prompt part without any complete answer is refused, even if other parts
