Suspect requests whose answer began just before their endpoint crashed, too

An endpoint may write its first event before it ends. A stream is a suspect until 100 ms after that event.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -6,7 +6,12 @@
 from enum import Enum
 
 from wagtailusher_core import EndpointId
-from wagtailusher_gateway.const import MAX_ANSWER_BYTES, MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT_MS
+from wagtailusher_gateway.const import (
+    JUST_BEGUN_MS,
+    MAX_ANSWER_BYTES,
+    MAX_REFUSAL_BYTES,
+    REFUSAL_TIMEOUT_MS,
+)
 from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.dispatcher import Dispatcher
 from wagtailusher_gateway.events import EventFramer, StreamPosition
@@ -63,6 +68,7 @@
         self.was_sent = False
         self.longest_gap_ms = 0
         self._last_event_ms = 0
+        self._begun_ms: int | None = None
         self._framer = EventFramer(position)
 
     @property
@@ -91,9 +97,10 @@
         return self._last_answer is not None
 
     @property
-    def has_event(self) -> bool:
-        """Return whether the answer brought a new event."""
-        return self._framer.has_new_event
+    def is_under_way(self) -> bool:
+        """Return whether the answer brought its first new event some time ago."""
+        begun_ms = self._begun_ms
+        return begun_ms is not None and self._now_ms() - begun_ms >= JUST_BEGUN_MS
 
     @property
     def is_stream(self) -> bool:
@@ -253,7 +260,10 @@
 
     def _feed(self, chunk: bytes) -> bytes:
         """Return the complete events that a chunk of the answer brings."""
-        return self._framer.feed(chunk, is_delimited=self._is_delimited)
+        events = self._framer.feed(chunk, is_delimited=self._is_delimited)
+        if events and self._begun_ms is None:
+            self._begun_ms = self._now_ms()
+        return events
 
     def _finish(self) -> None:
         """Raise BrokenStreamError if the answer did not end after a complete event."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -214,6 +214,10 @@
 """Wait after a request's connection ended until the endpoint's address is checked; its process may
 still be ending."""
 
+JUST_BEGUN_MS: Final = 100
+"""Time after a stream's first event in which it may be what crashed its endpoint; an endpoint may
+write a little before it ends."""
+
 SAME_CRASH_MS: Final = 3_000
 """Time in which the connections of requests end because of one crash; longer than their queues."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/events.py
@@ -66,11 +66,6 @@
         """Return the size of the buffered incomplete event."""
         return len(self._partial_event)
 
-    @property
-    def has_new_event(self) -> bool:
-        """Return whether the answer brought an event that the caller did not have."""
-        return self._has_new_event
-
     @property
     def has_failed(self) -> bool:
         """Return whether nothing more of the answer can be relayed."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -184,8 +184,8 @@
             )
 
     def _record_break(self, attempt: Attempt, err: WagtailusherError) -> None:
-        """Suspect a request whose connection ended before its answer brought anything."""
-        if isinstance(err, AnswerTruncatedError) and attempt.was_sent and not attempt.has_event:
+        """Suspect a request whose connection ended before, or just after, its answer began."""
+        if isinstance(err, AnswerTruncatedError) and attempt.was_sent and not attempt.is_under_way:
             endpoint = attempt.reservation.endpoint
             suspects = self._fingerprints.suspects(has_begun=attempt.has_head)
             self._crash_watch.record_break(endpoint, suspects)
