Poll an engine that ends idle connections before sending to it

Cause: the kernel told every VM of the restart, as it ended their idle connections, but the HTTP client only dropped these at their next use. The next load report came up to a second later.

The client now closes such a connection at once and tells its owner, except when the peer had announced that keep-alive time. Then the VM sends the engine nothing and polls it over a new connection. A refusal is handled as one of the regular polls, a report with another incarnation makes the engine cold, and after any other report all goes on as before. Recalls leave right after the poll. The wait is over after 2 s at most, and there is none while the VM has a request at the engine, as the request's own end shows a crash, or when the engine has no cold start.

Why it works: a request over a new connection needs a turn of the event loop, which brings the ends that the kernel has, before `may_send` is asked; so a VM that has an idle connection to an engine sends nothing to its next process before a poll was answered or refused. The steward polls often enough to have one; what other VMs without one send is bounded by its recall.

An ordinary idle time-out costs one poll. The poll closes its connection now, and a test says so.

Open: a request over a reused connection that the engine is just closing for being idle counts as a crash, before and after.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -34,6 +34,7 @@
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.lease_transport import LeaseTransport
+from wagtailusher_daemon.load_poll import LoadPoll
 from wagtailusher_daemon.load_reports import LoadReportCache
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
@@ -53,7 +54,6 @@
 from wagtailusher_integrations.config_service import ConfigServiceCoordinator
 from wagtailusher_integrations.vm_list import VmList, VmListCoordinator
 from wagtailusher_once import TicketIssuer
-from wagtailusher_placement import EndpointKind
 from wagtailusher_settings import FleetPolicy
 from wagtailusher_wire import AuthenticatedMessage, Message, MessageAuthenticator
 
@@ -78,7 +78,7 @@
         self.tracing = self._new_tracing()
         self.is_draining = False
         self.directory = Directory()
-        self._client = HttpClient()
+        self._client = HttpClient(on_idle_end=self._observe_idle_end)
         self._peer_client = HttpClient(ssl_context=peer_context(options))
         self._secrets = _fleet_secrets(options)
         self.upstream = Upstream(self._client, self.directory.address_of_cancel)
@@ -90,6 +90,7 @@
             cancel=self.upstream.cancel,
             load_reports=self.load_cache,
         )
+        self._load_poll = LoadPoll(self.node, self.upstream.engines, self.load_cache)
         self.view = FleetView(self.node, self.metrics, self._apply_fleet_policy)
         self.directory.attach_view(self.view)
         self.link = self._new_link()
@@ -186,7 +187,9 @@
         self._tasks.add_periodic(QUARANTINE_INTERVAL_MS, fleet_sync.gossip_quarantine)
         self._tasks.add_periodic(options.tick_interval_ms, self._tick)
         self._tasks.add_periodic_async(LIST_CONFIRM_INTERVAL_MS, self._pause_monitor.async_read)
-        self._tasks.add_periodic_async(options.load_poll_interval_ms, self._async_poll_load)
+        self._tasks.add_periodic_async(
+            options.load_poll_interval_ms, self._load_poll.async_poll_due
+        )
         _LOGGER.info("Daemon: %s listens for callers at %s", self.vm_id, self.address)
 
     async def async_stop(self, grace_ms: int | None = None) -> bool:
@@ -215,6 +218,7 @@
             and all_completed
         )
         await self._tasks.async_stop()
+        self._load_poll.close()
         if self.fleet_sync is not None:
             await self.fleet_sync.async_shutdown()
         if self.operator_server is not None:
@@ -295,6 +299,10 @@
         if self.fleet_sync is not None:
             self.fleet_sync.receive(message, authenticated, address)
 
+    def _observe_idle_end(self, address: str) -> None:
+        """Handle the end of an idle connection to an endpoint."""
+        self._load_poll.observe_idle_end(address)
+
     def _apply_vm_list(self, vm_list: VmList) -> None:
         """Apply the platform's list of VMs and endpoints."""
         self.view.apply_published(vm_list.entry_vms, vm_list.endpoints, vm_list.version)
@@ -363,17 +371,6 @@
         self.node.tick()
         self.metrics.held.set({}, self.node.held_count)
 
-    async def _async_poll_load(self) -> None:
-        """Poll the load of the engines that are due."""
-        decider = self.node.decider
-        engines = [info for info in decider.tracked_endpoints if info.kind is EndpointKind.ENGINE]
-        stewards = {info.endpoint_id: decider.steward_id(info.endpoint_id) for info in engines}
-        engines_to_poll = self.load_cache.engines_to_poll(engines, stewards, monotonic_ms())
-        reports = await self.upstream.engines.async_poll_load(
-            engines_to_poll, monotonic_ms, on_refused=self.node.observe_refused_connection
-        )
-        self.node.observe_reports(reports)
-
 
 def _split_address(address: str) -> tuple[str, int]:
     """Split a validated `host:port` address."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -57,6 +57,9 @@
 ISOLATION_MS = 4_000
 MIN_PEERS_FOR_ISOLATION = 2
 LOAD_REPORT_MAX_AGE_MS = 2_000
+DOUBT_POLL_MS = 1_000
+"""Time of polling an engine that may have restarted and closes connections without an answer."""
+DOUBT_POLL_PAUSE_MS = 50
 PERMILLE = 1_000
 LIST_CONFIRM_INTERVAL_MS = 100
 BODY_MARGIN_BYTES = 64 * 1024
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
@@ -103,6 +103,16 @@
         """Process an endpoint's refusal of a connection."""
         self.apply(self.decider.observe_refused_connection(endpoint_id, monotonic_ms()))
 
+    @callback
+    def begin_doubt(self, endpoint_id: EndpointId) -> bool:
+        """Send nothing to an endpoint that may have restarted; return whether to poll it."""
+        return self.decider.begin_doubt(endpoint_id, monotonic_ms())
+
+    @callback
+    def end_doubt(self, endpoint_id: EndpointId) -> None:
+        """Continue sending to an endpoint as far as its state allows."""
+        self.apply(self.decider.end_doubt(endpoint_id, monotonic_ms()))
+
     @callback
     def handle_lease_request(self, request: LeaseRequest) -> None:
         """Process another VM's lease request."""
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -45,6 +45,8 @@
 _HOP_HEADERS = frozenset({"host", "content-length", "transfer-encoding", "connection"})
 
 MaySend = Callable[[], bool]
+OnIdleEnd = Callable[[str], None]
+"""Takes the peer's `host:port`."""
 
 
 class ClientAnswer:
@@ -196,11 +198,16 @@
     """Sends requests; keeps idle connections for a limited time, reused last-in first-out."""
 
     def __init__(
-        self, limits: ClientLimits | None = None, ssl_context: ssl.SSLContext | None = None
+        self,
+        limits: ClientLimits | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+        on_idle_end: OnIdleEnd | None = None,
     ) -> None:
+        """Call `on_idle_end` when a peer closes an idle connection earlier than it announced."""
         self.limits = limits or ClientLimits()
         self.budget = BufferBudget(self.limits.max_buffered_bytes)
         self._ssl_context = ssl_context
+        self._on_idle_end = on_idle_end
         self._idle: dict[str, list[ClientConnection]] = {}
 
     async def __aenter__(self) -> Self:
@@ -294,9 +301,24 @@
             connection.close()
             return
         connection.idle_since_ms = loop_now_ms()
-        connection.start_idle()
+        connection.start_idle(lambda: self._handle_idle_end(connection))
         idle.append(connection)
 
+    @callback
+    def _handle_idle_end(self, connection: ClientConnection) -> None:
+        """Drop an idle connection that the peer closed."""
+        idle = self._idle.get(connection.address, [])
+        if connection in idle:
+            idle.remove(connection)
+        connection.close()
+        keep_alive_ms = connection.keep_alive_ms
+        age_ms = loop_now_ms() - connection.idle_since_ms
+        is_announced = (
+            keep_alive_ms is not None and age_ms >= keep_alive_ms * KEEP_ALIVE_REUSE_SHARE
+        )
+        if self._on_idle_end is not None and not is_announced:
+            self._on_idle_end(connection.address)
+
     @callback
     def close(self) -> None:
         """Close the idle connections."""
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -5,18 +5,8 @@
 import asyncio
 from collections.abc import AsyncGenerator, Callable
 import re
-from socket import (
-    IPPROTO_TCP,
-    SO_KEEPALIVE,
-    SOL_SOCKET,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
-    TCP_USER_TIMEOUT,
-)
 import ssl
 from time import thread_time
-from typing import Any
 
 import h11
 
@@ -42,6 +32,7 @@
     ReadTimeoutError,
 )
 from wagtailusher_http.socket_protocol import SocketProtocol
+from wagtailusher_http.tcp_keepalive import set_tcp_keepalive
 
 _CHUNK_END = b"\r\n"
 _KEEP_ALIVE = re.compile(r"timeout=(\d{1,6})")
@@ -88,7 +79,7 @@
                 transport, socket = await asyncio.get_running_loop().create_connection(
                     SocketProtocol, host, int(port), ssl=ssl_context
                 )
-            _set_tcp_keepalive(transport.get_extra_info("socket"), limits)
+            set_tcp_keepalive(transport.get_extra_info("socket"), limits)
         except (OSError, ValueError) as err:
             raise ConnectError(f"cannot connect to {address}: {err}") from err
         return cls(address, socket, limits)
@@ -121,30 +112,37 @@
     def start_next_cycle(self) -> None:
         """Reset the protocol state for another exchange."""
         self._socket.on_data = None
+        self._socket.on_end = None
         self._full_turns = 0
         self.chunk_count = 0
         self.surplus = b""
         self._http.start_next_cycle()
 
     @callback
-    def start_idle(self) -> None:
-        """Abort the connection if the peer sends anything before the next exchange."""
+    def start_idle(self, on_end: Callable[[], None]) -> None:
+        """Abort the connection if the peer sends anything before the next exchange.
+
+        `on_end` is called if the peer closes it before that.
+        """
         self._socket.on_data = self._drop_unexpected
+        self._socket.on_end = on_end
 
     @callback
     def _drop_unexpected(self, unread_bytes: int) -> None:
         """Free the bytes that belong to no exchange, and abort the connection."""
         self._socket.read_buffered()
-        self._socket.abort()
+        self.abort()
 
     @callback
     def close(self) -> None:
         """Close the socket; an unfinished exchange is aborted."""
+        self._socket.on_end = None
         self._socket.close()
 
     @callback
     def abort(self) -> None:
         """Close the socket without sending buffered data."""
+        self._socket.on_end = None
         self._socket.abort()
 
     async def async_send(self, head: h11.Request, body: bytes) -> None:
@@ -387,14 +385,3 @@
 def loop_now_ms() -> int:
     """Return the event loop's time in milliseconds."""
     return int(asyncio.get_running_loop().time() * MS_PER_S)
-
-
-def _set_tcp_keepalive(socket: Any, limits: ClientLimits) -> None:
-    """Set TCP keepalive so that the kernel detects an unreachable peer."""
-    if socket is None or limits.keepalive_idle_s is None:
-        return
-    socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, limits.keepalive_idle_s)
-    socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, limits.keepalive_idle_s)
-    socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, limits.keepalive_probes)
-    socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, limits.tcp_user_timeout_ms)
--- a/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
+++ b/packages/wagtailusher_integrations/src/wagtailusher_integrations/engine/coordinator.py
@@ -133,25 +133,40 @@
         now_ms: Callable[[], int],
         *,
         on_refused: OnRefused | None = None,
+        new_connection: bool = False,
     ) -> list[LoadReport]:
         """Return the load of the endpoints that answer; at most MAX_POLLED_ENDPOINTS are polled.
 
-        `on_refused` is called at once for each endpoint that refuses the connection.
+        `on_refused` is called at once for each endpoint that refuses the connection;
+        `new_connection` makes a stopped one refuse, and closes the connection after the report.
         """
         polled = tuple(endpoints)[:MAX_POLLED_ENDPOINTS]
         reports = await asyncio.gather(
-            *(self._async_poll_endpoint(endpoint, now_ms, on_refused) for endpoint in polled)
+            *(
+                self._async_poll_endpoint(endpoint, now_ms, on_refused, new_connection)
+                for endpoint in polled
+            )
         )
         return [report for report in reports if report is not None]
 
     async def _async_poll_endpoint(
-        self, endpoint: EndpointInfo, now_ms: Callable[[], int], on_refused: OnRefused | None
+        self,
+        endpoint: EndpointInfo,
+        now_ms: Callable[[], int],
+        on_refused: OnRefused | None,
+        new_connection: bool,
     ) -> LoadReport | None:
         """Return one endpoint's load, or None if it does not answer or is malformed."""
         try:
             answer = await self._client.async_request(
-                endpoint.address, "GET", PATH_LOAD, head_timeout_ms=DEFAULT_POLL_TIMEOUT_MS
+                endpoint.address,
+                "GET",
+                PATH_LOAD,
+                new_connection=new_connection,
+                head_timeout_ms=DEFAULT_POLL_TIMEOUT_MS,
             )
+            if new_connection:
+                answer.prevent_reuse()
             body = await _async_read_report(answer, DEFAULT_POLL_TIMEOUT_MS)
             return LoadModel.model_validate_json(body).to_report(endpoint.endpoint_id, now_ms())
         except (WagtailusherError, ValidationError) as err:
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -16,7 +16,11 @@
     VmId,
 )
 from wagtailusher_placement.baseline_policies import Chooser
-from wagtailusher_placement.const import REFRESH_INTERVAL_MS, REFRESH_MS_PER_ENDPOINT
+from wagtailusher_placement.const import (
+    MAX_DOUBT_MS,
+    REFRESH_INTERVAL_MS,
+    REFRESH_MS_PER_ENDPOINT,
+)
 from wagtailusher_placement.demand import spread_demand
 from wagtailusher_placement.endpoints import (
     AttemptResult,
@@ -101,6 +105,26 @@
         if endpoint is not None:
             self._lease_holder.mark_cold(endpoint, now_ms)
 
+    def begin_doubt(self, endpoint_id: EndpointId, now_ms: int) -> bool:
+        """Send nothing to an endpoint that may have restarted cold; return whether this began.
+
+        A request in flight shows by its own end whether the endpoint crashed.
+        """
+        endpoint = self._fleet.tracked.get(endpoint_id)
+        if endpoint is None or endpoint.sent or not endpoint.info.has_cold_start:
+            return False
+        if now_ms < endpoint.doubted_until_ms:
+            return False
+        endpoint.doubted_until_ms = now_ms + MAX_DOUBT_MS
+        return True
+
+    def end_doubt(self, endpoint_id: EndpointId) -> None:
+        """Let the endpoint's lease count again."""
+        endpoint = self._fleet.tracked.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.doubted_until_ms = 0
+            self._fleet.mark_changed(endpoint)
+
     def observe_cache_event(self, event: CacheEvent, now_ms: int) -> None:
         """Apply a change of an endpoint's prefix cache."""
         self._fleet.prefixes.observe(event)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/tracked_endpoint.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/tracked_endpoint.py
@@ -60,6 +60,7 @@
         "in_flight_by_tier",
         "cold",
         "credits",
+        "doubted_until_ms",
         "drained",
         "fallback_ms",
         "good_first_tokens",
@@ -97,6 +98,7 @@
         self.info = info
         self.published = True
         self.drained = False
+        self.doubted_until_ms = 0
         self.in_service = False
         self.health = EndpointHealth()
         self.in_flight = 0
@@ -132,6 +134,8 @@
 
     def allowed(self, now_ms: int) -> int:
         """Return how many requests this node may have in flight now."""
+        if now_ms < self.doubted_until_ms:
+            return 0
         if now_ms < self.lease_until_ms:
             return self.credits
         return self.local_share if now_ms >= self.fallback_ms else 0
@@ -145,6 +149,8 @@
         """Return whether another request may be started now."""
         if not self.in_service or now_ms < self.health.ejected_until_ms:
             return False
+        if now_ms < self.doubted_until_ms:
+            return False
         if now_ms < self.lease_until_ms:
             return self.in_flight < self.credits
         return now_ms >= self.fallback_ms and self.in_flight < self.local_share
--- a/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/__init__.py
@@ -18,12 +18,8 @@
     SendLeaseRequest,
 )
 from wagtailusher_router.classified_request import ClassifiedRequest
-from wagtailusher_router.decider import (
-    QuotaShare,
-    RouterComponents,
-    RouterDecider,
-    unpartitioned_quota,
-)
+from wagtailusher_router.components import QuotaShare, RouterComponents, unpartitioned_quota
+from wagtailusher_router.decider import RouterDecider
 from wagtailusher_router.endpoint_subset import select_endpoint_subset
 from wagtailusher_router.errors import RouterError, UnknownRequestIdError
 from wagtailusher_router.load_summary import ClassLoad, PoolLoad
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable
 
-from wagtailusher_admission import AdmissionDecider, PendingRequest
+from wagtailusher_admission import PendingRequest
 from wagtailusher_core import (
-    ClassKey,
     EndpointId,
     ErrorCode,
     FailureDomainId,
@@ -17,8 +15,6 @@
 )
 from wagtailusher_once import (
     ForwardTo,
-    OnceDecider,
-    QuarantineDecider,
     QuarantineEntry,
     QuarantineSummary,
     StoredAnswer,
@@ -31,8 +27,6 @@
     LeaseRecall,
     LeaseRequest,
     LoadReport,
-    PlacementDecider,
-    StewardDecider,
 )
 from wagtailusher_router.actions import (
     Action,
@@ -45,6 +39,7 @@
 )
 from wagtailusher_router.at_most_once_gate import AtMostOnceGate
 from wagtailusher_router.classified_request import ClassifiedRequest
+from wagtailusher_router.components import RouterComponents
 from wagtailusher_router.const import DEFAULT_RETRY_AFTER_MS
 from wagtailusher_router.crash_isolation import CrashIsolation
 from wagtailusher_router.dispatcher import Dispatcher
@@ -57,28 +52,6 @@
 from wagtailusher_router.request_conversion import build_dispatch, pending_request
 from wagtailusher_router.tracked_requests import Phase, TrackedRequest
 
-QuotaShare = Callable[[ClassKey, int, int], int]
-"""Returns this node's part of a class's fleet-wide quota, given the current time."""
-
-
-def unpartitioned_quota(key: ClassKey, quota: int, now_ms: int) -> int:
-    """Return the whole quota, for a standalone node."""
-    return quota
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RouterComponents:
-    """The deciders that a router is composed of."""
-
-    vm_id: VmId
-    admission: AdmissionDecider
-    placement: PlacementDecider
-    steward: StewardDecider
-    once: OnceDecider
-    quarantine: QuarantineDecider
-    quota_share: QuotaShare = unpartitioned_quota
-    failure_domain_id: FailureDomainId = FailureDomainId("")
-
 
 class RouterDecider:
     """Handles events at a given time and returns the resulting actions."""
@@ -171,6 +144,16 @@
         self._leases.observe_refused_connection(endpoint_id, now_ms)
         return tuple(self._leases.due_recalls(now_ms))
 
+    def begin_doubt(self, endpoint_id: EndpointId, now_ms: int) -> bool:
+        """Send nothing to an endpoint that may have restarted; return whether to poll it."""
+        return self._placement.begin_doubt(endpoint_id, now_ms)
+
+    def end_doubt(self, endpoint_id: EndpointId, now_ms: int) -> tuple[Action, ...]:
+        """Continue after the poll; return the recalls of leases and the requests to send."""
+        self._placement.end_doubt(endpoint_id)
+        recalls = tuple(self._leases.due_recalls(now_ms))
+        return (*recalls, *self._dispatcher.dispatch_all_pools(now_ms))
+
     def start_draining(self) -> None:
         """Refuse new requests from now on; requests already tracked continue."""
         self._draining = True
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -11,6 +11,7 @@
 from wagtailusher_core import ErrorCode, WagtailusherError
 from wagtailusher_http import (
     Headers,
+    HttpLimits,
     HttpServer,
     Request,
     Response,
@@ -40,6 +41,8 @@
     wrong_request_id: bool = False
     crash_word: str | None = None
     report_lag_ms: int = 0
+    idle_timeout_ms: int = 75_000
+    """Time after which an idle connection is closed; applies from the next start on."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -108,7 +111,8 @@
 
     async def async_start(self, port: int = 0) -> None:
         """Start listening; a restart reuses the previous port."""
-        self._server = await async_serve(self._async_handle, port=port or self._port)
+        limits = HttpLimits(idle_timeout_ms=self.behaviour.idle_timeout_ms)
+        self._server = await async_serve(self._async_handle, port=port or self._port, limits=limits)
         self._port = self._server.port
 
     async def async_stop(self) -> None:
--- a/tests/wagtailusher_integrations/test_load_poll.py
+++ b/tests/wagtailusher_integrations/test_load_poll.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 import unittest
 
+from tests.standins.engine import EngineStandin
 from wagtailusher_core import EndpointId, FailureDomainId, PoolId
 from wagtailusher_http import HttpClient
 from wagtailusher_integrations.engine import EngineCoordinator
@@ -51,3 +53,21 @@
 
     async def test_closed_connection_is_no_refusal(self) -> None:
         self.assertEqual(await self._async_poll(), [])
+
+    async def test_poll_over_a_new_connection_leaves_none_behind(self) -> None:
+        """Its end would be the reason for another poll, again and again."""
+        for new_connection, idle_count in ((False, 1), (True, 0)):
+            with self.subTest(new_connection=new_connection):
+                ended: list[str] = []
+                client = HttpClient(on_idle_end=ended.append)
+                self.addCleanup(client.close)
+                engine = EngineStandin("engine-0")
+                await engine.async_start()
+                endpoint = replace(self.endpoint, address=engine.address)
+                reports = await EngineCoordinator(client).async_poll_load(
+                    [endpoint], lambda: 1, new_connection=new_connection
+                )
+                self.assertEqual(len(reports), 1)
+                await engine.async_stop()
+                await asyncio.sleep(0.05)
+                self.assertEqual(len(ended), idle_count)
