--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -91,13 +91,7 @@
             on_crash=self.quarantine.record_crash,
             clock_ms=monotonic_ms,
         )
-        self.heartbeats = HeartbeatExchange(
-            fleet=self.fleet,
-            view_cache=self.view_cache,
-            registry=self.dispatcher.placement.registry,
-            send=self.link.send,
-            on_new_peer=self.quarantine.greet,
-        )
+        self.heartbeats = self._new_heartbeats()
         self.stream_versions = self._new_stream_versions()
         self.view_exchange = ViewExchange(
             client=self._peer_client,
@@ -118,6 +112,15 @@
             count_error=lambda code: self.metrics.peer_errors.inc({"code": str(code)}),
         )
 
+    def _new_heartbeats(self) -> HeartbeatExchange:
+        return HeartbeatExchange(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            registry=self.dispatcher.placement.registry,
+            send=self.link.send,
+            on_new_peer=self.quarantine.greet,
+        )
+
     def _new_stream_versions(self) -> StreamVersionExchange:
         return StreamVersionExchange(
             fleet=self.fleet,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -133,15 +133,7 @@
         self._check_quarantine()
         reservation = await self._async_reserve()
         self._record.record_reservation(reservation, self._dispatcher.clock_ms())
-        attempt = Attempt(
-            self._dispatcher,
-            self._client,
-            reservation,
-            self._delivery,
-            self._position,
-            is_allowed=lambda: self._quarantine.may_send(self._fingerprints),
-        )
-        self._attempt = attempt
+        self._attempt = attempt = self._new_attempt(reservation)
         forward_context = ForwardContext(
             endpoint_id=reservation.endpoint.endpoint_id,
             left_ms=self._left_ms(),
@@ -172,6 +164,16 @@
             return None
         return attempt
 
+    def _new_attempt(self, reservation: Reservation) -> Attempt:
+        return Attempt(
+            self._dispatcher,
+            self._client,
+            reservation,
+            self._delivery,
+            self._position,
+            is_allowed=lambda: self._quarantine.may_send(self._fingerprints),
+        )
+
     def _check_quarantine(self) -> None:
         """Raise RefusedError if the request, or a part of its prompt, crashes endpoints."""
         refusal = self._quarantine.find_refusal(self._fingerprints)
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -119,10 +119,9 @@
     ) -> bytes:
         """Return the complete body, read within `timeout_ms` where given.
 
-        Raises ReadTimeoutError after a time-out, AnswerMixedError if other bytes may be part of the
-        body, and AnswerTooLargeError above `max_bytes` or the client's `max_answer_bytes`, or if
-        this is the largest answer when all buffered ones exceed `max_buffered_bytes`. The
-        connection is closed then.
+        Raises ReadTimeoutError after a time-out, AnswerMixedError if other bytes may be part of it,
+        AnswerTooLargeError above `max_bytes` or the client's `max_answer_bytes`, or if it is the
+        largest answer when all buffered ones exceed `max_buffered_bytes`. The connection is closed.
         """
         budget = self._client.budget
         max_answer_bytes = self._client.limits.max_answer_bytes
@@ -242,9 +241,8 @@
         `may_send` runs right before the first byte; False raises SendCancelledError, with nothing
         sent. `new_connection` bypasses the pool, `host` replaces the address as the Host header.
         Responses that `matches_request` rejects are skipped, a few within `unmatched_timeout_ms`.
-        `states_request` tells another response within the body from one that the body quotes;
-        without it, a head within the body counts as quoted.
-        Raises ConnectError if nothing was sent, AnswerError if part of it may have been.
+        `states_request` tells another response within the body from a quoted one. Raises
+        ConnectError if nothing was sent, AnswerError if part of it may have been.
         """
         head = _request_head(method, target, host or address, headers, body)
         connection = await self._async_get_connection(address, new_connection=new_connection)
--- a/tests/standins/scrambler.py
+++ b/tests/standins/scrambler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from random import Random
 
 from tests.standins.runner import (
@@ -70,6 +70,35 @@
         data = data[size:]
 
 
+def _draw_sent(
+    random: Random, request: Received, framing: str, own: bytes, late: bytes
+) -> tuple[bytes, str]:
+    """Return what to send in reply to a request, and how the connection ends."""
+    refusal = response_head(request, REFUSED, "X-Not-Executed: 1", "Content-Length: 0")
+    cut = own[: random.randrange(len(own))]
+    end = "close" if framing == "close" else "keep"
+    is_stream = request.target.startswith(("/chat", "/review"))
+    # Nothing tells garbage from the end of a body without length.
+    garbage = random.choice(GARBAGE) if is_stream or framing != "close" else b""
+    return random.choice(
+        (
+            (own, end),
+            (own, end),
+            (late + own, end),
+            (own + late, "close"),
+            (own + own, end),
+            (cut, "reset"),
+            (cut if framing != "close" else b"", "close"),
+            (cut + own, "close"),
+            (cut + late, "reset" if framing == "close" else "close"),
+            (own + garbage, "close"),
+            (random.choice(GARBAGE), random.choice(("close", "reset"))),
+            (refusal, "keep"),
+            (refusal + refusal, "keep"),
+        )
+    )
+
+
 def scramble(random: Random) -> Behaviour:
     """Return a behaviour that answers each request well, late, twice, in part or not at all."""
     earlier: dict[asyncio.StreamWriter, bytes] = {}
@@ -79,33 +108,8 @@
     ) -> bool:
         framing = random.choice(("length", "chunks", "chunks", "close"))
         own = _own_answer(request, framing)
-        late = earlier.get(writer, b"")
-        refusal = response_head(request, REFUSED, "X-Not-Executed: 1", "Content-Length: 0")
-        cut = own[: random.randrange(len(own))]
-        is_stream = request.target.startswith(("/chat", "/review"))
-
-        def ends_apart(garbage: bytes) -> bytes:
-            """Return garbage where something tells it from the end of a body."""
-            return garbage if is_stream or framing != "close" else b""
-
-        actions: tuple[Callable[[], tuple[bytes, str]], ...] = (
-            lambda: (own, "close" if framing == "close" else "keep"),
-            lambda: (own, "close" if framing == "close" else "keep"),
-            lambda: (late + own, "close" if framing == "close" else "keep"),
-            lambda: (own + late, "close"),
-            lambda: (own + own, "close" if framing == "close" else "keep"),
-            lambda: (cut, "reset"),
-            lambda: (cut if framing != "close" else b"", "close"),
-            lambda: (cut + own, "close"),
-            lambda: (cut + late, "reset" if framing == "close" else "close"),
-            lambda: (own + ends_apart(random.choice(GARBAGE)), "close"),
-            lambda: (random.choice(GARBAGE), random.choice(("close", "reset"))),
-            lambda: (refusal, "keep"),
-            lambda: (refusal + refusal, "keep"),
-        )
-        number = random.randrange(len(actions))
-        sent, end = actions[number]()
-        if sent[: len(refusal)] != refusal:
+        sent, end = _draw_sent(random, request, framing, own, earlier.get(writer, b""))
+        if b"X-Not-Executed" not in sent.partition(b"\r\n\r\n")[0]:
             runner.record_execution(request)
         earlier[writer] = own if framing != "close" else b""
         for piece in _pieces(random, sent):
--- a/tests/wagtailusher_platform/test_cut_answer_variants.py
+++ b/tests/wagtailusher_platform/test_cut_answer_variants.py
@@ -9,6 +9,8 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
 import os
 from random import Random
 
@@ -110,6 +112,107 @@
     return [data[a:b] for a, b in zip([0, *cuts], [*cuts, len(data)], strict=True)]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Parts:
+    """What an endpoint may send: its own answer, where it is cut, and other answers."""
+
+    framing: str
+    own: bytes
+    head_bytes: int
+    cut_bytes: int
+    second: bytes
+    torn: bytes
+    earlier: bytes
+
+
+Sent = tuple[bytes, list[int], str]
+"""The bytes, places near which they are split, and how the connection ends."""
+
+
+def draw_parts(random: Random, request: Received, earlier: bytes) -> Parts:
+    """Draw an answer in some framing, a cut of it, and another answer, whole and torn."""
+    after = int(request.headers.get("last-event-id", "0"))
+    body = own_content(request.headers["x-attempt-id"], request.target, after)
+    framing = random.choice(("length", "length", "chunks", "chunks", "close"))
+    if framing == "close" and body.endswith((b"HTTP/1.1", b"HTTP/1.1 200 OK")):
+        # A body without length that ends so can't be told from a torn second answer.
+        framing = "length"
+    own = framed(request, random, framing, body)
+    head_bytes = own.index(b"\r\n\r\n") + 4
+    cuts = (
+        random.randrange(len(own) + 1),
+        random.randrange(head_bytes, len(own) + 1),
+        max(head_bytes, len(own) - random.randrange(40)),
+    )
+    second = random.choice(second_answers(request, random, body, earlier))
+    return Parts(
+        framing=framing,
+        own=own,
+        head_bytes=head_bytes,
+        cut_bytes=random.choice(cuts),
+        second=second,
+        torn=second[: random.randrange(1, len(second) + 1)],
+        earlier=earlier,
+    )
+
+
+def send_own(random: Random, parts: Parts) -> Sent:
+    """Return the own answer."""
+    end = "close" if parts.framing == "close" else random.choice(("keep", "keep", "close"))
+    return parts.own, [parts.head_bytes, len(parts.own) - 1], end
+
+
+def send_cut(random: Random, parts: Parts) -> Sent:
+    """Return a part of the own answer.
+
+    A clean end within an answer without length can't be told from its own end.
+    """
+    end = "reset" if parts.framing == "close" else random.choice(("reset", "close"))
+    return parts.own[: parts.cut_bytes], [parts.head_bytes], end
+
+
+def send_cut_and_second(random: Random, parts: Parts) -> Sent:
+    """Return a part of the own answer with another one, whole or torn, behind it."""
+    cut = parts.own[: parts.cut_bytes]
+    sent = cut + random.choice((parts.second, parts.torn))
+    end = random.choice(("reset", "close", "keep"))
+    if parts.framing == "close":
+        # Here only a whole second head tells the end of the first answer.
+        sent = cut + parts.second
+        end = "close" if parts.cut_bytes >= parts.head_bytes else "reset"
+    elif parts.framing == "length" and parts.cut_bytes < len(parts.own) == len(sent):
+        # Nothing tells bytes that end exactly with the declared length from the body's.
+        sent = sent[:-1]
+    return sent, [parts.cut_bytes, len(parts.own), len(parts.own) + 2], end
+
+
+def send_own_and_second(random: Random, parts: Parts) -> Sent:
+    """Return the own answer with another one behind it."""
+    return parts.own + parts.second, [len(parts.own)], random.choice(("close", "reset"))
+
+
+def send_late_and_own(random: Random, parts: Parts) -> Sent:
+    """Return an earlier answer before the own one."""
+    late = parts.earlier or parts.second
+    return late + parts.own, [len(late)], "close"
+
+
+def send_torn_and_own(random: Random, parts: Parts) -> Sent:
+    """Return a part of another answer before the own one."""
+    return parts.torn + parts.own, [len(parts.torn)], "close"
+
+
+KINDS: dict[str, Callable[[Random, Parts], Sent]] = {
+    "own": send_own,
+    "cut": send_cut,
+    "cut+second": send_cut_and_second,
+    "own+second": send_own_and_second,
+    "late+own": send_late_and_own,
+    "torn+own": send_torn_and_own,
+}
+KIND_WEIGHTS = (3, 1, 2, 1, 1, 1)
+
+
 def spoil(random: Random, log: dict[str, list[str]]) -> Behaviour:
     """Return a behaviour that answers well, or cuts an answer and sends other responses."""
     earlier: dict[asyncio.StreamWriter, bytes] = {}
@@ -117,60 +220,15 @@
     async def behave(
         runner: RunnerStandin, request: Received, writer: asyncio.StreamWriter
     ) -> bool:
-        attempt_id = request.headers["x-attempt-id"]
-        after = int(request.headers.get("last-event-id", "0"))
-        body = own_content(attempt_id, request.target, after)
-        framing = random.choice(("length", "length", "chunks", "chunks", "close"))
-        if framing == "close" and body.endswith((b"HTTP/1.1", b"HTTP/1.1 200 OK")):
-            # A body without length that ends so can't be told from a torn second answer.
-            framing = "length"
-        own = framed(request, random, framing, body)
-        head_bytes = own.index(b"\r\n\r\n") + 4
-        cut_bytes = random.choice(
-            (
-                random.randrange(len(own) + 1),
-                random.randrange(head_bytes, len(own) + 1),
-                max(head_bytes, len(own) - random.randrange(40)),
-            )
-        )
-        second = random.choice(second_answers(request, random, body, earlier.get(writer, b"")))
-        torn = second[: random.randrange(1, len(second) + 1)]
-        kind = random.choice(
-            ("own", "own", "own", "cut", "cut+second", "cut+torn", "own+second", "late+own",
-             "torn+own")
-        )  # fmt: skip
-        end = "keep"
-        if kind == "own":
-            sent, bounds = own, [head_bytes, len(own) - 1]
-            end = "close" if framing == "close" else random.choice(("keep", "keep", "close"))
-        elif kind == "cut":
-            sent, bounds = own[:cut_bytes], [head_bytes]
-            # A clean end within an answer without length can't be told from its own end.
-            end = "reset" if framing == "close" else random.choice(("reset", "close"))
-        elif kind in ("cut+second", "cut+torn"):
-            rest = second if kind == "cut+second" else torn
-            sent, bounds = own[:cut_bytes] + rest, [cut_bytes, len(own), len(own) + 2]
-            end = random.choice(("reset", "close", "keep"))
-            if framing == "close":
-                # Here only a whole second head tells the end of the first answer.
-                sent = own[:cut_bytes] + second
-                end = "close" if cut_bytes >= head_bytes else "reset"
-            elif framing == "length" and cut_bytes < len(own) == len(sent):
-                # Nothing tells bytes that end exactly with the declared length from the body's.
-                sent = sent[:-1]
-        elif kind == "own+second":
-            sent, bounds, end = own + second, [len(own)], random.choice(("close", "reset"))
-        elif kind == "late+own":
-            late = earlier.get(writer, b"") or second
-            sent, bounds, end = late + own, [len(late)], "close"
-        else:
-            sent, bounds, end = torn + own, [len(torn)], "close"
+        parts = draw_parts(random, request, earlier.get(writer, b""))
+        kind = random.choices(tuple(KINDS), KIND_WEIGHTS)[0]
+        sent, bounds, end = KINDS[kind](random, parts)
         runner.record_execution(request)
-        log.setdefault(attempt_id, []).append(
-            f"{kind}/{framing}/{end} cut={cut_bytes} of {len(own)} head={head_bytes}"
-            f" sent={len(sent)} torn={len(torn)} second={second[:150]!r}"
+        log.setdefault(request.headers["x-attempt-id"], []).append(
+            f"{kind}/{parts.framing}/{end} cut={parts.cut_bytes} of {len(parts.own)}"
+            f" head={parts.head_bytes} sent={len(sent)} second={parts.second[:150]!r}"
         )
-        earlier[writer] = own if framing != "close" else b""
+        earlier[writer] = parts.own if parts.framing != "close" else b""
         for piece in pieces(random, sent, bounds):
             writer.write(piece)
             await writer.drain()
