Let crashed endpoints of the soak refuse connections, and check that nothing is refused for it

Until now a crash in the soak was a reset of all connections at an address that still accepted; the gateways saw no crash. No request of the soak crashes endpoints, so none may be answered with "quarantined".

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -103,6 +103,13 @@
             yield f"{answer.attempt_id} received wrong bytes before its answer was cut off"
 
 
+def check_quarantine(observations: Observations) -> Iterator[str]:
+    """Yield requests that were refused as crashing endpoints; none does, whatever they fail at."""
+    for answer in observations.answered:
+        if answer.status != HTTPStatus.OK and b'"quarantined"' in answer.body:
+            yield f"{answer.attempt_id} was refused as a request that crashes endpoints"
+
+
 def check_executions(observations: Observations) -> Iterator[str]:
     """Yield executions that differ from the caller's request or its key's workspace."""
     for execution in observations.executions:
@@ -245,6 +252,7 @@
     check_once,
     check_refusals,
     check_bodies,
+    check_quarantine,
     check_executions,
     check_keys,
     check_drained,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -102,9 +102,10 @@
     slot = _choose_ready_slot(world, rng)
     if slot is None:
         return
-    slot.proxy.reset_all()
+    slot.proxy.refuse()
     world.remove(slot)
     await asyncio.sleep(rng.uniform(0.1, MAX_FAULT_S))
+    await slot.proxy.async_accept_again()
     world.start_incarnation(slot, rng.choice(SOFTWARE_VERSIONS))
 
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -39,6 +39,17 @@
         self.reset_all()
         await asyncio.sleep(0)
 
+    def refuse(self) -> None:
+        """Stop listening and reset all connections, as when the target's process ends."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
+    async def async_accept_again(self) -> None:
+        """Listen again at the same address."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._async_accept, host, int(port))
+
     def reset_all(self) -> None:
         """Reset all connections."""
         for writer in tuple(self._writers):
--- a/tests/soak/test_stream_checks.py
+++ b/tests/soak/test_stream_checks.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import unittest
 
-from tests.soak.checks import stream_event
+from tests.soak.checks import check_quarantine, stream_event
 from tests.soak.const import MIN_LOST_STREAMS, MS_PER_S
 from tests.soak.observations import CallerAnswer, Kind, Observations, RecordedChange, SentRequest
 from tests.soak.stream_checks import check_lost, check_software_versions, count_streams
@@ -98,6 +99,14 @@
         self.add_try("a-1", "", 200, "v1", "v2")
         self.assertEqual(len(list(check_software_versions(self.observations))), 1)
 
+    def test_refusal_of_a_request_that_crashes_endpoints_is_found(self) -> None:
+        self.add_try("s", "", 503)
+        answer = self.observations.answered[-1]
+        self.assertEqual(list(check_quarantine(self.observations)), [])
+        body = b'{"error":{"code":"quarantined"}}'
+        self.observations.answered[-1] = replace(answer, body=body)
+        self.assertEqual(len(list(check_quarantine(self.observations))), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
