Don't refuse a part because one request with it crashes endpoints

The request came from two VMs at once and crashed three endpoints; a sound request with one of its parts had just begun at one of them, and no answer with that part was complete yet. Three crashes with different requests refuse a part even if it isn't alone, as parts that always come together can't be told apart; but here the request explains them. A part is now refused that way only if no request was in more than one of the crashes.

The new test in test_parts failed before.

--- a/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/evidence.py
+++ b/packages/wagtailusher_quarantine/src/wagtailusher_quarantine/evidence.py
@@ -147,7 +147,7 @@
         for crash in evidence.crashes_since(since_ms)
         if crash.has_begun or not any(_has_begun_at(other, crash) for other in others)
     ]
-    if is_part(evidence.fingerprint) and _is_ambiguous_part(crashes):
+    if is_part(evidence.fingerprint) and _is_ambiguous_part(crashes, others):
         return True
     if len(crashes) < min_waiting_crashes and not any(crash.has_begun for crash in crashes):
         return False
@@ -158,10 +158,19 @@
     )
 
 
-def _is_ambiguous_part(crashes: list[Crash]) -> bool:
-    """Return whether a part was in so many crashes that it is refused even if it isn't alone."""
+def _is_ambiguous_part(crashes: list[Crash], others: tuple[Evidence, ...]) -> bool:
+    """Return whether a part is refused though other parts were in all of its crashes, too.
+
+    It isn't if one request was in so many of them that it explains them.
+    """
     carriers = set[str]().union(*(crash.carriers for crash in crashes))
-    return len(crashes) >= AMBIGUOUS_CRASHES and len(carriers) > 1
+    if len(crashes) < AMBIGUOUS_CRASHES or len(carriers) < 2:
+        return False
+    return not any(
+        sum(other.find_crash(crash) is not None for crash in crashes) > 1
+        for other in others
+        if not is_part(other.fingerprint)
+    )
 
 
 def _has_begun_at(evidence: Evidence, crash: Crash) -> bool:
--- a/tests/wagtailusher_quarantine/test_parts.py
+++ b/tests/wagtailusher_quarantine/test_parts.py
@@ -71,6 +71,14 @@
         self.assertIs(self.status("r1", 100), QuarantineStatus.HELD)
         self.assertIs(self.status(BAD, 100), QuarantineStatus.SUSPECT)
 
+    def test_part_of_a_request_that_crashes_endpoints_is_not_refused_for_a_bystander(self) -> None:
+        """No answer with the part was complete yet, and a sound request brought it to a crash."""
+        crash(self.decider, "e0", 0, "bystander", SHARED)
+        for number in range(4):
+            crash(self.decider, f"e{number}", number, "r", SHARED)
+        self.assertTrue(self.decider.is_quarantined("r", 4))
+        self.assertFalse(self.decider.is_quarantined(SHARED, 4))
+
     def test_parts_that_always_come_together_are_refused_after_the_third_crash(self) -> None:
         for number in range(3):
             self.assertFalse(self.decider.is_quarantined(BAD, number))
