--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -100,15 +100,16 @@
         self.fleet_sync: FleetSync | None = None
         self.stopping = asyncio.Event()
         self._stream = self._new_stream()
-        self._service = ConfigServiceCoordinator(
-            self._client, options.config_service, seed=new_seed()
-        )
+        self._service = self._new_config_service()
         self._vm_list = VmListCoordinator(
             self._client, options.vm_list, seed=new_seed(), on_update=self._apply_vm_list
         )
         self._tasks = PeriodicTasks()
         self._pause_monitor = PauseMonitor(self._vm_list, self.view, options.pause_tolerance_ms)
 
+    def _new_config_service(self) -> ConfigServiceCoordinator:
+        return ConfigServiceCoordinator(self._client, self.options.config_service, seed=new_seed())
+
     def _new_tracing(self) -> Tracing:
         return Tracing(
             self.vm_id,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -86,11 +86,7 @@
         self.dispatcher = self._new_dispatcher()
         self.link = self._new_link(incarnation)
         self.quarantine = self._new_quarantine()
-        self.crash_watch = CrashWatch(
-            is_refused=self._client.async_is_refused,
-            on_crash=self.quarantine.record_crash,
-            clock_ms=monotonic_ms,
-        )
+        self.crash_watch = self._new_crash_watch()
         self.heartbeats = self._new_heartbeats()
         self.stream_versions = self._new_stream_versions()
         self.view_exchange = ViewExchange(
@@ -140,6 +136,13 @@
             seed=self._random.randrange(1 << 32),
         )
 
+    def _new_crash_watch(self) -> CrashWatch:
+        return CrashWatch(
+            is_refused=self._client.async_is_refused,
+            on_crash=self.quarantine.record_crash,
+            clock_ms=monotonic_ms,
+        )
+
     def _new_dispatcher(self) -> Dispatcher:
         bounds = self.options.bounds
         placement = Placement(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -127,10 +127,7 @@
 
         Returns None if the attempt failed and another one may follow.
         """
-        if self._crash_suspect is not None:
-            await self._crash_watch.async_wait(self._crash_suspect)
-            self._crash_suspect = None
-        self._check_quarantine()
+        await self._async_check_quarantine()
         reservation = await self._async_reserve()
         self._record.record_reservation(reservation, self._dispatcher.clock_ms())
         self._attempt = attempt = self._new_attempt(reservation)
@@ -174,8 +171,11 @@
             is_allowed=lambda: self._quarantine.may_send(self._fingerprints),
         )
 
-    def _check_quarantine(self) -> None:
+    async def _async_check_quarantine(self) -> None:
         """Raise RefusedError if the request, or a part of its prompt, crashes endpoints."""
+        if self._crash_suspect is not None:
+            await self._crash_watch.async_wait(self._crash_suspect)
+            self._crash_suspect = None
         refusal = self._quarantine.find_refusal(self._fingerprints)
         if refusal is not None:
             self._record.record_quarantine(refusal)
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -246,10 +246,9 @@
         """
         head = _request_head(method, target, host or address, headers, body)
         connection = await self._async_get_connection(address, new_connection=new_connection)
-        if may_send is not None and not may_send():
-            connection.abort()
-            raise SendCancelledError(f"request to {address} was cancelled before it was sent")
         try:
+            if may_send is not None and not may_send():
+                raise SendCancelledError(f"request to {address} was cancelled before it was sent")
             await connection.async_send(head, body)
             answer_head = await connection.async_receive_head(head_timeout_ms)
             if matches_request is not None:
