--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,15 +1,24 @@
-"""Loopback TCP proxy that delays, drops (in one or both directions) or resets its traffic."""
+"""Loopback TCP proxy that delays, drops (in one or both directions) or resets its traffic.
+
+It can also go dark: drop everything and ignore new connections, as a host without power does.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+import os
 import socket
 import struct
+import time
 
 CHUNK_BYTES = 65_536
+_END_S = 0.02
+"""Time for the tasks of connections to end once these are reset."""
 _LINGER_NONE = struct.pack("ii", 1, 0)
+_QUEUE_FILLERS = 2
+"""Connections that fill the listener's queue, so that the kernel ignores further ones."""
 
 
 @dataclass(slots=True)
@@ -23,8 +32,11 @@
     drops_requests: bool = False
     drops_answers: bool = False
     address: str = ""
+    dropped_requests_s: list[float] = field(default_factory=list)
+    """When chunks of requests were dropped, on the monotonic clock."""
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _fillers: list[socket.socket] = field(default_factory=list)
 
     async def async_start(self, host: str = "127.0.0.1") -> str:
         """Start listening and return the address."""
@@ -36,8 +48,10 @@
         """Stop listening and reset all connections."""
         if self._server is not None:
             self._server.close()
+        for filler in self._fillers:
+            filler.close()
         self.reset_all()
-        await asyncio.sleep(0)
+        await asyncio.sleep(_END_S)
 
     def refuse(self) -> None:
         """Stop listening and reset all connections, as when the target's process ends."""
@@ -58,6 +72,20 @@
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
             writer.transport.abort()
 
+    def go_dark(self) -> None:
+        """Drop all bytes and ignore new connections, until the end."""
+        assert self._server is not None
+        self.drops_requests = self.drops_answers = True
+        listener = self._server.sockets[0]
+        asyncio.get_running_loop().remove_reader(listener.fileno())
+        with socket.socket(fileno=os.dup(listener.fileno())) as same_listener:
+            same_listener.listen(0)
+        for _ in range(_QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+            self._fillers.append(filler)
+
     def heal(self) -> None:
         """End the delay and the dropping of bytes."""
         self.delay_s = 0.0
@@ -76,7 +104,7 @@
             return
         self._writers |= {writer, target_writer}
         directions = (
-            self._async_relay(reader, target_writer, lambda: self.drops_requests),
+            self._async_relay(reader, target_writer, self._is_dropping_request),
             self._async_relay(target_reader, writer, lambda: self.drops_answers),
         )
         try:
@@ -86,6 +114,12 @@
             writer.close()
             target_writer.close()
 
+    def _is_dropping_request(self) -> bool:
+        """Return whether a chunk of a request is dropped, and record it if so."""
+        if self.drops_requests:
+            self.dropped_requests_s.append(time.monotonic())
+        return self.drops_requests
+
     async def _async_relay(
         self,
         reader: asyncio.StreamReader,
--- a/tests/wagtailusher_daemon/fleet.py
+++ b/tests/wagtailusher_daemon/fleet.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from hashlib import sha256
 import json
 from typing import Any
 
+from tests.soak.proxy import FaultProxy
 from tests.standins.booking import BookingStandin
 from tests.standins.config_service import ConfigService, async_wait_until
 from tests.standins.engine import EngineBehaviour, EngineStandin
@@ -71,8 +73,12 @@
         options: dict[str, Any] | None = None,
         options_by_number: dict[int, dict[str, Any]] | None = None,
         booking_cold_limit: int = SERVICE_LIMIT,
+        has_proxies: bool = False,
     ) -> None:
         """Create the stand-ins; sockets are opened by `async_start`."""
+        self._has_proxies = has_proxies
+        self.proxies: list[FaultProxy] = []
+        """Proxies of the engines, in their order, if the fleet has them."""
         self._booking_cold_limit = booking_cold_limit
         self._options = options or {}
         self._options_by_number = options_by_number or {}
@@ -91,6 +97,8 @@
         """Start all processes, publish them and wait until all apps are ready."""
         for engine in self.engines:
             await engine.async_start()
+            if self._has_proxies:
+                await self._async_start_proxy(engine)
         for service in (self.booking, *self.more_services):
             await service.async_start()
         await self.config_service.async_start()
@@ -102,11 +110,18 @@
         self.publish()
         await async_wait_until(lambda: all(app.is_ready for app in self.apps))
 
+    async def _async_start_proxy(self, engine: EngineStandin) -> None:
+        """Start the proxy of one engine."""
+        proxy = FaultProxy(target=lambda: engine.address)
+        await proxy.async_start()
+        self.proxies.append(proxy)
+
     async def async_stop(self) -> None:
         """Stop everything."""
         self.client.close()
         await asyncio.gather(*(app.async_stop(grace_ms=100) for app in self.apps))
         await asyncio.gather(*(engine.async_stop() for engine in self.engines))
+        await asyncio.gather(*(proxy.async_stop() for proxy in self.proxies))
         for service in (self.booking, *self.more_services):
             await service.async_stop()
         await self.config_service.async_close()
@@ -141,7 +156,7 @@
             for app in self.apps
         ]
         endpoints = [
-            *map(engine_info, self.engines),
+            *self._engine_infos(),
             *(
                 service_info(service, self._booking_cold_limit)
                 for service in (self.booking, *self.more_services)
@@ -149,6 +164,14 @@
         ]
         self.vm_list.publish_vms(vms, endpoints)
 
+    def _engine_infos(self) -> list[EndpointInfo]:
+        """Return the engines as published, at the addresses of their proxies if there are any."""
+        infos = [engine_info(engine) for engine in self.engines]
+        if not self.proxies:
+            return infos
+        pairs = zip(infos, self.proxies, strict=True)
+        return [replace(info, address=proxy.address) for info, proxy in pairs]
+
     async def async_replace(self, number: int) -> None:
         """Stop an app without a grace time and start a new one with the same VM name."""
         await self.apps[number].async_stop(grace_ms=0)
