--- a/packages/wagtailusher_cli/src/wagtailusher_cli/request_log.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/request_log.py
@@ -21,6 +21,9 @@
 QUARANTINE_EVENTS = frozenset({"quarantined", "released"})
 """Events about a fingerprint that crashes endpoints; shown for requests that it refused."""
 
+LIVENESS_EVENTS = frozenset({"endpoint_suspected", "endpoint_unresponsive", "endpoint_responsive"})
+"""Events about an endpoint that falls silent; shown for requests that it got."""
+
 _HIDDEN = frozenset({"message", "level", "vm", "at_ms", "event", "request", "went_well"})
 
 
@@ -79,7 +82,8 @@
 
 def _concerns(key: tuple[str, ...], request_lines: Iterable[Line]) -> bool:
     """Return whether a state line concerns one request: its endpoints, and what refused it."""
-    field = {"endpoint": "endpoint", "quarantine": "quarantined"}.get(key[0])
+    fields = {"endpoint": "endpoint", "liveness": "endpoint", "quarantine": "quarantined"}
+    field = fields.get(key[0])
     return field is None or key[1] in {str(line.get(field)) for line in request_lines}
 
 
@@ -88,6 +92,8 @@
     event = str(line["event"])
     if event == "endpoint":
         return event, str(line.get("endpoint"))
+    if event in LIVENESS_EVENTS:
+        return "liveness", str(line.get("endpoint"))
     if event in QUARANTINE_EVENTS:
         return "quarantine", str(line.get("fingerprint"))
     if event in DEPENDENCY_EVENTS:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
@@ -17,9 +17,14 @@
     """Relays one answer; `on_progress` is called with the number of new events, in batches."""
 
     def __init__(
-        self, answer: ClientAnswer, on_progress: Callable[[int], None], silence_timeout_ms: int
+        self,
+        answer: ClientAnswer,
+        on_progress: Callable[[int], None],
+        silence_timeout_ms: int,
+        on_data: Callable[[], None] = lambda: None,
     ) -> None:
-        """Wrap an answer whose headers have been received."""
+        """Wrap an answer whose headers have been received; call `on_data` for each chunk."""
+        self._on_data = on_data
         self._answer = answer
         self._on_progress = on_progress
         self._silence_timeout_ms = silence_timeout_ms
@@ -114,6 +119,7 @@
 
     def _split_events(self, chunk: bytes) -> bytes:
         """Return the complete events of a stream."""
+        self._on_data()
         stream = self._stream
         assert stream is not None
         before = stream.event_count
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -34,6 +34,7 @@
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.lease_transport import LeaseTransport
+from wagtailusher_daemon.liveness_exchange import LivenessExchange
 from wagtailusher_daemon.load_poll import LoadPoll
 from wagtailusher_daemon.load_reports import LoadReportCache
 from wagtailusher_daemon.metrics import EntryMetrics
@@ -80,12 +81,13 @@
         self.directory = Directory()
         self._client = HttpClient(on_idle_end=self._observe_idle_end)
         self._peer_client = HttpClient(ssl_context=peer_context(options))
-        self._secrets = _fleet_secrets(options)
+        self._secrets = options.fleet_secrets
         self.upstream = Upstream(self._client, self.directory.address_of_cancel)
         self.load_cache = LoadReportCache(self.vm_id)
         self.leases = LeaseTransport(self.directory.peer_address_of, self._receive, self.load_cache)
+        self.liveness = self._new_liveness()
         self.node = RouterNode(
-            new_decider(options, self.incarnation, self._quota_share),
+            new_decider(options, self.incarnation, self._quota_share, self.liveness.decider),
             send_peer=self.leases.send,
             cancel=self.upstream.cancel,
             load_reports=self.load_cache,
@@ -110,6 +112,18 @@
     def _new_config_service(self) -> ConfigServiceCoordinator:
         return ConfigServiceCoordinator(self._client, self.options.config_service, seed=new_seed())
 
+    def _new_liveness(self) -> LivenessExchange:
+        return LivenessExchange(
+            is_answered=self._client.async_is_answered,
+            drop_idle=self._client.drop_idle,
+            address_of=self.directory.endpoint_address_of,
+            peer_addresses=lambda now_ms: self.directory.live_peer_addresses(),
+            send=lambda address, message: self.link.send(address, message),
+            is_checker=lambda key, now_ms: self.node.decider.steward_id(key) == self.vm_id,
+            clock_ms=monotonic_ms,
+            on_change=lambda change: self.node.decider.apply_liveness(change),
+        )
+
     def _new_tracing(self) -> Tracing:
         return Tracing(
             self.vm_id,
@@ -220,6 +234,7 @@
         )
         await self._tasks.async_stop()
         self._load_poll.close()
+        self.liveness.close()
         if self.fleet_sync is not None:
             await self.fleet_sync.async_shutdown()
         if self.operator_server is not None:
@@ -297,6 +312,7 @@
 
     def _receive(self, message: Message, authenticated: AuthenticatedMessage, address: str) -> None:
         """Process a peer's message that is not a lease message."""
+        self.liveness.receive(message, authenticated, address, monotonic_ms())
         if self.fleet_sync is not None:
             self.fleet_sync.receive(message, authenticated, address)
 
@@ -369,6 +385,7 @@
     def _tick(self) -> None:
         """Run the decider's periodic work and update the gauge of held requests."""
         self._pause_monitor.tick()
+        self.liveness.tick(monotonic_ms())
         self.node.tick()
         self.metrics.held.set({}, self.node.held_count)
 
@@ -377,9 +394,3 @@
     """Split a validated `host:port` address."""
     host, _, port = address.rpartition(":")
     return host, int(port)
-
-
-def _fleet_secrets(options: EntryOptions) -> tuple[bytes, ...]:
-    """Return the fleet's secrets, the current one first."""
-    texts = (options.fleet_secret, options.previous_fleet_secret)
-    return tuple(text.encode() for text in texts if text)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -60,6 +60,8 @@
 DOUBT_POLL_MS = 1_000
 """Time of polling an engine that may have restarted and closes connections without an answer."""
 DOUBT_POLL_PAUSE_MS = 50
+LIVENESS_CHECK_TIMEOUT_MS = 120
+"""Time for an endpoint to accept a connection; many round trips between failure domains."""
 PERMILLE = 1_000
 LIST_CONFIRM_INTERVAL_MS = 100
 BODY_MARGIN_BYTES = 64 * 1024
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
@@ -8,6 +8,7 @@
 from wagtailusher_core import FailureDomainId, Incarnation, VmId
 from wagtailusher_daemon.const import RENEWALS_PER_LIFETIME
 from wagtailusher_daemon.options import EntryOptions
+from wagtailusher_liveness import LivenessDecider
 from wagtailusher_once import OnceDecider
 from wagtailusher_placement import LeaseLimits, PlacementDecider, StewardDecider
 from wagtailusher_quarantine import QuarantineDecider
@@ -17,7 +18,10 @@
 
 
 def new_decider(
-    options: EntryOptions, incarnation: Incarnation, quota_share: QuotaShare
+    options: EntryOptions,
+    incarnation: Incarnation,
+    quota_share: QuotaShare,
+    liveness: LivenessDecider,
 ) -> RouterDecider:
     """Return the router decider with its admission, placement and execution deciders."""
     vm_id = VmId(options.vm_id)
@@ -28,6 +32,7 @@
         seed=new_seed(),
         limits=limits,
         incarnation=incarnation,
+        liveness=liveness,
     )
     components = RouterComponents(
         vm_id=vm_id,
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/directory.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/directory.py
@@ -37,7 +37,14 @@
 
     def address_of_cancel(self, action: Cancel) -> str | None:
         """Return the address of the engine to send a cancellation to, or None if unlisted."""
-        if self._view is None:
-            return None
-        info = self._view.endpoints.get(EndpointId(action.endpoint_id))
+        return self.endpoint_address_of(EndpointId(action.endpoint_id))
+
+    def endpoint_address_of(self, endpoint_id: EndpointId) -> str | None:
+        """Return the address of an endpoint, or None if it is unlisted."""
+        info = self._view.endpoints.get(endpoint_id) if self._view is not None else None
         return None if info is None else info.address
+
+    def live_peer_addresses(self) -> tuple[str, ...]:
+        """Return where the members that are not gone, without this VM, receive datagrams."""
+        peers = self._fleet_sync.live_peers() if self._fleet_sync is not None else ()
+        return tuple(peer.peer_address for peer in peers)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -77,7 +77,12 @@
 
     def _new_relay(self, answer: ClientAnswer) -> AnswerRelay:
         """Return an answer's relay, which is aborted if this exchange ends first."""
-        self._relay = AnswerRelay(answer, self._record_progress, self._context.silence_timeout_ms)
+        self._relay = AnswerRelay(
+            answer,
+            self._record_progress,
+            self._context.silence_timeout_ms,
+            on_data=lambda: self._node.record_heard(self._request_id),
+        )
         return self._relay
 
     def _record_progress(self, events: int) -> None:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange_context.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange_context.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 import logging
 
-from wagtailusher_core import RequestId, WagtailusherError
+from wagtailusher_core import EndpointId, RequestId, WagtailusherError
 from wagtailusher_daemon.classify import ClassifiedCall
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.telemetry import RequestTelemetry
 from wagtailusher_daemon.upstream import Upstream, classify_error
-from wagtailusher_http import ClientAnswer, Request, Response
+from wagtailusher_http import ClientAnswer, ConnectError, Request, Response
 from wagtailusher_placement import AttemptResult
 from wagtailusher_router import Dispatch, Forward
 
@@ -69,4 +69,6 @@
             dispatch.endpoint_id,
             err.code,
         )
+        if isinstance(err, ConnectError):
+            self.node.observe_unreachable(EndpointId(dispatch.endpoint_id))
         self.end_attempt(classify_error(err))
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_sync.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_sync.py
@@ -109,6 +109,11 @@
         """Return the members, including this VM."""
         return tuple(self.membership.members().values())
 
+    def live_peers(self) -> list[Member]:
+        """Return the members that are not gone, without this VM."""
+        own_id = self.membership.own_member.vm_id
+        return [m for m in self.members() if m.vm_id != own_id and not m.is_gone]
+
     def member_address(self, vm_id: VmId) -> str | None:
         """Return the address at which a member serves callers, or None when it is unknown."""
         member = self.membership.members().get(vm_id)
@@ -156,10 +161,7 @@
         if not summary.entries:
             return
         message = quarantine_message(summary)
-        own_id = self.membership.own_member.vm_id
-        peers = [
-            member for member in self.members() if member.vm_id != own_id and not member.is_gone
-        ]
+        peers = self.live_peers()
         for member in self._generator.sample(peers, min(QUARANTINE_FANOUT, len(peers))):
             self._send(member.peer_address, message)
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/node.py
@@ -71,6 +71,11 @@
         """Record the first token of an answer."""
         self.decider.record_first_token(request_id, monotonic_ms())
 
+    @callback
+    def record_heard(self, request_id: RequestId) -> None:
+        """Record that bytes of an answer arrived."""
+        self.decider.record_heard(request_id, monotonic_ms())
+
     @callback
     def record_progress(self, request_id: RequestId, events: int) -> None:
         """Record a number of relayed events."""
@@ -103,6 +108,11 @@
         """Process an endpoint's refusal of a connection."""
         self.apply(self.decider.observe_refused_connection(endpoint_id, monotonic_ms()))
 
+    @callback
+    def observe_unreachable(self, endpoint_id: EndpointId) -> None:
+        """Process an endpoint that did not accept a request's connection."""
+        self.decider.observe_unreachable(endpoint_id, monotonic_ms())
+
     @callback
     def begin_doubt(self, endpoint_id: EndpointId) -> bool:
         """Send nothing to an endpoint that may have restarted; return whether to poll it."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
@@ -76,6 +76,12 @@
             raise ValueError("expected debug, info, warning or error")
         return value.lower()
 
+    @property
+    def fleet_secrets(self) -> tuple[bytes, ...]:
+        """Return the fleet's secrets, the current one first."""
+        texts = (self.fleet_secret, self.previous_fleet_secret)
+        return tuple(text.encode() for text in texts if text)
+
 
 def read_options(flags: dict[str, Any]) -> EntryOptions:
     """Return the options from flags, environment or defaults, in this order of precedence."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -29,6 +29,7 @@
     Request,
     is_event_stream,
 )
+from wagtailusher_liveness import LivenessDecider
 
 _SUCCESS = range(200, 300)
 
@@ -76,6 +77,14 @@
         """Return the endpoint's identifier."""
         return self.reservation.endpoint.endpoint_id
 
+    @property
+    def _born_ms(self) -> int:
+        return self.reservation.endpoint.born_ms
+
+    @property
+    def _liveness(self) -> LivenessDecider:
+        return self._dispatcher.placement.registry.liveness
+
     @property
     def answer_fields(self) -> dict[str, int | bool]:
         """Return the log fields that tell which bytes a connection delivered as the answer."""
@@ -126,6 +135,7 @@
             request, headers, terms, http_mapping, left_ms, new_connection=new_connection
         )
         self._answer = self._last_answer = answer
+        self._liveness.record_heard(self.endpoint_id, self._born_ms, self._now_ms())
         self.status = answer.status
         self.headers = answer.headers
         self._has_answer_id = http_mapping.answer_id(answer.headers) is not None
@@ -205,6 +215,7 @@
         if not self._dispatcher.may_send(self.reservation) or not self._is_allowed():
             return False
         self.was_sent = True
+        self._liveness.record_sent(self.endpoint_id, self._born_ms, self._now_ms())
         self._delivery.record_sent()
         return True
 
@@ -261,8 +272,11 @@
     def _feed(self, chunk: bytes) -> bytes:
         """Return the complete events that a chunk of the answer brings."""
         events = self._framer.feed(chunk, is_delimited=self._is_delimited)
+        now_ms = self._now_ms()
         if events and self._begun_ms is None:
-            self._begun_ms = self._now_ms()
+            self._begun_ms = now_ms
+            self._liveness.record_begun(self.endpoint_id, self._born_ms, now_ms)
+        self._liveness.record_heard(self.endpoint_id, self._born_ms, now_ms)
         return events
 
     def _finish(self) -> None:
@@ -338,6 +352,9 @@
         """Release the reservation unless that has been done."""
         if not self._released:
             self._released = True
+            if self.was_sent:
+                has_begun = self._begun_ms is not None
+                self._liveness.record_ended(self.endpoint_id, self._born_ms, had_begun=has_begun)
             self._dispatcher.release(self.reservation, is_prefill_done=self._is_prefill_done)
 
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -96,9 +96,6 @@
 EJECT_MS: Final = 1_500
 """How long a failing endpoint is ejected; about one heartbeat interval of an endpoint."""
 
-UNREACHABLE_EJECT_MS: Final = 500
-"""How long an endpoint is ejected after a failed connection."""
-
 MAX_EJECTED_SHARE: Final = 0.5
 """Largest share of a service's endpoints that may be ejected at once; a failure with a common
 cause must not eject them all."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -14,10 +14,10 @@
     MISDIRECTED_EJECT_MS,
     PREFILL_TOKENS_PER_MS,
     REFUSED_EJECT_MS,
-    UNREACHABLE_EJECT_MS,
 )
 from wagtailusher_gateway.models import Endpoint, FleetView, Service
 from wagtailusher_gateway.outcomes import Outcomes
+from wagtailusher_liveness import Liveness, LivenessDecider
 
 PEER_LOAD_AGE_MS = 2_500
 """Age beyond which a peer's load report is ignored; nearly two heartbeat intervals of the largest
@@ -97,7 +97,9 @@
 class EndpointRegistry:
     """All known endpoints, by identifier and by service."""
 
-    def __init__(self) -> None:
+    def __init__(self, liveness: LivenessDecider | None = None) -> None:
+        """Leave out the endpoints that `liveness` finds unresponsive."""
+        self.liveness = liveness or LivenessDecider()
         self._tracked: dict[EndpointId, TrackedEndpoint] = {}
         self._by_service: dict[str, list[TrackedEndpoint]] = {}
 
@@ -107,6 +109,9 @@
 
     def update(self, view: FleetView, now_ms: int) -> tuple[EndpointId, ...]:
         """Apply a view; return the endpoints that restarted."""
+        self.liveness.update_endpoints(
+            {key: endpoint.born_ms for key, endpoint in view.endpoints.items()}, now_ms
+        )
         restarted = []
         for endpoint in view.endpoints.values():
             existing = self._tracked.get(endpoint.endpoint_id)
@@ -157,20 +162,29 @@
     ) -> list[TrackedEndpoint]:
         """Return the endpoints of a service that may get requests, without the ejected ones.
 
-        Only those of a software version if one is required. At most `MAX_EJECTED_SHARE` of them is
-        left out, so that a common cause does not eject all.
+        Only those of a software version if one is required. Silent ones are left out while others
+        answer. Of these, at most `MAX_EJECTED_SHARE` is ejected, so that a common cause does not
+        eject all.
         """
-        allowed = [
+        allowed = self._most_responsive(
             tracked
             for tracked in self._by_service.get(service, ())
             if may_get_requests(tracked.endpoint, view, software_version)
-        ]
+        )
         healthy = [tracked for tracked in allowed if tracked.ejected_until_ms <= now_ms]
         if len(healthy) >= len(allowed) * (1 - MAX_EJECTED_SHARE):
             return healthy
         allowed.sort(key=lambda tracked: tracked.ejected_until_ms)
         return allowed[: max(1, round(len(allowed) * (1 - MAX_EJECTED_SHARE)))]
 
+    def _most_responsive(self, allowed: Iterable[TrackedEndpoint]) -> list[TrackedEndpoint]:
+        """Return the responsive endpoints; without any, the suspected ones; without these, all."""
+        by_state: dict[Liveness, list[TrackedEndpoint]] = {}
+        for tracked in allowed:
+            state = self.liveness.state(tracked.endpoint.endpoint_id)
+            by_state.setdefault(state, []).append(tracked)
+        return next((by_state[state] for state in Liveness if state in by_state), [])
+
     def is_cold(
         self, tracked: TrackedEndpoint, service: Service, now_ms: int, *, view_stale: bool
     ) -> bool:
@@ -201,8 +215,10 @@
         """Record a failed connection; the endpoint may be cold when it is reachable again."""
         tracked = self._tracked.get(endpoint_id)
         if tracked is not None:
-            tracked.ejected_until_ms = max(tracked.ejected_until_ms, now_ms + UNREACHABLE_EJECT_MS)
             tracked.cold_suspected_until_ms = now_ms + ASSUMED_COLD_MS
+            self.liveness.record_check(
+                endpoint_id, tracked.endpoint.born_ms, now_ms, is_answered=False
+            )
 
     def record_misdirected(self, endpoint_id: EndpointId, now_ms: int) -> None:
         """Record that another endpoint answered at this endpoint's address."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -228,6 +228,12 @@
         first = first_by_rendezvous(domain_id, (*candidates, self.own_member.vm_id))
         return first == self.own_member.vm_id and not self.own_member.is_leaving
 
+    def is_first_for(self, key: str, now_ms: int) -> bool:
+        """Return whether this VM is the one of the live members that a key's hash selects."""
+        own_id = self.own_member.vm_id
+        live_ids = (member.vm_id for member in self.live_members(now_ms))
+        return first_by_rendezvous(key, (own_id, *live_ids)) == own_id
+
     def is_settled(self, now_ms: int) -> bool:
         """Return whether this VM knows its fleet well enough to use its share of fleet-wide limits.
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/quarantine_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/quarantine_exchange.py
@@ -7,7 +7,7 @@
 import logging
 import random
 
-from wagtailusher_core import EndpointId, first_by_rendezvous
+from wagtailusher_core import EndpointId
 from wagtailusher_daemon.quarantine_messages import quarantine_message, quarantine_summary
 from wagtailusher_gateway.const import (
     CULPRIT_SENDS,
@@ -123,9 +123,7 @@
         """Return whether a probe is due and this VM is the one that sends it."""
         if not self._decider.is_probe_due(fingerprint, now_ms):
             return False
-        own_id = self._fleet.own_member.vm_id
-        live_ids = (member.vm_id for member in self._fleet.live_members(now_ms))
-        return first_by_rendezvous(fingerprint, (own_id, *live_ids)) == own_id
+        return self._fleet.is_first_for(fingerprint, now_ms)
 
     def _refusal(self, fingerprint: str, now_ms: int) -> Refusal:
         crashes = self._decider.find_crashes(fingerprint)
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
+from dataclasses import replace
 import ssl
 from typing import Self
 
@@ -270,6 +271,22 @@
         connection.close()
         return False
 
+    async def async_is_answered(self, address: str, timeout_ms: int) -> bool:
+        """Return whether an address accepts a connection in time."""
+        limits = replace(self.limits, connect_timeout_ms=timeout_ms)
+        try:
+            connection = await ClientConnection.async_open(address, limits, self._ssl_context)
+        except ConnectError:
+            return False
+        connection.close()
+        return True
+
+    @callback
+    def drop_idle(self, address: str) -> None:
+        """Close the idle connections to an address, which may lead to a host that is gone."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
     async def _async_get_connection(
         self, address: str, *, new_connection: bool
     ) -> ClientConnection:
--- /dev/null
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/const.py
@@ -0,0 +1,35 @@
+"""Time-outs and intervals of the detection of unresponsive endpoints."""
+
+from __future__ import annotations
+
+from typing import Final
+
+SILENCE_MS: Final = 200
+"""Silence of all begun streams of an endpoint that makes it suspected; several times the usual gap
+between events, and about the longest that callers expect."""
+
+FIRST_BYTE_MS: Final = 500
+"""The same where no answer has begun; longer than prompts usually wait to be read."""
+
+SUSPICION_PAUSE_MS: Final = 1_000
+"""Time after an answered check in which silence alone does not make an endpoint suspected again;
+bounds the checks of an endpoint that is only slow."""
+
+RECHECK_MS: Final = 300
+"""Interval at which one VM of the fleet checks an unresponsive endpoint."""
+
+OTHERS_RECHECK_MS: Final = 700
+"""The same for all other VMs, which may reach an endpoint that this one does not."""
+
+REPORT_INTERVAL_MS: Final = 500
+"""Interval at which a report is repeated, as datagrams may be lost."""
+
+MAX_REPORTS: Final = 24
+"""Most reports in one message, so that it fits into a datagram."""
+
+SAME_SILENCE_MS: Final = 100
+"""Difference of the last signs of life that two VMs may have of one endpoint; a few gaps between
+events."""
+
+MAX_TICK_GAP_MS: Final = 250
+"""Time without a tick after which this VM was itself paused, so that silence tells nothing."""
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/const.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/const.py
@@ -15,6 +15,8 @@
 DEFAULT_RESIDUAL_WAIT_MS = 5_000
 MAX_DOUBT_MS = 2_000
 """Longest time without requests to an endpoint that may have restarted cold."""
+ANY_INCARNATION = 0
+"""Stands for all incarnations of an endpoint, as the published list does not tell them apart."""
 SWEEP_INTERVAL_MS = 100
 IDLE_SWEEP_INTERVAL_MS = 500
 SPLIT_INTERVAL_MS = 400
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -15,8 +15,10 @@
     RequestId,
     VmId,
 )
+from wagtailusher_liveness import Liveness, LivenessChange, LivenessDecider
 from wagtailusher_placement.baseline_policies import Chooser
 from wagtailusher_placement.const import (
+    ANY_INCARNATION,
     MAX_DOUBT_MS,
     REFRESH_INTERVAL_MS,
     REFRESH_MS_PER_ENDPOINT,
@@ -54,7 +56,10 @@
         choose: Chooser = choose_by_score,
         limits: LeaseLimits | None = None,
         incarnation: Incarnation | None = None,
+        liveness: LivenessDecider | None = None,
     ) -> None:
+        """Report what is heard from endpoints to `liveness`; see `apply_liveness`."""
+        self._liveness = liveness or LivenessDecider()
         self._generator = Random(seed)
         self._choose = choose
         self._lengths = LengthEstimator()
@@ -69,6 +74,9 @@
 
     def update_endpoints(self, endpoints: Iterable[EndpointInfo], now_ms: int) -> None:
         """Replace the published endpoints; requests in flight stay accounted for."""
+        endpoints = tuple(endpoints)
+        incarnations = {info.endpoint_id: ANY_INCARNATION for info in endpoints}
+        self._liveness.update_endpoints(incarnations, now_ms)
         self._fleet.update_endpoints(endpoints, now_ms)
         self._refresh(now_ms)
 
@@ -96,6 +104,7 @@
 
     def observe_report(self, report: LoadReport, now_ms: int) -> None:
         """Apply an endpoint's load report."""
+        self._liveness.record_heard(report.endpoint_id, ANY_INCARNATION, report.reported_at_ms)
         self._fleet.observe_report(report, now_ms)
         self._refresh_if_due(now_ms)
 
@@ -105,6 +114,17 @@
         if endpoint is not None:
             self._lease_holder.mark_cold(endpoint, now_ms)
 
+    def observe_unreachable(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Record that an endpoint did not accept a connection for a request."""
+        self._liveness.record_check(endpoint_id, ANY_INCARNATION, now_ms, is_answered=False)
+
+    def apply_liveness(self, change: LivenessChange) -> None:
+        """Send nothing to an endpoint that went silent, until it answers."""
+        endpoint = self._fleet.tracked.get(change.endpoint_id)
+        if endpoint is not None:
+            endpoint.is_silent = change.state is not Liveness.RESPONSIVE
+            self._fleet.mark_changed(endpoint)
+
     def begin_doubt(self, endpoint_id: EndpointId, now_ms: int) -> bool:
         """Send nothing to an endpoint that may have restarted cold; return whether this began.
 
@@ -178,6 +198,8 @@
             self._lease_holder.refresh((endpoint,), now_ms)
         if endpoint.sent + (not placed.sent) > endpoint.allowed(now_ms):
             return False
+        if not placed.sent:
+            self._liveness.record_sent(endpoint.info.endpoint_id, ANY_INCARNATION, now_ms)
         self._in_flight.mark_sent(placed, now_ms)
         return True
 
@@ -186,6 +208,7 @@
         placed = self._in_flight.get(request_id)
         if placed is None or placed.first_token_at_ms is not None:
             return
+        self._liveness.record_begun(placed.endpoint.info.endpoint_id, ANY_INCARNATION, now_ms)
         self._update_warmth(placed, now_ms)
         self._in_flight.record_first_token_pace(placed, now_ms)
         self._fleet.prefixes.add_blocks(
@@ -193,6 +216,12 @@
         )
         self._refresh_if_due(now_ms)
 
+    def record_heard(self, request_id: RequestId, now_ms: int) -> None:
+        """Record that bytes of an answer arrived from its endpoint."""
+        placed = self._in_flight.get(request_id)
+        if placed is not None:
+            self._liveness.record_heard(placed.endpoint.info.endpoint_id, ANY_INCARNATION, now_ms)
+
     def record_progress(self, request_id: RequestId, tokens: int, now_ms: int) -> None:
         """Record further output tokens of an answer."""
         placed = self._in_flight.get(request_id)
@@ -206,6 +235,12 @@
             return
         if result is AttemptResult.COMPLETED:
             self.record_first_token(request_id, now_ms)
+        if placed.sent:
+            self._liveness.record_ended(
+                placed.endpoint.info.endpoint_id,
+                ANY_INCARNATION,
+                had_begun=placed.first_token_at_ms is not None,
+            )
         self._in_flight.remove_request(request_id, result, now_ms)
         self._fleet.mark_changed(placed.endpoint)
         if result is AttemptResult.CRASHED:
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/tracked_endpoint.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/tracked_endpoint.py
@@ -67,6 +67,7 @@
         "health",
         "in_flight",
         "in_service",
+        "is_silent",
         "incarnation",
         "info",
         "kv_steps",
@@ -99,6 +100,7 @@
         self.published = True
         self.drained = False
         self.doubted_until_ms = 0
+        self.is_silent = False
         self.in_service = False
         self.health = EndpointHealth()
         self.in_flight = 0
@@ -134,7 +136,7 @@
 
     def allowed(self, now_ms: int) -> int:
         """Return how many requests this node may have in flight now."""
-        if now_ms < self.doubted_until_ms:
+        if self.is_silent or now_ms < self.doubted_until_ms:
             return 0
         if now_ms < self.lease_until_ms:
             return self.credits
@@ -149,7 +151,7 @@
         """Return whether another request may be started now."""
         if not self.in_service or now_ms < self.health.ejected_until_ms:
             return False
-        if now_ms < self.doubted_until_ms:
+        if self.is_silent or now_ms < self.doubted_until_ms:
             return False
         if now_ms < self.lease_until_ms:
             return self.in_flight < self.credits
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -13,6 +13,7 @@
     RequestId,
     VmId,
 )
+from wagtailusher_liveness import LivenessChange
 from wagtailusher_once import ForwardTo, StoredAnswer
 from wagtailusher_placement import (
     AttemptResult,
@@ -140,6 +141,14 @@
         self._leases.observe_refused_connection(endpoint_id, now_ms)
         return tuple(self._leases.due_recalls(now_ms))
 
+    def observe_unreachable(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Record that an endpoint did not accept a connection for a request."""
+        self._placement.observe_unreachable(endpoint_id, now_ms)
+
+    def apply_liveness(self, change: LivenessChange) -> None:
+        """Send nothing to an endpoint that went silent, until it answers."""
+        self._placement.apply_liveness(change)
+
     def begin_doubt(self, endpoint_id: EndpointId, now_ms: int) -> bool:
         """Send nothing to an endpoint that may have restarted; return whether to poll it."""
         return self._placement.begin_doubt(endpoint_id, now_ms)
@@ -218,6 +227,10 @@
         self._placement.record_first_token(request_id, now_ms)
         self._admission.record_first_answer(request_id, now_ms)
 
+    def record_heard(self, request_id: RequestId, now_ms: int) -> None:
+        """Record that bytes of an answer arrived."""
+        self._placement.record_heard(request_id, now_ms)
+
     def record_progress(self, request_id: RequestId, events: int, now_ms: int) -> None:
         """Record that further events of an answer were relayed to the caller."""
         tracked = self._dispatcher.tracked_requests.get(request_id)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -9,6 +9,12 @@
     MAX_STREAM_MESSAGE_BYTES,
     WIRE_VERSION,
 )
+from wagtailusher_wire.endpoint_messages import (
+    LivenessEntry,
+    LivenessSummary,
+    QuarantineEntry,
+    QuarantineSummary,
+)
 from wagtailusher_wire.errors import (
     MalformedMessageError,
     UnauthenticatedPeerError,
@@ -49,8 +55,6 @@
     Nack,
     Ping,
     PoolDemand,
-    QuarantineEntry,
-    QuarantineSummary,
     QuotaClaim,
     QuotaClaims,
     QuotaGrant,
@@ -90,6 +94,8 @@
     "LeaseRecall",
     "LeaseRequest",
     "Leave",
+    "LivenessEntry",
+    "LivenessSummary",
     "MalformedMessageError",
     "MemberState",
     "MemberUpdate",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -13,6 +13,7 @@
 
 from wagtailusher_wire.capnp_conversion import from_plain, to_plain
 from wagtailusher_wire.const import MAX_NESTING, MAX_STREAM_MESSAGE_BYTES
+from wagtailusher_wire.endpoint_messages import LivenessSummary, QuarantineSummary
 from wagtailusher_wire.errors import MalformedMessageError, WireVersionError
 from wagtailusher_wire.gateway_messages import (
     Beat,
@@ -20,7 +21,7 @@
     StreamVersionQuery,
     StreamVersionRecord,
 )
-from wagtailusher_wire.messages import MESSAGE_TYPES, LeaseBatch, Message, QuarantineSummary
+from wagtailusher_wire.messages import MESSAGE_TYPES, LeaseBatch, Message
 from wagtailusher_wire.msgpack_rows import from_row, row_type, to_row
 
 _SCHEMA_FILE = Path(__file__).with_name("messages.capnp")
@@ -44,6 +45,7 @@
 _CODEC_BY_TYPE: dict[type[Message], Codec] = {
     LeaseBatch: Codec.MSGPACK,
     QuarantineSummary: Codec.MSGPACK,
+    LivenessSummary: Codec.MSGPACK,
     Beat: Codec.MSGPACK,
     StreamVersionRecord: Codec.MSGPACK,
     StreamVersionQuery: Codec.MSGPACK,
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -210,6 +210,17 @@
   entries @0 :List(QuarantineEntry);
 }
 
+struct LivenessEntry {
+  endpointId @0 :Text;
+  incarnation @1 :UInt64;
+  isResponsive @2 :Bool;
+  silentMs @3 :UInt32;
+}
+
+struct LivenessSummary {
+  entries @0 :List(LivenessEntry);
+}
+
 struct ClassDemand {
   workspaceId @0 :Text;
   classId @1 :Text;
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -15,6 +15,7 @@
     VmId,
     WorkspaceId,
 )
+from wagtailusher_wire.endpoint_messages import LivenessSummary, QuarantineSummary
 from wagtailusher_wire.gateway_messages import (
     Beat,
     StreamVersionAnswer,
@@ -22,8 +23,6 @@
     StreamVersionRecord,
 )
 
-NEVER_MS = 0xFFFFFFFF
-"""Age of what never happened."""
 NO_REVISION = Revision(epoch=0, number=0)
 
 
@@ -225,31 +224,6 @@
     loads: tuple[EndpointLoad, ...] = ()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QuarantineEntry:
-    """The endpoints that a request or a prompt part crashed, its quarantine or a complete answer.
-
-    The fields behind the age are missing in messages of older builds.
-    """
-
-    fingerprint: str
-    endpoint_ids: tuple[EndpointId, ...]
-    quarantined: bool
-    age_ms: int
-    carriers: tuple[str, ...] = ()
-    has_begun: bool = False
-    completed: bool = False
-    probes: int = 0
-    idle_ms: int = NEVER_MS
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QuarantineSummary:
-    """The fingerprints of requests that crash endpoints, as known to the sender."""
-
-    entries: tuple[QuarantineEntry, ...]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClassDemand:
     """One class's requests at one VM."""
@@ -369,6 +343,7 @@
     | StreamVersionRecord
     | StreamVersionQuery
     | StreamVersionAnswer
+    | LivenessSummary
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -395,5 +370,6 @@
     StreamVersionRecord,
     StreamVersionQuery,
     StreamVersionAnswer,
+    LivenessSummary,
 )
 """Message types by their number on the wire; new types are only appended."""
--- a/tests/wagtailusher_cli/test_request_log.py
+++ b/tests/wagtailusher_cli/test_request_log.py
@@ -53,6 +53,16 @@
         ]
         self.assertEqual([item["at_ms"] for item in select_lines(read_lines(log), "r1")], [10, 20])
 
+    def test_request_with_the_liveness_of_its_endpoint(self) -> None:
+        """Who found its endpoint silent is shown, and nothing of others."""
+        log = [
+            line("vm-1", 9, "endpoint_suspected", endpoint="i-1", told_by="vm-2"),
+            line("vm-1", 10, "endpoint_unresponsive", endpoint="i-1", told_by="vm-2"),
+            line("vm-1", 11, "endpoint_unresponsive", endpoint="i-2"),
+            line("vm-1", 20, "request", request="r1", endpoint="i-1"),
+        ]
+        self.assertEqual([item["at_ms"] for item in select_lines(read_lines(log), "r1")], [10, 20])
+
     def test_command(self) -> None:
         """The command ends with 1 for an unknown request and 2 for a missing file."""
         with TemporaryDirectory() as folder:
--- a/tests/wagtailusher_daemon/test_dark_engines.py
+++ b/tests/wagtailusher_daemon/test_dark_engines.py
@@ -16,6 +16,9 @@
 NOTICE_S = 1.0
 """Time for the fleet to notice, where a silence of 0.4 s counts as one (`silence_timeout_ms`)."""
 
+ANSWER_S = 3.0
+"""Time for all answers, several times what one engine needs for them."""
+
 
 class DarkEngineTest(unittest.IsolatedAsyncioTestCase):
     """Three VMs and two engines of which one goes dark."""
@@ -41,7 +44,7 @@
         self.fleet.proxies[0].go_dark()
         await asyncio.sleep(NOTICE_S)
         later = [chat for vm in (1, 2) for chat in self.start_chats(vm, LATER_CHATS)]
-        _, waiting = await asyncio.wait(later, timeout=NOTICE_S)
+        _, waiting = await asyncio.wait(later, timeout=ANSWER_S)
         for task in (*running, *waiting):
             task.cancel()
         await asyncio.gather(*running, *waiting, return_exceptions=True)
