--- a/packages/wagtailusher_cli/src/wagtailusher_cli/request_log.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/request_log.py
@@ -24,6 +24,9 @@
 LIVENESS_EVENTS = frozenset({"endpoint_suspected", "endpoint_unresponsive", "endpoint_responsive"})
 """Events about an endpoint that falls silent; shown for requests that it got."""
 
+LIMIT_EVENT = "endpoint_limit"
+"""Event about the limit that an endpoint names; shown for requests that it got."""
+
 _HIDDEN = frozenset({"message", "level", "vm", "at_ms", "event", "request", "went_well"})
 
 
@@ -82,15 +85,15 @@
 
 def _concerns(key: tuple[str, ...], request_lines: Iterable[Line]) -> bool:
     """Return whether a state line concerns one request: its endpoints, and what refused it."""
-    fields = {"endpoint": "endpoint", "liveness": "endpoint", "quarantine": "quarantined"}
-    field = fields.get(key[0])
+    fields = dict.fromkeys(("endpoint", "liveness", LIMIT_EVENT), "endpoint")
+    field = (fields | {"quarantine": "quarantined"}).get(key[0])
     return field is None or key[1] in {str(line.get(field)) for line in request_lines}
 
 
 def _state_key(line: Line) -> tuple[str, ...] | None:
     """Return the key under which a later state line replaces this one, None for others."""
     event = str(line["event"])
-    if event == "endpoint":
+    if event in ("endpoint", LIMIT_EVENT):
         return event, str(line.get("endpoint"))
     if event in LIVENESS_EVENTS:
         return "liveness", str(line.get("endpoint"))
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -30,11 +30,11 @@
 )
 from wagtailusher_daemon.deciders import new_decider, new_seed
 from wagtailusher_daemon.directory import Directory
+from wagtailusher_daemon.endpoint_findings import EndpointFindings
 from wagtailusher_daemon.fleet_sync import FleetSync, Identity
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.forwarding import Forwarder
 from wagtailusher_daemon.lease_transport import LeaseTransport
-from wagtailusher_daemon.liveness_exchange import LivenessExchange
 from wagtailusher_daemon.load_poll import LoadPoll
 from wagtailusher_daemon.load_reports import LoadReportCache
 from wagtailusher_daemon.metrics import EntryMetrics
@@ -60,7 +60,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_SEED_BITS = 63
 _DEFAULT_SILENCE_MS = 5_000
 _DEFAULT_ADDRESS_LIFETIME_MS = 5_000
 
@@ -79,15 +78,23 @@
         self.tracing = self._new_tracing()
         self.is_draining = False
         self.directory = Directory()
-        self._client = HttpClient(on_idle_end=self._observe_idle_end)
+        self._client = HttpClient(on_idle_end=lambda key: self._load_poll.observe_idle_end(key))
         self._peer_client = HttpClient(ssl_context=peer_context(options))
         self._secrets = options.fleet_secrets
-        self.upstream = Upstream(self._client, self.directory.address_of_cancel)
+        self.findings = self._new_findings()
+        self.upstream = Upstream(
+            self._client, self.directory.address_of_cancel, self.findings.read_limit
+        )
         self.load_cache = LoadReportCache(self.vm_id)
         self.leases = LeaseTransport(self.directory.peer_address_of, self._receive, self.load_cache)
-        self.liveness = self._new_liveness()
         self.node = RouterNode(
-            new_decider(options, self.incarnation, self._quota_share, self.liveness.decider),
+            new_decider(
+                options,
+                self.incarnation,
+                self._quota_share,
+                self.findings.liveness.decider,
+                self.findings.limits.decider,
+            ),
             send_peer=self.leases.send,
             cancel=self.upstream.cancel,
             load_reports=self.load_cache,
@@ -112,16 +119,14 @@
     def _new_config_service(self) -> ConfigServiceCoordinator:
         return ConfigServiceCoordinator(self._client, self.options.config_service, seed=new_seed())
 
-    def _new_liveness(self) -> LivenessExchange:
-        return LivenessExchange(
-            is_answered=self._client.async_is_answered,
-            drop_idle=self._client.drop_idle,
-            address_of=self.directory.endpoint_address_of,
-            peer_addresses=lambda now_ms: self.directory.live_peer_addresses(),
+    def _new_findings(self) -> EndpointFindings:
+        return EndpointFindings(
+            vm_id=self.vm_id,
+            client=self._client,
+            directory=self.directory,
             send=lambda address, message: self.link.send(address, message),
-            is_checker=lambda key, now_ms: self.node.decider.steward_id(key) == self.vm_id,
-            clock_ms=monotonic_ms,
-            on_change=lambda change: self.node.decider.apply_liveness(change),
+            decider=lambda: self.node.decider,
+            is_ready=lambda: self.is_ready,
         )
 
     def _new_tracing(self) -> Tracing:
@@ -234,7 +239,7 @@
         )
         await self._tasks.async_stop()
         self._load_poll.close()
-        self.liveness.close()
+        self.findings.close()
         if self.fleet_sync is not None:
             await self.fleet_sync.async_shutdown()
         if self.operator_server is not None:
@@ -312,14 +317,10 @@
 
     def _receive(self, message: Message, authenticated: AuthenticatedMessage, address: str) -> None:
         """Process a peer's message that is not a lease message."""
-        self.liveness.receive(message, authenticated, address, monotonic_ms())
+        self.findings.receive(message, authenticated, address, monotonic_ms())
         if self.fleet_sync is not None:
             self.fleet_sync.receive(message, authenticated, address)
 
-    def _observe_idle_end(self, address: str) -> None:
-        """Handle the end of an idle connection to an endpoint."""
-        self._load_poll.observe_idle_end(address)
-
     def _apply_vm_list(self, vm_list: VmList) -> None:
         """Apply the platform's list of VMs and endpoints."""
         self.view.apply_published(vm_list.entry_vms, vm_list.endpoints, vm_list.version)
@@ -385,7 +386,7 @@
     def _tick(self) -> None:
         """Run the decider's periodic work and update the gauge of held requests."""
         self._pause_monitor.tick()
-        self.liveness.tick(monotonic_ms())
+        self.findings.tick(monotonic_ms())
         self.node.tick()
         self.metrics.held.set({}, self.node.held_count)
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -23,6 +23,8 @@
 HEADER_FIRST_SENT = "x-wagtailusher-first-sent-ms"
 HEADER_REQUEST_ID = "x-request-id"
 HEADER_TRACE = "traceparent"
+HEADER_LIMIT = "x-wagtailusher-limit"
+"""Requests a second that an endpoint takes from all VMs together, in its answers."""
 
 DEFAULT_ROUTE_CHAT = "chat"
 
@@ -60,6 +62,8 @@
 DOUBT_POLL_MS = 1_000
 """Time of polling an engine that may have restarted and closes connections without an answer."""
 DOUBT_POLL_PAUSE_MS = 50
+REPEATED_PEERS = 6
+"""Peers that get each repetition of what this VM found of endpoints; all get it the first time."""
 LIVENESS_CHECK_TIMEOUT_MS = 120
 """Time for an endpoint to accept a connection; many round trips between failure domains."""
 PERMILLE = 1_000
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
@@ -12,6 +12,7 @@
 from wagtailusher_once import OnceDecider
 from wagtailusher_placement import LeaseLimits, PlacementDecider, StewardDecider
 from wagtailusher_quarantine import QuarantineDecider
+from wagtailusher_rate_limits import RateLimitDecider
 from wagtailusher_router import QuotaShare, RouterComponents, RouterDecider
 
 _SEED_BITS = 63
@@ -22,6 +23,7 @@
     incarnation: Incarnation,
     quota_share: QuotaShare,
     liveness: LivenessDecider,
+    rate_limits: RateLimitDecider,
 ) -> RouterDecider:
     """Return the router decider with its admission, placement and execution deciders."""
     vm_id = VmId(options.vm_id)
@@ -33,6 +35,7 @@
         limits=limits,
         incarnation=incarnation,
         liveness=liveness,
+        rate_limits=rate_limits,
     )
     components = RouterComponents(
         vm_id=vm_id,
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/directory.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/directory.py
@@ -6,6 +6,7 @@
 from wagtailusher_daemon.fleet_sync import FleetSync
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_router import Cancel
+from wagtailusher_wire import MemberState
 
 
 class Directory:
@@ -44,6 +45,17 @@
         info = self._view.endpoints.get(endpoint_id) if self._view is not None else None
         return None if info is None else info.address
 
+    def member_count(self) -> int:
+        """Return the number of members that have not left, this VM included."""
+        if self._fleet_sync is None:
+            return 1
+        return sum(member.state is not MemberState.LEFT for member in self._fleet_sync.members())
+
+    def live_peer_ids(self) -> tuple[VmId, ...]:
+        """Return the members that are not gone, without this VM."""
+        peers = self._fleet_sync.live_peers() if self._fleet_sync is not None else ()
+        return tuple(peer.vm_id for peer in peers)
+
     def live_peer_addresses(self) -> tuple[str, ...]:
         """Return where the members that are not gone, without this VM, receive datagrams."""
         peers = self._fleet_sync.live_peers() if self._fleet_sync is not None else ()
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 import logging
+import random
 
 from wagtailusher_core import EndpointId, callback
-from wagtailusher_daemon.const import LIVENESS_CHECK_TIMEOUT_MS
+from wagtailusher_daemon.const import LIVENESS_CHECK_TIMEOUT_MS, REPEATED_PEERS
 from wagtailusher_daemon.convert import convert
 from wagtailusher_liveness import Liveness, LivenessChange, LivenessDecider, LivenessReport
 from wagtailusher_wire import AuthenticatedMessage, LivenessEntry, LivenessSummary, Message
@@ -29,6 +30,7 @@
         is_checker: Callable[[EndpointId, int], bool],
         clock_ms: Callable[[], int],
         on_change: Callable[[LivenessChange], None] = lambda change: None,
+        seed: int = 0,
     ) -> None:
         """Start without endpoints.
 
@@ -43,6 +45,7 @@
         self._clock_ms = clock_ms
         self._on_change = on_change
         self._tasks: set[asyncio.Task[None]] = set()
+        self._random = random.Random(seed)
         self.decider = LivenessDecider(is_checker=is_checker, on_change=self._handle_change)
 
     @callback
@@ -50,7 +53,11 @@
         """Suspect silent endpoints, start the checks that are due and repeat reports."""
         self.decider.tick(now_ms)
         self._start_checks(now_ms)
-        self._report(self.decider.repeated_reports(now_ms), now_ms)
+        reports = self.decider.repeated_reports(now_ms)
+        if reports:
+            addresses = list(self._peer_addresses(now_ms))
+            count = min(REPEATED_PEERS, len(addresses))
+            self._report(reports, self._random.sample(addresses, count))
 
     @callback
     def receive(
@@ -113,12 +120,11 @@
             asyncio.get_running_loop().call_soon(self._report_new)
 
     def _report_new(self) -> None:
-        self._report(self.decider.new_reports(), self._clock_ms())
+        self._report(self.decider.new_reports(), self._peer_addresses(self._clock_ms()))
 
-    def _report(self, reports: Iterable[LivenessReport], now_ms: int) -> None:
-        """Send reports to all live peers."""
+    def _report(self, reports: Iterable[LivenessReport], addresses: Iterable[str]) -> None:
         entries = tuple(convert(report, LivenessEntry) for report in reports)
         if not entries:
             return
-        for address in self._peer_addresses(now_ms):
+        for address in addresses:
             self._send(address, LivenessSummary(entries=entries))
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 
 from wagtailusher_core import WagtailusherError, callback
-from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS, HEADER_TRACE
+from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS, HEADER_LIMIT, HEADER_TRACE
 from wagtailusher_http import (
     AnswerProtocolError,
     AnswerTruncatedError,
@@ -28,8 +28,17 @@
 class Upstream:
     """Sends requests to engines and services."""
 
-    def __init__(self, client: HttpClient, address_of: Callable[[Cancel], str | None]) -> None:
-        """Send with a client; `address_of` returns a cancellation's address or None."""
+    def __init__(
+        self,
+        client: HttpClient,
+        address_of: Callable[[Cancel], str | None],
+        read_limit: Callable[[Dispatch, tuple[str, ...]], None] = lambda *_: None,
+    ) -> None:
+        """Send with a client; `address_of` returns a cancellation's address or None.
+
+        `read_limit` gets the values in which an answer names the endpoint's limit, possibly none.
+        """
+        self._read_limit = read_limit
         self.engines = EngineCoordinator(client)
         self._services = ServiceCoordinator(client)
         self._address_of = address_of
@@ -44,6 +53,18 @@
         head_timeout_ms: int = DEFAULT_HEAD_TIMEOUT_MS,
     ) -> ClientAnswer:
         """Send a request or resume its answer; return the answer once its headers have arrived."""
+        answer = await self._async_send(dispatch, call, traceparent, may_send, head_timeout_ms)
+        self._read_limit(dispatch, answer.headers.get_all(HEADER_LIMIT))
+        return answer
+
+    async def _async_send(
+        self,
+        dispatch: Dispatch,
+        call: ChatCall | ServiceCall,
+        traceparent: str,
+        may_send: Callable[[], bool],
+        head_timeout_ms: int,
+    ) -> ClientAnswer:
         if isinstance(call, ServiceCall):
             return await self._services.async_send(
                 dispatch.address,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -33,6 +33,8 @@
     expires_ms: int
     try_start: Callable[[int], bool]
     """Reserves an endpoint if one has capacity, and returns whether it did."""
+    service: str = ""
+    """Requests of several queues may compete for the same endpoints of a service."""
     refuse: Callable[[int], None]
     """Called with the delay, in ms, after which the caller may retry."""
 
@@ -52,6 +54,12 @@
         if not self.requests:
             self.started_ms.clear()
 
+    def stuck_ms(self, now_ms: int) -> int:
+        """Return for how long nothing has started although requests wait, 0 if something has."""
+        if not self.requests or self.started_ms:
+            return 0
+        return min(RATE_WINDOW_MS, now_ms - self.busy_since_ms)
+
     def expected_wait_ms(self, ahead: int, now_ms: int) -> float:
         """Return the expected wait in ms behind `ahead` requests; 0 while the rate is unknown."""
         window_ms = min(RATE_WINDOW_MS, now_ms - self.busy_since_ms)
@@ -80,6 +88,14 @@
         """Return the number of queued requests."""
         return sum(len(queue.requests) for queue in self._queues.values())
 
+    def has_more_urgent(self, service: str, rank: int) -> bool:
+        """Return whether more urgent requests for a service are queued."""
+        return any(
+            other.service == service and other.rank < rank
+            for queue in self._queues.values()
+            for other in queue.requests
+        )
+
     def submit(self, queued_request: QueuedRequest, now_ms: int) -> None:
         """Start a request, queue it, or refuse it."""
         queue = self._queues.setdefault(queued_request.queue, _Queue())
@@ -127,7 +143,7 @@
         """Return a refused caller's retry delay in ms; randomized, shorter for urgent requests."""
         queue = self._queues.get(name) or _Queue()
         ahead = sum(1 for other in queue.requests if other.rank <= rank)
-        wait_ms = queue.expected_wait_ms(ahead, now_ms)
+        wait_ms = queue.expected_wait_ms(ahead, now_ms) or queue.stuck_ms(now_ms)
         base_ms = RETRY_AFTER_MIN_MS + RETRY_AFTER_RANK_MS * rank + wait_ms
         return int(min(RETRY_AFTER_MAX_MS, base_ms * self._random.uniform(1.0, 1.5)))
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -8,9 +8,8 @@
 import logging
 import random
 
-from wagtailusher_core import EndpointId, Incarnation
+from wagtailusher_core import Incarnation
 from wagtailusher_daemon.clock import monotonic_ms, wall_ms
-from wagtailusher_daemon.liveness_exchange import LivenessExchange
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.periodic import PeriodicTasks
 from wagtailusher_gateway.address_selection import select_addresses
@@ -33,6 +32,7 @@
 from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.crash_watch import CrashWatch
 from wagtailusher_gateway.dispatcher import Dispatcher
+from wagtailusher_gateway.endpoint_findings import EndpointFindings
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.heartbeat_exchange import HeartbeatExchange
@@ -84,7 +84,14 @@
         seed = self._random.randrange(1 << 32)
         self.fleet = FleetDecider(own_member, options.seeds, monotonic_ms(), seed)
         self.view_cache = ViewCache(self._apply_view)
-        self.liveness = self._new_liveness()
+        self.findings = EndpointFindings(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            client=self._client,
+            metrics=metrics,
+            send=lambda address, message: self.link.send(address, message),
+            clock_ms=monotonic_ms,
+        )
         self.dispatcher = self._new_dispatcher()
         self.link = self._new_link(incarnation)
         self.quarantine = self._new_quarantine()
@@ -116,9 +123,14 @@
             view_cache=self.view_cache,
             registry=self.dispatcher.placement.registry,
             send=self.link.send,
-            on_new_peer=self.quarantine.greet,
+            on_new_peer=self._greet,
         )
 
+    def _greet(self, address: str, now_ms: int) -> None:
+        """Tell a VM that is new to this one what it must know before it sends requests."""
+        self.quarantine.greet(address, now_ms)
+        self.findings.greet(address, now_ms)
+
     def _new_stream_versions(self) -> StreamVersionExchange:
         return StreamVersionExchange(
             fleet=self.fleet,
@@ -145,29 +157,10 @@
             clock_ms=monotonic_ms,
         )
 
-    def _new_liveness(self) -> LivenessExchange:
-        return LivenessExchange(
-            is_answered=self._client.async_is_answered,
-            drop_idle=self._client.drop_idle,
-            address_of=self._endpoint_address,
-            peer_addresses=lambda now_ms: [
-                member.peer_address for member in self.fleet.live_members(now_ms)
-            ],
-            send=lambda address, message: self.link.send(address, message),
-            is_checker=self.fleet.is_first_for,
-            clock_ms=monotonic_ms,
-            on_change=lambda change: self.metrics.liveness.inc({"state": change.state}),
-        )
-
-    def _endpoint_address(self, endpoint_id: EndpointId) -> str | None:
-        """Return an endpoint's address, or None if it is unknown."""
-        endpoint = self.view_cache.view.endpoints.get(endpoint_id)
-        return endpoint.address if endpoint is not None else None
-
     def _new_dispatcher(self) -> Dispatcher:
         bounds = self.options.bounds
         placement = Placement(
-            registry=EndpointRegistry(self.liveness.decider),
+            registry=EndpointRegistry(self.findings.liveness.decider),
             cold_limiter=ColdStartLimiter(
                 self.options.vm_id,
                 overage=bounds.cold_overage,
@@ -175,6 +168,7 @@
                 is_fleet_settled=self.fleet.is_settled,
             ),
             contention=PlaceContention(self.options.vm_id),
+            rate_limits=self.findings.limits.decider,
             failure_domain_id=self.options.failure_domain_id,
             seed=self._random.randrange(1 << 32),
             remote_interval_ms=lambda: self.fleet.remote_interval_ms,
@@ -191,6 +185,7 @@
             ),
             clock_ms=monotonic_ms,
             vm_ids=self.fleet.all_vm_ids,
+            read_limit=self.findings.read_limit,
         )
 
     @property
@@ -291,7 +286,7 @@
             await asyncio.sleep(TICK_MS / MS_PER_S)
         left = self.dispatcher.in_flight
         self.crash_watch.close()
-        self.liveness.close()
+        self.findings.close()
         await self._tasks.async_stop()
         await self.servers.async_close()
         self.link.close()
@@ -310,7 +305,7 @@
         self.heartbeats.receive(message, authenticated, address, now_ms)
         self.stream_versions.receive(message, authenticated, address, now_ms)
         self.quarantine.receive(message, authenticated, address, now_ms)
-        self.liveness.receive(message, authenticated, address, now_ms)
+        self.findings.receive(message, authenticated, address, now_ms)
 
     def _apply_view(self, view: FleetView, changed: bool, now_ms: int) -> None:
         """Apply a view, and announce changes at once if this VM is the elected reader."""
@@ -339,7 +334,7 @@
         self.stream_versions.tick(now_ms)
         self.quarantine.tick(now_ms)
         self.crash_watch.tick(now_ms)
-        self.liveness.tick(now_ms)
+        self.findings.tick(now_ms)
         if self.dispatcher.admission.count:
             self.dispatcher.admission.process_queues(now_ms)
         if self._logs is not None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -142,6 +142,8 @@
         stated = http_mapping.read_answer(answer.status, answer.headers)
         if not self._has_answer_id:
             self._check_unidentified(answer, stated)
+        if not stated.wrong_incarnation:
+            self._dispatcher.read_limit(self.reservation.endpoint, stated, terms.attempt_id)
         if stated.not_run:
             self._record_not_run(stated)
             timeout_ms = min(left_ms, REFUSAL_TIMEOUT_MS)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -14,7 +14,14 @@
 from wagtailusher_gateway.endpoint_registry import may_get_requests
 from wagtailusher_gateway.engine_partition import is_prompt_heavy
 from wagtailusher_gateway.exceptions import RefusedError
-from wagtailusher_gateway.models import FleetView, RequestTerms, Route, Service
+from wagtailusher_gateway.models import (
+    AnswerTerms,
+    Endpoint,
+    FleetView,
+    RequestTerms,
+    Route,
+    Service,
+)
 from wagtailusher_gateway.placement import Placement, Reservation
 from wagtailusher_gateway.routes import RouteTable
 from wagtailusher_gateway.view_cache import EMPTY_VIEW
@@ -44,7 +51,10 @@
         budget: RetryBudget,
         clock_ms: Callable[[], int],
         vm_ids: Callable[[], tuple[VmId, ...]],
+        read_limit: Callable[[Endpoint, AnswerTerms, str], None] = lambda *_: None,
     ) -> None:
+        """`read_limit` gets the terms of each answer, with its endpoint and attempt."""
+        self.read_limit = read_limit
         self.placement = placement
         self.admission = admission
         self.budget = budget
@@ -95,6 +105,7 @@
 
         queued_request = QueuedRequest(
             queue=queue_name(request),
+            service=request.service.name,
             rank=request.rank,
             expires_ms=now_ms + queue_wait_ms(request.route.target_ms, request.ends_ms - now_ms),
             try_start=lambda now_ms: self._try_start(future, request, excluded, now_ms),
@@ -141,8 +152,15 @@
             rank=request.rank,
             excluded=excluded,
             software_version=request.software_version,
+            may_use_limited=not self._is_outranked(request),
         )
 
+    def _is_outranked(self, request: RoutedRequest) -> bool:
+        """Return whether more urgent requests wait for what limited endpoints may still get."""
+        if self.placement.rate_limits.is_empty:
+            return False
+        return self.admission.has_more_urgent(request.service.name, request.rank)
+
     def _has_version(self, request: RoutedRequest) -> bool:
         """Return whether any endpoint has the software version that a request requires."""
         return request.software_version is None or any(
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
@@ -0,0 +1,96 @@
+"""What the VMs tell each other about endpoints: which are silent, and which name limits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+from wagtailusher_core import EndpointId, VmId
+from wagtailusher_daemon.limit_exchange import LimitExchange
+from wagtailusher_daemon.liveness_exchange import LivenessExchange
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.metrics import GatewayMetrics
+from wagtailusher_gateway.models import AnswerTerms, Endpoint
+from wagtailusher_gateway.view_cache import ViewCache
+from wagtailusher_http import HttpClient
+from wagtailusher_wire import AuthenticatedMessage, Message
+
+
+class EndpointFindings:
+    """Connects the exchanges of liveness and limits to the gateway's fleet and view."""
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetDecider,
+        view_cache: ViewCache,
+        client: HttpClient,
+        metrics: GatewayMetrics,
+        send: Callable[[str, Message], None],
+        clock_ms: Callable[[], int],
+    ) -> None:
+        """Start without findings."""
+        self._fleet = fleet
+        self._view_cache = view_cache
+        self.liveness = LivenessExchange(
+            is_answered=client.async_is_answered,
+            drop_idle=client.drop_idle,
+            address_of=self._address_of,
+            peer_addresses=self._peer_addresses,
+            send=send,
+            is_checker=fleet.is_first_for,
+            clock_ms=clock_ms,
+            on_change=lambda change: metrics.liveness.inc({"state": change.state}),
+            seed=random.randrange(1 << 32),
+        )
+        self.limits = LimitExchange(
+            vm_id=fleet.own_member.vm_id,
+            live_vm_ids=self._live_vm_ids,
+            known_vm_count=lambda: len(fleet.all_vm_ids()),
+            is_fleet_settled=fleet.is_settled,
+            peer_addresses=self._peer_addresses,
+            send=send,
+            clock_ms=clock_ms,
+            count_event=lambda event: metrics.limits.inc({"event": event}),
+            seed=random.randrange(1 << 32),
+        )
+
+    def read_limit(self, endpoint: Endpoint, terms: AnswerTerms, attempt_id: str) -> None:
+        """Read the limit that an answer names, or names no longer; a refusal need not repeat it."""
+        self.limits.read_answer(
+            endpoint.endpoint_id,
+            endpoint.born_ms,
+            terms.limits,
+            answer_to=attempt_id,
+            may_end=not terms.not_run,
+        )
+
+    def receive(
+        self, message: Message, authenticated: AuthenticatedMessage, address: str, now_ms: int
+    ) -> None:
+        """Apply a peer's findings; other messages are ignored."""
+        self.liveness.receive(message, authenticated, address, now_ms)
+        self.limits.receive(message, authenticated, address, now_ms)
+
+    def greet(self, address: str, now_ms: int) -> None:
+        """Send what a VM that is new to this one must know before it sends requests."""
+        self.limits.greet(address, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Start the checks that are due, and repeat findings."""
+        self.liveness.tick(now_ms)
+        self.limits.tick(now_ms)
+
+    def close(self) -> None:
+        """Cancel the checks."""
+        self.liveness.close()
+
+    def _address_of(self, endpoint_id: EndpointId) -> str | None:
+        endpoint = self._view_cache.view.endpoints.get(endpoint_id)
+        return endpoint.address if endpoint is not None else None
+
+    def _peer_addresses(self, now_ms: int) -> list[str]:
+        return [member.peer_address for member in self._fleet.live_members(now_ms)]
+
+    def _live_vm_ids(self, now_ms: int) -> tuple[VmId, ...]:
+        return tuple(member.vm_id for member in self._fleet.serving_members(now_ms))
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -50,6 +50,7 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._http_mapping = http_mapping
+        self._dropped_fields = _RESTATED_FIELDS | http_mapping.private_fields
         self._client = client
         self._stream_versions = stream_versions
         self._quarantine = quarantine
@@ -118,7 +119,7 @@
         self._record.record_answer(attempt.status)
         return Response(
             status=attempt.status,
-            headers=attempt.headers.without_hop_headers(_RESTATED_FIELDS),
+            headers=attempt.headers.without_hop_headers(self._dropped_fields),
             body=body,
         )
 
@@ -265,7 +266,7 @@
         self._delivery.record_answered()
         attempt.record_prefill_done()
         self._record.record_first_event(attempt.status, self._dispatcher.clock_ms())
-        headers = attempt.headers.without_hop_headers(_RESTATED_FIELDS)
+        headers = attempt.headers.without_hop_headers(self._dropped_fields)
 
         async def async_body(sink: BodySink) -> None:
             await self._async_relay_stream(attempt, first, sink)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/http_mapping.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/http_mapping.py
@@ -38,6 +38,8 @@
     """Raises RefusedError for headers that can't be parsed."""
     request_headers: Callable[[Headers, ForwardContext], Headers]
     read_answer: Callable[[int, Headers], AnswerTerms]
+    private_fields: frozenset[str]
+    """Names of headers in endpoints' answers that are meant for the gateway, in lower case."""
     answer_id: Callable[[Headers], str | None]
     """Returns the identifier of the request that an answer belongs to, or None if not stated."""
     retry_after: Callable[[int], str]
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -180,6 +180,8 @@
     is_signed: bool
     is_encoded: bool = False
     wrong_incarnation: bool = False
+    limits: tuple[str, ...] = ()
+    """Unparsed requests a second that the endpoint takes from all VMs; empty if it names none."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -24,6 +24,7 @@
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
 from wagtailusher_gateway.outcomes import expected_failure_rate, failure_penalties_ms
 from wagtailusher_gateway.prefixes import MissingTokens, PrefixMemory
+from wagtailusher_rate_limits import RateLimitDecider
 
 CACHED_CHANCE_BY_RANK = (0.9, 0.5)
 """Chance that the first and the second endpoint by rendezvous rank have a shared prompt cached."""
@@ -78,6 +79,7 @@
         registry: EndpointRegistry,
         cold_limiter: ColdStartLimiter,
         contention: PlaceContention,
+        rate_limits: RateLimitDecider,
         failure_domain_id: FailureDomainId,
         seed: int,
         remote_interval_ms: Callable[[], int] = lambda: HEARTBEAT_INTERVAL_MS,
@@ -93,6 +95,7 @@
         self.registry = registry
         self._cold_limiter = cold_limiter
         self._contention = contention
+        self.rate_limits = rate_limits
         self._failure_domain_id = failure_domain_id
         self._prefixes = PrefixMemory()
         self._partitions: dict[str, EnginePartition] = {}
@@ -102,6 +105,9 @@
         """Apply a view."""
         for endpoint_id in self.registry.update(view, now_ms):
             self._prefixes.remove_endpoint(endpoint_id)
+        self.rate_limits.update_endpoints(
+            {key: endpoint.born_ms for key, endpoint in view.endpoints.items()}
+        )
         self._cold_limiter.retain_endpoints(frozenset(view.endpoints))
         self._contention.retain_endpoints(frozenset(view.endpoints))
 
@@ -122,11 +128,13 @@
         rank: int,
         excluded: frozenset[EndpointId] = frozenset(),
         software_version: str | None = None,
+        may_use_limited: bool = True,
     ) -> Reservation | None:
         """Reserve a slot at the endpoint with the lowest cost; return None if all are full.
 
         `excluded` endpoints are used only if no other one has capacity, and endpoints of other
-        versions than a required `software_version` not at all.
+        versions than a required `software_version` not at all; nor those that name a limit, unless
+        `may_use_limited`.
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties = self._penalties_ms(service, terms, usable)
@@ -136,7 +144,8 @@
         candidates = [
             candidate
             for candidate in self._candidates(service, terms, usable, view, vm_ids, now_ms)
-            if candidate[0].endpoint.endpoint_id in penalties
+            if _id_of(candidate) in penalties
+            and (may_use_limited or not self.rate_limits.has_limit(_id_of(candidate)))
             and self._may_compete(service, terms, candidate, preferred_ids, rank, software_version)
         ]
         candidates = _without_excluded(candidates, excluded) or candidates
@@ -147,7 +156,7 @@
         missing = self._prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
         costs = self._costs(service, penalties, candidates, cached_chances, missing)
         best = min(range(len(candidates)), key=lambda index: costs[index])
-        endpoint_id = candidates[best][0].endpoint.endpoint_id
+        endpoint_id = _id_of(candidates[best])
         chance = cached_chances.get(endpoint_id, 0.0) * self._prefixes.repeat_chance(len(vm_ids))
         uncached_tokens = terms.own_prompt_tokens + missing(endpoint_id, chance)
         return self._reserve(service, terms, candidates[best], costs[best], uncached_tokens, now_ms)
@@ -189,12 +198,13 @@
         """Yield the endpoints with capacity, their load and whether they are cold."""
         stale = now_ms - view.confirmed_ms > STALE_VIEW_MS
         for tracked in usable:
-            load = tracked.total_load(now_ms)
-            if not _has_capacity(tracked.endpoint, service, terms, load):
+            load, endpoint_id = tracked.total_load(now_ms), tracked.endpoint.endpoint_id
+            has_capacity = _has_capacity(tracked.endpoint, service, terms, load)
+            if not has_capacity or not self.rate_limits.may_send(endpoint_id, now_ms):
                 continue
             is_cold = self.registry.is_cold(tracked, service, now_ms, view_stale=stale)
             if is_cold and not self._cold_limiter.may_send(
-                tracked.endpoint.endpoint_id, service.cold_requests_per_s, vm_ids, now_ms
+                endpoint_id, service.cold_requests_per_s, vm_ids, now_ms
             ):
                 continue
             yield tracked, load, is_cold
@@ -249,7 +259,7 @@
         candidates: list[Candidate],
     ) -> dict[EndpointId, float]:
         """Return the chance of a cached shared prompt for the candidates preferred by all VMs."""
-        candidate_ids = {candidate[0].endpoint.endpoint_id for candidate in candidates}
+        candidate_ids = {_id_of(candidate) for candidate in candidates}
         available = (endpoint for endpoint in ranked if endpoint.endpoint_id in candidate_ids)
         preferred_ids = self._preferred_ids(available, penalties)
         return dict(zip(preferred_ids, CACHED_CHANCE_BY_RANK, strict=False))
@@ -310,6 +320,7 @@
         tracked.own_load.prefill_tokens += reservation.prefill_tokens
         tracked.own_load.memory_tokens += reservation.memory_tokens
         self._cold_limiter.record_sent(endpoint_id, now_ms)
+        self.rate_limits.record_sent(endpoint_id, now_ms)
         self._prefixes.record_use(terms.shared_parts, endpoint_id, now_ms)
         if is_prompt_heavy(terms):
             self._on_long_prompt(now_ms)
@@ -330,6 +341,10 @@
     return load.prefill_tokens / PREFILL_TOKENS_PER_MS + RUNNING_COST_MS * load.requests
 
 
+def _id_of(candidate: Candidate) -> EndpointId:
+    return candidate[0].endpoint.endpoint_id
+
+
 def _memory_tokens(terms: RequestTerms) -> int:
     """Return the unshared tokens that a request holds in an engine's memory."""
     return terms.own_prompt_tokens + terms.max_output_tokens
@@ -352,7 +367,7 @@
     candidates: list[Candidate], excluded: frozenset[EndpointId]
 ) -> list[Candidate]:
     """Return the candidates that are not excluded."""
-    return [item for item in candidates if item[0].endpoint.endpoint_id not in excluded]
+    return [item for item in candidates if _id_of(item) not in excluded]
 
 
 def _rank_for_prompt(
--- a/packages/wagtailusher_http/src/wagtailusher_http/headers.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/headers.py
@@ -43,6 +43,11 @@
                 return value.decode("latin-1")
         return default
 
+    def get_all(self, name: str) -> tuple[str, ...]:
+        """Return the values of all fields with a name."""
+        wanted = name.lower().encode("ascii")
+        return tuple(value.decode("latin-1") for key, value in self._raw if key == wanted)
+
     def without(self, names: frozenset[str]) -> Headers:
         """Return a copy without the named fields; names are given in lower case."""
         unwanted = {name.encode("ascii") for name in names}
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/__init__.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/__init__.py
@@ -10,6 +10,7 @@
     choose_random,
     choose_round_robin,
 )
+from wagtailusher_placement.const import ANY_INCARNATION
 from wagtailusher_placement.decider import PlacementDecider
 from wagtailusher_placement.endpoints import (
     AttemptResult,
@@ -40,6 +41,7 @@
 from wagtailusher_placement.steward_table import StewardTable, find_steward, steward_epoch
 
 __all__ = [
+    "ANY_INCARNATION",
     "AttemptResult",
     "CacheEvent",
     "CandidateScore",
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -39,6 +39,7 @@
 from wagtailusher_placement.reports import CacheEvent, LoadReport
 from wagtailusher_placement.scoring import choose_by_score
 from wagtailusher_placement.tracked_endpoint import PlacedRequest
+from wagtailusher_rate_limits import RateLimitDecider
 
 
 class PlacementDecider:
@@ -57,8 +58,15 @@
         limits: LeaseLimits | None = None,
         incarnation: Incarnation | None = None,
         liveness: LivenessDecider | None = None,
+        rate_limits: RateLimitDecider | None = None,
     ) -> None:
-        """Report what is heard from endpoints to `liveness`; see `apply_liveness`."""
+        """Report what is heard from endpoints to `liveness`; see `apply_liveness`.
+
+        Endpoints in `rate_limits` get requests no faster than it allows.
+        """
+        self._rate_limits = rate_limits or RateLimitDecider(
+            vm_id, live_vm_ids=lambda now_ms: (vm_id,)
+        )
         self._liveness = liveness or LivenessDecider()
         self._generator = Random(seed)
         self._choose = choose
@@ -77,6 +85,7 @@
         endpoints = tuple(endpoints)
         incarnations = {info.endpoint_id: ANY_INCARNATION for info in endpoints}
         self._liveness.update_endpoints(incarnations, now_ms)
+        self._rate_limits.update_endpoints(incarnations)
         self._fleet.update_endpoints(endpoints, now_ms)
         self._refresh(now_ms)
 
@@ -125,6 +134,13 @@
             endpoint.is_silent = change.state is not Liveness.RESPONSIVE
             self._fleet.mark_changed(endpoint)
 
+    def apply_limit(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Send to an endpoint only as fast as the limit that it names, or no longer names."""
+        endpoint = self._fleet.tracked.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.limited_until_ms = self._rate_limits.next_send_ms(endpoint_id, now_ms)
+            self._fleet.mark_changed(endpoint)
+
     def begin_doubt(self, endpoint_id: EndpointId, now_ms: int) -> bool:
         """Send nothing to an endpoint that may have restarted cold; return whether this began.
 
@@ -179,6 +195,8 @@
         endpoint = self._fleet.tracked[choice.endpoint_id]
         self._starts += 1
         endpoint.last_start_number = self._starts
+        self._rate_limits.record_sent(choice.endpoint_id, now_ms)
+        endpoint.limited_until_ms = self._rate_limits.next_send_ms(choice.endpoint_id, now_ms)
         prefixes = self._fleet.prefixes
         cached = prefixes.cached_share(choice.endpoint_id, request.prefix_hashes)
         self._in_flight.add_request(endpoint, request, cached * request.prompt_tokens, now_ms)
@@ -320,6 +338,8 @@
         self._refreshed_at_ms = now_ms
         self._lease_holder.check_pause(now_ms)
         self._detect_cold(now_ms)
+        for endpoint_id in self._rate_limits.limited_ids:
+            self.apply_limit(endpoint_id, now_ms)
         self._fleet.refresh(now_ms)
 
     def _detect_cold(self, now_ms: int) -> None:
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -149,6 +149,10 @@
         """Send nothing to an endpoint that went silent, until it answers."""
         self._placement.apply_liveness(change)
 
+    def apply_limit(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Send to an endpoint only as fast as the limit that it names, or no longer names."""
+        self._placement.apply_limit(endpoint_id, now_ms)
+
     def begin_doubt(self, endpoint_id: EndpointId, now_ms: int) -> bool:
         """Send nothing to an endpoint that may have restarted; return whether to poll it."""
         return self._placement.begin_doubt(endpoint_id, now_ms)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -10,6 +10,8 @@
     WIRE_VERSION,
 )
 from wagtailusher_wire.endpoint_messages import (
+    LimitEntry,
+    LimitSummary,
     LivenessEntry,
     LivenessSummary,
     QuarantineEntry,
@@ -94,6 +96,8 @@
     "LeaseRecall",
     "LeaseRequest",
     "Leave",
+    "LimitEntry",
+    "LimitSummary",
     "LivenessEntry",
     "LivenessSummary",
     "MalformedMessageError",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -13,7 +13,7 @@
 
 from wagtailusher_wire.capnp_conversion import from_plain, to_plain
 from wagtailusher_wire.const import MAX_NESTING, MAX_STREAM_MESSAGE_BYTES
-from wagtailusher_wire.endpoint_messages import LivenessSummary, QuarantineSummary
+from wagtailusher_wire.endpoint_messages import LimitSummary, LivenessSummary, QuarantineSummary
 from wagtailusher_wire.errors import MalformedMessageError, WireVersionError
 from wagtailusher_wire.gateway_messages import (
     Beat,
@@ -46,6 +46,7 @@
     LeaseBatch: Codec.MSGPACK,
     QuarantineSummary: Codec.MSGPACK,
     LivenessSummary: Codec.MSGPACK,
+    LimitSummary: Codec.MSGPACK,
     Beat: Codec.MSGPACK,
     StreamVersionRecord: Codec.MSGPACK,
     StreamVersionQuery: Codec.MSGPACK,
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/endpoint_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/endpoint_messages.py
@@ -1,4 +1,4 @@
-"""Messages about endpoints that crash or fall silent."""
+"""Messages about endpoints that crash, fall silent or name a limit."""
 
 from __future__ import annotations
 
@@ -50,3 +50,21 @@
     """The endpoints that do not accept the sender's connections, or do so again."""
 
     entries: tuple[LivenessEntry, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitEntry:
+    """The requests that an endpoint takes from all VMs together, as its newest answer said."""
+
+    endpoint_id: EndpointId
+    incarnation: int
+    has_limit: bool
+    limit_per_1000_s: int
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitSummary:
+    """The limits that endpoints named, or ceased to name, as known to the sender."""
+
+    entries: tuple[LimitEntry, ...]
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -221,6 +221,18 @@
   entries @0 :List(LivenessEntry);
 }
 
+struct LimitEntry {
+  endpointId @0 :Text;
+  incarnation @1 :UInt64;
+  hasLimit @2 :Bool;
+  limitPer1000S @3 :UInt32;
+  ageMs @4 :UInt32;
+}
+
+struct LimitSummary {
+  entries @0 :List(LimitEntry);
+}
+
 struct ClassDemand {
   workspaceId @0 :Text;
   classId @1 :Text;
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -15,7 +15,7 @@
     VmId,
     WorkspaceId,
 )
-from wagtailusher_wire.endpoint_messages import LivenessSummary, QuarantineSummary
+from wagtailusher_wire.endpoint_messages import LimitSummary, LivenessSummary, QuarantineSummary
 from wagtailusher_wire.gateway_messages import (
     Beat,
     StreamVersionAnswer,
@@ -344,6 +344,7 @@
     | StreamVersionQuery
     | StreamVersionAnswer
     | LivenessSummary
+    | LimitSummary
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -371,5 +372,6 @@
     StreamVersionQuery,
     StreamVersionAnswer,
     LivenessSummary,
+    LimitSummary,
 )
 """Message types by their number on the wire; new types are only appended."""
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -41,6 +41,8 @@
     wrong_request_id: bool = False
     crash_word: str | None = None
     report_lag_ms: int = 0
+    limit: str | None = None
+    """Requests a second from all VMs together, named in answers."""
     idle_timeout_ms: int = 75_000
     """Time after which an idle connection is closed; applies from the next start on."""
 
@@ -178,6 +180,8 @@
         tokens = int(value.get("max_tokens") or self.behaviour.default_tokens)
         returned_id = "someone-else" if self.behaviour.wrong_request_id else request_id
         headers = Headers([("x-request-id", returned_id)])
+        if self.behaviour.limit is not None:
+            headers = headers.with_header("x-wagtailusher-limit", self.behaviour.limit)
         stream = self._async_first_stream(self._start_generation(request_id, tokens))
         if value.get("stream"):
             headers = headers.with_header("content-type", "text/event-stream")
--- a/tests/test_readmes.py
+++ b/tests/test_readmes.py
@@ -7,7 +7,15 @@
 import unittest
 
 PACKAGES = Path(__file__).resolve().parent.parent / "packages"
-LIBRARIES_WITH_EXAMPLES = ("admission", "liveness", "once", "quarantine", "router", "settings")
+LIBRARIES_WITH_EXAMPLES = (
+    "admission",
+    "liveness",
+    "once",
+    "quarantine",
+    "rate_limits",
+    "router",
+    "settings",
+)
 _EXAMPLE = re.compile(r"```python\n(.*?)```", re.DOTALL)
 
 
--- a/tests/wagtailusher_gateway/builders.py
+++ b/tests/wagtailusher_gateway/builders.py
@@ -25,6 +25,7 @@
     Workspace,
 )
 from wagtailusher_gateway.placement import Placement
+from wagtailusher_rate_limits import RateLimitDecider
 
 ENGINES = Service(
     name="engines",
@@ -136,6 +137,7 @@
 def new_placement(current: FleetView, seed: int = 1, vm_id: VmId = VM_IDS[1]) -> Placement:
     """Return a VM's placement with a view applied."""
     placement = Placement(
+        rate_limits=RateLimitDecider(VM_IDS[0], live_vm_ids=lambda now_ms: VM_IDS),
         registry=EndpointRegistry(),
         cold_limiter=ColdStartLimiter(vm_id, overage=1.5, slack=5),
         contention=PlaceContention(vm_id),
--- a/tests/wagtailusher_platform/test_endpoint_limits.py
+++ b/tests/wagtailusher_platform/test_endpoint_limits.py
@@ -12,6 +12,7 @@
 
 from tests.standins.runner import Received, RunnerStandin, response_head, stream
 from tests.wagtailusher_platform.fleet import PlatformTest, entry
+from wagtailusher_core import rank_by_rendezvous
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_gateway import GatewayApp
 from wagtailusher_http import AnswerError
@@ -73,11 +74,12 @@
     """Three VMs and three engines, of which some name limits."""
 
     async def async_start_fleet(self, *limits: str | None) -> None:
-        """Start engines and VMs that know each other."""
+        """Start engines and VMs that know each other; the first engine is for long prompts."""
         self.engines = [LimitedEngine(limit) for limit in limits]
-        for number, engine in enumerate(self.engines):
-            runner = await self.async_runner("engines", f"i-{number}", engine.async_behave)
-            self.store.put(f"servers/i-{number}", entry(runner, "engines", slots=48))
+        names = rank_by_rendezvous("lanes", [f"i-{number}" for number in range(len(limits))])
+        for name, engine in zip(names, self.engines, strict=True):
+            runner = await self.async_runner("engines", name, engine.async_behave)
+            self.store.put(f"servers/{name}", entry(runner, "engines", slots=48))
         for number in range(VM_COUNT):
             await self.async_gateway(number + 1)
         for app in self.apps:
@@ -123,11 +125,29 @@
         self.assertGreaterEqual(most, USED_SHARE * limit_per_s * WINDOW_S)
 
     async def test_engine_gets_no_more_than_the_limit_that_it_named(self) -> None:
-        await self.async_start_fleet("1", "0.4", None)
+        await self.async_start_fleet(None, "1", "0.4")
         await self.async_load(LOAD_S, "/chat/")
-        self.check_bound(self.engines[0], 1.0)
-        self.check_bound(self.engines[1], 0.4)
+        self.check_bound(self.engines[1], 1.0)
+        self.check_bound(self.engines[2], 0.4)
         self.assertEqual(set(self.outcomes), {("/chat/", 200)})
+        self.assertFalse(self.has_limit_field)
+
+    async def test_limit_that_an_engine_no_longer_names_ends(self) -> None:
+        await self.async_start_fleet(None, "1")
+        await self.async_load(LOAD_S, "/chat/")
+        limited = self.engines[1]
+        self.check_bound(limited, 1.0)
+        limited.limit = None
+        ended_s = time.monotonic()
+        await self.async_load(WINDOW_S, "/chat/")
+        self.assertGreater(limited.most_in_window(ended_s), FACTOR * WINDOW_S + SLACK)
+
+    async def test_limits_that_cannot_be_read_are_ignored(self) -> None:
+        await self.async_start_fleet(None, "-1", "1\r\nServer-Limit: 2")
+        await self.async_load(WINDOW_S, "/chat/")
+        self.assertEqual(set(self.outcomes), {("/chat/", 200)})
+        for engine in self.engines[1:]:
+            self.assertGreater(len(engine.arrived_s), FACTOR * WINDOW_S + SLACK)
 
     async def test_engines_that_all_name_limits_get_no_more(self) -> None:
         await self.async_start_fleet("1.5", "1.5", "1.5")
