--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -17,6 +17,7 @@
 from wagtailusher_http.const import (
     DEFAULT_HEAD_TIMEOUT_MS,
     DEFAULT_SILENCE_TIMEOUT_MS,
+    HELD_CHUNK_PAUSE_MS,
     KEEP_ALIVE_REUSE_SHARE,
     MAX_TINY_CHUNKS,
     MAX_UNMATCHED_RESPONSES,
@@ -154,7 +155,9 @@
 
     def _iter_held(self, silence_timeout_ms: int) -> AsyncGenerator[bytes, None]:
         """Yield the body and keep the connection."""
-        return self._connection.async_iter_body(silence_timeout_ms, lambda *_: None)
+        return self._connection.async_iter_body(
+            silence_timeout_ms, lambda *_: None, HELD_CHUNK_PAUSE_MS
+        )
 
     async def _async_check_body(self, body: bytes, wait_ms: int) -> None:
         """Raise AnswerMixedError if bytes of another response may be part of a complete body.
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -225,9 +225,15 @@
             self.prevent_reuse()
 
     async def async_iter_body(
-        self, silence_timeout_ms: int, return_connection: ReturnConnection
+        self,
+        silence_timeout_ms: int,
+        return_connection: ReturnConnection,
+        pause_ms: int = CHUNK_PAUSE_MS,
     ) -> AsyncGenerator[bytes, None]:
-        """Yield the body, joining data received together; return the connection at the end."""
+        """Yield the body, joining data received together; return the connection at the end.
+
+        `pause_ms` follows each full turn of a peer that sends ever more chunks.
+        """
         ended = False
         try:
             while not ended:
@@ -235,7 +241,7 @@
                 if chunks:
                     yield chunks[0] if len(chunks) == 1 else b"".join(chunks)
                 if self._is_turn_full:
-                    await self._async_end_turn()
+                    await self._async_end_turn(pause_ms)
                 elif not ended:
                     await self._async_read(silence_timeout_ms)
         finally:
@@ -254,7 +260,7 @@
             result = self._relay_parsed(deliver)
             while result is None:
                 if self._is_turn_full:
-                    await self._async_end_turn()
+                    await self._async_end_turn(CHUNK_PAUSE_MS)
                     result = self._relay_parsed(deliver)
                 elif self._socket.has_unread_input:
                     result = self._relay_received(deliver)
@@ -267,12 +273,12 @@
                 return_connection(self, ended)
         return ended
 
-    async def _async_end_turn(self) -> None:
-        """Let the event loop run other tasks, for longer if the peer sends ever more chunks."""
+    async def _async_end_turn(self, pause_ms: int) -> None:
+        """Let the event loop run other tasks, and pause if the peer sends ever more chunks."""
         self._is_turn_full = False
         self._full_turns += 1
-        pause_ms = CHUNK_PAUSE_MS if self._full_turns > MAX_FULL_TURNS else 0
-        await asyncio.sleep(pause_ms / MS_PER_S)
+        is_flood = self._full_turns > MAX_FULL_TURNS
+        await asyncio.sleep(pause_ms / MS_PER_S if is_flood else 0)
 
     async def _async_relay_incoming(self, deliver: Deliver, silence_timeout_ms: int) -> bool | None:
         """Relay body data as the socket receives it; return None at the end of a full turn."""
