--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -16,6 +16,8 @@
 """Full turns of one body after which each further one is followed by a pause."""
 CHUNK_PAUSE_MS = 100
 """Pause after a full turn, so that a flood of tiny chunks takes a few hundredths of the time."""
+MAX_TIMER_DELAY_S = 0.05
+"""Delay of a timer above which this process counts as paused; several turns of the event loop."""
 HELD_CHUNK_PAUSE_MS = 10
 """The same for a body that is held until it is whole: the number of its chunks is bounded."""
 MAX_TINY_CHUNKS = 2048
--- a/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
@@ -7,7 +7,7 @@
 from typing import cast
 
 from wagtailusher_core import callback
-from wagtailusher_http.const import MAX_UNREAD_BYTES
+from wagtailusher_http.const import MAX_TIMER_DELAY_S, MAX_UNREAD_BYTES
 
 Listener = Callable[[], bool | None]
 
@@ -229,11 +229,18 @@
 
     @callback
     def _check_deadline(self) -> None:
-        """End the wait when its deadline has passed, else reschedule the timer."""
-        self._timer = None
+        """End the wait when its deadline has passed, else reschedule the timer.
+
+        A timer that fires late shows that this process was paused, which is not the peer's silence.
+        """
+        timer, self._timer = self._timer, None
         if self._read_waiter is None or self._read_waiter.done():
             return
-        if self._loop.time() < self._deadline_s:
+        now_s = self._loop.time()
+        late_s = now_s - timer.when() if timer is not None else 0.0
+        if late_s > MAX_TIMER_DELAY_S:
+            self._deadline_s = max(self._deadline_s, now_s) + late_s
+        if now_s < self._deadline_s:
             self._timer = self._loop.call_at(self._deadline_s, self._check_deadline)
             return
         self._read_waiter.set_exception(TimeoutError())
