--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_partition.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_partition.py
@@ -92,10 +92,27 @@
         return min(engine_count - 1.0, max(1.0, share * engine_count))
 
     def penalties_ms(
-        self, terms: RequestTerms, engine_ids: Sequence[EndpointId]
+        self,
+        terms: RequestTerms,
+        engine_ids: Sequence[EndpointId],
+        limited_ids: frozenset[EndpointId] = frozenset(),
     ) -> dict[EndpointId, float]:
         """Return the engines that a request may use, with the cost penalty of each in ms.
 
+        Engines that name a limit are in neither part while there are others: each may take any
+        request that its limit allows.
+        """
+        free_ids = [engine_id for engine_id in engine_ids if engine_id not in limited_ids]
+        if not free_ids:
+            return self._part_penalties_ms(terms, engine_ids)
+        outside = dict.fromkeys(limited_ids.intersection(engine_ids), 0.0)
+        return self._part_penalties_ms(terms, free_ids) | outside
+
+    def _part_penalties_ms(
+        self, terms: RequestTerms, engine_ids: Sequence[EndpointId]
+    ) -> dict[EndpointId, float]:
+        """Return the penalties by the partition of engines.
+
         All VMs order the engines alike. Long prompts stay in their partition, because a single one
         delays every stream on its engine. Other requests may use those engines at a penalty, which
         grows gradually near the boundary, where the estimates of the VMs differ.
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -45,7 +45,6 @@
 PLAIN_REQUEST_COST_MS = 60.0
 """Delay at a plain endpoint whose slots are all in use; a few service times."""
 
-
 Candidate = tuple[TrackedEndpoint, Load, bool]
 """An endpoint with capacity, its load, and whether it is in cold start."""
 
@@ -184,7 +183,8 @@
         ids = [tracked.endpoint.endpoint_id for tracked in usable]
         if service.engine is None:
             return dict.fromkeys(ids, 0.0)
-        return self._partitions.setdefault(service.name, EnginePartition()).penalties_ms(terms, ids)
+        partition = self._partitions.setdefault(service.name, EnginePartition())
+        return partition.penalties_ms(terms, ids, self.rate_limits.limited_ids)
 
     def _candidates(
         self,
--- a/packages/wagtailusher_rate_limits/src/wagtailusher_rate_limits/decider.py
+++ b/packages/wagtailusher_rate_limits/src/wagtailusher_rate_limits/decider.py
@@ -139,9 +139,9 @@
         return not self._limited
 
     @property
-    def limited_ids(self) -> tuple[EndpointId, ...]:
+    def limited_ids(self) -> frozenset[EndpointId]:
         """Return the endpoints that have named a limit."""
-        return tuple(self._limited)
+        return frozenset(self._limited)
 
     def has_limit(self, endpoint_id: EndpointId) -> bool:
         """Return whether an endpoint has named a limit."""
--- a/tests/wagtailusher_gateway/test_limited_endpoints.py
+++ b/tests/wagtailusher_gateway/test_limited_endpoints.py
@@ -9,13 +9,15 @@
 
 from tests.wagtailusher_gateway.builders import (
     DESK,
+    ENGINES,
     VM_IDS,
     endpoint,
     new_placement,
     plain_terms,
+    terms,
     view,
 )
-from wagtailusher_core import EndpointId
+from wagtailusher_core import EndpointId, rank_by_rendezvous
 from wagtailusher_gateway.admission import Admission, QueuedRequest
 
 LIMITED = EndpointId("i-1")
@@ -50,6 +52,16 @@
         self.placement.rate_limits.record_answer(LIMITED, 1, 100.0, 0)
         self.assertEqual(self.reserved_ids(6, may_use_limited=False), {"i-2"})
 
+    def test_long_prompt_goes_to_a_free_engine_if_the_one_for_long_prompts_is_limited(self) -> None:
+        names = rank_by_rendezvous("lanes", [f"i-{number}" for number in range(1, 3)])
+        current = view(endpoint(1), endpoint(2))
+        placement = new_placement(current)
+        placement.rate_limits.record_answer(EndpointId(names[0]), 1, 0.25, 0)
+        placement.rate_limits.record_sent(EndpointId(names[0]), 0)
+        reservation = placement.try_reserve(ENGINES, terms(), current, VM_IDS, 0, rank=1)
+        assert reservation is not None
+        self.assertEqual(reservation.endpoint.endpoint_id, names[1])
+
     def test_more_urgent_requests_of_the_same_service_count(self) -> None:
         admission = Admission(seed=1)
         queued = QueuedRequest(
