--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -62,6 +62,8 @@
 DOUBT_POLL_MS = 1_000
 """Time of polling an engine that may have restarted and closes connections without an answer."""
 DOUBT_POLL_PAUSE_MS = 50
+FINDINGS_PER_DATAGRAM = 4
+"""Endpoints in one message; their identifiers may have up to 200 bytes each."""
 REPEATED_PEERS = 6
 """Peers that get each repetition of what this VM found of endpoints; all get it the first time."""
 LIVENESS_CHECK_TIMEOUT_MS = 120
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
@@ -8,8 +8,12 @@
 import random
 
 from wagtailusher_core import EndpointId, callback
-from wagtailusher_daemon.const import LIVENESS_CHECK_TIMEOUT_MS, REPEATED_PEERS
-from wagtailusher_daemon.convert import convert
+from wagtailusher_daemon.const import (
+    FINDINGS_PER_DATAGRAM,
+    LIVENESS_CHECK_TIMEOUT_MS,
+    REPEATED_PEERS,
+)
+from wagtailusher_daemon.convert import batches, convert
 from wagtailusher_liveness import Liveness, LivenessChange, LivenessDecider, LivenessReport
 from wagtailusher_wire import AuthenticatedMessage, LivenessEntry, LivenessSummary, Message
 
@@ -124,7 +128,7 @@
 
     def _report(self, reports: Iterable[LivenessReport], addresses: Iterable[str]) -> None:
         entries = tuple(convert(report, LivenessEntry) for report in reports)
-        if not entries:
-            return
-        for address in addresses:
-            self._send(address, LivenessSummary(entries=entries))
+        addresses = tuple(addresses)
+        for batch in batches(entries, FINDINGS_PER_DATAGRAM):
+            for address in addresses:
+                self._send(address, LivenessSummary(entries=batch))
--- a/packages/wagtailusher_liveness/src/wagtailusher_liveness/const.py
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/const.py
@@ -25,7 +25,7 @@
 """Interval at which a report is repeated, as datagrams may be lost."""
 
 MAX_REPORTS: Final = 24
-"""Most reports in one message, so that it fits into a datagram."""
+"""Most reports at once; bounds what one tick sends."""
 
 SAME_SILENCE_MS: Final = 100
 """Difference of the last signs of life that two VMs may have of one endpoint; a few gaps between
--- a/packages/wagtailusher_rate_limits/src/wagtailusher_rate_limits/const.py
+++ b/packages/wagtailusher_rate_limits/src/wagtailusher_rate_limits/const.py
@@ -33,7 +33,7 @@
 """Age up to which a VM repeats what it read itself."""
 
 MAX_REPORTS: Final = 24
-"""Most reports in one message, so that it fits into a datagram."""
+"""Most reports at once; bounds what one tick sends."""
 
 NO_POSITION: Final = 1 << 30
 """Position of a VM that takes no requests, behind all others."""
