--- a/packages/wagtailusher_liveness/src/wagtailusher_liveness/decider.py
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/decider.py
@@ -90,11 +90,6 @@
         endpoint = self._endpoints.get(endpoint_id)
         return Liveness.RESPONSIVE if endpoint is None else endpoint.state
 
-    def incarnation(self, endpoint_id: EndpointId) -> int | None:
-        """Return the incarnation to name in the calls about a request or a check."""
-        endpoint = self._endpoints.get(endpoint_id)
-        return None if endpoint is None else endpoint.incarnation
-
     def record_sent(self, endpoint_id: EndpointId, incarnation: int, now_ms: int) -> None:
         """Record that a request was sent to an endpoint."""
         endpoint = self._find(endpoint_id, incarnation)
