--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -65,7 +65,9 @@
 FINDINGS_PER_DATAGRAM = 4
 """Endpoints in one message; their identifiers may have up to 200 bytes each."""
 REPEATED_PEERS = 6
-"""Peers that get each repetition of what this VM found of endpoints; all get it the first time."""
+"""Peers that get each repetition of what this VM found of endpoints."""
+FIRST_PEERS = 12
+"""Peers that learn at once of an endpoint that this VM found silent; its checker tells others."""
 LIVENESS_CHECK_TIMEOUT_MS = 120
 """Time for an endpoint to accept a connection; many round trips between failure domains."""
 PERMILLE = 1_000
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/endpoint_findings.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/endpoint_findings.py
@@ -30,13 +30,20 @@
         is_ready: Callable[[], bool],
     ) -> None:
         """Start without findings; `decider` returns the decider, which is built later."""
+
+        def checker_address(endpoint_id: EndpointId, now_ms: int) -> str | None:
+            steward_id = decider().steward_id(endpoint_id)
+            if steward_id is None or steward_id == vm_id:
+                return None
+            return directory.peer_address_of(steward_id)
+
         self.liveness = LivenessExchange(
             is_answered=client.async_is_answered,
             drop_idle=client.drop_idle,
             address_of=directory.endpoint_address_of,
             peer_addresses=lambda now_ms: directory.live_peer_addresses(),
             send=send,
-            is_checker=lambda endpoint_id, now_ms: decider().steward_id(endpoint_id) == vm_id,
+            checker_address=checker_address,
             clock_ms=monotonic_ms,
             on_change=lambda change: decider().apply_liveness(change),
             seed=new_seed(),
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
@@ -10,6 +10,7 @@
 from wagtailusher_core import EndpointId, callback
 from wagtailusher_daemon.const import (
     FINDINGS_PER_DATAGRAM,
+    FIRST_PEERS,
     LIVENESS_CHECK_TIMEOUT_MS,
     REPEATED_PEERS,
 )
@@ -31,7 +32,7 @@
         address_of: Callable[[EndpointId], str | None],
         peer_addresses: Callable[[int], Iterable[str]],
         send: Callable[[str, Message], None],
-        is_checker: Callable[[EndpointId, int], bool],
+        checker_address: Callable[[EndpointId, int], str | None],
         clock_ms: Callable[[], int],
         on_change: Callable[[LivenessChange], None] = lambda change: None,
         seed: int = 0,
@@ -40,17 +41,22 @@
 
         `is_answered` connects to an address within a time in ms, `drop_idle` closes its idle
         connections, and `peer_addresses` returns where live peers receive datagrams.
+        `checker_address` returns that of the VM that checks an endpoint for all, None for this one.
         """
         self._is_answered = is_answered
         self._drop_idle = drop_idle
         self._address_of = address_of
+        self._checker_address = checker_address
         self._peer_addresses = peer_addresses
         self._send = send
         self._clock_ms = clock_ms
         self._on_change = on_change
         self._tasks: set[asyncio.Task[None]] = set()
         self._random = random.Random(seed)
-        self.decider = LivenessDecider(is_checker=is_checker, on_change=self._handle_change)
+        self.decider = LivenessDecider(
+            is_checker=lambda endpoint_id, now_ms: checker_address(endpoint_id, now_ms) is None,
+            on_change=self._handle_change,
+        )
 
     @callback
     def tick(self, now_ms: int) -> None:
@@ -124,7 +130,16 @@
             asyncio.get_running_loop().call_soon(self._report_new)
 
     def _report_new(self) -> None:
-        self._report(self.decider.new_reports(), self._peer_addresses(self._clock_ms()))
+        """Tell all peers what this VM checks for them; other findings go to checker and some."""
+        now_ms = self._clock_ms()
+        addresses = list(self._peer_addresses(now_ms))
+        for report in self.decider.new_reports():
+            checker_address = self._checker_address(report.endpoint_id, now_ms)
+            if checker_address is None or len(addresses) <= FIRST_PEERS:
+                self._report((report,), addresses)
+                continue
+            chosen = self._random.sample(addresses, FIRST_PEERS)
+            self._report((report,), {checker_address, *chosen})
 
     def _report(self, reports: Iterable[LivenessReport], addresses: Iterable[str]) -> None:
         entries = tuple(convert(report, LivenessEntry) for report in reports)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
@@ -38,7 +38,7 @@
             address_of=self._address_of,
             peer_addresses=self._peer_addresses,
             send=send,
-            is_checker=fleet.is_first_for,
+            checker_address=fleet.first_peer_for,
             clock_ms=clock_ms,
             on_change=lambda change: metrics.liveness.inc({"state": change.state}),
             seed=random.randrange(1 << 32),
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -230,9 +230,13 @@
 
     def is_first_for(self, key: str, now_ms: int) -> bool:
         """Return whether this VM is the one of the live members that a key's hash selects."""
-        own_id = self.own_member.vm_id
-        live_ids = (member.vm_id for member in self.live_members(now_ms))
-        return first_by_rendezvous(key, (own_id, *live_ids)) == own_id
+        return self.first_peer_for(key, now_ms) is None
+
+    def first_peer_for(self, key: str, now_ms: int) -> str | None:
+        """Return the peer address of the VM that a key's hash selects, or None for this one."""
+        addresses = {member.vm_id: member.peer_address for member in self.live_members(now_ms)}
+        first = first_by_rendezvous(key, (self.own_member.vm_id, *addresses))
+        return addresses.get(VmId(first)) if first is not None else None
 
     def is_settled(self, now_ms: int) -> bool:
         """Return whether this VM knows its fleet well enough to use its share of fleet-wide limits.
--- a/packages/wagtailusher_liveness/src/wagtailusher_liveness/const.py
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/const.py
@@ -8,6 +8,9 @@
 """Silence of all begun streams of an endpoint that makes it suspected; several times the usual gap
 between events, and about the longest that callers expect."""
 
+SINGLE_SILENCE_MS: Final = 400
+"""The same where a single answer has begun; one stream alone may wait for the prompts of others."""
+
 FIRST_BYTE_MS: Final = 500
 """The same where no answer has begun; longer than prompts usually wait to be read."""
 
@@ -18,9 +21,13 @@
 RECHECK_MS: Final = 300
 """Interval at which one VM of the fleet checks an unresponsive endpoint."""
 
-OTHERS_RECHECK_MS: Final = 700
+OTHERS_RECHECK_MS: Final = 2_000
 """The same for all other VMs, which may reach an endpoint that this one does not."""
 
+TOLD_MS: Final = 1_000
+"""How long a VM without requests at an endpoint avoids it on a peer's word before it checks itself;
+two repetitions of a report."""
+
 REPORT_INTERVAL_MS: Final = 500
 """Interval at which a report is repeated, as datagrams may be lost."""
 
--- a/packages/wagtailusher_liveness/src/wagtailusher_liveness/decider.py
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/decider.py
@@ -14,6 +14,7 @@
     REPORT_INTERVAL_MS,
     SAME_SILENCE_MS,
     SUSPICION_PAUSE_MS,
+    TOLD_MS,
 )
 from wagtailusher_liveness.limits import LivenessLimits
 from wagtailusher_liveness.reports import Liveness, LivenessChange, LivenessReport
@@ -50,9 +51,9 @@
     """One VM's detection of endpoints that went silent.
 
     An endpoint is suspected when all its answers at this VM fall silent at once, or when a peer
-    reports it; nothing is sent to it until a connection shows whether it is alive. Peers check what
-    is reported to them, unless they have heard from the endpoint since, so that a VM that is cut
-    off from endpoints does not turn the fleet against them.
+    reports it; nothing is sent to it until a connection shows whether it is alive. A report is
+    checked by the endpoint's checker and by VMs with requests there, unless they have heard from it
+    since, so that a VM that is cut off from endpoints does not turn the fleet against them.
     """
 
     def __init__(
@@ -64,7 +65,7 @@
     ) -> None:
         """Start without endpoints.
 
-        `is_checker` returns whether this VM is the one that checks an unresponsive endpoint often.
+        `is_checker` returns whether this VM is the one that checks an endpoint for all others.
         """
         self._limits = limits or LivenessLimits()
         self._is_checker = is_checker
@@ -127,16 +128,19 @@
         if endpoint is None:
             return
         endpoint.is_checking = False
+        is_checker = self._is_checker(endpoint_id, now_ms)
         if is_answered:
+            is_refuted = is_checker and endpoint.state is Liveness.SUSPECTED and endpoint.told_by
             endpoint.suspectable_ms = now_ms + SUSPICION_PAUSE_MS
             self._revive(endpoint, now_ms)
+            if is_refuted:
+                self._unsent.append(_report(endpoint, now_ms))
             return
         endpoint.unanswered_ms = now_ms
-        is_checker = self._is_checker(endpoint_id, now_ms)
         endpoint.check_due_ms = now_ms + (RECHECK_MS if is_checker else OTHERS_RECHECK_MS)
         if endpoint.state is not Liveness.UNRESPONSIVE:
             self._set_state(endpoint, Liveness.UNRESPONSIVE, now_ms)
-            if endpoint.told_by is None:
+            if endpoint.told_by is None or is_checker:
                 self._unsent.append(_report(endpoint, now_ms))
 
     def merge(self, report: LivenessReport, told_by: VmId, now_ms: int) -> None:
@@ -146,12 +150,17 @@
             return
         if report.is_responsive:
             endpoint.check_due_ms = now_ms
+            if endpoint.state is Liveness.SUSPECTED and endpoint.told_by is not None:
+                self._set_state(endpoint, Liveness.RESPONSIVE, now_ms)
             return
         if endpoint.heard_ms > now_ms - report.silent_ms + SAME_SILENCE_MS:
             return
         if endpoint.state is Liveness.RESPONSIVE:
             endpoint.told_by = told_by
             self._suspect(endpoint, now_ms)
+        is_involved = endpoint.in_flight or self._is_checker(endpoint.endpoint_id, now_ms)
+        if endpoint.state is Liveness.SUSPECTED and not is_involved:
+            endpoint.check_due_ms = now_ms + TOLD_MS
 
     def tick(self, now_ms: int) -> None:
         """Suspect the endpoints that have been silent for too long."""
@@ -209,7 +218,9 @@
         if not endpoint.in_flight or now_ms < endpoint.suspectable_ms:
             return False
         limits = self._limits
-        limit_ms = limits.silence_ms if endpoint.begun else limits.first_byte_ms
+        limit_ms = limits.silence_ms if endpoint.begun > 1 else limits.single_silence_ms
+        if not endpoint.begun:
+            limit_ms = limits.first_byte_ms
         return endpoint.silent_ms(now_ms) >= limit_ms
 
     def _suspect(self, endpoint: _Endpoint, now_ms: int) -> None:
--- a/packages/wagtailusher_liveness/src/wagtailusher_liveness/limits.py
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/limits.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from wagtailusher_liveness.const import FIRST_BYTE_MS, SILENCE_MS
+from wagtailusher_liveness.const import FIRST_BYTE_MS, SILENCE_MS, SINGLE_SILENCE_MS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -12,6 +12,8 @@
     """How long an endpoint may be silent before it is checked."""
 
     silence_ms: int = SILENCE_MS
-    """Where answers have begun."""
+    """Where several answers have begun."""
+    single_silence_ms: int = SINGLE_SILENCE_MS
+    """Where one answer has begun."""
     first_byte_ms: int = FIRST_BYTE_MS
     """Where requests wait for their answers to begin."""
--- a/tests/wagtailusher_daemon/test_finding_messages.py
+++ b/tests/wagtailusher_daemon/test_finding_messages.py
@@ -44,7 +44,7 @@
             address_of=lambda endpoint_id: "127.0.0.1:1",
             peer_addresses=lambda now_ms: ("127.0.0.2:1",),
             send=self.send,
-            is_checker=lambda endpoint_id, now_ms: True,
+            checker_address=lambda endpoint_id, now_ms: None,
             clock_ms=lambda: 1_000,
         )
         exchange.decider.update_endpoints(dict.fromkeys(ENDPOINTS, BORN_MS), 0)
--- a/tests/wagtailusher_liveness/test_liveness.py
+++ b/tests/wagtailusher_liveness/test_liveness.py
@@ -15,6 +15,8 @@
 PEER = VmId("vm-2")
 TICK_MS = 50
 SILENCE_MS = 200
+SINGLE_SILENCE_MS = 400
+TOLD_MS = 1_000
 FIRST_BYTE_MS = 500
 DARK_MS = 1_000
 
@@ -42,7 +44,8 @@
     def go_dark(self, vm: LivenessDecider, *, at_ms: int = DARK_MS) -> int:
         """Let a VM's streams fall silent, and its check fail; return when it did."""
         self.tick(vm, 0, at_ms)
-        self.start_stream(vm, at_ms)
+        for _ in range(2):
+            self.start_stream(vm, at_ms)
         self.tick(vm, at_ms, at_ms + SILENCE_MS)
         self.assertEqual(vm.begin_checks(at_ms + SILENCE_MS), ((ENGINE, 1),))
         failed_ms = at_ms + SILENCE_MS + 100
@@ -61,6 +64,14 @@
             [Liveness.SUSPECTED, Liveness.UNRESPONSIVE],
         )
 
+    def test_single_stream_has_more_time(self) -> None:
+        self.tick(self.vm, 0, DARK_MS)
+        self.start_stream(self.vm, DARK_MS)
+        self.tick(self.vm, DARK_MS, DARK_MS + SINGLE_SILENCE_MS - TICK_MS)
+        self.assertIs(self.vm.state(ENGINE), Liveness.RESPONSIVE)
+        self.vm.tick(DARK_MS + SINGLE_SILENCE_MS)
+        self.assertIs(self.vm.state(ENGINE), Liveness.SUSPECTED)
+
     def test_endpoint_that_sends_events_is_not_suspected(self) -> None:
         self.start_stream(self.vm, 0)
         for now_ms in range(0, 2_000, TICK_MS):
@@ -144,7 +155,39 @@
             self.peer.merge(report, PEER, failed_ms + 602)
         self.assertIs(self.peer.state(ENGINE), Liveness.RESPONSIVE)
 
+    def test_vm_without_requests_avoids_the_endpoint_until_its_checker_has_decided(self) -> None:
+        other = LivenessDecider(is_checker=lambda endpoint_id, now_ms: False)
+        other.update_endpoints({ENGINE: 1}, 0)
+        failed_ms = self.go_dark(self.vm)
+        for report in self.tell(failed_ms + 2):
+            other.merge(report, PEER, failed_ms + 2)
+        self.assertIs(other.state(ENGINE), Liveness.SUSPECTED)
+        self.assertEqual(other.begin_checks(failed_ms + TOLD_MS), ())
+        self.peer.begin_checks(failed_ms + 2)
+        self.peer.record_check(ENGINE, 1, failed_ms + 5, is_answered=True)
+        for report in self.peer.new_reports():
+            other.merge(report, PEER, failed_ms + 7)
+        self.assertIs(other.state(ENGINE), Liveness.RESPONSIVE)
+
+    def test_vm_whose_checker_says_nothing_checks_itself(self) -> None:
+        other = LivenessDecider(is_checker=lambda endpoint_id, now_ms: False)
+        other.update_endpoints({ENGINE: 1}, 0)
+        failed_ms = self.go_dark(self.vm)
+        for report in self.vm.new_reports():
+            other.merge(report, PEER, failed_ms)
+        self.assertEqual(other.begin_checks(failed_ms + TOLD_MS), ((ENGINE, 1),))
+
+    def test_checker_tells_all_what_it_was_told(self) -> None:
+        failed_ms = self.go_dark(self.vm)
+        self.tell(failed_ms + 2)
+        self.peer.begin_checks(failed_ms + 2)
+        self.peer.record_check(ENGINE, 1, failed_ms + 100, is_answered=False)
+        self.assertEqual(len(self.peer.new_reports()), 1)
+
     def test_what_a_peer_reported_is_not_reported_again(self) -> None:
+        self.peer = LivenessDecider(is_checker=lambda endpoint_id, now_ms: False)
+        self.peer.update_endpoints({ENGINE: 1}, 0)
+        self.peer.record_sent(ENGINE, 1, DARK_MS)
         failed_ms = self.go_dark(self.vm)
         self.tell(failed_ms + 2)
         self.peer.begin_checks(failed_ms + 2)
