--- a/packages/wagtailusher_liveness/src/wagtailusher_liveness/decider.py
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/decider.py
@@ -35,6 +35,8 @@
     """Those in flight whose answers have begun."""
     state: Liveness = Liveness.RESPONSIVE
     told_by: VmId | None = None
+    silent_since_ms: int = 0
+    """Start of the silence that raised suspicion."""
     unanswered_ms: int = 0
     """When the endpoint was last suspected, or did not accept a connection."""
     is_checking: bool = False
@@ -241,6 +243,9 @@
             self._unsent.append(_report(endpoint, now_ms))
 
     def _set_state(self, endpoint: _Endpoint, state: Liveness, now_ms: int) -> None:
+        if endpoint.state is Liveness.RESPONSIVE:
+            silent_ms = endpoint.silent_ms(now_ms) if endpoint.in_flight else 0
+            endpoint.silent_since_ms = now_ms - silent_ms
         endpoint.state = state
         self._on_change(
             LivenessChange(
@@ -259,5 +264,5 @@
         endpoint_id=endpoint.endpoint_id,
         incarnation=endpoint.incarnation,
         is_responsive=endpoint.state is Liveness.RESPONSIVE,
-        silent_ms=now_ms - endpoint.heard_ms,
+        silent_ms=now_ms - endpoint.silent_since_ms,
     )
--- a/packages/wagtailusher_liveness/src/wagtailusher_liveness/reports.py
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/reports.py
@@ -27,7 +27,7 @@
     """Start of the endpoint's process."""
     is_responsive: bool
     silent_ms: int
-    """Time since the sender's last sign of life from the endpoint."""
+    """Time since the sender began to wait in vain for a sign of life."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/wagtailusher_liveness/test_liveness.py
+++ b/tests/wagtailusher_liveness/test_liveness.py
@@ -139,6 +139,18 @@
         self.assertIs(self.peer.state(ENGINE), Liveness.SUSPECTED)
         self.assertEqual(self.peer.begin_checks(failed_ms + 2), ((ENGINE, 1),))
 
+    def test_peer_that_heard_before_the_silence_began_believes_a_vm_that_had_long_been_idle(
+        self,
+    ) -> None:
+        self.tick(self.vm, 0, DARK_MS)
+        self.peer.record_heard(ENGINE, 1, DARK_MS - 200)
+        self.vm.record_sent(ENGINE, 1, DARK_MS)
+        self.tick(self.vm, DARK_MS, DARK_MS + FIRST_BYTE_MS)
+        failed_ms = DARK_MS + FIRST_BYTE_MS + 100
+        self.vm.record_check(ENGINE, 1, failed_ms, is_answered=False)
+        self.tell(failed_ms + 2)
+        self.assertIs(self.peer.state(ENGINE), Liveness.SUSPECTED)
+
     def test_peer_that_reaches_the_endpoint_goes_on_using_it(self) -> None:
         failed_ms = self.go_dark(self.vm)
         self.start_stream(self.peer, failed_ms)
