--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -87,18 +87,7 @@
         )
         self.load_cache = LoadReportCache(self.vm_id)
         self.leases = LeaseTransport(self.directory.peer_address_of, self._receive, self.load_cache)
-        self.node = RouterNode(
-            new_decider(
-                options,
-                self.incarnation,
-                self._quota_share,
-                self.findings.liveness.decider,
-                self.findings.limits.decider,
-            ),
-            send_peer=self.leases.send,
-            cancel=self.upstream.cancel,
-            load_reports=self.load_cache,
-        )
+        self.node = self._new_node()
         self._load_poll = LoadPoll(self.node, self.upstream.engines, self.load_cache)
         self.view = FleetView(self.node, self.metrics, self._apply_fleet_policy)
         self.directory.attach_view(self.view)
@@ -119,6 +108,20 @@
     def _new_config_service(self) -> ConfigServiceCoordinator:
         return ConfigServiceCoordinator(self._client, self.options.config_service, seed=new_seed())
 
+    def _new_node(self) -> RouterNode:
+        return RouterNode(
+            new_decider(
+                self.options,
+                self.incarnation,
+                self._quota_share,
+                self.findings.liveness.decider,
+                self.findings.limits.decider,
+            ),
+            send_peer=self.leases.send,
+            cancel=self.upstream.cancel,
+            load_reports=self.load_cache,
+        )
+
     def _new_findings(self) -> EndpointFindings:
         return EndpointFindings(
             vm_id=self.vm_id,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -84,14 +84,7 @@
         seed = self._random.randrange(1 << 32)
         self.fleet = FleetDecider(own_member, options.seeds, monotonic_ms(), seed)
         self.view_cache = ViewCache(self._apply_view)
-        self.findings = EndpointFindings(
-            fleet=self.fleet,
-            view_cache=self.view_cache,
-            client=self._client,
-            metrics=metrics,
-            send=lambda address, message: self.link.send(address, message),
-            clock_ms=monotonic_ms,
-        )
+        self.findings = self._new_findings()
         self.dispatcher = self._new_dispatcher()
         self.link = self._new_link(incarnation)
         self.quarantine = self._new_quarantine()
@@ -157,6 +150,16 @@
             clock_ms=monotonic_ms,
         )
 
+    def _new_findings(self) -> EndpointFindings:
+        return EndpointFindings(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            client=self._client,
+            metrics=self.metrics,
+            send=lambda address, message: self.link.send(address, message),
+            clock_ms=monotonic_ms,
+        )
+
     def _new_dispatcher(self) -> Dispatcher:
         bounds = self.options.bounds
         placement = Placement(
