--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -179,6 +179,8 @@
 
     def _most_responsive(self, allowed: Iterable[TrackedEndpoint]) -> list[TrackedEndpoint]:
         """Return the responsive endpoints; without any, the suspected ones; without these, all."""
+        if not self.liveness.has_doubts:
+            return list(allowed)
         by_state: dict[Liveness, list[TrackedEndpoint]] = {}
         for tracked in allowed:
             state = self.liveness.state(tracked.endpoint.endpoint_id)
--- a/packages/wagtailusher_liveness/src/wagtailusher_liveness/decider.py
+++ b/packages/wagtailusher_liveness/src/wagtailusher_liveness/decider.py
@@ -73,6 +73,8 @@
         self._is_checker = is_checker
         self._on_change = on_change
         self._endpoints: dict[EndpointId, _Endpoint] = {}
+        self._doubtful: dict[EndpointId, _Endpoint] = {}
+        """Endpoints that are not responsive."""
         self._unsent: list[LivenessReport] = []
         self._ticked_ms: int | None = None
         self._reported_ms = 0
@@ -81,13 +83,20 @@
         """Replace the endpoints; those that are new or have restarted count as responsive."""
         for endpoint_id in self._endpoints.keys() - incarnations.keys():
             del self._endpoints[endpoint_id]
+            self._doubtful.pop(endpoint_id, None)
         for endpoint_id, incarnation in incarnations.items():
             known = self._endpoints.get(endpoint_id)
             if known is None or known.incarnation != incarnation:
+                self._doubtful.pop(endpoint_id, None)
                 self._endpoints[endpoint_id] = _Endpoint(
                     endpoint_id=endpoint_id, incarnation=incarnation, heard_ms=now_ms
                 )
 
+    @property
+    def has_doubts(self) -> bool:
+        """Return whether any endpoint is not responsive."""
+        return bool(self._doubtful)
+
     def state(self, endpoint_id: EndpointId) -> Liveness:
         """Return what this VM believes about an endpoint; an unknown one is responsive."""
         endpoint = self._endpoints.get(endpoint_id)
@@ -171,7 +180,9 @@
         for endpoint in self._endpoints.values():
             if was_paused:
                 endpoint.suspectable_ms = now_ms + self._limits.silence_ms
-            if endpoint.state is Liveness.RESPONSIVE and self._is_silent(endpoint, now_ms):
+            if not endpoint.in_flight or endpoint.state is not Liveness.RESPONSIVE:
+                continue
+            if self._is_silent(endpoint, now_ms):
                 endpoint.told_by = None
                 self._suspect(endpoint, now_ms)
 
@@ -182,10 +193,8 @@
         """
         due = [
             endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.state is not Liveness.RESPONSIVE
-            and not endpoint.is_checking
-            and endpoint.check_due_ms <= now_ms
+            for endpoint in self._doubtful.values()
+            if not endpoint.is_checking and endpoint.check_due_ms <= now_ms
         ]
         for endpoint in due:
             endpoint.is_checking = True
@@ -206,7 +215,7 @@
     def _own_findings(self, now_ms: int) -> Iterable[LivenessReport]:
         return (
             _report(endpoint, now_ms)
-            for endpoint in self._endpoints.values()
+            for endpoint in self._doubtful.values()
             if endpoint.state is Liveness.UNRESPONSIVE and endpoint.told_by is None
         )
 
@@ -217,7 +226,7 @@
 
     def _is_silent(self, endpoint: _Endpoint, now_ms: int) -> bool:
         """Return whether requests wait at an endpoint that has been silent for too long."""
-        if not endpoint.in_flight or now_ms < endpoint.suspectable_ms:
+        if now_ms < endpoint.suspectable_ms:
             return False
         limits = self._limits
         limit_ms = limits.silence_ms if endpoint.begun > 1 else limits.single_silence_ms
@@ -247,6 +256,10 @@
             silent_ms = endpoint.silent_ms(now_ms) if endpoint.in_flight else 0
             endpoint.silent_since_ms = now_ms - silent_ms
         endpoint.state = state
+        if state is Liveness.RESPONSIVE:
+            self._doubtful.pop(endpoint.endpoint_id, None)
+        else:
+            self._doubtful[endpoint.endpoint_id] = endpoint
         self._on_change(
             LivenessChange(
                 endpoint_id=endpoint.endpoint_id,
