--- a/packages/wagtailusher_cli/src/wagtailusher_cli/live.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/live.py
@@ -75,11 +75,12 @@
                 item.lease_expires_in_ms,
                 item.report_age_ms,
                 item.slowness,
+                "never" if item.opens_in_ms is None else item.opens_in_ms or "now",
             ]
             for item in answer.endpoints
         ]
         columns = ["endpoint", "failure domain", "state", "steward", "in flight/allowed"]
-        columns += ["credits", "expires in ms", "report age ms", "slowness"]
+        columns += ["credits", "expires in ms", "report age ms", "slowness", "wants more in ms"]
         write_table(f"endpoints as {answer.vm_id} sees them", columns, rows)
     return EXIT_OK
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -83,12 +83,17 @@
         self._secrets = options.fleet_secrets
         self.findings = self._new_findings()
         self.upstream = Upstream(
-            self._client, self.directory.address_of_cancel, self.findings.read_limit
+            self._client,
+            self.directory.address_of_cancel,
+            self.findings.read_answer,
+            self.findings.may_send_extra,
         )
         self.load_cache = LoadReportCache(self.vm_id)
         self.leases = LeaseTransport(self.directory.peer_address_of, self._receive, self.load_cache)
         self.node = self._new_node()
-        self._load_poll = LoadPoll(self.node, self.upstream.engines, self.load_cache)
+        self._load_poll = LoadPoll(
+            self.node, self.upstream.engines, self.load_cache, self.findings.may_poll
+        )
         self.view = FleetView(self.node, self.metrics, self._apply_fleet_policy)
         self.directory.attach_view(self.view)
         self.link = self._new_link()
@@ -110,13 +115,7 @@
 
     def _new_node(self) -> RouterNode:
         return RouterNode(
-            new_decider(
-                self.options,
-                self.incarnation,
-                self._quota_share,
-                self.findings.liveness.decider,
-                self.findings.limits.decider,
-            ),
+            new_decider(self.options, self.incarnation, self._quota_share, self.findings.deciders),
             send_peer=self.leases.send,
             cancel=self.upstream.cancel,
             load_reports=self.load_cache,
--- /dev/null
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/availability_exchange.py
@@ -0,0 +1,164 @@
+"""Reads what endpoints state in answers about further requests, and tells peers which leave."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+import logging
+
+from wagtailusher_availability import (
+    AvailabilityDecider,
+    Statement,
+    StatementChange,
+    StatementReport,
+    UnreadableWaitError,
+    parse_wait_ms,
+)
+from wagtailusher_core import EndpointId, callback
+from wagtailusher_daemon.const import FINDINGS_PER_DATAGRAM
+from wagtailusher_daemon.convert import batches
+from wagtailusher_wire import AuthenticatedMessage, Message, StatementEntry, StatementSummary
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerStatement:
+    """What one answer states about further requests, and to which request."""
+
+    is_leaving: bool
+    waits: tuple[str, ...]
+    """Unparsed seconds for which the endpoint wants no requests; empty if it names none."""
+    is_accepted: bool
+    """Whether the endpoint did not refuse the request."""
+    sent_ms: int
+    answer_to: str
+
+
+class AvailabilityExchange:
+    """Records what answers state, and spreads which endpoints leave."""
+
+    def __init__(
+        self,
+        *,
+        peer_addresses: Callable[[int], Iterable[str]],
+        send: Callable[[str, Message], None],
+        clock_ms: Callable[[], int],
+        on_change: Callable[[StatementChange], None] = lambda change: None,
+        count_event: Callable[[str], None] = lambda event: None,
+    ) -> None:
+        """`count_event` gets "leaving", "waiting", "available" or "unreadable"."""
+        self._peer_addresses = peer_addresses
+        self._send = send
+        self._clock_ms = clock_ms
+        self._on_change = on_change
+        self._count_event = count_event
+        self.decider = AvailabilityDecider(on_change=self._handle_change)
+
+    @callback
+    def read_answer(
+        self, endpoint_id: EndpointId, incarnation: int, stated: AnswerStatement
+    ) -> None:
+        """Record what an answer states; times that can't be read are ignored."""
+        now_ms = self._clock_ms()
+        if stated.is_leaving:
+            self.decider.record_leaving(
+                endpoint_id, incarnation, now_ms, answer_to=stated.answer_to
+            )
+        wait_ms = self._parse_wait_ms(endpoint_id, incarnation, stated.waits)
+        if wait_ms is not None:
+            self.decider.record_wait(
+                endpoint_id,
+                incarnation,
+                wait_ms,
+                sent_ms=stated.sent_ms,
+                now_ms=now_ms,
+                answer_to=stated.answer_to,
+            )
+        elif stated.is_accepted:
+            self.decider.record_accepted(
+                endpoint_id, incarnation, sent_ms=stated.sent_ms, is_leaving=stated.is_leaving
+            )
+
+    @callback
+    def greet(self, address: str, now_ms: int) -> None:
+        """Tell a VM that is new to this one which endpoints leave."""
+        self._send_reports(self.decider.all_reports(now_ms), (address,))
+
+    @callback
+    def receive(
+        self, message: Message, authenticated: AuthenticatedMessage, address: str, now_ms: int
+    ) -> None:
+        """Apply a peer's reports; other messages, and unknown statements, are ignored."""
+        if not isinstance(message, StatementSummary):
+            return
+        for entry in message.entries:
+            if entry.statement == Statement.LEAVING:
+                self.decider.merge(_report(entry), authenticated.vm_id, now_ms)
+
+    def _parse_wait_ms(
+        self, endpoint_id: EndpointId, incarnation: int, values: tuple[str, ...]
+    ) -> int | None:
+        try:
+            return parse_wait_ms(values)
+        except UnreadableWaitError as err:
+            if self.decider.record_unreadable(endpoint_id, incarnation):
+                self._count_event("unreadable")
+                _LOGGER.warning(
+                    "Endpoint: the time for which %s wants no requests is ignored: %s",
+                    endpoint_id,
+                    err,
+                    extra={"event": "endpoint_wait_unreadable", "endpoint": endpoint_id},
+                )
+            return None
+
+    def _handle_change(self, change: StatementChange) -> None:
+        """Log a change, and tell peers at once if an answer stated that an endpoint leaves."""
+        state = "available" if change.statement is None else str(change.statement)
+        _LOGGER.info(
+            "Endpoint: %s is %s",
+            change.endpoint_id,
+            state,
+            extra={
+                "event": f"endpoint_{state}",
+                "endpoint": change.endpoint_id,
+                "wait_ms": change.wait_ms,
+                "statement_age_ms": change.age_ms,
+                "told_by": change.told_by,
+                "answer_to": change.answer_to,
+            },
+        )
+        self._count_event(state)
+        self._on_change(change)
+        if change.statement is Statement.LEAVING and change.told_by is None:
+            asyncio.get_running_loop().call_soon(self._send_new)
+
+    def _send_new(self) -> None:
+        now_ms = self._clock_ms()
+        self._send_reports(self.decider.new_reports(now_ms), self._peer_addresses(now_ms))
+
+    def _send_reports(self, reports: Iterable[StatementReport], addresses: Iterable[str]) -> None:
+        entries = tuple(_entry(report) for report in reports)
+        addresses = tuple(addresses)
+        for batch in batches(entries, FINDINGS_PER_DATAGRAM):
+            for address in addresses:
+                self._send(address, StatementSummary(entries=batch))
+
+
+def _entry(report: StatementReport) -> StatementEntry:
+    return StatementEntry(
+        endpoint_id=report.endpoint_id,
+        incarnation=report.incarnation,
+        statement=str(report.statement),
+        age_ms=report.age_ms,
+    )
+
+
+def _report(entry: StatementEntry) -> StatementReport:
+    return StatementReport(
+        endpoint_id=entry.endpoint_id,
+        incarnation=entry.incarnation,
+        statement=Statement(entry.statement),
+        age_ms=entry.age_ms,
+    )
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -25,6 +25,10 @@
 HEADER_TRACE = "traceparent"
 HEADER_LIMIT = "x-wagtailusher-limit"
 """Requests a second that an endpoint takes from all VMs together, in its answers."""
+HEADER_LEAVING = "x-wagtailusher-leaving"
+"""Has the value 1 in all answers of an endpoint that leaves."""
+HEADER_RETRY_AFTER = "retry-after"
+"""Seconds for which an endpoint that refuses with 503 wants nothing from this VM."""
 
 DEFAULT_ROUTE_CHAT = "chat"
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/deciders.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 import secrets
 
 from wagtailusher_admission import AdmissionDecider
+from wagtailusher_availability import AvailabilityDecider
 from wagtailusher_core import FailureDomainId, Incarnation, VmId
 from wagtailusher_daemon.const import RENEWALS_PER_LIFETIME
 from wagtailusher_daemon.options import EntryOptions
@@ -18,12 +20,20 @@
 _SEED_BITS = 63
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointDeciders:
+    """What this VM and its peers found of endpoints."""
+
+    liveness: LivenessDecider
+    rate_limits: RateLimitDecider
+    availability: AvailabilityDecider
+
+
 def new_decider(
     options: EntryOptions,
     incarnation: Incarnation,
     quota_share: QuotaShare,
-    liveness: LivenessDecider,
-    rate_limits: RateLimitDecider,
+    endpoints: EndpointDeciders,
 ) -> RouterDecider:
     """Return the router decider with its admission, placement and execution deciders."""
     vm_id = VmId(options.vm_id)
@@ -34,8 +44,9 @@
         seed=new_seed(),
         limits=limits,
         incarnation=incarnation,
-        liveness=liveness,
-        rate_limits=rate_limits,
+        liveness=endpoints.liveness,
+        rate_limits=endpoints.rate_limits,
+        availability=endpoints.availability,
     )
     components = RouterComponents(
         vm_id=vm_id,
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/endpoint_findings.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/endpoint_findings.py
@@ -1,23 +1,28 @@
-"""What the VMs tell each other about endpoints: which are silent, and which name limits."""
+"""What the VMs know of endpoints: which are silent, name limits, leave or want no requests."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from http import HTTPStatus
 
+from wagtailusher_availability import StatementChange
 from wagtailusher_core import EndpointId, VmId
+from wagtailusher_daemon.availability_exchange import AnswerStatement, AvailabilityExchange
 from wagtailusher_daemon.clock import monotonic_ms
-from wagtailusher_daemon.deciders import new_seed
+from wagtailusher_daemon.const import HEADER_LEAVING, HEADER_LIMIT, HEADER_RETRY_AFTER
+from wagtailusher_daemon.deciders import EndpointDeciders, new_seed
 from wagtailusher_daemon.directory import Directory
 from wagtailusher_daemon.limit_exchange import LimitExchange
 from wagtailusher_daemon.liveness_exchange import LivenessExchange
-from wagtailusher_http import HttpClient
+from wagtailusher_http import ClientAnswer, HttpClient
 from wagtailusher_placement import ANY_INCARNATION
+from wagtailusher_rate_limits import LimitChange
 from wagtailusher_router import Dispatch, RouterDecider
 from wagtailusher_wire import AuthenticatedMessage, Message
 
 
 class EndpointFindings:
-    """Connects the exchanges of liveness and limits to the daemon's decider and members."""
+    """Connects the exchanges about endpoints to the daemon's decider and members."""
 
     def __init__(
         self,
@@ -37,6 +42,9 @@
                 return None
             return directory.peer_address_of(steward_id)
 
+        def apply_statements(change: LimitChange | StatementChange) -> None:
+            decider().apply_statements(change.endpoint_id, monotonic_ms())
+
         self.liveness = LivenessExchange(
             is_answered=client.async_is_answered,
             drop_idle=client.drop_idle,
@@ -56,18 +64,52 @@
             peer_addresses=lambda now_ms: directory.live_peer_addresses(),
             send=send,
             clock_ms=monotonic_ms,
-            on_change=lambda change: decider().apply_limit(change.endpoint_id, monotonic_ms()),
+            on_change=apply_statements,
             seed=new_seed(),
         )
 
-    def read_limit(self, dispatch: Dispatch, values: tuple[str, ...]) -> None:
-        """Read the limit that an answer names, or names no longer."""
+        self.availability = AvailabilityExchange(
+            peer_addresses=lambda now_ms: directory.live_peer_addresses(),
+            send=send,
+            clock_ms=monotonic_ms,
+            on_change=apply_statements,
+        )
+
+    @property
+    def deciders(self) -> EndpointDeciders:
+        """Return the deciders of what was found."""
+        return EndpointDeciders(
+            liveness=self.liveness.decider,
+            rate_limits=self.limits.decider,
+            availability=self.availability.decider,
+        )
+
+    def read_answer(self, dispatch: Dispatch, answer: ClientAnswer, sent_ms: int) -> None:
+        """Read the limit that an answer names, and whether its endpoint wants further requests."""
+        headers, endpoint_id = answer.headers, EndpointId(dispatch.endpoint_id)
+        is_refused = answer.status == HTTPStatus.SERVICE_UNAVAILABLE
         self.limits.read_answer(
-            EndpointId(dispatch.endpoint_id),
+            endpoint_id,
             ANY_INCARNATION,
-            values,
+            headers.get_all(HEADER_LIMIT),
+            answer_to=dispatch.request_id,
+        )
+        stated = AnswerStatement(
+            is_leaving=headers.get(HEADER_LEAVING) == "1",
+            waits=headers.get_all(HEADER_RETRY_AFTER) if is_refused else (),
+            is_accepted=not is_refused,
+            sent_ms=sent_ms,
             answer_to=dispatch.request_id,
         )
+        self.availability.read_answer(endpoint_id, ANY_INCARNATION, stated)
+
+    def may_send_extra(self, endpoint_id: str) -> bool:
+        """Return whether a running request may send another one to its endpoint."""
+        return self.availability.decider.try_spend_extra(EndpointId(endpoint_id), monotonic_ms())
+
+    def may_poll(self, endpoint_id: EndpointId) -> bool:
+        """Return whether an endpoint takes requests for its load."""
+        return not self.availability.decider.wait_ms(endpoint_id, monotonic_ms())
 
     def receive(
         self, message: Message, authenticated: AuthenticatedMessage, address: str, now_ms: int
@@ -75,6 +117,7 @@
         """Apply a peer's findings; other messages are ignored."""
         self.liveness.receive(message, authenticated, address, now_ms)
         self.limits.receive(message, authenticated, address, now_ms)
+        self.availability.receive(message, authenticated, address, now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Start the checks that are due, and repeat findings."""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/load_poll.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/load_poll.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from wagtailusher_core import EndpointId, callback
 from wagtailusher_daemon.clock import monotonic_ms
@@ -17,8 +18,14 @@
     """Polls engines and passes their reports and refusals to the node."""
 
     def __init__(
-        self, node: RouterNode, engines: EngineCoordinator, cache: LoadReportCache
+        self,
+        node: RouterNode,
+        engines: EngineCoordinator,
+        cache: LoadReportCache,
+        may_poll: Callable[[EndpointId], bool] = lambda endpoint_id: True,
     ) -> None:
+        """Poll the engines for which `may_poll` returns true."""
+        self._may_poll = may_poll
         self._node = node
         self._engines = engines
         self._cache = cache
@@ -58,7 +65,7 @@
         refused: list[EndpointId] = []
         ends_ms = monotonic_ms() + DOUBT_POLL_MS
         try:
-            while monotonic_ms() < ends_ms:
+            while monotonic_ms() < ends_ms and self._may_poll(info.endpoint_id):
                 reports = await self._engines.async_poll_load(
                     (info,), monotonic_ms, on_refused=refused.append, new_connection=True
                 )
@@ -74,4 +81,8 @@
     def _tracked_engines(self) -> tuple[EndpointInfo, ...]:
         """Return the engines that this VM may send to."""
         tracked = self._node.decider.tracked_endpoints
-        return tuple(info for info in tracked if info.kind is EndpointKind.ENGINE)
+        return tuple(
+            info
+            for info in tracked
+            if info.kind is EndpointKind.ENGINE and self._may_poll(info.endpoint_id)
+        )
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_answers.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_answers.py
@@ -76,6 +76,7 @@
         ejected=view.ejected,
         slowness=view.slowness,
         report_age_ms=view.report_age_ms,
+        opens_in_ms=view.opens_in_ms,
         steward_id=stewards.get(view.endpoint_id),
     )
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/responses.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/responses.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from wagtailusher_core import ErrorCode, Outcome
-from wagtailusher_daemon.const import HEADER_LIMIT
+from wagtailusher_daemon.const import HEADER_LEAVING, HEADER_LIMIT
 from wagtailusher_http import ClientAnswer, Headers, Response, error_response
 from wagtailusher_once import StoredAnswer
 from wagtailusher_router import Refuse
@@ -62,7 +62,7 @@
 
 def end_to_end_headers(answer: ClientAnswer) -> Headers:
     """Return an answer's headers without the hop-by-hop ones and those meant for this VM."""
-    return answer.headers.without(_HOP_HEADERS | {HEADER_LIMIT})
+    return answer.headers.without(_HOP_HEADERS | {HEADER_LIMIT, HEADER_LEAVING})
 
 
 def status_of(code: ErrorCode) -> HTTPStatus:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/upstream.py
@@ -7,7 +7,8 @@
 from http import HTTPStatus
 
 from wagtailusher_core import WagtailusherError, callback
-from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS, HEADER_LIMIT, HEADER_TRACE
+from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_daemon.const import DEFAULT_HEAD_TIMEOUT_MS, HEADER_TRACE
 from wagtailusher_http import (
     AnswerProtocolError,
     AnswerTruncatedError,
@@ -17,7 +18,12 @@
     ReadTimeoutError,
     SendCancelledError,
 )
-from wagtailusher_integrations.engine import BrokenStreamError, ChatCall, EngineCoordinator
+from wagtailusher_integrations.engine import (
+    BrokenStreamError,
+    ChatCall,
+    EngineCoordinator,
+    EngineError,
+)
 from wagtailusher_integrations.service import ServiceCall, ServiceCoordinator
 from wagtailusher_placement import AttemptResult
 from wagtailusher_router import Cancel, Dispatch
@@ -32,13 +38,16 @@
         self,
         client: HttpClient,
         address_of: Callable[[Cancel], str | None],
-        read_limit: Callable[[Dispatch, tuple[str, ...]], None] = lambda *_: None,
+        read_answer: Callable[[Dispatch, ClientAnswer, int], None] = lambda *_: None,
+        may_send_extra: Callable[[str], bool] = lambda endpoint_id: True,
     ) -> None:
         """Send with a client; `address_of` returns a cancellation's address or None.
 
-        `read_limit` gets the values in which an answer names the endpoint's limit, possibly none.
+        `read_answer` gets each answer, and when its request was sent. `may_send_extra` returns
+        whether a running request may send another one to its endpoint.
         """
-        self._read_limit = read_limit
+        self._read_answer = read_answer
+        self._may_send_extra = may_send_extra
         self.engines = EngineCoordinator(client)
         self._services = ServiceCoordinator(client)
         self._address_of = address_of
@@ -53,8 +62,9 @@
         head_timeout_ms: int = DEFAULT_HEAD_TIMEOUT_MS,
     ) -> ClientAnswer:
         """Send a request or resume its answer; return the answer once its headers have arrived."""
+        sent_ms = monotonic_ms()
         answer = await self._async_send(dispatch, call, traceparent, may_send, head_timeout_ms)
-        self._read_limit(dispatch, answer.headers.get_all(HEADER_LIMIT))
+        self._read_answer(dispatch, answer, sent_ms)
         return answer
 
     async def _async_send(
@@ -73,6 +83,8 @@
                 head_timeout_ms=head_timeout_ms,
             )
         if dispatch.resume_from is not None:
+            if not self._may_send_extra(dispatch.endpoint_id):
+                raise EngineError("the engine wants no requests")
             return await self.engines.async_resume(
                 dispatch.address,
                 call.request_id,
@@ -91,7 +103,7 @@
     def cancel(self, action: Cancel) -> None:
         """Send a cancellation to the engine that runs a request, if its address is known."""
         address = self._address_of(action)
-        if address is not None:
+        if address is not None and self._may_send_extra(action.endpoint_id):
             self.engines.cancel(address, action.request_id)
 
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -147,6 +147,13 @@
         base_ms = RETRY_AFTER_MIN_MS + RETRY_AFTER_RANK_MS * rank + wait_ms
         return int(min(RETRY_AFTER_MAX_MS, base_ms * self._random.uniform(1.0, 1.5)))
 
+    def spread_ms(self, wait_ms: int) -> int:
+        """Return a caller's retry delay if a request can start after a wait at the earliest.
+
+        It is random, so that not all callers return at the same moment.
+        """
+        return wait_ms + int(self._random.uniform(0, RETRY_AFTER_MIN_MS))
+
     def _start_requests(self, queue: _Queue, now_ms: int) -> Iterator[QueuedRequest]:
         """Start requests in order and yield them; stop at the first that can't start."""
         for queued_request in tuple(queue.requests):
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -163,7 +163,9 @@
     def _new_dispatcher(self) -> Dispatcher:
         bounds = self.options.bounds
         placement = Placement(
-            registry=EndpointRegistry(self.findings.liveness.decider),
+            registry=EndpointRegistry(
+                self.findings.liveness.decider, self.findings.availability.decider
+            ),
             cold_limiter=ColdStartLimiter(
                 self.options.vm_id,
                 overage=bounds.cold_overage,
@@ -188,7 +190,7 @@
             ),
             clock_ms=monotonic_ms,
             vm_ids=self.fleet.all_vm_ids,
-            read_limit=self.findings.read_limit,
+            read_answer=self.findings.read_answer,
         )
 
     @property
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -70,6 +70,7 @@
         self.longest_gap_ms = 0
         self._last_event_ms = 0
         self._begun_ms: int | None = None
+        self._sent_ms = 0
         self._framer = EventFramer(position)
 
     @property
@@ -143,7 +144,9 @@
         if not self._has_answer_id:
             self._check_unidentified(answer, stated)
         if not stated.wrong_incarnation:
-            self._dispatcher.read_limit(self.reservation.endpoint, stated, terms.attempt_id)
+            self._dispatcher.read_answer(
+                self.reservation.endpoint, stated, terms.attempt_id, self._sent_ms
+            )
         if stated.not_run:
             self._record_not_run(stated)
             timeout_ms = min(left_ms, REFUSAL_TIMEOUT_MS)
@@ -217,7 +220,8 @@
         if not self._dispatcher.may_send(self.reservation) or not self._is_allowed():
             return False
         self.was_sent = True
-        self._liveness.record_sent(self.endpoint_id, self._born_ms, self._now_ms())
+        self._sent_ms = self._now_ms()
+        self._liveness.record_sent(self.endpoint_id, self._born_ms, self._sent_ms)
         self._delivery.record_sent()
         return True
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -51,10 +51,10 @@
         budget: RetryBudget,
         clock_ms: Callable[[], int],
         vm_ids: Callable[[], tuple[VmId, ...]],
-        read_limit: Callable[[Endpoint, AnswerTerms, str], None] = lambda *_: None,
+        read_answer: Callable[[Endpoint, AnswerTerms, str, int], None] = lambda *_: None,
     ) -> None:
-        """`read_limit` gets the terms of each answer, with its endpoint and attempt."""
-        self.read_limit = read_limit
+        """`read_answer` gets an answer's endpoint, terms and attempt, and when that was sent."""
+        self.read_answer = read_answer
         self.placement = placement
         self.admission = admission
         self.budget = budget
@@ -83,8 +83,19 @@
             return False
         if endpoint.software_version != reserved.software_version:
             return False
+        availability = self.placement.registry.availability
+        if not availability.may_send(endpoint.endpoint_id, self.clock_ms()):
+            return False
         return may_get_requests(endpoint, self.view)
 
+    def retry_after_ms(self, request: RoutedRequest, now_ms: int) -> int:
+        """Return a refused caller's retry delay, as long as no endpoint wants requests at least."""
+        delay_ms = self.admission.retry_after_ms(queue_name(request), request.rank, now_ms)
+        wait_ms = self.placement.registry.wait_ms(
+            request.service.name, self.view, now_ms, request.software_version
+        )
+        return max(delay_ms, self.admission.spread_ms(wait_ms)) if wait_ms else delay_ms
+
     def try_spend_retry(self, service: Service, now_ms: int) -> bool:
         """Spend one retry from the budget; return whether it allowed one."""
         return self.budget.try_spend(service.name, len(self.vm_ids()), now_ms)
@@ -131,8 +142,9 @@
         """Set the result of a reservation; return False if the request has to wait."""
         if future.done():
             return True
-        if not self._has_version(request):
-            future.set_exception(_no_endpoint_of_version())
+        refusal = self._find_refusal(request, now_ms)
+        if refusal is not None:
+            future.set_exception(refusal)
             return True
         reservation = self._try_reserve(request, excluded, now_ms)
         if reservation is None:
@@ -161,14 +173,34 @@
             return False
         return self.admission.has_more_urgent(request.service.name, request.rank)
 
-    def _has_version(self, request: RoutedRequest) -> bool:
-        """Return whether any endpoint has the software version that a request requires."""
-        return request.software_version is None or any(
+    def _find_refusal(self, request: RoutedRequest, now_ms: int) -> RefusedError | None:
+        """Return why a request can't start in the time for which it may wait, if that is known."""
+        if not self._has_version(request):
+            return _no_endpoint_of_version()
+        registry = self.placement.registry
+        if registry.availability.is_empty:
+            return None
+        wait_ms = registry.wait_ms(
+            request.service.name, self.view, now_ms, request.software_version
+        )
+        if wait_ms is None:
+            return _all_leave() if self._has_endpoint(request) else None
+        if wait_ms <= queue_wait_ms(request.route.target_ms, request.ends_ms - now_ms):
+            return None
+        return _none_wants_requests(self.admission.spread_ms(wait_ms))
+
+    def _has_endpoint(self, request: RoutedRequest) -> bool:
+        """Return whether any endpoint may get a request by the view."""
+        return any(
             endpoint.service == request.service.name
             and may_get_requests(endpoint, self.view, request.software_version)
             for endpoint in self.view.endpoints.values()
         )
 
+    def _has_version(self, request: RoutedRequest) -> bool:
+        """Return whether any endpoint has the software version that a request requires."""
+        return request.software_version is None or self._has_endpoint(request)
+
     def release(self, reservation: Reservation, *, is_prefill_done: bool) -> None:
         """Release a reservation and start queued requests."""
         self.placement.release(reservation, is_prefill_done=is_prefill_done)
@@ -199,6 +231,24 @@
     )
 
 
+def _all_leave() -> RefusedError:
+    return RefusedError(
+        "all endpoints leave",
+        code=ErrorCode.NO_ENDPOINT,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        retry_after_ms=RETRY_AFTER_MAX_MS,
+    )
+
+
+def _none_wants_requests(retry_after_ms: int) -> RefusedError:
+    return RefusedError(
+        "no endpoint wants requests for a while",
+        code=ErrorCode.QUEUE_FULL,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        retry_after_ms=retry_after_ms,
+    )
+
+
 def _no_endpoint_of_version() -> RefusedError:
     return RefusedError(
         "no endpoint has the software version that began the stream",
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
@@ -1,4 +1,4 @@
-"""What the VMs tell each other about endpoints: which are silent, and which name limits."""
+"""What the VMs know of endpoints: which are silent, name limits, leave or want no requests."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import random
 
 from wagtailusher_core import EndpointId, VmId
+from wagtailusher_daemon.availability_exchange import AnswerStatement, AvailabilityExchange
 from wagtailusher_daemon.limit_exchange import LimitExchange
 from wagtailusher_daemon.liveness_exchange import LivenessExchange
 from wagtailusher_gateway.fleet import FleetDecider
@@ -17,7 +18,7 @@
 
 
 class EndpointFindings:
-    """Connects the exchanges of liveness and limits to the gateway's fleet and view."""
+    """Connects the exchanges about endpoints to the gateway's fleet and view."""
 
     def __init__(
         self,
@@ -55,8 +56,28 @@
             seed=random.randrange(1 << 32),
         )
 
-    def read_limit(self, endpoint: Endpoint, terms: AnswerTerms, attempt_id: str) -> None:
-        """Read the limit that an answer names, or names no longer; a refusal need not repeat it."""
+        self.availability = AvailabilityExchange(
+            peer_addresses=self._peer_addresses,
+            send=send,
+            clock_ms=clock_ms,
+            count_event=lambda event: metrics.statements.inc({"event": event}),
+        )
+
+    def read_answer(
+        self, endpoint: Endpoint, terms: AnswerTerms, attempt_id: str, sent_ms: int
+    ) -> None:
+        """Read the limit that an answer names, and whether its endpoint wants further requests.
+
+        A refusal need not repeat a limit.
+        """
+        stated = AnswerStatement(
+            is_leaving=terms.is_leaving,
+            waits=terms.waits,
+            is_accepted=not terms.not_run,
+            sent_ms=sent_ms,
+            answer_to=attempt_id,
+        )
+        self.availability.read_answer(endpoint.endpoint_id, endpoint.born_ms, stated)
         self.limits.read_answer(
             endpoint.endpoint_id,
             endpoint.born_ms,
@@ -71,10 +92,12 @@
         """Apply a peer's findings; other messages are ignored."""
         self.liveness.receive(message, authenticated, address, now_ms)
         self.limits.receive(message, authenticated, address, now_ms)
+        self.availability.receive(message, authenticated, address, now_ms)
 
     def greet(self, address: str, now_ms: int) -> None:
         """Send what a VM that is new to this one must know before it sends requests."""
         self.limits.greet(address, now_ms)
+        self.availability.greet(address, now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Start the checks that are due, and repeat findings."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
+from wagtailusher_availability import AvailabilityDecider
 from wagtailusher_core import EndpointId, VmId
 from wagtailusher_gateway.const import (
     ASSUMED_COLD_MS,
@@ -97,9 +98,14 @@
 class EndpointRegistry:
     """All known endpoints, by identifier and by service."""
 
-    def __init__(self, liveness: LivenessDecider | None = None) -> None:
-        """Leave out the endpoints that `liveness` finds unresponsive."""
+    def __init__(
+        self,
+        liveness: LivenessDecider | None = None,
+        availability: AvailabilityDecider | None = None,
+    ) -> None:
+        """Leave out the endpoints that `liveness` finds unresponsive, and those that want none."""
         self.liveness = liveness or LivenessDecider()
+        self.availability = availability or AvailabilityDecider()
         self._tracked: dict[EndpointId, TrackedEndpoint] = {}
         self._by_service: dict[str, list[TrackedEndpoint]] = {}
 
@@ -109,9 +115,9 @@
 
     def update(self, view: FleetView, now_ms: int) -> tuple[EndpointId, ...]:
         """Apply a view; return the endpoints that restarted."""
-        self.liveness.update_endpoints(
-            {key: endpoint.born_ms for key, endpoint in view.endpoints.items()}, now_ms
-        )
+        incarnations = {key: endpoint.born_ms for key, endpoint in view.endpoints.items()}
+        self.liveness.update_endpoints(incarnations, now_ms)
+        self.availability.update_endpoints(incarnations)
         restarted = []
         for endpoint in view.endpoints.values():
             existing = self._tracked.get(endpoint.endpoint_id)
@@ -162,21 +168,48 @@
     ) -> list[TrackedEndpoint]:
         """Return the endpoints of a service that may get requests, without the ejected ones.
 
-        Only those of a software version if one is required. Silent ones are left out while others
-        answer. Of these, at most `MAX_EJECTED_SHARE` is ejected, so that a common cause does not
-        eject all.
+        Only those of a software version if one is required, and none that wants no requests. Silent
+        ones, and those that may leave, are left out while there are others. Of these, at most
+        `MAX_EJECTED_SHARE` is ejected, so that a common cause does not eject all.
         """
         allowed = self._most_responsive(
             tracked
             for tracked in self._by_service.get(service, ())
             if may_get_requests(tracked.endpoint, view, software_version)
+            and self.availability.may_start(tracked.endpoint.endpoint_id, now_ms)
         )
+        allowed = self._without_leaving(allowed)
         healthy = [tracked for tracked in allowed if tracked.ejected_until_ms <= now_ms]
         if len(healthy) >= len(allowed) * (1 - MAX_EJECTED_SHARE):
             return healthy
         allowed.sort(key=lambda tracked: tracked.ejected_until_ms)
         return allowed[: max(1, round(len(allowed) * (1 - MAX_EJECTED_SHARE)))]
 
+    def _without_leaving(self, allowed: list[TrackedEndpoint]) -> list[TrackedEndpoint]:
+        """Return the endpoints without those that may leave; if these are all, all."""
+        if self.availability.is_empty:
+            return allowed
+        staying = [
+            tracked
+            for tracked in allowed
+            if not self.availability.may_leave(tracked.endpoint.endpoint_id)
+        ]
+        return staying or allowed
+
+    def wait_ms(
+        self, service: str, view: FleetView, now_ms: int, software_version: str | None = None
+    ) -> int | None:
+        """Return for how long no endpoint of a service wants requests, 0 if one does.
+
+        None if all that could get them leave.
+        """
+        endpoint_ids = (
+            tracked.endpoint.endpoint_id
+            for tracked in self._by_service.get(service, ())
+            if may_get_requests(tracked.endpoint, view, software_version)
+        )
+        return self.availability.shortest_wait_ms(endpoint_ids, now_ms)
+
     def _most_responsive(self, allowed: Iterable[TrackedEndpoint]) -> list[TrackedEndpoint]:
         """Return the responsive endpoints; without any, the suspected ones; without these, all."""
         if not self.liveness.has_doubts:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -10,7 +10,7 @@
 from wagtailusher_gateway.const import MS_PER_S
 from wagtailusher_gateway.crash_watch import CrashWatch
 from wagtailusher_gateway.delivery import Delivery, DeliveryState
-from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest, queue_name
+from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest
 from wagtailusher_gateway.events import StreamPosition
 from wagtailusher_gateway.exceptions import BrokenStreamError, RefusedError
 from wagtailusher_gateway.http_mapping import ForwardContext, HttpMapping
@@ -187,7 +187,12 @@
             )
 
     def _record_break(self, attempt: Attempt, err: WagtailusherError) -> None:
-        """Suspect a request whose connection ended before, or just after, its answer began."""
+        """Suspect a request whose connection ended before, or just after, its answer began.
+
+        That an endpoint which leaves ends its connections is no sign of a crash.
+        """
+        if self._dispatcher.placement.registry.availability.may_leave(attempt.endpoint_id):
+            return
         if isinstance(err, AnswerTruncatedError) and attempt.was_sent and not attempt.is_under_way:
             endpoint = attempt.reservation.endpoint
             suspects = self._fingerprints.suspects(has_begun=attempt.has_head)
@@ -243,10 +248,7 @@
 
     def _retry_after_ms(self) -> int:
         """Return the caller's retry delay."""
-        admission, now_ms = self._dispatcher.admission, self._dispatcher.clock_ms()
-        return admission.retry_after_ms(
-            queue_name(self._routed_request), self._routed_request.rank, now_ms
-        )
+        return self._dispatcher.retry_after_ms(self._routed_request, self._dispatcher.clock_ms())
 
     def _record_attempt_end(self, attempt: Attempt, reason: str) -> None:
         """Log an attempt without a usable answer."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -27,6 +27,9 @@
         self.limits = self.counter(
             "endpoint_limits", "Limits that endpoints name in answers, by what happened to them"
         )
+        self.statements = self.counter(
+            "endpoint_statements", "Endpoints that leave or want no requests, by what they stated"
+        )
         self.peer_errors = self.counter("peer_errors", "Peer messages refused, by code")
         self.platform_calls = self.counter("platform_calls", "Calls to the platform, by outcome")
         self.dropped_log_lines = self.counter("dropped_log_lines", "Log lines dropped, by kind")
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -182,6 +182,10 @@
     wrong_incarnation: bool = False
     limits: tuple[str, ...] = ()
     """Unparsed requests a second that the endpoint takes from all VMs; empty if it names none."""
+    is_leaving: bool = False
+    """Whether the endpoint states that its process ends soon."""
+    waits: tuple[str, ...] = ()
+    """Unparsed seconds for which a refusing endpoint wants no requests; empty if it names none."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -303,8 +303,7 @@
         now_ms: int,
     ) -> Reservation:
         """Add a request to an endpoint's load and return its reservation."""
-        tracked, load, is_cold = candidate
-        endpoint_id = tracked.endpoint.endpoint_id
+        (tracked, load, is_cold), endpoint_id = candidate, _id_of(candidate)
         reservation = Reservation(
             endpoint=tracked.endpoint,
             prefill_tokens=uncached_tokens if service.engine is not None else 0,
@@ -321,6 +320,7 @@
         tracked.own_load.memory_tokens += reservation.memory_tokens
         self._cold_limiter.record_sent(endpoint_id, now_ms)
         self.rate_limits.record_sent(endpoint_id, now_ms)
+        self.registry.availability.record_started(endpoint_id, now_ms)
         self._prefixes.record_use(terms.shared_parts, endpoint_id, now_ms)
         if is_prompt_heavy(terms):
             self._on_long_prompt(now_ms)
--- a/packages/wagtailusher_operator/src/wagtailusher_operator/models.py
+++ b/packages/wagtailusher_operator/src/wagtailusher_operator/models.py
@@ -49,6 +49,8 @@
     ejected: bool = False
     slowness: float = 1.0
     report_age_ms: int | None = None
+    opens_in_ms: int | None = 0
+    """Time until it takes another request of this VM by what it stated; None if it leaves."""
     steward_id: str | None = None
     lease_credits: int | None = None
     lease_expires_in_ms: int | None = None
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from random import Random
 
+from wagtailusher_availability import AvailabilityDecider
 from wagtailusher_core import (
     ClassKey,
     EndpointId,
@@ -26,6 +28,7 @@
 from wagtailusher_placement.demand import spread_demand
 from wagtailusher_placement.endpoints import (
     AttemptResult,
+    CandidateScore,
     Choice,
     EndpointInfo,
     EndpointView,
@@ -38,7 +41,7 @@
 from wagtailusher_placement.lengths import LengthEstimator
 from wagtailusher_placement.reports import CacheEvent, LoadReport
 from wagtailusher_placement.scoring import choose_by_score
-from wagtailusher_placement.tracked_endpoint import PlacedRequest
+from wagtailusher_placement.tracked_endpoint import PlacedRequest, Pool, TrackedEndpoint
 from wagtailusher_rate_limits import RateLimitDecider
 
 
@@ -59,11 +62,14 @@
         incarnation: Incarnation | None = None,
         liveness: LivenessDecider | None = None,
         rate_limits: RateLimitDecider | None = None,
+        availability: AvailabilityDecider | None = None,
     ) -> None:
         """Report what is heard from endpoints to `liveness`; see `apply_liveness`.
 
-        Endpoints in `rate_limits` get requests no faster than it allows.
+        Endpoints in `rate_limits` get requests no faster than it allows, and those in
+        `availability` none while they want none.
         """
+        self.availability = availability or AvailabilityDecider()
         self._rate_limits = rate_limits or RateLimitDecider(
             vm_id, live_vm_ids=lambda now_ms: (vm_id,)
         )
@@ -86,7 +92,9 @@
         incarnations = {info.endpoint_id: ANY_INCARNATION for info in endpoints}
         self._liveness.update_endpoints(incarnations, now_ms)
         self._rate_limits.update_endpoints(incarnations)
-        self._fleet.update_endpoints(endpoints, now_ms)
+        self.availability.update_endpoints(incarnations)
+        for endpoint_id in self._fleet.update_endpoints(endpoints, now_ms):
+            self._forget_statements(endpoint_id, now_ms)
         self._refresh(now_ms)
 
     def update_drained_domains(self, domains: Iterable[FailureDomainId], now_ms: int) -> None:
@@ -114,7 +122,8 @@
     def observe_report(self, report: LoadReport, now_ms: int) -> None:
         """Apply an endpoint's load report."""
         self._liveness.record_heard(report.endpoint_id, ANY_INCARNATION, report.reported_at_ms)
-        self._fleet.observe_report(report, now_ms)
+        if self._fleet.observe_report(report, now_ms):
+            self._forget_statements(report.endpoint_id, now_ms)
         self._refresh_if_due(now_ms)
 
     def observe_refused_connection(self, endpoint_id: EndpointId, now_ms: int) -> None:
@@ -122,6 +131,7 @@
         endpoint = self._fleet.tracked.get(endpoint_id)
         if endpoint is not None:
             self._lease_holder.mark_cold(endpoint, now_ms)
+            self._forget_statements(endpoint_id, now_ms)
 
     def observe_unreachable(self, endpoint_id: EndpointId, now_ms: int) -> None:
         """Record that an endpoint did not accept a connection for a request."""
@@ -134,13 +144,37 @@
             endpoint.is_silent = change.state is not Liveness.RESPONSIVE
             self._fleet.mark_changed(endpoint)
 
-    def apply_limit(self, endpoint_id: EndpointId, now_ms: int) -> None:
-        """Send to an endpoint only as fast as the limit that it names, or no longer names."""
+    def apply_statements(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Send to an endpoint only as fast, and from when on, it stated that it takes requests."""
         endpoint = self._fleet.tracked.get(endpoint_id)
         if endpoint is not None:
-            endpoint.limited_until_ms = self._rate_limits.next_send_ms(endpoint_id, now_ms)
+            self._update_next_start(endpoint, now_ms)
             self._fleet.mark_changed(endpoint)
 
+    def _update_next_start(self, endpoint: TrackedEndpoint, now_ms: int) -> None:
+        endpoint_id = endpoint.info.endpoint_id
+        endpoint.stated_until_ms = max(
+            self._rate_limits.next_send_ms(endpoint_id, now_ms),
+            self.availability.next_start_ms(endpoint_id),
+        )
+
+    def wait_ms(self, pool_id: PoolId, now_ms: int) -> int | None:
+        """Return for how long no endpoint of a pool wants requests, 0 if one does or is unknown.
+
+        None if all leave.
+        """
+        pool = self._fleet.pools.get(pool_id)
+        in_service = [item for item in pool.endpoints if item.in_service] if pool else []
+        if self.availability.is_empty or not in_service:
+            return 0
+        ids = (endpoint.info.endpoint_id for endpoint in in_service)
+        return self.availability.shortest_wait_ms(ids, now_ms)
+
+    def _forget_statements(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Forget what an endpoint stated, as another process has taken its place."""
+        self.availability.forget(endpoint_id)
+        self.apply_statements(endpoint_id, now_ms)
+
     def begin_doubt(self, endpoint_id: EndpointId, now_ms: int) -> bool:
         """Send nothing to an endpoint that may have restarted cold; return whether this began.
 
@@ -178,7 +212,7 @@
         pool = self._fleet.pools.get(request.pool_id)
         if pool is None:
             return None
-        scores = self._choose(pool, request, self._generator, now_ms)
+        scores = self._choose_staying(pool, request, now_ms)
         if not scores:
             return None
         best = pool.members[scores[0].endpoint_id].info
@@ -189,14 +223,25 @@
             candidates=scores,
         )
 
+    def _choose_staying(
+        self, pool: Pool, request: PlacementRequest, now_ms: int
+    ) -> tuple[CandidateScore, ...]:
+        """Return the compared endpoints, those that may leave only if there are no others."""
+        scores: tuple[CandidateScore, ...] = ()
+        if leaving_ids := self.availability.leaving_ids:
+            staying = replace(request, excluded=request.excluded | leaving_ids)
+            scores = self._choose(pool, staying, self._generator, now_ms)
+        return scores or self._choose(pool, request, self._generator, now_ms)
+
     def start_request(self, choice: Choice, request: PlacementRequest, now_ms: int) -> None:
         """Add a request to the in-flight work of the endpoint that was chosen for it."""
         self._refresh_if_due(now_ms)
         endpoint = self._fleet.tracked[choice.endpoint_id]
         self._starts += 1
         endpoint.last_start_number = self._starts
+        self.availability.record_started(choice.endpoint_id, now_ms)
         self._rate_limits.record_sent(choice.endpoint_id, now_ms)
-        endpoint.limited_until_ms = self._rate_limits.next_send_ms(choice.endpoint_id, now_ms)
+        self._update_next_start(endpoint, now_ms)
         prefixes = self._fleet.prefixes
         cached = prefixes.cached_share(choice.endpoint_id, request.prefix_hashes)
         self._in_flight.add_request(endpoint, request, cached * request.prompt_tokens, now_ms)
@@ -212,6 +257,8 @@
         if placed is None or not placed.endpoint.in_service:
             return False
         endpoint = placed.endpoint
+        if not self.availability.may_send(endpoint.info.endpoint_id, now_ms):
+            return False
         if endpoint.lease_until_ms <= now_ms and endpoint.fallback_ms <= now_ms:
             self._lease_holder.refresh((endpoint,), now_ms)
         if endpoint.sent + (not placed.sent) > endpoint.allowed(now_ms):
@@ -338,8 +385,8 @@
         self._refreshed_at_ms = now_ms
         self._lease_holder.check_pause(now_ms)
         self._detect_cold(now_ms)
-        for endpoint_id in self._rate_limits.limited_ids:
-            self.apply_limit(endpoint_id, now_ms)
+        for endpoint_id in self._rate_limits.limited_ids | self.availability.stated_ids:
+            self.apply_statements(endpoint_id, now_ms)
         self._fleet.refresh(now_ms)
 
     def _detect_cold(self, now_ms: int) -> None:
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/endpoints.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/endpoints.py
@@ -109,3 +109,5 @@
     ejected: bool
     slowness: float
     report_age_ms: int | None
+    opens_in_ms: int | None = 0
+    """Time until the endpoint takes another request by what it stated; None if it leaves."""
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
@@ -11,6 +11,7 @@
 from wagtailusher_placement.const import (
     KV_PRESSURE_FROM_SHARE,
     KV_PRESSURE_STEPS,
+    NEVER_MS,
     REMOTE_DOMAIN_STEPS,
 )
 from wagtailusher_placement.endpoints import EndpointInfo, EndpointState, EndpointView
@@ -36,8 +37,13 @@
         self.tracked: dict[EndpointId, TrackedEndpoint] = {}
         self.pools: dict[PoolId, Pool] = {}
 
-    def update_endpoints(self, endpoints: Iterable[EndpointInfo], now_ms: int) -> None:
-        """Apply the published list; removed endpoints are kept while requests are in flight."""
+    def update_endpoints(
+        self, endpoints: Iterable[EndpointInfo], now_ms: int
+    ) -> tuple[EndpointId, ...]:
+        """Apply the published list; removed endpoints are kept while requests are in flight.
+
+        Returns the endpoints that another process has replaced.
+        """
         infos = {info.endpoint_id: info for info in endpoints}
         for endpoint_id, endpoint in list(self.tracked.items()):
             if endpoint_id in infos:
@@ -47,13 +53,13 @@
             if endpoint.in_flight == 0:
                 del self.tracked[endpoint_id]
                 self.prefixes.clear(endpoint_id)
-        for info in infos.values():
-            self._track(info, now_ms)
+        replaced = tuple(key for key, info in infos.items() if self._track(info, now_ms))
         self._has_list = self._has_list or bool(infos)
         self.pools = {}
         for endpoint in sorted(self.tracked.values(), key=self._order_key):
             for pool_id in endpoint.info.pool_ids if endpoint.published else ():
                 self.pools.setdefault(pool_id, Pool(pool_id, self.prefixes)).add(endpoint)
+        return replaced
 
     def update_drained_domains(self, domains: Iterable[FailureDomainId], now_ms: int) -> None:
         """Replace the set of drained domains; endpoints that return to service are cold."""
@@ -70,20 +76,20 @@
         for endpoint in self.tracked.values():
             endpoint.steward_id = self._lease_holder.find_steward(endpoint)
 
-    def observe_report(self, report: LoadReport, now_ms: int) -> None:
-        """Apply a load report, unless a newer one was applied."""
+    def observe_report(self, report: LoadReport, now_ms: int) -> bool:
+        """Apply a load report unless a newer one was; return whether the endpoint restarted."""
         endpoint = self.tracked.get(report.endpoint_id)
         if endpoint is None:
-            return
+            return False
         if endpoint.report_at_ms is not None and report.reported_at_ms < endpoint.report_at_ms:
-            return
+            return False
         endpoint.report_at_ms = report.reported_at_ms
         endpoint.reported_count = report.running + report.waiting
         others = max(0, endpoint.reported_count - endpoint.in_flight)
         endpoint.others_tokens = others * endpoint.mean_request_tokens / 2
         pressure = max(0.0, report.kv_used_share - KV_PRESSURE_FROM_SHARE)
         endpoint.kv_steps = KV_PRESSURE_STEPS * pressure / (1 - KV_PRESSURE_FROM_SHARE)
-        self._update_warmth(endpoint, report, now_ms)
+        return self._update_warmth(endpoint, report, now_ms)
 
     def refresh(self, now_ms: int) -> None:
         """Refresh the state that depends on time and on the comparison with peers."""
@@ -140,14 +146,15 @@
         """Return an endpoint's sort key; the order differs between nodes."""
         return zlib.crc32(f"{self._vm_id}\0{endpoint.info.endpoint_id}".encode())
 
-    def _track(self, info: EndpointInfo, now_ms: int) -> None:
-        """Add or update one published endpoint."""
+    def _track(self, info: EndpointInfo, now_ms: int) -> bool:
+        """Add or update one published endpoint; return whether another process replaced it."""
         endpoint = self.tracked.get(info.endpoint_id)
         if endpoint is None:
             endpoint = self.tracked[info.endpoint_id] = TrackedEndpoint(info)
             self._lease_holder.add_endpoint(endpoint, assume_cold=self._has_list, now_ms=now_ms)
-            is_returning = False
+            is_returning = has_moved = False
         else:
+            has_moved = endpoint.info.address != info.address
             was_out = not endpoint.published or endpoint.info.state is EndpointState.LEAVING
             is_returning = was_out and info.state is EndpointState.LIVE
         endpoint.info = info
@@ -160,14 +167,15 @@
         endpoint.steward_id = self._lease_holder.find_steward(endpoint)
         if is_returning:
             self._return_to_service(endpoint, now_ms)
+        return is_returning or has_moved
 
     def _return_to_service(self, endpoint: TrackedEndpoint, now_ms: int) -> None:
         """Treat an endpoint that returns to service as just started, with a cold cache."""
         self.prefixes.clear(endpoint.info.endpoint_id)
         self._lease_holder.mark_cold(endpoint, now_ms)
 
-    def _update_warmth(self, endpoint: TrackedEndpoint, report: LoadReport, now_ms: int) -> None:
-        """Apply a report's signs of a restart and of being cold."""
+    def _update_warmth(self, endpoint: TrackedEndpoint, report: LoadReport, now_ms: int) -> bool:
+        """Apply a report's signs of a restart and of being cold; return whether it restarted."""
         restarted = endpoint.incarnation is not None and endpoint.incarnation != report.incarnation
         endpoint.incarnation = report.incarnation
         if endpoint.local_cold_start is not None:
@@ -178,6 +186,7 @@
             self._lease_holder.mark_cold(endpoint, now_ms)
         elif not report.cold and endpoint.cold is None:
             endpoint.cold = False
+        return restarted
 
 
 def _endpoint_view(endpoint: TrackedEndpoint, now_ms: int) -> EndpointView:
@@ -193,4 +202,12 @@
         ejected=now_ms < endpoint.health.ejected_until_ms,
         slowness=endpoint.health.slowness,
         report_age_ms=None if endpoint.report_at_ms is None else now_ms - endpoint.report_at_ms,
+        opens_in_ms=_opens_in_ms(endpoint, now_ms),
     )
+
+
+def _opens_in_ms(endpoint: TrackedEndpoint, now_ms: int) -> int | None:
+    """Return the time until an endpoint takes another request by what it stated."""
+    if endpoint.stated_until_ms >= NEVER_MS:
+        return None
+    return max(0, endpoint.stated_until_ms - now_ms)
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/tracked_endpoint.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/tracked_endpoint.py
@@ -74,7 +74,7 @@
         "last_request_ms",
         "last_start_number",
         "lease_until_ms",
-        "limited_until_ms",
+        "stated_until_ms",
         "min_sequence",
         "local_cold_start",
         "mean_request_tokens",
@@ -102,7 +102,8 @@
         self.drained = False
         self.doubted_until_ms = 0
         self.is_silent = False
-        self.limited_until_ms = 0
+        self.stated_until_ms = 0
+        """From when on the endpoint takes another request by what it stated itself."""
         self.in_service = False
         self.health = EndpointHealth()
         self.in_flight = 0
@@ -153,7 +154,7 @@
         """Return whether another request may be started now."""
         if not self.in_service or now_ms < self.health.ejected_until_ms:
             return False
-        if self.is_silent or now_ms < max(self.doubted_until_ms, self.limited_until_ms):
+        if self.is_silent or now_ms < max(self.doubted_until_ms, self.stated_until_ms):
             return False
         if now_ms < self.lease_until_ms:
             return self.in_flight < self.credits
--- a/packages/wagtailusher_router/src/wagtailusher_router/decider.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/decider.py
@@ -149,9 +149,9 @@
         """Send nothing to an endpoint that went silent, until it answers."""
         self._placement.apply_liveness(change)
 
-    def apply_limit(self, endpoint_id: EndpointId, now_ms: int) -> None:
-        """Send to an endpoint only as fast as the limit that it names, or no longer names."""
-        self._placement.apply_limit(endpoint_id, now_ms)
+    def apply_statements(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Send to an endpoint only as fast, and from when on, it stated that it takes requests."""
+        self._placement.apply_statements(endpoint_id, now_ms)
 
     def begin_doubt(self, endpoint_id: EndpointId, now_ms: int) -> bool:
         """Send nothing to an endpoint that may have restarted; return whether to poll it."""
@@ -269,7 +269,8 @@
         choice = tracked.choice
         if choice is None or tracked.phase is Phase.QUEUED:
             raise UnknownRequestIdError(f"request {request_id} has no attempt in progress")
-        if result is AttemptResult.CRASHED and tracked.phase is Phase.SENT:
+        has_crashed = result is AttemptResult.CRASHED and tracked.phase is Phase.SENT
+        if has_crashed and not self._placement.availability.may_leave(choice.endpoint_id):
             self._crash_isolation.record_crash(tracked, now_ms)
         step = self._dispatcher.next_step(tracked, choice, result)
         if step is NextStep.RESUME:
--- a/packages/wagtailusher_router/src/wagtailusher_router/dispatcher.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/dispatcher.py
@@ -16,7 +16,11 @@
 )
 from wagtailusher_router.actions import Action, Dispatch, Forward, ForwardReason, Refuse
 from wagtailusher_router.at_most_once_gate import AtMostOnceGate
-from wagtailusher_router.const import MAX_HANDOVERS_PER_TICK, MAX_QUEUE_HEAD_SKIPS
+from wagtailusher_router.const import (
+    DEFAULT_RETRY_AFTER_MS,
+    MAX_HANDOVERS_PER_TICK,
+    MAX_QUEUE_HEAD_SKIPS,
+)
 from wagtailusher_router.crash_isolation import CrashIsolation
 from wagtailusher_router.errors import UnknownRequestIdError
 from wagtailusher_router.handover import Handover
@@ -88,10 +92,21 @@
             choice = self._placement.choose(request, now_ms)
             if choice is not None:
                 return (self._start(tracked, choice, request, now_ms),)
-            if not request.excluded or skips >= MAX_QUEUE_HEAD_SKIPS:
-                return ()
+            refusal = self._refuse_unwanted(tracked, now_ms)
+            if refusal or not request.excluded or skips >= MAX_QUEUE_HEAD_SKIPS:
+                return refusal
         return ()
 
+    def _refuse_unwanted(self, tracked: TrackedRequest, now_ms: int) -> tuple[Action, ...]:
+        """Refuse a request that no endpoint wants in the time for which it may wait."""
+        wait_ms = self._placement.wait_ms(tracked.pending.pool_id, now_ms)
+        if wait_ms is not None and now_ms + wait_ms <= tracked.pending.deadline_ms:
+            return ()
+        self._admission.withdraw(tracked.request_id, now_ms)
+        if wait_ms is None:
+            return self.refuse(tracked, ErrorCode.NO_ENDPOINT, now_ms, DEFAULT_RETRY_AFTER_MS)
+        return self.refuse(tracked, ErrorCode.QUEUE_FULL, now_ms, wait_ms)
+
     def _start(
         self, tracked: TrackedRequest, choice: Choice, request: PlacementRequest, now_ms: int
     ) -> Dispatch:
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -16,6 +16,8 @@
     LivenessSummary,
     QuarantineEntry,
     QuarantineSummary,
+    StatementEntry,
+    StatementSummary,
 )
 from wagtailusher_wire.errors import (
     MalformedMessageError,
@@ -116,6 +118,8 @@
     "QuotaGrants",
     "ReplayGuard",
     "RoomSummary",
+    "StatementEntry",
+    "StatementSummary",
     "StreamVersionAnswer",
     "StreamVersionQuery",
     "StreamVersionRecord",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -13,7 +13,12 @@
 
 from wagtailusher_wire.capnp_conversion import from_plain, to_plain
 from wagtailusher_wire.const import MAX_NESTING, MAX_STREAM_MESSAGE_BYTES
-from wagtailusher_wire.endpoint_messages import LimitSummary, LivenessSummary, QuarantineSummary
+from wagtailusher_wire.endpoint_messages import (
+    LimitSummary,
+    LivenessSummary,
+    QuarantineSummary,
+    StatementSummary,
+)
 from wagtailusher_wire.errors import MalformedMessageError, WireVersionError
 from wagtailusher_wire.gateway_messages import (
     Beat,
@@ -47,6 +52,7 @@
     QuarantineSummary: Codec.MSGPACK,
     LivenessSummary: Codec.MSGPACK,
     LimitSummary: Codec.MSGPACK,
+    StatementSummary: Codec.MSGPACK,
     Beat: Codec.MSGPACK,
     StreamVersionRecord: Codec.MSGPACK,
     StreamVersionQuery: Codec.MSGPACK,
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/endpoint_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/endpoint_messages.py
@@ -1,4 +1,4 @@
-"""Messages about endpoints that crash, fall silent or name a limit."""
+"""Messages about endpoints that crash, fall silent, name a limit or leave."""
 
 from __future__ import annotations
 
@@ -68,3 +68,20 @@
     """The limits that endpoints named, or ceased to name, as known to the sender."""
 
     entries: tuple[LimitEntry, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StatementEntry:
+    """What an endpoint stated in an answer; a receiver ignores the statements it doesn't know."""
+
+    endpoint_id: EndpointId
+    incarnation: int
+    statement: str
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StatementSummary:
+    """What endpoints stated about further requests, as known to the sender."""
+
+    entries: tuple[StatementEntry, ...]
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -233,6 +233,17 @@
   entries @0 :List(LimitEntry);
 }
 
+struct StatementEntry {
+  endpointId @0 :Text;
+  incarnation @1 :UInt64;
+  statement @2 :Text;
+  ageMs @3 :UInt32;
+}
+
+struct StatementSummary {
+  entries @0 :List(StatementEntry);
+}
+
 struct ClassDemand {
   workspaceId @0 :Text;
   classId @1 :Text;
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -15,7 +15,12 @@
     VmId,
     WorkspaceId,
 )
-from wagtailusher_wire.endpoint_messages import LimitSummary, LivenessSummary, QuarantineSummary
+from wagtailusher_wire.endpoint_messages import (
+    LimitSummary,
+    LivenessSummary,
+    QuarantineSummary,
+    StatementSummary,
+)
 from wagtailusher_wire.gateway_messages import (
     Beat,
     StreamVersionAnswer,
@@ -345,6 +350,7 @@
     | StreamVersionAnswer
     | LivenessSummary
     | LimitSummary
+    | StatementSummary
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -373,5 +379,6 @@
     StreamVersionAnswer,
     LivenessSummary,
     LimitSummary,
+    StatementSummary,
 )
 """Message types by their number on the wire; new types are only appended."""
--- a/tests/standins/booking.py
+++ b/tests/standins/booking.py
@@ -5,11 +5,13 @@
 import asyncio
 from collections import Counter
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 import json
+import time
 
 from wagtailusher_core import ErrorCode
 from wagtailusher_http import (
+    Headers,
     HttpServer,
     Request,
     Response,
@@ -28,6 +30,10 @@
 
     service_ms: int = 10
     silent_after_execution: bool = False
+    is_leaving: bool = False
+    """Whether answers state that the service leaves."""
+    refuses_until_s: float = 0.0
+    """Until when calls are refused, with the time that is left as Retry-After."""
     answers_without_end: bool = False
     """Send one byte of the answer now and then, and never its end."""
 
@@ -47,6 +53,7 @@
         self.service_id = service_id
         self.behaviour = behaviour or BookingBehaviour()
         self.executions: Counter[str] = Counter()
+        self.arrived_s: list[float] = []
         self._server: HttpServer | None = None
         self._port = 0
 
@@ -75,10 +82,17 @@
             booking_id = str(json.loads(request.body)["booking_id"])
         except (ValueError, KeyError, TypeError):
             return error_response(400, ErrorCode.BAD_REQUEST, "a booking needs a booking_id")
+        self.arrived_s.append(time.monotonic())
+        left_s = self.behaviour.refuses_until_s - time.monotonic()
+        if left_s > 0:
+            refusal = error_response(503, ErrorCode.QUEUE_FULL, "the service wants no calls")
+            headers = refusal.headers.with_header("retry-after", f"{left_s:.3f}")
+            return replace(refusal, headers=headers)
         self.executions[booking_id] += 1
         if self.behaviour.silent_after_execution:
             await asyncio.Event().wait()
         if self.behaviour.answers_without_end:
             return Response(body=_async_trickle())
         await asyncio.sleep(self.behaviour.service_ms / MS_PER_S)
-        return json_response(200, {"booked": booking_id})
+        fields = [("x-wagtailusher-leaving", "1")] if self.behaviour.is_leaving else []
+        return json_response(200, {"booked": booking_id}, Headers(fields))
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -43,6 +43,10 @@
     report_lag_ms: int = 0
     limit: str | None = None
     """Requests a second from all VMs together, named in answers."""
+    is_leaving: bool = False
+    """Whether answers state that the engine leaves."""
+    refuses_until_s: float = 0.0
+    """Until when chats are refused, with the time that is left as Retry-After."""
     idle_timeout_ms: int = 75_000
     """Time after which an idle connection is closed; applies from the next start on."""
 
@@ -172,6 +176,9 @@
         value = json.loads(request.body)
         request_id = request.headers.get("x-request-id") or "none"
         self._count_start()
+        refusal = self._refuse(request_id)
+        if refusal is not None:
+            return refusal
         if self._overloads_while_cold() or self._contains_crash_word(value):
             asyncio.get_running_loop().create_task(self.async_crash())
             await asyncio.Event().wait()
@@ -180,6 +187,8 @@
         tokens = int(value.get("max_tokens") or self.behaviour.default_tokens)
         returned_id = "someone-else" if self.behaviour.wrong_request_id else request_id
         headers = Headers([("x-request-id", returned_id)])
+        if self.behaviour.is_leaving:
+            headers = headers.with_header("x-wagtailusher-leaving", "1")
         if self.behaviour.limit is not None:
             headers = headers.with_header("x-wagtailusher-limit", self.behaviour.limit)
         stream = self._async_first_stream(self._start_generation(request_id, tokens))
@@ -189,6 +198,16 @@
         text = "".join([_text_of(chunk) async for chunk in stream])
         return json_response(200, _complete_answer(request_id, text, tokens), headers)
 
+    def _refuse(self, request_id: str) -> Response | None:
+        """Return the refusal while the engine wants no requests."""
+        left_s = self.behaviour.refuses_until_s - time.monotonic()
+        if left_s <= 0:
+            return None
+        self._in_flight -= 1
+        refusal = error_response(503, ErrorCode.QUEUE_FULL, "the engine wants no requests")
+        headers = refusal.headers.with_header("x-request-id", request_id)
+        return replace(refusal, headers=headers.with_header("retry-after", f"{left_s:.3f}"))
+
     def _count_start(self) -> None:
         """Count a request that the engine received."""
         self._in_flight += 1
--- a/tests/test_readmes.py
+++ b/tests/test_readmes.py
@@ -9,6 +9,7 @@
 PACKAGES = Path(__file__).resolve().parent.parent / "packages"
 LIBRARIES_WITH_EXAMPLES = (
     "admission",
+    "availability",
     "liveness",
     "once",
     "quarantine",
--- /dev/null
+++ b/tests/wagtailusher_availability/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of wagtailusher_availability."""
--- a/tests/wagtailusher_daemon/test_finding_messages.py
+++ b/tests/wagtailusher_daemon/test_finding_messages.py
@@ -8,10 +8,18 @@
 import asyncio
 import unittest
 
-from wagtailusher_core import EndpointId, VmId
+from wagtailusher_core import EndpointId, Incarnation, VmId
+from wagtailusher_daemon.availability_exchange import AvailabilityExchange
 from wagtailusher_daemon.limit_exchange import LimitExchange
 from wagtailusher_daemon.liveness_exchange import LivenessExchange
-from wagtailusher_wire import MAX_PAYLOAD_BYTES, Message, encode
+from wagtailusher_wire import (
+    MAX_PAYLOAD_BYTES,
+    AuthenticatedMessage,
+    Message,
+    StatementEntry,
+    StatementSummary,
+    encode,
+)
 
 ENDPOINTS = tuple(EndpointId(f"{number:0192}") for number in range(20))
 """Endpoints with the longest identifiers that a store's keys allow."""
@@ -67,6 +75,31 @@
             exchange.read_answer(endpoint_id, BORN_MS, ("1.5",), answer_to="a")
         await self.async_check_sizes()
 
+    async def test_leaving_endpoints_fit_into_datagrams(self) -> None:
+        exchange = AvailabilityExchange(
+            peer_addresses=lambda now_ms: ("127.0.0.2:1",),
+            send=self.send,
+            clock_ms=lambda: 1_000,
+        )
+        exchange.decider.update_endpoints(dict.fromkeys(ENDPOINTS, BORN_MS))
+        for endpoint_id in ENDPOINTS:
+            exchange.decider.record_leaving(endpoint_id, BORN_MS, 1_000)
+        await self.async_check_sizes()
+
+    async def test_statements_of_a_newer_build_are_ignored(self) -> None:
+        exchange = AvailabilityExchange(
+            peer_addresses=lambda now_ms: (), send=self.send, clock_ms=lambda: 1_000
+        )
+        exchange.decider.update_endpoints({ENDPOINTS[0]: BORN_MS})
+        entry = StatementEntry(
+            endpoint_id=ENDPOINTS[0], incarnation=BORN_MS, statement="resting", age_ms=0
+        )
+        authenticated = AuthenticatedMessage(
+            vm_id=VmId("vm-2"), incarnation=Incarnation(1), sequence=1, payload=b""
+        )
+        exchange.receive(StatementSummary(entries=(entry,)), authenticated, "127.0.0.2:1", 1_000)
+        self.assertTrue(exchange.decider.is_empty)
+
 
 if __name__ == "__main__":
     unittest.main()
