Hear a VM that restarted after its clock went back

Peers dropped all datagrams of such a VM: it was no longer named to callers, and its load and findings were unknown, until its next start.

Cause: an incarnation is the time of day at the start, and peers take a lower one for an older process.

A peer that refuses a datagram as one of an older incarnation now says which one it knows, signed; the VM raises its own above it. A replayed datagram of an older process only brings a notice that changes nothing.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/peer_link.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/peer_link.py
@@ -11,6 +11,7 @@
     AuthenticatedMessage,
     Message,
     MessageAuthenticator,
+    OldIncarnationError,
     WireError,
     decode,
     encode,
@@ -32,10 +33,15 @@
         authenticator: MessageAuthenticator,
         receive: MessageReceiver,
         count_error: Callable[[ErrorCode], None],
+        on_old: Callable[[OldIncarnationError, str], None] = lambda err, address: None,
     ) -> None:
-        """Create a link; `async_bind` opens its socket."""
+        """Create a link; `async_bind` opens its socket.
+
+        `on_old` gets the error and the source of a datagram of an older incarnation.
+        """
+        self._on_old = on_old
         self._vm_id = vm_id
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._authenticator = authenticator
         self._receive = receive
         self._count_error = count_error
@@ -61,6 +67,8 @@
         except WireError as err:
             self._count_error(err.code)
             _LOGGER.debug("Peer: rejected a datagram from %s: %s", addr[0], err.code)
+            if isinstance(err, OldIncarnationError):
+                self._on_old(err, f"{addr[0]}:{addr[1]}")
             return
         self._receive(message, authenticated, f"{addr[0]}:{addr[1]}")
 
@@ -75,7 +83,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         host, _, port = address.rpartition(":")
-        datagram = self._authenticator.sign(self._vm_id, self._incarnation, encode(message))
+        datagram = self._authenticator.sign(self._vm_id, self.incarnation, encode(message))
         self.sent_bytes += len(datagram)
         self._transport.sendto(datagram, (host, int(port)))
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -37,6 +37,7 @@
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.heartbeat_exchange import HeartbeatExchange
 from wagtailusher_gateway.http_mapping import HttpMapping
+from wagtailusher_gateway.incarnation_exchange import IncarnationExchange
 from wagtailusher_gateway.logs import BoundedLineHandler
 from wagtailusher_gateway.metrics import GatewayMetrics
 from wagtailusher_gateway.models import FleetView, Member
@@ -87,6 +88,7 @@
         self.findings = self._new_findings()
         self.dispatcher = self._new_dispatcher()
         self.link = self._new_link(incarnation)
+        self.incarnations = IncarnationExchange(self.fleet, self.link, monotonic_ms)
         self.quarantine = self._new_quarantine()
         self.crash_watch = self._new_crash_watch()
         self.heartbeats = self._new_heartbeats()
@@ -108,6 +110,7 @@
             authenticator=MessageAuthenticator(self.options.fleet_secret),
             receive=self._receive_message,
             count_error=lambda code: self.metrics.peer_errors.inc({"code": str(code)}),
+            on_old=lambda err, address: self.incarnations.handle_old(err, address),
         )
 
     def _new_heartbeats(self) -> HeartbeatExchange:
@@ -307,6 +310,7 @@
         self, message: Message, authenticated: AuthenticatedMessage, address: str
     ) -> None:
         now_ms = monotonic_ms()
+        self.incarnations.receive(message)
         self.heartbeats.receive(message, authenticated, address, now_ms)
         self.stream_versions.receive(message, authenticated, address, now_ms)
         self.quarantine.receive(message, authenticated, address, now_ms)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -21,6 +21,7 @@
 )
 from wagtailusher_wire.errors import (
     MalformedMessageError,
+    OldIncarnationError,
     UnauthenticatedPeerError,
     WireError,
     WireVersionError,
@@ -29,6 +30,7 @@
     Beat,
     BeatLoad,
     BeatPeer,
+    IncarnationNotice,
     StreamVersionAnswer,
     StreamVersionQuery,
     StreamVersionRecord,
@@ -92,6 +94,7 @@
     "DemandSummary",
     "EndpointLoad",
     "Gossip",
+    "IncarnationNotice",
     "IndirectPing",
     "LeaseBatch",
     "LeaseGrant",
@@ -108,6 +111,7 @@
     "Message",
     "MessageAuthenticator",
     "Nack",
+    "OldIncarnationError",
     "Ping",
     "PoolDemand",
     "QuarantineEntry",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/errors.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wagtailusher_core import ErrorCode, WagtailusherError
+from wagtailusher_core import ErrorCode, Incarnation, VmId, WagtailusherError
 
 
 class WireError(WagtailusherError):
@@ -25,3 +25,12 @@
     """The message is not from a VM of the fleet, or is a replay."""
 
     code = ErrorCode.PEER_UNAUTHENTICATED
+
+
+class OldIncarnationError(UnauthenticatedPeerError):
+    """The message is from an older incarnation of a VM than an earlier one was."""
+
+    def __init__(self, vm_id: VmId, newest: Incarnation) -> None:
+        super().__init__("Datagram is of an older incarnation")
+        self.vm_id = vm_id
+        self.newest = newest
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from wagtailusher_core import EndpointId, FailureDomainId, VmId
+from wagtailusher_core import EndpointId, FailureDomainId, Incarnation, VmId
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,3 +73,11 @@
     software_version: str = ""
     age_ms: int = 0
     lifetime_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class IncarnationNotice:
+    """Tells a VM that the receiver of its datagrams knows a newer incarnation of it."""
+
+    vm_id: VmId
+    incarnation: Incarnation
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/message_auth.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/message_auth.py
@@ -17,6 +17,7 @@
 )
 from wagtailusher_wire.errors import (
     MalformedMessageError,
+    OldIncarnationError,
     UnauthenticatedPeerError,
     WireVersionError,
 )
@@ -78,7 +79,8 @@
     def verify(self, datagram: bytes) -> AuthenticatedMessage:
         """Check version, MAC and replay, and return the payload with its sender.
 
-        Raises MalformedMessageError, WireVersionError or UnauthenticatedPeerError.
+        Raises MalformedMessageError, WireVersionError or UnauthenticatedPeerError, of which
+        OldIncarnationError for a sender that has started again since.
         """
         if len(datagram) > self._max_bytes:
             raise MalformedMessageError("Datagram is too large")
@@ -90,6 +92,9 @@
         if not any(hmac.compare_digest(_mac(secret, content), mac) for secret in self._secrets):
             raise UnauthenticatedPeerError("Datagram is not signed with a secret of the fleet")
         authenticated = _parse_content(content)
+        newest = self._guard.newest(authenticated.vm_id)
+        if newest is not None and authenticated.incarnation < newest:
+            raise OldIncarnationError(authenticated.vm_id, newest)
         if not self._guard.check_and_record(
             authenticated.vm_id, authenticated.incarnation, authenticated.sequence
         ):
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -233,6 +233,11 @@
   entries @0 :List(LimitEntry);
 }
 
+struct IncarnationNotice {
+  vmId @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 struct StatementEntry {
   endpointId @0 :Text;
   incarnation @1 :UInt64;
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -23,6 +23,7 @@
 )
 from wagtailusher_wire.gateway_messages import (
     Beat,
+    IncarnationNotice,
     StreamVersionAnswer,
     StreamVersionQuery,
     StreamVersionRecord,
@@ -351,6 +352,7 @@
     | LivenessSummary
     | LimitSummary
     | StatementSummary
+    | IncarnationNotice
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -380,5 +382,6 @@
     LivenessSummary,
     LimitSummary,
     StatementSummary,
+    IncarnationNotice,
 )
 """Message types by their number on the wire; new types are only appended."""
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/replay.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/replay.py
@@ -40,6 +40,11 @@
         self._max_senders = max_senders
         self._windows: OrderedDict[VmId, _Window] = OrderedDict()
 
+    def newest(self, vm_id: VmId) -> Incarnation | None:
+        """Return the newest incarnation of a sender, or None if it is unknown."""
+        window = self._windows.get(vm_id)
+        return None if window is None else window.incarnation
+
     def check_and_record(self, vm_id: VmId, incarnation: Incarnation, sequence: int) -> bool:
         """Record a message; return whether it is new. Older incarnations are rejected."""
         window = self._windows.get(vm_id)
