Send a request to its only endpoint again after a crash

A repeatable chat whose only engine crashed under it waited until its deadline although the engine was back after 100 ms: an endpoint that was tried stayed excluded. test_only_endpoint timed out (5 s) before.

A request may now use the endpoints that it has tried once there are no others in service, as in the gateway; attempts, the retry budget and the quarantine bound it as before.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/endpoint_findings.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/endpoint_findings.py
@@ -45,36 +45,48 @@
         def apply_statements(change: LimitChange | StatementChange) -> None:
             decider().apply_statements(change.endpoint_id, monotonic_ms())
 
+        self._vm_id = vm_id
+        self._directory = directory
+        self._send = send
+        self._apply_statements = apply_statements
         self.liveness = LivenessExchange(
             is_answered=client.async_is_answered,
             drop_idle=client.drop_idle,
             address_of=directory.endpoint_address_of,
-            peer_addresses=lambda now_ms: directory.live_peer_addresses(),
+            peer_addresses=self._peer_addresses,
             send=send,
             checker_address=checker_address,
             clock_ms=monotonic_ms,
             on_change=lambda change: decider().apply_liveness(change),
             seed=new_seed(),
         )
-        self.limits = LimitExchange(
-            vm_id=vm_id,
-            live_vm_ids=lambda now_ms: (vm_id, *directory.live_peer_ids()),
-            known_vm_count=directory.member_count,
+        self.limits = self._new_limits(is_ready)
+        self.availability = self._new_availability()
+
+    def _new_limits(self, is_ready: Callable[[], bool]) -> LimitExchange:
+        return LimitExchange(
+            vm_id=self._vm_id,
+            live_vm_ids=lambda now_ms: (self._vm_id, *self._directory.live_peer_ids()),
+            known_vm_count=self._directory.member_count,
             is_fleet_settled=lambda now_ms: is_ready(),
-            peer_addresses=lambda now_ms: directory.live_peer_addresses(),
-            send=send,
+            peer_addresses=self._peer_addresses,
+            send=self._send,
             clock_ms=monotonic_ms,
-            on_change=apply_statements,
+            on_change=self._apply_statements,
             seed=new_seed(),
         )
 
-        self.availability = AvailabilityExchange(
-            peer_addresses=lambda now_ms: directory.live_peer_addresses(),
-            send=send,
+    def _new_availability(self) -> AvailabilityExchange:
+        return AvailabilityExchange(
+            peer_addresses=self._peer_addresses,
+            send=self._send,
             clock_ms=monotonic_ms,
-            on_change=apply_statements,
+            on_change=self._apply_statements,
         )
 
+    def _peer_addresses(self, now_ms: int) -> tuple[str, ...]:
+        return self._directory.live_peer_addresses()
+
     @property
     def deciders(self) -> EndpointDeciders:
         """Return the deciders of what was found."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -141,8 +141,7 @@
         self.headers = answer.headers
         self._has_answer_id = http_mapping.answer_id(answer.headers) is not None
         stated = http_mapping.read_answer(answer.status, answer.headers)
-        if not self._has_answer_id:
-            self._check_unidentified(answer, stated)
+        self._check_identified(answer, stated)
         if not stated.wrong_incarnation:
             self._dispatcher.read_answer(
                 self.reservation.endpoint, stated, terms.attempt_id, self._sent_ms
@@ -159,11 +158,13 @@
             )
         return None
 
-    def _check_unidentified(self, answer: ClientAnswer, stated: AnswerTerms) -> None:
+    def _check_identified(self, answer: ClientAnswer, stated: AnswerTerms) -> None:
         """Raise AnswerError unless an answer without an identifier can only be to this request.
 
         A refusal that is the first answer on its connection is; others may be late answers.
         """
+        if self._has_answer_id:
+            return
         if stated.not_run and answer.connection_requests == 1 and not answer.skipped_responses:
             answer.prevent_reuse()
             return
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
@@ -44,23 +44,30 @@
             on_change=lambda change: metrics.liveness.inc({"state": change.state}),
             seed=random.randrange(1 << 32),
         )
-        self.limits = LimitExchange(
-            vm_id=fleet.own_member.vm_id,
-            live_vm_ids=self._live_vm_ids,
-            known_vm_count=lambda: len(fleet.all_vm_ids()),
-            is_fleet_settled=fleet.is_settled,
+        self.limits = self._new_limits(send, clock_ms, metrics)
+        self.availability = AvailabilityExchange(
             peer_addresses=self._peer_addresses,
             send=send,
             clock_ms=clock_ms,
-            count_event=lambda event: metrics.limits.inc({"event": event}),
-            seed=random.randrange(1 << 32),
+            count_event=lambda event: metrics.statements.inc({"event": event}),
         )
 
-        self.availability = AvailabilityExchange(
+    def _new_limits(
+        self,
+        send: Callable[[str, Message], None],
+        clock_ms: Callable[[], int],
+        metrics: GatewayMetrics,
+    ) -> LimitExchange:
+        return LimitExchange(
+            vm_id=self._fleet.own_member.vm_id,
+            live_vm_ids=self._live_vm_ids,
+            known_vm_count=lambda: len(self._fleet.all_vm_ids()),
+            is_fleet_settled=self._fleet.is_settled,
             peer_addresses=self._peer_addresses,
             send=send,
             clock_ms=clock_ms,
-            count_event=lambda event: metrics.statements.inc({"event": event}),
+            count_event=lambda event: metrics.limits.inc({"event": event}),
+            seed=random.randrange(1 << 32),
         )
 
     def read_answer(
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/decider.py
@@ -158,17 +158,11 @@
             self.availability.next_start_ms(endpoint_id),
         )
 
-    def wait_ms(self, pool_id: PoolId, now_ms: int) -> int | None:
-        """Return for how long no endpoint of a pool wants requests, 0 if one does or is unknown.
-
-        None if all leave.
-        """
+    def in_service_ids(self, pool_id: PoolId) -> tuple[EndpointId, ...]:
+        """Return the endpoints of a pool that may get requests at all."""
         pool = self._fleet.pools.get(pool_id)
-        in_service = [item for item in pool.endpoints if item.in_service] if pool else []
-        if self.availability.is_empty or not in_service:
-            return 0
-        ids = (endpoint.info.endpoint_id for endpoint in in_service)
-        return self.availability.shortest_wait_ms(ids, now_ms)
+        endpoints = pool.endpoints if pool is not None else ()
+        return tuple(item.info.endpoint_id for item in endpoints if item.in_service)
 
     def _forget_statements(self, endpoint_id: EndpointId, now_ms: int) -> None:
         """Forget what an endpoint stated, as another process has taken its place."""
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/tracked_endpoint.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/tracked_endpoint.py
@@ -103,7 +103,6 @@
         self.doubted_until_ms = 0
         self.is_silent = False
         self.stated_until_ms = 0
-        """From when on the endpoint takes another request by what it stated itself."""
         self.in_service = False
         self.health = EndpointHealth()
         self.in_flight = 0
--- a/packages/wagtailusher_router/src/wagtailusher_router/dispatcher.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/dispatcher.py
@@ -89,6 +89,7 @@
             if self._crash_isolation.is_rejected(fingerprint, now_ms):
                 self._admission.withdraw(tracked.request_id, now_ms)
                 return self.refuse(tracked, ErrorCode.QUARANTINED, now_ms)
+            self._allow_tried(tracked)
             request = placement_request(
                 tracked, self._crash_isolation.excluded_endpoints(fingerprint, now_ms)
             )
@@ -100,9 +101,20 @@
                 return refusal
         return ()
 
+    def _allow_tried(self, tracked: TrackedRequest) -> None:
+        """Allow the endpoints that a request has tried again once there are no others."""
+        if not tracked.excluded:
+            return
+        if tracked.excluded.issuperset(self._placement.in_service_ids(tracked.pending.pool_id)):
+            tracked.excluded = frozenset()
+
     def _refuse_unwanted(self, tracked: TrackedRequest, now_ms: int) -> tuple[Action, ...]:
         """Refuse a request that no endpoint wants in the time for which it may wait."""
-        wait_ms = self._placement.wait_ms(tracked.pending.pool_id, now_ms)
+        availability = self._placement.availability
+        endpoint_ids = self._placement.in_service_ids(tracked.pending.pool_id)
+        if availability.is_empty or not endpoint_ids:
+            return ()
+        wait_ms = availability.shortest_wait_ms(endpoint_ids, now_ms)
         if wait_ms is not None and now_ms + wait_ms <= tracked.pending.deadline_ms:
             return ()
         self._admission.withdraw(tracked.request_id, now_ms)
