Keep places at a full engine for more urgent requests

Cause: the cap on prompts that wait at an engine was the same for all ranks, so that a free place went to whoever asked first, at any VM and in any queue; long prompts are more and wait longer.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -7,18 +7,22 @@
 import random
 
 from wagtailusher_core import EndpointId, FailureDomainId, VmId, rank_by_rendezvous
+from wagtailusher_gateway.capacity import (
+    PrefillCaps,
+    count_free_places,
+    has_capacity,
+    memory_tokens,
+)
 from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
 from wagtailusher_gateway.const import (
     HEARTBEAT_INTERVAL_MS,
-    KV_SHARE,
-    PREFILL_CAP_MS,
     PREFILL_TOKENS_PER_MS,
     REMOTE_DOMAIN_COST_MS,
     REMOTE_LOAD_AGE_COST,
     RUNNING_COST_MS,
     STALE_VIEW_MS,
 )
-from wagtailusher_gateway.contention import FreePlaces, PlaceContention
+from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load, TrackedEndpoint
 from wagtailusher_gateway.engine_partition import EnginePartition, is_prompt_heavy
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
@@ -36,9 +40,6 @@
 REPREFILL_WAIT_MS = 40.0
 """Mean wait for prefill that adds 1 to that weight; about the prefill time of one shared part."""
 
-PLAIN_ENDPOINT_QUEUE = 1
-"""Requests that a plain endpoint may get beyond its slots; keeps it busy between two requests."""
-
 COLD_COST_MS = 60.0
 """Cost penalty of an endpoint in cold start, which serves more slowly."""
 
@@ -98,10 +99,12 @@
         self._failure_domain_id = failure_domain_id
         self._prefixes = PrefixMemory()
         self._partitions: dict[str, EnginePartition] = {}
+        self._prefill_caps = PrefillCaps()
         self._random = random.Random(seed)
 
     def update(self, view: FleetView, now_ms: int) -> None:
         """Apply a view."""
+        self._prefill_caps.update(view.configuration)
         for endpoint_id in self.registry.update(view, now_ms):
             self._prefixes.remove_endpoint(endpoint_id)
         self.rate_limits.update_endpoints(
@@ -142,7 +145,7 @@
         self._contention.set_vm_ids(vm_ids)
         candidates = [
             candidate
-            for candidate in self._candidates(service, terms, usable, view, vm_ids, now_ms)
+            for candidate in self._candidates(service, terms, usable, view, vm_ids, now_ms, rank)
             if _id_of(candidate) in penalties
             and (may_use_limited or not self.rate_limits.has_limit(_id_of(candidate)))
             and self._may_compete(service, terms, candidate, preferred_ids, rank, software_version)
@@ -194,13 +197,15 @@
         view: FleetView,
         vm_ids: tuple[VmId, ...],
         now_ms: int,
+        rank: int,
     ) -> Iterator[Candidate]:
         """Yield the endpoints with capacity, their load and whether they are cold."""
+        cap_tokens = self._prefill_caps.cap_tokens(service.name, rank)
         stale = now_ms - view.confirmed_ms > STALE_VIEW_MS
         for tracked in usable:
             load, endpoint_id = tracked.total_load(now_ms), tracked.endpoint.endpoint_id
-            has_capacity = _has_capacity(tracked.endpoint, service, terms, load)
-            if not has_capacity or not self.rate_limits.may_send(endpoint_id, now_ms):
+            has_room = has_capacity(tracked.endpoint, service, terms, load, cap_tokens)
+            if not has_room or not self.rate_limits.may_send(endpoint_id, now_ms):
                 continue
             is_cold = self.registry.is_cold(tracked, service, now_ms, view_stale=stale)
             if is_cold and not self._cold_limiter.may_send(
@@ -282,7 +287,8 @@
         endpoint_id = tracked.endpoint.endpoint_id
         if service.engine is None or software_version is not None or endpoint_id in preferred_ids:
             return True
-        free_places = _free_places(tracked.endpoint, terms, load)
+        cap_tokens = self._prefill_caps.cap_tokens(service.name, rank)
+        free_places = count_free_places(tracked.endpoint, terms, load, cap_tokens)
         return self._contention.may_compete(endpoint_id, free_places, rank)
 
     def _is_remote(self, endpoint: Endpoint) -> bool:
@@ -307,7 +313,7 @@
         reservation = Reservation(
             endpoint=tracked.endpoint,
             prefill_tokens=uncached_tokens if service.engine is not None else 0,
-            memory_tokens=_memory_tokens(terms),
+            memory_tokens=memory_tokens(terms),
             is_cold=is_cold,
             cost_ms=cost_ms,
             waiting_tokens=load.prefill_tokens,
@@ -345,24 +351,6 @@
     return candidate[0].endpoint.endpoint_id
 
 
-def _memory_tokens(terms: RequestTerms) -> int:
-    """Return the unshared tokens that a request holds in an engine's memory."""
-    return terms.own_prompt_tokens + terms.max_output_tokens
-
-
-def _has_capacity(endpoint: Endpoint, service: Service, terms: RequestTerms, load: Load) -> bool:
-    """Return whether one more request fits into an endpoint's slots, prefill queue and memory."""
-    engine = service.engine
-    if engine is None:
-        return load.requests < endpoint.slots + PLAIN_ENDPOINT_QUEUE
-    if load.requests >= endpoint.slots:
-        return False
-    if load.requests and load.prefill_tokens > PREFILL_CAP_MS * PREFILL_TOKENS_PER_MS:
-        return False
-    used_tokens = load.memory_tokens + _memory_tokens(terms)
-    return not load.requests or used_tokens <= engine.memory_tokens * KV_SHARE
-
-
 def _without_excluded(
     candidates: list[Candidate], excluded: frozenset[EndpointId]
 ) -> list[Candidate]:
@@ -386,15 +374,3 @@
     }
     ranked = rank_by_rendezvous(terms.shared_parts[-1].part_id, endpoints)
     return [endpoints[EndpointId(endpoint_id)] for endpoint_id in ranked]
-
-
-def _free_places(endpoint: Endpoint, terms: RequestTerms, load: Load) -> FreePlaces:
-    """Return how many requests like this one fit into an engine's slots and prefill queue."""
-    free_slots = endpoint.slots - load.requests
-    cap_tokens = PREFILL_CAP_MS * PREFILL_TOKENS_PER_MS
-    room_tokens = max(0.0, cap_tokens - load.prefill_tokens)
-    by_prefill = 1 + int(room_tokens / max(1, terms.prompt_tokens))
-    return FreePlaces(
-        count=max(1, min(free_slots, by_prefill)),
-        share=min(free_slots / endpoint.slots, room_tokens / cap_tokens),
-    )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/routes.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/routes.py
@@ -72,6 +72,11 @@
     return route.splits[-1].service
 
 
+def rank_counts(configuration: Configuration) -> dict[str, int]:
+    """Return how many ranks requests for each service may have."""
+    return {name: len(found) for name, found in _collect_urgencies(configuration).items()}
+
+
 def _urgency(route: Route, workspace_rank: int | None) -> tuple[int, int]:
     """Return the sort key of a request: its workspace's rank, if any, precedes its route's."""
     return (route.rank if workspace_rank is None else workspace_rank, route.rank)
