Allow only endpoints that crashed again, not those that failed

Only endpoints that crashed under the request are allowed again; a crash voids their leases, so they get it when they are back.

--- a/packages/wagtailusher_router/src/wagtailusher_router/dispatcher.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/dispatcher.py
@@ -89,7 +89,7 @@
             if self._crash_isolation.is_rejected(fingerprint, now_ms):
                 self._admission.withdraw(tracked.request_id, now_ms)
                 return self.refuse(tracked, ErrorCode.QUARANTINED, now_ms)
-            self._allow_tried(tracked)
+            self._allow_crashed(tracked)
             request = placement_request(
                 tracked, self._crash_isolation.excluded_endpoints(fingerprint, now_ms)
             )
@@ -101,12 +101,16 @@
                 return refusal
         return ()
 
-    def _allow_tried(self, tracked: TrackedRequest) -> None:
-        """Allow the endpoints that a request has tried again once there are no others."""
-        if not tracked.excluded:
+    def _allow_crashed(self, tracked: TrackedRequest) -> None:
+        """Allow the endpoints that crashed under a request again once there are no others.
+
+        They get it when they are back, as a crash voids their leases.
+        """
+        if not tracked.crashed:
             return
         if tracked.excluded.issuperset(self._placement.in_service_ids(tracked.pending.pool_id)):
-            tracked.excluded = frozenset()
+            tracked.excluded -= tracked.crashed
+            tracked.crashed = frozenset()
 
     def _refuse_unwanted(self, tracked: TrackedRequest, now_ms: int) -> tuple[Action, ...]:
         """Refuse a request that no endpoint wants in the time for which it may wait."""
@@ -161,6 +165,8 @@
         """Requeue a request for another endpoint."""
         if tracked.choice is not None and result not in _USABLE_AGAIN:
             tracked.excluded |= {tracked.choice.endpoint_id}
+            if result is AttemptResult.CRASHED:
+                tracked.crashed |= {tracked.choice.endpoint_id}
         tracked.needs_new_connection = result is AttemptResult.CLOSED
         if tracked.phase is Phase.DISPATCHED:
             tracked.attempt -= result is AttemptResult.CANCELLED
--- a/packages/wagtailusher_router/src/wagtailusher_router/tracked_requests.py
+++ b/packages/wagtailusher_router/src/wagtailusher_router/tracked_requests.py
@@ -30,6 +30,8 @@
     attempt: int = 0
     choice: Choice | None = None
     excluded: frozenset[EndpointId] = frozenset()
+    crashed: frozenset[EndpointId] = frozenset()
+    """Those of the excluded endpoints that crashed under the request."""
     was_sent: bool = False
     relayed_events: int = 0
     needs_new_connection: bool = False
