Spend less time on heartbeats in large fleets

Now only the endpoints that a peer reported are visited, the count is kept, and idle endpoints are skipped. Decisions are the same.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -108,6 +108,8 @@
         self.availability = availability or AvailabilityDecider()
         self._tracked: dict[EndpointId, TrackedEndpoint] = {}
         self._by_service: dict[str, list[TrackedEndpoint]] = {}
+        self._reported_by: dict[VmId, frozenset[EndpointId]] = {}
+        """Endpoints with loads in the last report of each peer."""
 
     def get(self, endpoint_id: EndpointId) -> TrackedEndpoint | None:
         """Return the state of an endpoint, or None if it is unknown."""
@@ -144,18 +146,22 @@
     ) -> None:
         """Replace the loads that a peer reported for all endpoints."""
         reported = dict(loads)
-        for endpoint_id, tracked in self._tracked.items():
-            load = reported.get(endpoint_id)
-            if load is None:
-                tracked.peer_loads.pop(vm_id, None)
-                continue
-            load.received_ms = now_ms
-            tracked.peer_loads[vm_id] = load
+        for endpoint_id in self._reported_by.get(vm_id, frozenset()) - reported.keys():
+            if endpoint_id in self._tracked:
+                self._tracked[endpoint_id].peer_loads.pop(vm_id, None)
+        for endpoint_id, load in reported.items():
+            tracked = self._tracked.get(endpoint_id)
+            if tracked is not None:
+                load.received_ms = now_ms
+                tracked.peer_loads[vm_id] = load
+        self._reported_by[vm_id] = frozenset(reported)
 
     def own_loads(self, now_ms: int) -> list[tuple[EndpointId, Load]]:
         """Return the loads to report to peers: failing endpoints first, then the busiest."""
         reported = []
         for endpoint_id, tracked in self._tracked.items():
+            if not tracked.own_load.requests and not tracked.outcomes.failures:
+                continue
             answers, failures = tracked.outcomes.recent(now_ms)
             if tracked.own_load.requests or failures >= MIN_REPORTED_FAILURES:
                 reported.append(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -42,6 +42,8 @@
     """When its last heartbeat arrived, or when it was learned of through gossip."""
     due_ms: int = 0
     member: Member | None = None
+    is_local: bool = False
+    """Whether it is in this VM's failure domain."""
     view_revision: int = 0
     view_confirmed_ms: int = 0
 
@@ -68,6 +70,8 @@
         self._is_settled = False
         self._random = random.Random(seed)
         self.max_peer_revision = 0
+        self._local_count = 0
+        """Number of peers in this VM's failure domain."""
 
     def set_own_state(self, *, is_ready: bool, is_leaving: bool) -> None:
         """Set the state that this VM announces in its heartbeats."""
@@ -76,23 +80,19 @@
     @property
     def local_interval_ms(self) -> int:
         """Return the heartbeat interval for peers in this VM's failure domain."""
-        return _interval_ms(sum(self._is_same_domain(peer) for peer in self._peers.values()))
+        return _interval_ms(self._local_count)
 
     @property
     def remote_interval_ms(self) -> int:
         """Return the heartbeat interval for peers in other failure domains."""
         return _interval_ms(len(self._peers))
 
-    def _is_same_domain(self, peer: _Peer) -> bool:
-        member = peer.member
-        return member is not None and member.failure_domain_id == self.own_member.failure_domain_id
-
     def _live_peers(self, now_ms: int) -> Iterator[tuple[_Peer, Member]]:
         """Yield the peers that have not missed too many heartbeats."""
         local_ms = min(MAX_SILENCE_MS, self.local_interval_ms * MAX_MISSED_HEARTBEATS)
         remote_ms = min(MAX_SILENCE_MS, self.remote_interval_ms * MAX_MISSED_HEARTBEATS)
         for peer in self._peers.values():
-            limit_ms = local_ms if self._is_same_domain(peer) else remote_ms
+            limit_ms = local_ms if peer.is_local else remote_ms
             if peer.member is not None and now_ms - peer.last_seen_ms <= limit_ms:
                 yield peer, peer.member
 
@@ -120,11 +120,14 @@
             is_ready=heartbeat.is_ready,
         )
         self._silent_ids.discard(vm_id)
+        is_local = member.failure_domain_id == self.own_member.failure_domain_id
+        self._local_count += is_local - (existing is not None and existing.is_local)
         self._peers[vm_id] = _Peer(
             peer_address=source,
             last_seen_ms=now_ms,
             due_ms=existing.due_ms if existing is not None else now_ms,
             member=member,
+            is_local=is_local,
             view_revision=heartbeat.view_revision,
             view_confirmed_ms=now_ms - heartbeat.view_age_ms,
         )
@@ -151,6 +154,7 @@
         for vm_id, peer in tuple(self._peers.items()):
             if now_ms - peer.last_seen_ms > PEER_RETENTION_MS:
                 del self._peers[vm_id]
+                self._local_count -= peer.is_local
                 if peer.member is None or not peer.member.is_leaving:
                     self._silent_ids.add(vm_id)
                 if not self._peers:
@@ -168,7 +172,7 @@
         addresses = []
         for peer in due:
             self._heartbeats_sent += 1
-            peer.due_ms = now_ms + (local_ms if self._is_same_domain(peer) else remote_ms)
+            peer.due_ms = now_ms + (local_ms if peer.is_local else remote_ms)
             is_gossip_only = peer.member is None
             addresses.append(
                 (
