Keep what an endpoint stated while its entry is missing for a while

An endpoint that had said that it leaves was sent requests again when its entry lapsed and came back with the same incarnation, as after an outage of the store: the record was dropped with the entry. The record of a removed endpoint is kept (256 at most) until the same incarnation is listed again, or another one takes its place.

The three exchanges about endpoints share one function that splits their entries into datagrams.

--- a/packages/wagtailusher_availability/src/wagtailusher_availability/const.py
+++ b/packages/wagtailusher_availability/src/wagtailusher_availability/const.py
@@ -19,3 +19,6 @@
 
 NEVER_MS: Final = 1 << 62
 """Time of what does not happen."""
+
+MAX_ABSENT: Final = 256
+"""Most endpoints of which what they stated is kept after they were removed from the list."""
--- a/packages/wagtailusher_availability/src/wagtailusher_availability/decider.py
+++ b/packages/wagtailusher_availability/src/wagtailusher_availability/decider.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from wagtailusher_availability.const import (
+    MAX_ABSENT,
     MAX_EXTRA_REQUESTS,
     NEVER_MS,
     TRIAL_MS,
@@ -52,27 +53,43 @@
         self._stated: dict[EndpointId, _Endpoint] = {}
         """Endpoints that stated something that may still hold."""
         self._unsent: dict[EndpointId, _Endpoint] = {}
+        self._absent: dict[EndpointId, _Endpoint] = {}
+        """Endpoints that are no longer listed, which may be listed again, the oldest first."""
 
     def update_endpoints(self, incarnations: Mapping[EndpointId, int]) -> None:
         """Replace the endpoints; those that are new or have restarted have stated nothing."""
         for endpoint_id in self._endpoints.keys() - incarnations.keys():
-            self._drop(endpoint_id)
+            self._keep_absent(endpoint_id)
         for endpoint_id, incarnation in incarnations.items():
             known = self._endpoints.get(endpoint_id)
             if known is None or known.incarnation != incarnation:
-                self._drop(endpoint_id)
-                self._endpoints[endpoint_id] = _Endpoint(
-                    endpoint_id=endpoint_id, incarnation=incarnation
-                )
+                self._add(endpoint_id, incarnation)
+
+    def _keep_absent(self, endpoint_id: EndpointId) -> None:
+        """Remove an endpoint, and keep what it stated in case that it is listed again."""
+        stated = self._stated.get(endpoint_id)
+        self._drop(endpoint_id)
+        if stated is not None:
+            self._absent[endpoint_id] = stated
+            if len(self._absent) > MAX_ABSENT:
+                del self._absent[next(iter(self._absent))]
+
+    def _add(self, endpoint_id: EndpointId, incarnation: int) -> None:
+        """Add an endpoint with what the same incarnation stated before it was removed."""
+        self._drop(endpoint_id)
+        absent = self._absent.pop(endpoint_id, None)
+        if absent is not None and absent.incarnation == incarnation:
+            self._endpoints[endpoint_id] = self._stated[endpoint_id] = absent
+        else:
+            self._endpoints[endpoint_id] = _Endpoint(
+                endpoint_id=endpoint_id, incarnation=incarnation
+            )
 
     def forget(self, endpoint_id: EndpointId) -> None:
         """Forget what an endpoint stated, as another process has taken its place."""
         known = self._endpoints.get(endpoint_id)
         if known is not None:
-            self._drop(endpoint_id)
-            self._endpoints[endpoint_id] = _Endpoint(
-                endpoint_id=endpoint_id, incarnation=known.incarnation
-            )
+            self._add(endpoint_id, known.incarnation)
 
     def record_leaving(
         self, endpoint_id: EndpointId, incarnation: int, now_ms: int, *, answer_to: str = ""
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/availability_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/availability_exchange.py
@@ -16,8 +16,7 @@
     parse_wait_ms,
 )
 from wagtailusher_core import EndpointId, callback
-from wagtailusher_daemon.const import FINDINGS_PER_DATAGRAM
-from wagtailusher_daemon.convert import batches
+from wagtailusher_daemon.finding_messages import send_findings
 from wagtailusher_wire import AuthenticatedMessage, Message, StatementEntry, StatementSummary
 
 _LOGGER = logging.getLogger(__name__)
@@ -140,10 +139,7 @@
 
     def _send_reports(self, reports: Iterable[StatementReport], addresses: Iterable[str]) -> None:
         entries = tuple(_entry(report) for report in reports)
-        addresses = tuple(addresses)
-        for batch in batches(entries, FINDINGS_PER_DATAGRAM):
-            for address in addresses:
-                self._send(address, StatementSummary(entries=batch))
+        send_findings(self._send, addresses, entries, lambda batch: StatementSummary(entries=batch))
 
 
 def _entry(report: StatementReport) -> StatementEntry:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/limit_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/limit_exchange.py
@@ -8,8 +8,8 @@
 import random
 
 from wagtailusher_core import EndpointId, VmId, callback
-from wagtailusher_daemon.const import FINDINGS_PER_DATAGRAM, REPEATED_PEERS
-from wagtailusher_daemon.convert import batches
+from wagtailusher_daemon.const import REPEATED_PEERS
+from wagtailusher_daemon.finding_messages import send_findings
 from wagtailusher_rate_limits import (
     LimitChange,
     LimitReport,
@@ -134,10 +134,7 @@
 
     def _send_reports(self, reports: Iterable[LimitReport], addresses: Iterable[str]) -> None:
         entries = tuple(_entry(report) for report in reports)
-        addresses = tuple(addresses)
-        for batch in batches(entries, FINDINGS_PER_DATAGRAM):
-            for address in addresses:
-                self._send(address, LimitSummary(entries=batch))
+        send_findings(self._send, addresses, entries, lambda batch: LimitSummary(entries=batch))
 
     def _log_unreadable(
         self, endpoint_id: EndpointId, incarnation: int, err: UnreadableLimitError
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
@@ -9,12 +9,12 @@
 
 from wagtailusher_core import EndpointId, callback
 from wagtailusher_daemon.const import (
-    FINDINGS_PER_DATAGRAM,
     FIRST_PEERS,
     LIVENESS_CHECK_TIMEOUT_MS,
     REPEATED_PEERS,
 )
-from wagtailusher_daemon.convert import batches, convert
+from wagtailusher_daemon.convert import convert
+from wagtailusher_daemon.finding_messages import send_findings
 from wagtailusher_liveness import Liveness, LivenessChange, LivenessDecider, LivenessReport
 from wagtailusher_wire import AuthenticatedMessage, LivenessEntry, LivenessSummary, Message
 
@@ -143,7 +143,4 @@
 
     def _report(self, reports: Iterable[LivenessReport], addresses: Iterable[str]) -> None:
         entries = tuple(convert(report, LivenessEntry) for report in reports)
-        addresses = tuple(addresses)
-        for batch in batches(entries, FINDINGS_PER_DATAGRAM):
-            for address in addresses:
-                self._send(address, LivenessSummary(entries=batch))
+        send_findings(self._send, addresses, entries, lambda batch: LivenessSummary(entries=batch))
--- a/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
+++ b/packages/wagtailusher_placement/src/wagtailusher_placement/fleet.py
@@ -42,7 +42,7 @@
     ) -> tuple[EndpointId, ...]:
         """Apply the published list; removed endpoints are kept while requests are in flight.
 
-        Returns the endpoints that another process has replaced.
+        Returns the endpoints that are other processes than those that were listed before.
         """
         infos = {info.endpoint_id: info for info in endpoints}
         for endpoint_id, endpoint in list(self.tracked.items()):
@@ -147,14 +147,14 @@
         return zlib.crc32(f"{self._vm_id}\0{endpoint.info.endpoint_id}".encode())
 
     def _track(self, info: EndpointInfo, now_ms: int) -> bool:
-        """Add or update one published endpoint; return whether another process replaced it."""
+        """Add or update one published endpoint; return whether it is another process now."""
         endpoint = self.tracked.get(info.endpoint_id)
         if endpoint is None:
             endpoint = self.tracked[info.endpoint_id] = TrackedEndpoint(info)
             self._lease_holder.add_endpoint(endpoint, assume_cold=self._has_list, now_ms=now_ms)
-            is_returning = has_moved = False
+            is_returning, is_other = False, True
         else:
-            has_moved = endpoint.info.address != info.address
+            is_other = endpoint.info.address != info.address
             was_out = not endpoint.published or endpoint.info.state is EndpointState.LEAVING
             is_returning = was_out and info.state is EndpointState.LIVE
         endpoint.info = info
@@ -167,7 +167,7 @@
         endpoint.steward_id = self._lease_holder.find_steward(endpoint)
         if is_returning:
             self._return_to_service(endpoint, now_ms)
-        return is_returning or has_moved
+        return is_returning or is_other
 
     def _return_to_service(self, endpoint: TrackedEndpoint, now_ms: int) -> None:
         """Treat an endpoint that returns to service as just started, with a cold cache."""
--- a/tests/wagtailusher_availability/test_availability.py
+++ b/tests/wagtailusher_availability/test_availability.py
@@ -140,6 +140,16 @@
         self.vm.record_leaving(DESK, 1, 1_000_002)
         self.assertTrue(self.vm.may_start(DESK, 1_000_003))
 
+    def test_what_an_endpoint_stated_holds_when_its_entry_lapsed_and_is_back(self) -> None:
+        self.vm.record_leaving(DESK, 1, 100)
+        self.vm.update_endpoints({OTHER: 1})
+        self.assertTrue(self.vm.is_empty)
+        self.vm.update_endpoints({DESK: 1, OTHER: 1})
+        self.assertFalse(self.vm.may_start(DESK, 200))
+        self.vm.update_endpoints({OTHER: 1})
+        self.vm.update_endpoints({DESK: 2, OTHER: 1})
+        self.assertTrue(self.vm.may_start(DESK, 300))
+
     def test_leaving_ends_when_another_process_is_seen_at_the_endpoint(self) -> None:
         self.vm.record_leaving(DESK, 1, 100)
         self.vm.forget(DESK)
