--- a/tests/wagtailusher_placement/test_statements.py
+++ b/tests/wagtailusher_placement/test_statements.py
@@ -7,15 +7,16 @@
 
 import unittest
 
-from tests.wagtailusher_placement.test_decider import endpoint
+from tests.wagtailusher_placement.test_decider import KEY, POOL, endpoint
 from wagtailusher_availability import AvailabilityDecider
-from wagtailusher_core import EndpointId, FailureDomainId, Incarnation, VmId
+from wagtailusher_core import EndpointId, FailureDomainId, Incarnation, RequestId, VmId
 from wagtailusher_placement import (
     ANY_INCARNATION,
     EndpointInfo,
     EndpointState,
     LoadReport,
     PlacementDecider,
+    PlacementRequest,
 )
 
 ENGINE = EndpointId("e1")
@@ -52,6 +53,16 @@
             now_ms,
         )
 
+    def test_placed_request_is_not_sent_once_its_engine_says_it_leaves(self) -> None:
+        self.availability.forget(ENGINE)
+        self.list_engines(endpoint("e1"))
+        request = PlacementRequest(request_id=RequestId("r"), pool_id=POOL, tier=0, key=KEY)
+        choice = self.decider.choose(request, 300)
+        assert choice is not None
+        self.decider.start_request(choice, request, 300)
+        self.availability.record_leaving(ENGINE, ANY_INCARNATION, 310)
+        self.assertFalse(self.decider.may_send(request.request_id, 320))
+
     def test_the_same_list_changes_nothing(self) -> None:
         self.list_engines(endpoint("e1"))
         self.assertFalse(self.availability.may_start(ENGINE, 300))
