Relay heartbeats between failure domains through one VM of each

Cause: every VM sends heartbeats to every other one. One decider that hears from all sends 86, 129 and 200 a second at 68, 195 and 370 VMs, and gets as many; each costs a signature, a turn of the event loop and system calls.

Now a VM of a fleet with more than 50 peers sends to all VMs of its own failure domain as before, and once a second to one random live VM of each other domain, which passes the heartbeat on with its next ones, with the time since it arrived.

A relay that was paused passes nothing on for a second, as datagrams that waited for it look new. Only VMs that state that they relay are left out of the direct heartbeats, and only theirs are relayed, so VMs of an older build hear from all. PeerLink encodes a message once for all receivers that get it in a row.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/peer_link.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/peer_link.py
@@ -46,6 +46,7 @@
         self._receive = receive
         self._count_error = count_error
         self._transport: asyncio.DatagramTransport | None = None
+        self._last_encoded: tuple[Message, bytes] | None = None
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -83,10 +84,17 @@
         if self._transport is None or self._transport.is_closing():
             return
         host, _, port = address.rpartition(":")
-        datagram = self._authenticator.sign(self._vm_id, self.incarnation, encode(message))
+        payload = self._encode(message)
+        datagram = self._authenticator.sign(self._vm_id, self.incarnation, payload)
         self.sent_bytes += len(datagram)
         self._transport.sendto(datagram, (host, int(port)))
 
+    def _encode(self, message: Message) -> bytes:
+        """Return a message's encoding, once for all receivers that get it in a row."""
+        if self._last_encoded is None or self._last_encoded[0] is not message:
+            self._last_encoded = (message, encode(message))
+        return self._last_encoded[1]
+
     @callback
     def close(self) -> None:
         """Close the socket."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -325,7 +325,7 @@
         self.stream_versions.observe(view, now_ms)
         self.dispatcher.update(view, now_ms)
         if self.fleet.is_reader(now_ms):
-            self.heartbeats.send_all(now_ms)
+            self.heartbeats.announce(now_ms)
         if view.configuration is not None and view.configuration is not configuration:
             self.servers.apply_limits(view.configuration.limits)
             self.metrics.configuration.set({}, view.configuration.version)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -58,6 +58,23 @@
 MAX_HEARTBEAT_INTERVAL_MS: Final = 1_600
 """Longest interval between heartbeats to a peer; three of them fit into `MAX_SILENCE_MS`."""
 
+RELAY_MIN_PEERS: Final = 50
+"""Number of peers above which heartbeats to other failure domains are relayed; those to each peer
+would be rarer than `RELAYED_INTERVAL_MS`."""
+
+RELAYED_INTERVAL_MS: Final = 1_000
+"""Interval between heartbeats to one VM of each other failure domain, which passes them on; four of
+them fit into `MAX_SILENCE_MS`."""
+
+MAX_RELAYED_LOADS: Final = 8
+"""Most endpoint loads in a relayed heartbeat; it fits into a datagram with the relay's own."""
+
+RELAY_PAUSE_MS: Final = 300
+"""Time between two ticks from which a relay counts as paused; several of its turns."""
+
+RELAY_SETTLE_MS: Final = 1_000
+"""Time after such a pause in which a relay passes nothing on, as datagrams that waited look new."""
+
 MAX_SILENCE_MS: Final = 5_000
 """Longest time without a heartbeat from a peer that callers are sent to; below the platform's
 bound of 6 s."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -17,6 +17,8 @@
     MAX_SILENCE_MS,
     MS_PER_S,
     PEER_RETENTION_MS,
+    RELAY_MIN_PEERS,
+    RELAYED_INTERVAL_MS,
 )
 from wagtailusher_gateway.models import Member
 from wagtailusher_wire import Beat, BeatPeer
@@ -33,6 +35,18 @@
 """The same time in heartbeat intervals of a large fleet; tolerates one lost heartbeat."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DueHeartbeat:
+    """A heartbeat that is to be sent now."""
+
+    peer_address: str
+    with_peers: bool
+    """Whether it includes a sample of the known peers."""
+    relay_since_ms: int | None = None
+    """When a peer in this VM's failure domain got the last one, as this one passes on what has
+    arrived since; None for other peers."""
+
+
 @dataclass(slots=True, kw_only=True)
 class _Peer:
     """A known VM; `member` is None until its first heartbeat arrives."""
@@ -41,6 +55,8 @@
     last_seen_ms: int
     """When its last heartbeat arrived, or when it was learned of through gossip."""
     due_ms: int = 0
+    sent_ms: int = 0
+    """When the last regular heartbeat was sent to it."""
     member: Member | None = None
     is_local: bool = False
     """Whether it is in this VM's failure domain."""
@@ -49,10 +65,11 @@
 
 
 class FleetDecider:
-    """One VM's view of the fleet; every VM sends heartbeats to every other one.
+    """One VM's view of the fleet, from the heartbeats of all others.
 
-    The interval grows with the size of the fleet, and is longest between failure domains, so that
-    the number of heartbeats that a VM sends stays bounded.
+    In a small fleet every VM sends them to every other one. In a large one it does so in its own
+    failure domain only, and sends them to one VM of each other domain at a time, which passes them
+    on. So the number of heartbeats that a VM sends does not grow with the fleet.
     """
 
     def __init__(
@@ -65,6 +82,7 @@
         self._silent_ids: set[VmId] = set()
         """Removed peers that did not announce that they leave; they may still send requests."""
         self._seeds_due_ms = started_ms
+        self._relays_due_ms = started_ms
         self._heartbeats_sent = 0
         self._last_growth_ms = started_ms
         self._is_settled = False
@@ -84,9 +102,16 @@
 
     @property
     def remote_interval_ms(self) -> int:
-        """Return the heartbeat interval for peers in other failure domains."""
+        """Return the longest time between two heartbeats of a peer in another failure domain."""
+        if self.uses_relays:
+            return RELAYED_INTERVAL_MS + self.local_interval_ms
         return _interval_ms(len(self._peers))
 
+    @property
+    def uses_relays(self) -> bool:
+        """Return whether heartbeats between failure domains are passed on by one VM of each."""
+        return len(self._peers) > RELAY_MIN_PEERS
+
     def _live_peers(self, now_ms: int) -> Iterator[tuple[_Peer, Member]]:
         """Yield the peers that have not missed too many heartbeats."""
         local_ms = min(MAX_SILENCE_MS, self.local_interval_ms * MAX_MISSED_HEARTBEATS)
@@ -96,10 +121,22 @@
             if peer.member is not None and now_ms - peer.last_seen_ms <= limit_ms:
                 yield peer, peer.member
 
+    def is_news(self, vm_id: VmId, incarnation: int, sent_ms: int) -> bool:
+        """Return whether a relayed heartbeat is newer than the last one known of its VM."""
+        if vm_id == self.own_member.vm_id:
+            return False
+        peer = self._peers.get(vm_id)
+        if peer is None or peer.member is None or incarnation > peer.member.incarnation:
+            return True
+        return incarnation == peer.member.incarnation and sent_ms > peer.last_seen_ms
+
     def receive(
         self, vm_id: VmId, incarnation: int, heartbeat: Beat, source: str, now_ms: int
     ) -> bool:
-        """Process a heartbeat; return whether its sender is new or has restarted."""
+        """Process a heartbeat; return whether its sender is new or has restarted.
+
+        `now_ms` is when it arrived here, or at the VM that relayed it.
+        """
         if vm_id == self.own_member.vm_id:
             return False
         existing = self._peers.get(vm_id)
@@ -118,6 +155,7 @@
             weight=heartbeat.weight,
             is_leaving=heartbeat.is_leaving,
             is_ready=heartbeat.is_ready,
+            relays=heartbeat.relays,
         )
         self._silent_ids.discard(vm_id)
         is_local = member.failure_domain_id == self.own_member.failure_domain_id
@@ -126,6 +164,7 @@
             peer_address=source,
             last_seen_ms=now_ms,
             due_ms=existing.due_ms if existing is not None else now_ms,
+            sent_ms=existing.sent_ms if existing is not None else 0,
             member=member,
             is_local=is_local,
             view_revision=heartbeat.view_revision,
@@ -161,34 +200,68 @@
                     self._is_settled = False
                     self._last_growth_ms = now_ms
 
-    def collect_due_heartbeats(self, now_ms: int) -> list[tuple[str, bool]]:
-        """Return the addresses to send a heartbeat to now, and advance their schedule.
-
-        The flag of each states whether its heartbeat includes a sample of the known peers.
-        """
+    def collect_due_heartbeats(self, now_ms: int) -> list[DueHeartbeat]:
+        """Return the heartbeats to send now, and advance their schedule."""
         self._remove_expired(now_ms)
-        due = [peer for peer in self._peers.values() if peer.due_ms <= now_ms]
         local_ms, remote_ms = self.local_interval_ms, self.remote_interval_ms
-        addresses = []
-        for peer in due:
-            self._heartbeats_sent += 1
+        due = []
+        for peer in self._peers.values():
+            if peer.due_ms > now_ms:
+                continue
             peer.due_ms = now_ms + (local_ms if peer.is_local else remote_ms)
-            is_gossip_only = peer.member is None
-            addresses.append(
-                (
-                    peer.peer_address,
-                    is_gossip_only or self._heartbeats_sent % GOSSIP_EVERY_HEARTBEATS == 0,
-                )
-            )
+            if not self._is_relayed_to(peer):
+                due.append(self._new_due(peer, now_ms))
+        if self.uses_relays and self._relays_due_ms <= now_ms:
+            self._relays_due_ms = now_ms + RELAYED_INTERVAL_MS
+            due.extend(self._new_due(peer, now_ms) for peer in self._choose_relays(now_ms))
         if self._seeds_due_ms <= now_ms:
             self._seeds_due_ms = now_ms + remote_ms * GOSSIP_EVERY_HEARTBEATS
-            known_addresses = {
-                peer.peer_address for peer in self._peers.values() if peer.member is not None
-            }
-            addresses.extend(
-                (address, True) for address in self._seeds if address not in known_addresses
-            )
-        return addresses
+            due.extend(self._due_to_seeds())
+        return due
+
+    def _new_due(self, peer: _Peer, now_ms: int) -> DueHeartbeat:
+        self._heartbeats_sent += 1
+        since_ms, peer.sent_ms = peer.sent_ms, now_ms
+        is_gossip_only = peer.member is None
+        return DueHeartbeat(
+            peer_address=peer.peer_address,
+            with_peers=is_gossip_only or self._heartbeats_sent % GOSSIP_EVERY_HEARTBEATS == 0,
+            relay_since_ms=max(since_ms, now_ms - self.local_interval_ms - HEARTBEAT_INTERVAL_MS)
+            if peer.is_local and self.uses_relays
+            else None,
+        )
+
+    def _due_to_seeds(self) -> Iterator[DueHeartbeat]:
+        known_addresses = {
+            peer.peer_address for peer in self._peers.values() if peer.member is not None
+        }
+        for address in self._seeds:
+            if address not in known_addresses:
+                yield DueHeartbeat(peer_address=address, with_peers=True)
+
+    def _is_relayed_to(self, peer: _Peer) -> bool:
+        """Return whether a peer gets this VM's heartbeats from others in its failure domain.
+
+        VMs of builds that do not relay get them directly.
+        """
+        has_relays = peer.member is not None and peer.member.relays
+        return self.uses_relays and has_relays and not peer.is_local
+
+    def _choose_relays(self, now_ms: int) -> Iterator[_Peer]:
+        """Yield a random VM of each other failure domain, a live one if there is any."""
+        by_domain: dict[FailureDomainId, list[_Peer]] = {}
+        for peer in self._peers.values():
+            if peer.member is not None and self._is_relayed_to(peer):
+                by_domain.setdefault(peer.member.failure_domain_id, []).append(peer)
+        for peers in by_domain.values():
+            live = [
+                peer
+                for peer in peers
+                if now_ms - peer.last_seen_ms <= MAX_SILENCE_MS
+                and peer.member is not None
+                and not peer.member.is_leaving
+            ]
+            yield self._random.choice(live or peers)
 
     def sample_peers(self) -> tuple[BeatPeer, ...]:
         """Return a random sample of the peers from which a heartbeat was received."""
@@ -211,6 +284,15 @@
         domain_id = self.own_member.failure_domain_id
         return tuple(member for member in members if member.failure_domain_id == domain_id)
 
+    def announcement_addresses(self, now_ms: int) -> tuple[str, ...]:
+        """Return whom to tell of a change at once: all, or as far as heartbeats are sent."""
+        members = self.live_members(now_ms)
+        if not self.uses_relays:
+            return tuple(member.peer_address for member in members)
+        domain_id = self.own_member.failure_domain_id
+        local = (item.peer_address for item in members if item.failure_domain_id == domain_id)
+        return (*local, *(peer.peer_address for peer in self._choose_relays(now_ms)))
+
     def gets_early_heartbeats_from(self, failure_domain_id: FailureDomainId) -> bool:
         """Return whether peers in a failure domain report a long prompt to this VM at once."""
         is_small = len(self._peers) <= EARLY_HEARTBEAT_MAX_PEERS
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 import logging
 
-from wagtailusher_core import VmId
+from wagtailusher_core import Incarnation, VmId
 from wagtailusher_gateway.const import EARLY_HEARTBEAT_INTERVAL_MS
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load
-from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.fleet import DueHeartbeat, FleetDecider
+from wagtailusher_gateway.heartbeat_relay import HeartbeatRelay, original_beat, split_to_fit
 from wagtailusher_gateway.view_cache import ViewCache
-from wagtailusher_wire import AuthenticatedMessage, Beat, BeatLoad, Message
+from wagtailusher_wire import AuthenticatedMessage, Beat, BeatLoad, Message, RelayedBeat
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -21,6 +23,17 @@
 """Largest age that the message field can hold; stands for a view that was never confirmed."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Origin:
+    """Where a heartbeat comes from."""
+
+    vm_id: VmId
+    incarnation: Incarnation
+    peer_address: str
+    sent_ms: int
+    """When it arrived at this VM, or at the one that passed it on."""
+
+
 class HeartbeatExchange:
     """Builds this VM's heartbeats, and applies those of peers to membership, loads and the view."""
 
@@ -39,17 +52,15 @@
         self._view_cache = view_cache
         self._registry = registry
         self._send = send
+        self._relay = HeartbeatRelay()
         self._live_ids: frozenset[VmId] = frozenset()
         self._early_sent_ms = 0
         self._is_early_pending = False
 
     def tick(self, now_ms: int) -> None:
         """Send the heartbeats that are due and log changes of the live members."""
-        due = self._fleet.collect_due_heartbeats(now_ms)
-        kinds = {with_peers for _, with_peers in due}
-        heartbeats = {kind: self._new_heartbeat(now_ms, with_peers=kind) for kind in kinds}
-        for address, with_peers in due:
-            self._send(address, heartbeats[with_peers])
+        self._relay.tick(now_ms)
+        self._send_due(self._fleet.collect_due_heartbeats(now_ms), now_ms)
         if self._is_early_pending:
             self.send_early(now_ms)
         live_ids = frozenset(member.vm_id for member in self._fleet.live_members(now_ms))
@@ -57,6 +68,28 @@
             self._log_change(live_ids)
             self._live_ids = live_ids
 
+    def _send_due(self, due: list[DueHeartbeat], now_ms: int) -> None:
+        """Send heartbeats; those within the failure domain pass on what arrived from others."""
+        kinds = {item.with_peers for item in due}
+        heartbeats = {kind: self._new_heartbeat(now_ms, with_peers=kind) for kind in kinds}
+        relaying = self._new_relaying_heartbeats(due, now_ms)
+        for item in due:
+            is_relaying = bool(relaying) and item.relay_since_ms is not None
+            if is_relaying:
+                for heartbeat in relaying:
+                    self._send(item.peer_address, heartbeat)
+            if item.with_peers or not is_relaying:
+                self._send(item.peer_address, heartbeats[item.with_peers])
+
+    def _new_relaying_heartbeats(self, due: list[DueHeartbeat], now_ms: int) -> list[Beat]:
+        """Return the heartbeats that pass on what arrived since the peers' last one, if any."""
+        since_ms = [item.relay_since_ms for item in due if item.relay_since_ms is not None]
+        relayed = self._relay.received_since(min(since_ms), now_ms) if since_ms else ()
+        if not relayed:
+            return []
+        heartbeat = self._new_heartbeat(now_ms, with_peers=False)
+        return list(split_to_fit(lambda part: replace(heartbeat, relayed=part), relayed))
+
     def send_early(self, now_ms: int) -> None:
         """Report a long prompt ahead of schedule, so that peers don't choose the same engine."""
         self._is_early_pending = now_ms - self._early_sent_ms < EARLY_HEARTBEAT_INTERVAL_MS
@@ -67,6 +100,12 @@
         for member in self._fleet.early_heartbeat_members(now_ms):
             self._send(member.peer_address, heartbeat)
 
+    def announce(self, now_ms: int) -> None:
+        """Tell the fleet of a change of the view before the next heartbeats are due."""
+        heartbeat = self._new_heartbeat(now_ms, with_peers=False)
+        for address in self._fleet.announcement_addresses(now_ms):
+            self._send(address, heartbeat)
+
     def send_all(self, now_ms: int) -> None:
         """Send a heartbeat to every live peer at once, for changes that must not be delayed."""
         heartbeat = self._new_heartbeat(now_ms, with_peers=False)
@@ -79,12 +118,38 @@
         """Process a heartbeat; a new peer gets one in reply at once."""
         if not isinstance(message, Beat):
             return
+        own_domain_id = self._fleet.own_member.failure_domain_id
+        is_remote = message.failure_domain_id != own_domain_id
+        if is_remote and message.relays and self._fleet.uses_relays:
+            self._relay.add(authenticated, address, message, now_ms)
+        origin = _Origin(
+            vm_id=authenticated.vm_id,
+            incarnation=authenticated.incarnation,
+            peer_address=address,
+            sent_ms=now_ms,
+        )
+        self._apply(origin, message, now_ms)
+        for relayed in message.relayed:
+            self._apply_relayed(relayed, now_ms)
+
+    def _apply_relayed(self, relayed: RelayedBeat, now_ms: int) -> None:
+        """Apply a heartbeat that a peer passed on, unless a newer one of its VM is known."""
+        origin = _Origin(
+            vm_id=relayed.vm_id,
+            incarnation=relayed.incarnation,
+            peer_address=relayed.peer_address,
+            sent_ms=now_ms - relayed.age_ms,
+        )
+        if self._fleet.is_news(origin.vm_id, origin.incarnation, origin.sent_ms):
+            self._apply(origin, original_beat(relayed), now_ms)
+
+    def _apply(self, origin: _Origin, heartbeat: Beat, now_ms: int) -> None:
         is_new = self._fleet.receive(
-            authenticated.vm_id, authenticated.incarnation, message, address, now_ms
+            origin.vm_id, origin.incarnation, heartbeat, origin.peer_address, origin.sent_ms
         )
-        confirmed_ms = now_ms - message.view_age_ms
-        self._view_cache.confirm_by_peer(message.view_revision, confirmed_ms, now_ms)
-        is_updated_early = self._fleet.gets_early_heartbeats_from(message.failure_domain_id)
+        confirmed_ms = origin.sent_ms - heartbeat.view_age_ms
+        self._view_cache.confirm_by_peer(heartbeat.view_revision, confirmed_ms, now_ms)
+        is_updated_early = self._fleet.gets_early_heartbeats_from(heartbeat.failure_domain_id)
         loads = (
             (
                 load.endpoint_id,
@@ -97,12 +162,12 @@
                     is_updated_early=is_updated_early,
                 ),
             )
-            for load in message.loads
+            for load in heartbeat.loads
         )
-        self._registry.set_peer_loads(authenticated.vm_id, loads, now_ms)
-        if is_new and authenticated.vm_id != self._fleet.own_member.vm_id:
-            self._send(address, self._new_heartbeat(now_ms, with_peers=True))
-            self._on_new_peer(address, now_ms)
+        self._registry.set_peer_loads(origin.vm_id, loads, origin.sent_ms)
+        if is_new and origin.vm_id != self._fleet.own_member.vm_id:
+            self._send(origin.peer_address, self._new_heartbeat(now_ms, with_peers=True))
+            self._on_new_peer(origin.peer_address, now_ms)
 
     def _new_heartbeat(self, now_ms: int, *, with_peers: bool) -> Beat:
         own_member = self._fleet.own_member
@@ -128,6 +193,7 @@
                 for endpoint_id, load in self._registry.own_loads(now_ms)[:MAX_LOADS]
             ),
             peers=self._fleet.sample_peers() if with_peers else (),
+            relays=True,
         )
 
     def _log_change(self, live_ids: frozenset[VmId]) -> None:
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
@@ -0,0 +1,109 @@
+"""Heartbeats of VMs in other failure domains, to be passed on within this one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import replace
+
+from wagtailusher_core import Incarnation, VmId
+from wagtailusher_gateway.const import (
+    MAX_HEARTBEAT_INTERVAL_MS,
+    MAX_RELAYED_LOADS,
+    RELAY_PAUSE_MS,
+    RELAY_SETTLE_MS,
+)
+from wagtailusher_wire import MAX_PAYLOAD_BYTES, AuthenticatedMessage, Beat, RelayedBeat, encode
+
+
+class HeartbeatRelay:
+    """Keeps the heartbeats that this VM got itself until it has passed them on.
+
+    After a pause of this process, datagrams that waited for it look newer than they are, so for a
+    while it passes nothing on.
+    """
+
+    def __init__(self) -> None:
+        self._received: dict[VmId, tuple[RelayedBeat, int]] = {}
+        self._ticked_ms: int | None = None
+        self._resumes_ms = 0
+
+    def tick(self, now_ms: int) -> None:
+        """Notice a pause, and drop heartbeats that all peers in the failure domain have got."""
+        self._check_pause(now_ms)
+        self._ticked_ms = now_ms
+        self._received = {
+            vm_id: (beat, received_ms)
+            for vm_id, (beat, received_ms) in self._received.items()
+            if now_ms - received_ms <= MAX_HEARTBEAT_INTERVAL_MS
+        }
+
+    def add(
+        self, authenticated: AuthenticatedMessage, address: str, beat: Beat, now_ms: int
+    ) -> None:
+        """Keep a heartbeat that arrived from its own VM."""
+        self._check_pause(now_ms)
+        if now_ms >= self._resumes_ms:
+            relayed = _new_relayed(authenticated.vm_id, authenticated.incarnation, address, beat)
+            self._received[authenticated.vm_id] = (relayed, now_ms)
+
+    def received_since(self, since_ms: int, now_ms: int) -> tuple[RelayedBeat, ...]:
+        """Return the heartbeats that arrived at `since_ms` or later."""
+        return tuple(
+            replace(beat, age_ms=now_ms - received_ms)
+            for beat, received_ms in self._received.values()
+            if received_ms >= since_ms
+        )
+
+    def _check_pause(self, now_ms: int) -> None:
+        if self._ticked_ms is not None and now_ms - self._ticked_ms > RELAY_PAUSE_MS:
+            self._resumes_ms = now_ms + RELAY_SETTLE_MS
+            self._received.clear()
+
+
+def split_to_fit(
+    new_heartbeat: Callable[[tuple[RelayedBeat, ...]], Beat], relayed: Sequence[RelayedBeat]
+) -> Iterator[Beat]:
+    """Yield heartbeats that together pass on all that is relayed, each in one datagram."""
+    heartbeat = new_heartbeat(tuple(relayed))
+    if len(relayed) <= 1 or len(encode(heartbeat)) <= MAX_PAYLOAD_BYTES:
+        yield heartbeat
+        return
+    half = len(relayed) // 2
+    yield from split_to_fit(new_heartbeat, relayed[:half])
+    yield from split_to_fit(new_heartbeat, relayed[half:])
+
+
+def original_beat(relayed: RelayedBeat) -> Beat:
+    """Return the heartbeat that its VM sent, without the peers; that VM relays too."""
+    return Beat(
+        address=relayed.address,
+        view_address=relayed.view_address,
+        failure_domain_id=relayed.failure_domain_id,
+        weight=relayed.weight,
+        is_leaving=relayed.is_leaving,
+        is_ready=relayed.is_ready,
+        view_revision=relayed.view_revision,
+        view_age_ms=relayed.view_age_ms,
+        loads=relayed.loads,
+        relays=True,
+    )
+
+
+def _new_relayed(
+    vm_id: VmId, incarnation: Incarnation, peer_address: str, beat: Beat
+) -> RelayedBeat:
+    return RelayedBeat(
+        vm_id=vm_id,
+        incarnation=incarnation,
+        peer_address=peer_address,
+        age_ms=0,
+        address=beat.address,
+        view_address=beat.view_address,
+        failure_domain_id=beat.failure_domain_id,
+        weight=beat.weight,
+        is_leaving=beat.is_leaving,
+        is_ready=beat.is_ready,
+        view_revision=beat.view_revision,
+        view_age_ms=beat.view_age_ms,
+        loads=beat.loads[:MAX_RELAYED_LOADS],
+    )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -203,3 +203,5 @@
     weight: int
     is_leaving: bool
     is_ready: bool
+    relays: bool = False
+    """Whether it passes heartbeats of other failure domains on within its own."""
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -27,6 +27,27 @@
     peer_address: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayedBeat:
+    """Heartbeat of a VM in another failure domain, as the sender got it from that VM itself."""
+
+    vm_id: VmId
+    incarnation: Incarnation
+    peer_address: str
+    age_ms: int
+    """Time since the sender got it."""
+    address: str
+    view_address: str
+    failure_domain_id: FailureDomainId
+    weight: int
+    is_leaving: bool
+    is_ready: bool
+    view_revision: int
+    view_age_ms: int
+    """As in the heartbeat itself."""
+    loads: tuple[BeatLoad, ...] = ()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Beat:
     """Heartbeat with the sender's addresses, state, view revision, load in flight and peers."""
@@ -41,6 +62,9 @@
     view_age_ms: int
     loads: tuple[BeatLoad, ...] = ()
     peers: tuple[BeatPeer, ...] = ()
+    relays: bool = False
+    """Whether the sender passes heartbeats on within its failure domain."""
+    relayed: tuple[RelayedBeat, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -170,6 +170,24 @@
   viewAgeMs @7 :UInt32;
   loads @8 :List(BeatLoad);
   peers @9 :List(BeatPeer);
+  relays @10 :Bool;
+  relayed @11 :List(RelayedBeat);
+}
+
+struct RelayedBeat {
+  vmId @0 :Text;
+  incarnation @1 :UInt64;
+  peerAddress @2 :Text;
+  ageMs @3 :UInt32;
+  address @4 :Text;
+  viewAddress @5 :Text;
+  failureDomainId @6 :Text;
+  weight @7 :UInt32;
+  isLeaving @8 :Bool;
+  isReady @9 :Bool;
+  viewRevision @10 :UInt64;
+  viewAgeMs @11 :UInt32;
+  loads @12 :List(BeatLoad);
 }
 
 struct StreamVersionRecord {
--- a/tests/wagtailusher_gateway/test_fleet.py
+++ b/tests/wagtailusher_gateway/test_fleet.py
@@ -44,8 +44,8 @@
             for source, decider in self.deciders.items():
                 if source in self.down:
                     continue
-                for address, with_peers in decider.collect_due_heartbeats(self.now_ms):
-                    self._deliver(source, decider, address, with_peers)
+                for due in decider.collect_due_heartbeats(self.now_ms):
+                    self._deliver(source, decider, due.peer_address, due.with_peers)
 
     def _deliver(self, source: str, sender: FleetDecider, address: str, with_peers: bool) -> None:
         if address in self.down or self.random.random() < self.loss:
--- /dev/null
+++ b/tests/wagtailusher_gateway/test_large_fleet.py
@@ -0,0 +1,146 @@
+"""Tests of heartbeats in fleets of hundreds of VMs, in virtual time.
+
+They guard against work that grows with the fleet, and against callers that are told of VMs that are
+gone, or not told of those that run.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import unittest
+
+from tests.wagtailusher_gateway.builders import member
+from tests.wagtailusher_gateway.large_fleet import LargeFleet
+from wagtailusher_core import EndpointId, FailureDomainId
+from wagtailusher_gateway.const import HEARTBEATS_PER_S, MAX_SILENCE_MS, RELAYED_INTERVAL_MS
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.models import Member
+from wagtailusher_wire import Beat
+
+DOMAINS = 6
+VMS = 60
+"""More than send heartbeats to each other directly."""
+FOUND_MS = 6_000
+"""Time in which all VMs that start together find each other."""
+CHECK_MS = 4_000
+STEP_MS = 50
+MS_PER_S = 1_000
+LOSS = 0.05
+KNOWN_SHARE = 0.99
+"""Share of the running VMs that each VM must name under loss."""
+
+
+def new_fleet(*, loss: float = 0.0) -> LargeFleet:
+    """Return a fleet whose VMs have found each other."""
+    fleet = LargeFleet(VMS, DOMAINS, seed=VMS, loss=loss)
+    fleet.run(FOUND_MS)
+    return fleet
+
+
+def beat_of(item: Member) -> Beat:
+    """Return a heartbeat of a VM that relays and has no load."""
+    return Beat(
+        address=item.address,
+        view_address=item.view_address,
+        failure_domain_id=item.failure_domain_id,
+        weight=item.weight,
+        is_leaving=False,
+        is_ready=True,
+        view_revision=1,
+        view_age_ms=0,
+        relays=True,
+    )
+
+
+def heartbeats_per_s(vm_count: int) -> float:
+    """Return how many heartbeats one VM sends that hears from all others."""
+    members = [
+        replace(member(number), failure_domain_id=FailureDomainId(f"domain-{number % DOMAINS}"))
+        for number in range(vm_count)
+    ]
+    decider = FleetDecider(members[0], (), 0, 1)
+    sent = 0
+    for now_ms in range(0, 2 * CHECK_MS, STEP_MS):
+        for item in members[1:]:
+            decider.receive(item.vm_id, item.incarnation, beat_of(item), item.peer_address, now_ms)
+        due = decider.collect_due_heartbeats(now_ms)
+        sent += len(due) if now_ms >= CHECK_MS else 0
+    return sent / (CHECK_MS / MS_PER_S)
+
+
+class LargeFleetTest(unittest.TestCase):
+    """What VMs of different failure domains know of each other, and what that costs."""
+
+    def test_heartbeats_of_a_vm_do_not_grow_with_the_other_failure_domains(self) -> None:
+        remote_per_s = (DOMAINS - 1) * MS_PER_S / RELAYED_INTERVAL_MS
+        for vm_count in (68, 195, 370):
+            with self.subTest(vm_count=vm_count):
+                sent_per_s = heartbeats_per_s(vm_count)
+                self.assertLessEqual(sent_per_s, HEARTBEATS_PER_S + remote_per_s)
+
+    def test_all_vms_find_each_other(self) -> None:
+        self.assertEqual(set(new_fleet().known_counts()), {VMS})
+
+    def test_running_vms_are_named_while_heartbeats_are_lost(self) -> None:
+        fleet = new_fleet(loss=LOSS)
+        for _ in range(8):
+            fleet.run(CHECK_MS // 4)
+            self.assertGreaterEqual(min(fleet.known_counts()), KNOWN_SHARE * fleet.count)
+
+    def test_killed_vm_is_not_named_beyond_the_longest_silence(self) -> None:
+        fleet = new_fleet(loss=LOSS)
+        fleet.down.add(7)
+        fleet.run(MAX_SILENCE_MS + RELAYED_INTERVAL_MS)
+        for number in range(fleet.count):
+            if number not in fleet.down:
+                self.assertNotIn(str(member(7).vm_id), fleet.names(number))
+
+    def test_others_stay_known_while_half_of_a_failure_domain_is_killed(self) -> None:
+        fleet = new_fleet()
+        fleet.down |= {number for number in range(fleet.count // 2) if number % DOMAINS == 0}
+        running = fleet.count - len(fleet.down)
+        for _ in range(10):
+            fleet.run(MS_PER_S)
+            self.assertGreaterEqual(min(fleet.known_counts()), 0.95 * running)
+
+    def test_failure_domains_find_each_other_again_after_a_cut(self) -> None:
+        fleet = new_fleet()
+        fleet.connect_if(lambda source, target: (source % DOMAINS == 0) == (target % DOMAINS == 0))
+        fleet.run(2 * MAX_SILENCE_MS)
+        cut_size = len(range(0, fleet.count, DOMAINS))
+        self.assertEqual(set(fleet.known_counts()), {cut_size, fleet.count - cut_size})
+        fleet.connect_if(lambda source, target: True)
+        fleet.run(4 * RELAYED_INTERVAL_MS)
+        self.assertEqual(set(fleet.known_counts()), {fleet.count})
+
+    def test_restarted_vm_is_named_and_finds_the_fleet(self) -> None:
+        fleet = new_fleet()
+        fleet.down.add(4)
+        fleet.run(MAX_SILENCE_MS + RELAYED_INTERVAL_MS)
+        fleet.down.clear()
+        fleet.restart(4)
+        fleet.run(4 * RELAYED_INTERVAL_MS)
+        self.assertEqual(set(fleet.known_counts()), {fleet.count})
+
+    def test_vms_of_a_build_that_does_not_relay_are_told_directly(self) -> None:
+        fleet = LargeFleet(VMS, DOMAINS, seed=5)
+        fleet.old_builds = set(range(0, VMS, 7))
+        fleet.run(FOUND_MS)
+        for _ in range(5):
+            fleet.run(MS_PER_S)
+            self.assertEqual(set(fleet.known_counts()), {VMS})
+
+    def test_load_of_a_vm_in_another_failure_domain_is_known(self) -> None:
+        fleet = new_fleet()
+        tracked = fleet.registries[1].get(EndpointId("i-1"))
+        assert tracked is not None
+        tracked.own_load.requests = 3
+        fleet.run(3 * RELAYED_INTERVAL_MS)
+        for number in (0, 2, 8):
+            other = fleet.registries[number].get(EndpointId("i-1"))
+            assert other is not None
+            self.assertEqual(other.total_load(fleet.now_ms).requests, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
