Pass what the elected reader read on to its failure domain

Every VM called the store once for almost every change: a VM whose peer had a newer revision read the store itself. Besides, the reader announced a change to all VMs before it had set the new revision, once for each changed entry, so nobody could act on the announcement.

Now the reader sends the changes of entries themselves, in their order and with the revisions before and after, to the VMs of its failure domain, once for each reading. A VM applies them if it has the revision before; otherwise, or when the configuration or an evacuation changed, it reads the store at once, as before. A VM that only hears of a newer revision from a heartbeat waits 600 ms for the changes. The announcements are gone.

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/heartbeats/fleet.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/heartbeats/fleet.py
@@ -155,7 +155,7 @@
         fleet.step(now_ms)
         if now_ms % SAMPLE_MS == 0 and now_ms >= CHANGE_MS // 2:
             age_ms, share = _sample(fleet, vm_count, now_ms)
-            is_restored = END_MS <= now_ms and variant in ("pause", "cut")
+            is_restored = now_ms >= END_MS and variant in ("pause", "cut")
             if age_ms is not None:
                 ages.append(age_ms)
             if not is_restored:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -19,14 +19,10 @@
 from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
 from wagtailusher_gateway.const import (
     CONNECT_TIMEOUT_MS,
-    KEEPALIVE_IDLE_S,
-    KEEPALIVE_PROBES,
     LEAVE_LINGER_MS,
     LEAVE_RESERVE_MS,
-    MAX_ANSWER_BYTES,
     MS_PER_S,
     TICK_MS,
-    UNACKED_TIMEOUT_MS,
     VIEW_PULL_MS,
 )
 from wagtailusher_gateway.contention import PlaceContention
@@ -43,12 +39,13 @@
 from wagtailusher_gateway.models import FleetView, Member
 from wagtailusher_gateway.options import GatewayOptions
 from wagtailusher_gateway.placement import Placement
-from wagtailusher_gateway.platform_reads import ReaderContext, is_read_due
+from wagtailusher_gateway.platform_reads import ReaderContext, ReadSchedule
 from wagtailusher_gateway.quarantine_exchange import QuarantineExchange
 from wagtailusher_gateway.servers import Servers
 from wagtailusher_gateway.stream_version_exchange import StreamVersionExchange
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_gateway.view_exchange import PATH_VIEW, ViewExchange
+from wagtailusher_gateway.view_spread import ViewSpread
 from wagtailusher_http import ClientLimits, HttpClient, Request, Response
 from wagtailusher_wire import AuthenticatedMessage, Message, MessageAuthenticator
 
@@ -78,13 +75,16 @@
         self._http_mapping = http_mapping
         self._logs = logs
         self._random = random.Random()
-        self._client = HttpClient(_client_limits(options.max_buffered_bytes))
+        self._client = HttpClient(options.client_limits)
         self._peer_client = HttpClient(ClientLimits(connect_timeout_ms=CONNECT_TIMEOUT_MS))
         incarnation = Incarnation(wall_ms())
         own_member = _own_member(options, incarnation)
         seed = self._random.randrange(1 << 32)
         self.fleet = FleetDecider(own_member, options.seeds, monotonic_ms(), seed)
-        self.view_cache = ViewCache(self._apply_view)
+        self.view_cache = ViewCache(
+            self._apply_view, lambda changes, now_ms: self.view_spread.spread(changes, now_ms)
+        )
+        self._read_schedule = ReadSchedule(self.fleet, self.view_cache)
         self.findings = self._new_findings()
         self.dispatcher = self._new_dispatcher()
         self.link = self._new_link(incarnation)
@@ -93,6 +93,12 @@
         self.crash_watch = self._new_crash_watch()
         self.heartbeats = self._new_heartbeats()
         self.stream_versions = self._new_stream_versions()
+        self.view_spread = ViewSpread(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            send=self.link.send,
+            require_read=self._read_schedule.require,
+        )
         self.view_exchange = ViewExchange(
             client=self._peer_client,
             fleet=self.fleet,
@@ -266,7 +272,7 @@
         context = ReaderContext(
             view_cache=self.view_cache,
             clock_ms=monotonic_ms,
-            is_due=lambda: is_read_due(self.fleet, self.view_cache, monotonic_ms()),
+            is_due=lambda: self._read_schedule.is_due(monotonic_ms()),
             is_reader=lambda: self.fleet.is_reader(monotonic_ms()),
         )
         return lambda: reader(context)
@@ -312,20 +318,19 @@
         now_ms = monotonic_ms()
         self.incarnations.receive(message)
         self.heartbeats.receive(message, authenticated, address, now_ms)
+        self.view_spread.receive(message, now_ms)
         self.stream_versions.receive(message, authenticated, address, now_ms)
         self.quarantine.receive(message, authenticated, address, now_ms)
         self.findings.receive(message, authenticated, address, now_ms)
 
     def _apply_view(self, view: FleetView, changed: bool, now_ms: int) -> None:
-        """Apply a view, and announce changes at once if this VM is the elected reader."""
+        """Apply a view."""
         if not changed:
             self.dispatcher.view = view
             return
         configuration = self.dispatcher.routes.configuration if self.dispatcher.routes else None
         self.stream_versions.observe(view, now_ms)
         self.dispatcher.update(view, now_ms)
-        if self.fleet.is_reader(now_ms):
-            self.heartbeats.announce(now_ms)
         if view.configuration is not None and view.configuration is not configuration:
             self.servers.apply_limits(view.configuration.limits)
             self.metrics.configuration.set({}, view.configuration.version)
@@ -365,19 +370,6 @@
         )
 
 
-def _client_limits(max_buffered_bytes: int) -> ClientLimits:
-    """Return the limits of connections to endpoints."""
-    return ClientLimits(
-        max_answer_bytes=MAX_ANSWER_BYTES,
-        max_buffered_bytes=max_buffered_bytes,
-        connect_timeout_ms=CONNECT_TIMEOUT_MS,
-        keepalive_idle_s=KEEPALIVE_IDLE_S,
-        keepalive_probes=KEEPALIVE_PROBES,
-        tcp_user_timeout_ms=UNACKED_TIMEOUT_MS,
-        read_response_while_sending=True,
-    )
-
-
 def _own_member(options: GatewayOptions, incarnation: int) -> Member:
     """Return this VM's member record at the start."""
     return Member(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -226,9 +226,11 @@
         return DueHeartbeat(
             peer_address=peer.peer_address,
             with_peers=is_gossip_only or self._heartbeats_sent % GOSSIP_EVERY_HEARTBEATS == 0,
-            relay_since_ms=max(since_ms, now_ms - self.local_interval_ms - HEARTBEAT_INTERVAL_MS)
-            if peer.is_local and self.uses_relays
-            else None,
+            relay_since_ms=(
+                max(since_ms, now_ms - self.local_interval_ms - HEARTBEAT_INTERVAL_MS)
+                if peer.is_local and self.uses_relays
+                else None
+            ),
         )
 
     def _due_to_seeds(self) -> Iterator[DueHeartbeat]:
@@ -281,17 +283,11 @@
         members = self.live_members(now_ms)
         if len(members) <= EARLY_HEARTBEAT_MAX_PEERS:
             return members
-        domain_id = self.own_member.failure_domain_id
-        return tuple(member for member in members if member.failure_domain_id == domain_id)
+        return self.local_members(now_ms)
 
-    def announcement_addresses(self, now_ms: int) -> tuple[str, ...]:
-        """Return whom to tell of a change at once: all, or as far as heartbeats are sent."""
-        members = self.live_members(now_ms)
-        if not self.uses_relays:
-            return tuple(member.peer_address for member in members)
-        domain_id = self.own_member.failure_domain_id
-        local = (item.peer_address for item in members if item.failure_domain_id == domain_id)
-        return (*local, *(peer.peer_address for peer in self._choose_relays(now_ms)))
+    def local_members(self, now_ms: int) -> tuple[Member, ...]:
+        """Return the live peers in this VM's failure domain."""
+        return tuple(member for peer, member in self._live_peers(now_ms) if peer.is_local)
 
     def gets_early_heartbeats_from(self, failure_domain_id: FailureDomainId) -> bool:
         """Return whether peers in a failure domain report a long prompt to this VM at once."""
@@ -307,9 +303,7 @@
         """Return whether this VM is the one in its failure domain that reads the store."""
         domain_id = self.own_member.failure_domain_id
         candidates = [
-            member.vm_id
-            for member in self.live_members(now_ms)
-            if member.failure_domain_id == domain_id and not member.is_leaving
+            member.vm_id for member in self.local_members(now_ms) if not member.is_leaving
         ]
         first = first_by_rendezvous(domain_id, (*candidates, self.own_member.vm_id))
         return first == self.own_member.vm_id and not self.own_member.is_leaving
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -100,12 +100,6 @@
         for member in self._fleet.early_heartbeat_members(now_ms):
             self._send(member.peer_address, heartbeat)
 
-    def announce(self, now_ms: int) -> None:
-        """Tell the fleet of a change of the view before the next heartbeats are due."""
-        heartbeat = self._new_heartbeat(now_ms, with_peers=False)
-        for address in self._fleet.announcement_addresses(now_ms):
-            self._send(address, heartbeat)
-
     def send_all(self, now_ms: int) -> None:
         """Send a heartbeat to every live peer at once, for changes that must not be delayed."""
         heartbeat = self._new_heartbeat(now_ms, with_peers=False)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -133,6 +133,28 @@
     """When to remove endpoints whose entries expired while the store may have been unavailable."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryChange:
+    """A change of one endpoint's entry in the store."""
+
+    endpoint_id: EndpointId
+    endpoint: Endpoint | None
+    """The endpoint after the change; None if the entry was removed."""
+    expires_ms: int | None = None
+    """When to remove an endpoint whose entry may reappear; None to remove it at once."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadChanges:
+    """What a VM read from the store: the changes between two revisions, in their order."""
+
+    after_revision: int
+    revision: int
+    is_complete: bool
+    """Whether the entries' changes are all changes."""
+    entries: tuple[EntryChange, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PromptPart:
     """A part of a prompt that other requests may share."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/options.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/options.py
@@ -5,6 +5,14 @@
 from dataclasses import dataclass
 
 from wagtailusher_core import FailureDomainId, VmId
+from wagtailusher_gateway.const import (
+    CONNECT_TIMEOUT_MS,
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_PROBES,
+    MAX_ANSWER_BYTES,
+    UNACKED_TIMEOUT_MS,
+)
+from wagtailusher_http import ClientLimits
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,3 +56,16 @@
     fleet_secret: bytes
     log_level: str
     bounds: FleetBounds
+
+    @property
+    def client_limits(self) -> ClientLimits:
+        """Return the limits of connections to endpoints."""
+        return ClientLimits(
+            max_answer_bytes=MAX_ANSWER_BYTES,
+            max_buffered_bytes=self.max_buffered_bytes,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            keepalive_idle_s=KEEPALIVE_IDLE_S,
+            keepalive_probes=KEEPALIVE_PROBES,
+            tcp_user_timeout_ms=UNACKED_TIMEOUT_MS,
+            read_response_while_sending=True,
+        )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/platform_reads.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/platform_reads.py
@@ -13,6 +13,11 @@
 pause and one heartbeat interval."""
 
 
+BEHIND_READ_MS = 600
+"""How long a VM whose peers have a newer revision waits for its changes from the elected reader;
+covers the pause between two watches and several of the reader's turns."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReaderContext:
     """What the coroutine that reads the store works with."""
@@ -26,15 +31,38 @@
     must therefore be short."""
 
 
-def is_read_due(fleet: FleetDecider, view_cache: ViewCache, now_ms: int) -> bool:
-    """Return whether this VM should read the store now.
+class ReadSchedule:
+    """Decides when this VM reads the store.
 
-    One elected VM of each failure domain always reads. The others read once at their start, when a
-    peer has a newer revision, or when their view was not confirmed for a while, so that the loss
-    of the reader only causes a delay.
+    One elected VM of each failure domain always does, and passes on what it reads. The others read
+    once at their start, when they missed a change, or when their view was not confirmed for a
+    while, so that the loss of the reader only causes a delay.
     """
-    if not view_cache.view.confirmed_ms or fleet.is_reader(now_ms):
-        return True
-    if fleet.max_peer_revision > view_cache.view.revision:
-        return True
-    return now_ms - view_cache.view.confirmed_ms > UNCONFIRMED_READ_MS
+
+    def __init__(self, fleet: FleetDecider, view_cache: ViewCache) -> None:
+        """Decide by what the fleet and the view show."""
+        self._fleet = fleet
+        self._view_cache = view_cache
+        self._needed_revision = 0
+        self._behind: tuple[int, int] | None = None
+        """The view's revision since it was found to be behind peers, and the time of that."""
+
+    def require(self, revision: int) -> None:
+        """Read as soon as possible up to a revision that the reader can't pass on."""
+        self._needed_revision = max(self._needed_revision, revision)
+
+    def is_due(self, now_ms: int) -> bool:
+        """Return whether this VM should read the store now."""
+        view = self._view_cache.view
+        if not view.confirmed_ms or self._fleet.is_reader(now_ms):
+            return True
+        if now_ms - view.confirmed_ms > UNCONFIRMED_READ_MS:
+            return True
+        if self._needed_revision > view.revision:
+            return True
+        if self._fleet.max_peer_revision <= view.revision:
+            self._behind = None
+            return False
+        if self._behind is None or self._behind[0] != view.revision:
+            self._behind = (view.revision, now_ms)
+        return now_ms - self._behind[1] >= BEHIND_READ_MS
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -7,7 +7,13 @@
 import logging
 
 from wagtailusher_core import EndpointId, FailureDomainId
-from wagtailusher_gateway.models import Configuration, Endpoint, FleetView
+from wagtailusher_gateway.models import (
+    Configuration,
+    Endpoint,
+    EntryChange,
+    FleetView,
+    ReadChanges,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -26,12 +32,23 @@
 class ViewCache:
     """Holds the current view and merges updates from the store and from peers into it."""
 
-    def __init__(self, listener: ViewListener) -> None:
-        """Start with an empty view; the listener is called on each change and confirmation."""
+    def __init__(
+        self,
+        listener: ViewListener,
+        on_read: Callable[[ReadChanges, int], None] = lambda changes, now_ms: None,
+    ) -> None:
+        """Start with an empty view; the listener is called on each change and confirmation.
+
+        `on_read` gets the changes of each reading of the store that brought any, and the time.
+        """
         self.view = EMPTY_VIEW
         self.is_gap = False
         """Set while the listener is called for a view that may not show every change before it."""
         self._listener = listener
+        self._on_read = on_read
+        self._unconfirmed: list[EntryChange] = []
+        """Changes of entries since the view's revision."""
+        self._has_other_changes = False
         self._is_store_unavailable = False
         self._store_recovered_ms: int | None = None
 
@@ -48,6 +65,7 @@
         if self._is_store_unavailable:
             self._is_store_unavailable = False
             self._store_recovered_ms = now_ms
+        changes = self._take_changes(revision)
         self._apply(
             replace(
                 self.view,
@@ -56,6 +74,39 @@
             ),
             now_ms,
         )
+        if changes.entries or not changes.is_complete:
+            self._on_read(changes, now_ms)
+
+    def _take_changes(self, revision: int) -> ReadChanges:
+        """Return the changes since the view's revision, which the view then contains."""
+        changes = ReadChanges(
+            after_revision=self.view.revision,
+            revision=revision,
+            is_complete=not self._has_other_changes,
+            entries=tuple(self._unconfirmed),
+        )
+        self._unconfirmed = []
+        self._has_other_changes = False
+        return changes
+
+    def apply_changes(self, changes: ReadChanges, confirmed_ms: int, now_ms: int) -> bool:
+        """Apply what a peer read; return False if the view would miss changes before it."""
+        if not changes.is_complete or self.view.revision < changes.after_revision:
+            return False
+        if changes.revision <= self.view.revision:
+            return True
+        for change in changes.entries:
+            if change.endpoint is not None:
+                self.set_endpoint(change.endpoint, now_ms)
+            elif change.expires_ms is not None:
+                self._schedule_removal(change.endpoint_id, change.expires_ms, now_ms)
+            else:
+                self._remove_now(change.endpoint_id, now_ms)
+        self._take_changes(changes.revision)
+        confirmed_ms = max(confirmed_ms, self.view.confirmed_ms)
+        view = replace(self.view, revision=changes.revision, confirmed_ms=confirmed_ms)
+        self._apply(view, now_ms)
+        return True
 
     def confirm_by_peer(self, revision: int, confirmed_ms: int, now_ms: int) -> None:
         """Record that a peer confirmed the same revision as current."""
@@ -67,6 +118,7 @@
         current = self.view.configuration
         if current is not None and configuration.version <= current.version:
             return
+        self._has_other_changes = True
         _LOGGER.info(
             "View: applied configuration version %s",
             configuration.version,
@@ -86,6 +138,7 @@
         previous = self.view.endpoints.get(endpoint.endpoint_id)
         if previous is not None and previous.born_ms > endpoint.born_ms:
             return
+        self._unconfirmed.append(EntryChange(endpoint_id=endpoint.endpoint_id, endpoint=endpoint))
         if previous == endpoint:
             return
         self._log_endpoint(endpoint, "draining" if endpoint.is_draining else "ready", now_ms)
@@ -99,21 +152,36 @@
         `EXPIRY_GRACE_MS` after the store's recovery, as its entry may reappear.
         """
         endpoint = self.view.endpoints.get(endpoint_id)
-        if endpoint is None:
-            self._apply_after_gap(self.view, now_ms)
-            return
         recovered_ms = self._store_recovered_ms
         may_reappear = recovered_ms is not None and now_ms - recovered_ms < EXPIRY_GRACE_MS
-        if recovered_ms is not None and may_reappear and not endpoint.is_draining:
-            if endpoint_id not in self.view.lapsing_ms:
-                lapsing_ms = {**self.view.lapsing_ms, endpoint_id: recovered_ms + EXPIRY_GRACE_MS}
-                self._apply(replace(self.view, lapsing_ms=lapsing_ms), now_ms)
-                self._log_endpoint(endpoint, "lapsed", now_ms)
-            return
-        self._remove(endpoint_id, now_ms)
+        expires_ms = None
+        if recovered_ms is not None and may_reappear and endpoint and not endpoint.is_draining:
+            expires_ms = recovered_ms + EXPIRY_GRACE_MS
+            self._schedule_removal(endpoint_id, expires_ms, now_ms)
+        else:
+            self._remove_now(endpoint_id, now_ms)
+        self._unconfirmed.append(
+            EntryChange(endpoint_id=endpoint_id, endpoint=None, expires_ms=expires_ms)
+        )
+
+    def _schedule_removal(self, endpoint_id: EndpointId, until_ms: int, now_ms: int) -> None:
+        """Remove an endpoint later, unless its entry reappears or it is to be removed already."""
+        endpoint = self.view.endpoints.get(endpoint_id)
+        if endpoint is not None and endpoint_id not in self.view.lapsing_ms:
+            lapsing_ms = {**self.view.lapsing_ms, endpoint_id: until_ms}
+            self._apply(replace(self.view, lapsing_ms=lapsing_ms), now_ms)
+            self._log_endpoint(endpoint, "lapsed", now_ms)
+
+    def _remove_now(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Remove an endpoint; an unknown one shows that its entry was missed."""
+        if endpoint_id in self.view.endpoints:
+            self._remove(endpoint_id, now_ms)
+        else:
+            self._apply_after_gap(self.view, now_ms)
 
     def retain_endpoints(self, endpoint_ids: frozenset[EndpointId], now_ms: int) -> None:
         """Remove all endpoints but these, after a read of the complete list."""
+        self._has_other_changes = True
         for endpoint_id in tuple(self.view.endpoints.keys() - endpoint_ids):
             self.remove_endpoint(endpoint_id, now_ms)
         self._apply_after_gap(self.view, now_ms)
@@ -122,6 +190,7 @@
         """Set the failure domains that get no requests."""
         if failure_domain_ids == self.view.evacuated:
             return
+        self._has_other_changes = True
         _LOGGER.info(
             "View: evacuated failure domains are %s",
             sorted(failure_domain_ids),
@@ -146,6 +215,7 @@
             self.set_configuration(view.configuration, source, now_ms)
         self._log_differences(view, now_ms)
         endpoints = _with_known_versions(view.endpoints, self.view.endpoints)
+        self._take_changes(view.revision)
         self._apply_after_gap(
             replace(view, configuration=self.view.configuration, endpoints=endpoints), now_ms
         )
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_spread.py
@@ -0,0 +1,104 @@
+"""Passes on what the elected reader read from the store, within its failure domain."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.models import Endpoint, EntryChange, ReadChanges
+from wagtailusher_gateway.view_cache import ViewCache
+from wagtailusher_wire import MAX_PAYLOAD_BYTES, EntryUpdate, Message, ViewChanges, encode
+
+
+class ViewSpread:
+    """Sends changes of entries to peers in the failure domain, and applies those of the reader."""
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetDecider,
+        view_cache: ViewCache,
+        send: Callable[[str, Message], None],
+        require_read: Callable[[int], None],
+    ) -> None:
+        """`require_read` gets a revision up to which this VM has to read the store itself."""
+        self._fleet = fleet
+        self._view_cache = view_cache
+        self._send = send
+        self._require_read = require_read
+
+    def spread(self, changes: ReadChanges, now_ms: int) -> None:
+        """Send what was read to the peers in this failure domain, if this VM is its reader.
+
+        Changes that don't fit into a datagram are only announced.
+        """
+        if not self._fleet.is_reader(now_ms):
+            return
+        message = _new_message(changes, now_ms - self._view_cache.view.confirmed_ms, now_ms)
+        if not message.is_complete or len(encode(message)) > MAX_PAYLOAD_BYTES:
+            message = replace(message, is_complete=False, updates=())
+        for member in self._fleet.local_members(now_ms):
+            self._send(member.peer_address, message)
+
+    def receive(self, message: Message, now_ms: int) -> None:
+        """Apply what a reader read; other messages are ignored."""
+        if not isinstance(message, ViewChanges):
+            return
+        changes = ReadChanges(
+            after_revision=message.after_revision,
+            revision=message.revision,
+            is_complete=message.is_complete,
+            entries=tuple(_entry_change(update, now_ms) for update in message.updates),
+        )
+        if not self._view_cache.apply_changes(changes, now_ms - message.view_age_ms, now_ms):
+            self._require_read(message.revision)
+
+
+def _new_message(changes: ReadChanges, view_age_ms: int, now_ms: int) -> ViewChanges:
+    return ViewChanges(
+        after_revision=changes.after_revision,
+        revision=changes.revision,
+        view_age_ms=max(0, view_age_ms),
+        is_complete=changes.is_complete,
+        updates=tuple(_entry_update(change, now_ms) for change in changes.entries),
+    )
+
+
+def _entry_update(change: EntryChange, now_ms: int) -> EntryUpdate:
+    endpoint = change.endpoint
+    if endpoint is None:
+        expires_in_ms = max(0, (change.expires_ms or now_ms) - now_ms)
+        return EntryUpdate(
+            endpoint_id=change.endpoint_id, is_removed=True, expires_in_ms=expires_in_ms
+        )
+    return EntryUpdate(
+        endpoint_id=endpoint.endpoint_id,
+        is_removed=False,
+        service=endpoint.service,
+        address=endpoint.address,
+        failure_domain_id=endpoint.failure_domain_id,
+        slots=endpoint.slots,
+        is_draining=endpoint.is_draining,
+        born_ms=endpoint.born_ms,
+        cold_left_ms=max(0, endpoint.cold_until_ms - now_ms),
+        software_version=endpoint.software_version,
+    )
+
+
+def _entry_change(update: EntryUpdate, now_ms: int) -> EntryChange:
+    if update.is_removed:
+        expires_ms = now_ms + update.expires_in_ms if update.expires_in_ms else None
+        return EntryChange(endpoint_id=update.endpoint_id, endpoint=None, expires_ms=expires_ms)
+    endpoint = Endpoint(
+        endpoint_id=update.endpoint_id,
+        service=update.service,
+        address=update.address,
+        failure_domain_id=update.failure_domain_id,
+        slots=update.slots,
+        is_draining=update.is_draining,
+        born_ms=update.born_ms,
+        cold_until_ms=now_ms + update.cold_left_ms if update.cold_left_ms else 0,
+        software_version=update.software_version,
+    )
+    return EntryChange(endpoint_id=update.endpoint_id, endpoint=endpoint)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -30,11 +30,13 @@
     Beat,
     BeatLoad,
     BeatPeer,
+    EntryUpdate,
     IncarnationNotice,
     RelayedBeat,
     StreamVersionAnswer,
     StreamVersionQuery,
     StreamVersionRecord,
+    ViewChanges,
 )
 from wagtailusher_wire.message_auth import AuthenticatedMessage, MessageAuthenticator
 from wagtailusher_wire.messages import (
@@ -94,6 +96,7 @@
     "DeltaStep",
     "DemandSummary",
     "EndpointLoad",
+    "EntryUpdate",
     "Gossip",
     "IncarnationNotice",
     "IndirectPing",
@@ -132,6 +135,7 @@
     "SummaryGossip",
     "TableDigest",
     "UnauthenticatedPeerError",
+    "ViewChanges",
     "WireError",
     "WireVersionError",
     "decode",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/codec.py
@@ -25,6 +25,7 @@
     StreamVersionAnswer,
     StreamVersionQuery,
     StreamVersionRecord,
+    ViewChanges,
 )
 from wagtailusher_wire.messages import MESSAGE_TYPES, LeaseBatch, Message
 from wagtailusher_wire.msgpack_rows import from_row, row_type, to_row
@@ -57,6 +58,7 @@
     StreamVersionRecord: Codec.MSGPACK,
     StreamVersionQuery: Codec.MSGPACK,
     StreamVersionAnswer: Codec.MSGPACK,
+    ViewChanges: Codec.MSGPACK,
 }
 """Messages that each node sends many times a second use the codec with the lowest CPU cost."""
 
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -105,3 +105,34 @@
 
     vm_id: VmId
     incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryUpdate:
+    """The state of an endpoint's entry after a change; of a removed one only the first fields."""
+
+    endpoint_id: EndpointId
+    is_removed: bool
+    expires_in_ms: int = 0
+    """Time after which a removed endpoint is left out, if its entry does not reappear."""
+    service: str = ""
+    address: str = ""
+    failure_domain_id: FailureDomainId = FailureDomainId("")
+    slots: int = 0
+    is_draining: bool = False
+    born_ms: int = 0
+    cold_left_ms: int = 0
+    software_version: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ViewChanges:
+    """What a reader of the store read: all changes between two revisions, in their order."""
+
+    after_revision: int
+    revision: int
+    view_age_ms: int
+    """Time since the store confirmed the newer revision."""
+    is_complete: bool
+    """Whether the updates are all changes; otherwise the receiver has to read the store."""
+    updates: tuple[EntryUpdate, ...] = ()
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -331,3 +331,25 @@
   lifetimeMs @2 :UInt32;
   grants @3 :List(QuotaGrant);
 }
+
+struct EntryUpdate {
+  endpointId @0 :Text;
+  isRemoved @1 :Bool;
+  expiresInMs @2 :UInt32;
+  service @3 :Text;
+  address @4 :Text;
+  failureDomainId @5 :Text;
+  slots @6 :UInt32;
+  isDraining @7 :Bool;
+  bornMs @8 :Int64;
+  coldLeftMs @9 :UInt32;
+  softwareVersion @10 :Text;
+}
+
+struct ViewChanges {
+  afterRevision @0 :UInt64;
+  revision @1 :UInt64;
+  viewAgeMs @2 :UInt32;
+  isComplete @3 :Bool;
+  updates @4 :List(EntryUpdate);
+}
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -27,6 +27,7 @@
     StreamVersionAnswer,
     StreamVersionQuery,
     StreamVersionRecord,
+    ViewChanges,
 )
 
 NO_REVISION = Revision(epoch=0, number=0)
@@ -353,6 +354,7 @@
     | LimitSummary
     | StatementSummary
     | IncarnationNotice
+    | ViewChanges
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -383,5 +385,6 @@
     LimitSummary,
     StatementSummary,
     IncarnationNotice,
+    ViewChanges,
 )
 """Message types by their number on the wire; new types are only appended."""
