Send reloads in the soak once the process handles them

A SIGHUP ends a process until the interpreter runs our first line, which ignores it; nothing in our code can act before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -53,8 +53,8 @@
 
 
 async def async_fault_reload(world: World, rng: random.Random) -> None:
-    """Make an entry process reload its settings."""
-    rng.choice(world.entries).send(signal.SIGHUP)
+    """Make an entry process reload its settings, at its start as soon as it handles that."""
+    await rng.choice(world.entries).async_reload()
 
 
 async def async_fault_link(world: World, rng: random.Random) -> None:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -15,6 +15,7 @@
 from tests.wagtailusher_platform.fleet import free_ports
 
 GRACE_S = 5.0
+HANDLER_CHECK_S = 0.005
 
 
 @dataclass(slots=True)
@@ -74,6 +75,14 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal_number)
 
+    async def async_reload(self) -> None:
+        """Request a reload once the process handles it, as a service manager would."""
+        while self.process is not None and self.process.returncode is None:
+            if _handles(self.process.pid, signal.SIGHUP):
+                self.process.send_signal(signal.SIGHUP)
+                return
+            await asyncio.sleep(HANDLER_CHECK_S)
+
     async def async_stop(self, signal_number: signal.Signals) -> None:
         """Send a signal and wait until the process exits."""
         self.send(signal_number)
@@ -90,3 +99,17 @@
             self.send(signal.SIGCONT)
             self.send(signal.SIGKILL)
             await self.process.wait()
+
+
+def _handles(process_id: int, signal_number: signal.Signals) -> bool:
+    """Return whether a process handles or ignores a signal."""
+    try:
+        status = Path(f"/proc/{process_id}/status").read_text(encoding="ascii")
+    except FileNotFoundError:
+        return False
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return any(mask >> (signal_number - 1) & 1 for mask in masks)
