--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -98,6 +98,7 @@
             view_cache=self.view_cache,
             send=self.link.send,
             require_read=self._read_schedule.require,
+            count_event=lambda event: self.metrics.view_changes.inc({"event": event}),
         )
         self.view_exchange = ViewExchange(
             client=self._peer_client,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -30,6 +30,9 @@
         self.statements = self.counter(
             "endpoint_statements", "Endpoints that leave or want no requests, by what they stated"
         )
+        self.view_changes = self.counter(
+            "view_changes", "Changes told by the elected reader, by what this VM did with them"
+        )
         self.peer_errors = self.counter("peer_errors", "Peer messages refused, by code")
         self.platform_calls = self.counter("platform_calls", "Calls to the platform, by outcome")
         self.dropped_log_lines = self.counter("dropped_log_lines", "Log lines dropped, by kind")
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_spread.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_spread.py
@@ -21,12 +21,17 @@
         view_cache: ViewCache,
         send: Callable[[str, Message], None],
         require_read: Callable[[int], None],
+        count_event: Callable[[str], None] = lambda event: None,
     ) -> None:
-        """`require_read` gets a revision up to which this VM has to read the store itself."""
+        """`require_read` gets a revision up to which this VM has to read the store itself.
+
+        `count_event` gets "told" by the reader, and "applied" or "unusable" by the others.
+        """
         self._fleet = fleet
         self._view_cache = view_cache
         self._send = send
         self._require_read = require_read
+        self._count_event = count_event
 
     def spread(self, changes: ReadChanges, now_ms: int) -> None:
         """Send what was read to the peers in this failure domain, if this VM is its reader.
@@ -38,6 +43,7 @@
         message = _new_message(changes, now_ms - self._view_cache.view.confirmed_ms, now_ms)
         if not message.is_complete or len(encode(message)) > MAX_PAYLOAD_BYTES:
             message = replace(message, is_complete=False, updates=())
+        self._count_event("told")
         for member in self._fleet.local_members(now_ms):
             self._send(member.peer_address, message)
 
@@ -51,8 +57,11 @@
             is_complete=message.is_complete,
             entries=tuple(_entry_change(update, now_ms) for update in message.updates),
         )
-        if not self._view_cache.apply_changes(changes, now_ms - message.view_age_ms, now_ms):
-            self._require_read(message.revision)
+        if self._view_cache.apply_changes(changes, now_ms - message.view_age_ms, now_ms):
+            self._count_event("applied")
+            return
+        self._count_event("unusable")
+        self._require_read(message.revision)
 
 
 def _new_message(changes: ReadChanges, view_age_ms: int, now_ms: int) -> ViewChanges:
