Forget the loads of VMs that are gone

A VM that leaves the live members now takes its report along; its loads did not count any more by then.

test_load_of_a_vm_that_is_gone_is_forgotten fails before.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -154,7 +154,10 @@
             if tracked is not None:
                 load.received_ms = now_ms
                 tracked.peer_loads[vm_id] = load
-        self._reported_by[vm_id] = frozenset(reported)
+        if reported:
+            self._reported_by[vm_id] = frozenset(reported)
+        else:
+            self._reported_by.pop(vm_id, None)
 
     def own_loads(self, now_ms: int) -> list[tuple[EndpointId, Load]]:
         """Return the loads to report to peers: failing endpoints first, then the busiest."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -65,6 +65,8 @@
             self.send_early(now_ms)
         live_ids = frozenset(member.vm_id for member in self._fleet.live_members(now_ms))
         if live_ids != self._live_ids:
+            for vm_id in self._live_ids - live_ids:
+                self._registry.set_peer_loads(vm_id, (), now_ms)
             self._log_change(live_ids)
             self._live_ids = live_ids
 
--- a/tests/wagtailusher_gateway/test_large_fleet.py
+++ b/tests/wagtailusher_gateway/test_large_fleet.py
@@ -141,6 +141,19 @@
             assert other is not None
             self.assertEqual(other.total_load(fleet.now_ms).requests, 3)
 
+    def test_load_of_a_vm_that_is_gone_is_forgotten(self) -> None:
+        fleet = LargeFleet(4, 1, seed=1)
+        fleet.run(CHECK_MS)
+        engine, own = (fleet.registries[number].get(EndpointId("i-1")) for number in (1, 0))
+        assert engine is not None
+        assert own is not None
+        engine.own_load.requests = 3
+        fleet.run(MS_PER_S)
+        self.assertIn(member(1).vm_id, own.peer_loads)
+        fleet.down.add(1)
+        fleet.run(MAX_SILENCE_MS)
+        self.assertEqual(own.peer_loads, {})
+
 
 if __name__ == "__main__":
     unittest.main()
