Pass new configurations on within a failure domain

The reader now sends what differs between the two configurations, line by line, with hashes of both, in the message that carries changes of entries. A VM whose configuration is another one, or that gets another result, reads the store at once, as do all if the changes don't fit into a datagram. The delta of contents that the daemon's VMs exchange is used; it moved to wagtailusher_wire, as the gateway does not load the membership package.

--- a/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/fleet/configuration.py
@@ -15,8 +15,8 @@
 from wagtailusher_bench.fleet.node_specs import DOMAINS_BY_SIZE, make_node_specs, publish
 from wagtailusher_core import Revision
 from wagtailusher_membership import ConfigurationLimits
-from wagtailusher_membership.delta import apply_delta, make_delta
 from wagtailusher_wire import NO_REVISION, ContentAnswer, encode
+from wagtailusher_wire.delta import apply_delta, make_delta
 
 _SETTLE_MS = 10_000
 _CHANGE_INTERVAL_MS = 7_000
--- a/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/work.py
+++ b/packages/wagtailusher_bench/src/wagtailusher_bench/slopes/work.py
@@ -20,8 +20,8 @@
 )
 from wagtailusher_bench.slopes.fit import Point, Slope, fit_line
 from wagtailusher_core import PoolId
-from wagtailusher_membership.delta import apply_delta, make_delta
 from wagtailusher_placement import AttemptResult
+from wagtailusher_wire.delta import apply_delta, make_delta
 
 US_PER_S = 1_000_000
 REPEATS = 5
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -151,8 +151,12 @@
     after_revision: int
     revision: int
     is_complete: bool
-    """Whether the entries' changes are all changes."""
+    """Whether the following are all changes."""
     entries: tuple[EntryChange, ...]
+    configuration: Configuration | None = None
+    """The newest configuration, if there is a new one."""
+    previous_configuration: Configuration | None = None
+    """The one before the changes."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -48,6 +48,8 @@
         self._on_read = on_read
         self._unconfirmed: list[EntryChange] = []
         """Changes of entries since the view's revision."""
+        self._previous_configuration: Configuration | None = None
+        """The configuration of the view's revision, if there is a newer one since."""
         self._has_other_changes = False
         self._is_store_unavailable = False
         self._store_recovered_ms: int | None = None
@@ -74,18 +76,22 @@
             ),
             now_ms,
         )
-        if changes.entries or not changes.is_complete:
+        if changes.entries or changes.configuration or not changes.is_complete:
             self._on_read(changes, now_ms)
 
     def _take_changes(self, revision: int) -> ReadChanges:
         """Return the changes since the view's revision, which the view then contains."""
+        previous = self._previous_configuration
         changes = ReadChanges(
             after_revision=self.view.revision,
             revision=revision,
             is_complete=not self._has_other_changes,
             entries=tuple(self._unconfirmed),
+            configuration=self.view.configuration if previous is not None else None,
+            previous_configuration=previous,
         )
         self._unconfirmed = []
+        self._previous_configuration = None
         self._has_other_changes = False
         return changes
 
@@ -95,6 +101,8 @@
             return False
         if changes.revision <= self.view.revision:
             return True
+        if changes.configuration is not None:
+            self.set_configuration(changes.configuration, "reader", now_ms)
         for change in changes.entries:
             if change.endpoint is not None:
                 self.set_endpoint(change.endpoint, now_ms)
@@ -118,7 +126,10 @@
         current = self.view.configuration
         if current is not None and configuration.version <= current.version:
             return
-        self._has_other_changes = True
+        if current is None:
+            self._has_other_changes = True
+        elif self._previous_configuration is None:
+            self._previous_configuration = current
         _LOGGER.info(
             "View: applied configuration version %s",
             configuration.version,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_spread.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_spread.py
@@ -1,14 +1,30 @@
-"""Passes on what the elected reader read from the store, within its failure domain."""
+"""Passes on what the elected reader read from the store, within its failure domain.
+
+Of a new configuration it sends what differs from the one before, line by line.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import replace
+import logging
 
+from wagtailusher_gateway.configuration_lines import decode_lines, encode_lines
+from wagtailusher_gateway.exceptions import ViewError
 from wagtailusher_gateway.fleet import FleetDecider
-from wagtailusher_gateway.models import Endpoint, EntryChange, ReadChanges
+from wagtailusher_gateway.models import Configuration, Endpoint, EntryChange, ReadChanges
 from wagtailusher_gateway.view_cache import ViewCache
-from wagtailusher_wire import MAX_PAYLOAD_BYTES, EntryUpdate, Message, ViewChanges, encode
+from wagtailusher_wire import (
+    MAX_PAYLOAD_BYTES,
+    MAX_STREAM_MESSAGE_BYTES,
+    EntryUpdate,
+    Message,
+    ViewChanges,
+    encode,
+)
+from wagtailusher_wire.delta import DeltaError, apply_delta, digest_content, make_delta
+
+_LOGGER = logging.getLogger(__name__)
 
 
 class ViewSpread:
@@ -42,7 +58,7 @@
             return
         message = _new_message(changes, now_ms - self._view_cache.view.confirmed_ms, now_ms)
         if not message.is_complete or len(encode(message)) > MAX_PAYLOAD_BYTES:
-            message = replace(message, is_complete=False, updates=())
+            message = replace(message, is_complete=False, updates=(), configuration_steps=())
         self._count_event("told")
         for member in self._fleet.local_members(now_ms):
             self._send(member.peer_address, message)
@@ -51,27 +67,66 @@
         """Apply what a reader read; other messages are ignored."""
         if not isinstance(message, ViewChanges):
             return
+        try:
+            configuration = self._new_configuration(message)
+        except (ViewError, DeltaError) as err:
+            _LOGGER.info("View: can't apply the reader's changes: %s", err)
+            self._refuse(message)
+            return
         changes = ReadChanges(
             after_revision=message.after_revision,
             revision=message.revision,
             is_complete=message.is_complete,
             entries=tuple(_entry_change(update, now_ms) for update in message.updates),
+            configuration=configuration,
         )
         if self._view_cache.apply_changes(changes, now_ms - message.view_age_ms, now_ms):
             self._count_event("applied")
-            return
+        else:
+            self._refuse(message)
+
+    def _refuse(self, message: ViewChanges) -> None:
+        """Read the store, as this VM lacks what was before the changes, or what they are."""
         self._count_event("unusable")
         self._require_read(message.revision)
 
+    def _new_configuration(self, message: ViewChanges) -> Configuration | None:
+        """Return the configuration after the changes, or None if it is the same.
+
+        Raises DeltaError or ViewError if it can't be built from this VM's.
+        """
+        view = self._view_cache.view
+        if not message.configuration_steps or view.revision >= message.revision:
+            return None
+        if view.configuration is None:
+            raise ViewError("there is no configuration to change")
+        base = encode_lines(view.configuration)
+        if digest_content(base) != message.base_digest:
+            raise ViewError("the configuration before the changes is another one")
+        content = apply_delta(base, message.configuration_steps, max_bytes=MAX_STREAM_MESSAGE_BYTES)
+        if digest_content(content) != message.digest:
+            raise ViewError("the configuration after the changes is another one")
+        return decode_lines(content)
+
 
 def _new_message(changes: ReadChanges, view_age_ms: int, now_ms: int) -> ViewChanges:
-    return ViewChanges(
+    message = ViewChanges(
         after_revision=changes.after_revision,
         revision=changes.revision,
         view_age_ms=max(0, view_age_ms),
         is_complete=changes.is_complete,
         updates=tuple(_entry_update(change, now_ms) for change in changes.entries),
     )
+    previous, current = changes.previous_configuration, changes.configuration
+    if previous is None or current is None:
+        return message
+    base, content = encode_lines(previous), encode_lines(current)
+    return replace(
+        message,
+        base_digest=digest_content(base),
+        digest=digest_content(content),
+        configuration_steps=make_delta(base, content),
+    )
 
 
 def _entry_update(change: EntryChange, now_ms: int) -> EntryUpdate:
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/configuration.py
@@ -18,7 +18,6 @@
 from wagtailusher_membership.configuration_limits import ConfigurationLimits
 from wagtailusher_membership.configuration_validator import ConfigurationValidator, Validate
 from wagtailusher_membership.content_history import ContentHistory
-from wagtailusher_membership.delta import digest_content
 from wagtailusher_membership.member import Member
 from wagtailusher_membership.membership_effects import SendDatagram
 from wagtailusher_membership.peer_revisions import PeerRevisions, PendingFetch
@@ -33,6 +32,7 @@
     ContentRequest,
     Message,
 )
+from wagtailusher_wire.delta import digest_content
 
 _NO_SENDER = VmId("")
 _TICK_MS = 100
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/content_history.py
+++ b/packages/wagtailusher_membership/src/wagtailusher_membership/content_history.py
@@ -6,12 +6,6 @@
 
 from wagtailusher_core import Revision
 from wagtailusher_membership.configuration_limits import ConfigurationLimits
-from wagtailusher_membership.delta import (
-    DeltaError,
-    apply_delta,
-    digest_content,
-    make_delta,
-)
 from wagtailusher_wire import (
     MAX_STREAM_MESSAGE_BYTES,
     NO_REVISION,
@@ -19,6 +13,12 @@
     ContentRequest,
     DeltaStep,
 )
+from wagtailusher_wire.delta import (
+    DeltaError,
+    apply_delta,
+    digest_content,
+    make_delta,
+)
 
 _MAX_DELTAS = 8
 
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -9,6 +9,7 @@
     MAX_STREAM_MESSAGE_BYTES,
     WIRE_VERSION,
 )
+from wagtailusher_wire.delta import DeltaStep
 from wagtailusher_wire.endpoint_messages import (
     LimitEntry,
     LimitSummary,
@@ -48,7 +49,6 @@
     ConfigurationQuery,
     ContentAnswer,
     ContentRequest,
-    DeltaStep,
     DemandSummary,
     EndpointLoad,
     Gossip,
--- a/packages/wagtailusher_membership/src/wagtailusher_membership/delta.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/delta.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
 
-from wagtailusher_wire import DeltaStep
-
 _CHUNK_LINES_MASK = 3
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeltaStep:
+    """Copies a range of the base, then appends new bytes."""
+
+    copy_offset_bytes: int
+    copy_bytes: int
+    insert: bytes
+
+
 class DeltaError(ValueError):
     """A delta can't be applied to its base, or builds too large a content."""
 
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from wagtailusher_core import EndpointId, FailureDomainId, Incarnation, VmId
+from wagtailusher_wire.delta import DeltaStep
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -134,5 +135,11 @@
     view_age_ms: int
     """Time since the store confirmed the newer revision."""
     is_complete: bool
-    """Whether the updates are all changes; otherwise the receiver has to read the store."""
+    """Whether the message holds all changes; otherwise the receiver has to read the store."""
     updates: tuple[EntryUpdate, ...] = ()
+    base_digest: int = 0
+    """Hash of the lines of the configuration before the changes."""
+    digest: int = 0
+    """Hash of those after the changes."""
+    configuration_steps: tuple[DeltaStep, ...] = ()
+    """What turns the ones into the others; empty if the configuration is the same."""
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.py
@@ -15,6 +15,7 @@
     VmId,
     WorkspaceId,
 )
+from wagtailusher_wire.delta import DeltaStep
 from wagtailusher_wire.endpoint_messages import (
     LimitSummary,
     LivenessSummary,
@@ -149,15 +150,6 @@
     sequence: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DeltaStep:
-    """Copies a range of the base, then appends new bytes."""
-
-    copy_offset_bytes: int
-    copy_bytes: int
-    insert: bytes
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ContentAnswer:
     """A configuration as steps applied to the base; NO_REVISION is the empty base."""
--- a/tests/wagtailusher_gateway/test_view_spread.py
+++ b/tests/wagtailusher_gateway/test_view_spread.py
@@ -8,10 +8,12 @@
 from functools import partial
 import unittest
 
-from tests.wagtailusher_gateway.builders import configuration, endpoint, member
+from tests.wagtailusher_gateway.builders import configuration, endpoint, member, route
 from tests.wagtailusher_gateway.test_fleet import Fleet
 from wagtailusher_core import EndpointId, FailureDomainId
-from wagtailusher_gateway.models import ReadChanges
+from wagtailusher_gateway.configuration_lines import decode_lines, encode_lines
+from wagtailusher_gateway.exceptions import ViewError
+from wagtailusher_gateway.models import ReadChanges, Repeat
 from wagtailusher_gateway.view_cache import EXPIRY_GRACE_MS, ViewCache
 from wagtailusher_gateway.view_spread import ViewSpread
 from wagtailusher_wire import Message, ViewChanges, decode, encode
@@ -122,7 +124,8 @@
         self.assertEqual(self.required, [])
 
     def test_changes_that_can_not_be_passed_on_make_the_others_read(self) -> None:
-        self.reader.set_configuration(configuration(2), "store", self.now_ms)
+        many = (route(name=f"r-{number}", prefix=f"/{number}/") for number in range(60))
+        self.reader.set_configuration(configuration(2, *many), "store", self.now_ms)
         self._read(6)
         self.assertEqual(self.required, [6, 6])
         self.reader.set_evacuated(frozenset({FailureDomainId("a")}), self.now_ms)
@@ -133,6 +136,36 @@
         self.assertEqual(self.required, [6, 6, 7, 7, 65, 65])
         self.assertEqual(self.caches[1].view.revision, 5)
 
+    def test_changed_configuration_is_passed_on(self) -> None:
+        changed = configuration(3, route(), route(name="new", prefix="/new/", timeout_ms=700))
+        self.reader.set_configuration(configuration(2), "store", self.now_ms)
+        self.reader.set_configuration(changed, "store", self.now_ms)
+        self.reader.remove_endpoint(I1, self.now_ms)
+        self._read(8)
+        self._assert_all_agree()
+        self.assertEqual(self.caches[1].view.configuration, changed)
+        self.assertEqual(self.required, [])
+
+    def test_vm_with_another_configuration_reads_the_store(self) -> None:
+        other = configuration(2, route(timeout_ms=123))
+        self.caches[1].set_configuration(other, "store", self.now_ms)
+        self.reader.set_configuration(configuration(3), "store", self.now_ms)
+        self._read(6)
+        self.assertEqual(self.required, [6])
+        self.assertEqual(self.caches[1].view.configuration, other)
+        self.assertEqual(self.caches[2].view.configuration, configuration(3))
+
+    def test_configuration_is_the_same_after_it_was_written_as_lines(self) -> None:
+        plain = configuration(
+            7,
+            route(),
+            route(name="b", repeat=Repeat.STREAM, may_resume=True, pause_target_ms=9),
+        )
+        self.assertEqual(decode_lines(encode_lines(plain)), plain)
+        for broken in (b"", encode_lines(plain)[:-9], b"X1\n", b"R[]\n"):
+            with self.subTest(broken=broken), self.assertRaises(ViewError):
+                decode_lines(broken)
+
     def test_only_the_reader_passes_on(self) -> None:
         self.caches[1].set_endpoint(endpoint(2), self.now_ms)
         self.caches[1].confirm_revision(6, self.now_ms)
--- a/tests/wagtailusher_membership/test_fetch.py
+++ b/tests/wagtailusher_membership/test_fetch.py
@@ -19,9 +19,9 @@
     ConfigurationEffect,
     FetchContent,
 )
-from wagtailusher_membership.delta import DeltaError, apply_delta, digest_content, make_delta
 from wagtailusher_membership.table import MemberTable
 from wagtailusher_wire import NO_REVISION, ConfigurationAnnounce, ContentAnswer, DeltaStep
+from wagtailusher_wire.delta import DeltaError, apply_delta, digest_content, make_delta
 
 _LINES = st.lists(st.sampled_from([b"a\n", b"b\n", b"cc\n", b"\n", b"d"]), max_size=60)
 _CONTENT = _LINES.map(b"".join) | st.binary(max_size=200)
