--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -93,20 +93,8 @@
         self.crash_watch = self._new_crash_watch()
         self.heartbeats = self._new_heartbeats()
         self.stream_versions = self._new_stream_versions()
-        self.view_spread = ViewSpread(
-            fleet=self.fleet,
-            view_cache=self.view_cache,
-            send=self.link.send,
-            require_read=self._read_schedule.require,
-            count_event=lambda event: self.metrics.view_changes.inc({"event": event}),
-        )
-        self.view_exchange = ViewExchange(
-            client=self._peer_client,
-            fleet=self.fleet,
-            view_cache=self.view_cache,
-            secret=options.fleet_secret,
-            clock_ms=monotonic_ms,
-        )
+        self.view_spread = self._new_view_spread()
+        self.view_exchange = self._new_view_exchange()
         self.servers = Servers(options.max_connections)
         self._tasks = PeriodicTasks()
 
@@ -143,6 +131,24 @@
             count_event=lambda event: self.metrics.stream_versions.inc({"event": event}),
         )
 
+    def _new_view_spread(self) -> ViewSpread:
+        return ViewSpread(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            send=self.link.send,
+            require_read=self._read_schedule.require,
+            count_event=lambda event: self.metrics.view_changes.inc({"event": event}),
+        )
+
+    def _new_view_exchange(self) -> ViewExchange:
+        return ViewExchange(
+            client=self._peer_client,
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            secret=self.options.fleet_secret,
+            clock_ms=monotonic_ms,
+        )
+
     def _new_quarantine(self) -> QuarantineExchange:
         return QuarantineExchange(
             fleet=self.fleet,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -145,18 +145,7 @@
         previous_member = existing.member if existing is not None else None
         if previous_member is not None and previous_member.incarnation > incarnation:
             return False
-        member = Member(
-            vm_id=vm_id,
-            incarnation=incarnation,
-            address=heartbeat.address,
-            peer_address=source,
-            view_address=heartbeat.view_address,
-            failure_domain_id=heartbeat.failure_domain_id,
-            weight=heartbeat.weight,
-            is_leaving=heartbeat.is_leaving,
-            is_ready=heartbeat.is_ready,
-            relays=heartbeat.relays,
-        )
+        member = _new_member(vm_id, incarnation, heartbeat, source)
         self._silent_ids.discard(vm_id)
         is_local = member.failure_domain_id == self.own_member.failure_domain_id
         self._local_count += is_local - (existing is not None and existing.is_local)
@@ -357,3 +346,18 @@
 def _interval_ms(peer_count: int) -> int:
     interval_ms = peer_count * MS_PER_S // HEARTBEATS_PER_S
     return min(MAX_HEARTBEAT_INTERVAL_MS, max(HEARTBEAT_INTERVAL_MS, interval_ms))
+
+
+def _new_member(vm_id: VmId, incarnation: int, heartbeat: Beat, source: str) -> Member:
+    return Member(
+        vm_id=vm_id,
+        incarnation=incarnation,
+        address=heartbeat.address,
+        peer_address=source,
+        view_address=heartbeat.view_address,
+        failure_domain_id=heartbeat.failure_domain_id,
+        weight=heartbeat.weight,
+        is_leaving=heartbeat.is_leaving,
+        is_ready=heartbeat.is_ready,
+        relays=heartbeat.relays,
+    )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -18,21 +18,7 @@
         self.stream_versions = self.counter(
             "stream_versions", "Records of streams' software versions, by what happened to them"
         )
-        self.quarantine = self.counter(
-            "quarantine", "Requests that crash endpoints, by what happened to them"
-        )
-        self.liveness = self.counter(
-            "endpoint_liveness", "Endpoints found suspected, unresponsive or responsive, by state"
-        )
-        self.limits = self.counter(
-            "endpoint_limits", "Limits that endpoints name in answers, by what happened to them"
-        )
-        self.statements = self.counter(
-            "endpoint_statements", "Endpoints that leave or want no requests, by what they stated"
-        )
-        self.view_changes = self.counter(
-            "view_changes", "Changes told by the elected reader, by what this VM did with them"
-        )
+        self._add_fleet_counters()
         self.peer_errors = self.counter("peer_errors", "Peer messages refused, by code")
         self.platform_calls = self.counter("platform_calls", "Calls to the platform, by outcome")
         self.dropped_log_lines = self.counter("dropped_log_lines", "Log lines dropped, by kind")
@@ -49,11 +35,29 @@
         )
         self.waiting = self.gauge("requests_waiting", "Requests that wait for a place")
         self.in_flight = self.gauge("requests_in_flight", "Requests that were read, not answered")
-        self.members = self.gauge("members", "VMs whose beats arrive")
+        self.members = self.gauge("members", "VMs whose heartbeats arrive")
         self.endpoints = self.gauge("endpoints", "Endpoints by state")
         self.view_age_ms = self.gauge("view_age_milliseconds", "Age of the view of the platform")
         self.configuration = self.gauge("configuration_version", "Configuration in force")
 
+    def _add_fleet_counters(self) -> None:
+        """Add the counters of what VMs tell each other of endpoints and the view."""
+        self.quarantine = self.counter(
+            "quarantine", "Requests that crash endpoints, by what happened to them"
+        )
+        self.liveness = self.counter(
+            "endpoint_liveness", "Endpoints found suspected, unresponsive or responsive, by state"
+        )
+        self.limits = self.counter(
+            "endpoint_limits", "Limits that endpoints name in answers, by what happened to them"
+        )
+        self.statements = self.counter(
+            "endpoint_statements", "Endpoints that leave or want no requests, by what they stated"
+        )
+        self.view_changes = self.counter(
+            "view_changes", "Changes told by the elected reader, by what this VM did with them"
+        )
+
     def count_request(
         self, route: Route | None, outcome: str, first_ms: int | None, arrived_ms: int
     ) -> None:
