Relay the heartbeats that ask for it, and pass on revisions without changes

Near the size from which heartbeats are relayed VMs may count their peers differently; a VM that counted too few to need relays passed nothing on, so the heartbeats of those that counted more reached one VM of its failure domain only. Heartbeats now say that they are to be relayed, and every VM does so.

A newer revision that changes nothing here was not passed on, so that all VMs read the store 600 ms after they heard of it. It is now, without changes.

test_heartbeat_is_passed_on_by_a_vm_that_knows_too_few_to_need_relays and test_newer_revision_without_changes_makes_nobody_read fail without.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -42,6 +42,8 @@
     peer_address: str
     with_peers: bool
     """Whether it includes a sample of the known peers."""
+    is_to_be_relayed: bool = False
+    """Whether the receiver passes it on within its failure domain."""
     relay_since_ms: int | None = None
     """When a peer in this VM's failure domain got the last one, as this one passes on what has
     arrived since; None for other peers."""
@@ -202,7 +204,10 @@
                 due.append(self._new_due(peer, now_ms))
         if self.uses_relays and self._relays_due_ms <= now_ms:
             self._relays_due_ms = now_ms + RELAYED_INTERVAL_MS
-            due.extend(self._new_due(peer, now_ms) for peer in self._choose_relays(now_ms))
+            due.extend(
+                replace(self._new_due(peer, now_ms), is_to_be_relayed=True)
+                for peer in self._choose_relays(now_ms)
+            )
         if self._seeds_due_ms <= now_ms:
             self._seeds_due_ms = now_ms + remote_ms * GOSSIP_EVERY_HEARTBEATS
             due.extend(self._due_to_seeds())
@@ -217,7 +222,7 @@
             with_peers=is_gossip_only or self._heartbeats_sent % GOSSIP_EVERY_HEARTBEATS == 0,
             relay_since_ms=(
                 max(since_ms, now_ms - self.local_interval_ms - HEARTBEAT_INTERVAL_MS)
-                if peer.is_local and self.uses_relays
+                if peer.is_local
                 else None
             ),
         )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -72,8 +72,11 @@
 
     def _send_due(self, due: list[DueHeartbeat], now_ms: int) -> None:
         """Send heartbeats; those within the failure domain pass on what arrived from others."""
-        kinds = {item.with_peers for item in due}
-        heartbeats = {kind: self._new_heartbeat(now_ms, with_peers=kind) for kind in kinds}
+        kinds = {(item.with_peers, item.is_to_be_relayed) for item in due}
+        heartbeats = {
+            kind: replace(self._new_heartbeat(now_ms, with_peers=kind[0]), is_to_be_relayed=kind[1])
+            for kind in kinds
+        }
         relaying = self._new_relaying_heartbeats(due, now_ms)
         for item in due:
             is_relaying = bool(relaying) and item.relay_since_ms is not None
@@ -81,7 +84,8 @@
                 for heartbeat in relaying:
                     self._send(item.peer_address, heartbeat)
             if item.with_peers or not is_relaying:
-                self._send(item.peer_address, heartbeats[item.with_peers])
+                kind = (item.with_peers, item.is_to_be_relayed)
+                self._send(item.peer_address, heartbeats[kind])
 
     def _new_relaying_heartbeats(self, due: list[DueHeartbeat], now_ms: int) -> list[Beat]:
         """Return the heartbeats that pass on what arrived since the peers' last one, if any."""
@@ -114,9 +118,7 @@
         """Process a heartbeat; a new peer gets one in reply at once."""
         if not isinstance(message, Beat):
             return
-        own_domain_id = self._fleet.own_member.failure_domain_id
-        is_remote = message.failure_domain_id != own_domain_id
-        if is_remote and message.relays and self._fleet.uses_relays:
+        if message.is_to_be_relayed:
             self._relay.add(authenticated, address, message, now_ms)
         origin = _Origin(
             vm_id=authenticated.vm_id,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -39,7 +39,7 @@
     ) -> None:
         """Start with an empty view; the listener is called on each change and confirmation.
 
-        `on_read` gets the changes of each reading of the store that brought any, and the time.
+        `on_read` gets what a reading of the store changed, if its revision is newer, and the time.
         """
         self.view = EMPTY_VIEW
         self.is_gap = False
@@ -67,6 +67,7 @@
         if self._is_store_unavailable:
             self._is_store_unavailable = False
             self._store_recovered_ms = now_ms
+        is_newer = self.is_newer_revision(revision)
         changes = self._take_changes(revision)
         self._apply(
             replace(
@@ -76,7 +77,7 @@
             ),
             now_ms,
         )
-        if changes.entries or changes.configuration or not changes.is_complete:
+        if is_newer:
             self._on_read(changes, now_ms)
 
     def _take_changes(self, revision: int) -> ReadChanges:
@@ -97,10 +98,10 @@
 
     def apply_changes(self, changes: ReadChanges, confirmed_ms: int, now_ms: int) -> bool:
         """Apply what a peer read; return False if the view would miss changes before it."""
-        if not changes.is_complete or self.view.revision < changes.after_revision:
-            return False
         if changes.revision <= self.view.revision:
             return True
+        if not changes.is_complete or self.view.revision < changes.after_revision:
+            return False
         if changes.configuration is not None:
             self.set_configuration(changes.configuration, "reader", now_ms)
         for change in changes.entries:
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -66,6 +66,8 @@
     relays: bool = False
     """Whether the sender passes heartbeats on within its failure domain."""
     relayed: tuple[RelayedBeat, ...] = ()
+    is_to_be_relayed: bool = False
+    """Whether the receiver passes it on, as others in its failure domain don't get it."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -172,6 +172,7 @@
   peers @9 :List(BeatPeer);
   relays @10 :Bool;
   relayed @11 :List(RelayedBeat);
+  isToBeRelayed @12 :Bool;
 }
 
 struct RelayedBeat {
--- a/tests/wagtailusher_gateway/large_fleet.py
+++ b/tests/wagtailusher_gateway/large_fleet.py
@@ -36,12 +36,12 @@
         self._numbers = {member(number).peer_address: number for number in range(count)}
         self.deciders: list[FleetDecider] = []
         self.registries: list[EndpointRegistry] = []
-        self._exchanges: list[HeartbeatExchange] = []
+        self.exchanges: list[HeartbeatExchange] = []
         for number in range(count):
             self.deciders.append(self._new_decider(number, domains, seed))
             self.registries.append(EndpointRegistry())
             self.registries[-1].update(view(endpoint(1)), 0)
-            self._exchanges.append(self._new_exchange(number))
+            self.exchanges.append(self._new_exchange(number))
 
     def _new_decider(self, number: int, domains: int, seed: int) -> FleetDecider:
         domain_id = FailureDomainId(f"domain-{number % domains}")
@@ -63,7 +63,7 @@
         raised = replace(own_member, incarnation=own_member.incarnation + 1)
         seeds = tuple(member(seed_number).peer_address for seed_number in range(3))
         self.deciders[number] = FleetDecider(raised, seeds, self.now_ms, number)
-        self._exchanges[number] = self._new_exchange(number)
+        self.exchanges[number] = self._new_exchange(number)
 
     def connect_if(self, is_connected: Callable[[int, int], bool]) -> None:
         """Let datagrams arrive only between VMs for which the function returns true."""
@@ -73,7 +73,7 @@
         """Advance the time and deliver what is sent."""
         for _ in range(duration_ms // STEP_MS):
             self.now_ms += STEP_MS
-            for number, exchange in enumerate(self._exchanges):
+            for number, exchange in enumerate(self.exchanges):
                 if number not in self.down:
                     exchange.tick(self.now_ms)
 
@@ -90,14 +90,16 @@
         return {str(item.vm_id) for item in self.deciders[number].serving_members(self.now_ms)}
 
     def _deliver(self, source: int, address: str, message: Message) -> None:
-        target = self._numbers[address]
+        target = self._numbers.get(address)
+        if target is None:
+            return
         self.sent[source, target] += 1
         if target in self.down or self._random.random() < self._loss:
             return
         if not self._is_connected(source, target) or not isinstance(message, Beat):
             return
         if target in self.old_builds or source in self.old_builds:
-            message = replace(message, relays=False, relayed=())
+            message = replace(message, relays=False, relayed=(), is_to_be_relayed=False)
         own_member = self.deciders[source].own_member
         authenticated = AuthenticatedMessage(
             vm_id=own_member.vm_id,
@@ -106,4 +108,4 @@
             payload=b"",
         )
         sender_address = own_member.peer_address
-        self._exchanges[target].receive(message, authenticated, sender_address, self.now_ms)
+        self.exchanges[target].receive(message, authenticated, sender_address, self.now_ms)
--- a/tests/wagtailusher_gateway/test_large_fleet.py
+++ b/tests/wagtailusher_gateway/test_large_fleet.py
@@ -11,11 +11,11 @@
 
 from tests.wagtailusher_gateway.builders import member
 from tests.wagtailusher_gateway.large_fleet import LargeFleet
-from wagtailusher_core import EndpointId, FailureDomainId
+from wagtailusher_core import EndpointId, FailureDomainId, Incarnation
 from wagtailusher_gateway.const import HEARTBEATS_PER_S, MAX_SILENCE_MS, RELAYED_INTERVAL_MS
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.models import Member
-from wagtailusher_wire import Beat
+from wagtailusher_wire import AuthenticatedMessage, Beat
 
 DOMAINS = 6
 VMS = 60
@@ -141,6 +141,19 @@
             assert other is not None
             self.assertEqual(other.total_load(fleet.now_ms).requests, 3)
 
+    def test_heartbeat_is_passed_on_by_a_vm_that_knows_too_few_to_need_relays(self) -> None:
+        fleet = LargeFleet(6, 2, seed=1)
+        fleet.run(CHECK_MS)
+        sender = replace(member(9), failure_domain_id=FailureDomainId("domain-0"))
+        authenticated = AuthenticatedMessage(
+            vm_id=sender.vm_id, incarnation=Incarnation(1), sequence=1, payload=b""
+        )
+        heartbeat = replace(beat_of(sender), is_to_be_relayed=True)
+        fleet.exchanges[1].receive(heartbeat, authenticated, sender.peer_address, fleet.now_ms)
+        fleet.connect_if(lambda source, target: source % 2 == target % 2 == 1)
+        fleet.run(MS_PER_S // 2)
+        self.assertIn(str(sender.vm_id), fleet.names(3))
+
     def test_load_of_a_vm_that_is_gone_is_forgotten(self) -> None:
         fleet = LargeFleet(4, 1, seed=1)
         fleet.run(CHECK_MS)
--- a/tests/wagtailusher_gateway/test_view_spread.py
+++ b/tests/wagtailusher_gateway/test_view_spread.py
@@ -171,8 +171,13 @@
         self.caches[1].confirm_revision(6, self.now_ms)
         self.assertEqual(self.sent, [])
 
-    def test_nothing_is_sent_without_a_change(self) -> None:
+    def test_newer_revision_without_changes_makes_nobody_read(self) -> None:
         self._read(9)
+        self._assert_all_agree()
+        self.assertEqual(self.required, [])
+
+    def test_nothing_is_sent_without_a_newer_revision(self) -> None:
+        self._read(5)
         self.assertEqual(self.sent, [])
 
 
