Look through all peers less often

At 195 VMs a tick of 50 ms went five times through all peers: to remove those that are gone after 30 s, to log changes, to find the domain's reader, and for what is due. Removal is checked each second now, changes of the live members four times a second, the reader among the domain's own VMs, and a sample of peers is drawn before it is converted. Decisions stay the same, but for delays of a second and of 250 ms.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -31,6 +31,9 @@
 """Time without a new VM after which the fleet counts as fully known; five heartbeat intervals of a
 small fleet."""
 
+EXPIRY_CHECK_MS = 1_000
+"""Interval of the check for peers to remove; a fraction of their retention."""
+
 SETTLE_INTERVALS = 2
 """The same time in heartbeat intervals of a large fleet; tolerates one lost heartbeat."""
 
@@ -85,6 +88,7 @@
         """Removed peers that did not announce that they leave; they may still send requests."""
         self._seeds_due_ms = started_ms
         self._relays_due_ms = started_ms
+        self._expiry_due_ms = started_ms
         self._heartbeats_sent = 0
         self._last_growth_ms = started_ms
         self._is_settled = False
@@ -193,7 +197,9 @@
 
     def collect_due_heartbeats(self, now_ms: int) -> list[DueHeartbeat]:
         """Return the heartbeats to send now, and advance their schedule."""
-        self._remove_expired(now_ms)
+        if self._expiry_due_ms <= now_ms:
+            self._expiry_due_ms = now_ms + EXPIRY_CHECK_MS
+            self._remove_expired(now_ms)
         local_ms, remote_ms = self.local_interval_ms, self.remote_interval_ms
         due = []
         for peer in self._peers.values():
@@ -261,12 +267,11 @@
 
     def sample_peers(self) -> tuple[BeatPeer, ...]:
         """Return a random sample of the peers from which a heartbeat was received."""
-        sampled = [
-            BeatPeer(vm_id=vm_id, peer_address=peer.peer_address)
-            for vm_id, peer in self._peers.items()
-            if peer.member is not None
-        ]
-        return tuple(self._random.sample(sampled, min(MAX_GOSSIP_PEERS, len(sampled))))
+        heard = [item for item in self._peers.items() if item[1].member is not None]
+        sampled = self._random.sample(heard, min(MAX_GOSSIP_PEERS, len(heard)))
+        return tuple(
+            BeatPeer(vm_id=vm_id, peer_address=peer.peer_address) for vm_id, peer in sampled
+        )
 
     def live_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the peers that have not missed too many heartbeats."""
@@ -281,7 +286,12 @@
 
     def local_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the live peers in this VM's failure domain."""
-        return tuple(member for peer, member in self._live_peers(now_ms) if peer.is_local)
+        limit_ms = min(MAX_SILENCE_MS, self.local_interval_ms * MAX_MISSED_HEARTBEATS)
+        return tuple(
+            peer.member
+            for peer in self._peers.values()
+            if peer.is_local and peer.member is not None and now_ms - peer.last_seen_ms <= limit_ms
+        )
 
     def gets_early_heartbeats_from(self, failure_domain_id: FailureDomainId) -> bool:
         """Return whether peers in a failure domain report a long prompt to this VM at once."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -19,6 +19,9 @@
 MAX_LOADS = 16
 """Most endpoint loads in one heartbeat; these fit into a datagram together with the peers."""
 
+LIVE_CHECK_MS = 250
+"""Interval of the check for changes of the live members; a part of the shortest silence."""
+
 _MAX_AGE_MS = 0xFFFFFFFF
 """Largest age that the message field can hold; stands for a view that was never confirmed."""
 
@@ -54,15 +57,22 @@
         self._send = send
         self._relay = HeartbeatRelay()
         self._live_ids: frozenset[VmId] = frozenset()
+        self._live_check_due_ms = 0
         self._early_sent_ms = 0
         self._is_early_pending = False
 
     def tick(self, now_ms: int) -> None:
-        """Send the heartbeats that are due and log changes of the live members."""
+        """Send the heartbeats that are due, and check who is live now and then."""
         self._relay.tick(now_ms)
         self._send_due(self._fleet.collect_due_heartbeats(now_ms), now_ms)
         if self._is_early_pending:
             self.send_early(now_ms)
+        if self._live_check_due_ms <= now_ms:
+            self._live_check_due_ms = now_ms + LIVE_CHECK_MS
+            self._check_live_members(now_ms)
+
+    def _check_live_members(self, now_ms: int) -> None:
+        """Log changes of the live members, and forget the loads of those that fell silent."""
         live_ids = frozenset(member.vm_id for member in self._fleet.live_members(now_ms))
         if live_ids != self._live_ids:
             for vm_id in self._live_ids - live_ids:
