Share what heartbeats and relayed ones report, and shorten three functions

Beat and RelayedBeat spelt out the same nine fields, and the gateway's tests built the same heartbeats in five places. VmReport holds the fields, and the tests' builders the heartbeats. The largest heartbeat in the tests states that it relays, so its size is checked with that field too.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -82,12 +82,7 @@
         self._peer_client = HttpClient(ssl_context=peer_context(options))
         self._secrets = options.fleet_secrets
         self.findings = self._new_findings()
-        self.upstream = Upstream(
-            self._client,
-            self.directory.address_of_cancel,
-            self.findings.read_answer,
-            self.findings.may_send_extra,
-        )
+        self.upstream = self._new_upstream()
         self.load_cache = LoadReportCache(self.vm_id)
         self.leases = LeaseTransport(self.directory.peer_address_of, self._receive, self.load_cache)
         self.node = self._new_node()
@@ -113,6 +108,14 @@
     def _new_config_service(self) -> ConfigServiceCoordinator:
         return ConfigServiceCoordinator(self._client, self.options.config_service, seed=new_seed())
 
+    def _new_upstream(self) -> Upstream:
+        return Upstream(
+            self._client,
+            self.directory.address_of_cancel,
+            self.findings.read_answer,
+            self.findings.may_send_extra,
+        )
+
     def _new_node(self) -> RouterNode:
         return RouterNode(
             new_decider(self.options, self.incarnation, self._quota_share, self.findings.deciders),
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import replace
+from dataclasses import fields, replace
+from typing import Any
 
 from wagtailusher_core import Incarnation, VmId
 from wagtailusher_gateway.const import (
@@ -12,7 +13,16 @@
     RELAY_PAUSE_MS,
     RELAY_SETTLE_MS,
 )
-from wagtailusher_wire import MAX_PAYLOAD_BYTES, AuthenticatedMessage, Beat, RelayedBeat, encode
+from wagtailusher_wire import (
+    MAX_PAYLOAD_BYTES,
+    AuthenticatedMessage,
+    Beat,
+    RelayedBeat,
+    VmReport,
+    encode,
+)
+
+_REPORT_FIELDS = tuple(field.name for field in fields(VmReport))
 
 
 class HeartbeatRelay:
@@ -75,35 +85,18 @@
 
 def original_beat(relayed: RelayedBeat) -> Beat:
     """Return the heartbeat that its VM sent, without the peers; that VM relays too."""
-    return Beat(
-        address=relayed.address,
-        view_address=relayed.view_address,
-        failure_domain_id=relayed.failure_domain_id,
-        weight=relayed.weight,
-        is_leaving=relayed.is_leaving,
-        is_ready=relayed.is_ready,
-        view_revision=relayed.view_revision,
-        view_age_ms=relayed.view_age_ms,
-        loads=relayed.loads,
-        relays=True,
-    )
+    return Beat(**_report_values(relayed), relays=True)
 
 
 def _new_relayed(
     vm_id: VmId, incarnation: Incarnation, peer_address: str, beat: Beat
 ) -> RelayedBeat:
+    values = _report_values(beat) | {"loads": beat.loads[:MAX_RELAYED_LOADS]}
     return RelayedBeat(
-        vm_id=vm_id,
-        incarnation=incarnation,
-        peer_address=peer_address,
-        age_ms=0,
-        address=beat.address,
-        view_address=beat.view_address,
-        failure_domain_id=beat.failure_domain_id,
-        weight=beat.weight,
-        is_leaving=beat.is_leaving,
-        is_ready=beat.is_ready,
-        view_revision=beat.view_revision,
-        view_age_ms=beat.view_age_ms,
-        loads=beat.loads[:MAX_RELAYED_LOADS],
+        **values, vm_id=vm_id, incarnation=incarnation, peer_address=peer_address, age_ms=0
     )
+
+
+def _report_values(report: VmReport) -> dict[str, Any]:
+    """Return what a heartbeat reports of its VM, by field."""
+    return {name: getattr(report, name) for name in _REPORT_FIELDS}
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -134,21 +134,19 @@
     ) -> Reservation | None:
         """Reserve a slot at the endpoint with the lowest cost; return None if all are full.
 
-        `excluded` endpoints are used only if no other one has capacity, and endpoints of other
-        versions than a required `software_version` not at all; nor those that name a limit, unless
-        `may_use_limited`.
+        `excluded` endpoints are used only if no other one has capacity; not those of other versions
+        than a required `software_version`, nor those that name a limit unless `may_use_limited`.
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties = self._penalties_ms(service, terms, usable)
         ranked = _rank_for_prompt(service, terms, usable, penalties)
         preferred_ids = self._preferred_ids(ranked, penalties)
-        self._contention.set_vm_ids(vm_ids)
         candidates = [
-            candidate
-            for candidate in self._candidates(service, terms, usable, view, vm_ids, now_ms, rank)
-            if _id_of(candidate) in penalties
-            and (may_use_limited or not self.rate_limits.has_limit(_id_of(candidate)))
-            and self._may_compete(service, terms, candidate, preferred_ids, rank, software_version)
+            item
+            for item in self._candidates(service, terms, usable, view, vm_ids, now_ms, rank)
+            if _id_of(item) in penalties
+            and (may_use_limited or not self._has_limit(item))
+            and self._may_compete(service, terms, item, preferred_ids, rank, software_version)
         ]
         candidates = _without_excluded(candidates, excluded) or candidates
         if not candidates:
@@ -157,11 +155,13 @@
         fleet_factor = max(1, len(vm_ids)) / len(penalties)
         missing = self._prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
         costs = self._costs(service, penalties, candidates, cached_chances, missing)
-        best = min(range(len(candidates)), key=lambda index: costs[index])
-        endpoint_id = _id_of(candidates[best])
-        chance = cached_chances.get(endpoint_id, 0.0) * self._prefixes.repeat_chance(len(vm_ids))
-        uncached_tokens = terms.own_prompt_tokens + missing(endpoint_id, chance)
-        return self._reserve(service, terms, candidates[best], costs[best], uncached_tokens, now_ms)
+        cost_ms, best = min(zip(costs, candidates, strict=True), key=lambda item: item[0])
+        chance = cached_chances.get(_id_of(best), 0.0) * self._prefixes.repeat_chance(len(vm_ids))
+        uncached_tokens = terms.own_prompt_tokens + missing(_id_of(best), chance)
+        return self._reserve(service, terms, best, cost_ms, uncached_tokens, now_ms)
+
+    def _has_limit(self, candidate: Candidate) -> bool:
+        return self.rate_limits.has_limit(_id_of(candidate))
 
     def release(self, reservation: Reservation, *, is_prefill_done: bool) -> None:
         """Release a reservation; `is_prefill_done` if its prefill was already subtracted."""
@@ -200,6 +200,7 @@
         rank: int,
     ) -> Iterator[Candidate]:
         """Yield the endpoints with capacity, their load and whether they are cold."""
+        self._contention.set_vm_ids(vm_ids)
         cap_tokens = self._prefill_caps.cap_tokens(service.name, rank)
         stale = now_ms - view.confirmed_ms > STALE_VIEW_MS
         for tracked in usable:
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -20,7 +20,6 @@
     HELD_CHUNK_PAUSE_MS,
     KEEP_ALIVE_REUSE_SHARE,
     MAX_TINY_CHUNKS,
-    MAX_UNMATCHED_RESPONSES,
     MIN_CHUNK_BYTES,
     MS_PER_S,
     SURPLUS_WAIT_MS,
@@ -44,7 +43,8 @@
     may_end_within_head,
 )
 from wagtailusher_http.headers import Headers
-from wagtailusher_http.matching import ResponseMatcher, contains_status_line
+from wagtailusher_http.matching import ResponseMatcher
+from wagtailusher_http.response_heads import async_receive_response_head
 
 _HOP_HEADERS = frozenset({"host", "content-length", "transfer-encoding", "connection"})
 
@@ -255,12 +255,9 @@
             if may_send is not None and not may_send():
                 raise SendCancelledError(f"request to {address} was cancelled before it was sent")
             await connection.async_send(head, body)
-            answer_head = await connection.async_receive_head(head_timeout_ms)
-            if matches_request is not None:
-                timeout_ms = unmatched_timeout_ms or head_timeout_ms
-                answer_head = await _async_receive_matching_head(
-                    connection, answer_head, matches_request, method, timeout_ms
-                )
+            answer_head = await async_receive_response_head(
+                connection, method, matches_request, head_timeout_ms, unmatched_timeout_ms
+            )
         except BaseException as err:
             connection.abort()
             if isinstance(err, AnswerTruncatedError) and connection.may_be_stale:
@@ -362,33 +359,6 @@
         self._idle.clear()
 
 
-async def _async_receive_matching_head(
-    connection: ClientConnection,
-    head: h11.Response,
-    matches_request: ResponseMatcher,
-    method: str,
-    timeout_ms: int,
-) -> h11.Response:
-    """Return the head of the matching response, skipping responses to other requests.
-
-    Raises AnswerProtocolError when only others arrive within the time-out.
-    """
-    ends_ms = loop_now_ms() + timeout_ms
-    try:
-        for _ in range(MAX_UNMATCHED_RESPONSES):
-            if contains_status_line(head):
-                raise AnswerProtocolError(f"{connection.address} sent an incomplete head")
-            if matches_request(Headers.from_raw(head.headers)):
-                return head
-            await connection.async_skip_answer(method, max(0, ends_ms - loop_now_ms()))
-            head = await connection.async_receive_head(max(0, ends_ms - loop_now_ms()))
-    except ReadTimeoutError as err:
-        raise AnswerProtocolError(
-            f"{connection.address} sent only a response to another request"
-        ) from err
-    raise AnswerProtocolError(f"{connection.address} sent only responses to other requests")
-
-
 def _request_head(
     method: str, target: str, host: str, headers: Headers | None, body: bytes
 ) -> h11.Request:
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -38,6 +38,7 @@
     StreamVersionQuery,
     StreamVersionRecord,
     ViewChanges,
+    VmReport,
 )
 from wagtailusher_wire.message_auth import AuthenticatedMessage, MessageAuthenticator
 from wagtailusher_wire.messages import (
@@ -136,6 +137,7 @@
     "TableDigest",
     "UnauthenticatedPeerError",
     "ViewChanges",
+    "VmReport",
     "WireError",
     "WireVersionError",
     "decode",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -29,14 +29,9 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class RelayedBeat:
-    """Heartbeat of a VM in another failure domain, as the sender got it from that VM itself."""
+class VmReport:
+    """A VM's addresses, state, view revision and load in flight."""
 
-    vm_id: VmId
-    incarnation: Incarnation
-    peer_address: str
-    age_ms: int
-    """Time since the sender got it."""
     address: str
     view_address: str
     failure_domain_id: FailureDomainId
@@ -45,23 +40,25 @@
     is_ready: bool
     view_revision: int
     view_age_ms: int
-    """As in the heartbeat itself."""
+    """Age of the view when its VM sent the report."""
     loads: tuple[BeatLoad, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Beat:
-    """Heartbeat with the sender's addresses, state, view revision, load in flight and peers."""
+class RelayedBeat(VmReport):
+    """Heartbeat of a VM in another failure domain, as the sender got it from that VM itself."""
+
+    vm_id: VmId
+    incarnation: Incarnation
+    peer_address: str
+    age_ms: int
+    """Time since the sender got it."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Beat(VmReport):
+    """Heartbeat of its sender, with a sample of the peers that the sender knows."""
 
-    address: str
-    view_address: str
-    failure_domain_id: FailureDomainId
-    weight: int
-    is_leaving: bool
-    is_ready: bool
-    view_revision: int
-    view_age_ms: int
-    loads: tuple[BeatLoad, ...] = ()
     peers: tuple[BeatPeer, ...] = ()
     relays: bool = False
     """Whether the sender passes heartbeats on within its failure domain."""
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -176,19 +176,19 @@
 }
 
 struct RelayedBeat {
-  vmId @0 :Text;
-  incarnation @1 :UInt64;
-  peerAddress @2 :Text;
-  ageMs @3 :UInt32;
-  address @4 :Text;
-  viewAddress @5 :Text;
-  failureDomainId @6 :Text;
-  weight @7 :UInt32;
-  isLeaving @8 :Bool;
-  isReady @9 :Bool;
-  viewRevision @10 :UInt64;
-  viewAgeMs @11 :UInt32;
-  loads @12 :List(BeatLoad);
+  address @0 :Text;
+  viewAddress @1 :Text;
+  failureDomainId @2 :Text;
+  weight @3 :UInt32;
+  isLeaving @4 :Bool;
+  isReady @5 :Bool;
+  viewRevision @6 :UInt64;
+  viewAgeMs @7 :UInt32;
+  loads @8 :List(BeatLoad);
+  vmId @9 :Text;
+  incarnation @10 :UInt64;
+  peerAddress @11 :Text;
+  ageMs @12 :UInt32;
 }
 
 struct StreamVersionRecord {
--- a/tests/wagtailusher_gateway/builders.py
+++ b/tests/wagtailusher_gateway/builders.py
@@ -9,6 +9,7 @@
 from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
 from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry
+from wagtailusher_gateway.heartbeat_exchange import MAX_LOADS
 from wagtailusher_gateway.models import (
     CallerLimits,
     Configuration,
@@ -26,6 +27,7 @@
 )
 from wagtailusher_gateway.placement import Placement
 from wagtailusher_rate_limits import RateLimitDecider
+from wagtailusher_wire import Beat, BeatLoad
 
 ENGINES = Service(
     name="engines",
@@ -146,3 +148,43 @@
     )
     placement.update(current, 0)
     return placement
+
+
+LONG_ADDRESS = "100.100.100.100:65535"
+BUSY_LOAD = BeatLoad(
+    endpoint_id=EndpointId("i-882867ae9c"),
+    requests=96,
+    prefill_tokens=100_000,
+    memory_tokens=500_000,
+    recent_answers=300,
+    recent_failures=300,
+)
+BUSY_BEAT = Beat(
+    address=LONG_ADDRESS,
+    view_address=LONG_ADDRESS,
+    failure_domain_id=FailureDomainId("valmiera-d"),
+    weight=100,
+    is_leaving=False,
+    is_ready=True,
+    view_revision=10_000_000,
+    view_age_ms=100_000,
+    loads=(BUSY_LOAD,) * MAX_LOADS,
+    relays=True,
+)
+"""The largest heartbeat of a busy VM, without peers."""
+
+
+def beat_of(item: Member, **changes: Any) -> Beat:
+    """Return a heartbeat of a VM that relays and has no load."""
+    beat = Beat(
+        address=item.address,
+        view_address=item.view_address,
+        failure_domain_id=item.failure_domain_id,
+        weight=item.weight,
+        is_leaving=item.is_leaving,
+        is_ready=item.is_ready,
+        view_revision=1,
+        view_age_ms=0,
+        relays=True,
+    )
+    return replace(beat, **changes)
--- a/tests/wagtailusher_gateway/test_fleet.py
+++ b/tests/wagtailusher_gateway/test_fleet.py
@@ -9,7 +9,7 @@
 from random import Random
 import unittest
 
-from tests.wagtailusher_gateway.builders import member
+from tests.wagtailusher_gateway.builders import beat_of, member
 from wagtailusher_core import FailureDomainId, VmId
 from wagtailusher_gateway.const import PEER_RETENTION_MS
 from wagtailusher_gateway.fleet import FleetDecider
@@ -53,17 +53,8 @@
         if (source in self.partitioned) != (address in self.partitioned):
             return
         own_member = sender.own_member
-        heartbeat = Beat(
-            address=own_member.address,
-            view_address=own_member.view_address,
-            failure_domain_id=own_member.failure_domain_id,
-            weight=own_member.weight,
-            is_leaving=own_member.is_leaving,
-            is_ready=own_member.is_ready,
-            view_revision=1,
-            view_age_ms=0,
-            peers=sender.sample_peers() if with_peers else (),
-        )
+        peers = sender.sample_peers() if with_peers else ()
+        heartbeat = beat_of(own_member, peers=peers, relays=False)
         receiver = self.deciders[address]
         receiver.receive(own_member.vm_id, own_member.incarnation, heartbeat, source, self.now_ms)
 
--- a/tests/wagtailusher_gateway/test_heartbeat_relay.py
+++ b/tests/wagtailusher_gateway/test_heartbeat_relay.py
@@ -8,41 +8,17 @@
 from dataclasses import replace
 import unittest
 
-from wagtailusher_core import EndpointId, FailureDomainId, Incarnation, VmId
+from tests.wagtailusher_gateway.builders import BUSY_BEAT, BUSY_LOAD, LONG_ADDRESS
+from wagtailusher_core import Incarnation, VmId
 from wagtailusher_gateway.const import RELAY_PAUSE_MS, RELAY_SETTLE_MS
-from wagtailusher_gateway.heartbeat_exchange import MAX_LOADS
 from wagtailusher_gateway.heartbeat_relay import HeartbeatRelay, original_beat, split_to_fit
 from wagtailusher_wire import (
     MAX_PAYLOAD_BYTES,
     AuthenticatedMessage,
-    Beat,
-    BeatLoad,
     decode,
     encode,
 )
 
-ADDRESS = "100.100.100.100:65535"
-LOAD = BeatLoad(
-    endpoint_id=EndpointId("i-882867ae9c"),
-    requests=96,
-    prefill_tokens=100_000,
-    memory_tokens=500_000,
-    recent_answers=300,
-    recent_failures=300,
-)
-BEAT = Beat(
-    address=ADDRESS,
-    view_address=ADDRESS,
-    failure_domain_id=FailureDomainId("valmiera-d"),
-    weight=100,
-    is_leaving=False,
-    is_ready=True,
-    view_revision=10_000_000,
-    view_age_ms=100_000,
-    loads=(LOAD,) * MAX_LOADS,
-    relays=True,
-)
-
 
 def sender(number: int = 1) -> AuthenticatedMessage:
     """Return the authenticated message of a VM."""
@@ -62,7 +38,7 @@
         self.relay.tick(0)
 
     def test_heartbeat_is_passed_on_with_its_age(self) -> None:
-        self.relay.add(sender(), ADDRESS, BEAT, 40)
+        self.relay.add(sender(), LONG_ADDRESS, BUSY_BEAT, 40)
         self.relay.tick(50)
         (relayed,) = self.relay.received_since(20, 90)
         self.assertEqual(relayed.age_ms, 50)
@@ -70,30 +46,30 @@
 
     def test_heartbeats_that_waited_for_a_paused_process_are_not_passed_on(self) -> None:
         woke_ms = 5_000
-        self.relay.add(sender(), ADDRESS, BEAT, woke_ms)
+        self.relay.add(sender(), LONG_ADDRESS, BUSY_BEAT, woke_ms)
         self.relay.tick(woke_ms)
-        self.relay.add(sender(2), ADDRESS, BEAT, woke_ms + 20)
+        self.relay.add(sender(2), LONG_ADDRESS, BUSY_BEAT, woke_ms + 20)
         self.assertEqual(self.relay.received_since(0, woke_ms + 30), ())
         settled_ms = woke_ms + RELAY_SETTLE_MS
         for now_ms in range(woke_ms, settled_ms + 1, RELAY_PAUSE_MS // 3):
             self.relay.tick(now_ms)
-        self.relay.add(sender(), ADDRESS, BEAT, settled_ms)
+        self.relay.add(sender(), LONG_ADDRESS, BUSY_BEAT, settled_ms)
         self.assertEqual(len(self.relay.received_since(0, settled_ms)), 1)
 
     def test_every_relaying_heartbeat_fits_into_a_datagram(self) -> None:
         for number in range(40):
-            self.relay.add(sender(number), ADDRESS, BEAT, 10)
+            self.relay.add(sender(number), LONG_ADDRESS, BUSY_BEAT, 10)
         relayed = self.relay.received_since(0, 20)
-        parts = list(split_to_fit(lambda part: replace(BEAT, relayed=part), relayed))
+        parts = list(split_to_fit(lambda part: replace(BUSY_BEAT, relayed=part), relayed))
         self.assertLessEqual(max(len(encode(part)) for part in parts), MAX_PAYLOAD_BYTES)
         passed_on = [item for part in parts for item in part.relayed]
         self.assertEqual(len({item.vm_id for item in passed_on}), 40)
         self.assertEqual(decode(encode(parts[0])), parts[0])
 
     def test_original_heartbeat_is_restored(self) -> None:
-        self.relay.add(sender(), ADDRESS, replace(BEAT, loads=(LOAD,)), 10)
+        self.relay.add(sender(), LONG_ADDRESS, replace(BUSY_BEAT, loads=(BUSY_LOAD,)), 10)
         (relayed,) = self.relay.received_since(0, 20)
-        self.assertEqual(original_beat(relayed), replace(BEAT, loads=(LOAD,)))
+        self.assertEqual(original_beat(relayed), replace(BUSY_BEAT, loads=(BUSY_LOAD,)))
 
 
 if __name__ == "__main__":
--- a/tests/wagtailusher_gateway/test_large_fleet.py
+++ b/tests/wagtailusher_gateway/test_large_fleet.py
@@ -9,13 +9,12 @@
 from dataclasses import replace
 import unittest
 
-from tests.wagtailusher_gateway.builders import member
+from tests.wagtailusher_gateway.builders import beat_of, member
 from tests.wagtailusher_gateway.large_fleet import LargeFleet
 from wagtailusher_core import EndpointId, FailureDomainId, Incarnation
 from wagtailusher_gateway.const import HEARTBEATS_PER_S, MAX_SILENCE_MS, RELAYED_INTERVAL_MS
 from wagtailusher_gateway.fleet import FleetDecider
-from wagtailusher_gateway.models import Member
-from wagtailusher_wire import AuthenticatedMessage, Beat
+from wagtailusher_wire import AuthenticatedMessage
 
 DOMAINS = 6
 VMS = 60
@@ -37,21 +36,6 @@
     return fleet
 
 
-def beat_of(item: Member) -> Beat:
-    """Return a heartbeat of a VM that relays and has no load."""
-    return Beat(
-        address=item.address,
-        view_address=item.view_address,
-        failure_domain_id=item.failure_domain_id,
-        weight=item.weight,
-        is_leaving=False,
-        is_ready=True,
-        view_revision=1,
-        view_age_ms=0,
-        relays=True,
-    )
-
-
 def heartbeats_per_s(vm_count: int) -> float:
     """Return how many heartbeats one VM sends that hears from all others."""
     members = [
@@ -148,7 +132,7 @@
         authenticated = AuthenticatedMessage(
             vm_id=sender.vm_id, incarnation=Incarnation(1), sequence=1, payload=b""
         )
-        heartbeat = replace(beat_of(sender), is_to_be_relayed=True)
+        heartbeat = beat_of(sender, is_to_be_relayed=True)
         fleet.exchanges[1].receive(heartbeat, authenticated, sender.peer_address, fleet.now_ms)
         fleet.connect_if(lambda source, target: source % 2 == target % 2 == 1)
         fleet.run(MS_PER_S // 2)
--- a/tests/wagtailusher_gateway/test_peer_loads.py
+++ b/tests/wagtailusher_gateway/test_peer_loads.py
@@ -7,14 +7,14 @@
 
 import unittest
 
-from tests.wagtailusher_gateway.builders import endpoint, member, view
+from tests.wagtailusher_gateway.builders import beat_of, endpoint, member, view
 from tests.wagtailusher_gateway.test_fleet import Fleet
 from wagtailusher_core import EndpointId, Incarnation, VmId
 from wagtailusher_gateway.const import EARLY_HEARTBEAT_MAX_PEERS
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry
 from wagtailusher_gateway.heartbeat_exchange import HeartbeatExchange
 from wagtailusher_gateway.view_cache import ViewCache
-from wagtailusher_wire import AuthenticatedMessage, Beat, BeatLoad
+from wagtailusher_wire import AuthenticatedMessage, BeatLoad
 
 ENGINE = EndpointId("i-1")
 QUEUED_TOKENS = 20_000
@@ -38,15 +38,8 @@
     )
     sender = fleet.deciders[member(reporter).peer_address].own_member
     heartbeats.receive(
-        Beat(
-            address=sender.address,
-            view_address=sender.view_address,
-            failure_domain_id=sender.failure_domain_id,
-            weight=sender.weight,
-            is_leaving=False,
-            is_ready=True,
-            view_revision=1,
-            view_age_ms=0,
+        beat_of(
+            sender,
             loads=(
                 BeatLoad(
                     endpoint_id=ENGINE, requests=3, prefill_tokens=QUEUED_TOKENS, memory_tokens=0
