Build reports of findings once for the three exchanges, and test whom relays are

The exchanges of silence, limits and statements each turned reports into the entries of messages and sent them to several addresses; one function does so now, and a message is built once for all its receivers.

Taking fixes out one by one, two failed no test: that an older relayed heartbeat changes nothing, and that a leaving VM is not chosen to relay. Tests were added and fail without.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/availability_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/availability_exchange.py
@@ -16,7 +16,7 @@
     parse_wait_ms,
 )
 from wagtailusher_core import EndpointId, callback
-from wagtailusher_daemon.finding_messages import send_findings
+from wagtailusher_daemon.finding_messages import new_report_sender
 from wagtailusher_wire import AuthenticatedMessage, Message, StatementEntry, StatementSummary
 
 _LOGGER = logging.getLogger(__name__)
@@ -49,7 +49,9 @@
     ) -> None:
         """`count_event` gets "leaving", "waiting", "available" or "unreadable"."""
         self._peer_addresses = peer_addresses
-        self._send = send
+        self._send_reports = new_report_sender(
+            send, _entry, lambda batch: StatementSummary(entries=batch)
+        )
         self._clock_ms = clock_ms
         self._on_change = on_change
         self._count_event = count_event
@@ -137,10 +139,6 @@
         now_ms = self._clock_ms()
         self._send_reports(self.decider.new_reports(now_ms), self._peer_addresses(now_ms))
 
-    def _send_reports(self, reports: Iterable[StatementReport], addresses: Iterable[str]) -> None:
-        entries = tuple(_entry(report) for report in reports)
-        send_findings(self._send, addresses, entries, lambda batch: StatementSummary(entries=batch))
-
 
 def _entry(report: StatementReport) -> StatementEntry:
     return StatementEntry(
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/finding_messages.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/finding_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import TypeVar
 
 from wagtailusher_daemon.const import FINDINGS_PER_DATAGRAM
@@ -10,16 +10,22 @@
 from wagtailusher_wire import Message
 
 EntryT = TypeVar("EntryT")
+ReportT = TypeVar("ReportT")
 
 
-def send_findings(
+def new_report_sender(
     send: Callable[[str, Message], None],
-    addresses: Iterable[str],
-    entries: Sequence[EntryT],
+    new_entry: Callable[[ReportT], EntryT],
     new_message: Callable[[tuple[EntryT, ...]], Message],
-) -> None:
-    """Send the messages that hold the entries to each address."""
-    addresses = tuple(addresses)
-    for batch in batches(entries, FINDINGS_PER_DATAGRAM):
-        for address in addresses:
-            send(address, new_message(batch))
+) -> Callable[[Iterable[ReportT], Iterable[str]], None]:
+    """Return a function that sends reports to addresses, in as many messages as they need."""
+
+    def send_reports(reports: Iterable[ReportT], addresses: Iterable[str]) -> None:
+        addresses = tuple(addresses)
+        entries = tuple(new_entry(report) for report in reports)
+        for batch in batches(entries, FINDINGS_PER_DATAGRAM):
+            message = new_message(batch)
+            for address in addresses:
+                send(address, message)
+
+    return send_reports
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/limit_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/limit_exchange.py
@@ -9,7 +9,7 @@
 
 from wagtailusher_core import EndpointId, VmId, callback
 from wagtailusher_daemon.const import REPEATED_PEERS
-from wagtailusher_daemon.finding_messages import send_findings
+from wagtailusher_daemon.finding_messages import new_report_sender
 from wagtailusher_rate_limits import (
     LimitChange,
     LimitReport,
@@ -45,7 +45,9 @@
     ) -> None:
         """Start without limits; `count_event` gets "named", "ended" or "unreadable"."""
         self._peer_addresses = peer_addresses
-        self._send = send
+        self._send_reports = new_report_sender(
+            send, _entry, lambda batch: LimitSummary(entries=batch)
+        )
         self._clock_ms = clock_ms
         self._on_change = on_change
         self._count_event = count_event
@@ -132,10 +134,6 @@
         now_ms = self._clock_ms()
         self._send_reports(self.decider.new_reports(now_ms), self._peer_addresses(now_ms))
 
-    def _send_reports(self, reports: Iterable[LimitReport], addresses: Iterable[str]) -> None:
-        entries = tuple(_entry(report) for report in reports)
-        send_findings(self._send, addresses, entries, lambda batch: LimitSummary(entries=batch))
-
     def _log_unreadable(
         self, endpoint_id: EndpointId, incarnation: int, err: UnreadableLimitError
     ) -> None:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/liveness_exchange.py
@@ -14,7 +14,7 @@
     REPEATED_PEERS,
 )
 from wagtailusher_daemon.convert import convert
-from wagtailusher_daemon.finding_messages import send_findings
+from wagtailusher_daemon.finding_messages import new_report_sender
 from wagtailusher_liveness import Liveness, LivenessChange, LivenessDecider, LivenessReport
 from wagtailusher_wire import AuthenticatedMessage, LivenessEntry, LivenessSummary, Message
 
@@ -48,7 +48,11 @@
         self._address_of = address_of
         self._checker_address = checker_address
         self._peer_addresses = peer_addresses
-        self._send = send
+        self._report = new_report_sender(
+            send,
+            lambda report: convert(report, LivenessEntry),
+            lambda batch: LivenessSummary(entries=batch),
+        )
         self._clock_ms = clock_ms
         self._on_change = on_change
         self._tasks: set[asyncio.Task[None]] = set()
@@ -140,7 +144,3 @@
                 continue
             chosen = self._random.sample(addresses, FIRST_PEERS)
             self._report((report,), {checker_address, *chosen})
-
-    def _report(self, reports: Iterable[LivenessReport], addresses: Iterable[str]) -> None:
-        entries = tuple(convert(report, LivenessEntry) for report in reports)
-        send_findings(self._send, addresses, entries, lambda batch: LivenessSummary(entries=batch))
--- a/tests/wagtailusher_gateway/large_fleet.py
+++ b/tests/wagtailusher_gateway/large_fleet.py
@@ -4,16 +4,17 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import fields, replace
 from random import Random
 
-from tests.wagtailusher_gateway.builders import endpoint, member, view
+from tests.wagtailusher_gateway.builders import beat_of, endpoint, member, view
 from wagtailusher_core import FailureDomainId, Incarnation
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.heartbeat_exchange import HeartbeatExchange
+from wagtailusher_gateway.models import Member
 from wagtailusher_gateway.view_cache import ViewCache
-from wagtailusher_wire import AuthenticatedMessage, Beat, Message
+from wagtailusher_wire import AuthenticatedMessage, Beat, Message, RelayedBeat, VmReport
 
 STEP_MS = 50
 
@@ -100,12 +101,28 @@
             return
         if target in self.old_builds or source in self.old_builds:
             message = replace(message, relays=False, relayed=(), is_to_be_relayed=False)
-        own_member = self.deciders[source].own_member
+        self.hear(target, self.deciders[source].own_member, message)
+
+    def hear(self, target: int, sender: Member, heartbeat: Beat) -> None:
+        """Let a VM receive a heartbeat now."""
         authenticated = AuthenticatedMessage(
-            vm_id=own_member.vm_id,
-            incarnation=Incarnation(own_member.incarnation),
+            vm_id=sender.vm_id,
+            incarnation=Incarnation(sender.incarnation),
             sequence=1,
             payload=b"",
         )
-        sender_address = own_member.peer_address
-        self.exchanges[target].receive(message, authenticated, sender_address, self.now_ms)
+        exchange = self.exchanges[target]
+        exchange.receive(heartbeat, authenticated, sender.peer_address, self.now_ms)
+
+    def hear_relayed(self, target: int, relay: int, sender: Member, age_ms: int) -> None:
+        """Let a VM receive what a peer got from a VM some time ago."""
+        beat = beat_of(sender)
+        relayed = RelayedBeat(
+            **{field.name: getattr(beat, field.name) for field in fields(VmReport)},
+            vm_id=sender.vm_id,
+            incarnation=Incarnation(sender.incarnation),
+            peer_address=sender.peer_address,
+            age_ms=age_ms,
+        )
+        own_member = self.deciders[relay].own_member
+        self.hear(target, own_member, beat_of(own_member, relayed=(relayed,)))
--- a/tests/wagtailusher_gateway/test_large_fleet.py
+++ b/tests/wagtailusher_gateway/test_large_fleet.py
@@ -11,10 +11,9 @@
 
 from tests.wagtailusher_gateway.builders import beat_of, member
 from tests.wagtailusher_gateway.large_fleet import LargeFleet
-from wagtailusher_core import EndpointId, FailureDomainId, Incarnation
+from wagtailusher_core import EndpointId, FailureDomainId
 from wagtailusher_gateway.const import HEARTBEATS_PER_S, MAX_SILENCE_MS, RELAYED_INTERVAL_MS
 from wagtailusher_gateway.fleet import FleetDecider
-from wagtailusher_wire import AuthenticatedMessage
 
 DOMAINS = 6
 VMS = 60
@@ -71,6 +70,24 @@
             fleet.run(CHECK_MS // 4)
             self.assertGreaterEqual(min(fleet.known_counts()), KNOWN_SHARE * fleet.count)
 
+    def test_heartbeats_are_relayed_by_vms_that_run_and_do_not_leave(self) -> None:
+        fleet = new_fleet()
+        sender = fleet.deciders[0]
+        kept, leaving, silent = (fleet.deciders[number].own_member for number in (1, 7, 13))
+        others = {number for number in range(1, VMS) if number % DOMAINS == 1}
+        fleet.down |= others
+        fleet.run(MAX_SILENCE_MS + MS_PER_S)
+        fleet.hear(0, kept, beat_of(kept))
+        fleet.hear(0, leaving, beat_of(leaving, is_leaving=True))
+        for _ in range(20):
+            fleet.run(RELAYED_INTERVAL_MS // 10)
+            relays = {
+                item.peer_address
+                for item in sender.collect_due_heartbeats(fleet.now_ms + RELAYED_INTERVAL_MS)
+                if item.is_to_be_relayed
+            }
+            self.assertFalse(relays & {leaving.peer_address, silent.peer_address})
+
     def test_killed_vm_is_not_named_beyond_the_longest_silence(self) -> None:
         fleet = new_fleet(loss=LOSS)
         fleet.down.add(7)
@@ -125,15 +142,26 @@
             assert other is not None
             self.assertEqual(other.total_load(fleet.now_ms).requests, 3)
 
+    def test_older_heartbeat_that_is_relayed_changes_nothing(self) -> None:
+        fleet = LargeFleet(4, 2, seed=1)
+        fleet.run(CHECK_MS)
+        fleet.connect_if(lambda source, target: False)
+        leaving = replace(fleet.deciders[0].own_member, is_leaving=True, incarnation=2)
+        fleet.hear(1, leaving, beat_of(leaving))
+        for incarnation, age_ms in ((1, 0), (2, STEP_MS)):
+            with self.subTest(incarnation=incarnation, age_ms=age_ms):
+                older = replace(leaving, is_leaving=False, incarnation=incarnation)
+                fleet.hear_relayed(1, 3, older, age_ms)
+                self.assertNotIn(str(leaving.vm_id), fleet.names(1))
+        fleet.run(STEP_MS)
+        fleet.hear_relayed(1, 3, replace(leaving, is_leaving=False), 0)
+        self.assertIn(str(leaving.vm_id), fleet.names(1))
+
     def test_heartbeat_is_passed_on_by_a_vm_that_knows_too_few_to_need_relays(self) -> None:
         fleet = LargeFleet(6, 2, seed=1)
         fleet.run(CHECK_MS)
         sender = replace(member(9), failure_domain_id=FailureDomainId("domain-0"))
-        authenticated = AuthenticatedMessage(
-            vm_id=sender.vm_id, incarnation=Incarnation(1), sequence=1, payload=b""
-        )
-        heartbeat = beat_of(sender, is_to_be_relayed=True)
-        fleet.exchanges[1].receive(heartbeat, authenticated, sender.peer_address, fleet.now_ms)
+        fleet.hear(1, sender, beat_of(sender, is_to_be_relayed=True))
         fleet.connect_if(lambda source, target: source % 2 == target % 2 == 1)
         fleet.run(MS_PER_S // 2)
         self.assertIn(str(sender.vm_id), fleet.names(3))
