--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -223,36 +223,28 @@
 
 
 def _no_capacity(retry_after_ms: int) -> RefusedError:
-    return RefusedError(
-        "no endpoint had capacity within the allowed wait",
-        code=ErrorCode.QUEUE_FULL,
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        retry_after_ms=retry_after_ms,
-    )
+    message = "no endpoint had capacity within the allowed wait"
+    return _unavailable(message, ErrorCode.QUEUE_FULL, retry_after_ms)
 
 
 def _all_leave() -> RefusedError:
-    return RefusedError(
-        "all endpoints leave",
-        code=ErrorCode.NO_ENDPOINT,
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        retry_after_ms=RETRY_AFTER_MAX_MS,
-    )
+    return _unavailable("all endpoints leave", ErrorCode.NO_ENDPOINT, RETRY_AFTER_MAX_MS)
 
 
 def _none_wants_requests(retry_after_ms: int) -> RefusedError:
-    return RefusedError(
-        "no endpoint wants requests for a while",
-        code=ErrorCode.QUEUE_FULL,
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        retry_after_ms=retry_after_ms,
-    )
+    message = "no endpoint wants requests for a while"
+    return _unavailable(message, ErrorCode.QUEUE_FULL, retry_after_ms)
 
 
 def _no_endpoint_of_version() -> RefusedError:
+    message = "no endpoint has the software version that began the stream"
+    return _unavailable(message, ErrorCode.NO_ENDPOINT, RETRY_AFTER_MAX_MS)
+
+
+def _unavailable(message: str, code: ErrorCode, retry_after_ms: int) -> RefusedError:
     return RefusedError(
-        "no endpoint has the software version that began the stream",
-        code=ErrorCode.NO_ENDPOINT,
+        message,
+        code=code,
         status=HTTPStatus.SERVICE_UNAVAILABLE,
-        retry_after_ms=RETRY_AFTER_MAX_MS,
+        retry_after_ms=retry_after_ms,
     )
