Test that a configuration is not changed from another one of the same size

Without the hash of the result such a VM would have taken a configuration that nobody wrote; the test with a shorter one failed for the delta's bounds only.

--- a/tests/wagtailusher_gateway/test_view_spread.py
+++ b/tests/wagtailusher_gateway/test_view_spread.py
@@ -147,13 +147,14 @@
         self.assertEqual(self.required, [])
 
     def test_vm_with_another_configuration_reads_the_store(self) -> None:
-        other = configuration(2, route(timeout_ms=123))
-        self.caches[1].set_configuration(other, "store", self.now_ms)
+        shorter, as_long = (configuration(2, route(timeout_ms=value)) for value in (123, 7_000))
+        self.caches[1].set_configuration(shorter, "store", self.now_ms)
+        self.caches[2].set_configuration(as_long, "store", self.now_ms)
         self.reader.set_configuration(configuration(3), "store", self.now_ms)
         self._read(6)
-        self.assertEqual(self.required, [6])
-        self.assertEqual(self.caches[1].view.configuration, other)
-        self.assertEqual(self.caches[2].view.configuration, configuration(3))
+        self.assertEqual(self.required, [6, 6])
+        self.assertEqual(self.caches[1].view.configuration, shorter)
+        self.assertEqual(self.caches[2].view.configuration, as_long)
 
     def test_configuration_is_the_same_after_it_was_written_as_lines(self) -> None:
         plain = configuration(
