Test what makes the reader's peers read: lists, evacuations, other domains

Taken out one by one, these three failed no test: that a list is not passed on as changes, that an evacuation makes the others read, and that changes stay in the failure domain. A list does not show an endpoint that came and went since the reader's revision, so a VM that saw it come would have kept it.

--- a/tests/wagtailusher_gateway/test_view_spread.py
+++ b/tests/wagtailusher_gateway/test_view_spread.py
@@ -8,7 +8,7 @@
 from functools import partial
 import unittest
 
-from tests.wagtailusher_gateway.builders import configuration, endpoint, member, route
+from tests.wagtailusher_gateway.builders import configuration, endpoint, route
 from tests.wagtailusher_gateway.test_fleet import Fleet
 from wagtailusher_core import EndpointId, FailureDomainId
 from wagtailusher_gateway.configuration_lines import decode_lines, encode_lines
@@ -136,6 +136,21 @@
         self.assertEqual(self.required, [6, 6, 7, 7, 65, 65])
         self.assertEqual(self.caches[1].view.revision, 5)
 
+    def test_evacuation_makes_the_others_read(self) -> None:
+        self.reader.set_evacuated(frozenset({FailureDomainId("a")}), self.now_ms)
+        self._read(6)
+        self.assertEqual(self.required, [6, 6])
+        self.assertEqual(self.caches[1].view.revision, 5)
+
+    def test_list_makes_the_others_read_as_it_does_not_show_what_came_and_went(self) -> None:
+        follower = self.caches[1]
+        follower.set_endpoint(endpoint(2), self.now_ms)
+        follower.confirm_revision(6, self.now_ms)
+        self.reader.retain_endpoints(frozenset({I1}), self.now_ms)
+        self._read(8)
+        self.assertEqual(self.required, [8, 8])
+        self.assertEqual(follower.view.revision, 6)
+
     def test_changed_configuration_is_passed_on(self) -> None:
         changed = configuration(3, route(), route(name="new", prefix="/new/", timeout_ms=700))
         self.reader.set_configuration(configuration(2), "store", self.now_ms)
@@ -189,11 +204,19 @@
         fleet = Fleet(6, seed=5, domains=2)
         fleet.run(2_000)
         decider = next(item for item in fleet.deciders.values() if item.is_reader(fleet.now_ms))
+        sent: list[str] = []
+        cache = ViewCache(lambda view, changed, now_ms: None)
+        spread = ViewSpread(
+            fleet=decider,
+            view_cache=cache,
+            send=lambda address, message: sent.append(address),
+            require_read=lambda revision: None,
+        )
+        changes = ReadChanges(after_revision=1, revision=2, is_complete=True, entries=())
+        spread.spread(changes, fleet.now_ms)
         domain_id = decider.own_member.failure_domain_id
-        local = decider.local_members(fleet.now_ms)
-        self.assertEqual({item.failure_domain_id for item in local}, {domain_id})
-        self.assertEqual(len(local), 2)
-        self.assertNotIn(member(9), local)
+        domains = [fleet.deciders[address].own_member.failure_domain_id for address in sent]
+        self.assertEqual(domains, [domain_id, domain_id])
 
 
 if __name__ == "__main__":
