Tell peers the configuration in force, and log when one has a newer one

A VM that applied an older configuration than its peers had looked in its log like any other: version, revision and source "store". Heartbeats now state the version in force, and a VM logs configuration_behind once for each version that a live peer has before it, with its own version, revision and epoch. Which version decided a request that was handed on is in config_version of both VMs' lines already.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -20,6 +20,7 @@
     RELAY_MIN_PEERS,
     RELAYED_INTERVAL_MS,
 )
+from wagtailusher_gateway.member_reports import new_member
 from wagtailusher_gateway.models import Member
 from wagtailusher_wire import Beat, BeatPeer
 
@@ -162,7 +163,7 @@
         previous_member = existing.member if existing is not None else None
         if previous_member is not None and previous_member.incarnation > incarnation:
             return False
-        member = _new_member(vm_id, incarnation, heartbeat, source)
+        member = new_member(vm_id, incarnation, heartbeat, source)
         view_revision = Revision(epoch=heartbeat.view_epoch, number=heartbeat.view_revision)
         self._silent_ids.discard(vm_id)
         if bool(member.unreached_services) != (vm_id in self.unreaching_ids):
@@ -377,24 +378,12 @@
         peer, member = freshest
         return member, peer.view_revision, peer.view_confirmed_ms
 
+    def newest_configuration(self, now_ms: int) -> Member | None:
+        """Return the live peer with the newest configuration, None without live peers."""
+        members = self.live_members(now_ms)
+        return max(members, key=lambda member: member.configuration_version, default=None)
+
 
 def _interval_ms(peer_count: int) -> int:
     interval_ms = peer_count * MS_PER_S // HEARTBEATS_PER_S
     return min(MAX_HEARTBEAT_INTERVAL_MS, max(HEARTBEAT_INTERVAL_MS, interval_ms))
-
-
-def _new_member(vm_id: VmId, incarnation: int, heartbeat: Beat, source: str) -> Member:
-    return Member(
-        vm_id=vm_id,
-        incarnation=incarnation,
-        address=heartbeat.address,
-        peer_address=source,
-        view_address=heartbeat.view_address,
-        failure_domain_id=heartbeat.failure_domain_id,
-        weight=heartbeat.weight,
-        is_leaving=heartbeat.is_leaving,
-        is_ready=heartbeat.is_ready,
-        relays=heartbeat.relays,
-        takes_forwarded=heartbeat.takes_forwarded,
-        unreached_services=heartbeat.unreached_services,
-    )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -206,6 +206,7 @@
             view_epoch=view.epoch,
             takes_forwarded=own_member.takes_forwarded,
             unreached_services=own_member.unreached_services,
+            configuration_version=self._view_cache.configuration_version,
         )
 
     def _log_change(self, live_ids: frozenset[VmId]) -> None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
@@ -27,6 +27,7 @@
     "view_epoch",
     "takes_forwarded",
     "unreached_services",
+    "configuration_version",
 )
 
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -246,3 +246,5 @@
     """Whether it takes requests that peers hand on, at its peer address."""
     unreached_services: tuple[str, ...] = ()
     """Services of which it reaches no endpoint."""
+    configuration_version: int = 0
+    """Version of the configuration in force at it; 0 if it has none or does not tell."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -63,6 +63,12 @@
         """Return whether a revision is above the view's, whatever source the view came from."""
         return revision > self.view.store_revision
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force, 0 if there is none."""
+        configuration = self.view.configuration
+        return configuration.version if configuration is not None else 0
+
     def mark_store_unavailable(self) -> None:
         """Record that the store does not answer, so that entries may expire unnoticed."""
         self._is_store_unavailable = True
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
@@ -47,6 +47,7 @@
         self._view_cache = view_cache
         self._authenticator = MessageAuthenticator(secret, max_bytes=MAX_STREAM_MESSAGE_BYTES)
         self._clock_ms = clock_ms
+        self._logged_version = 0
 
     def answer(self, request: Request) -> Response:
         """Return this VM's view as an authenticated message."""
@@ -62,6 +63,7 @@
     async def async_pull(self) -> None:
         """Fetch the most recently confirmed view of a peer if this VM's own is old."""
         now_ms = self._clock_ms()
+        self._log_if_behind(now_ms)
         if now_ms - self._view_cache.view.confirmed_ms < VIEW_PULL_AGE_MS:
             return
         freshest = self._fleet.freshest_view(now_ms)
@@ -81,6 +83,30 @@
                 extra={"event": "view_pull_failed", "peer": member.vm_id, "code": str(err.code)},
             )
 
+    def _log_if_behind(self, now_ms: int) -> None:
+        """Log each configuration that a peer has before this VM."""
+        newest = self._fleet.newest_configuration(now_ms)
+        own_version = self._view_cache.configuration_version
+        if newest is None or newest.configuration_version <= max(own_version, self._logged_version):
+            return
+        self._logged_version = newest.configuration_version
+        view = self._view_cache.view
+        _LOGGER.info(
+            "View: peer %s has configuration version %s, this VM %s",
+            newest.vm_id,
+            newest.configuration_version,
+            own_version or None,
+            extra={
+                "event": "configuration_behind",
+                "peer": newest.vm_id,
+                "version": newest.configuration_version,
+                "was": own_version or None,
+                "revision": view.revision,
+                "epoch": view.epoch,
+                "view_age_ms": now_ms - view.confirmed_ms,
+            },
+        )
+
     async def _async_fetch(self, vm_id: VmId, address: str) -> None:
         """Fetch one peer's view and merge it."""
         answer = await self._client.async_request(
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -59,6 +59,8 @@
     """Whether the VM takes requests that peers hand on."""
     unreached_services: tuple[str, ...] = ()
     """Services of which the VM reaches no endpoint."""
+    configuration_version: int = 0
+    """Version of the configuration in force at the VM; 0 if it has none or is an older build."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +79,8 @@
     """Whether the VM takes requests that peers hand on."""
     unreached_services: tuple[str, ...] = ()
     """Services of which the VM reaches no endpoint."""
+    configuration_version: int = 0
+    """Version of the configuration in force at the VM; 0 if it has none or is an older build."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -176,6 +176,7 @@
   viewEpoch @13 :UInt64;
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
+  configurationVersion @16 :UInt64;
 }
 
 struct RelayedBeat {
@@ -195,6 +196,7 @@
   viewEpoch @13 :UInt64;
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
+  configurationVersion @16 :UInt64;
 }
 
 struct StreamVersionRecord {
--- a/tests/wagtailusher_gateway/test_view_exchange.py
+++ b/tests/wagtailusher_gateway/test_view_exchange.py
@@ -10,7 +10,7 @@
 import unittest
 
 from tests.standins.endless_calls import EndlessCallCase
-from tests.wagtailusher_gateway.builders import VM_IDS, member
+from tests.wagtailusher_gateway.builders import VM_IDS, at, beat_of, configuration, member
 from wagtailusher_core import WagtailusherError
 from wagtailusher_gateway.const import VIEW_BODY_TIMEOUT_MS, VIEW_PULL_TIMEOUT_MS
 from wagtailusher_gateway.fleet import FleetDecider
@@ -68,6 +68,20 @@
             await server.async_close()
         self.assertEqual(own._view_cache.view.revision, 7)
 
+    async def test_newer_configuration_of_a_peer_is_logged_once(self) -> None:
+        exchange = self.new_exchange()
+        exchange._view_cache.set_configuration(configuration(2), "store", 5)
+        exchange._view_cache.confirm_revision(at(4), 5)
+        beat = beat_of(member(3), configuration_version=3)
+        exchange._fleet.receive(VM_IDS[3], 1, beat, "10.1.0.3:7200", 5)
+        with self.assertLogs("wagtailusher_gateway.view_exchange") as logs:
+            await exchange.async_pull()
+            await exchange.async_pull()
+        (line,) = [
+            item for item in logs.records if item.__dict__["event"] == "configuration_behind"
+        ]
+        self.assertEqual((line.__dict__["peer"], line.__dict__["version"]), (VM_IDS[3], 3))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/wagtailusher_wire/test_codec.py
+++ b/tests/wagtailusher_wire/test_codec.py
@@ -134,7 +134,8 @@
             view_age_ms=0,
             is_to_be_relayed=True,
         )
-        content = encode(replace(beat, view_epoch=7, takes_forwarded=True))
+        later = replace(beat, view_epoch=7, takes_forwarded=True, configuration_version=8)
+        content = encode(later)
         values = msgspec.msgpack.decode(content[2:])
         known = [field.name for field in fields(Beat)].index("view_epoch")
         shortened = content[:2] + msgspec.msgpack.encode(values[:known])
