--- a/tests/wagtailusher_platform/cut_off_fleet.py
+++ b/tests/wagtailusher_platform/cut_off_fleet.py
@@ -56,15 +56,19 @@
         desk: Behaviour | None = None,
         engine: Behaviour | None = None,
         slots: int = 6,
+        zones: str = "a",
     ) -> None:
-        """Start two endpoints of each service, and VMs that know all and each other."""
+        """Start two endpoints of each service, and VMs that know all and each other.
+
+        The VMs are in the zones by turns, each named by a letter.
+        """
         self.links: dict[GatewayApp, list[FaultProxy]] = {}
         for number in (1, 2):
             await self.async_runner("desk", f"i-{number}", desk or answer(), slots=slots)
             await self.async_runner("engines", f"e-{number}", engine or stream(EVENTS), slots=slots)
         for number in range(1, vm_count + 1):
             with patch("wagtailusher_gateway.app.HttpClient", LinkedHttpClient):
-                app = await self.async_gateway(number)
+                app = await self.async_gateway(number, zone=zones[(number - 1) % len(zones)])
             await self._async_link(app)
         for app in self.apps:
             await self.async_ready(app, len(self.runners))
@@ -79,13 +83,17 @@
 
     async def _async_link(self, app: GatewayApp) -> None:
         """Let a VM reach each endpoint through a proxy of its own."""
-        client = app._client
-        assert isinstance(client, LinkedHttpClient)
         self.links[app] = []
         for runner in self.runners:
-            link = FaultProxy(target=_address_of(runner))
-            client.links[runner.address] = await link.async_start()
-            self.links[app].append(link)
+            await self.async_link_runner(app, runner)
+
+    async def async_link_runner(self, app: GatewayApp, runner: RunnerStandin) -> None:
+        """Let a VM reach an endpoint through a proxy of its own."""
+        client = app._client
+        assert isinstance(client, LinkedHttpClient)
+        link = FaultProxy(target=_address_of(runner))
+        client.links[runner.address] = await link.async_start()
+        self.links[app].append(link)
 
     def cut(self, app: GatewayApp, how: str) -> None:
         """Cut a VM's links to all endpoints: "reset", "hang" or "refuse new" connections."""
--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -135,27 +135,30 @@
         return runner
 
     async def async_gateway(
-        self, number: int = 1, store_address: str | None = None, zone: str = "a"
+        self,
+        number: int = 1,
+        store_address: str | None = None,
+        zone: str = "a",
+        **settings: Any,
     ) -> GatewayApp:
         """Start a gateway at a loopback address of its own and wait until it is ready."""
         host = f"127.0.0.{number}"
         ports = free_ports(host, 4)
         names = ("front", "ready", "control", "directory")
-        settings = msgspec.convert(
-            {
-                "node_name": f"front-{number}",
-                "ip": host,
-                "zone": zone,
-                "listen": {name: f"{host}:{port}" for name, port in zip(names, ports, strict=True)},
-                "internal_ports": [self.peer_port, self.peer_port],
-                "seeds": ["127.0.0.1:1", "127.0.0.2:1"],
-                "platform": {"address": store_address or self.store_address},
-                "bounds": {"retry_budget_slack": 50, "cold_overage": 1.5, "cold_slack": 1},
-            },
-            SettingsFile,
-        )
-        app = GatewayApp(options_from(settings, {}), new_http_mapping(), GatewayMetrics())
-        store = StoreClient(HttpClient(), settings.platform.address, lambda outcome: None)
+        document = {
+            "node_name": f"front-{number}",
+            "ip": host,
+            "zone": zone,
+            "listen": {name: f"{host}:{port}" for name, port in zip(names, ports, strict=True)},
+            "internal_ports": [self.peer_port, self.peer_port],
+            "seeds": ["127.0.0.1:1", "127.0.0.2:1"],
+            "platform": {"address": self.store_address},
+            "bounds": {"retry_budget_slack": 50, "cold_overage": 1.5, "cold_slack": 1},
+        } | settings
+        options = options_from(msgspec.convert(document, SettingsFile), {})
+        app = GatewayApp(options, new_http_mapping(), GatewayMetrics())
+        address = store_address or self.store_address
+        store = StoreClient(HttpClient(), address, lambda outcome: None)
         await app.async_start(StoreCoordinator(store).async_run)
         self.apps.append(app)
         return app
--- a/tests/wagtailusher_platform/test_store_drills.py
+++ b/tests/wagtailusher_platform/test_store_drills.py
@@ -6,102 +6,35 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 import time
-from typing import Any
 import unittest
 
-from tests.soak.proxy import FaultProxy
-from tests.standins.platform_store import StoreCopy
-from tests.wagtailusher_platform.fleet import KEY, PlatformTest, configuration, entry
+from tests.wagtailusher_platform.drill_fleet import (
+    APPLY_S,
+    AWAY_S,
+    VM_COUNT,
+    StoreDrillFleetTest,
+    with_route,
+)
+from tests.wagtailusher_platform.fleet import entry
 from wagtailusher_core import EndpointId
 from wagtailusher_daemon.clock import monotonic_ms
-from wagtailusher_gateway import GatewayApp
 
-VM_COUNT = 3
-APPLY_S = 2.0
-"""The platform's bound for configurations and drains."""
 GONE_S = 3.0
 """Time after which an endpoint without an entry gets nothing: two seconds for its entry to
 reappear, and one for a VM to notice that the store is back."""
 EVACUATION_GRACE_S = 11.0
 """Time for the operator to write an evacuation again, and one second to notice the drill."""
-AWAY_S = 0.8
 HEARTBEAT_S = 1.2
 """How often an endpoint writes its entry."""
-REQUESTS = 8
 
 
-def with_route(version: int, *names: str, **changes: Any) -> dict[str, Any]:
-    """Return a configuration with further routes to the desk."""
-    document = configuration(version, **changes)
-    template = document["routes"][1]
-    for name in names:
-        document["routes"].append(template | {"name": name, "prefix": f"/{name}/"})
-    return document
-
-
-class StoreDrillTest(PlatformTest):
+class StoreDrillTest(StoreDrillFleetTest):
     """Three VMs know changes that the store then loses."""
 
-    async def asyncSetUp(self) -> None:
-        await super().asyncSetUp()
-        self.store.era = 1
-        self.kept = await self.async_runner("desk", "i-1")
-        self.leaving = await self.async_runner("desk", "i-2")
-        self.proxies: list[FaultProxy] = []
-        for number in range(1, VM_COUNT + 1):
-            proxy = FaultProxy(target=lambda: self.store_address)
-            self.proxies.append(proxy)
-            await self.async_gateway(number, await proxy.async_start())
-        for app in self.apps:
-            await self.async_ready(app, 2)
-
-    async def asyncTearDown(self) -> None:
-        await super().asyncTearDown()
-        for proxy in self.proxies:
-            await proxy.async_stop()
-
-    async def _async_known(self, holds: Callable[[GatewayApp], bool]) -> None:
-        """Wait until a condition holds at all VMs."""
-        await self.async_until(lambda: all(holds(app) for app in self.apps))
-
-    async def _async_lose_changes(self) -> StoreCopy:
-        """Make changes that all VMs know, and return the copy of the store without them.
-
-        A route is added, a key is withdrawn, one endpoint drains, and one is added.
-        """
-        copy = self.store.copy()
-        self.store.put("op/config", with_route(2, "early"))
-        tenants = [{"name": "members", "api_keys": ["new-key"], "priority": 1}]
-        self.store.put("op/config", with_route(3, "early", tenants=tenants))
-        self.store.put("servers/i-2", entry(self.leaving, "desk", state="draining"))
-        self.lost = await self.async_runner("desk", "i-3")
-        for sequence in range(2, 10):
-            self.store.put("servers/i-1", entry(self.kept, "desk", sequence=sequence))
-        revision = self.store.revision
-        await self._async_known(lambda app: app.view_cache.view.revision >= revision)
-        return copy
-
-    async def _async_statuses(self, path: str, key: str = KEY) -> list[int]:
-        """Return the statuses of one request to each VM."""
-        answers = [
-            await self.async_ask(app, path, authorization=f"Bearer {key}") for app in self.apps
-        ]
-        for item in answers:
-            await item.async_read(1_000)
-        return [item.status for item in answers]
-
-    async def _async_requests_to(self, *runners: Any) -> int:
-        """Return how many requests reach the runners when all VMs get some."""
-        before = sum(len(item.received) for item in runners)
-        for _ in range(REQUESTS):
-            await self._async_statuses("/look/1", "new-key")
-        return sum(len(item.received) for item in runners) - before
-
     async def test_changes_written_after_the_drill_are_in_force_in_time(self) -> None:
         """All that was lost is written again, in another order, with one more route."""
-        copy = await self._async_lose_changes()
+        copy = await self.async_lose_changes()
         await self.store.async_drill(copy, AWAY_S)
         await self.lost.async_stop()
         self.store.put("servers/i-2", entry(self.leaving, "desk", state="draining"))
@@ -109,39 +42,39 @@
         self.store.put("op/config", with_route(4, "early", "late", tenants=tenants))
         self.store.put("servers/i-1", entry(self.kept, "desk", sequence=10))
         await asyncio.sleep(APPLY_S)
-        self.assertEqual(await self._async_statuses("/late/1", "new-key"), [200] * VM_COUNT)
-        self.assertEqual(await self._async_statuses("/late/1"), [401] * VM_COUNT)
-        self.assertEqual(await self._async_requests_to(self.leaving), 0)
+        self.assertEqual(await self.async_statuses("/late/1", "new-key"), [200] * VM_COUNT)
+        self.assertEqual(await self.async_statuses("/late/1"), [401] * VM_COUNT)
+        self.assertEqual(await self.async_requests_to(self.leaving), 0)
 
     async def test_change_with_the_revision_of_a_lost_one_is_not_passed_over(self) -> None:
         copy = self.store.copy()
         self.store.put("servers/i-1", entry(self.kept, "desk", sequence=2))
         revision = self.store.revision
-        await self._async_known(lambda app: app.view_cache.view.revision == revision)
+        await self.async_known(lambda app: app.view_cache.view.revision == revision)
         await self.store.async_drill(copy, AWAY_S)
         self.store.put("op/config", with_route(2, "late"))
         self.assertEqual(self.store.revision, revision)
         await asyncio.sleep(APPLY_S)
-        self.assertEqual(await self._async_statuses("/late/1"), [200] * VM_COUNT)
+        self.assertEqual(await self.async_statuses("/late/1"), [200] * VM_COUNT)
 
     async def test_endpoint_of_the_lost_copy_only_is_gone_after_its_grace(self) -> None:
-        copy = await self._async_lose_changes()
+        copy = await self.async_lose_changes()
         await self.store.async_drill(copy, AWAY_S)
         await asyncio.sleep(GONE_S)
-        self.assertEqual(await self._async_requests_to(self.lost), 0)
+        self.assertEqual(await self.async_requests_to(self.lost), 0)
 
     async def test_older_copy_takes_nothing_back_before_it_is_written_again(self) -> None:
-        copy = await self._async_lose_changes()
+        copy = await self.async_lose_changes()
         self.store.put("op/evacuate/b", {})
         self.store.remove("servers/i-2")
-        await self._async_known(lambda app: bool(app.view_cache.view.evacuated))
-        await self._async_known(lambda app: len(app.view_cache.view.endpoints) == 2)
+        await self.async_known(lambda app: bool(app.view_cache.view.evacuated))
+        await self.async_known(lambda app: len(app.view_cache.view.endpoints) == 2)
         await self.store.async_drill(copy, AWAY_S)
         ends_s = time.monotonic() + APPLY_S
         while time.monotonic() < ends_s:
-            self.assertEqual(await self._async_requests_to(self.leaving), 0)
-            self.assertEqual(await self._async_statuses("/early/1", "new-key"), [200] * VM_COUNT)
-            self.assertEqual(await self._async_statuses("/early/1"), [401] * VM_COUNT)
+            self.assertEqual(await self.async_requests_to(self.leaving), 0)
+            self.assertEqual(await self.async_statuses("/early/1", "new-key"), [200] * VM_COUNT)
+            self.assertEqual(await self.async_statuses("/early/1"), [401] * VM_COUNT)
             for app in self.apps:
                 self.assertEqual(app.view_cache.view.evacuated, {"b"})
             await asyncio.sleep(0.05)
@@ -150,24 +83,24 @@
         """An entry that lapsed by mistake is in the copy, and its endpoint goes on writing it."""
         copy = self.store.copy()
         self.store.remove("servers/i-1")
-        await self._async_known(lambda app: len(app.view_cache.view.endpoints) == 1)
+        await self.async_known(lambda app: len(app.view_cache.view.endpoints) == 1)
         await self.store.async_drill(copy, AWAY_S)
         for sequence in range(2, 5):
             self.store.put("servers/i-1", entry(self.kept, "desk", sequence=sequence))
             await asyncio.sleep(HEARTBEAT_S)
-        await self._async_known(lambda app: EndpointId("i-1") in app.view_cache.view.endpoints)
+        await self.async_known(lambda app: EndpointId("i-1") in app.view_cache.view.endpoints)
 
     async def test_evacuation_that_was_lost_ends_with_its_grace(self) -> None:
         copy = self.store.copy()
         self.store.put("op/evacuate/b", {})
-        await self._async_known(lambda app: bool(app.view_cache.view.evacuated))
+        await self.async_known(lambda app: bool(app.view_cache.view.evacuated))
         await self.store.async_drill(copy, AWAY_S)
-        await self._async_known(lambda app: app.view_cache.view.revision == copy.revision)
+        await self.async_known(lambda app: app.view_cache.view.revision == copy.revision)
         await asyncio.sleep(EVACUATION_GRACE_S)
         self.assertEqual([app.view_cache.view.evacuated for app in self.apps], [set()] * VM_COUNT)
 
     async def test_changes_are_in_force_in_time_after_two_drills_in_a_row(self) -> None:
-        copy = await self._async_lose_changes()
+        copy = await self.async_lose_changes()
         await self.store.async_drill(copy, AWAY_S)
         second = self.store.copy()
         self.store.put("op/config", with_route(4, "early"))
@@ -175,19 +108,19 @@
         await self.store.async_drill(second, AWAY_S)
         self.store.put("op/config", with_route(5, "early", "late"))
         await asyncio.sleep(APPLY_S)
-        self.assertEqual(await self._async_statuses("/late/1"), [200] * VM_COUNT)
+        self.assertEqual(await self.async_statuses("/late/1"), [200] * VM_COUNT)
 
     async def test_vm_that_the_store_does_not_serve_gets_the_new_era_from_peers(self) -> None:
-        copy = await self._async_lose_changes()
+        copy = await self.async_lose_changes()
         self.proxies[0].refuse()
         await self.store.async_drill(copy, AWAY_S)
         self.store.put("op/config", with_route(4, "early", "late"))
         await asyncio.sleep(APPLY_S)
-        self.assertEqual(await self._async_statuses("/late/1"), [200] * VM_COUNT)
+        self.assertEqual(await self.async_statuses("/late/1"), [200] * VM_COUNT)
 
     async def test_drill_that_the_reader_does_not_see_reaches_all_vms(self) -> None:
         """The reader's calls to the store go unanswered until the store is back."""
-        copy = await self._async_lose_changes()
+        copy = await self.async_lose_changes()
         readers = [app for app in self.apps if app.fleet.is_reader(monotonic_ms())]
         proxies = [self.proxies[self.apps.index(app)] for app in readers]
         for proxy in proxies:
@@ -198,11 +131,11 @@
             proxy.reset_all()
             proxy.heal()
         await asyncio.sleep(APPLY_S)
-        self.assertEqual(await self._async_statuses("/late/1"), [200] * VM_COUNT)
+        self.assertEqual(await self.async_statuses("/late/1"), [200] * VM_COUNT)
 
     async def test_drill_does_not_leave_vms_polling_the_store(self) -> None:
         """Revisions stay below those of the lost copy, so no VM catches up by waiting."""
-        copy = await self._async_lose_changes()
+        copy = await self.async_lose_changes()
         await self.store.async_drill(copy, AWAY_S)
         await asyncio.sleep(APPLY_S)
         calls, started_s = self.store.calls, time.monotonic()
