Let a VM that starts take over its peers' view before it believes the store

Callers of a VM that started while the store showed an older copy got 404 for a route that had been added and 200 for a withdrawn key; 16 to 19 requests in two seconds went to an endpoint that drains or is gone; an evacuation was unknown. Its peers knew better.

Cause: a VM that starts knew the store only, and what peers keep against the copy (first list of the epoch, removals) was state of the process that no message carried.

Now a VM that starts first waits for a heartbeat of a peer with a view, at most 600 ms and not at all once all VMs it knows of have answered without one, and fetches that peer's view, the one with the newest configuration and epoch, that has run the longest. The view carries the first list and the removals. A VM that finds out later that a peer has a newer configuration fetches its view after 600 ms, and takes the configuration whatever the rest of that view is: versions of the operator never go back. Builds that don't know the new fields skip them.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -13,10 +13,7 @@
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.periodic import PeriodicTasks
 from wagtailusher_gateway.address_selection import select_addresses
-from wagtailusher_gateway.admission import Admission
-from wagtailusher_gateway.budget import RetryBudget
 from wagtailusher_gateway.caller_api import GatewayCallerApi
-from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
 from wagtailusher_gateway.const import (
     CONNECT_TIMEOUT_MS,
     LEAVE_LINGER_MS,
@@ -25,11 +22,10 @@
     TICK_MS,
     VIEW_PULL_MS,
 )
-from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.crash_watch import CrashWatch, choose_references
 from wagtailusher_gateway.dispatcher import Dispatcher
+from wagtailusher_gateway.dispatcher_setup import new_dispatcher
 from wagtailusher_gateway.endpoint_findings import EndpointFindings
-from wagtailusher_gateway.endpoint_registry import EndpointRegistry
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.heartbeat_exchange import HeartbeatExchange
 from wagtailusher_gateway.http_mapping import HttpMapping
@@ -40,11 +36,11 @@
 from wagtailusher_gateway.models import FleetView
 from wagtailusher_gateway.options import GatewayOptions, new_own_member, split_address
 from wagtailusher_gateway.peer_api import GatewayPeerApi
-from wagtailusher_gateway.placement import Placement
 from wagtailusher_gateway.platform_reads import ReaderContext, ReadSchedule
 from wagtailusher_gateway.quarantine_exchange import QuarantineExchange
 from wagtailusher_gateway.request_forwarder import RequestForwarder, new_forwarder
 from wagtailusher_gateway.servers import Servers
+from wagtailusher_gateway.start_sync import StartSync
 from wagtailusher_gateway.stream_version_exchange import StreamVersionExchange
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_gateway.view_exchange import PATH_VIEW, ViewExchange
@@ -194,37 +190,12 @@
         )
 
     def _new_dispatcher(self) -> Dispatcher:
-        bounds = self.options.bounds
-        placement = Placement(
-            registry=EndpointRegistry(
-                self.findings.liveness.decider, self.findings.availability.decider
-            ),
-            cold_limiter=ColdStartLimiter(
-                self.options.vm_id,
-                overage=bounds.cold_overage,
-                slack=bounds.cold_slack,
-                is_fleet_settled=self.fleet.is_settled,
-            ),
-            contention=PlaceContention(self.options.vm_id),
-            rate_limits=self.findings.limits.decider,
-            failure_domain_id=self.options.failure_domain_id,
-            seed=self._random.randrange(1 << 32),
-            remote_interval_ms=lambda: self.fleet.remote_interval_ms,
+        return new_dispatcher(
+            self.options,
+            fleet=self.fleet,
+            findings=self.findings,
+            generator=self._random,
             on_long_prompt=lambda now_ms: self.heartbeats.send_early(now_ms),
-            unreaching_ids=lambda: self.fleet.unreaching_ids,
-        )
-        return Dispatcher(
-            placement=placement,
-            admission=Admission(self._random.randrange(1 << 32)),
-            budget=RetryBudget(
-                ratio=bounds.retry_ratio,
-                slack=bounds.retry_slack,
-                window_ms=bounds.retry_window_ms,
-                is_fleet_settled=self.fleet.is_settled,
-            ),
-            clock_ms=monotonic_ms,
-            vm_ids=self.fleet.all_vm_ids,
-            read_answer=self.findings.read_answer,
         )
 
     @property
@@ -298,13 +269,24 @@
 
     def _new_read_task(self, reader: PlatformReader) -> Callable[[], Awaitable[None]]:
         """Return the task that runs the reader, and runs it again if it fails."""
+        start_sync = StartSync(
+            fleet=self.fleet,
+            view_cache=self.view_cache,
+            view_exchange=self.view_exchange,
+            clock_ms=monotonic_ms,
+        )
         context = ReaderContext(
             view_cache=self.view_cache,
             clock_ms=monotonic_ms,
             is_due=lambda: self._read_schedule.is_due(monotonic_ms()),
             is_reader=lambda: self.fleet.is_reader(monotonic_ms()),
         )
-        return lambda: reader(context)
+
+        async def async_read() -> None:
+            await start_sync.async_run()
+            await reader(context)
+
+        return async_read
 
     async def async_stop(self) -> None:
         """Leave the fleet and stop.
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -298,6 +298,17 @@
 """Time for the whole body of a peer's view, whose sender may have little processor time and a link
 of 5 Mbit/s; as for a page of the store."""
 
+BEHIND_PULL_MS: Final = 600
+"""How long a VM with an older configuration than a peer waits for the store and its reader to bring
+the newer one."""
+
+START_WAIT_MS: Final = 600
+"""How long a VM that starts waits for the first heartbeat of a peer before it believes the store;
+covers two of its own, should one be lost."""
+
+START_FETCH_MS: Final = 1_000
+"""Time for fetching a peer's view at the start."""
+
 VIEW_PULL_AGE_MS: Final = 900
 """Age of this VM's view beyond which a newer one is fetched from a peer."""
 
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
@@ -0,0 +1,59 @@
+"""Builds the dispatcher of a VM from its options and what it knows of its fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from wagtailusher_daemon.clock import monotonic_ms
+from wagtailusher_gateway.admission import Admission
+from wagtailusher_gateway.budget import RetryBudget
+from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
+from wagtailusher_gateway.contention import PlaceContention
+from wagtailusher_gateway.dispatcher import Dispatcher
+from wagtailusher_gateway.endpoint_findings import EndpointFindings
+from wagtailusher_gateway.endpoint_registry import EndpointRegistry
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.options import GatewayOptions
+from wagtailusher_gateway.placement import Placement
+
+
+def new_dispatcher(
+    options: GatewayOptions,
+    *,
+    fleet: FleetDecider,
+    findings: EndpointFindings,
+    generator: Random,
+    on_long_prompt: Callable[[int], None],
+) -> Dispatcher:
+    """Return the dispatcher of a VM; `on_long_prompt` gets the time at which one was placed."""
+    bounds = options.bounds
+    placement = Placement(
+        registry=EndpointRegistry(findings.liveness.decider, findings.availability.decider),
+        cold_limiter=ColdStartLimiter(
+            options.vm_id,
+            overage=bounds.cold_overage,
+            slack=bounds.cold_slack,
+            is_fleet_settled=fleet.is_settled,
+        ),
+        contention=PlaceContention(options.vm_id),
+        rate_limits=findings.limits.decider,
+        failure_domain_id=options.failure_domain_id,
+        seed=generator.randrange(1 << 32),
+        remote_interval_ms=lambda: fleet.remote_interval_ms,
+        on_long_prompt=on_long_prompt,
+        unreaching_ids=lambda: fleet.unreaching_ids,
+    )
+    return Dispatcher(
+        placement=placement,
+        admission=Admission(generator.randrange(1 << 32)),
+        budget=RetryBudget(
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+            window_ms=bounds.retry_window_ms,
+            is_fleet_settled=fleet.is_settled,
+        ),
+        clock_ms=monotonic_ms,
+        vm_ids=fleet.all_vm_ids,
+        read_answer=findings.read_answer,
+    )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -22,7 +22,8 @@
 )
 from wagtailusher_gateway.member_reports import new_member
 from wagtailusher_gateway.models import Member
-from wagtailusher_wire import Beat, BeatPeer
+from wagtailusher_gateway.peers import Peer
+from wagtailusher_wire import NO_REVISION, Beat, BeatPeer
 
 MAX_GOSSIP_PEERS = 12
 """Most peers in one heartbeat; these fit into a datagram together with the loads."""
@@ -37,9 +38,6 @@
 SETTLE_INTERVALS = 2
 """The same time in heartbeat intervals of a large fleet; tolerates one lost heartbeat."""
 
-NO_REVISION = Revision(epoch=0, number=0)
-"""Stands for a view that was not read yet."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DueHeartbeat:
@@ -55,23 +53,6 @@
     arrived since; None for other peers."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Peer:
-    """A known VM; `member` is None until its first heartbeat arrives."""
-
-    peer_address: str
-    last_seen_ms: int
-    """When its last heartbeat arrived, or when it was learned of through gossip."""
-    due_ms: int = 0
-    sent_ms: int = 0
-    """When the last regular heartbeat was sent to it."""
-    member: Member | None = None
-    is_local: bool = False
-    """Whether it is in this VM's failure domain."""
-    view_revision: Revision = NO_REVISION
-    view_confirmed_ms: int = 0
-
-
 class FleetDecider:
     """One VM's view of the fleet, from the heartbeats of all others.
 
@@ -86,7 +67,7 @@
         """Start from `seeds`: peer addresses of some VMs, which may no longer exist."""
         self.own_member = own_member
         self._seeds = tuple(address for address in seeds if address != own_member.peer_address)
-        self._peers: dict[VmId, _Peer] = {}
+        self._peers: dict[VmId, Peer] = {}
         self._silent_ids: set[VmId] = set()
         """Removed peers that did not announce that they leave; they may still send requests."""
         self._seeds_due_ms = started_ms
@@ -130,8 +111,8 @@
         """Return whether heartbeats between failure domains are passed on by one VM of each."""
         return len(self._peers) > RELAY_MIN_PEERS
 
-    def _live_peers(self, now_ms: int) -> Iterator[tuple[_Peer, Member]]:
-        """Yield the peers that have not missed too many heartbeats."""
+    def live_peers(self, now_ms: int) -> Iterator[tuple[Peer, Member]]:
+        """Yield the peers that have not missed too many heartbeats, and what they told."""
         local_ms = min(MAX_SILENCE_MS, self.local_interval_ms * MAX_MISSED_HEARTBEATS)
         remote_ms = min(MAX_SILENCE_MS, self.remote_interval_ms * MAX_MISSED_HEARTBEATS)
         for peer in self._peers.values():
@@ -170,7 +151,7 @@
             self.unreaching_ids ^= {vm_id}
         is_local = member.failure_domain_id == self.own_member.failure_domain_id
         self._local_count += is_local - (existing is not None and existing.is_local)
-        self._peers[vm_id] = _Peer(
+        self._peers[vm_id] = Peer(
             peer_address=source,
             last_seen_ms=now_ms,
             due_ms=existing.due_ms if existing is not None else now_ms,
@@ -191,7 +172,7 @@
             return
         self._last_growth_ms = now_ms
         self._silent_ids.discard(gossip_peer.vm_id)
-        self._peers[gossip_peer.vm_id] = _Peer(
+        self._peers[gossip_peer.vm_id] = Peer(
             peer_address=gossip_peer.peer_address, last_seen_ms=now_ms, due_ms=now_ms
         )
 
@@ -234,7 +215,7 @@
             due.extend(self._due_to_seeds())
         return due
 
-    def _new_due(self, peer: _Peer, now_ms: int) -> DueHeartbeat:
+    def _new_due(self, peer: Peer, now_ms: int) -> DueHeartbeat:
         self._heartbeats_sent += 1
         since_ms, peer.sent_ms = peer.sent_ms, now_ms
         is_gossip_only = peer.member is None
@@ -256,7 +237,7 @@
             if address not in known_addresses:
                 yield DueHeartbeat(peer_address=address, with_peers=True)
 
-    def _is_relayed_to(self, peer: _Peer) -> bool:
+    def _is_relayed_to(self, peer: Peer) -> bool:
         """Return whether a peer gets this VM's heartbeats from others in its failure domain.
 
         VMs of builds that do not relay get them directly.
@@ -264,9 +245,9 @@
         has_relays = peer.member is not None and peer.member.relays
         return self.uses_relays and has_relays and not peer.is_local
 
-    def _choose_relays(self, now_ms: int) -> Iterator[_Peer]:
+    def _choose_relays(self, now_ms: int) -> Iterator[Peer]:
         """Yield a random VM of each other failure domain, a live one if there is any."""
-        by_domain: dict[FailureDomainId, list[_Peer]] = {}
+        by_domain: dict[FailureDomainId, list[Peer]] = {}
         for peer in self._peers.values():
             if peer.member is not None and self._is_relayed_to(peer):
                 by_domain.setdefault(peer.member.failure_domain_id, []).append(peer)
@@ -290,7 +271,7 @@
 
     def live_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the peers that have not missed too many heartbeats."""
-        return tuple(member for _, member in self._live_peers(now_ms))
+        return tuple(member for _, member in self.live_peers(now_ms))
 
     def early_heartbeat_members(self, now_ms: int) -> tuple[Member, ...]:
         """Return the peers that get an early heartbeat after a long prompt was placed."""
@@ -368,20 +349,11 @@
         """
         return (self.own_member.vm_id, *self._peers, *self._silent_ids)
 
-    def freshest_view(self, now_ms: int) -> tuple[Member, Revision, int] | None:
-        """Return the live peer whose view was confirmed last, with its revision and that time."""
-        freshest = max(
-            self._live_peers(now_ms), key=lambda item: item[0].view_confirmed_ms, default=None
-        )
-        if freshest is None:
-            return None
-        peer, member = freshest
-        return member, peer.view_revision, peer.view_confirmed_ms
-
-    def newest_configuration(self, now_ms: int) -> Member | None:
-        """Return the live peer with the newest configuration, None without live peers."""
-        members = self.live_members(now_ms)
-        return max(members, key=lambda member: member.configuration_version, default=None)
+    def awaits_peers(self) -> bool:
+        """Return whether there are VMs from which no heartbeat has arrived yet."""
+        heard = {peer.peer_address for peer in self._peers.values() if peer.member is not None}
+        known = (*self._seeds, *(peer.peer_address for peer in self._peers.values()))
+        return any(address not in heard for address in known)
 
 
 def _interval_ms(peer_count: int) -> int:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/models.py
@@ -120,6 +120,14 @@
     """Version of the endpoint's software, not of its model; empty if it is unknown."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Removal:
+    """The incarnation of an endpoint that was removed, and when."""
+
+    born_ms: int
+    removed_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetView:
     """The state read from the platform, with the time at which it was last confirmed."""
@@ -135,6 +143,10 @@
     """Epoch of the store to which the revision belongs."""
     lapsing_evacuations_ms: Mapping[FailureDomainId, int] = field(default_factory=dict)
     """When to end evacuations that an older copy of the store does not have."""
+    first_list: Revision = Revision()
+    """The first list that was read in the epoch; entries up to it may be of an older copy."""
+    removals: Mapping[EndpointId, Removal] = field(default_factory=dict)
+    """Endpoints that were removed a short while ago."""
 
     @property
     def store_revision(self) -> Revision:
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
@@ -0,0 +1,66 @@
+"""What a VM knows of its peers, and which of them to ask for their view of the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Set
+from dataclasses import dataclass
+
+from wagtailusher_core import Revision, VmId
+from wagtailusher_gateway.models import Member
+from wagtailusher_wire import NO_REVISION
+
+
+@dataclass(slots=True, kw_only=True)
+class Peer:
+    """A known VM; `member` is None until its first heartbeat arrives."""
+
+    peer_address: str
+    last_seen_ms: int
+    """When its last heartbeat arrived, or when it was learned of through gossip."""
+    due_ms: int = 0
+    sent_ms: int = 0
+    """When the last regular heartbeat was sent to it."""
+    member: Member | None = None
+    is_local: bool = False
+    """Whether it is in this VM's failure domain."""
+    view_revision: Revision = NO_REVISION
+    view_confirmed_ms: int = 0
+
+
+Peers = Iterable[tuple[Peer, Member]]
+"""Peers with what they tell of themselves."""
+
+
+def freshest_view(peers: Peers) -> tuple[Member, Revision, int] | None:
+    """Return the peer whose view was confirmed last, with its revision and that time."""
+    freshest = max(peers, key=lambda item: item[0].view_confirmed_ms, default=None)
+    if freshest is None:
+        return None
+    peer, member = freshest
+    return member, peer.view_revision, peer.view_confirmed_ms
+
+
+def newest_configuration(peers: Peers) -> Member | None:
+    """Return the peer with the newest configuration, None if there are no peers."""
+    members = (member for _, member in peers)
+    return max(members, key=lambda member: member.configuration_version, default=None)
+
+
+def best_informed(peers: Peers, excluded: Set[VmId]) -> Member | None:
+    """Return the peer with a view that knows the most, None if there is none.
+
+    Of those with the newest configuration and epoch it is the one that has run the longest.
+    """
+    informed = (
+        item for item in peers if item[0].view_revision.number and item[1].vm_id not in excluded
+    )
+    best = max(
+        informed,
+        key=lambda item: (
+            item[1].configuration_version,
+            item[0].view_revision.epoch,
+            -item[1].incarnation,
+        ),
+        default=None,
+    )
+    return best[1] if best is not None else None
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/platform_reads.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/platform_reads.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 
 from wagtailusher_core import Revision
-from wagtailusher_gateway.fleet import NO_REVISION, FleetDecider
+from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.view_cache import ViewCache
+from wagtailusher_wire import NO_REVISION
 
 UNCONFIRMED_READ_MS = 1_500
 """Age of the view at which a VM reads the store itself; covers the elected reader's watch, its
--- /dev/null
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/start_sync.py
@@ -0,0 +1,72 @@
+"""Lets a VM that starts take over what its peers know before it believes the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from wagtailusher_core import VmId
+from wagtailusher_gateway.const import MS_PER_S, START_FETCH_MS, START_WAIT_MS, TICK_MS
+from wagtailusher_gateway.fleet import FleetDecider
+from wagtailusher_gateway.models import Member
+from wagtailusher_gateway.peers import best_informed
+from wagtailusher_gateway.view_cache import ViewCache
+from wagtailusher_gateway.view_exchange import ViewExchange
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class StartSync:
+    """Fetches the view of one peer; the store may have come back from an older copy.
+
+    Where all VMs start together, none has a view yet, and they don't wait for each other.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetDecider,
+        view_cache: ViewCache,
+        view_exchange: ViewExchange,
+        clock_ms: Callable[[], int],
+    ) -> None:
+        self._fleet = fleet
+        self._view_cache = view_cache
+        self._view_exchange = view_exchange
+        self._clock_ms = clock_ms
+        self._asked_ids: set[VmId] = set()
+
+    async def async_run(self) -> None:
+        """Return once a peer's view was merged, or no peer has one or answers in time."""
+        started_ms = self._clock_ms()
+        while not self._view_cache.view.confirmed_ms:
+            now_ms = self._clock_ms()
+            member = best_informed(self._fleet.live_peers(now_ms), self._asked_ids)
+            if member is not None:
+                await self._async_ask(member)
+            elif now_ms - started_ms >= START_WAIT_MS or not self._fleet.awaits_peers():
+                break
+            else:
+                await asyncio.sleep(TICK_MS / MS_PER_S)
+        view = self._view_cache.view
+        _LOGGER.info(
+            "View: starting with that of a peer" if view.confirmed_ms else "View: starting alone",
+            extra={
+                "event": "start_view",
+                "asked": sorted(self._asked_ids),
+                "wait_ms": self._clock_ms() - started_ms,
+                "version": self._view_cache.configuration_version or None,
+                "revision": view.revision,
+                "epoch": view.epoch,
+            },
+        )
+
+    async def _async_ask(self, member: Member) -> None:
+        """Fetch a peer's view; one that does not answer in time is not asked again."""
+        self._asked_ids.add(member.vm_id)
+        try:
+            async with asyncio.timeout(START_FETCH_MS / MS_PER_S):
+                await self._view_exchange.async_fetch(member)
+        except TimeoutError:
+            _LOGGER.info("View: peer %s did not send its view in time", member.vm_id)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -14,7 +14,7 @@
     FleetView,
     ReadChanges,
 )
-from wagtailusher_gateway.older_copy import OlderCopyGuard
+from wagtailusher_gateway.older_copy import believed_entry, with_removal
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -55,7 +55,6 @@
         self._previous_configuration: Configuration | None = None
         """The configuration of the view's revision, if there is a newer one since."""
         self._has_other_changes = False
-        self._older_copy = OlderCopyGuard()
         self._is_store_unavailable = False
         self._store_recovered_ms: int | None = None
 
@@ -79,10 +78,11 @@
         What it lacks stays until it had time to be written again: endpoints for `EXPIRY_GRACE_MS`,
         evacuations for `EVACUATION_GRACE_MS`.
         """
-        self._older_copy.begin_epoch(first_list)
         self._store_recovered_ms = now_ms
         lapsing_ms = dict.fromkeys(self.view.evacuated, now_ms + EVACUATION_GRACE_MS)
-        self._apply(replace(self.view, lapsing_evacuations_ms=lapsing_ms), now_ms)
+        self._apply(
+            replace(self.view, first_list=first_list, lapsing_evacuations_ms=lapsing_ms), now_ms
+        )
 
     def confirm_revision(self, revision: Revision, now_ms: int) -> None:
         """Record that the store answered and that the view is complete up to a revision."""
@@ -172,7 +172,7 @@
 
     def set_listed_endpoint(self, endpoint: Endpoint, revision: Revision, now_ms: int) -> None:
         """Apply an entry that was read at its revision, unless an older copy shows it again."""
-        believed = self._older_copy.believed(endpoint, self.view.endpoints, revision, now_ms)
+        believed = believed_entry(endpoint, self.view, revision, now_ms)
         if believed is not None:
             self.set_endpoint(believed, now_ms)
 
@@ -273,20 +273,28 @@
     def merge_peer_view(self, view: FleetView, source: str, now_ms: int) -> None:
         """Replace the view by a peer's if it was confirmed later and has no lower revision.
 
-        The configuration is never replaced by an older version.
+        The configuration is taken if its version is newer, whatever the rest of the view is: a
+        store that came back from an older copy may show an older version under a later revision.
         """
-        if (
+        if view.configuration is not None:
+            self.set_configuration(view.configuration, source, now_ms)
+        if self.view.confirmed_ms and (
             view.confirmed_ms <= self.view.confirmed_ms
             or view.store_revision < self.view.store_revision
         ):
             return
-        if view.configuration is not None:
-            self.set_configuration(view.configuration, source, now_ms)
         self._log_differences(view, now_ms)
         endpoints = _with_known_versions(view.endpoints, self.view.endpoints)
         self._take_changes(view.store_revision)
         self._apply_after_gap(
-            replace(view, configuration=self.view.configuration, endpoints=endpoints), now_ms
+            replace(
+                view,
+                configuration=self.view.configuration,
+                endpoints=endpoints,
+                first_list=max(view.first_list, self.view.first_list),
+                removals={**view.removals, **self.view.removals},
+            ),
+            now_ms,
         )
 
     def _log_differences(self, view: FleetView, now_ms: int) -> None:
@@ -313,10 +321,10 @@
         endpoint = self.view.endpoints.get(endpoint_id)
         if endpoint is None:
             return
-        self._older_copy.record_removal(endpoint, now_ms)
         self._log_endpoint(endpoint, "gone", now_ms)
         endpoints = {key: item for key, item in self.view.endpoints.items() if key != endpoint_id}
-        self._apply(replace(self.view, endpoints=endpoints), now_ms)
+        view = with_removal(self.view, endpoint, now_ms)
+        self._apply(replace(view, endpoints=endpoints), now_ms)
 
     def _apply(self, view: FleetView, now_ms: int) -> None:
         """Set the view and call the listener."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
@@ -1,4 +1,4 @@
-"""Serves this VM's view to peers and fetches a newer one, for VMs that can't reach the store."""
+"""Serves this VM's view to peers, and fetches theirs where it is newer than what this VM reads."""
 
 from __future__ import annotations
 
@@ -10,13 +10,15 @@
 
 from wagtailusher_core import Incarnation, VmId, WagtailusherError
 from wagtailusher_gateway.const import (
+    BEHIND_PULL_MS,
     VIEW_BODY_TIMEOUT_MS,
     VIEW_PULL_AGE_MS,
     VIEW_PULL_TIMEOUT_MS,
 )
 from wagtailusher_gateway.exceptions import ViewError
 from wagtailusher_gateway.fleet import FleetDecider
-from wagtailusher_gateway.models import FleetView
+from wagtailusher_gateway.models import FleetView, Member
+from wagtailusher_gateway.peers import freshest_view, newest_configuration
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_http import HttpClient, Request, Response
 from wagtailusher_wire import MAX_STREAM_MESSAGE_BYTES, MessageAuthenticator
@@ -48,6 +50,7 @@
         self._authenticator = MessageAuthenticator(secret, max_bytes=MAX_STREAM_MESSAGE_BYTES)
         self._clock_ms = clock_ms
         self._logged_version = 0
+        self._behind_since_ms: int | None = None
 
     def answer(self, request: Request) -> Response:
         """Return this VM's view as an authenticated message."""
@@ -61,18 +64,38 @@
         )
 
     async def async_pull(self) -> None:
-        """Fetch the most recently confirmed view of a peer if this VM's own is old."""
+        """Fetch a peer's view if this VM's own is old, or has an older configuration."""
         now_ms = self._clock_ms()
-        self._log_if_behind(now_ms)
-        if now_ms - self._view_cache.view.confirmed_ms < VIEW_PULL_AGE_MS:
-            return
-        freshest = self._fleet.freshest_view(now_ms)
+        member = self._find_newer_configuration(now_ms) or self._find_fresher_view(now_ms)
+        if member is not None:
+            await self.async_fetch(member)
+
+    def _find_fresher_view(self, now_ms: int) -> Member | None:
+        """Return the peer whose view was confirmed last, if this VM's own is old."""
+        own_confirmed_ms = self._view_cache.view.confirmed_ms
+        if now_ms - own_confirmed_ms < VIEW_PULL_AGE_MS:
+            return None
+        freshest = freshest_view(self._fleet.live_peers(now_ms))
         if freshest is None:
-            return
+            return None
         member, revision, confirmed_ms = freshest
-        is_fresher = confirmed_ms > self._view_cache.view.confirmed_ms + _MIN_FRESHER_MS
-        if not is_fresher or not revision.number:
-            return
+        is_fresher = confirmed_ms > own_confirmed_ms + _MIN_FRESHER_MS
+        return member if is_fresher and revision.number else None
+
+    def _find_newer_configuration(self, now_ms: int) -> Member | None:
+        """Return the peer with the newest configuration, if this VM has been behind it too long."""
+        newest = newest_configuration(self._fleet.live_peers(now_ms))
+        own_version = self._view_cache.configuration_version
+        if newest is None or newest.configuration_version <= own_version:
+            self._behind_since_ms = None
+            return None
+        self._log_behind(newest, own_version, now_ms)
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        return newest if now_ms - self._behind_since_ms >= BEHIND_PULL_MS else None
+
+    async def async_fetch(self, member: Member) -> bool:
+        """Fetch one peer's view and merge it; return whether that succeeded."""
         try:
             await self._async_fetch(member.vm_id, member.view_address)
         except WagtailusherError as err:
@@ -82,12 +105,12 @@
                 err.message,
                 extra={"event": "view_pull_failed", "peer": member.vm_id, "code": str(err.code)},
             )
+            return False
+        return True
 
-    def _log_if_behind(self, now_ms: int) -> None:
+    def _log_behind(self, newest: Member, own_version: int, now_ms: int) -> None:
         """Log each configuration that a peer has before this VM."""
-        newest = self._fleet.newest_configuration(now_ms)
-        own_version = self._view_cache.configuration_version
-        if newest is None or newest.configuration_version <= max(own_version, self._logged_version):
+        if newest.configuration_version <= self._logged_version:
             return
         self._logged_version = newest.configuration_version
         view = self._view_cache.view
@@ -156,4 +179,8 @@
         lapsing_evacuations_ms={
             key: until_ms + by_ms for key, until_ms in view.lapsing_evacuations_ms.items()
         },
+        removals={
+            key: replace(item, removed_ms=item.removed_ms + by_ms)
+            for key, item in view.removals.items()
+        },
     )
--- a/tests/wagtailusher_gateway/test_older_copy.py
+++ b/tests/wagtailusher_gateway/test_older_copy.py
@@ -5,13 +5,17 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import unittest
 
-from tests.wagtailusher_gateway.builders import at, endpoint, view
+import msgspec
+
+from tests.wagtailusher_gateway.builders import at, configuration, endpoint, view
 from wagtailusher_core import EndpointId, FailureDomainId
 from wagtailusher_gateway.models import FleetView
 from wagtailusher_gateway.older_copy import REMEMBERED_MS
 from wagtailusher_gateway.view_cache import EVACUATION_GRACE_MS, EXPIRY_GRACE_MS, ViewCache
+from wagtailusher_gateway.view_exchange import decode_view, shift_times
 
 I1, I2 = EndpointId("i-1"), EndpointId("i-2")
 A = FailureDomainId("a")
@@ -101,6 +105,39 @@
         self.cache.merge_peer_view(earlier, "peer", 6_000)
         self.assertEqual(set(self._view.endpoints), {I1})
 
+    def test_view_tells_a_vm_that_starts_what_is_kept_against_the_copy(self) -> None:
+        """It arrives as ages, on a clock that is 700 ms ahead."""
+        self.cache.remove_endpoint(I1, 2_000)
+        self._begin_epoch(1, 2)
+        payload = msgspec.msgpack.encode(shift_times(self._view, -5_100))
+        started = ViewCache(lambda current, changed, now_ms: None)
+        started.merge_peer_view(decode_view(payload, 5_800), "peer", 5_800)
+        for number in (1, 2):
+            started.set_listed_endpoint(endpoint(number), at(40, epoch=2), 5_800)
+        started.retain_evacuated(frozenset(), 5_800)
+        started.confirm_revision(at(40, epoch=2), 5_800)
+        self.assertNotIn(I1, started.view.endpoints)
+        self.assertTrue(started.view.endpoints[I2].is_draining)
+        self.assertEqual(started.view.evacuated, {A})
+        self.assertEqual(started.view.removals[I1].removed_ms, 2_700)
+        started.set_listed_endpoint(endpoint(1), at(41, epoch=2), 6_000)
+        self.assertIn(I1, started.view.endpoints)
+
+    def test_view_of_a_build_that_keeps_nothing_against_the_copy_is_read(self) -> None:
+        values = msgspec.to_builtins(self._view)
+        for name in ("first_list", "removals", "epoch", "lapsing_evacuations_ms"):
+            del values[name]
+        read = decode_view(msgspec.msgpack.encode(values), 0)
+        self.assertEqual(read, replace(self._view, epoch=0, lapsing_evacuations_ms={}))
+
+    def test_newer_configuration_of_a_peer_in_an_earlier_era_is_taken(self) -> None:
+        self._begin_epoch(1, 2)
+        self.cache.set_configuration(configuration(1), "store", 5_000)
+        earlier = view(revision=95, epoch=1, confirmed_ms=6_000, configuration=configuration(3))
+        self.cache.merge_peer_view(earlier, "peer", 6_000)
+        self.assertEqual(self.cache.configuration_version, 3)
+        self.assertEqual(self._view.store_revision, at(40, epoch=2))
+
     def test_peer_of_the_earlier_era_confirms_nothing(self) -> None:
         self._begin_epoch(1, 2)
         self.cache.confirm_by_peer(at(40, epoch=1), 9_000, 9_000)
--- /dev/null
+++ b/tests/wagtailusher_gateway/test_peers.py
@@ -0,0 +1,62 @@
+"""Tests of which peer is asked for its view.
+
+They guard against a VM that starts with the view of a peer that knows less than another one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import unittest
+
+from tests.wagtailusher_gateway.builders import VM_IDS, at, member
+from wagtailusher_core import Revision
+from wagtailusher_gateway.models import Member
+from wagtailusher_gateway.peers import Peer, best_informed, newest_configuration
+
+REVISION = at(5)
+
+
+def peer(
+    number: int, *, version: int = 0, revision: Revision = REVISION, incarnation: int = 1
+) -> tuple[Peer, Member]:
+    """Return a peer whose heartbeats state a configuration and a revision."""
+    known = replace(member(number), configuration_version=version, incarnation=incarnation)
+    return (
+        Peer(
+            peer_address=known.peer_address,
+            last_seen_ms=0,
+            member=known,
+            view_revision=revision,
+        ),
+        known,
+    )
+
+
+class PeersTest(unittest.TestCase):
+    """The newest configuration goes before the epoch, and that before how long a peer has run."""
+
+    def _best(self, *peers: tuple[Peer, Member], excluded: frozenset[int] = frozenset()) -> str:
+        best = best_informed(peers, {VM_IDS[number] for number in excluded})
+        return best.vm_id if best is not None else ""
+
+    def test_peer_with_the_newest_configuration_is_asked_first(self) -> None:
+        older = peer(1, version=2, revision=at(90, epoch=2))
+        newer = peer(2, version=3, revision=at(9, epoch=1))
+        self.assertEqual(self._best(older, newer), "vm-2")
+        self.assertEqual(self._best(older, newer, excluded=frozenset({2})), "vm-1")
+
+    def test_peer_of_the_later_epoch_goes_before_one_with_a_later_revision(self) -> None:
+        self.assertEqual(self._best(peer(1, revision=at(90)), peer(2, revision=at(9, 1))), "vm-2")
+
+    def test_peer_that_has_run_the_longest_is_asked_first(self) -> None:
+        self.assertEqual(self._best(peer(1, incarnation=8), peer(2, incarnation=7)), "vm-2")
+
+    def test_peers_without_a_view_are_not_asked(self) -> None:
+        self.assertEqual(self._best(peer(1, revision=at(0))), "")
+
+    def test_newest_configuration_of_no_peers_is_none(self) -> None:
+        self.assertIsNone(newest_configuration(()))
+
+
+if __name__ == "__main__":
+    unittest.main()
