Take the ports of tests from below those that the kernel hands out

Seen once: test_vm_with_an_older_configuration_does_not_send_what_it_is_handed ended with "address already in use" for the peer port of a gateway. free_ports let the kernel choose ports and closed them again; links, endpoints and outgoing connections of the same test, or of processes beside it, get ports from the same range before the gateway listens. They are now chosen at random below it and tried once. No check is changed.

--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
+from random import Random
 import socket
 from typing import Any
 import unittest
@@ -27,6 +29,8 @@
 DEADLINE_MS = 3_000
 WAIT_S = 5.0
 STEP_S = 0.01
+PORT_RANGE = range(10_000, 30_000)
+_PORTS = Random()
 
 
 def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
@@ -92,15 +96,18 @@
 
 
 def free_ports(host: str, count: int) -> list[int]:
-    """Return ports that are free for TCP on a host."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((host, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return ports that are free for TCP on a host.
+
+    They are below those that the kernel gives to sockets without one, such as links and callers,
+    which could otherwise take a port before it is listened at.
+    """
+    ports: set[int] = set()
+    while len(ports) < count:
+        port = _PORTS.choice(PORT_RANGE)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((host, port))
+            ports.add(port)
+    return list(ports)
 
 
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
