Let no VM decide on a request by an older state than the one it was handed on with

A VM that reaches no endpoint has shown a configuration; a peer that did not know it yet sent the request by its own, to the service of the version before (20 of 20 requests), after the caller had seen the newer one. Three of five tests in test_forwarded_configurations failed.

Cause: the link between the two VMs carried the request and its caller's terms, but not by which state they had been decided. The same would have held for withdrawn keys, drains and evacuations.

The terms now carry the configuration's version and the state of the store. A peer that knows less reads the store, waits for 300 ms or half of the request's time at most, and refuses with peer_behind (not run), after which the next peer is asked; one that knows more decides. Peers whose heartbeats state an older configuration are asked last, and those of builds that state none only if they know the same state of the store, since such builds don't read the new fields. Terms without them, of such a build, are taken as before.

Tests: the five, and test_catch_up (both kinds of builds). test_forwarded_requests and test_cut_off_vms pass unchanged.

--- a/packages/wagtailusher_core/src/wagtailusher_core/errors.py
+++ b/packages/wagtailusher_core/src/wagtailusher_core/errors.py
@@ -41,6 +41,7 @@
     SETTINGS_STALE = "settings_stale"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     PEER_UNAVAILABLE = "peer_unavailable"
+    PEER_BEHIND = "peer_behind"
     PEER_UNAUTHENTICATED = "peer_unauthenticated"
     WIRE_VERSION = "wire_version"
     WIRE_MALFORMED = "wire_malformed"
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -14,6 +14,7 @@
 from wagtailusher_daemon.periodic import PeriodicTasks
 from wagtailusher_gateway.address_selection import select_addresses
 from wagtailusher_gateway.caller_api import GatewayCallerApi
+from wagtailusher_gateway.catch_up import CatchUp
 from wagtailusher_gateway.const import (
     CONNECT_TIMEOUT_MS,
     LEAVE_LINGER_MS,
@@ -154,6 +155,7 @@
             self.options,
             client=self._peer_client,
             fleet=self.fleet,
+            view_cache=self.view_cache,
             place_holders=self.dispatcher.place_holders,
             metrics=self.metrics,
             generator=self._random,
@@ -228,7 +230,10 @@
         await serve(options.metrics_listen, PATH_METRICS, self._async_answer_metrics)
         api = self.new_caller_api()
         if options.takes_forwarded:
-            peer_api = GatewayPeerApi(api, self._http_mapping, self._forwarder.signer, wall_ms)
+            catch_up = CatchUp(self.view_cache, self._read_schedule.require, monotonic_ms)
+            peer_api = GatewayPeerApi(
+                api, self._http_mapping, self._forwarder.signer, catch_up, wall_ms
+            )
             await self.servers.async_serve_peers(options.peer_listen, peer_api.async_handle)
         await self.servers.async_serve_callers(options.listen, api.async_handle)
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -309,6 +309,13 @@
 START_FETCH_MS: Final = 1_000
 """Time for fetching a peer's view at the start."""
 
+CATCH_UP_MS: Final = 300
+"""How long a request that a peer handed on waits for the changes that the peer knows; some reads of
+the store, and less than a caller's next try takes."""
+
+CATCH_UP_STEP_MS: Final = 10
+"""Interval of the check whether they have arrived."""
+
 VIEW_PULL_AGE_MS: Final = 900
 """Age of this VM's view beyond which a newer one is fetched from a peer."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/forward_terms.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/forward_terms.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from wagtailusher_core import ErrorCode, Outcome, VmId, WorkspaceId
+from wagtailusher_core import ErrorCode, Outcome, Revision, VmId, WorkspaceId
 from wagtailusher_gateway.const import MAX_FORWARD_AGE_MS
 from wagtailusher_gateway.exceptions import ForwardError
 from wagtailusher_http import Headers, Request
@@ -27,6 +27,15 @@
     workspace_id: WorkspaceId | None
     fingerprint: str
     """Fingerprint of the request, which includes its caller."""
+    configuration_version: int = 0
+    """Version of the configuration by which the request was routed; 0 from an older build."""
+    view_epoch: int = 0
+    view_revision: int = 0
+
+    @property
+    def store_revision(self) -> Revision:
+        """Return the state of the store that the VM knew which handed the request on."""
+        return Revision(epoch=self.view_epoch, number=self.view_revision)
 
 
 _DECODER = msgspec.msgpack.Decoder(ForwardTerms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/peer_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/peer_api.py
@@ -8,6 +8,7 @@
 
 from wagtailusher_core import ErrorCode, Outcome
 from wagtailusher_gateway.caller_api import GatewayCallerApi
+from wagtailusher_gateway.catch_up import CatchUp
 from wagtailusher_gateway.const import MAX_FORWARDED_REQUESTS, RETRY_AFTER_MIN_MS
 from wagtailusher_gateway.exceptions import ForwardError, RefusedError
 from wagtailusher_gateway.forward_terms import (
@@ -33,12 +34,14 @@
         caller_api: GatewayCallerApi,
         http_mapping: HttpMapping,
         signer: RequestSigner,
+        catch_up: CatchUp,
         wall_ms: Callable[[], int],
     ) -> None:
         """Serve peers that sign with the fleet's secret."""
         self._caller_api = caller_api
         self._http_mapping = http_mapping
         self._signer = signer
+        self._catch_up = catch_up
         self._wall_ms = wall_ms
         self._in_progress = 0
 
@@ -62,7 +65,10 @@
         own_request = replace(request, headers=request.headers.without(frozenset({HEADER_FORWARD})))
         self._in_progress += 1
         try:
+            await self._catch_up.async_wait(terms)
             response, outcome = await self._caller_api.async_serve(own_request, terms)
+        except RefusedError as refusal:
+            response, outcome = self._caller_api.refusal_response(refusal), refusal.outcome
         except BaseException:
             self._in_progress -= 1
             raise
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_forwarder.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_forwarder.py
@@ -28,6 +28,7 @@
 from wagtailusher_gateway.metrics import GatewayMetrics
 from wagtailusher_gateway.models import Member, Workspace
 from wagtailusher_gateway.options import GatewayOptions
+from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_http import (
     BodySink,
     ClientAnswer,
@@ -48,6 +49,9 @@
 """Least status of a refusal that is passed on; the others tell that the peer knows another
 configuration."""
 
+_PASSED_OVER_CODES = frozenset({ErrorCode.NO_ENDPOINT, ErrorCode.PEER_BEHIND})
+"""Refusals after which another peer is asked."""
+
 
 class _Error(msgspec.Struct):
     """What a refusal of a peer says of the request."""
@@ -102,6 +106,7 @@
         vm_id: VmId,
         client: HttpClient,
         signer: RequestSigner,
+        view_cache: ViewCache,
         takers: Callable[[str], Iterable[Member]],
         wall_ms: Callable[[], int],
         count_event: Callable[[str], None] = lambda event: None,
@@ -113,6 +118,7 @@
         self._vm_id = vm_id
         self._client = client
         self.signer = signer
+        self._view_cache = view_cache
         self._takers = takers
         self._wall_ms = wall_ms
         self._count_event = count_event
@@ -136,6 +142,9 @@
             left_ms=left_ms,
             workspace_id=workspace.workspace_id if workspace is not None else None,
             fingerprint=fingerprint,
+            configuration_version=self._view_cache.configuration_version,
+            view_epoch=self._view_cache.view.epoch,
+            view_revision=self._view_cache.view.revision,
         )
         token = sign_terms(self.signer, terms, request)
         for member in list(self._takers(routed_request.service.name))[:MAX_FORWARD_PEERS]:
@@ -154,7 +163,7 @@
                 self._count_event("taken")
                 return ForwardedAnswer(answer=answer, vm_id=member.vm_id)
             refusal = await self._async_read_refusal(member, answer, outcome, delivery)
-            is_final = refusal.status >= _FINAL_STATUS and refusal.code is not ErrorCode.NO_ENDPOINT
+            is_final = refusal.status >= _FINAL_STATUS and refusal.code not in _PASSED_OVER_CODES
             if is_final or refusal.outcome is not Outcome.NOT_RUN:
                 raise refusal
         return None
@@ -241,28 +250,36 @@
     *,
     client: HttpClient,
     fleet: FleetDecider,
+    view_cache: ViewCache,
     place_holders: Callable[[str], frozenset[VmId] | None],
     metrics: GatewayMetrics,
     generator: Random,
 ) -> RequestForwarder:
     """Return the forwarder of a VM, which chooses among the peers of its fleet.
 
-    `place_holders` returns those that may send requests for a service, None if all may.
+    `place_holders` returns those that may send requests for a service, None if all may. Peers with
+    an older configuration come last; those of a build that does not state its configuration are
+    left out unless they know the same state of the store.
     """
 
     def takers(service: str) -> Iterable[Member]:
         holders = place_holders(service)
+        own_revision = view_cache.view.store_revision
         members = [
             member
-            for member in fleet.live_members(monotonic_ms())
-            if holders is None or member.vm_id in holders
+            for peer, member in fleet.live_peers(monotonic_ms())
+            if (holders is None or member.vm_id in holders)
+            and (member.configuration_version or peer.view_revision >= own_revision)
         ]
-        return order_for_forwarding(members, service, options.failure_domain_id, generator)
+        in_order = order_for_forwarding(members, service, options.failure_domain_id, generator)
+        own_version = view_cache.configuration_version
+        return sorted(in_order, key=lambda member: member.configuration_version < own_version)
 
     return RequestForwarder(
         vm_id=options.vm_id,
         client=client,
         signer=RequestSigner((options.fleet_secret,)),
+        view_cache=view_cache,
         takers=takers,
         wall_ms=wall_ms,
         count_event=lambda event: metrics.forwarded.inc({"event": event}),
