Take no request that a VM which stops can't end, and answer those that outlast it

Callers that came late in the grace of a planned stop lost their requests, unsafe ones too: with endpoints that work for 1.2 s, what was sent from 6.4 s after SIGTERM on ran and ended with a closed connection (6 of 6 on new and kept connections), streams of 1.8 s from 6.0 s on, requests without an answer and those that waited for a place as well.

Cause: a VM that leaves took every request until its grace was over and then closed all connections, whatever was on its way.

Now it refuses, with 503 (draining, not run) and Connection: close, a request that usually takes longer than is left. What is usual comes from the last 64 served requests of its route, or of all alike routes of the service: 95% of them and a quarter more, at most the request's own time. Where nothing is known, callers are served until they can have learned of the stop, and after that only if their own time ends before. At the end of the grace what waits for a place is refused, and what was sent gets 502 (may have run) instead of a closed connection. Peers ask another VM if one refuses for this reason.

Callers who come before they can know, in the first three seconds, are served as before; streams that have begun and outlast the grace are cut as before.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -17,6 +17,7 @@
 from wagtailusher_gateway.catch_up import CatchUp
 from wagtailusher_gateway.const import (
     CONNECT_TIMEOUT_MS,
+    LEAVE_ANSWER_MS,
     LEAVE_LINGER_MS,
     LEAVE_RESERVE_MS,
     MS_PER_S,
@@ -296,12 +297,13 @@
     async def async_stop(self) -> None:
         """Leave the fleet and stop.
 
-        Announces the leave to peers and callers, and serves requests that still arrive until none
-        is in flight after `LEAVE_LINGER_MS`, or until the shutdown grace ends.
+        Announces the leave to peers and callers, and serves requests that can end in time until
+        none is in flight after `LEAVE_LINGER_MS`, or until the shutdown grace ends.
         """
-        ends_ms = monotonic_ms() + self.options.grace_ms - LEAVE_RESERVE_MS
-        linger_ms = monotonic_ms() + LEAVE_LINGER_MS
+        began_ms = monotonic_ms()
+        ends_ms = began_ms + self.options.grace_ms - LEAVE_RESERVE_MS
         self.is_leaving = True
+        self.dispatcher.planned_stop.begin(began_ms, ends_ms)
         self._update_own_state()
         self.heartbeats.send_all(monotonic_ms())
         self.servers.disable_keep_alive()
@@ -310,11 +312,10 @@
             self.options.vm_id,
             extra={"event": "leaving", "in_flight": self.dispatcher.in_flight},
         )
-        while (now_ms := monotonic_ms()) < ends_ms:
-            if now_ms >= linger_ms and not self.dispatcher.in_flight:
-                break
-            await asyncio.sleep(TICK_MS / MS_PER_S)
+        await self._async_until_idle(began_ms + LEAVE_LINGER_MS, ends_ms)
         left = self.dispatcher.in_flight
+        self.dispatcher.planned_stop.end()
+        await self._async_until_idle(began_ms, ends_ms + LEAVE_ANSWER_MS)
         self.crash_watch.close()
         self.findings.close()
         await self._tasks.async_stop()
@@ -328,6 +329,13 @@
             extra={"event": "stop", "in_flight": left},
         )
 
+    async def _async_until_idle(self, earliest_ms: int, latest_ms: int) -> None:
+        """Return once no request is in flight, between two times."""
+        while (now_ms := monotonic_ms()) < latest_ms:
+            if now_ms >= earliest_ms and not self.dispatcher.in_flight:
+                break
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+
     def _receive_message(
         self, message: Message, authenticated: AuthenticatedMessage, address: str
     ) -> None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -15,6 +15,7 @@
     UNKNOWN_VERSION_RETRY_MS,
 )
 from wagtailusher_gateway.crash_watch import CrashWatch
+from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest
 from wagtailusher_gateway.exceptions import RefusedError
 from wagtailusher_gateway.exchange import Exchange
@@ -144,6 +145,9 @@
         service = table.configuration.services.get(name)
         if service is None:
             raise _not_ready("the route's service is not configured")
+        planned_stop = self._dispatcher.planned_stop
+        if not planned_stop.may_take(name, route, ends_ms - now_ms, now_ms):
+            raise planned_stop.error(Delivery(route))
         if forwarded is not None:
             self._check_reached(service)
         routed_request = RoutedRequest(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -288,6 +288,9 @@
 LEAVE_RESERVE_MS: Final = 500
 """Part of the shutdown grace reserved for closing connections and exiting."""
 
+LEAVE_ANSWER_MS: Final = 250
+"""Part of it for the answers to requests that did not end in time."""
+
 VIEW_PULL_MS: Final = 300
 """Interval between checks whether to fetch a newer view from a peer."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -10,7 +10,7 @@
 from wagtailusher_core import EndpointId, ErrorCode, VmId
 from wagtailusher_gateway.admission import Admission, QueuedRequest, queue_wait_ms
 from wagtailusher_gateway.budget import RetryBudget
-from wagtailusher_gateway.const import RETRY_AFTER_MAX_MS
+from wagtailusher_gateway.const import LEAVE_LINGER_MS, RETRY_AFTER_MAX_MS
 from wagtailusher_gateway.endpoint_registry import may_get_requests
 from wagtailusher_gateway.engine_partition import is_prompt_heavy
 from wagtailusher_gateway.exceptions import RefusedError
@@ -23,6 +23,7 @@
     Service,
 )
 from wagtailusher_gateway.placement import Placement
+from wagtailusher_gateway.planned_stop import PlannedStop
 from wagtailusher_gateway.reservation import Reservation
 from wagtailusher_gateway.routes import RouteTable
 from wagtailusher_gateway.view_cache import EMPTY_VIEW
@@ -64,6 +65,7 @@
         self.view: FleetView = EMPTY_VIEW
         self.routes: RouteTable | None = None
         self.in_flight = 0
+        self.planned_stop = PlannedStop(LEAVE_LINGER_MS)
 
     def update(self, view: FleetView, now_ms: int) -> None:
         """Apply a view and start the queued requests that it makes room for."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -66,6 +66,7 @@
         self._routed_request = routed_request
         self._workspace = workspace
         self._record = record
+        self._began_ms = dispatcher.clock_ms()
         self._delivery = Delivery(routed_request.route)
         self._excluded: frozenset[EndpointId] = frozenset()
         self._tried_addresses: set[str] = set()
@@ -78,13 +79,15 @@
 
     async def async_run(self) -> Response:
         """Return the answer, or raise RefusedError; a cancelled run releases what it holds."""
+        planned_stop = self._dispatcher.planned_stop
         try:
-            async with asyncio.timeout(self._left_ms() / MS_PER_S):
-                while True:
-                    response = await self._async_forward() or await self._async_try()
-                    if response is not None:
-                        return response
+            async with asyncio.timeout(self._left_ms() / MS_PER_S) as timeout:
+                with planned_stop.ending(timeout):
+                    return await self._async_answer()
         except TimeoutError:
+            if planned_stop.has_ended:
+                self._give_up()
+                raise planned_stop.error(self._delivery) from None
             if self._attempt is not None:
                 self._attempt.time_out()
                 self._attempt = None
@@ -93,6 +96,13 @@
             self._give_up()
             raise
 
+    async def _async_answer(self) -> Response:
+        """Make attempts until one brings the answer."""
+        while True:
+            response = await self._async_forward() or await self._async_try()
+            if response is not None:
+                return response
+
     def _left_ms(self) -> int:
         return max(1, self._routed_request.ends_ms - self._dispatcher.clock_ms())
 
@@ -143,6 +153,7 @@
             self._record_attempt_end(attempt, "endpoint error, repeated")
             return None
         self._delivery.record_answered()
+        self._record_served()
         self._record.record_answer(attempt.status)
         return Response(
             status=attempt.status,
@@ -190,6 +201,12 @@
             return None
         return attempt
 
+    def _record_served(self) -> None:
+        """Record how long the request took, for requests that come while this VM stops."""
+        duration_ms = self._dispatcher.clock_ms() - self._began_ms
+        service, route = self._routed_request.service, self._routed_request.route
+        self._dispatcher.planned_stop.record_served(service.name, route, duration_ms)
+
     def _record_arrival(self) -> None:
         """Count the request once, at the VM that sends it."""
         if not self._is_counted:
@@ -351,6 +368,7 @@
             self._record.record_stream_broken("the request's deadline has passed")
             raise BrokenStreamError("the request's deadline has passed") from None
         current.finish(failed=False)
+        self._record_served()
         self._quarantine.record_complete(self._fingerprints)
         self._attempt = None
         self._record.record_stream_complete(current.longest_gap_ms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_forwarder.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_forwarder.py
@@ -49,7 +49,7 @@
 """Least status of a refusal that is passed on; the others tell that the peer knows another
 configuration."""
 
-_PASSED_OVER_CODES = frozenset({ErrorCode.NO_ENDPOINT, ErrorCode.PEER_BEHIND})
+_PASSED_OVER_CODES = frozenset({ErrorCode.NO_ENDPOINT, ErrorCode.PEER_BEHIND, ErrorCode.DRAINING})
 """Refusals after which another peer is asked."""
 
 
--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -212,13 +212,19 @@
         self, app: GatewayApp, path: str, body: bytes = b"", **fields: str
     ) -> ClientAnswer:
         """Send one request of a caller and return the answer's head."""
+        return await self.async_ask_by(self.client, app, path, body, **fields)
+
+    async def async_ask_by(
+        self, caller: HttpClient, app: GatewayApp, path: str, body: bytes = b"", **fields: str
+    ) -> ClientAnswer:
+        """Send one request on a caller's connections and return the answer's head."""
         self._requests += 1
         headers = {
             "x-attempt-id": f"attempt-{self._requests}",
             "x-deadline-ms": str(DEADLINE_MS),
             "authorization": f"Bearer {KEY}",
         } | {name.replace("_", "-"): value for name, value in fields.items()}
-        return await self.client.async_request(
+        return await caller.async_request(
             app.options.listen,
             "POST" if body else "GET",
             path,
