--- a/tests/wagtailusher_platform/test_forwarded_requests.py
+++ b/tests/wagtailusher_platform/test_forwarded_requests.py
@@ -45,6 +45,7 @@
 
     left_bytes = 0
     cuts_requests = False
+    resets = False
 
     async def _async_relay(
         self,
@@ -62,6 +63,8 @@
             if self._cuts(is_request):
                 self.left_bytes -= len(chunk)
                 if self.left_bytes <= 0:
+                    if self.resets:
+                        self.reset_all()
                     return
 
     def _cuts(self, is_request: bool) -> bool:
@@ -182,6 +185,21 @@
         await link.async_stop()
         self.assertGreaterEqual(statuses, {(502, 0), (502, 1)})
 
+    async def test_head_that_breaks_off_on_the_link_is_no_answer(self) -> None:
+        await self.async_start()
+        link = CuttingLink(target=lambda: self.taker.options.peer_listen)
+        await link.async_start()
+        self._lead_to(link.address)
+        for number in range(2 * BREAKS):
+            link.resets = bool(number % 2)
+            link.left_bytes = 1 + number * MAX_LINK_BYTES // (2 * BREAKS)
+            reply = await self.async_ask(self.cut_off, "/book/1", b"body")
+            body = await reply.async_read(1_000)
+            self.assertIn(reply.status, (200, 502))
+            if reply.status == HTTPStatus.OK:
+                self.assertEqual(body, b"done")
+        await link.async_stop()
+
     async def test_broken_stream_does_not_look_complete(self) -> None:
         await self.async_start(engine=stream(EVENTS, gap_s=0.02))
         link = CuttingLink(target=lambda: self.taker.options.peer_listen)
