Let a peer without a view confirm nothing at a VM that starts

Cause: the heartbeat of a VM that has no view either states revision 0, which is the revision of the empty view, so it counted as a confirmation of it; the VM that starts went on as if it had a peer's view, although another peer with one had not answered yet. Now a view of revision 0 is confirmed by nobody, and a VM that starts goes by the revision.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/start_sync.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/start_sync.py
@@ -40,7 +40,7 @@
     async def async_run(self) -> None:
         """Return once a peer's view was merged, or no peer has one or answers in time."""
         started_ms = self._clock_ms()
-        while not self._view_cache.view.confirmed_ms:
+        while not self._view_cache.view.revision:
             now_ms = self._clock_ms()
             member = best_informed(self._fleet.live_peers(now_ms), self._asked_ids)
             if member is not None:
@@ -51,7 +51,7 @@
                 await asyncio.sleep(TICK_MS / MS_PER_S)
         view = self._view_cache.view
         _LOGGER.info(
-            "View: starting with that of a peer" if view.confirmed_ms else "View: starting alone",
+            "View: starting with that of a peer" if view.revision else "View: starting alone",
             extra={
                 "event": "start_view",
                 "asked": sorted(self._asked_ids),
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -145,7 +145,8 @@
 
     def confirm_by_peer(self, revision: Revision, confirmed_ms: int, now_ms: int) -> None:
         """Record that a peer confirmed the same revision as current."""
-        if revision == self.view.store_revision and confirmed_ms > self.view.confirmed_ms:
+        is_same = bool(revision.number) and revision == self.view.store_revision
+        if is_same and confirmed_ms > self.view.confirmed_ms:
             self._apply(replace(self.view, confirmed_ms=confirmed_ms), now_ms)
 
     def set_configuration(self, configuration: Configuration, source: str, now_ms: int) -> None:
@@ -278,7 +279,7 @@
         """
         if view.configuration is not None:
             self.set_configuration(view.configuration, source, now_ms)
-        if self.view.confirmed_ms and (
+        if self.view.revision and (
             view.confirmed_ms <= self.view.confirmed_ms
             or view.store_revision < self.view.store_revision
         ):
--- a/tests/wagtailusher_gateway/test_view_cache.py
+++ b/tests/wagtailusher_gateway/test_view_cache.py
@@ -39,6 +39,12 @@
         confirmations = [(current.confirmed_ms, changed) for current, changed in self.updates[-2:]]
         self.assertEqual(confirmations, [(3_000, False), (4_000, False)])
 
+    def test_peer_without_a_view_confirms_nothing(self) -> None:
+        """Both VMs start, so both are at revision 0."""
+        started = ViewCache(lambda current, changed, now_ms: None)
+        started.confirm_by_peer(at(0), 4_000, 4_100)
+        self.assertEqual(started.view.confirmed_ms, 0)
+
     def test_configuration_never_goes_back(self) -> None:
         """An older version is ignored, from the store and from peers."""
         self.view_cache.set_configuration(configuration(7), "store", 1_000)
