Answer the daemon's requests that outlast the grace of a planned stop

The daemon refuses new requests as soon as it leaves, so late requests were not the fault here; what was in progress when its listener closed was.

The server now takes the answer to give to requests in progress whose response has not begun: 502, outcome unknown. Responses that have begun are cut as before and don't look complete.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -45,7 +45,7 @@
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.periodic import PeriodicTasks
 from wagtailusher_daemon.request_log import RequestLog
-from wagtailusher_daemon.responses import coded_response
+from wagtailusher_daemon.responses import coded_response, stopping_response
 from wagtailusher_daemon.telemetry import TelemetryFactory
 from wagtailusher_daemon.tls import peer_context, server_context
 from wagtailusher_daemon.tracing import Tracing
@@ -237,7 +237,7 @@
             all_completed = await self.caller_server.async_drain(
                 max(0, deadline_ms - monotonic_ms())
             )
-            await self.caller_server.async_close()
+            await self.caller_server.async_close(interrupted=stopping_response())
         all_completed = (
             await self._async_wait_for_once_tasks(max(0, deadline_ms - monotonic_ms()))
             and all_completed
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/responses.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/responses.py
@@ -100,3 +100,13 @@
     """Return the response that replays a stored answer."""
     headers = Headers(answer.headers).with_header("x-request-id", request_id)
     return Response(status=answer.status, headers=headers, body=answer.body)
+
+
+def stopping_response() -> Response:
+    """Return the answer to a request that is in progress when this VM stops."""
+    return error_response(
+        HTTPStatus.BAD_GATEWAY,
+        ErrorCode.DRAINING,
+        "this VM stopped before the request ended",
+        outcome=Outcome.UNKNOWN,
+    )
--- a/packages/wagtailusher_http/src/wagtailusher_http/server.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server.py
@@ -105,11 +105,15 @@
         )
         return not pending
 
-    async def async_close(self) -> None:
-        """Stop accepting and cancel the tasks of all connections."""
+    async def async_close(self, interrupted: Response | None = None) -> None:
+        """Stop accepting and cancel the tasks of all connections.
+
+        Requests without an answer get `interrupted`, if it is given.
+        """
         self.stop_accepting()
         tasks = tuple(self._connections.values())
-        for task in tasks:
+        for connection, task in tuple(self._connections.items()):
+            connection.interruption = interrupted
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -42,6 +42,8 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
         self._closing = False
         self._busy = False
+        self.interruption: Response | None = None
+        """Answer to the request in progress when the connection's task is cancelled."""
         peername = socket.transport.get_extra_info("peername")
         self.peer = f"{peername[0]}:{peername[1]}" if peername else "unknown"
 
@@ -175,6 +177,10 @@
         """Send the handler's response, or an error response when the handler raises."""
         try:
             response = await self._handler(request)
+        except asyncio.CancelledError:
+            if self.interruption is None or self._socket.is_ended:
+                raise
+            response = self.interruption
         except WagtailusherError as err:
             response = error_response(HTTPStatus.INTERNAL_SERVER_ERROR, err.code, err.message)
         except Exception:
