--- a/tests/wagtailusher_platform/test_late_changes.py
+++ b/tests/wagtailusher_platform/test_late_changes.py
@@ -92,6 +92,75 @@
         self._change()
         await self._async_check_known(time.monotonic())
 
+    async def test_version_behind_an_unreadable_one(self) -> None:
+        for unreadable in (b"\xff\xfe", b"[]", b'{"version": 3}', b""):
+            with self.subTest(unreadable=unreadable):
+                self._change()
+                self.store.put("op/config", unreadable)
+                await self._async_check_known(time.monotonic())
+                self._change()
+                self.store.put("op/config", unreadable)
+                await asyncio.sleep(0.1)
+                self._change()
+                await self._async_check_known(time.monotonic())
+
+    async def test_versions_in_quick_succession_while_readers_stop_and_start(self) -> None:
+        """A new VM starts in the place of each reader that is killed."""
+        for number in range(VM_COUNT + 1, VM_COUNT + 1 + TRIES):
+            for _ in range(8):
+                self._change()
+                await asyncio.sleep(0.03)
+            await self.async_kill(self._reader())
+            for _ in range(8):
+                self._change()
+                await asyncio.sleep(0.03)
+            changed_s = time.monotonic()
+            await self.async_gateway(number)
+            await self._async_check_known(changed_s)
+
+    async def test_change_of_which_only_a_later_event_is_heard(self) -> None:
+        """The store names the last change of a key only."""
+        for _ in range(TRIES):
+            self.store.hushes_watches = True
+            self._change()
+            self._change()
+            self._change()
+            latest = {change["key"]: change for change in self.store.changes}
+            self.store.changes = sorted(latest.values(), key=lambda item: item["revision"])
+            self.store.hushes_watches = False
+            self.store._changed.set()
+            await self._async_check_known(time.monotonic())
+
+    async def test_change_at_vms_that_the_store_refuses_with_their_peers(self) -> None:
+        """Only one VM is served, and it is not always the reader."""
+        for app in self.apps:
+            for other in self.apps:
+                if other is not app:
+                    self.proxies[other].refuse()
+            self._change()
+            await self._async_check_known(time.monotonic())
+            for other in self.apps:
+                if other is not app:
+                    await self.proxies[other].async_accept_again()
+            await asyncio.sleep(0.5)
+
+    async def test_route_that_is_removed_and_added_again_leads_to_its_new_service(self) -> None:
+        moved = await self.async_runner("moved", "m-1")
+        document = configuration(2)
+        route = document["routes"].pop(1)
+        self.store.put("op/config", document)
+        again = configuration(3)
+        again["routes"][1] = route | {"service": "moved"}
+        again["services"].append({"name": "moved", "max_connections": 10})
+        self.store.put("op/config", again)
+        await asyncio.sleep(APPLY_S)
+        before = len(self.runner.received)
+        for app in self.apps:
+            reply = await self.async_ask(app, "/look/1")
+            self.assertEqual(reply.status, 200)
+            await reply.async_read()
+        self.assertEqual((len(self.runner.received), len(moved.received)), (before, VM_COUNT))
+
 
 if __name__ == "__main__":
     unittest.main()
