Count the wait for a peer's state as part of a handed-on request's time

Seen on reading again: a request that waited up to 300 ms until this VM knew what the peer knew kept the time left of before the wait, so the endpoint was told a deadline that much later than the caller's. The terms now come back from the wait with what is left (test_catch_up).

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/catch_up.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/catch_up.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from http import HTTPStatus
 
 from wagtailusher_core import ErrorCode, Revision
@@ -27,19 +28,21 @@
         self._require_read = require_read
         self._clock_ms = clock_ms
 
-    async def async_wait(self, terms: ForwardTerms) -> None:
-        """Return once the configuration and the view are as new as the peer's.
+    async def async_wait(self, terms: ForwardTerms) -> ForwardTerms:
+        """Return the terms once the configuration and the view are as new as the peer's.
 
-        Raises RefusedError if they are not in `CATCH_UP_MS`, or half of the request's time.
+        Their time left is that after the wait. Raises RefusedError if the wait takes `CATCH_UP_MS`,
+        or half of that time.
         """
         if self._is_as_new(terms):
-            return
+            return terms
         self._require_read(terms.store_revision)
-        ends_ms = self._clock_ms() + min(CATCH_UP_MS, terms.left_ms // 2)
-        while self._clock_ms() < ends_ms:
-            await asyncio.sleep(CATCH_UP_STEP_MS / MS_PER_S)
+        began_ms = self._clock_ms()
+        ends_ms = began_ms + min(CATCH_UP_MS, terms.left_ms // 2)
+        while (now_ms := self._clock_ms()) < ends_ms:
             if self._is_as_new(terms):
-                return
+                return replace(terms, left_ms=max(1, terms.left_ms - (now_ms - began_ms)))
+            await asyncio.sleep(CATCH_UP_STEP_MS / MS_PER_S)
         raise RefusedError(
             "this VM has an older configuration than the one that handed the request on",
             code=ErrorCode.PEER_BEHIND,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/peer_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/peer_api.py
@@ -65,7 +65,7 @@
         own_request = replace(request, headers=request.headers.without(frozenset({HEADER_FORWARD})))
         self._in_progress += 1
         try:
-            await self._catch_up.async_wait(terms)
+            terms = await self._catch_up.async_wait(terms)
             response, outcome = await self._caller_api.async_serve(own_request, terms)
         except RefusedError as refusal:
             response, outcome = self._caller_api.refusal_response(refusal), refusal.outcome
--- a/tests/wagtailusher_gateway/test_catch_up.py
+++ b/tests/wagtailusher_gateway/test_catch_up.py
@@ -56,9 +56,10 @@
         """Return the code of the refusal, None if the request is taken."""
         self.required: list[Revision] = []
         try:
-            await CatchUp(cache, self.required.append, monotonic_ms).async_wait(terms)
+            waited = await CatchUp(cache, self.required.append, monotonic_ms).async_wait(terms)
         except RefusedError as refusal:
             return refusal.code
+        self.left_ms = waited.left_ms
         return None
 
     async def test_vm_that_knows_as_much_decides(self) -> None:
@@ -88,6 +89,7 @@
         loop.call_later(0.05, lambda: cache.set_configuration(configuration(3), "store", 2))
         loop.call_later(0.1, lambda: cache.confirm_revision(at(7, 1), 2))
         self.assertIsNone(await self._async_wait(cache))
+        self.assertLessEqual(self.left_ms, TERMS.left_ms - 90)
 
     async def test_request_of_a_build_that_states_no_versions_is_taken(self) -> None:
         signer = RequestSigner((b"s" * 16,))
