Let VMs with an older configuration ask different peers for the newest one

Seen on reading again: all VMs that are behind for 600 ms, as many may be in a large fleet whose store is slow, took the first peer they had heard of with the newest version, a seed for most of them, and would have fetched its view of some tens of KB at once. They now choose by a hash of their own name (test_peers). A peer's newer record of a removal goes before this VM's own older one.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Set
 from dataclasses import dataclass
 
-from wagtailusher_core import Revision, VmId
+from wagtailusher_core import Revision, VmId, first_by_rendezvous
 from wagtailusher_gateway.models import Member
 from wagtailusher_wire import NO_REVISION
 
@@ -40,10 +40,16 @@
     return member, peer.view_revision, peer.view_confirmed_ms
 
 
-def newest_configuration(peers: Peers) -> Member | None:
-    """Return the peer with the newest configuration, None if there are no peers."""
-    members = (member for _, member in peers)
-    return max(members, key=lambda member: member.configuration_version, default=None)
+def newest_configuration(peers: Peers, own_id: VmId) -> Member | None:
+    """Return a peer with the newest configuration, None if there are no peers.
+
+    Different VMs choose different ones, as many may be behind at the same time.
+    """
+    members = [member for _, member in peers]
+    newest = max((member.configuration_version for member in members), default=0)
+    by_id = {item.vm_id: item for item in members if item.configuration_version == newest}
+    chosen = first_by_rendezvous(own_id, list(by_id))
+    return by_id[VmId(chosen)] if chosen is not None else None
 
 
 def best_informed(peers: Peers, excluded: Set[VmId]) -> Member | None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -293,7 +293,7 @@
                 configuration=self.view.configuration,
                 endpoints=endpoints,
                 first_list=max(view.first_list, self.view.first_list),
-                removals={**view.removals, **self.view.removals},
+                removals={**self.view.removals, **view.removals},
             ),
             now_ms,
         )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_exchange.py
@@ -84,7 +84,8 @@
 
     def _find_newer_configuration(self, now_ms: int) -> Member | None:
         """Return the peer with the newest configuration, if this VM has been behind it too long."""
-        newest = newest_configuration(self._fleet.live_peers(now_ms))
+        own_id = self._fleet.own_member.vm_id
+        newest = newest_configuration(self._fleet.live_peers(now_ms), own_id)
         own_version = self._view_cache.configuration_version
         if newest is None or newest.configuration_version <= own_version:
             self._behind_since_ms = None
--- a/tests/wagtailusher_gateway/test_peers.py
+++ b/tests/wagtailusher_gateway/test_peers.py
@@ -9,7 +9,7 @@
 import unittest
 
 from tests.wagtailusher_gateway.builders import VM_IDS, at, member
-from wagtailusher_core import Revision
+from wagtailusher_core import Revision, VmId
 from wagtailusher_gateway.models import Member
 from wagtailusher_gateway.peers import Peer, best_informed, newest_configuration
 
@@ -55,7 +55,16 @@
         self.assertEqual(self._best(peer(1, revision=at(0))), "")
 
     def test_newest_configuration_of_no_peers_is_none(self) -> None:
-        self.assertIsNone(newest_configuration(()))
+        self.assertIsNone(newest_configuration((), VM_IDS[0]))
+
+    def test_vms_that_are_behind_ask_different_peers(self) -> None:
+        peers = [peer(number, version=2 if number else 1) for number in range(9)]
+        asked = set()
+        for number in range(100):
+            chosen = newest_configuration(peers, VmId(f"behind-{number}"))
+            assert chosen is not None
+            asked.add(chosen.vm_id)
+        self.assertEqual(asked, set(VM_IDS[1:]))
 
 
 if __name__ == "__main__":
