--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -145,9 +145,7 @@
         service = table.configuration.services.get(name)
         if service is None:
             raise _not_ready("the route's service is not configured")
-        planned_stop = self._dispatcher.planned_stop
-        if not planned_stop.may_take(name, route, ends_ms - now_ms, now_ms):
-            raise planned_stop.error(Delivery(route))
+        self._check_stop(name, route, ends_ms - now_ms, now_ms)
         if forwarded is not None:
             self._check_reached(service)
         routed_request = RoutedRequest(
@@ -160,6 +158,12 @@
         )
         return self._new_exchange(request, routed_request, workspace, record, forwarded)
 
+    def _check_stop(self, service: str, route: Route, left_ms: int, now_ms: int) -> None:
+        """Refuse a request that would not end before this VM stops."""
+        planned_stop = self._dispatcher.planned_stop
+        if not planned_stop.may_take(service, route, left_ms, now_ms):
+            raise planned_stop.error(Delivery(route))
+
     def _check_reached(self, service: Service) -> None:
         """Refuse a request that a peer handed on if this VM reaches no endpoint either."""
         registry = self._dispatcher.placement.registry
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/catch_up.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/catch_up.py
@@ -44,7 +44,7 @@
                 return replace(terms, left_ms=max(1, terms.left_ms - (now_ms - began_ms)))
             await asyncio.sleep(CATCH_UP_STEP_MS / MS_PER_S)
         raise RefusedError(
-            "this VM has an older configuration than the one that handed the request on",
+            "this VM knows an older state than the one that handed the request on",
             code=ErrorCode.PEER_BEHIND,
             status=HTTPStatus.SERVICE_UNAVAILABLE,
             retry_after_ms=RETRY_AFTER_MIN_MS,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_forwarder.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_forwarder.py
@@ -136,17 +136,7 @@
 
         Raises RefusedError if a peer refused it, or if the connection to the peer broke.
         """
-        terms = ForwardTerms(
-            vm_id=self._vm_id,
-            sent_wall_ms=self._wall_ms(),
-            left_ms=left_ms,
-            workspace_id=workspace.workspace_id if workspace is not None else None,
-            fingerprint=fingerprint,
-            configuration_version=self._view_cache.configuration_version,
-            view_epoch=self._view_cache.view.epoch,
-            view_revision=self._view_cache.view.revision,
-        )
-        token = sign_terms(self.signer, terms, request)
+        token = sign_terms(self.signer, self._new_terms(workspace, fingerprint, left_ms), request)
         for member in list(self._takers(routed_request.service.name))[:MAX_FORWARD_PEERS]:
             try:
                 answer = await self._async_send(
@@ -168,6 +158,22 @@
                 raise refusal
         return None
 
+    def _new_terms(
+        self, workspace: Workspace | None, fingerprint: str, left_ms: int
+    ) -> ForwardTerms:
+        """Return the terms of a request that is handed on now."""
+        view = self._view_cache.view
+        return ForwardTerms(
+            vm_id=self._vm_id,
+            sent_wall_ms=self._wall_ms(),
+            left_ms=left_ms,
+            workspace_id=workspace.workspace_id if workspace is not None else None,
+            fingerprint=fingerprint,
+            configuration_version=self._view_cache.configuration_version,
+            view_epoch=view.epoch,
+            view_revision=view.revision,
+        )
+
     async def async_read(
         self, forwarded: ForwardedAnswer, delivery: Delivery, left_ms: int
     ) -> bytes:
