Greet the seeds every 200 ms until a peer is heard

Cause: the first heartbeat to a seed that is not up yet is lost, and the next one came five intervals, a second, later; so the wait of a VM that starts did not cover a lost heartbeat, as its comment says. While no peer was heard, seeds now get one every interval. The test in test_fleet failed before (0 of 3 heard).

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -211,7 +211,10 @@
                 for peer in self._choose_relays(now_ms)
             )
         if self._seeds_due_ms <= now_ms:
-            self._seeds_due_ms = now_ms + remote_ms * GOSSIP_EVERY_HEARTBEATS
+            is_alone = all(peer.member is None for peer in self._peers.values())
+            self._seeds_due_ms = now_ms + (
+                HEARTBEAT_INTERVAL_MS if is_alone else remote_ms * GOSSIP_EVERY_HEARTBEATS
+            )
             due.extend(self._due_to_seeds())
         return due
 
--- a/tests/wagtailusher_gateway/test_fleet.py
+++ b/tests/wagtailusher_gateway/test_fleet.py
@@ -11,7 +11,7 @@
 
 from tests.wagtailusher_gateway.builders import beat_of, member
 from wagtailusher_core import FailureDomainId, VmId
-from wagtailusher_gateway.const import PEER_RETENTION_MS
+from wagtailusher_gateway.const import PEER_RETENTION_MS, START_WAIT_MS
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_wire import Beat
 
@@ -167,5 +167,20 @@
         self.assertEqual(len(decider.serving_members(fleet.now_ms)), 2)
 
 
+class StartTest(unittest.TestCase):
+    """VMs that start before their seeds hear of them soon."""
+
+    def test_seeds_that_were_not_up_at_first_are_heard_while_a_vm_waits_for_them(self) -> None:
+        fleet = Fleet(6, seed=1)
+        seeds = {member(number).peer_address for number in range(3)}
+        fleet.down = seeds
+        fleet.run(2 * STEP_MS)
+        fleet.down = set()
+        fleet.run(START_WAIT_MS - 2 * STEP_MS)
+        for address, decider in fleet.deciders.items():
+            if address not in seeds:
+                self.assertGreaterEqual(len(decider.live_members(fleet.now_ms)), len(seeds))
+
+
 if __name__ == "__main__":
     unittest.main()
