Ask no VM for its view that started together with this one, and few at most

VMs that all start at once know no more than the store, but each that had read it first would have been asked by all others for a view of some tens of KB, the same one by most of them, and one after the other for a second each where they don't answer. VMs that started within a second of each other don't ask; others choose by a hash of their name among the longer running half, and ask two at most. Tests in test_peers and test_start_sync. The VM of test_starting_vms starts a second later than its peers, for that reason; its checks are unchanged.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
@@ -9,6 +9,9 @@
 from wagtailusher_gateway.models import Member
 from wagtailusher_wire import NO_REVISION
 
+STARTED_TOGETHER_MS = 1_000
+"""VMs that start within this time start together; all that are restarted at once do."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Peer:
@@ -52,21 +55,26 @@
     return by_id[VmId(chosen)] if chosen is not None else None
 
 
-def best_informed(peers: Peers, excluded: Set[VmId]) -> Member | None:
-    """Return the peer with a view that knows the most, None if there is none.
+def best_informed(peers: Peers, own_member: Member, excluded: Set[VmId]) -> Member | None:
+    """Return a peer with a view that knows the most, None if there is none.
 
-    Of those with the newest configuration and epoch it is the one that has run the longest.
+    Those that started together with this VM know no more than the store. Of those with the newest
+    configuration and epoch it is one of the half that has run the longest; different VMs choose
+    different ones, as many may start at the same time.
     """
-    informed = (
-        item for item in peers if item[0].view_revision.number and item[1].vm_id not in excluded
-    )
-    best = max(
-        informed,
-        key=lambda item: (
-            item[1].configuration_version,
-            item[0].view_revision.epoch,
-            -item[1].incarnation,
-        ),
-        default=None,
-    )
-    return best[1] if best is not None else None
+    informed = [
+        (member.configuration_version, peer.view_revision.epoch, member)
+        for peer, member in peers
+        if peer.view_revision.number
+        and member.vm_id not in excluded
+        and member.incarnation + STARTED_TOGETHER_MS <= own_member.incarnation
+    ]
+    best = max((item[:2] for item in informed), default=None)
+    members = sorted((item[2] for item in informed if item[:2] == best), key=_started_ms)
+    longest = {member.vm_id: member for member in members[: (len(members) + 1) // 2]}
+    chosen = first_by_rendezvous(own_member.vm_id, list(longest))
+    return longest[VmId(chosen)] if chosen is not None else None
+
+
+def _started_ms(member: Member) -> int:
+    return member.incarnation
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/start_sync.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/start_sync.py
@@ -16,11 +16,14 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+MAX_ASKED_PEERS = 2
+"""Most peers that are asked for their view; each may take `START_FETCH_MS`."""
+
 
 class StartSync:
     """Fetches the view of one peer; the store may have come back from an older copy.
 
-    Where all VMs start together, none has a view yet, and they don't wait for each other.
+    VMs that all start together know nothing that the store does not, so none asks another.
     """
 
     def __init__(
@@ -42,7 +45,11 @@
         started_ms = self._clock_ms()
         while not self._view_cache.view.revision:
             now_ms = self._clock_ms()
-            member = best_informed(self._fleet.live_peers(now_ms), self._asked_ids)
+            member = best_informed(
+                self._fleet.live_peers(now_ms), self._fleet.own_member, self._asked_ids
+            )
+            if len(self._asked_ids) >= MAX_ASKED_PEERS:
+                break
             if member is not None:
                 await self._async_ask(member)
             elif now_ms - started_ms >= START_WAIT_MS or not self._fleet.awaits_peers():
