--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
@@ -67,7 +67,7 @@
         for peer, member in peers
         if peer.view_revision.number
         and member.vm_id not in excluded
-        and member.incarnation + STARTED_TOGETHER_MS <= own_member.incarnation
+        and not _started_together(member, own_member)
     ]
     best = max((item[:2] for item in informed), default=None)
     members = sorted((item[2] for item in informed if item[:2] == best), key=_started_ms)
@@ -76,5 +76,15 @@
     return longest[VmId(chosen)] if chosen is not None else None
 
 
+def all_started_together(peers: Peers, own_member: Member) -> bool:
+    """Return whether peers were heard, all of which started together with this VM."""
+    together = [_started_together(member, own_member) for _, member in peers]
+    return bool(together) and all(together)
+
+
+def _started_together(member: Member, own_member: Member) -> bool:
+    return member.incarnation + STARTED_TOGETHER_MS > own_member.incarnation
+
+
 def _started_ms(member: Member) -> int:
     return member.incarnation
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/start_sync.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/start_sync.py
@@ -7,10 +7,16 @@
 import logging
 
 from wagtailusher_core import VmId
-from wagtailusher_gateway.const import MS_PER_S, START_FETCH_MS, START_WAIT_MS, TICK_MS
+from wagtailusher_gateway.const import (
+    HEARTBEAT_INTERVAL_MS,
+    MS_PER_S,
+    START_FETCH_MS,
+    START_WAIT_MS,
+    TICK_MS,
+)
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_gateway.models import Member
-from wagtailusher_gateway.peers import best_informed
+from wagtailusher_gateway.peers import all_started_together, best_informed
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_gateway.view_exchange import ViewExchange
 
@@ -52,7 +58,7 @@
                 break
             if member is not None:
                 await self._async_ask(member)
-            elif now_ms - started_ms >= START_WAIT_MS or not self._fleet.awaits_peers():
+            elif self._has_waited(now_ms - started_ms, now_ms):
                 break
             else:
                 await asyncio.sleep(TICK_MS / MS_PER_S)
@@ -69,6 +75,16 @@
             },
         )
 
+    def _has_waited(self, waited_ms: int, now_ms: int) -> bool:
+        """Return whether a peer that runs longer than this VM would have been heard.
+
+        Where all others have just started, too, such a peer sends a heartbeat within an interval.
+        """
+        if waited_ms >= START_WAIT_MS or not self._fleet.awaits_peers():
+            return True
+        peers, own_member = self._fleet.live_peers(now_ms), self._fleet.own_member
+        return waited_ms >= HEARTBEAT_INTERVAL_MS and all_started_together(peers, own_member)
+
     async def _async_ask(self, member: Member) -> None:
         """Fetch a peer's view; one that does not answer in time is not asked again."""
         self._asked_ids.add(member.vm_id)
--- a/tests/wagtailusher_gateway/test_start_sync.py
+++ b/tests/wagtailusher_gateway/test_start_sync.py
@@ -64,11 +64,11 @@
         self.cache = ViewCache(lambda current, changed, now_ms: None)
         self.exchange = FakeExchange(self.fleet, self.cache)
 
-    def _hear(self, number: int, version: int) -> None:
+    def _hear(self, number: int, version: int, incarnation: int = 1) -> None:
         """Receive a heartbeat of a VM with a configuration, or with no view if it is 0."""
         vm_id, sender = VM_IDS[number], member(number)
         beat = beat_of(sender, configuration_version=version, view_revision=5 if version else 0)
-        self.fleet.receive(vm_id, 1, beat, sender.peer_address, monotonic_ms())
+        self.fleet.receive(vm_id, incarnation, beat, sender.peer_address, monotonic_ms())
         if version:
             known = configuration(version)
             self.exchange.views[vm_id] = view(
@@ -99,6 +99,13 @@
         self._hear(2, 0)
         self.assertLess(await self._async_run(), START_WAIT_MS)
 
+    async def test_rest_of_a_fleet_that_starts_together_is_waited_for_one_interval(self) -> None:
+        """One seed starts as well, the other one is not up yet."""
+        self._hear(1, 0, incarnation=2 * STARTED_TOGETHER_MS)
+        waited_ms = await self._async_run()
+        self.assertGreaterEqual(waited_ms, HEARTBEAT_INTERVAL_MS)
+        self.assertLess(waited_ms, START_WAIT_MS)
+
     async def test_peers_that_do_not_answer_are_waited_for_shortly(self) -> None:
         self.assertLess(await self._async_run(), START_WAIT_MS + SLACK_MS)
 
