Keep peer ports of tests apart from the ports of other listeners

The peer port of a test is chosen once and used on all its hosts, so a port that is chosen for another listener of a host, here or in a run beside it, could be the same. Peer ports have a range of their own now.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -28,7 +28,12 @@
 from tests.soak.proxy import FaultProxy
 from tests.standins.platform_store import PlatformStore
 from tests.standins.runner import Behaviour, Received, RunnerStandin, answer, stream
-from tests.wagtailusher_platform.fleet import configuration, entry, free_ports
+from tests.wagtailusher_platform.fleet import (
+    PEER_PORT_RANGE,
+    configuration,
+    entry,
+    free_ports,
+)
 from wagtailusher_daemon.clock import monotonic_ms
 
 _LOGGER = logging.getLogger(__name__)
@@ -87,7 +92,7 @@
         for version in range(1, MAX_VERSION + 1):
             await self._async_start_slot(probe_service(version))
         self.put_configuration(1)
-        peer_port = free_ports("127.0.0.1", 1)[0]
+        peer_port = free_ports("127.0.0.1", 1, PEER_PORT_RANGE)[0]
         for number in range(1, self.entry_count + 1):
             link = FaultProxy(target=lambda: address)
             self.store_links.append(link)
--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -30,6 +30,8 @@
 WAIT_S = 5.0
 STEP_S = 0.01
 PORT_RANGE = range(10_000, 30_000)
+PEER_PORT_RANGE = range(30_000, 32_700)
+"""Peer ports are the same on all hosts of a test, so no other listener may get one of them."""
 _PORTS = Random()
 
 
@@ -95,7 +97,7 @@
     } | changes
 
 
-def free_ports(host: str, count: int) -> list[int]:
+def free_ports(host: str, count: int, among: range = PORT_RANGE) -> list[int]:
     """Return ports that are free for TCP on a host.
 
     They are below those that the kernel gives to sockets without one, such as links and callers,
@@ -103,7 +105,7 @@
     """
     ports: set[int] = set()
     while len(ports) < count:
-        port = _PORTS.choice(PORT_RANGE)
+        port = _PORTS.choice(among)
         with socket.socket() as probe, suppress(OSError):
             probe.bind((host, port))
             ports.add(port)
@@ -120,7 +122,7 @@
         self.apps: list[GatewayApp] = []
         self.runners: list[RunnerStandin] = []
         self.client = HttpClient(ClientLimits())
-        self.peer_port = free_ports("127.0.0.1", 1)[0]
+        self.peer_port = free_ports("127.0.0.1", 1, PEER_PORT_RANGE)[0]
         self._requests = 0
 
     async def asyncTearDown(self) -> None:
