Take no request late in a planned stop that its deadline doesn't end in time

Cause: PlannedStop used a forecast as a promise. It took what others of the kind had usually ended in time (95th percentile and a quarter), and everything until 3.6 s where it knew nothing of the kind.

Fix: once callers can know of the stop (2.8 s, three lifetimes of an address answer less a margin for the signal), a request is taken only if its deadline or timeout ends it in time; checked again when it gets its place, unless it was sent before. The forecast still holds before that.

Tests changed: the unit test that wanted a request taken at 6.25 s as others took a second asked for the fault; it now asks for the same limit to the ms while callers know nothing, and a new one for the deadline after that. Two others that used the forecast after 3.6 s now use it before.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -15,7 +15,6 @@
     UNKNOWN_VERSION_RETRY_MS,
 )
 from wagtailusher_gateway.crash_watch import CrashWatch
-from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest
 from wagtailusher_gateway.exceptions import RefusedError
 from wagtailusher_gateway.exchange import Exchange
@@ -145,9 +144,6 @@
         service = table.configuration.services.get(name)
         if service is None:
             raise _not_ready("the route's service is not configured")
-        self._check_stop(name, route, ends_ms - now_ms, now_ms)
-        if forwarded is not None:
-            self._check_reached(service)
         routed_request = RoutedRequest(
             terms=terms,
             route=route,
@@ -156,14 +152,11 @@
             ends_ms=ends_ms,
             software_version=known.software_version if known is not None else None,
         )
+        self._dispatcher.check_stop(routed_request)
+        if forwarded is not None:
+            self._check_reached(service)
         return self._new_exchange(request, routed_request, workspace, record, forwarded)
 
-    def _check_stop(self, service: str, route: Route, left_ms: int, now_ms: int) -> None:
-        """Refuse a request that would not end before this VM stops."""
-        planned_stop = self._dispatcher.planned_stop
-        if not planned_stop.may_take(service, route, left_ms, now_ms):
-            raise planned_stop.error(Delivery(route))
-
     def _check_reached(self, service: Service) -> None:
         """Refuse a request that a peer handed on if this VM reaches no endpoint either."""
         registry = self._dispatcher.placement.registry
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -285,6 +285,10 @@
 """How long a leaving VM keeps serving callers that cached its address; three lifetimes and a
 reserve."""
 
+LEAVE_AWARE_MS: Final = 2_800
+"""Time after which callers can know that a VM leaves: three lifetimes of an address answer, less
+the delay with which a busy process handles the signal."""
+
 LEAVE_RESERVE_MS: Final = 500
 """Part of the shutdown grace reserved for closing connections and exiting."""
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -10,7 +10,8 @@
 from wagtailusher_core import EndpointId, ErrorCode, VmId
 from wagtailusher_gateway.admission import Admission, QueuedRequest, queue_wait_ms
 from wagtailusher_gateway.budget import RetryBudget
-from wagtailusher_gateway.const import LEAVE_LINGER_MS, RETRY_AFTER_MAX_MS
+from wagtailusher_gateway.const import LEAVE_AWARE_MS, RETRY_AFTER_MAX_MS
+from wagtailusher_gateway.delivery import Delivery
 from wagtailusher_gateway.endpoint_registry import may_get_requests
 from wagtailusher_gateway.engine_partition import is_prompt_heavy
 from wagtailusher_gateway.exceptions import RefusedError
@@ -65,7 +66,7 @@
         self.view: FleetView = EMPTY_VIEW
         self.routes: RouteTable | None = None
         self.in_flight = 0
-        self.planned_stop = PlannedStop(LEAVE_LINGER_MS)
+        self.planned_stop = PlannedStop(LEAVE_AWARE_MS)
 
     def update(self, view: FleetView, now_ms: int) -> None:
         """Apply a view and start the queued requests that it makes room for."""
@@ -99,6 +100,19 @@
         """Return whether only other VMs may send requests for a service."""
         return self.placement.holds_no_place(service, self.vm_ids(), self.clock_ms())
 
+    def check_stop(self, request: RoutedRequest, reservation: Reservation | None = None) -> None:
+        """Raise RefusedError if this VM stops too early for a request that was not sent yet.
+
+        Its reservation, if it has one, is released.
+        """
+        now_ms = self.clock_ms()
+        left_ms = request.ends_ms - now_ms
+        if self.planned_stop.may_take(request.service.name, request.route, left_ms, now_ms):
+            return
+        if reservation is not None:
+            self.release(reservation, is_prefill_done=False)
+        raise self.planned_stop.error(Delivery(request.route))
+
     def record_arrival(self, request: RoutedRequest) -> None:
         """Add a request to the estimates of demand and to the budget for retries."""
         now_ms = self.clock_ms()
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -169,6 +169,8 @@
         await self._async_check_quarantine()
         self._record_arrival()
         reservation = await self._async_reserve()
+        if not self._delivery.sends:
+            self._dispatcher.check_stop(self._routed_request, reservation)
         self._record.record_reservation(reservation, self._dispatcher.clock_ms())
         self._attempt = attempt = self._new_attempt(reservation)
         forward_context = ForwardContext(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/planned_stop.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/planned_stop.py
@@ -36,8 +36,9 @@
 class PlannedStop:
     """Keeps a VM that leaves from taking requests which it can't end in time.
 
-    Callers may not know yet that it leaves, so a request is refused only if it usually takes longer
-    than what is left of the grace; "has not run" sends its caller to another VM at once.
+    While callers may not know that it leaves, a request is refused only if it usually takes longer
+    than what is left of the grace. From then on one is taken only if its own deadline ends it in
+    time, as an estimate may be wrong; "has not run" sends its caller to another VM at once.
     """
 
     def __init__(self, aware_after_ms: int) -> None:
@@ -67,20 +68,19 @@
         """Return whether to take a request with `left_ms` until its end."""
         if self._ends_ms is None:
             return True
-        usual_ms = self._usual_ms(service, route)
-        if usual_ms is None and now_ms < self._began_ms + self._aware_after_ms:
-            usual_ms = 0
-        needed_ms = left_ms if usual_ms is None else min(left_ms, usual_ms)
+        needed_ms = left_ms
+        if now_ms < self._began_ms + self._aware_after_ms:
+            needed_ms = min(left_ms, self._usual_ms(service, route))
         return not self.has_ended and now_ms + needed_ms <= self._ends_ms
 
-    def _usual_ms(self, service: str, route: Route) -> int | None:
-        """Return the time that such requests take, None if it is not known."""
+    def _usual_ms(self, service: str, route: Route) -> int:
+        """Return the time that such requests take, 0 if it is not known."""
         for key in _keys(service, route):
             durations_ms = sorted(self._durations_ms.get(key, ()))
             if len(durations_ms) >= MIN_DURATIONS:
                 usual_ms = durations_ms[math.ceil(USUAL_SHARE * len(durations_ms)) - 1]
                 return math.ceil(usual_ms * TIME_MARGIN)
-        return None
+        return 0
 
     @contextmanager
     def ending(self, timeout: asyncio.Timeout) -> Iterator[None]:
--- a/tests/wagtailusher_gateway/test_planned_stop.py
+++ b/tests/wagtailusher_gateway/test_planned_stop.py
@@ -12,7 +12,7 @@
 from wagtailusher_gateway.models import Repeat
 from wagtailusher_gateway.planned_stop import KEPT_DURATIONS, MAX_KINDS, MIN_DURATIONS, PlannedStop
 
-AWARE_AFTER_MS = 3_600
+AWARE_AFTER_MS = 2_800
 BOOK = route()
 ENDS_MS = 7_500
 
@@ -33,11 +33,19 @@
     def test_vm_that_does_not_stop_takes_everything(self) -> None:
         self.assertTrue(self._may_take(10_000_000, 30_000))
 
-    def test_request_is_taken_while_its_usual_time_fits(self) -> None:
-        self._serve(*[1_000] * MIN_DURATIONS)
+    def test_request_is_taken_while_its_usual_time_fits_and_callers_know_nothing(self) -> None:
+        self._serve(*[4_000] * MIN_DURATIONS)
         self.stop.begin(0, ENDS_MS)
-        self.assertTrue(self._may_take(6_250))
-        self.assertFalse(self._may_take(6_251))
+        self.assertTrue(self._may_take(2_500, 30_000))
+        self.assertFalse(self._may_take(2_501, 30_000))
+
+    def test_usual_time_is_no_promise_once_callers_can_know_of_the_stop(self) -> None:
+        self._serve(*[1] * KEPT_DURATIONS)
+        self.stop.begin(0, ENDS_MS)
+        self.assertTrue(self._may_take(AWARE_AFTER_MS - 1, 30_000))
+        self.assertFalse(self._may_take(AWARE_AFTER_MS, 30_000))
+        self.assertTrue(self._may_take(AWARE_AFTER_MS, ENDS_MS - AWARE_AFTER_MS))
+        self.assertFalse(self._may_take(AWARE_AFTER_MS, ENDS_MS - AWARE_AFTER_MS + 1))
 
     def test_request_that_usually_outlasts_the_stop_is_refused_at_once(self) -> None:
         self._serve(*[9_000] * MIN_DURATIONS)
@@ -52,27 +60,27 @@
     def test_one_slow_request_in_many_does_not_count(self) -> None:
         self._serve(9_000, *[1_000] * (KEPT_DURATIONS - 1))
         self.stop.begin(0, ENDS_MS)
-        self.assertTrue(self._may_take(6_000))
+        self.assertTrue(self._may_take(AWARE_AFTER_MS - 1, 30_000))
 
     def test_where_nothing_is_known_callers_are_served_until_they_can_have_left(self) -> None:
         self._serve(*[9_000] * (MIN_DURATIONS - 1))
         self.stop.begin(0, ENDS_MS)
         self.assertTrue(self._may_take(AWARE_AFTER_MS - 1, 30_000))
-        self.assertFalse(self._may_take(AWARE_AFTER_MS, 4_000))
-        self.assertTrue(self._may_take(AWARE_AFTER_MS, 3_900))
+        self.assertFalse(self._may_take(AWARE_AFTER_MS, 4_800))
+        self.assertTrue(self._may_take(AWARE_AFTER_MS, 4_700))
 
     def test_other_kinds_of_requests_tell_nothing(self) -> None:
         for _ in range(MIN_DURATIONS):
-            self.stop.record_served("desk", route(name="look", repeat=Repeat.SAFE), 1)
-            self.stop.record_served("engines", BOOK, 1)
+            self.stop.record_served("desk", route(name="look", repeat=Repeat.SAFE), 9_000)
+            self.stop.record_served("engines", BOOK, 9_000)
         self.stop.begin(0, ENDS_MS)
-        self.assertFalse(self._may_take(AWARE_AFTER_MS, 4_000))
+        self.assertTrue(self._may_take(0, 30_000))
 
     def test_requests_of_alike_routes_tell_how_long_one_of_a_new_route_takes(self) -> None:
         for _ in range(MIN_DURATIONS):
-            self.stop.record_served("desk", route(name="visit"), 1_000)
+            self.stop.record_served("desk", route(name="visit"), 9_000)
         self.stop.begin(0, ENDS_MS)
-        self.assertTrue(self._may_take(6_000))
+        self.assertFalse(self._may_take(0, 30_000))
 
     def test_routes_that_come_and_go_take_no_memory(self) -> None:
         for number in range(3 * MAX_KINDS):
--- a/tests/wagtailusher_platform/test_planned_stop.py
+++ b/tests/wagtailusher_platform/test_planned_stop.py
@@ -27,6 +27,8 @@
 EVENTS = 3
 LAST_EVENT = b"data: token %d\n\n" % EVENTS
 LONG_MS = 12_000
+PLACES = 14
+"""Requests that two endpoints of a service take at once, waiting ones included."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -178,12 +180,62 @@
                 await asyncio.sleep(STEP_S)
         self._check()
 
-    async def _async_outlasting(self, desk: Behaviour, count: int) -> Counter[str]:
-        """Return the outcomes of requests whose time is longer than the grace."""
+    async def _async_late_streams(self, warm_count: int) -> Counter[str]:
+        """Return the outcomes of streams of 6 s sent when all callers can know of the stop.
+
+        The VM has served `warm_count` streams of their kind before, which were much shorter.
+        """
+        self._allow_long_requests()
+        slow = stream(EVENTS, gap_s=2.0)
+        await self._async_start(answer(), stream(EVENTS))
+        app = self.apps.pop()
+        for number in range(warm_count):
+            await self._async_send(app, f"/chat/{number}", time.monotonic())
+        self.sent.clear()
+        for runner in self.runners:
+            runner.behaviours[:] = [slow]
+        async with asyncio.TaskGroup() as group:
+            started_s = time.monotonic()
+            group.create_task(app.async_stop())
+            await asyncio.sleep(UNAWARE_S + 0.2)
+            for path in ("/chat/1", "/review/1") * 2:
+                send = self._async_send(app, path, started_s, x_deadline_ms=str(LONG_MS))
+                group.create_task(send)
+        return Counter(item.outcome for item in self.sent)
+
+    async def test_late_stream_of_a_kind_never_served_is_refused_instead_of_cut(self) -> None:
+        self.assertEqual(await self._async_late_streams(warm_count=0), {"refused": 4})
+
+    async def test_late_stream_is_refused_instead_of_cut_though_others_were_quick(self) -> None:
+        self.assertEqual(await self._async_late_streams(warm_count=10), {"refused": 4})
+
+    async def test_request_that_waited_while_callers_came_to_know_is_not_sent_too_late(self) -> None:
+        """All places are taken until 3.4 s after the stop began."""
+        self._allow_long_requests(target_latency_ms=LONG_MS)
+        await self._async_start(works(3.4), stream(EVENTS))
+        app = self.apps.pop()
+        fields = {"x_deadline_ms": str(LONG_MS)}
+        async with asyncio.TaskGroup() as group:
+            started_s = time.monotonic()
+            for _ in range(PLACES):
+                group.create_task(self._async_send(app, "/book/1", started_s, **fields))
+            await asyncio.sleep(0.1)
+            group.create_task(app.async_stop())
+            await asyncio.sleep(UNAWARE_S - 0.5)
+            group.create_task(self._async_send(app, "/book/2", started_s, **fields))
+        outcomes = Counter((item.path, item.outcome) for item in self.sent)
+        self.assertEqual(outcomes, {("/book/1", "served"): PLACES, ("/book/2", "refused"): 1})
+
+    def _allow_long_requests(self, **changes: Any) -> None:
+        """Let the routes' requests take longer than the grace."""
         document = configuration(2)
         for route in document["routes"]:
-            route["timeout_ms"] = LONG_MS
+            route.update(changes, timeout_ms=LONG_MS)
         self.store.put("op/config", document)
+
+    async def _async_outlasting(self, desk: Behaviour, count: int) -> Counter[str]:
+        """Return the outcomes of requests whose time is longer than the grace."""
+        self._allow_long_requests()
         await self._async_start(desk, stream(EVENTS))
         app = self.apps.pop()
         started_s = time.monotonic()
