Fit messages between VMs into datagrams, and let no step end the others

Cause: heartbeats were bounded by a number of endpoints, not by bytes. PeerLink.send raised, which ended the stop, the rest of each tick and a reservation that was being made. The class: messages made from names without a bound, and one error that takes other steps with it.

Fix: messages are shortened or split by their encoded size; what still exceeds a datagram is counted and logged instead of raised; the steps of ticks and stops are isolated, on the gateway's path and the daemon's.

Tests changed: the stream versions' test let send() raise, which it no longer does; it now sends a version that does not fit and asks, besides what it asked before, that nothing is sent and "dropped" is counted. The relay's test calls the function that took the place of split_to_fit.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -46,6 +46,7 @@
 from wagtailusher_daemon.periodic import PeriodicTasks
 from wagtailusher_daemon.request_log import RequestLog
 from wagtailusher_daemon.responses import coded_response, stopping_response
+from wagtailusher_daemon.steps import isolated, run_steps
 from wagtailusher_daemon.telemetry import TelemetryFactory
 from wagtailusher_daemon.tls import peer_context, server_context
 from wagtailusher_daemon.tracing import Tracing
@@ -225,8 +226,9 @@
         """
         self.is_draining = True
         self.node.decider.start_draining()
-        if self.fleet_sync is not None:
-            self.fleet_sync.announce_leaving()
+        with isolated("announce the stop"):
+            if self.fleet_sync is not None:
+                self.fleet_sync.announce_leaving()
         if grace_ms is None:
             settings = self.view.settings
             grace_ms = settings.fleet.shutdown_grace_ms if settings is not None else 0
@@ -238,31 +240,26 @@
                 max(0, deadline_ms - monotonic_ms())
             )
             await self.caller_server.async_close(interrupted=stopping_response())
-        all_completed = (
-            await self._async_wait_for_once_tasks(max(0, deadline_ms - monotonic_ms()))
-            and all_completed
-        )
-        await self._tasks.async_stop()
-        self._load_poll.close()
-        self.findings.close()
-        if self.fleet_sync is not None:
-            await self.fleet_sync.async_shutdown()
-        if self.operator_server is not None:
-            await self.operator_server.async_close()
-        self.link.close()
-        self._client.close()
-        self._peer_client.close()
-        self.tracing.close()
+        if self.caller_api is not None:
+            left_ms = max(0, deadline_ms - monotonic_ms())
+            all_completed = await self.caller_api.async_wait_for_once(left_ms) and all_completed
+        await self._async_close()
         _LOGGER.info("Daemon: %s stopped, all requests completed: %s", self.vm_id, all_completed)
         return all_completed
 
-    async def _async_wait_for_once_tasks(self, grace_ms: int) -> bool:
-        """Wait for requests that may not be repeated, also those whose callers disconnected."""
-        tasks = self.caller_api.once_tasks if self.caller_api is not None else set()
-        if not tasks:
-            return True
-        _, pending = await asyncio.wait(tuple(tasks), timeout=grace_ms / MS_PER_S)
-        return not pending
+    async def _async_close(self) -> None:
+        """Stop the background work and close all sockets."""
+        with isolated("stop the periodic tasks"):
+            await self._tasks.async_stop()
+        with isolated("leave the fleet"):
+            if self.fleet_sync is not None:
+                await self.fleet_sync.async_shutdown()
+        with isolated("close the operators' socket"):
+            if self.operator_server is not None:
+                await self.operator_server.async_close()
+        clients = (self._client, self._peer_client)
+        for item in (self._load_poll, self.findings, self.link, *clients, self.tracing):
+            item.close()
 
     def _new_caller_api(self) -> CallerApi:
         ticket_issuer = TicketIssuer(
@@ -391,9 +388,12 @@
 
     def _tick(self) -> None:
         """Run the decider's periodic work and update the gauge of held requests."""
-        self._pause_monitor.tick()
-        self.findings.tick(monotonic_ms())
-        self.node.tick()
+        run_steps(
+            monotonic_ms(),
+            lambda now_ms: self._pause_monitor.tick(),
+            self.findings.tick,
+            lambda now_ms: self.node.tick(),
+        )
         self.metrics.held.set({}, self.node.held_count)
 
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/caller_api.py
@@ -17,6 +17,7 @@
     HEADER_REVISION,
     HEADER_TICKET,
     MAX_REVISION_CHARS,
+    MS_PER_S,
     PATH_ADDRESSES,
     PATH_CHAT,
     PATH_CONFIGURATION,
@@ -217,6 +218,13 @@
             self.node.handle_caller_disconnect(classified.arrival.request_id)
             raise
 
+    async def async_wait_for_once(self, grace_ms: int) -> bool:
+        """Wait for requests that may not be repeated, also those whose callers disconnected."""
+        if not self.once_tasks:
+            return True
+        _, pending = await asyncio.wait(tuple(self.once_tasks), timeout=grace_ms / MS_PER_S)
+        return not pending
+
     def _addresses(self) -> AddressBook:
         """Return the address book, which exists once the server listens."""
         assert self.addresses is not None
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/finding_messages.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/finding_messages.py
@@ -7,7 +7,7 @@
 
 from wagtailusher_daemon.const import FINDINGS_PER_DATAGRAM
 from wagtailusher_daemon.convert import batches
-from wagtailusher_wire import Message
+from wagtailusher_wire import Message, split_to_fit
 
 EntryT = TypeVar("EntryT")
 ReportT = TypeVar("ReportT")
@@ -24,8 +24,8 @@
         addresses = tuple(addresses)
         entries = tuple(new_entry(report) for report in reports)
         for batch in batches(entries, FINDINGS_PER_DATAGRAM):
-            message = new_message(batch)
-            for address in addresses:
-                send(address, message)
+            for message in split_to_fit(new_message, batch):
+                for address in addresses:
+                    send(address, message)
 
     return send_reports
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_sync.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/fleet_sync.py
@@ -24,6 +24,7 @@
 from wagtailusher_daemon.fleet_view import FleetView
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.quarantine_messages import quarantine_message, quarantine_summary
+from wagtailusher_daemon.steps import run_steps
 from wagtailusher_integrations.config_service import ConfigServiceCoordinator
 from wagtailusher_membership import (
     ApplyConfiguration,
@@ -144,11 +145,19 @@
     @callback
     def tick(self) -> None:
         """Run the deciders' periodic work."""
-        now_ms = monotonic_ms()
-        self._execute(self.membership.tick(now_ms))
-        self._execute(self.configuration.tick(now_ms))
+        run_steps(
+            monotonic_ms(),
+            lambda now_ms: self._execute(self.membership.tick(now_ms)),
+            lambda now_ms: self._execute(self.configuration.tick(now_ms)),
+            self._update_isolation,
+            self._tick_summaries,
+        )
+
+    def _update_isolation(self, now_ms: int) -> None:
         self.is_isolated = self._has_lost_contact(now_ms)
         self._node.decider.set_isolated(self.is_isolated)
+
+    def _tick_summaries(self, now_ms: int) -> None:
         if now_ms >= self.summaries.next_due_ms(now_ms):
             self.summaries.set_room(self._node.decider.spare_credits(now_ms))
             self.summaries.set_demand(map(pool_demand, self._node.decider.load_by_pool()))
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/peer_link.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/peer_link.py
@@ -9,6 +9,7 @@
 from wagtailusher_core import ErrorCode, Incarnation, VmId, callback
 from wagtailusher_wire import (
     AuthenticatedMessage,
+    MalformedMessageError,
     Message,
     MessageAuthenticator,
     OldIncarnationError,
@@ -80,12 +81,26 @@
 
     @callback
     def send(self, address: str, message: Message) -> None:
-        """Send a message in one datagram, without retries; nothing is sent on a closed socket."""
+        """Send a message in one datagram, without retries; nothing is sent on a closed socket.
+
+        One that does not fit is lost like any datagram may be; it is counted and logged.
+        """
         if self._transport is None or self._transport.is_closing():
             return
         host, _, port = address.rpartition(":")
-        payload = self._encode(message)
-        datagram = self._authenticator.sign(self._vm_id, self.incarnation, payload)
+        try:
+            payload = self._encode(message)
+            datagram = self._authenticator.sign(self._vm_id, self.incarnation, payload)
+        except MalformedMessageError as err:
+            self._count_error(err.code)
+            kind = type(message).__name__
+            _LOGGER.warning(
+                "Peer: a %s was not sent: %s",
+                kind,
+                err.message,
+                extra={"event": "datagram_unsent", "kind": kind, "peer_address": address},
+            )
+            return
         self.sent_bytes += len(datagram)
         self._transport.sendto(datagram, (host, int(port)))
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -12,6 +12,7 @@
 from wagtailusher_daemon.clock import monotonic_ms, wall_ms
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.periodic import PeriodicTasks
+from wagtailusher_daemon.steps import isolated, run_steps
 from wagtailusher_gateway.address_selection import select_addresses
 from wagtailusher_gateway.caller_api import GatewayCallerApi
 from wagtailusher_gateway.catch_up import CatchUp
@@ -198,7 +199,7 @@
             fleet=self.fleet,
             findings=self.findings,
             generator=self._random,
-            on_long_prompt=lambda now_ms: self.heartbeats.send_early(now_ms),
+            on_long_prompt=lambda now_ms: run_steps(now_ms, self.heartbeats.send_early),
         )
 
     @property
@@ -250,8 +251,9 @@
         return self.metrics.render(request.headers.get("accept") or "text/plain")
 
     async def _async_answer_addresses(self, request: Request) -> Response:
-        self._update_own_state()
-        members = named_members(self.fleet.serving_members(monotonic_ms()))
+        now_ms = monotonic_ms()
+        self._update_own_state(now_ms)
+        members = named_members(self.fleet.serving_members(now_ms))
         lifetime_s = self.options.bounds.address_lifetime_s
         return self._http_mapping.address_answer(
             select_addresses(members, lifetime_s, self._random)
@@ -304,8 +306,7 @@
         ends_ms = began_ms + self.options.grace_ms - LEAVE_RESERVE_MS
         self.is_leaving = True
         self.dispatcher.planned_stop.begin(began_ms, ends_ms)
-        self._update_own_state()
-        self.heartbeats.send_all(monotonic_ms())
+        run_steps(began_ms, self._update_own_state, self.heartbeats.send_all)
         self.servers.disable_keep_alive()
         _LOGGER.info(
             "Gateway: %s is leaving",
@@ -316,19 +317,25 @@
         left = self.dispatcher.in_flight
         self.dispatcher.planned_stop.end()
         await self._async_until_idle(began_ms, ends_ms + LEAVE_ANSWER_MS)
-        self.crash_watch.close()
-        self.findings.close()
-        await self._tasks.async_stop()
-        await self.servers.async_close()
-        self.link.close()
-        self._client.close()
-        self._peer_client.close()
+        await self._async_close()
         _LOGGER.info(
             "Gateway: %s stopped",
             self.options.vm_id,
             extra={"event": "stop", "in_flight": left},
         )
 
+    async def _async_close(self) -> None:
+        """Stop the background work and close all sockets."""
+        with isolated("close the checks of endpoints"):
+            self.crash_watch.close()
+            self.findings.close()
+        with isolated("stop the periodic tasks"):
+            await self._tasks.async_stop()
+        with isolated("close the listening sockets"):
+            await self.servers.async_close()
+        for item in (self.link, self._client, self._peer_client):
+            item.close()
+
     async def _async_until_idle(self, earliest_ms: int, latest_ms: int) -> None:
         """Return once no request is in flight, between two times."""
         while (now_ms := monotonic_ms()) < latest_ms:
@@ -343,9 +350,8 @@
         self.incarnations.receive(message)
         self.heartbeats.receive(message, authenticated, address, now_ms)
         self.view_spread.receive(message, now_ms)
-        self.stream_versions.receive(message, authenticated, address, now_ms)
-        self.quarantine.receive(message, authenticated, address, now_ms)
-        self.findings.receive(message, authenticated, address, now_ms)
+        for exchange in (self.stream_versions, self.quarantine, self.findings):
+            exchange.receive(message, authenticated, address, now_ms)
 
     def _apply_view(self, view: FleetView, changed: bool, now_ms: int) -> None:
         if not changed:
@@ -358,7 +364,7 @@
             self.servers.apply_limits(view.configuration.limits)
             self.metrics.configuration.set({}, view.configuration.version)
 
-    def _update_own_state(self) -> None:
+    def _update_own_state(self, now_ms: int) -> None:
         """Update the state that this VM announces in its heartbeats."""
         registry = self.dispatcher.placement.registry
         self.fleet.set_own_state(
@@ -369,16 +375,17 @@
 
     def _tick(self) -> None:
         """Run the periodic work of all components."""
-        now_ms = monotonic_ms()
-        self.view_cache.tick(now_ms)
-        self._update_own_state()
-        self.heartbeats.tick(now_ms)
-        self.stream_versions.tick(now_ms)
-        self.quarantine.tick(now_ms)
-        self.crash_watch.tick(now_ms)
-        self.findings.tick(now_ms)
-        if self.dispatcher.admission.count:
-            self.dispatcher.admission.process_queues(now_ms)
+        run_steps(
+            monotonic_ms(),
+            self.view_cache.tick,
+            self._update_own_state,
+            self.heartbeats.tick,
+            self.stream_versions.tick,
+            self.quarantine.tick,
+            self.crash_watch.tick,
+            self.findings.tick,
+            self.dispatcher.process_queues,
+        )
         if self._logs is not None:
             self._logs.flush()
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -235,8 +235,12 @@
     def release(self, reservation: Reservation, *, is_prefill_done: bool) -> None:
         """Release a reservation and start queued requests."""
         self.placement.release(reservation, is_prefill_done=is_prefill_done)
+        self.process_queues(self.clock_ms())
+
+    def process_queues(self, now_ms: int) -> None:
+        """Start or refuse queued requests, if there are any."""
         if self.admission.count:
-            self.admission.process_queues(self.clock_ms())
+            self.admission.process_queues(now_ms)
 
 
 def queue_name(request: RoutedRequest) -> str:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -4,20 +4,31 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 import logging
 
 from wagtailusher_core import Incarnation, Revision, VmId
 from wagtailusher_gateway.const import EARLY_HEARTBEAT_INTERVAL_MS
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load
 from wagtailusher_gateway.fleet import DueHeartbeat, FleetDecider
-from wagtailusher_gateway.heartbeat_relay import HeartbeatRelay, original_beat, split_to_fit
+from wagtailusher_gateway.heartbeat_relay import HeartbeatRelay, original_beat, relaying_heartbeats
 from wagtailusher_gateway.view_cache import ViewCache
-from wagtailusher_wire import AuthenticatedMessage, Beat, BeatLoad, Message, RelayedBeat
+from wagtailusher_wire import (
+    MAX_PAYLOAD_BYTES,
+    AuthenticatedMessage,
+    Beat,
+    BeatLoad,
+    BeatPeer,
+    Message,
+    RelayedBeat,
+    fill_to_fit,
+    fits_datagram,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
 MAX_LOADS = 16
-"""Most endpoint loads in one heartbeat; these fit into a datagram together with the peers."""
+"""Most endpoint loads in one heartbeat; with usual names these fit together with the peers."""
 
 LIVE_CHECK_MS = 250
 """Interval of the check for changes of the live members; a part of the shortest silence."""
@@ -104,7 +115,7 @@
         if not relayed:
             return []
         heartbeat = self._new_heartbeat(now_ms, with_peers=False)
-        return list(split_to_fit(lambda part: replace(heartbeat, relayed=part), relayed))
+        return list(relaying_heartbeats(heartbeat, relayed))
 
     def send_early(self, now_ms: int) -> None:
         """Report a long prompt ahead of schedule, so that peers don't choose the same engine."""
@@ -179,6 +190,11 @@
             self._on_new_peer(origin.peer_address, now_ms)
 
     def _new_heartbeat(self, now_ms: int, *, with_peers: bool) -> Beat:
+        """Return a heartbeat that fits into a datagram."""
+        heartbeat = self._full_heartbeat(now_ms, with_peers=with_peers)
+        return heartbeat if fits_datagram(heartbeat) else shorten_heartbeat(heartbeat)
+
+    def _full_heartbeat(self, now_ms: int, *, with_peers: bool) -> Beat:
         own_member = self._fleet.own_member
         view = self._view_cache.view
         return Beat(
@@ -220,3 +236,32 @@
                 "interval_ms": self._fleet.remote_interval_ms,
             },
         )
+
+
+def shorten_heartbeat(heartbeat: Beat) -> Beat:
+    """Return a heartbeat that fits into a datagram, without what long names leave no room for.
+
+    Each kind of names leaves some room for the next, the largest loads coming last.
+    """
+    short = replace(heartbeat, unreached_services=(), peers=(), loads=())
+    short = fill_to_fit(
+        partial(_with_unreached, short),
+        heartbeat.unreached_services,
+        max_bytes=MAX_PAYLOAD_BYTES // 2,
+    )
+    short = fill_to_fit(
+        partial(_with_peers, short), heartbeat.peers, max_bytes=MAX_PAYLOAD_BYTES * 3 // 4
+    )
+    return fill_to_fit(partial(_with_loads, short), heartbeat.loads)
+
+
+def _with_unreached(heartbeat: Beat, services: tuple[str, ...]) -> Beat:
+    return replace(heartbeat, unreached_services=services)
+
+
+def _with_peers(heartbeat: Beat, peers: tuple[BeatPeer, ...]) -> Beat:
+    return replace(heartbeat, peers=peers)
+
+
+def _with_loads(heartbeat: Beat, loads: tuple[BeatLoad, ...]) -> Beat:
+    return replace(heartbeat, loads=loads)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import fields, replace
+from functools import partial
 from typing import Any
 
 from wagtailusher_core import Incarnation, VmId
@@ -14,12 +15,14 @@
     RELAY_SETTLE_MS,
 )
 from wagtailusher_wire import (
-    MAX_PAYLOAD_BYTES,
     AuthenticatedMessage,
     Beat,
+    BeatLoad,
     RelayedBeat,
     VmReport,
-    encode,
+    fill_to_fit,
+    fits_datagram,
+    split_to_fit,
 )
 
 _REPORT_FIELDS = (
@@ -76,17 +79,26 @@
             self._received.clear()
 
 
-def split_to_fit(
-    new_heartbeat: Callable[[tuple[RelayedBeat, ...]], Beat], relayed: Sequence[RelayedBeat]
-) -> Iterator[Beat]:
-    """Yield heartbeats that together pass on all that is relayed, each in one datagram."""
-    heartbeat = new_heartbeat(tuple(relayed))
-    if len(relayed) <= 1 or len(encode(heartbeat)) <= MAX_PAYLOAD_BYTES:
-        yield heartbeat
-        return
-    half = len(relayed) // 2
-    yield from split_to_fit(new_heartbeat, relayed[:half])
-    yield from split_to_fit(new_heartbeat, relayed[half:])
+def relaying_heartbeats(heartbeat: Beat, relayed: Sequence[RelayedBeat]) -> Iterator[Beat]:
+    """Yield heartbeats that together pass on all that is relayed, each in one datagram.
+
+    What does not fit beside the sender's own loads goes first, without these; the last heartbeat
+    has them, as each replaces the one before.
+    """
+    large: list[RelayedBeat] = []
+    parts = list(
+        split_to_fit(lambda part: replace(heartbeat, relayed=part), tuple(relayed), large.append)
+    )
+    without_loads = replace(heartbeat, loads=())
+    for item in large:
+        alone = fill_to_fit(partial(_with_relayed_loads, without_loads, item), item.loads)
+        if fits_datagram(alone):
+            yield alone
+    yield from parts or (heartbeat,)
+
+
+def _with_relayed_loads(heartbeat: Beat, relayed: RelayedBeat, loads: tuple[BeatLoad, ...]) -> Beat:
+    return replace(heartbeat, relayed=(replace(relayed, loads=loads),))
 
 
 def original_beat(relayed: RelayedBeat) -> Beat:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/quarantine_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/quarantine_exchange.py
@@ -30,7 +30,13 @@
     QuarantineLimits,
     Suspect,
 )
-from wagtailusher_wire import AuthenticatedMessage, Message, QuarantineSummary, WireError
+from wagtailusher_wire import (
+    AuthenticatedMessage,
+    Message,
+    QuarantineEntry,
+    QuarantineSummary,
+    split_to_fit,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -200,14 +206,22 @@
             self._send_summary(addresses, now_ms)
 
     def _send_summary(self, addresses: Iterable[str], now_ms: int) -> None:
-        """Send one summary to peers; one that does not fit into a datagram is counted."""
-        message = quarantine_message(self._decider.summary(now_ms))
-        try:
+        """Send one summary to peers; an entry that exceeds a datagram is counted."""
+        addresses = tuple(addresses)
+        entries = quarantine_message(self._decider.summary(now_ms)).entries
+        for message in split_to_fit(
+            lambda part: QuarantineSummary(entries=part), entries, self._count_unsent
+        ):
             for address in addresses:
                 self._send(address, message)
-        except WireError as err:
-            self._count_event("unsent")
-            _LOGGER.warning("Quarantine: evidence was not sent: %s", err.message)
+
+    def _count_unsent(self, entry: QuarantineEntry) -> None:
+        self._count_event("unsent")
+        _LOGGER.warning(
+            "Quarantine: evidence against %s was not sent",
+            entry.fingerprint,
+            extra={"event": "quarantine_unsent", "fingerprint": entry.fingerprint},
+        )
 
     def _retract_crashes(self, now_ms: int) -> None:
         """Drop crashes of endpoints whose entries outlive them, as after a cut that resets.
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/stream_version_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/stream_version_exchange.py
@@ -35,7 +35,7 @@
     StreamVersionAnswer,
     StreamVersionQuery,
     StreamVersionRecord,
-    WireError,
+    fits_datagram,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -249,11 +249,10 @@
 
     def _try_send(self, address: str, message: Message) -> None:
         """Send a message; one that does not fit into a datagram is dropped and counted."""
-        try:
+        if fits_datagram(message):
             self._send(address, message)
-        except WireError as err:
+        else:
             self._count_event("dropped")
-            _LOGGER.debug("Stream versions: a message was not sent: %s", err.message)
 
 
 def _version(
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -9,6 +9,7 @@
     MAX_STREAM_MESSAGE_BYTES,
     WIRE_VERSION,
 )
+from wagtailusher_wire.datagrams import fill_to_fit, fits_datagram, split_to_fit
 from wagtailusher_wire.delta import DeltaStep
 from wagtailusher_wire.endpoint_messages import (
     LimitEntry,
@@ -144,4 +145,7 @@
     "WireVersionError",
     "decode",
     "encode",
+    "fill_to_fit",
+    "fits_datagram",
+    "split_to_fit",
 ]
--- /dev/null
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/datagrams.py
@@ -0,0 +1,62 @@
+"""Fits messages into datagrams, whatever the length of the texts in them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+from wagtailusher_wire.codec import encode
+from wagtailusher_wire.const import MAX_PAYLOAD_BYTES
+from wagtailusher_wire.errors import MalformedMessageError
+from wagtailusher_wire.messages import Message
+
+ItemT = TypeVar("ItemT")
+MessageT = TypeVar("MessageT", bound=Message)
+
+
+def fits_datagram(message: Message, *, max_bytes: int = MAX_PAYLOAD_BYTES) -> bool:
+    """Return whether a message can be encoded in `max_bytes`."""
+    try:
+        return len(encode(message)) <= max_bytes
+    except MalformedMessageError:
+        return False
+
+
+def split_to_fit(
+    new_message: Callable[[tuple[ItemT, ...]], MessageT],
+    items: tuple[ItemT, ...],
+    on_misfit: Callable[[ItemT], None] = lambda item: None,
+) -> Iterator[MessageT]:
+    """Yield messages that together hold all items, each in one datagram.
+
+    `on_misfit` gets an item that exceeds a datagram by itself.
+    """
+    if not items:
+        return
+    message = new_message(items)
+    if fits_datagram(message):
+        yield message
+        return
+    if len(items) == 1:
+        on_misfit(items[0])
+        return
+    half = len(items) // 2
+    yield from split_to_fit(new_message, items[:half], on_misfit)
+    yield from split_to_fit(new_message, items[half:], on_misfit)
+
+
+def fill_to_fit(
+    new_message: Callable[[tuple[ItemT, ...]], MessageT],
+    items: tuple[ItemT, ...],
+    *,
+    max_bytes: int = MAX_PAYLOAD_BYTES,
+) -> MessageT:
+    """Return the message with as many of the first items as `max_bytes` hold."""
+    low, high = 0, len(items)
+    while low < high:
+        middle = (low + high + 1) // 2
+        if fits_datagram(new_message(items[:middle]), max_bytes=max_bytes):
+            low = middle
+        else:
+            high = middle - 1
+    return new_message(items[:low])
--- a/tests/wagtailusher_gateway/test_heartbeat_relay.py
+++ b/tests/wagtailusher_gateway/test_heartbeat_relay.py
@@ -9,9 +9,13 @@
 import unittest
 
 from tests.wagtailusher_gateway.builders import BUSY_BEAT, BUSY_LOAD, LONG_ADDRESS
-from wagtailusher_core import Incarnation, VmId
+from wagtailusher_core import EndpointId, Incarnation, VmId
 from wagtailusher_gateway.const import RELAY_PAUSE_MS, RELAY_SETTLE_MS
-from wagtailusher_gateway.heartbeat_relay import HeartbeatRelay, original_beat, split_to_fit
+from wagtailusher_gateway.heartbeat_relay import (
+    HeartbeatRelay,
+    original_beat,
+    relaying_heartbeats,
+)
 from wagtailusher_wire import (
     MAX_PAYLOAD_BYTES,
     AuthenticatedMessage,
@@ -60,12 +64,28 @@
         for number in range(40):
             self.relay.add(sender(number), LONG_ADDRESS, BUSY_BEAT, 10)
         relayed = self.relay.received_since(0, 20)
-        parts = list(split_to_fit(lambda part: replace(BUSY_BEAT, relayed=part), relayed))
+        parts = list(relaying_heartbeats(BUSY_BEAT, relayed))
         self.assertLessEqual(max(len(encode(part)) for part in parts), MAX_PAYLOAD_BYTES)
         passed_on = [item for part in parts for item in part.relayed]
         self.assertEqual(len({item.vm_id for item in passed_on}), 40)
         self.assertEqual(decode(encode(parts[0])), parts[0])
 
+    def test_heartbeats_with_long_names_are_passed_on_without_their_least_loads(self) -> None:
+        loads = tuple(
+            replace(BUSY_LOAD, endpoint_id=EndpointId(f"{number:0192}")) for number in range(4)
+        )
+        busy = replace(BUSY_BEAT, loads=loads)
+        for number in range(3):
+            self.relay.add(sender(number), LONG_ADDRESS, busy, 10)
+        parts = list(relaying_heartbeats(busy, self.relay.received_since(0, 20)))
+        self.assertLessEqual(max(len(encode(part)) for part in parts), MAX_PAYLOAD_BYTES)
+        passed_on = [item for part in parts for item in part.relayed]
+        self.assertEqual(len({item.vm_id for item in passed_on}), 3)
+        for item in passed_on:
+            self.assertEqual(item.loads, loads[: len(item.loads)])
+            self.assertGreaterEqual(len(item.loads), 2)
+        self.assertEqual(parts[-1].loads, loads)
+
     def test_original_heartbeat_is_restored(self) -> None:
         self.relay.add(sender(), LONG_ADDRESS, replace(BUSY_BEAT, loads=(BUSY_LOAD,)), 10)
         (relayed,) = self.relay.received_since(0, 20)
--- a/tests/wagtailusher_gateway/test_stream_version_exchange.py
+++ b/tests/wagtailusher_gateway/test_stream_version_exchange.py
@@ -30,9 +30,9 @@
 )
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_wire import (
+    MAX_PAYLOAD_BYTES,
     AuthenticatedMessage,
     Beat,
-    MalformedMessageError,
     Message,
     StreamVersionAnswer,
     StreamVersionQuery,
@@ -254,13 +254,11 @@
                 self.assertIsNone(await self.network.async_find(number))
 
     async def test_message_that_does_not_fit_is_dropped(self) -> None:
-        def fail(source: VmId, target: VmId, message: Message) -> bool:
-            raise MalformedMessageError("Datagram is too large")
-
-        self.network.loses = fail
-        self.network.begin(0)
+        self.network.begin(0, version="v" * MAX_PAYLOAD_BYTES)
         known = await self.network.async_find(0)
         self.assertEqual(known and known.told_by, "vm-0")
+        self.assertEqual(self.network.count_sent(StreamVersionRecord), 0)
+        self.assertIn("dropped", self.network.events)
 
     async def test_answers_of_others_and_late_answers_are_ignored(self) -> None:
         vm = self.network.vms[0]
--- a/tests/wagtailusher_platform/test_planned_stop.py
+++ b/tests/wagtailusher_platform/test_planned_stop.py
@@ -209,20 +209,23 @@
     async def test_late_stream_is_refused_instead_of_cut_though_others_were_quick(self) -> None:
         self.assertEqual(await self._async_late_streams(warm_count=10), {"refused": 4})
 
-    async def test_request_that_waited_while_callers_came_to_know_is_not_sent_too_late(self) -> None:
+    async def test_request_that_waited_while_callers_came_to_know_is_not_sent_late(
+        self,
+    ) -> None:
         """All places are taken until 3.4 s after the stop began."""
         self._allow_long_requests(target_latency_ms=LONG_MS)
         await self._async_start(works(3.4), stream(EVENTS))
         app = self.apps.pop()
-        fields = {"x_deadline_ms": str(LONG_MS)}
         async with asyncio.TaskGroup() as group:
             started_s = time.monotonic()
             for _ in range(PLACES):
-                group.create_task(self._async_send(app, "/book/1", started_s, **fields))
+                send = self._async_send(app, "/book/1", started_s, x_deadline_ms=str(LONG_MS))
+                group.create_task(send)
             await asyncio.sleep(0.1)
             group.create_task(app.async_stop())
             await asyncio.sleep(UNAWARE_S - 0.5)
-            group.create_task(self._async_send(app, "/book/2", started_s, **fields))
+            send = self._async_send(app, "/book/2", started_s, x_deadline_ms=str(LONG_MS))
+            group.create_task(send)
         outcomes = Counter((item.path, item.outcome) for item in self.sent)
         self.assertEqual(outcomes, {("/book/1", "served"): PLACES, ("/book/2", "refused"): 1})
 
