--- a/tests/wagtailusher_platform/test_headers.py
+++ b/tests/wagtailusher_platform/test_headers.py
@@ -51,6 +51,18 @@
         terms = read_request(Headers(fields.items()))
         self.assertEqual((terms.prompt_tokens, terms.parts, terms.deadline_ms), (0, (), None))
 
+    def test_identifiers_beyond_latin_1_are_sent_as_utf_8(self) -> None:
+        context = ForwardContext(
+            endpoint_id=EndpointId("\u0142\u00f3d\u017a-1"),
+            left_ms=1,
+            workspace_id=WorkspaceId("\u6771\u4eac"),
+            rank=1,
+            resume_after=None,
+        )
+        raw = dict(request_headers(Headers(REQUIRED.items()), context).raw)
+        self.assertEqual(raw[b"x-tenant"], "\u6771\u4eac".encode())
+        self.assertEqual(raw[b"x-expect-instance"], "\u0142\u00f3d\u017a-1".encode())
+
     def test_request_without_identifier_is_refused(self) -> None:
         """Without an identifier an answer can't be matched to its request."""
         for missing in REQUIRED:
