Read null as a missing field in configurations and settings

A configuration with a null in an optional field was not read at all, so the older one stayed in force; null for a bound or for the limits of the settings ended the process at its start; an empty address in "listen" counted as one.

Cause: missing, null and empty were not told apart at the border.

--- a/tests/wagtailusher_platform/test_empty_fields.py
+++ b/tests/wagtailusher_platform/test_empty_fields.py
@@ -7,16 +7,24 @@
 
 from base64 import b64encode
 import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any
 import unittest
 
 from tests.wagtailusher_platform.fleet import KEY, PlatformTest, configuration
+from tests.wagtailusher_platform.test_settings import SETTINGS
 from wagtailusher_gateway import Configuration, RefusedError
 from wagtailusher_gateway.routes import RouteTable
 from wagtailusher_platform.documents import parse_configuration
-from wagtailusher_platform.exceptions import UnreadableEntryError
+from wagtailusher_platform.exceptions import SettingsFileError, UnreadableEntryError
+from wagtailusher_platform.settings import options_from, read_settings
 
 KEYS = (KEY, "never-held")
+OPTIONAL_OF_ROUTE = (
+    *("timeout_ms", "target_latency_ms", "priority", "traffic_split", "max_attempts"),
+    *("public", "stream_resume", "gap_aim_ms"),
+)
 
 
 def parsed(document: dict[str, Any]) -> Configuration:
@@ -66,6 +74,50 @@
             with self.subTest(tenants=tenants), self.assertRaises(UnreadableEntryError):
                 parsed(configuration(tenants=tenants))
 
+    def test_optional_field_that_is_null_counts_as_missing(self) -> None:
+        document = configuration()
+        for name in OPTIONAL_OF_ROUTE:
+            with self.subTest(name=name):
+                routes = [route | {name: None} for route in document["routes"]]
+                missing = [without(route, name) for route in document["routes"]]
+                self.assertEqual(
+                    parsed(document | {"routes": routes}), parsed(document | {"routes": missing})
+                )
+
+
+class SettingsFieldsTest(unittest.TestCase):
+    """Fields of the settings that are null or empty don't keep a process from starting."""
+
+    def setUp(self) -> None:
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "node.yaml"
+
+    def _options(self, old: str, new: str) -> Any:
+        self.assertIn(old, SETTINGS)
+        self.path.write_text(SETTINGS.replace(old, new), encoding="utf-8")
+        return options_from(read_settings(self.path), {})
+
+    def test_null_stands_for_a_missing_field(self) -> None:
+        self.assertEqual(
+            self._options("retry_budget_slack: 58, ", "retry_budget_slack: null, "),
+            self._options("retry_budget_slack: 58, ", ""),
+        )
+        line = next(item for item in SETTINGS.splitlines() if item.startswith("limits"))
+        self.assertEqual(self._options(line, "limits: null"), self._options(line, ""))
+        self.assertEqual(self._options(', ready: "10.1.0.19:8749"', "").ready_listen, None)
+
+    def test_empty_address_is_no_address(self) -> None:
+        self.assertEqual(
+            self._options('control: "10.1.0.19:8748"', 'control: ""'),
+            self._options(', control: "10.1.0.19:8748"', ""),
+        )
+        self.assertIsNone(self._options('ready: "10.1.0.19:8749"', 'ready: ""').ready_listen)
+
+    def test_required_field_that_is_null_is_an_error(self) -> None:
+        with self.assertRaises(SettingsFileError):
+            self._options('zone: "a"', "zone: null")
+
 
 if __name__ == "__main__":
     unittest.main()
