Refuse a handed-on request without a workspace where its route needs one

A VM whose configuration has no tenants hands a request on without a workspace; the peer's newer one has tenants, and it would run.

Cause: no workspace was taken for "none is needed", whichever configuration the peer has.

Evidence: the new test failed before (the check did not exist).

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -131,7 +131,7 @@
             workspace = table.workspace(route, terms.api_key)
         else:
             record.record_forwarded_by(forwarded.vm_id)
-            workspace = table.workspace_by_id(forwarded.workspace_id)
+            workspace = table.workspace_by_id(route, forwarded.workspace_id)
         now_ms = self._clock_ms()
         ends_ms = now_ms + time_left_ms(terms, route)
         name = choose_service(route, terms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/routes.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/routes.py
@@ -53,11 +53,15 @@
             )
         return workspace
 
-    def workspace_by_id(self, workspace_id: WorkspaceId | None) -> Workspace | None:
-        """Return a workspace whose key another VM has checked; raise RefusedError if unknown."""
-        if workspace_id is None:
+    def workspace_by_id(self, route: Route, workspace_id: WorkspaceId | None) -> Workspace | None:
+        """Return a workspace whose key another VM has checked, None if the route needs none.
+
+        Raises RefusedError if it is unknown here, or missing where the route needs one.
+        """
+        needs_none = route.is_public or not self.configuration.has_workspaces
+        if workspace_id is None and needs_none:
             return None
-        found = self._workspaces_by_id.get(workspace_id)
+        found = self._workspaces_by_id.get(workspace_id) if workspace_id is not None else None
         if found is None:
             raise RefusedError(
                 "the workspace is unknown",
--- a/tests/wagtailusher_platform/test_empty_fields.py
+++ b/tests/wagtailusher_platform/test_empty_fields.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from base64 import b64encode
+from dataclasses import replace
 import json
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -84,6 +85,15 @@
                     parsed(document | {"routes": routes}), parsed(document | {"routes": missing})
                 )
 
+    def test_request_handed_on_without_workspace_is_refused_where_one_is_needed(self) -> None:
+        """The VM that handed it on has a configuration without tenants."""
+        table = RouteTable(parsed(configuration(2)))
+        route = table.configuration.routes[0]
+        with self.assertRaises(RefusedError) as caught:
+            table.workspace_by_id(route, None)
+        self.assertEqual(caught.exception.status, 409)
+        self.assertIsNone(table.workspace_by_id(replace(route, is_public=True), None))
+
 
 class SettingsFieldsTest(unittest.TestCase):
     """Fields of the settings that are null or empty don't keep a process from starting."""
