Let a stop wait for requests and answers that are on their way

Cause: a stop counted the requests that were read whole. Requests that were arriving and answers in the write buffer looked idle.

Fix: connections tell whether a request is being received or an answer being sent; the stop ends early only without any. At the end of the grace, what has not arrived is answered "not run" at once.

--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -40,7 +40,7 @@
 from wagtailusher_daemon.metrics import EntryMetrics
 from wagtailusher_daemon.node import RouterNode
 from wagtailusher_daemon.operator_api import OperatorApi
-from wagtailusher_daemon.options import EntryOptions
+from wagtailusher_daemon.options import EntryOptions, split_address
 from wagtailusher_daemon.pause_monitor import PauseMonitor
 from wagtailusher_daemon.peer_link import PeerLink
 from wagtailusher_daemon.periodic import PeriodicTasks
@@ -190,8 +190,8 @@
     async def async_start(self) -> None:
         """Open the sockets and start the periodic tasks."""
         options = self.options
-        self.peer_address = await self.link.async_bind(*_split_address(options.peer_listen))
-        host, port = _split_address(options.listen)
+        self.peer_address = await self.link.async_bind(*split_address(options.peer_listen))
+        host, port = split_address(options.listen)
         api = self._new_caller_api()
         self.caller_api = api
         self.caller_server = await async_serve(
@@ -201,7 +201,7 @@
             ssl_context=server_context(options),
             get_refusal_outcome=refusal_outcome,
         )
-        operator_host, operator_port = _split_address(options.operator_listen)
+        operator_host, operator_port = split_address(options.operator_listen)
         self.operator_server = await async_serve(
             OperatorApi(self).async_handle, host=operator_host, port=operator_port
         )
@@ -239,7 +239,10 @@
             all_completed = await self.caller_server.async_drain(
                 max(0, deadline_ms - monotonic_ms())
             )
-            await self.caller_server.async_close(interrupted=stopping_response())
+            await self.caller_server.async_close(
+                interrupted=stopping_response(),
+                unread=coded_response(ErrorCode.DRAINING, Outcome.NOT_RUN),
+            )
         if self.caller_api is not None:
             left_ms = max(0, deadline_ms - monotonic_ms())
             all_completed = await self.caller_api.async_wait_for_once(left_ms) and all_completed
@@ -395,9 +398,3 @@
             lambda now_ms: self.node.tick(),
         )
         self.metrics.held.set({}, self.node.held_count)
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    """Split a validated `host:port` address."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
@@ -99,3 +99,9 @@
         name = "-".join(str(part) for part in problem["loc"]).replace("_", "-")
         parts.append(f"--{name}: {problem['msg']}")
     return "; ".join(parts)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split a validated `host:port` address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/__init__.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wagtailusher_gateway.app import GatewayApp, PlatformReader
+from wagtailusher_gateway.app import GatewayApp
 from wagtailusher_gateway.exceptions import GatewayError, RefusedError
 from wagtailusher_gateway.http_mapping import AddressAnswer, ForwardContext, HttpMapping
 from wagtailusher_gateway.logs import set_up_structured_logs
@@ -23,7 +23,7 @@
     Workspace,
 )
 from wagtailusher_gateway.options import FleetBounds, GatewayOptions
-from wagtailusher_gateway.platform_reads import ReaderContext
+from wagtailusher_gateway.platform_reads import PlatformReader, ReaderContext
 from wagtailusher_gateway.view_cache import ViewCache
 
 __all__ = [
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -39,7 +39,8 @@
 from wagtailusher_gateway.models import FleetView
 from wagtailusher_gateway.options import GatewayOptions, new_own_member, split_address
 from wagtailusher_gateway.peer_api import GatewayPeerApi
-from wagtailusher_gateway.platform_reads import ReaderContext, ReadSchedule
+from wagtailusher_gateway.planned_stop import unread_error
+from wagtailusher_gateway.platform_reads import PlatformReader, ReaderContext, ReadSchedule
 from wagtailusher_gateway.quarantine_exchange import QuarantineExchange
 from wagtailusher_gateway.request_forwarder import RequestForwarder, new_forwarder
 from wagtailusher_gateway.servers import Servers
@@ -55,9 +56,6 @@
 
 PATH_METRICS = "/metrics"
 
-PlatformReader = Callable[[ReaderContext], Awaitable[None]]
-"""Coroutine function that keeps the context's view cache up to date until it is cancelled."""
-
 
 class GatewayApp:
     """One gateway process on one VM."""
@@ -300,7 +298,7 @@
         """Leave the fleet and stop.
 
         Announces the leave to peers and callers, and serves requests that can end in time until
-        none is in flight after `LEAVE_LINGER_MS`, or until the shutdown grace ends.
+        nothing is on its way after `LEAVE_LINGER_MS`, or until the shutdown grace ends.
         """
         began_ms = monotonic_ms()
         ends_ms = began_ms + self.options.grace_ms - LEAVE_RESERVE_MS
@@ -316,6 +314,7 @@
         await self._async_until_idle(began_ms + LEAVE_LINGER_MS, ends_ms)
         left = self.dispatcher.in_flight
         self.dispatcher.planned_stop.end()
+        self.servers.refuse_unread(self.new_caller_api().refusal_response(unread_error()))
         await self._async_until_idle(began_ms, ends_ms + LEAVE_ANSWER_MS)
         await self._async_close()
         _LOGGER.info(
@@ -337,9 +336,10 @@
             item.close()
 
     async def _async_until_idle(self, earliest_ms: int, latest_ms: int) -> None:
-        """Return once no request is in flight, between two times."""
+        """Return once no request or answer is on its way, between two times."""
         while (now_ms := monotonic_ms()) < latest_ms:
-            if now_ms >= earliest_ms and not self.dispatcher.in_flight:
+            is_idle = not (self.dispatcher.in_flight or self.servers.active_count)
+            if now_ms >= earliest_ms and is_idle:
                 break
             await asyncio.sleep(TICK_MS / MS_PER_S)
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/planned_stop.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/planned_stop.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
+from http import HTTPStatus
 import math
 
 from wagtailusher_core import ErrorCode
@@ -106,6 +107,16 @@
         )
 
 
+def unread_error() -> RefusedError:
+    """Return the error of a request that has not arrived completely as the stop ends."""
+    return RefusedError(
+        "this VM stops before the request has arrived",
+        code=ErrorCode.DRAINING,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        retry_after_ms=RETRY_AFTER_MIN_MS,
+    )
+
+
 def _keys(service: str, route: Route) -> tuple[_Kind, _Kind]:
     """Return the kinds of a request: its route's, and that of all alike routes of the service."""
     return (service, route.repeat, route.name), (service, route.repeat, "")
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/platform_reads.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/platform_reads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from wagtailusher_core import Revision
@@ -33,6 +33,10 @@
     must therefore be short."""
 
 
+PlatformReader = Callable[[ReaderContext], Awaitable[None]]
+"""Coroutine function that keeps the context's view cache up to date until it is cancelled."""
+
+
 class ReadSchedule:
     """Decides when this VM reads the store.
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/servers.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/servers.py
@@ -79,6 +79,18 @@
         if self._caller_server is not None:
             self._caller_server.disable_keep_alive()
 
+    @property
+    def active_count(self) -> int:
+        """Return the number of callers' and peers' connections with something on its way."""
+        servers = (self._caller_server, self._peer_server)
+        return sum(server.active_count for server in servers if server is not None)
+
+    def refuse_unread(self, response: Response) -> None:
+        """Answer the requests of callers and peers that have not arrived completely."""
+        for server in (self._caller_server, self._peer_server):
+            if server is not None:
+                server.refuse_unread(response)
+
     async def async_close(self) -> None:
         """Close all sockets."""
         for server in (self._caller_server, self._peer_server, *self._internal_servers):
--- a/packages/wagtailusher_http/src/wagtailusher_http/server.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server.py
@@ -43,6 +43,11 @@
         """Return the number of open connections."""
         return len(self._connections)
 
+    @property
+    def active_count(self) -> int:
+        """Return the number of connections with a request or a response on its way."""
+        return sum(connection.is_active for connection in self._connections)
+
     async def async_start(self, host: str, port: int, ssl_context: ssl.SSLContext | None) -> None:
         """Start listening on a host and port; port 0 selects a free one."""
         self._server = await asyncio.get_running_loop().create_server(
@@ -86,6 +91,12 @@
         for connection in self._connections:
             connection.close_after_answer()
 
+    @callback
+    def refuse_unread(self, response: Response) -> None:
+        """Answer the requests that have not arrived completely, and close their connections."""
+        for connection in tuple(self._connections):
+            connection.refuse_unread(response)
+
     @callback
     def stop_accepting(self) -> None:
         """Stop accepting; open connections close after the response in progress."""
@@ -105,16 +116,20 @@
         )
         return not pending
 
-    async def async_close(self, interrupted: Response | None = None) -> None:
+    async def async_close(
+        self, interrupted: Response | None = None, unread: Response | None = None
+    ) -> None:
         """Stop accepting and cancel the tasks of all connections.
 
-        Requests without an answer get `interrupted`, if it is given.
+        Requests without an answer get `interrupted`, and those that have not arrived completely
+        `unread`, if these are given.
         """
         self.stop_accepting()
         tasks = tuple(self._connections.values())
         for connection, task in tuple(self._connections.items()):
             connection.interruption = interrupted
-            task.cancel()
+            if unread is None or not connection.refuse_unread(unread):
+                task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -42,18 +42,36 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
         self._closing = False
         self._busy = False
+        self._receiving = False
+        """Whether a part of a request has arrived."""
+        self._unread_response: Response | None = None
         self.interruption: Response | None = None
         """Answer to the request in progress when the connection's task is cancelled."""
         peername = socket.transport.get_extra_info("peername")
         self.peer = f"{peername[0]}:{peername[1]}" if peername else "unknown"
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether a request is being received or served, or its response being sent."""
+        return self._receiving or self._busy or self._socket.has_unsent_output
+
     @callback
     def close_when_idle(self) -> None:
-        """Close now, or after the response in progress."""
+        """Close now, or after the response to the request in progress."""
         self._closing = True
-        if not self._busy:
+        if not self.is_active:
             self._socket.close()
 
+    @callback
+    def refuse_unread(self, response: Response) -> bool:
+        """Answer a request that has not arrived completely, and close; return whether it does."""
+        if not self._receiving or self._task is None:
+            return False
+        if self._unread_response is None:
+            self._unread_response = response
+            self._task.cancel()
+        return True
+
     @callback
     def close_after_answer(self) -> None:
         """Close after the next response, sent with `Connection: close`."""
@@ -67,6 +85,8 @@
         try:
             while await self._async_serve_one():
                 self._http.start_next_cycle()
+            self._socket.close()
+            await self._socket.async_flush(self.limits.send_timeout_ms / MS_PER_S)
         except OSError:
             _LOGGER.debug("HTTP server: connection from %s was lost", self.peer)
         finally:
@@ -76,12 +96,20 @@
         """Serve one request; return whether the connection may carry another."""
         try:
             request = await self._async_receive()
+        except asyncio.CancelledError:
+            if self._unread_response is None or self._task is None:
+                raise
+            self._task.uncancel()
+            await self._async_send_last(self._unread_response)
+            return False
         except h11.RemoteProtocolError as err:
             await self._async_refuse_malformed(err)
             return False
         except (BodyTooLargeError, RequestTimeoutError) as err:
             await self._async_refuse(err)
             return False
+        finally:
+            self._receiving = False
         if request is None:
             return False
         if self._socket.is_ended:
@@ -156,8 +184,11 @@
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
+                self._receiving = isinstance(event, h11.Request | h11.Data)
                 return event  # type: ignore[return-value]
-            self._http.receive_data(await self._socket.async_read())
+            data = await self._socket.async_read()
+            self._receiving = bool(data)
+            self._http.receive_data(data)
 
     @callback
     def _handle_caller_disconnect(self) -> None:
--- a/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
@@ -272,6 +272,23 @@
         if self._lost:
             raise ConnectionResetError("the connection is closed")
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Return whether the write buffer holds data."""
+        return not self._lost and self.transport.get_write_buffer_size() > 0
+
+    async def async_flush(self, timeout_s: float) -> None:
+        """Wait until a closing socket has sent its data; drop that after a time-out."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not self._lost:
+                    self._write_waiter = self._loop.create_future()
+                    await self._write_waiter
+        except TimeoutError:
+            self.abort()
+        finally:
+            self._write_waiter = None
+
     @callback
     def end_writing(self) -> None:
         """Close the sending direction and continue reading."""
--- a/tests/wagtailusher_http/test_server.py
+++ b/tests/wagtailusher_http/test_server.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import json
+import socket
 import unittest
 
 from wagtailusher_core import ErrorCode, WagtailusherError
@@ -31,6 +32,8 @@
     max_head_bytes=2048, max_body_bytes=4096, receive_timeout_ms=300, send_timeout_ms=100
 )
 
+LARGE = b"a" * 60_000
+
 
 class ServerTest(unittest.IsolatedAsyncioTestCase):
     """Each invalid request gets an error code and the server keeps running."""
@@ -64,6 +67,8 @@
             return Response(body=self._async_stall_after_first_chunk())
         if request.path == "/bug":
             raise ZeroDivisionError
+        if request.path == "/large":
+            return Response(body=LARGE)
         return json_response(200, {"path": request.path, "size": len(request.body)})
 
     async def _async_stream(self, *, broken: bool) -> AsyncIterator[bytes]:
@@ -204,6 +209,37 @@
             await HttpClient().async_request(self.address, "GET", "/late")
         request.cancel()
 
+    async def test_connection_is_active_until_its_answer_was_sent(self) -> None:
+        """The answer fits into the process's buffer, not into the sockets'."""
+        assert self.server._server is not None
+        self.server._server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        end = socket.socket()
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        end.connect(("127.0.0.1", self.server.port))
+        reader, writer = await asyncio.open_connection(sock=end, limit=1_024)
+        writer.write(b"GET /large HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        await self.entered.wait()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.server.active_count, 1)
+        content = bytearray()
+        while part := await reader.read(1_024):
+            content += part
+        self.assertTrue(bytes(content).endswith(LARGE))
+        await asyncio.sleep(0.01)
+        self.assertEqual((self.server.active_count, self.server.connection_count), (0, 0))
+        writer.close()
+
+    async def test_drain_lets_a_body_on_its_way_arrive(self) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nx")
+        await asyncio.sleep(0.05)
+        drain = asyncio.create_task(self.server.async_drain(grace_ms=1_000))
+        await asyncio.sleep(0.05)
+        writer.write(b"y")
+        self.assertIn(b" 200 ", await reader.readline())
+        self.assertTrue(await drain)
+        writer.close()
+
     async def test_stream_is_complete_or_reported_as_truncated(self) -> None:
         answer = await self.client.async_request(self.address, "GET", "/stream")
         self.assertEqual(await answer.async_read(), b"part 0;part 1;part 2;")
