Let a VM that has started again use no retry slack for a window

Cause: each VM's share of the slack lives in its process and was whole again a second after a start, whatever the process before had spent.

Fix: no slack for a window after a start, unless the settings say that the whole system starts for the first time ("bootstrap") and no peer has run longer. The part that a VM's own requests allow is used at once. Cost: fewer repeats in the first window after a start, and for the whole fleet after a loss of all power.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
@@ -7,7 +7,7 @@
 
 from wagtailusher_daemon.clock import monotonic_ms
 from wagtailusher_gateway.admission import Admission
-from wagtailusher_gateway.budget import RetryBudget
+from wagtailusher_gateway.budget import RetryBudget, new_slack_permission
 from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
 from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.dispatcher import Dispatcher
@@ -51,7 +51,12 @@
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
             window_ms=bounds.retry_window_ms,
-            is_fleet_settled=fleet.is_settled,
+            may_use_slack=new_slack_permission(
+                window_ms=bounds.retry_window_ms,
+                started_ms=monotonic_ms(),
+                is_fleet_settled=fleet.is_settled,
+                is_first_start=lambda: options.is_first_start and fleet.is_oldest(),
+            ),
         ),
         clock_ms=monotonic_ms,
         vm_ids=fleet.all_vm_ids,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -22,7 +22,7 @@
 )
 from wagtailusher_gateway.member_reports import new_member
 from wagtailusher_gateway.models import Member
-from wagtailusher_gateway.peers import Peer
+from wagtailusher_gateway.peers import Peer, is_oldest
 from wagtailusher_wire import NO_REVISION, Beat, BeatPeer
 
 MAX_GOSSIP_PEERS = 12
@@ -338,6 +338,13 @@
             self._is_settled = True
         return self._is_settled
 
+    def is_oldest(self) -> bool:
+        """Return whether no known VM started before this one and those together with it."""
+        return is_oldest(
+            ((peer, peer.member) for peer in self._peers.values() if peer.member is not None),
+            self.own_member,
+        )
+
     def has_current_views(self, now_ms: int, max_age_ms: int) -> bool:
         """Return whether every VM ever learned of has a view confirmed within `max_age_ms`."""
         return not self._silent_ids and all(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/options.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/options.py
@@ -49,6 +49,8 @@
     `takes_forwarded`."""
     takes_forwarded: bool
     """Whether peers may hand requests on to this VM."""
+    is_first_start: bool
+    """Whether the whole system starts for the first time."""
     seeds: tuple[str, ...]
     """Peer addresses of some VMs, which may no longer exist."""
     weight: int
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/peers.py
@@ -82,6 +82,11 @@
     return bool(together) and all(together)
 
 
+def is_oldest(peers: Peers, own_member: Member) -> bool:
+    """Return whether no peer started before this VM and those that started together with it."""
+    return all(_started_together(member, own_member) for _, member in peers)
+
+
 def _started_together(member: Member, own_member: Member) -> bool:
     return member.incarnation + STARTED_TOGETHER_MS > own_member.incarnation
 
--- a/tests/wagtailusher_gateway/test_fleet_rules.py
+++ b/tests/wagtailusher_gateway/test_fleet_rules.py
@@ -60,7 +60,7 @@
                 ratio=RATIO,
                 slack=RETRY_SLACK,
                 window_ms=WINDOW_MS,
-                is_fleet_settled=decider.is_settled,
+                may_use_slack=decider.is_settled,
             )
             for address, decider in self.fleet.deciders.items()
         }
--- a/tests/wagtailusher_gateway/test_peers.py
+++ b/tests/wagtailusher_gateway/test_peers.py
@@ -15,6 +15,7 @@
     STARTED_TOGETHER_MS,
     Peer,
     best_informed,
+    is_oldest,
     newest_configuration,
 )
 
@@ -89,6 +90,17 @@
             asked.add(chosen.vm_id)
         self.assertEqual(asked, set(VM_IDS[1:]))
 
+    def test_vm_is_the_oldest_unless_a_peer_started_clearly_before_it(self) -> None:
+        own = replace(member(1), incarnation=OWN_STARTED_MS)
+        for ahead_ms, is_first in (
+            (STARTED_TOGETHER_MS, False),
+            (STARTED_TOGETHER_MS - 1, True),
+            (-STARTED_TOGETHER_MS, True),
+        ):
+            other = peer(2, incarnation=OWN_STARTED_MS - ahead_ms)
+            self.assertEqual(is_oldest([other], own), is_first)
+        self.assertTrue(is_oldest([], own))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/wagtailusher_gateway/test_shares.py
+++ b/tests/wagtailusher_gateway/test_shares.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 import unittest
 
 from wagtailusher_core import EndpointId, VmId
-from wagtailusher_gateway.budget import RetryBudget
+from wagtailusher_gateway.budget import RetryBudget, new_slack_permission
 from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
 
 COLD = EndpointId("i-cold")
@@ -62,6 +63,10 @@
         self.assertTrue(limiter.may_send(COLD, 0.0, (VmId("vm-1"),), 0))
 
 
+def _always(value: bool, now_ms: int = 0) -> bool:
+    return value
+
+
 class RetryBudgetTest(unittest.TestCase):
     """The sum of all VMs' retries stays within the fleet's budget in any window."""
 
@@ -90,6 +95,21 @@
         self.assertFalse(budget.try_spend("desk", 1, 999))
         self.assertTrue(budget.try_spend("desk", 1, 1_000))
 
+    def test_vm_that_has_started_again_uses_no_slack_for_a_window(self) -> None:
+        for is_first_start, is_settled, usable_ms in (
+            (False, True, 11_000),
+            (True, True, 1_000),
+            (True, False, None),
+        ):
+            may_use = new_slack_permission(
+                window_ms=10_000,
+                started_ms=1_000,
+                is_fleet_settled=partial(_always, is_settled),
+                is_first_start=partial(_always, is_first_start),
+            )
+            times_ms = (at_ms for at_ms in range(1_000, 30_000, 100) if may_use(at_ms))
+            self.assertEqual(next(times_ms, None), usable_ms)
+
 
 if __name__ == "__main__":
     unittest.main()
