Add the interface of observed engine rates

Every decision that knows engines' rates today takes constants of one sheet. The interface gives the rate of one engine and of a service's typical one; what it returns is still a constant, so nothing behaves differently until it is learnt and used.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -24,6 +24,7 @@
 from wagtailusher_gateway.delays import delay_ms, reprefill_weight
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load, TrackedEndpoint
 from wagtailusher_gateway.engine_partition import EnginePartition, is_prompt_heavy
+from wagtailusher_gateway.engine_rates import EngineRates
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
 from wagtailusher_gateway.outcomes import expected_failure_rate, failure_penalties_ms
 from wagtailusher_gateway.prefixes import MissingTokens, PrefixMemory
@@ -71,6 +72,7 @@
         self.rate_limits = rate_limits
         self._failure_domain_id = failure_domain_id
         self._prefixes = PrefixMemory()
+        self.engine_rates = EngineRates()
         self._partitions: dict[str, EnginePartition] = {}
         self._prefill_caps = PrefillCaps()
         self._random = random.Random(seed)
