--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
@@ -19,6 +19,12 @@
 INITIAL_FIRST_EVENT_MS = 20.0
 """Time between the end of reading a prompt and the first event, of an unknown engine."""
 
+INITIAL_QUIET_GAP_MS = 40.0
+"""Time between two events of a stream at an unknown engine that reads no prompts."""
+
+INITIAL_BUSY_GAP_MS = 500.0
+"""The same while it reads prompts all the time: some chunks of a prompt between two events."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineRate:
@@ -30,6 +36,10 @@
     step_ms_per_request: float = INITIAL_STEP_MS_PER_REQUEST
     first_event_ms: float = INITIAL_FIRST_EVENT_MS
     """Fixed part of the time to the first event."""
+    quiet_gap_ms: float = INITIAL_QUIET_GAP_MS
+    """Time between two events of a stream while the engine reads no prompts."""
+    busy_gap_ms: float = INITIAL_BUSY_GAP_MS
+    """The same while it reads prompts all the time."""
 
     def prompt_ms(self, tokens: float) -> float:
         """Return the time in ms in which the engine reads prompt tokens."""
