Know the stream of a caller that names no attempt by its request's content

A resume without the name of the attempt that brought the first event could only go on where a single software version was proven, and the proof starts anew whenever the complete list is read. Streams now have a second record under a hash of path, key, body and prompt parts.

test_resume_that_names_no_attempt_goes_on_at_the_version_that_began failed before (503).

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -136,7 +136,8 @@
         ends_ms = now_ms + time_left_ms(terms, route)
         name = choose_service(route, terms)
         record.record_route(route, name, workspace, table.rank(route, workspace, name))
-        known = await self._async_known_version(route, name, terms, ends_ms)
+        fingerprints = _new_fingerprints(request, terms, forwarded)
+        known = await self._async_known_version(route, name, terms, fingerprints, ends_ms)
         if known is not None:
             name = known.service
             record.record_stream_version(known)
@@ -155,7 +156,9 @@
         self._dispatcher.check_stop(routed_request)
         if forwarded is not None:
             self._check_reached(service)
-        return self._new_exchange(request, routed_request, workspace, record, forwarded)
+        return self._new_exchange(
+            request, routed_request, workspace, fingerprints, record, forwarded
+        )
 
     def _check_reached(self, service: Service) -> None:
         """Refuse a request that a peer handed on if this VM reaches no endpoint either."""
@@ -173,14 +176,10 @@
         request: Request,
         routed_request: RoutedRequest,
         workspace: Workspace | None,
+        fingerprints: RequestFingerprints,
         record: RequestRecord,
         forwarded: ForwardTerms | None,
     ) -> Exchange:
-        fingerprints = RequestFingerprints(
-            request,
-            routed_request.terms,
-            forwarded.fingerprint if forwarded is not None else None,
-        )
         return Exchange(
             dispatcher=self._dispatcher,
             http_mapping=self._http_mapping,
@@ -222,15 +221,22 @@
         )
 
     async def _async_known_version(
-        self, route: Route, service: str, terms: RequestTerms, ends_ms: int
+        self,
+        route: Route,
+        service: str,
+        terms: RequestTerms,
+        fingerprints: RequestFingerprints,
+        ends_ms: int,
     ) -> KnownVersion | None:
         """Return the version that a resumed stream began at, or None for a new stream.
 
+        A caller that does not name the attempt that began it is known by its request's content.
         Raises RefusedError if it is unknown, or of a service that the route no longer uses.
         """
         if route.repeat is not Repeat.STREAM or not terms.resume_after:
             return None
-        known = await self._stream_versions.async_find(terms.resumes_id, service, ends_ms)
+        stream_id = terms.resumes_id or fingerprints.stream
+        known = await self._stream_versions.async_find(stream_id, service, ends_ms)
         if known is None:
             raise _version_unknown("the software version that began the stream is unknown")
         if known.service not in {split.service for split in route.splits}:
@@ -254,6 +260,15 @@
         return response
 
 
+def _new_fingerprints(
+    request: Request, terms: RequestTerms, forwarded: ForwardTerms | None
+) -> RequestFingerprints:
+    """Return a request's fingerprints; the VM that handed it on knows its key."""
+    return RequestFingerprints(
+        request, terms, forwarded.fingerprint if forwarded is not None else None
+    )
+
+
 def time_left_ms(terms: RequestTerms, route: Route) -> int:
     """Return how long, in ms, a request may take: the caller's deadline, at most the route's."""
     deadline_ms = DEFAULT_DEADLINE_MS
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -338,12 +338,14 @@
         endpoint = attempt.reservation.endpoint
         terms, route = self._routed_request.terms, self._routed_request.route
         if route.may_resume:
-            self._stream_versions.record_begin(
-                terms.stream_id,
-                self._routed_request.service.name,
-                endpoint.software_version,
-                record_life_ms(route.timeout_ms),
-            )
+            # Callers name the attempt that began a stream, or only repeat their request.
+            for stream_id in (terms.stream_id, self._fingerprints.stream):
+                self._stream_versions.record_begin(
+                    stream_id,
+                    self._routed_request.service.name,
+                    endpoint.software_version,
+                    record_life_ms(route.timeout_ms),
+                )
         self._routed_request = replace(
             self._routed_request, software_version=endpoint.software_version
         )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_fingerprints.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_fingerprints.py
@@ -1,4 +1,4 @@
-"""Fingerprints of a request and of the parts of its prompt, for the quarantine."""
+"""Fingerprints of a request and of the parts of its prompt, for the quarantine and for streams."""
 
 from __future__ import annotations
 
@@ -11,6 +11,9 @@
 from wagtailusher_http import Request
 from wagtailusher_quarantine import Suspect, part_fingerprint
 
+_STREAM_PREFIX = "content:"
+"""Tells such an identifier from those of attempts."""
+
 
 class RequestFingerprints:
     """The fingerprints under which a request may be accused of crashing an endpoint.
@@ -40,6 +43,15 @@
         head = "\0".join((request.method, request.target, self._terms.api_key or "", ""))
         return xxh3_128_hexdigest(head.encode() + request.body)
 
+    @cached_property
+    def stream(self) -> str:
+        """Return an identifier of the stream that the request asks for, whatever its attempt.
+
+        Callers that take a stream up repeat the request, prompt parts included.
+        """
+        parts = "\0".join((self.whole, *(part.part_id for part in self._terms.parts)))
+        return f"{_STREAM_PREFIX}{xxh3_128_hexdigest(parts.encode())}"
+
     @property
     def all(self) -> tuple[str, ...]:
         """Return all fingerprints."""
--- a/tests/wagtailusher_platform/test_stream_versions.py
+++ b/tests/wagtailusher_platform/test_stream_versions.py
@@ -149,6 +149,32 @@
         self.assert_not_sent_to_others()
         self.assertEqual(len(same.executed_ids), STREAMS)
 
+    async def test_resume_that_names_no_attempt_goes_on_at_the_version_that_began(self) -> None:
+        await self.async_gated_runner("i-1", cut_after=EVENT_COUNT)
+        first, second = await self.async_two_gateways(1)
+        await self.async_begin(first, "begun")
+        await self.async_kill(first)
+        await self.async_add_others()
+        same = await self.async_runner("engines", "i-2", stream(EVENT_COUNT), version="v1")
+        self.store.remove("servers/i-1")
+        await self.async_gone(second, "i-1")
+        await self.async_ready(second, OTHERS + 1)
+        reply = await self.async_resume(second)
+        self.assertEqual(reply.status, HTTPStatus.OK)
+        self.assertTrue(WHOLE.endswith(await reply.async_read()))
+        self.assert_not_sent_to_others()
+        self.assertEqual(len(same.executed_ids), 1)
+
+    async def test_resume_of_another_request_does_not_go_on_by_its_content(self) -> None:
+        await self.async_gated_runner("i-1", cut_after=EVENT_COUNT)
+        first, second = await self.async_two_gateways(1)
+        await self.async_begin(first, "begun")
+        await self.async_add_others()
+        await self.async_ready(second, OTHERS + 1)
+        reply = await self.async_ask(second, "/review/1", b"other prompt", last_event_id="1")
+        self.assert_refused(reply)
+        self.assert_not_sent_to_others()
+
     async def test_callers_resume_is_refused_when_the_version_that_began_is_unknown(self) -> None:
         same = await self.async_runner("engines", "i-1", stream(EVENT_COUNT), version="v1")
         await self.async_add_others()
