Learn the rates of engines from answers, and tell them between VMs

Cause: engines of the newer customers read half as many prompt tokens a ms as the constant said, and differ among each other by a factor of two.

Change: each VM learns an engine's reading rate from first events and its gaps between events, as a fading weighted quantile; heartbeats tell up to three rates, which are joined by weight and age and shrunk towards the service's. Delays, caps, the queue seen between reports and the partition use them; the constants of one customer's data sheet go.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from wagtailusher_core import EndpointId
+from wagtailusher_gateway.answer_timing import AnswerTiming
 from wagtailusher_gateway.const import (
     JUST_BEGUN_MS,
     MAX_ANSWER_BYTES,
@@ -20,6 +21,7 @@
 from wagtailusher_gateway.models import AnswerTerms, RequestTerms
 from wagtailusher_gateway.reservation import Reservation
 from wagtailusher_http import (
+    EVENT_DELIMITER,
     AnswerError,
     BodySink,
     ClientAnswer,
@@ -72,6 +74,12 @@
         self._begun_ms: int | None = None
         self._sent_ms = 0
         self._framer = EventFramer(position)
+        placement = dispatcher.placement
+        self._timing = AnswerTiming(
+            placement.engine_rates,
+            reservation,
+            lambda now_ms: placement.queued_tokens(reservation.endpoint.endpoint_id, now_ms),
+        )
 
     @property
     def endpoint_id(self) -> EndpointId:
@@ -283,12 +291,15 @@
         if events and self._begun_ms is None:
             self._begun_ms = now_ms
             self._liveness.record_begun(self.endpoint_id, self._born_ms, now_ms)
+        if events:
+            self._timing.record_events(events.count(EVENT_DELIMITER), self._sent_ms, now_ms)
         self._liveness.record_heard(self.endpoint_id, self._born_ms, now_ms)
         return events
 
     def _finish(self) -> None:
         """Raise BrokenStreamError if the answer did not end after a complete event."""
         self._framer.finish(is_delimited=self._is_delimited)
+        self._timing.record_complete(self._now_ms())
 
     @property
     def _is_delimited(self) -> bool:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/capacity.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/capacity.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from wagtailusher_gateway.const import KV_SHARE, PREFILL_CAP_MS, PREFILL_TOKENS_PER_MS
+from wagtailusher_gateway.const import KV_SHARE, PREFILL_CAP_MS
 from wagtailusher_gateway.contention import FreePlaces
 from wagtailusher_gateway.endpoint_registry import Load
+from wagtailusher_gateway.engine_rates import EngineRate
 from wagtailusher_gateway.models import Configuration, Endpoint, RequestTerms, Service
 from wagtailusher_gateway.routes import rank_counts
 
@@ -37,11 +38,11 @@
             self._configuration = configuration
             self._rank_counts = rank_counts(configuration)
 
-    def cap_tokens(self, service: str, rank: int) -> float:
+    def cap_tokens(self, service: str, rank: int, rate: EngineRate) -> float:
         """Return the queued prompt tokens from which a request gets no place at an engine."""
         less_urgent_ranks = max(0, self._rank_counts.get(service, 0) - 1 - rank)
         factor = 1.0 + URGENT_CAP_STEP * min(MAX_CAP_STEPS, less_urgent_ranks)
-        return factor * PREFILL_CAP_MS * PREFILL_TOKENS_PER_MS
+        return factor * PREFILL_CAP_MS * rate.prompt_tokens_per_ms
 
 
 def memory_tokens(terms: RequestTerms) -> int:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/const.py
@@ -125,9 +125,6 @@
 """How long an endpoint is ejected after another one answered at its address; longer than the entry
 of a stopped endpoint stays in the store."""
 
-PREFILL_TOKENS_PER_MS: Final = 90.0
-"""Prompt tokens that an engine prefills per ms; the slowest engine in the data sheets."""
-
 PREFIX_MEMORY_MS: Final = 8_000
 """How long an endpoint is assumed to cache a prompt's shared parts; within this time they are
 usually reused."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/delays.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/delays.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable
 
-from wagtailusher_gateway.const import PREFILL_TOKENS_PER_MS, RUNNING_COST_MS
+from wagtailusher_gateway.const import RUNNING_COST_MS
 from wagtailusher_gateway.endpoint_registry import Load
+from wagtailusher_gateway.engine_rates import EngineRate
 from wagtailusher_gateway.models import Endpoint, Service
 
 REPREFILL_WEIGHT_MAX = 6.0
@@ -19,15 +20,18 @@
 """Delay at a plain endpoint whose slots are all in use; a few service times."""
 
 
-def reprefill_weight(loads: Iterable[Load]) -> float:
-    """Return the weight of prefilling a shared part again; it grows with the queued prefill."""
+def reprefill_weight(loads: Iterable[Load], rate: EngineRate) -> float:
+    """Return the weight of prefilling a shared part again; it grows with the queued prefill.
+
+    `rate` is that of a typical engine.
+    """
     queued_tokens = [load.prefill_tokens for load in loads]
-    mean_wait_ms = sum(queued_tokens) / len(queued_tokens) / PREFILL_TOKENS_PER_MS
+    mean_wait_ms = rate.prompt_ms(sum(queued_tokens) / len(queued_tokens))
     return min(REPREFILL_WEIGHT_MAX, 1.0 + mean_wait_ms / REPREFILL_WAIT_MS)
 
 
-def delay_ms(service: Service, endpoint: Endpoint, load: Load) -> float:
+def delay_ms(service: Service, endpoint: Endpoint, load: Load, rate: EngineRate) -> float:
     """Return by how many ms the load of an endpoint is expected to delay a new request."""
     if service.engine is None:
         return PLAIN_REQUEST_COST_MS * load.requests / max(1, endpoint.slots)
-    return load.prefill_tokens / PREFILL_TOKENS_PER_MS + RUNNING_COST_MS * load.requests
+    return rate.prompt_ms(load.prefill_tokens) + RUNNING_COST_MS * load.requests
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -13,9 +13,9 @@
     EJECT_MS,
     MAX_EJECTED_SHARE,
     MISDIRECTED_EJECT_MS,
-    PREFILL_TOKENS_PER_MS,
     REFUSED_EJECT_MS,
 )
+from wagtailusher_gateway.engine_rates import EngineRates
 from wagtailusher_gateway.models import Endpoint, FleetView, Service
 from wagtailusher_gateway.outcomes import Outcomes
 from wagtailusher_liveness import Liveness, LivenessDecider
@@ -54,6 +54,7 @@
     """An endpoint with its load, its recent outcomes and the times until which it is ejected."""
 
     endpoint: Endpoint
+    rates: EngineRates
     own_load: Load = field(default_factory=Load)
     outcomes: Outcomes = field(default_factory=Outcomes)
     peer_loads: dict[VmId, Load] = field(default_factory=dict)
@@ -74,13 +75,14 @@
         )
         answers, failures = self.outcomes.recent(now_ms)
         oldest_ms = now_ms
+        rate = self.rates.rate(self.endpoint.service, self.endpoint.endpoint_id, now_ms)
         for load in self.peer_loads.values():
             age_ms = now_ms - load.received_ms
             if age_ms > PEER_LOAD_AGE_MS:
                 continue
             requests += load.requests
             memory += load.memory_tokens
-            done_tokens = age_ms * PREFILL_TOKENS_PER_MS if load.is_updated_early else 0.0
+            done_tokens = age_ms * rate.prompt_tokens_per_ms if load.is_updated_early else 0.0
             prefill += max(0.0, load.prefill_tokens - done_tokens)
             answers += load.answers
             failures += load.failures
@@ -106,6 +108,7 @@
         """Leave out the endpoints that `liveness` finds unresponsive, and those that want none."""
         self.liveness = liveness or LivenessDecider()
         self.availability = availability or AvailabilityDecider()
+        self.rates = EngineRates()
         self._tracked: dict[EndpointId, TrackedEndpoint] = {}
         self._by_service: dict[str, list[TrackedEndpoint]] = {}
         self._reported_by: dict[VmId, frozenset[EndpointId]] = {}
@@ -124,7 +127,9 @@
         for endpoint in view.endpoints.values():
             existing = self._tracked.get(endpoint.endpoint_id)
             if existing is None:
-                self._tracked[endpoint.endpoint_id] = TrackedEndpoint(endpoint=endpoint)
+                self._tracked[endpoint.endpoint_id] = TrackedEndpoint(
+                    endpoint=endpoint, rates=self.rates
+                )
                 continue
             if existing.endpoint.born_ms != endpoint.born_ms:
                 restarted.append(endpoint.endpoint_id)
@@ -135,6 +140,9 @@
         for endpoint_id in self._tracked.keys() - view.endpoints.keys():
             if not self._tracked[endpoint_id].own_load.requests:
                 del self._tracked[endpoint_id]
+        self.rates.update_endpoints(
+            {key: endpoint.service for key, endpoint in view.endpoints.items()}, restarted
+        )
         self._by_service = {}
         for tracked in self._tracked.values():
             if tracked.endpoint.endpoint_id in view.endpoints:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_partition.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_partition.py
@@ -11,7 +11,7 @@
 import math
 
 from wagtailusher_core import EndpointId, rank_by_rendezvous
-from wagtailusher_gateway.const import PREFILL_TOKENS_PER_MS
+from wagtailusher_gateway.engine_rates import EngineRate
 from wagtailusher_gateway.models import RequestTerms
 
 LONG_PROMPT_TOKENS = 2_500
@@ -20,12 +20,6 @@
 MIN_PROMPT_OUTPUT_RATIO = 10
 """Prompt tokens per output token from which a request is prompt-heavy."""
 
-DECODE_STEP_MS = 3.9
-"""Base time of an engine's decoding step, from the engines' data sheets."""
-
-DECODE_STEP_MS_PER_REQUEST = 0.047
-"""Time that each running request adds to a decoding step, from the engines' data sheets."""
-
 PROMPT_HEADROOM = 2.5
 """Factor on the work of long prompts, which queue up well before their engines are full."""
 
@@ -52,12 +46,12 @@
     return terms.prompt_tokens >= MIN_PROMPT_OUTPUT_RATIO * terms.max_output_tokens
 
 
-def estimate_work_ms(terms: RequestTerms, batch_requests: int) -> float:
+def estimate_work_ms(terms: RequestTerms, batch_requests: int, rate: EngineRate) -> float:
     """Return the engine time, in ms, that a request takes when the engine's batch is full."""
     shared = sum(part.tokens for part in terms.shared_parts)
     prefill_tokens = terms.own_prompt_tokens + SHARED_PREFILL_SHARE * shared
-    token_ms = DECODE_STEP_MS / max(1, batch_requests) + DECODE_STEP_MS_PER_REQUEST
-    return prefill_tokens / PREFILL_TOKENS_PER_MS + terms.max_output_tokens * token_ms
+    token_ms = rate.step_ms / max(1, batch_requests) + rate.step_ms_per_request
+    return rate.prompt_ms(prefill_tokens) + terms.max_output_tokens * token_ms
 
 
 class EnginePartition:
@@ -70,16 +64,19 @@
         self._engine_ids: tuple[EndpointId, ...] = ()
         self._ordered: list[EndpointId] = []
 
-    def record_demand(self, terms: RequestTerms, batch_requests: int, now_ms: int) -> None:
-        """Add a request's work to the decayed estimate."""
+    def record_demand(
+        self, terms: RequestTerms, batch_requests: int, rate: EngineRate, now_ms: int
+    ) -> None:
+        """Add a request's work, at the rate of a typical engine, to the decayed estimate."""
         decay = math.exp(-max(0, now_ms - self._updated_ms) / DEMAND_MEMORY_MS)
         self._updated_ms = now_ms
         self._prompt_ms = INITIAL_WORK_MS + (self._prompt_ms - INITIAL_WORK_MS) * decay
         self._output_ms = INITIAL_WORK_MS + (self._output_ms - INITIAL_WORK_MS) * decay
+        work_ms = estimate_work_ms(terms, batch_requests, rate)
         if is_prompt_heavy(terms):
-            self._prompt_ms += PROMPT_HEADROOM * estimate_work_ms(terms, batch_requests)
+            self._prompt_ms += PROMPT_HEADROOM * work_ms
         else:
-            self._output_ms += estimate_work_ms(terms, batch_requests)
+            self._output_ms += work_ms
 
     def boundary(self, engine_count: int) -> float:
         """Return the number of engines for long prompts; each kind has at least one.
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -12,6 +12,7 @@
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load
 from wagtailusher_gateway.fleet import DueHeartbeat, FleetDecider
 from wagtailusher_gateway.heartbeat_relay import HeartbeatRelay, original_beat, relaying_heartbeats
+from wagtailusher_gateway.rate_reports import apply_rates, new_rates
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_wire import (
     MAX_PAYLOAD_BYTES,
@@ -19,6 +20,7 @@
     Beat,
     BeatLoad,
     BeatPeer,
+    BeatRate,
     Message,
     RelayedBeat,
     fill_to_fit,
@@ -185,6 +187,7 @@
             for load in heartbeat.loads
         )
         self._registry.set_peer_loads(origin.vm_id, loads, origin.sent_ms)
+        apply_rates(self._registry.rates, origin.vm_id, heartbeat.rates, origin.sent_ms)
         if is_new and origin.vm_id != self._fleet.own_member.vm_id:
             self._send(origin.peer_address, self._new_heartbeat(now_ms, with_peers=True))
             self._on_new_peer(origin.peer_address, now_ms)
@@ -223,6 +226,7 @@
             takes_forwarded=own_member.takes_forwarded,
             unreached_services=own_member.unreached_services,
             configuration_version=self._view_cache.configuration_version,
+            rates=new_rates(self._registry.rates, now_ms),
         )
 
     def _log_change(self, live_ids: frozenset[VmId]) -> None:
@@ -241,9 +245,9 @@
 def shorten_heartbeat(heartbeat: Beat) -> Beat:
     """Return a heartbeat that fits into a datagram, without what long names leave no room for.
 
-    Each kind of names leaves some room for the next, the largest loads coming last.
+    Each kind of names leaves some room for the next, the largest loads and the rates coming last.
     """
-    short = replace(heartbeat, unreached_services=(), peers=(), loads=())
+    short = replace(heartbeat, unreached_services=(), peers=(), loads=(), rates=())
     short = fill_to_fit(
         partial(_with_unreached, short),
         heartbeat.unreached_services,
@@ -252,7 +256,8 @@
     short = fill_to_fit(
         partial(_with_peers, short), heartbeat.peers, max_bytes=MAX_PAYLOAD_BYTES * 3 // 4
     )
-    return fill_to_fit(partial(_with_loads, short), heartbeat.loads)
+    short = fill_to_fit(partial(_with_loads, short), heartbeat.loads)
+    return fill_to_fit(partial(_with_rates, short), heartbeat.rates)
 
 
 def _with_unreached(heartbeat: Beat, services: tuple[str, ...]) -> Beat:
@@ -265,3 +270,7 @@
 
 def _with_loads(heartbeat: Beat, loads: tuple[BeatLoad, ...]) -> Beat:
     return replace(heartbeat, loads=loads)
+
+
+def _with_rates(heartbeat: Beat, rates: tuple[BeatRate, ...]) -> Beat:
+    return replace(heartbeat, rates=rates)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
@@ -31,6 +31,7 @@
     "takes_forwarded",
     "unreached_services",
     "configuration_version",
+    "rates",
 )
 
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection, Iterable, Iterator
 import random
 
-from wagtailusher_core import EndpointId, FailureDomainId, VmId, rank_by_rendezvous
+from wagtailusher_core import EndpointId, FailureDomainId, VmId
 from wagtailusher_gateway.capacity import (
     PrefillCaps,
     count_free_places,
@@ -15,7 +15,6 @@
 from wagtailusher_gateway.cold_start_limiter import ColdStartLimiter
 from wagtailusher_gateway.const import (
     HEARTBEAT_INTERVAL_MS,
-    PREFILL_TOKENS_PER_MS,
     REMOTE_DOMAIN_COST_MS,
     REMOTE_LOAD_AGE_COST,
     STALE_VIEW_MS,
@@ -24,10 +23,11 @@
 from wagtailusher_gateway.delays import delay_ms, reprefill_weight
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load, TrackedEndpoint
 from wagtailusher_gateway.engine_partition import EnginePartition, is_prompt_heavy
-from wagtailusher_gateway.engine_rates import EngineRates
+from wagtailusher_gateway.engine_rates import EngineRate
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
 from wagtailusher_gateway.outcomes import expected_failure_rate, failure_penalties_ms
 from wagtailusher_gateway.prefixes import MissingTokens, PrefixMemory
+from wagtailusher_gateway.prompt_caches import cache_doubt, rank_for_prompt
 from wagtailusher_gateway.reservation import Reservation
 from wagtailusher_rate_limits import RateLimitDecider
 
@@ -72,7 +72,7 @@
         self.rate_limits = rate_limits
         self._failure_domain_id = failure_domain_id
         self._prefixes = PrefixMemory()
-        self.engine_rates = EngineRates()
+        self.engine_rates = registry.rates
         self._partitions: dict[str, EnginePartition] = {}
         self._prefill_caps = PrefillCaps()
         self._random = random.Random(seed)
@@ -92,7 +92,8 @@
         """Add an arriving request to the demand estimate, whether or not it can be placed."""
         if service.engine is not None:
             partition = self._partitions.setdefault(service.name, EnginePartition())
-            partition.record_demand(terms, service.engine.batch_requests, now_ms)
+            rate = self.engine_rates.service_rate(service.name, now_ms)
+            partition.record_demand(terms, service.engine.batch_requests, rate, now_ms)
 
     def try_reserve(
         self,
@@ -114,14 +115,14 @@
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties = self._penalties_ms(service, terms, usable)
-        ranked = _rank_for_prompt(service, terms, usable, penalties)
+        ranked = rank_for_prompt(service, terms, usable, penalties)
         exempt_ids = self._exempt_ids(service, ranked, penalties, now_ms)
         candidates = [
             item
             for item in self._candidates(service, terms, usable, view, vm_ids, now_ms, rank)
             if _id_of(item) in penalties
             and (may_use_limited or not self._has_limit(item))
-            and self._may_compete(service, terms, item, exempt_ids, rank, software_version)
+            and self._may_compete(service, terms, item, exempt_ids, now_ms, rank, software_version)
         ]
         candidates = _without_excluded(candidates, excluded) or candidates
         if not candidates:
@@ -129,7 +130,7 @@
         cached_chances = self._cached_chances(ranked, penalties, candidates)
         fleet_factor = max(1, len(vm_ids)) / len(penalties)
         missing = self._prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
-        costs = self._costs(service, penalties, candidates, cached_chances, missing)
+        costs = self._costs(service, penalties, candidates, cached_chances, missing, now_ms)
         cost_ms, best = min(zip(costs, candidates, strict=True), key=lambda item: item[0])
         chance = cached_chances.get(_id_of(best), 0.0) * self._prefixes.repeat_chance(len(vm_ids))
         uncached_tokens = terms.own_prompt_tokens + missing(_id_of(best), chance)
@@ -176,11 +177,13 @@
     ) -> Iterator[Candidate]:
         """Yield the endpoints with capacity, their load and whether they are cold."""
         self._contention.set_vm_ids(self._sending_ids(vm_ids))
-        cap_tokens = self._prefill_caps.cap_tokens(service.name, rank)
         stale = now_ms - view.confirmed_ms > STALE_VIEW_MS
         is_brittle = self.registry.is_brittle(service.name, now_ms)
         for tracked in usable:
             load, endpoint_id = tracked.total_load(now_ms), tracked.endpoint.endpoint_id
+            cap_tokens = self._prefill_caps.cap_tokens(
+                service.name, rank, self._rate(tracked, now_ms)
+            )
             has_room = has_capacity(tracked.endpoint, service, terms, load, cap_tokens)
             if is_brittle:
                 fits = service.engine is None or has_room
@@ -234,10 +237,12 @@
         candidates: list[Candidate],
         cached_chances: dict[EndpointId, float],
         missing: MissingTokens,
+        now_ms: int,
     ) -> list[float]:
         """Return the cost of each candidate in ms: delay and penalties, with random tie-breaks."""
         remote_cost_ms = self._remote_cost_ms()
-        reprefill_ms = reprefill_weight(load for _, load, _ in candidates) / PREFILL_TOKENS_PER_MS
+        typical = self.engine_rates.service_rate(service.name, now_ms)
+        weight = reprefill_weight((load for _, load, _ in candidates), typical)
         failure_penalties = failure_penalties_ms(
             expected_failure_rate(load.answers, load.failures) for _, load, _ in candidates
         )
@@ -245,10 +250,12 @@
         def cost_ms(candidate: Candidate, failure_penalty_ms: float) -> float:
             tracked, load, is_cold = candidate
             endpoint_id = tracked.endpoint.endpoint_id
+            rate = self._rate(tracked, now_ms)
+            missing_tokens = missing(endpoint_id, cached_chances.get(endpoint_id, 0.0))
             return (
                 self._random.random()
-                + delay_ms(service, tracked.endpoint, load)
-                + reprefill_ms * missing(endpoint_id, cached_chances.get(endpoint_id, 0.0))
+                + delay_ms(service, tracked.endpoint, load, rate)
+                + weight * rate.prompt_ms(missing_tokens)
                 + penalties[endpoint_id]
                 + failure_penalty_ms
                 + (COLD_COST_MS if is_cold else 0.0)
@@ -304,6 +311,7 @@
         terms: RequestTerms,
         candidate: Candidate,
         exempt_ids: Collection[EndpointId],
+        now_ms: int,
         rank: int,
         software_version: str | None,
     ) -> bool:
@@ -315,10 +323,20 @@
         endpoint_id = tracked.endpoint.endpoint_id
         if service.engine is None or software_version is not None or endpoint_id in exempt_ids:
             return True
-        cap_tokens = self._prefill_caps.cap_tokens(service.name, rank)
+        rate = self._rate(tracked, now_ms)
+        cap_tokens = self._prefill_caps.cap_tokens(service.name, rank, rate)
         free_places = count_free_places(tracked.endpoint, terms, load, cap_tokens)
         return self._contention.may_compete(endpoint_id, free_places, rank)
 
+    def _rate(self, tracked: TrackedEndpoint, now_ms: int) -> EngineRate:
+        endpoint = tracked.endpoint
+        return self.engine_rates.rate(endpoint.service, endpoint.endpoint_id, now_ms)
+
+    def queued_tokens(self, endpoint_id: EndpointId, now_ms: int) -> int:
+        """Return the prompt tokens believed to be queued at an endpoint."""
+        tracked = self.registry.get(endpoint_id)
+        return tracked.total_load(now_ms).prefill_tokens if tracked is not None else 0
+
     def _is_remote(self, endpoint: Endpoint) -> bool:
         return endpoint.failure_domain_id != self._failure_domain_id
 
@@ -338,6 +356,8 @@
     ) -> Reservation:
         """Add a request to an endpoint's load and return its reservation."""
         (tracked, load, is_cold), endpoint_id = candidate, _id_of(candidate)
+        rate = self._rate(tracked, now_ms)
+        queued_tokens = load.prefill_tokens + uncached_tokens
         reservation = Reservation(
             endpoint=tracked.endpoint,
             prefill_tokens=uncached_tokens if service.engine is not None else 0,
@@ -348,6 +368,9 @@
             running=load.requests,
             own_running=tracked.own_load.requests,
             load_age_ms=now_ms - load.received_ms,
+            expected_first_ms=rate.first_event_ms + rate.prompt_ms(queued_tokens),
+            output_tokens=terms.max_output_tokens,
+            cache_doubt=cache_doubt(terms, uncached_tokens),
         )
         tracked.own_load.requests += 1
         tracked.own_load.prefill_tokens += reservation.prefill_tokens
@@ -370,21 +393,3 @@
 ) -> list[Candidate]:
     """Return the candidates that are not excluded."""
     return [item for item in candidates if _id_of(item) not in excluded]
-
-
-def _rank_for_prompt(
-    service: Service,
-    terms: RequestTerms,
-    usable: list[TrackedEndpoint],
-    penalties: dict[EndpointId, float],
-) -> list[Endpoint]:
-    """Return the endpoints by rendezvous rank for a shared prompt, which is the same on all VMs."""
-    if service.engine is None or not terms.shared_parts:
-        return []
-    endpoints = {
-        item.endpoint.endpoint_id: item.endpoint
-        for item in usable
-        if item.endpoint.endpoint_id in penalties
-    }
-    ranked = rank_by_rendezvous(terms.shared_parts[-1].part_id, endpoints)
-    return [endpoints[EndpointId(endpoint_id)] for endpoint_id in ranked]
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
@@ -169,6 +169,7 @@
             "running": reservation.running,
             "own_running": reservation.own_running,
             "load_age_ms": reservation.load_age_ms,
+            "expected_first_ms": round(reservation.expected_first_ms),
         }
 
     def _version_fields(self) -> dict[str, str | int]:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/reservation.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/reservation.py
@@ -25,3 +25,9 @@
     """Those among them that this VM sent."""
     load_age_ms: int
     """Age of the oldest peer's report that the assumed load is based on; 0 without any."""
+    expected_first_ms: float = 0.0
+    """Time in which an engine's first event is expected, by its observed rate."""
+    output_tokens: int = 0
+    """Largest number of tokens of the answer."""
+    cache_doubt: float = 0.0
+    """Between 0 and 1, how uncertain it is which tokens of the prompt the endpoint has cached."""
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -20,6 +20,20 @@
     recent_failures: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeatRate:
+    """How fast an engine works, as the sender observed it lately; 0 for what it did not."""
+
+    endpoint_id: EndpointId
+    prompt_tokens_per_s: int
+    observations: int
+    """Answers that the rate stands for."""
+    quiet_gap_ms: int
+    """Time between two events while the engine reads no prompts."""
+    busy_gap_ms: int
+    """The same while it reads prompts all the time."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BeatPeer:
     """A VM from which the sender receives heartbeats."""
@@ -61,6 +75,8 @@
     """Services of which the VM reaches no endpoint."""
     configuration_version: int = 0
     """Version of the configuration in force at the VM; 0 if it has none or is an older build."""
+    rates: tuple[BeatRate, ...] = ()
+    """Rates of engines that the VM observed; empty if it observed none or is an older build."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +97,8 @@
     """Services of which the VM reaches no endpoint."""
     configuration_version: int = 0
     """Version of the configuration in force at the VM; 0 if it has none or is an older build."""
+    rates: tuple[BeatRate, ...] = ()
+    """Rates of engines that the VM observed; empty if it observed none or is an older build."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -154,6 +154,14 @@
   recentFailures @5 :UInt32;
 }
 
+struct BeatRate {
+  endpointId @0 :Text;
+  promptTokensPerS @1 :UInt32;
+  observations @2 :UInt16;
+  quietGapMs @3 :UInt16;
+  busyGapMs @4 :UInt16;
+}
+
 struct BeatPeer {
   vmId @0 :Text;
   peerAddress @1 :Text;
@@ -177,6 +185,7 @@
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
   configurationVersion @16 :UInt64;
+  rates @17 :List(BeatRate);
 }
 
 struct RelayedBeat {
@@ -197,6 +206,7 @@
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
   configurationVersion @16 :UInt64;
+  rates @17 :List(BeatRate);
 }
 
 struct StreamVersionRecord {
--- a/tests/wagtailusher_gateway/test_engine_partition.py
+++ b/tests/wagtailusher_gateway/test_engine_partition.py
@@ -18,6 +18,7 @@
 )
 from wagtailusher_core import EndpointId
 from wagtailusher_gateway.engine_partition import EnginePartition, is_prompt_heavy
+from wagtailusher_gateway.engine_rates import INITIAL_RATE
 from wagtailusher_gateway.models import RequestTerms
 
 IDS = tuple(EndpointId(f"i-{number}") for number in range(9))
@@ -32,9 +33,9 @@
         """Return the partition of a VM after so many requests of each kind at one time."""
         partition = EnginePartition()
         for _ in range(reviews):
-            partition.record_demand(REVIEW, 96, 1_000)
+            partition.record_demand(REVIEW, 96, INITIAL_RATE, 1_000)
         for _ in range(chats):
-            partition.record_demand(CHAT, 96, 1_000)
+            partition.record_demand(CHAT, 96, INITIAL_RATE, 1_000)
         return partition
 
     def test_kinds(self) -> None:
@@ -57,7 +58,7 @@
         partition = self._partition_after(0, 200)
         burst = partition.boundary(9)
         for at_ms in range(1_000, 21_000, 100):
-            partition.record_demand(REVIEW, 96, at_ms)
+            partition.record_demand(REVIEW, 96, INITIAL_RATE, at_ms)
         self.assertGreater(partition.boundary(9), burst + 3)
 
     def test_burst_of_reviews_leaves_engines_for_chats(self) -> None:
