Share services among workspaces by work, over all VMs

A queue ordered its requests by rank, then by arrival, at one VM; nothing knew a workspace's share.

Each VM now counts the work that workspaces ask for and that it starts for them, with a window of two seconds, and tells it in its heartbeats while requests compete. Within a rank a queue starts the workspace for which the fleet started least; the part of a workspace's requests that exceeds its fair share is refused on arrival, with its reason; a full queue, or one that has become too long, gives up a request of the workspace that is furthest over its share. Ranks go first, and nothing changes while there is room.

The new fields are the last ones of a heartbeat; BeatQueue is not sent yet.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
+from enum import StrEnum
 import random
 
 from wagtailusher_gateway.const import (
@@ -14,7 +16,9 @@
     RETRY_AFTER_MAX_MS,
     RETRY_AFTER_MIN_MS,
     RETRY_AFTER_RANK_MS,
+    TICK_MS,
 )
+from wagtailusher_gateway.workspace_shares import WORK_PER_REQUEST, Pool, WorkspaceShares
 
 RATE_WINDOW_MS = 2_000
 """Window for counting started requests to estimate the wait; a burst lasts a few seconds."""
@@ -23,6 +27,19 @@
 """Shortest time that a queue must have been non-empty before its rate is used."""
 
 
+class RefusalCause(StrEnum):
+    """Why a queue refuses a request."""
+
+    NO_ROOM = "no_room"
+    """It would not start, or did not, in the time for which it may wait."""
+    SHARE = "share"
+    """Its workspace asks for more than its share while others wait."""
+
+
+CONTENDED_WAIT_MS = TICK_MS
+"""Wait beyond which a request counts as competing for room; queues are checked as often."""
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class QueuedRequest:
     """One request in an admission queue."""
@@ -37,6 +54,21 @@
     """Requests of several queues may compete for the same endpoints of a service."""
     refuse: Callable[[int], None]
     """Called with the delay, in ms, after which the caller may retry."""
+    workspace: str = ""
+    """Identifier of its workspace; empty if it has none."""
+    work: float = WORK_PER_REQUEST
+    """Estimated work, in the unit in which workspaces share a service."""
+    is_repeat: bool = False
+    """Whether it was sent before; its workspace's share has been decided on."""
+    queued_ms: int | None = None
+    """When it had to wait; None if it started at once."""
+    refusal_cause: RefusalCause = RefusalCause.NO_ROOM
+    """Why it is refused, if it is."""
+
+    @property
+    def pool(self) -> Pool:
+        """Return with which requests it competes by its workspace's share."""
+        return Pool(self.service or self.queue, self.rank)
 
 
 @dataclass(slots=True)
@@ -48,6 +80,10 @@
     busy_since_ms: int = 0
     """Since when the queue has been non-empty; undefined while it is empty."""
 
+    def add(self, queued_request: QueuedRequest) -> None:
+        """Add a request behind those of its rank that came earlier."""
+        insort(self.requests, queued_request, key=lambda item: item.rank)
+
     def record_starts(self, count: int, now_ms: int) -> None:
         """Record starts from the queue; the rate of an empty queue is unknown."""
         self.started_ms.extend([now_ms] * count)
@@ -73,13 +109,14 @@
 
 
 class Admission:
-    """One VM's queues, ordered by rank and within a rank by arrival.
+    """One VM's queues, ordered by rank, within a rank by workspaces' shares, then by arrival.
 
     A request that is not expected to start within the time it may wait is refused at once, with a
     retry delay after which the queue is expected to be empty; it is shorter for urgent requests.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, shares: WorkspaceShares | None = None) -> None:
+        self.shares = shares or WorkspaceShares()
         self._queues: dict[str, _Queue] = {}
         self._random = random.Random(seed)
 
@@ -98,27 +135,94 @@
 
     def submit(self, queued_request: QueuedRequest, now_ms: int) -> None:
         """Start a request, queue it, or refuse it."""
+        if self._exceeds_share(queued_request, now_ms):
+            return
         queue = self._queues.setdefault(queued_request.queue, _Queue())
-        ahead = sum(1 for other in queue.requests if other.rank <= queued_request.rank)
-        if not ahead and queued_request.try_start(now_ms):
+        order = self._in_order(queue, now_ms, queued_request)
+        ahead = order.index(queued_request)
+        if not ahead and self._try_start(queued_request, now_ms):
             return
+        queued_request.queued_ms = now_ms
         wait_ms = queue.expected_wait_ms(ahead, now_ms)
-        if wait_ms > queued_request.expires_ms - now_ms or self.count >= MAX_QUEUED:
-            queued_request.refuse(
-                self.retry_after_ms(queued_request.queue, queued_request.rank, now_ms)
-            )
+        is_full = self.count >= MAX_QUEUED and order[-1] is queued_request
+        if is_full or wait_ms > queued_request.expires_ms - now_ms:
+            self._refuse(queued_request, now_ms)
             return
-        index = next(
-            (
-                position
-                for position, other in enumerate(queue.requests)
-                if other.rank > queued_request.rank
-            ),
-            len(queue.requests),
-        )
         if not queue.requests:
             queue.busy_since_ms = now_ms
-        queue.requests.insert(index, queued_request)
+        queue.add(queued_request)
+        self._refuse_overtaken(queue, order, queued_request.rank, now_ms)
+
+    def _exceeds_share(self, queued_request: QueuedRequest, now_ms: int) -> bool:
+        """Count an arriving request; refuse it if it exceeds its workspace's share."""
+        if queued_request.is_repeat:
+            return False
+        pool, workspace = queued_request.pool, queued_request.workspace
+        self.shares.record_asked(pool, workspace, queued_request.work, now_ms)
+        chance = self.shares.pass_chance(pool, workspace, now_ms)
+        if chance >= 1.0 or self._random.random() < chance:
+            return False
+        queued_request.refusal_cause = RefusalCause.SHARE
+        delay_ms = self.retry_after_ms(queued_request.queue, queued_request.rank, now_ms)
+        queued_request.refuse(int(min(RETRY_AFTER_MAX_MS, delay_ms / max(chance, 0.1))))
+        return True
+
+    def _try_start(self, queued_request: QueuedRequest, now_ms: int) -> bool:
+        """Start a request if it can, and charge its workspace."""
+        if not queued_request.try_start(now_ms):
+            return False
+        pool, workspace = queued_request.pool, queued_request.workspace
+        self.shares.record_started(pool, workspace, queued_request.work, now_ms)
+        queued_ms = queued_request.queued_ms
+        if queued_ms is not None and now_ms - queued_ms > CONTENDED_WAIT_MS:
+            self.shares.record_waited(pool, queued_request.work, now_ms)
+        return True
+
+    def _in_order(self, queue: _Queue, now_ms: int, *added: QueuedRequest) -> list[QueuedRequest]:
+        """Return the requests of a queue, with an added one, in order of service.
+
+        A workspace's requests start as if each before them had been charged to it already.
+        """
+        requests = [*queue.requests, *added]
+        if len({item.workspace for item in requests}) <= 1:
+            return sorted(requests, key=lambda item: item.rank)
+        levels: dict[tuple[int, str], float] = {}
+        keys: list[tuple[int, float]] = []
+        for item in requests:
+            key = (item.rank, item.workspace)
+            if key not in levels:
+                levels[key] = self.shares.level(item.pool, item.workspace, now_ms)
+            keys.append((item.rank, levels[key]))
+            levels[key] += item.work
+        positions = sorted(range(len(requests)), key=keys.__getitem__)
+        return [requests[position] for position in positions]
+
+    def _refuse_overtaken(
+        self, queue: _Queue, order: Sequence[QueuedRequest], rank: int, now_ms: int
+    ) -> None:
+        """Refuse the last request if the queues are full, or of a rank if it would wait too long.
+
+        Among requests of the same rank it is one of the workspace that is furthest over its share.
+        """
+        last = order[-1]
+        if self.count <= MAX_QUEUED:
+            if not self.shares.is_contended(order[0].pool, now_ms):
+                return
+            ahead, last = max(
+                (ahead, item) for ahead, item in enumerate(order) if item.rank == rank
+            )
+            if queue.expected_wait_ms(ahead, now_ms) <= last.expires_ms - now_ms:
+                return
+        if last.rank == rank:
+            last.refusal_cause = RefusalCause.SHARE
+        queue.requests.remove(last)
+        self._refuse(last, now_ms)
+
+    def _refuse(self, queued_request: QueuedRequest, now_ms: int) -> None:
+        """Refuse a request that had to wait too long or would have to."""
+        self.shares.record_waited(queued_request.pool, queued_request.work, now_ms)
+        name, rank = queued_request.queue, queued_request.rank
+        queued_request.refuse(self.retry_after_ms(name, rank, now_ms))
 
     def cancel(self, queued_request: QueuedRequest) -> None:
         """Remove a request whose caller disconnected."""
@@ -134,9 +238,7 @@
                 queue.requests.remove(queued_request)
             for queued_request in [item for item in queue.requests if item.expires_ms <= now_ms]:
                 queue.requests.remove(queued_request)
-                queued_request.refuse(
-                    self.retry_after_ms(queued_request.queue, queued_request.rank, now_ms)
-                )
+                self._refuse(queued_request, now_ms)
             queue.record_starts(len(started), now_ms)
 
     def retry_after_ms(self, name: str, rank: int, now_ms: int) -> int:
@@ -156,8 +258,8 @@
 
     def _start_requests(self, queue: _Queue, now_ms: int) -> Iterator[QueuedRequest]:
         """Start requests in order and yield them; stop at the first that can't start."""
-        for queued_request in tuple(queue.requests):
-            if not queued_request.try_start(now_ms):
+        for queued_request in self._in_order(queue, now_ms):
+            if not self._try_start(queued_request, now_ms):
                 return
             yield queued_request
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -114,6 +114,7 @@
             fleet=self.fleet,
             view_cache=self.view_cache,
             registry=self.dispatcher.placement.registry,
+            shares=self.dispatcher.admission.shares,
             send=self.link.send,
             on_new_peer=self._greet,
         )
@@ -318,9 +319,7 @@
         await self._async_until_idle(began_ms, ends_ms + LEAVE_ANSWER_MS)
         await self._async_close()
         _LOGGER.info(
-            "Gateway: %s stopped",
-            self.options.vm_id,
-            extra={"event": "stop", "in_flight": left},
+            "Gateway: %s stopped", self.options.vm_id, extra={"event": "stop", "in_flight": left}
         )
 
     async def _async_close(self) -> None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -151,6 +151,7 @@
             rank=table.rank(route, workspace, name),
             ends_ms=ends_ms,
             software_version=known.software_version if known is not None else None,
+            workspace=workspace.workspace_id if workspace is not None else "",
         )
         self._dispatcher.check_stop(routed_request)
         if forwarded is not None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -8,7 +8,12 @@
 from http import HTTPStatus
 
 from wagtailusher_core import EndpointId, ErrorCode, VmId
-from wagtailusher_gateway.admission import Admission, QueuedRequest, queue_wait_ms
+from wagtailusher_gateway.admission import (
+    Admission,
+    QueuedRequest,
+    RefusalCause,
+    queue_wait_ms,
+)
 from wagtailusher_gateway.budget import RetryBudget
 from wagtailusher_gateway.const import LEAVE_AWARE_MS, RETRY_AFTER_MAX_MS
 from wagtailusher_gateway.delivery import Delivery
@@ -28,6 +33,7 @@
 from wagtailusher_gateway.reservation import Reservation
 from wagtailusher_gateway.routes import RouteTable
 from wagtailusher_gateway.view_cache import EMPTY_VIEW
+from wagtailusher_gateway.workspace_shares import Pool, actual_work, estimated_work
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,6 +47,8 @@
     ends_ms: int
     software_version: str | None = None
     """Version of the endpoints that may get the request; None for any, empty if it is unknown."""
+    workspace: str = ""
+    """Identifier of the caller's workspace; empty if it has none."""
 
 
 class Dispatcher:
@@ -143,12 +151,15 @@
 
         def refuse(retry_after_ms: int) -> None:
             if not future.done():
-                future.set_exception(_no_capacity(retry_after_ms))
+                future.set_exception(_refusal(queued_request.refusal_cause, retry_after_ms))
 
         queued_request = QueuedRequest(
             queue=queue_name(request),
             service=request.service.name,
             rank=request.rank,
+            workspace=request.workspace,
+            work=estimated_work(request.service, request.terms),
+            is_repeat=bool(excluded),
             expires_ms=now_ms + queue_wait_ms(request.route.target_ms, request.ends_ms - now_ms),
             try_start=lambda now_ms: self._try_start(future, request, excluded, now_ms),
             refuse=refuse,
@@ -181,8 +192,15 @@
         if reservation is None:
             return False
         future.set_result(reservation)
+        self._correct_work(request, actual_work(request.service, request.terms, reservation))
         return True
 
+    def _correct_work(self, request: RoutedRequest, work: float) -> None:
+        """Correct what a request's workspace is charged from its estimated work."""
+        difference = work - estimated_work(request.service, request.terms)
+        pool = Pool(request.service.name, request.rank)
+        self.admission.shares.correct(pool, request.workspace, difference, self.clock_ms())
+
     def _try_reserve(
         self, request: RoutedRequest, excluded: frozenset[EndpointId], now_ms: int
     ) -> Reservation | None:
@@ -257,8 +275,14 @@
     return name
 
 
-def _no_capacity(retry_after_ms: int) -> RefusedError:
-    message = "no endpoint had capacity within the allowed wait"
+_REFUSAL_MESSAGES = {
+    RefusalCause.NO_ROOM: "no endpoint had capacity within the allowed wait",
+    RefusalCause.SHARE: "the workspace asks for more than its share while others wait",
+}
+
+
+def _refusal(cause: RefusalCause, retry_after_ms: int) -> RefusedError:
+    message = _REFUSAL_MESSAGES[cause]
     return _unavailable(message, ErrorCode.QUEUE_FULL, retry_after_ms)
 
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
@@ -31,6 +31,8 @@
     "takes_forwarded",
     "unreached_services",
     "configuration_version",
+    "queues",
+    "shares",
 )
 
 
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -32,6 +32,8 @@
     Beat,
     BeatLoad,
     BeatPeer,
+    BeatQueue,
+    BeatShares,
     EntryUpdate,
     IncarnationNotice,
     RelayedBeat,
@@ -40,6 +42,7 @@
     StreamVersionRecord,
     ViewChanges,
     VmReport,
+    WorkspaceWork,
 )
 from wagtailusher_wire.message_auth import AuthenticatedMessage, MessageAuthenticator
 from wagtailusher_wire.messages import (
@@ -90,6 +93,8 @@
     "Beat",
     "BeatLoad",
     "BeatPeer",
+    "BeatQueue",
+    "BeatShares",
     "ClassDemand",
     "Codec",
     "ConfigurationAnnounce",
@@ -140,6 +145,7 @@
     "TableDigest",
     "UnauthenticatedPeerError",
     "ViewChanges",
+    "WorkspaceWork",
     "VmReport",
     "WireError",
     "WireVersionError",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -28,6 +28,47 @@
     peer_address: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeatQueue:
+    """What waits at the sender for one service at one rank, and what started there lately."""
+
+    service: str
+    rank: int
+    waiting: int
+    oldest_ms: int
+    """How long the request that came first has waited."""
+    started: int
+    """Requests that started lately, in thousandths; weighted by their age."""
+    asked: int
+    """Requests that arrived lately, in thousandths; weighted by their age."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkspaceWork:
+    """What one workspace asked for lately, and what was started for it."""
+
+    workspace_hash: int
+    asked: int
+    started: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeatShares:
+    """The sender's recent work for one service at one rank, weighted by its age."""
+
+    service: str
+    rank: int
+    requests: int
+    """Number of requests that asked, in thousandths."""
+    asked: int
+    """Their work."""
+    started: int
+    waited: int
+    """Work of those that had to wait, or were refused for lack of room."""
+    workspaces: tuple[WorkspaceWork, ...] = ()
+    """The workspaces that asked for most."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VmReport:
     """A VM's addresses, state, view revision and load in flight."""
@@ -61,6 +102,10 @@
     """Services of which the VM reaches no endpoint."""
     configuration_version: int = 0
     """Version of the configuration in force at the VM; 0 if it has none or is an older build."""
+    queues: tuple[BeatQueue, ...] = ()
+    """What waits at the VM; empty while nothing does, or if it is an older build."""
+    shares: tuple[BeatShares, ...] = ()
+    """Work of workspaces at the VM; empty unless they compete, or if it is an older build."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +126,10 @@
     """Services of which the VM reaches no endpoint."""
     configuration_version: int = 0
     """Version of the configuration in force at the VM; 0 if it has none or is an older build."""
+    queues: tuple[BeatQueue, ...] = ()
+    """What waits at the VM; empty while nothing does, or if it is an older build."""
+    shares: tuple[BeatShares, ...] = ()
+    """Work of workspaces at the VM; empty unless they compete, or if it is an older build."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -159,6 +159,31 @@
   peerAddress @1 :Text;
 }
 
+struct BeatQueue {
+  service @0 :Text;
+  rank @1 :UInt32;
+  waiting @2 :UInt32;
+  oldestMs @3 :UInt32;
+  started @4 :UInt32;
+  asked @5 :UInt32;
+}
+
+struct WorkspaceWork {
+  workspaceHash @0 :UInt32;
+  asked @1 :UInt32;
+  started @2 :UInt32;
+}
+
+struct BeatShares {
+  service @0 :Text;
+  rank @1 :UInt32;
+  requests @2 :UInt32;
+  asked @3 :UInt32;
+  started @4 :UInt32;
+  waited @5 :UInt32;
+  workspaces @6 :List(WorkspaceWork);
+}
+
 struct Beat {
   address @0 :Text;
   viewAddress @1 :Text;
@@ -177,6 +202,8 @@
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
   configurationVersion @16 :UInt64;
+  queues @17 :List(BeatQueue);
+  shares @18 :List(BeatShares);
 }
 
 struct RelayedBeat {
@@ -197,6 +224,8 @@
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
   configurationVersion @16 :UInt64;
+  queues @17 :List(BeatQueue);
+  shares @18 :List(BeatShares);
 }
 
 struct StreamVersionRecord {
