--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -33,6 +33,8 @@
     BeatLoad,
     BeatPeer,
     BeatRate,
+    BeatQueue,
+    BeatShares,
     EntryUpdate,
     IncarnationNotice,
     RelayedBeat,
@@ -41,6 +43,7 @@
     StreamVersionRecord,
     ViewChanges,
     VmReport,
+    WorkspaceWork,
 )
 from wagtailusher_wire.message_auth import AuthenticatedMessage, MessageAuthenticator
 from wagtailusher_wire.messages import (
@@ -92,6 +95,8 @@
     "BeatLoad",
     "BeatPeer",
     "BeatRate",
+    "BeatQueue",
+    "BeatShares",
     "ClassDemand",
     "Codec",
     "ConfigurationAnnounce",
@@ -142,6 +147,7 @@
     "TableDigest",
     "UnauthenticatedPeerError",
     "ViewChanges",
+    "WorkspaceWork",
     "VmReport",
     "WireError",
     "WireVersionError",
