--- a/tests/demo/fleet.py
+++ b/tests/demo/fleet.py
@@ -31,9 +31,13 @@
     api_key = "demo-key"
     model = "advisor"
 
-    def __init__(self, entry_count: int = 2) -> None:
-        """Create the components; none listens until `async_start`."""
+    def __init__(self, entry_count: int = 2, variables: dict[str, str] | None = None) -> None:
+        """Create the components; none listens until `async_start`.
+
+        The daemons get the environment variables, beside those that all of them need.
+        """
         self._entry_count = entry_count
+        self._variables = variables
         self.engines = [
             EngineStandin(f"engine-{number}", EngineBehaviour(cold_limit=2)) for number in range(4)
         ]
@@ -76,6 +80,7 @@
             DOMAINS[number % len(DOMAINS)],
             self.config_service.address,
             self.vm_list.address,
+            self._variables,
         )
 
     async def async_replace(self, number: int) -> None:
--- a/tests/demo/processes.py
+++ b/tests/demo/processes.py
@@ -48,10 +48,14 @@
 
 
 async def async_start_entry(
-    vm_id: str, failure_domain: str, config_service: str, vm_list: str
+    vm_id: str,
+    failure_domain: str,
+    config_service: str,
+    vm_list: str,
+    variables: dict[str, str] | None = None,
 ) -> EntryProcess:
-    """Start a daemon and wait until it listens."""
-    environment = os.environ | {"WAGTAILUSHER_FLEET_SECRET": FLEET_SECRET}
+    """Start a daemon, with environment variables of its own, and wait until it listens."""
+    environment = os.environ | {"WAGTAILUSHER_FLEET_SECRET": FLEET_SECRET} | (variables or {})
     flags = {
         "vm-id": vm_id,
         "failure-domain": failure_domain,
