--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -397,4 +397,4 @@
         self.metrics.waiting.set({}, self.dispatcher.admission.count)
         self.metrics.in_flight.set({}, self.dispatcher.in_flight)
         self.metrics.members.set({}, len(self.fleet.live_members(now_ms)) + 1)
-        self.metrics.set_view(self.view_cache.view, now_ms)
+        self.metrics.set_view(self.view_cache.view, self.dispatcher.placement.engine_rates, now_ms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
@@ -44,6 +44,9 @@
 MAX_FIXED_TOKENS = 1_000
 """Uncached and queued tokens up to which it tells the fixed part."""
 
+MAX_DOUBT = 0.75
+"""Part of its weight that an observation loses if its tokens were most uncertain."""
+
 SERVICE_WEIGHT = 3.0
 """Observations of an engine that outweigh its service's rate; fewer may all lie in a slow spell."""
 
@@ -152,6 +155,10 @@
         """Return the rate of a typical engine of a service."""
         return self._current(service, now_ms).rate
 
+    def service_rates(self, now_ms: int) -> list[tuple[str, EngineRate]]:
+        """Return the rates of all services of which an engine was observed."""
+        return [(name, self.service_rate(name, now_ms)) for name in self._services]
+
     def update_endpoints(
         self, services: dict[EndpointId, str], restarted: Iterable[EndpointId]
     ) -> None:
@@ -174,7 +181,7 @@
         known = self._services.setdefault(service, _Service())
         rate = self.rate(service, endpoint_id, now_ms)
         tokens = event.own_tokens + event.queued_tokens
-        certainty = max(0.0, 1.0 - event.doubt)
+        certainty = 1.0 - MAX_DOUBT * event.doubt
         if tokens <= MAX_FIXED_TOKENS:
             known.fixed.add(max(0.0, event.elapsed_ms - rate.prompt_ms(tokens)), certainty, now_ms)
         elif event.own_tokens >= MIN_PROMPT_TOKENS:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -4,8 +4,13 @@
 
 from wagtailusher_daemon.metric_registry import MetricRegistry
 from wagtailusher_gateway.const import LATENCY_BUCKETS_S, MS_PER_S
+from wagtailusher_gateway.engine_rates import EngineRates
 from wagtailusher_gateway.models import FleetView, Route
 
+AS_EXPECTED = 1.5
+"""Factor up to which a first event counts as expected; by more, a queue that fits its target does
+not."""
+
 
 class GatewayMetrics(MetricRegistry):
     """The metrics of one process."""
@@ -19,6 +24,7 @@
             "stream_versions", "Records of streams' software versions, by what happened to them"
         )
         self._add_fleet_counters()
+        self._add_engine_metrics()
         self.peer_errors = self.counter("peer_errors", "Peer messages refused, by code")
         self.platform_calls = self.counter("platform_calls", "Calls to the platform, by outcome")
         self.dropped_log_lines = self.counter("dropped_log_lines", "Log lines dropped, by kind")
@@ -64,8 +70,27 @@
             "view_changes", "Changes told by the elected reader, by what this VM did with them"
         )
 
-    def set_view(self, view: FleetView, now_ms: int) -> None:
-        """Set the gauges of the view of the platform."""
+    def _add_engine_metrics(self) -> None:
+        """Add the metrics of engines' rates."""
+        self.prompt_rate = self.gauge(
+            "engine_prompt_tokens_per_second", "Observed reading rate of a typical engine"
+        )
+        self.first_events = self.counter(
+            "first_events", "First events of engines' answers, by when they were expected"
+        )
+
+    def count_first_event(self, service: str, expected_ms: float, seen_ms: int) -> None:
+        """Count the first event of an engine's answer."""
+        ratio = seen_ms / max(1.0, expected_ms)
+        found = "later" if ratio > AS_EXPECTED else "as_expected"
+        self.first_events.inc(
+            {"service": service, "found": "sooner" if ratio < 1 / AS_EXPECTED else found}
+        )
+
+    def set_view(self, view: FleetView, rates: EngineRates, now_ms: int) -> None:
+        """Set the gauges of the view of the platform, and of its engines' typical rates."""
+        for service, rate in rates.service_rates(now_ms):
+            self.prompt_rate.set({"service": service}, rate.prompt_tokens_per_ms * MS_PER_S)
         self.store_epoch.set({}, view.epoch)
         self.view_age_ms.set({}, now_ms - view.confirmed_ms)
         draining = sum(item.is_draining for item in view.endpoints.values())
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/observations.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/observations.py
@@ -9,7 +9,7 @@
 
 from wagtailusher_core import VmId
 
-MEMORY_MS = 30_000
+MEMORY_MS = 15_000
 """Age at which an observation no longer counts; an engine that turns slow is followed in half."""
 
 MAX_OBSERVATIONS = 24
@@ -108,9 +108,9 @@
 
 def shrink(base: float, base_weight: float, items: Iterable[Weighted]) -> float:
     """Return the geometric mean of values and of a base that counts as some observations."""
-    total, total_weight = base_weight * math.log(base), base_weight
+    total, total_weight = 0.0, base_weight
     for item in items:
         if item.weight > 0 and item.value > 0:
-            total += item.weight * math.log(item.value)
+            total += item.weight * math.log(item.value / base)
             total_weight += item.weight
-    return math.exp(total / total_weight)
+    return base * math.exp(total / total_weight)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
@@ -120,6 +120,10 @@
         """Record the first event of a stream."""
         self._status = status
         self._first_ms = now_ms
+        reservation = self._reservation
+        if reservation is not None and reservation.prefill_tokens:
+            seen_ms = now_ms - self._reserved_ms
+            self._metrics.count_first_event(self._service, reservation.expected_first_ms, seen_ms)
 
     def record_stream_complete(self, longest_gap_ms: int) -> None:
         """Record that a stream was complete, with its longest gap between events in ms."""
