--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
@@ -33,6 +33,7 @@
     "configuration_version",
     "queues",
     "shares",
+    "rates",
 )
 
 
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -154,6 +154,14 @@
   recentFailures @5 :UInt32;
 }
 
+struct BeatRate {
+  endpointId @0 :Text;
+  promptTokensPerS @1 :UInt32;
+  observations @2 :UInt16;
+  quietGapMs @3 :UInt16;
+  busyGapMs @4 :UInt16;
+}
+
 struct BeatPeer {
   vmId @0 :Text;
   peerAddress @1 :Text;
@@ -204,6 +212,7 @@
   configurationVersion @16 :UInt64;
   queues @17 :List(BeatQueue);
   shares @18 :List(BeatShares);
+  rates @19 :List(BeatRate);
 }
 
 struct RelayedBeat {
@@ -226,6 +235,7 @@
   configurationVersion @16 :UInt64;
   queues @17 :List(BeatQueue);
   shares @18 :List(BeatShares);
+  rates @19 :List(BeatRate);
 }
 
 struct StreamVersionRecord {
