Count refusals of the queues by cause, and describe shares of workspaces

A request that was refused in its turn counted as started, so that a queue that refuses for lack of room looked as if it had any: it now counts as work that had no room and isn't charged to its workspace (test_request_that_is_refused_in_its_ turn_is_not_charged). Metrics tell where workspaces compete and why requests were refused.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bisect import insort
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -60,6 +60,8 @@
     """Estimated work, in the unit in which workspaces share a service."""
     is_repeat: bool = False
     """Whether it was sent before; its workspace's share has been decided on."""
+    is_refused: Callable[[], bool] = lambda: False
+    """Returns whether `try_start` found that it can't be served in time, and refused it."""
     queued_ms: int | None = None
     """When it had to wait; None if it started at once."""
     refusal_cause: RefusalCause = RefusalCause.NO_ROOM
@@ -117,6 +119,8 @@
 
     def __init__(self, seed: int, shares: WorkspaceShares | None = None) -> None:
         self.shares = shares or WorkspaceShares()
+        self.refusals: Counter[RefusalCause] = Counter()
+        """Requests that were refused by this VM's queues, by the cause."""
         self._queues: dict[str, _Queue] = {}
         self._random = random.Random(seed)
 
@@ -163,19 +167,24 @@
         if chance >= 1.0 or self._random.random() < chance:
             return False
         queued_request.refusal_cause = RefusalCause.SHARE
+        self.refusals[RefusalCause.SHARE] += 1
         delay_ms = self.retry_after_ms(queued_request.queue, queued_request.rank, now_ms)
         queued_request.refuse(int(min(RETRY_AFTER_MAX_MS, delay_ms / max(chance, 0.1))))
         return True
 
     def _try_start(self, queued_request: QueuedRequest, now_ms: int) -> bool:
-        """Start a request if it can, and charge its workspace."""
+        """Start a request if it can, and charge its workspace unless it was refused instead."""
         if not queued_request.try_start(now_ms):
             return False
-        pool, workspace = queued_request.pool, queued_request.workspace
-        self.shares.record_started(pool, workspace, queued_request.work, now_ms)
+        pool, work = queued_request.pool, queued_request.work
+        is_refused = queued_request.is_refused()
+        if is_refused:
+            self.refusals[queued_request.refusal_cause] += 1
+        else:
+            self.shares.record_started(pool, queued_request.workspace, work, now_ms)
         queued_ms = queued_request.queued_ms
-        if queued_ms is not None and now_ms - queued_ms > CONTENDED_WAIT_MS:
-            self.shares.record_waited(pool, queued_request.work, now_ms)
+        if is_refused or (queued_ms is not None and now_ms - queued_ms > CONTENDED_WAIT_MS):
+            self.shares.record_waited(pool, work, now_ms)
         return True
 
     def _in_order(self, queue: _Queue, now_ms: int, *added: QueuedRequest) -> list[QueuedRequest]:
@@ -221,6 +230,7 @@
     def _refuse(self, queued_request: QueuedRequest, now_ms: int) -> None:
         """Refuse a request that had to wait too long or would have to."""
         self.shares.record_waited(queued_request.pool, queued_request.work, now_ms)
+        self.refusals[queued_request.refusal_cause] += 1
         name, rank = queued_request.queue, queued_request.rank
         queued_request.refuse(self.retry_after_ms(name, rank, now_ms))
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -393,7 +393,7 @@
         now_ms = monotonic_ms()
         self.metrics.buffered_bytes.set({}, self._client.budget.held_bytes)
         self.metrics.answers_evicted.set({}, self._client.budget.evicted_count)
-        self.metrics.waiting.set({}, self.dispatcher.admission.count)
+        self.metrics.set_queues(self.dispatcher.admission, now_ms)
         self.metrics.in_flight.set({}, self.dispatcher.in_flight)
         self.metrics.members.set({}, len(self.fleet.live_members(now_ms)) + 1)
         self.metrics.set_view(self.view_cache.view, now_ms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -163,6 +163,7 @@
             expires_ms=now_ms + queue_wait_ms(request.route.target_ms, request.ends_ms - now_ms),
             try_start=lambda now_ms: self._try_start(future, request, excluded, now_ms),
             refuse=refuse,
+            is_refused=lambda: not future.cancelled() and future.exception() is not None,
         )
         self.admission.submit(queued_request, now_ms)
         try:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wagtailusher_daemon.metric_registry import MetricRegistry
+from wagtailusher_gateway.admission import Admission
 from wagtailusher_gateway.const import LATENCY_BUCKETS_S, MS_PER_S
 from wagtailusher_gateway.models import FleetView, Route
 
@@ -34,6 +35,12 @@
             "answers_evicted", "Answers dropped as the largest above the budget for buffered bytes"
         )
         self.waiting = self.gauge("requests_waiting", "Requests that wait for a place")
+        self.queue_refusals = self.counter(
+            "queue_refusals", "Requests that the queues refused, by cause"
+        )
+        self.contended = self.gauge(
+            "contended_pools", "Services and ranks for which workspaces compete"
+        )
         self.in_flight = self.gauge("requests_in_flight", "Requests that were read, not answered")
         self.members = self.gauge("members", "VMs whose heartbeats arrive")
         self.endpoints = self.gauge("endpoints", "Endpoints by state")
@@ -64,6 +71,13 @@
             "view_changes", "Changes told by the elected reader, by what this VM did with them"
         )
 
+    def set_queues(self, admission: Admission, now_ms: int) -> None:
+        """Set the gauges of the queues and of workspaces' shares."""
+        self.waiting.set({}, admission.count)
+        self.contended.set({}, admission.shares.count_contended(now_ms))
+        for cause, count in admission.refusals.items():
+            self.queue_refusals.set({"cause": str(cause)}, count)
+
     def set_view(self, view: FleetView, now_ms: int) -> None:
         """Set the gauges of the view of the platform."""
         self.store_epoch.set({}, view.epoch)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/workspace_shares.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/workspace_shares.py
@@ -197,6 +197,10 @@
         """Return whether requests of a pool compete anywhere in the fleet."""
         return self.fleet_work(pool, now_ms).is_contended
 
+    def count_contended(self, now_ms: int) -> int:
+        """Return the number of pools in which workspaces compete."""
+        return sum(self.is_contended(pool, now_ms) for pool in tuple(self._own))
+
     def fleet_work(self, pool: Pool, now_ms: int) -> FleetWork:
         """Return the sums of a pool over all VMs, at most `REFRESH_MS` old."""
         computed_ms, work = self._fleet.get(pool, (now_ms - REFRESH_MS, None))
--- a/tests/wagtailusher_gateway/test_workspace_shares.py
+++ b/tests/wagtailusher_gateway/test_workspace_shares.py
@@ -13,7 +13,7 @@
 from tests.wagtailusher_gateway.builders import DESK, ENGINES, plain_terms, terms
 from tests.wagtailusher_gateway.competing_vms import SERVICE_MS, CompetingVms
 from wagtailusher_core import VmId
-from wagtailusher_gateway.admission import Admission, RefusalCause
+from wagtailusher_gateway.admission import Admission, QueuedRequest, RefusalCause
 from wagtailusher_gateway.workspace_shares import (
     MAX_TOLD_POOLS,
     MAX_TOLD_WORKSPACES,
@@ -168,6 +168,25 @@
         self.assertEqual(vms.refused["hot"], 1)
         self.assertEqual(vms.admissions[0].count, 3)
 
+    def test_request_that_is_refused_in_its_turn_is_not_charged(self) -> None:
+        """It had no room, which is a sign that workspaces compete."""
+        admission = Admission(1)
+        admission.submit(
+            QueuedRequest(
+                queue="desk",
+                rank=0,
+                expires_ms=1_000,
+                try_start=lambda now_ms: True,
+                refuse=lambda retry_after_ms: None,
+                is_refused=lambda: True,
+                workspace="refused",
+            ),
+            100,
+        )
+        pool = Pool("desk", 0)
+        self.assertEqual(admission.shares.level(pool, "refused", 100), 0.0)
+        self.assertGreater(admission.shares.fleet_work(pool, 300).waited, 0.0)
+
 
 class ShareTest(unittest.TestCase):
     """What a fair share is, and what is told of it."""
