Use no share of fleet-wide limits before any peer was heard

Cause: a fleet counted as settled a second after the start, also at a VM that had heard of nobody, so one that started cut off divided the cold allowance, named limits, the retry slack and brittle places by one.

Change: a VM whose settings name others uses nothing of these until a heartbeat arrives; the metric knows_fleet tells. Seeds can be replaced.

The first two tests of UnknownFleetTest fail without the change.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -396,5 +396,5 @@
         self.metrics.answers_evicted.set({}, self._client.budget.evicted_count)
         self.metrics.waiting.set({}, self.dispatcher.admission.count)
         self.metrics.in_flight.set({}, self.dispatcher.in_flight)
-        self.metrics.members.set({}, len(self.fleet.live_members(now_ms)) + 1)
+        self.metrics.set_fleet(len(self.fleet.live_members(now_ms)) + 1, self.fleet.knows_fleet)
         self.metrics.set_view(self.view_cache.view, now_ms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/contention.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/contention.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wagtailusher_core import EndpointId, VmId, rank_by_rendezvous
@@ -26,8 +27,10 @@
 class PlaceContention:
     """This VM's position among all VMs at each endpoint, by rendezvous hashing."""
 
-    def __init__(self, vm_id: VmId) -> None:
+    def __init__(self, vm_id: VmId, knows_fleet: Callable[[], bool] = lambda: True) -> None:
+        """`knows_fleet` returns whether the VMs that share out places are known at all."""
         self._vm_id = vm_id
+        self._knows_fleet = knows_fleet
         self._vm_ids: tuple[VmId, ...] = ()
         self._positions: dict[EndpointId, int] = {}
         self._rankings: dict[EndpointId, tuple[VmId, ...]] = {}
@@ -56,7 +59,12 @@
         return self._position(endpoint_id) < contenders
 
     def own_places(self, endpoint_id: EndpointId, slots: int) -> int:
-        """Return this VM's part if the slots of an endpoint are shared out among all VMs."""
+        """Return this VM's part if the slots of an endpoint are shared out among all VMs.
+
+        A VM that doesn't know its fleet has none.
+        """
+        if not self._knows_fleet():
+            return 0
         count = max(1, len(self._vm_ids))
         return slots // count + (self._position(endpoint_id) < slots % count)
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
@@ -36,7 +36,7 @@
             slack=bounds.cold_slack,
             is_fleet_settled=fleet.is_settled,
         ),
-        contention=PlaceContention(options.vm_id),
+        contention=PlaceContention(options.vm_id, lambda: fleet.knows_fleet),
         rate_limits=findings.limits.decider,
         failure_domain_id=options.failure_domain_id,
         seed=generator.randrange(1 << 32),
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet.py
@@ -66,7 +66,8 @@
     ) -> None:
         """Start from `seeds`: peer addresses of some VMs, which may no longer exist."""
         self.own_member = own_member
-        self._seeds = tuple(address for address in seeds if address != own_member.peer_address)
+        self._seeds: tuple[str, ...] = ()
+        self._has_heard_peer = False
         self._peers: dict[VmId, Peer] = {}
         self._silent_ids: set[VmId] = set()
         """Removed peers that did not announce that they leave; they may still send requests."""
@@ -82,6 +83,23 @@
         """Peers that reach no endpoint of some service, by their last heartbeats."""
         self._local_count = 0
         """Number of peers in this VM's failure domain."""
+        self.set_seeds(seeds, started_ms)
+
+    def set_seeds(self, seeds: tuple[str, ...], now_ms: int) -> None:
+        """Replace the addresses of VMs that this one tells of itself until it hears of them."""
+        self._seeds = tuple(item for item in seeds if item != self.own_member.peer_address)
+        self._seeds_due_ms = now_ms
+        if not self._has_heard_peer:
+            self._last_growth_ms = now_ms
+
+    @property
+    def knows_fleet(self) -> bool:
+        """Return whether a peer was ever heard, or there should be none.
+
+        A VM that starts while it is cut off, or with seeds that are gone, can't tell how many
+        others use the fleet-wide limits, so it uses nothing of them.
+        """
+        return self._has_heard_peer or not self._seeds
 
     def set_own_state(
         self, *, is_ready: bool, is_leaving: bool, unreached_services: tuple[str, ...] = ()
@@ -147,6 +165,7 @@
         member = new_member(vm_id, incarnation, heartbeat, source)
         view_revision = Revision(epoch=heartbeat.view_epoch, number=heartbeat.view_revision)
         self._silent_ids.discard(vm_id)
+        self._has_heard_peer = True
         if bool(member.unreached_services) != (vm_id in self.unreaching_ids):
             self.unreaching_ids ^= {vm_id}
         is_local = member.failure_domain_id == self.own_member.failure_domain_id
@@ -330,11 +349,12 @@
     def is_settled(self, now_ms: int) -> bool:
         """Return whether this VM knows its fleet well enough to use its share of fleet-wide limits.
 
-        Right after its start a VM knows too few others, so its share would be too large. Once no
-        new VM was found for a while, it stays settled: VMs that join later make its share smaller.
+        Right after its start a VM knows too few others, or none, so its share would be too large.
+        Once no new VM was found for a while, it stays settled: VMs that join later make its share
+        smaller.
         """
         settle_ms = max(SETTLE_MS, SETTLE_INTERVALS * self.remote_interval_ms)
-        if now_ms - self._last_growth_ms >= settle_ms:
+        if self.knows_fleet and now_ms - self._last_growth_ms >= settle_ms:
             self._is_settled = True
         return self._is_settled
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -36,6 +36,10 @@
         self.waiting = self.gauge("requests_waiting", "Requests that wait for a place")
         self.in_flight = self.gauge("requests_in_flight", "Requests that were read, not answered")
         self.members = self.gauge("members", "VMs whose heartbeats arrive")
+        self.knows_fleet = self.gauge(
+            "knows_fleet",
+            "1 if this VM uses its share of fleet-wide limits, 0 while it knows no peer",
+        )
         self.endpoints = self.gauge("endpoints", "Endpoints by state")
         self.view_age_ms = self.gauge("view_age_milliseconds", "Age of the view of the platform")
         self.store_epoch = self.gauge(
@@ -64,6 +68,11 @@
             "view_changes", "Changes told by the elected reader, by what this VM did with them"
         )
 
+    def set_fleet(self, members: int, knows_fleet: bool) -> None:
+        """Set the gauges of the fleet."""
+        self.members.set({}, members)
+        self.knows_fleet.set({}, int(knows_fleet))
+
     def set_view(self, view: FleetView, now_ms: int) -> None:
         """Set the gauges of the view of the platform."""
         self.store_epoch.set({}, view.epoch)
--- a/tests/wagtailusher_gateway/test_fleet.py
+++ b/tests/wagtailusher_gateway/test_fleet.py
@@ -10,8 +10,9 @@
 import unittest
 
 from tests.wagtailusher_gateway.builders import beat_of, member
-from wagtailusher_core import FailureDomainId, VmId
+from wagtailusher_core import EndpointId, FailureDomainId, VmId
 from wagtailusher_gateway.const import PEER_RETENTION_MS, START_WAIT_MS
+from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.fleet import FleetDecider
 from wagtailusher_wire import Beat
 
@@ -182,5 +183,50 @@
                 self.assertGreaterEqual(len(decider.live_members(fleet.now_ms)), len(seeds))
 
 
+class UnknownFleetTest(unittest.TestCase):
+    """A VM that does not know its fleet uses nothing of what the VMs share."""
+
+    def test_vm_that_starts_cut_off_does_not_count_as_the_whole_fleet(self) -> None:
+        fleet = Fleet(4, seed=3)
+        cut_off = member(3).peer_address
+        fleet.partitioned = frozenset({cut_off})
+        fleet.run(PEER_RETENTION_MS)
+        decider = fleet.deciders[cut_off]
+        self.assertFalse(decider.knows_fleet)
+        self.assertFalse(decider.is_settled(fleet.now_ms))
+        contention = PlaceContention(VmId("vm-3"), lambda: decider.knows_fleet)
+        contention.set_vm_ids(decider.all_vm_ids())
+        self.assertEqual(contention.own_places(EndpointId("i-1"), 8), 0)
+        fleet.partitioned = frozenset()
+        fleet.run(3_000)
+        self.assertTrue(decider.is_settled(fleet.now_ms))
+        self.assertEqual(len(decider.all_vm_ids()), 4)
+        contention.set_vm_ids(decider.all_vm_ids())
+        self.assertEqual(contention.own_places(EndpointId("i-1"), 8), 2)
+
+    def test_vm_whose_seeds_are_gone_meets_its_fleet_by_new_ones(self) -> None:
+        fleet = Fleet(5, seed=3)
+        fleet.down = {member(number).peer_address for number in range(3)}
+        fleet.run(2_000)
+        decider = fleet.deciders[member(4).peer_address]
+        self.assertFalse(decider.is_settled(fleet.now_ms))
+        decider.set_seeds((member(3).peer_address, member(4).peer_address), fleet.now_ms)
+        fleet.run(3_000)
+        self.assertEqual(set(decider.all_vm_ids()), {VmId("vm-3"), VmId("vm-4")})
+        self.assertTrue(decider.is_settled(fleet.now_ms))
+
+    def test_vm_that_names_no_others_is_its_whole_fleet(self) -> None:
+        decider = FleetDecider(member(0), (member(0).peer_address,), 0, 1)
+        self.assertTrue(decider.is_settled(2_000))
+
+    def test_vm_that_loses_all_its_peers_still_counts_them(self) -> None:
+        fleet = Fleet(4, seed=3)
+        fleet.run(2_000)
+        fleet.partitioned = frozenset({member(3).peer_address})
+        fleet.run(PEER_RETENTION_MS + 3_000)
+        decider = fleet.deciders[member(3).peer_address]
+        self.assertEqual(len(decider.all_vm_ids()), 4)
+
+
 if __name__ == "__main__":
     unittest.main()
