Read changed seeds and other settings while running

Cause: after SIGHUP only the log level was applied; seeds were read once. A VM that was added while its seeds were gone never met its fleet.

Change: the settings file is read after SIGHUP and whenever it was written. Seeds, the store's address, the grace, the lifetime of address answers and the log level are applied; others are named in the log.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/__init__.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/__init__.py
@@ -23,6 +23,7 @@
     Workspace,
 )
 from wagtailusher_gateway.options import FleetBounds, GatewayOptions
+from wagtailusher_gateway.options_reload import apply_options
 from wagtailusher_gateway.platform_reads import PlatformReader, ReaderContext
 from wagtailusher_gateway.view_cache import ViewCache
 
@@ -52,5 +53,6 @@
     "Split",
     "ViewCache",
     "Workspace",
+    "apply_options",
     "set_up_structured_logs",
 ]
