--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -395,5 +395,5 @@
         self.metrics.answers_evicted.set({}, self._client.budget.evicted_count)
         self.metrics.set_queues(self.dispatcher.admission, now_ms)
         self.metrics.in_flight.set({}, self.dispatcher.in_flight)
-        self.metrics.members.set({}, len(self.fleet.live_members(now_ms)) + 1)
+        self.metrics.set_fleet(len(self.fleet.live_members(now_ms)) + 1, self.fleet.knows_fleet)
         self.metrics.set_view(self.view_cache.view, self.dispatcher.placement.engine_rates, now_ms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -49,6 +49,10 @@
         )
         self.in_flight = self.gauge("requests_in_flight", "Requests that were read, not answered")
         self.members = self.gauge("members", "VMs whose heartbeats arrive")
+        self.knows_fleet = self.gauge(
+            "knows_fleet",
+            "1 if this VM uses its share of fleet-wide limits, 0 while it knows no peer",
+        )
         self.endpoints = self.gauge("endpoints", "Endpoints by state")
         self.view_age_ms = self.gauge("view_age_milliseconds", "Age of the view of the platform")
         self.store_epoch = self.gauge(
@@ -101,6 +105,11 @@
         for cause, count in admission.refusals.items():
             self.queue_refusals.set({"cause": str(cause)}, count)
 
+    def set_fleet(self, members: int, knows_fleet: bool) -> None:
+        """Set the gauges of the fleet."""
+        self.members.set({}, members)
+        self.knows_fleet.set({}, int(knows_fleet))
+
     def set_view(self, view: FleetView, rates: EngineRates, now_ms: int) -> None:
         """Set the gauges of the view of the platform, and of its engines' typical rates."""
         for service, rate in rates.service_rates(now_ms):
