Let the fields of told rates hold 32 bits in both codecs

Cause: test_mutated_bytes_raise_only_wire_errors found that a value above 65,535 could be encoded by one codec only.

Change: 32 bits, as all counts of a heartbeat have.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/rate_reports.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/rate_reports.py
@@ -17,7 +17,8 @@
 ROTATION_MS = 400
 """Time after which the next rates are told; with losses, each still arrives within seconds."""
 
-_MAX_UINT16 = 0xFFFF
+_MAX_GAP_MS = 60_000
+"""Longest gap that is told; beyond it a stream has broken off."""
 
 
 def new_rates(rates: EngineRates, now_ms: int) -> tuple[BeatRate, ...]:
@@ -29,8 +30,8 @@
             endpoint_id=endpoint_id,
             prompt_tokens_per_s=round(report.prompt_tokens_per_ms * MS_PER_S),
             observations=math.ceil(report.prompt_weight),
-            quiet_gap_ms=min(_MAX_UINT16, round(report.quiet_gap_ms)),
-            busy_gap_ms=min(_MAX_UINT16, round(report.busy_gap_ms)),
+            quiet_gap_ms=min(_MAX_GAP_MS, round(report.quiet_gap_ms)),
+            busy_gap_ms=min(_MAX_GAP_MS, round(report.busy_gap_ms)),
         )
         for endpoint_id, report in [*reports, *reports][first : first + MAX_RATES][: len(reports)]
     )
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -157,9 +157,9 @@
 struct BeatRate {
   endpointId @0 :Text;
   promptTokensPerS @1 :UInt32;
-  observations @2 :UInt16;
-  quietGapMs @3 :UInt16;
-  busyGapMs @4 :UInt16;
+  observations @2 :UInt32;
+  quietGapMs @3 :UInt32;
+  busyGapMs @4 :UInt32;
 }
 
 struct BeatPeer {
