Doubt an endpoint's entry after signs of a restart

Cause: an entry in the view was believed whatever had happened to the endpoint since. Only a VM that had itself failed to connect treated it as cold, and the software version of the entry was used however old it was, also after crash_watch had found a crash.

Change: after a crash, a peer's word, a failed connection, the end of all connections or checks that failed, an endpoint is cold and its version unknown until a view is confirmed later (after a crash: until the next start's entry, or the entry's lapse). A stream that begins there in that time gets no record of a version.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -178,6 +178,7 @@
                 self.view_cache.view, endpoint, self._random
             ),
             on_crash=self.quarantine.record_crash,
+            on_lost=self.dispatcher.placement.registry.record_crash,
             clock_ms=monotonic_ms,
         )
 
@@ -260,8 +261,7 @@
     async def async_start(self, reader: PlatformReader) -> None:
         """Open the sockets and start the periodic tasks and the reader."""
         options = self.options
-        host, port = split_address(options.peer_listen)
-        await self.link.async_bind(host, port)
+        await self.link.async_bind(*split_address(options.peer_listen))
         await self._async_listen()
         self._tasks.add_periodic(TICK_MS, self._tick)
         self._tasks.add_periodic_async(VIEW_PULL_MS, self.view_exchange.async_pull)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from wagtailusher_core import EndpointId
+from wagtailusher_core import EndpointId, WagtailusherError
 from wagtailusher_gateway.const import (
     JUST_BEGUN_MS,
     MAX_ANSWER_BYTES,
@@ -21,6 +21,7 @@
 from wagtailusher_gateway.reservation import Reservation
 from wagtailusher_http import (
     AnswerError,
+    AnswerTruncatedError,
     BodySink,
     ClientAnswer,
     ConnectError,
@@ -200,8 +201,8 @@
         except ConnectError:
             self._dispatcher.placement.registry.record_unreachable(self.endpoint_id, self._now_ms())
             raise
-        except AnswerError:
-            self._record_failure()
+        except AnswerError as err:
+            self._record_failure(err)
             raise
 
     def _record_not_run(self, stated: AnswerTerms) -> None:
@@ -226,10 +227,13 @@
         self._delivery.record_sent()
         return True
 
-    def _record_failure(self) -> None:
+    def _record_failure(self, err: WagtailusherError | None = None) -> None:
         """Record that the endpoint returned no usable answer."""
         self._delivery.record_failure()
-        self._dispatcher.placement.registry.record_request_failure(self.endpoint_id, self._now_ms())
+        registry, now_ms = self._dispatcher.placement.registry, self._now_ms()
+        registry.record_request_failure(self.endpoint_id, now_ms)
+        if isinstance(err, AnswerTruncatedError):
+            registry.record_connection_lost(self.endpoint_id, now_ms)
 
     async def async_read(self, left_ms: int) -> bytes:
         """Return the complete body."""
@@ -237,8 +241,8 @@
         answer = self._answer
         try:
             body = await answer.async_read(left_ms)
-        except AnswerError:
-            self._record_failure()
+        except AnswerError as err:
+            self._record_failure(err)
             raise
         if len(body) > MAX_ANSWER_BYTES:
             self._record_failure()
@@ -314,8 +318,8 @@
         assert self._answer is not None
         try:
             ended = await self._answer.async_relay_body(deliver, left_ms)
-        except (AnswerError, BrokenStreamError):
-            self._record_failure()
+        except (AnswerError, BrokenStreamError) as err:
+            self._record_failure(err)
             raise
         if ended:
             self._answer = None
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/crash_watch.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/crash_watch.py
@@ -48,11 +48,14 @@
         other_addresses: Callable[[Endpoint], Sequence[str]] = lambda endpoint: (),
         on_crash: Callable[[Endpoint, Iterable[Suspect]], None],
         clock_ms: Callable[[], int],
+        on_lost: Callable[[EndpointId, int], None] = lambda endpoint_id, now_ms: None,
     ) -> None:
         """`is_refused` tells whether an address refuses a connection.
 
-        `other_addresses` returns those of some other endpoints.
+        `other_addresses` returns those of some other endpoints. `on_crash` gets what was in flight,
+        and `on_lost` the time, once for each crash.
         """
+        self._on_lost = on_lost
         self._other_addresses = other_addresses
         self._is_refused = is_refused
         self._on_crash = on_crash
@@ -98,6 +101,7 @@
             extra={"event": "endpoint_crashed", "endpoint": endpoint.endpoint_id},
         )
         suspicion.has_crashed = True
+        self._on_lost(endpoint.endpoint_id, self._clock_ms())
         self._on_crash(endpoint, suspicion.suspects)
 
     async def _is_cut_off(self, endpoint: Endpoint) -> bool:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -92,6 +92,11 @@
             return False
         return may_get_requests(endpoint, self.view)
 
+    def software_version(self, reservation: Reservation) -> str:
+        """Return the software version of the process at a reserved endpoint, empty if unknown."""
+        registry = self.placement.registry
+        return registry.software_version(reservation.endpoint, self.view, self.clock_ms())
+
     def place_holders(self, service: str) -> frozenset[VmId] | None:
         """Return the VMs that may send requests for a service, None if all may."""
         return self.placement.place_holders(service, self.clock_ms())
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
@@ -29,7 +29,7 @@
     """Return the dispatcher of a VM; `on_long_prompt` gets the time at which one was placed."""
     bounds = options.bounds
     placement = Placement(
-        registry=EndpointRegistry(findings.liveness.decider, findings.availability.decider),
+        registry=_new_registry(findings),
         cold_limiter=ColdStartLimiter(
             options.vm_id,
             overage=bounds.cold_overage,
@@ -62,3 +62,10 @@
         vm_ids=fleet.all_vm_ids,
         read_answer=findings.read_answer,
     )
+
+
+def _new_registry(findings: EndpointFindings) -> EndpointRegistry:
+    """Return a registry that learns what the VMs find out about endpoints."""
+    registry = EndpointRegistry(findings.liveness.decider, findings.availability.decider)
+    findings.on_liveness = registry.record_liveness
+    return registry
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_findings.py
@@ -14,6 +14,7 @@
 from wagtailusher_gateway.models import AnswerTerms, Endpoint
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_http import HttpClient
+from wagtailusher_liveness import LivenessChange
 from wagtailusher_wire import AuthenticatedMessage, Message
 
 
@@ -33,6 +34,10 @@
         """Start without findings."""
         self._fleet = fleet
         self._view_cache = view_cache
+        self._metrics = metrics
+        self._clock_ms = clock_ms
+        self.on_liveness: Callable[[LivenessChange, int], None] = lambda change, now_ms: None
+        """Called with each change of an endpoint's liveness and the time."""
         self.liveness = LivenessExchange(
             is_answered=client.async_is_answered,
             drop_idle=client.drop_idle,
@@ -41,7 +46,7 @@
             send=send,
             checker_address=fleet.first_peer_for,
             clock_ms=clock_ms,
-            on_change=lambda change: metrics.liveness.inc({"state": change.state}),
+            on_change=self._handle_liveness,
             seed=random.randrange(1 << 32),
         )
         self.limits = self._new_limits(send, clock_ms, metrics)
@@ -52,6 +57,10 @@
             count_event=lambda event: metrics.statements.inc({"event": event}),
         )
 
+    def _handle_liveness(self, change: LivenessChange) -> None:
+        self._metrics.liveness.inc({"state": change.state})
+        self.on_liveness(change, self._clock_ms())
+
     def _new_limits(
         self,
         send: Callable[[str, Message], None],
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -11,14 +11,16 @@
     ASSUMED_COLD_MS,
     EJECT_FAILURES,
     EJECT_MS,
+    ENTRY_LAPSE_MS,
     MAX_EJECTED_SHARE,
     MISDIRECTED_EJECT_MS,
     PREFILL_TOKENS_PER_MS,
     REFUSED_EJECT_MS,
+    VIEW_DELAY_MS,
 )
 from wagtailusher_gateway.models import Endpoint, FleetView, Service
 from wagtailusher_gateway.outcomes import Outcomes
-from wagtailusher_liveness import Liveness, LivenessDecider
+from wagtailusher_liveness import Liveness, LivenessChange, LivenessDecider
 
 PEER_LOAD_AGE_MS = 2_500
 """Age beyond which a peer's load report is ignored; nearly two heartbeat intervals of the largest
@@ -28,6 +30,10 @@
 """Decayed count of recent failures from which an idle endpoint is reported to peers; a single
 failure is reported until it has decayed to half its weight."""
 
+MIN_LOST_CONNECTIONS = 2
+"""Connections of requests whose end, with none left, is taken for a restart of the endpoint; a
+single one may be a fault of the network."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Load:
@@ -60,6 +66,23 @@
     consecutive_failures: int = 0
     ejected_until_ms: int = 0
     cold_suspected_until_ms: int = 0
+    crashed_until_ms: int = 0
+    """Until when the entry may be that of an incarnation that crashed."""
+    lost_ms: int = 0
+    """When this VM last had a sign that the endpoint may have restarted."""
+    was_unresponsive: bool = False
+    lost_connections: int = 0
+    """Connections of requests that the endpoint ended since one was served, or none was left."""
+
+    def has_current_entry(self, view: FleetView, now_ms: int) -> bool:
+        """Return whether the entry is that of the process which accepts connections now.
+
+        A view shows a restart if it was confirmed later than the last sign of one. While a process
+        that crashed is not replaced, its entry stays in the store.
+        """
+        if now_ms < self.crashed_until_ms:
+            return False
+        return not self.lost_ms or view.confirmed_ms >= self.lost_ms + VIEW_DELAY_MS
 
     def total_load(self, now_ms: int) -> Load:
         """Return the load of all VMs.
@@ -131,6 +154,7 @@
                 existing.consecutive_failures = 0
                 existing.outcomes = Outcomes()
                 existing.ejected_until_ms = 0
+                existing.crashed_until_ms = 0
             existing.endpoint = endpoint
         for endpoint_id in self._tracked.keys() - view.endpoints.keys():
             if not self._tracked[endpoint_id].own_load.requests:
@@ -213,14 +237,16 @@
     ) -> list[TrackedEndpoint]:
         """Return the endpoints of a service that may get requests, without the ejected ones.
 
-        Only those of a software version if one is required, and none that wants no requests. Silent
-        ones, and those that may leave, are left out while there are others. Of these, at most
-        `MAX_EJECTED_SHARE` is ejected, so that a common cause does not eject all.
+        Only those that are known to have a software version if one is required, and none that
+        wants no requests. Silent ones, and those that may leave, are left out while there are
+        others. Of these, at most `MAX_EJECTED_SHARE` is ejected, so that a common cause does not
+        eject all.
         """
         allowed = self._most_responsive(
             tracked
             for tracked in self._by_service.get(service, ())
             if may_get_requests(tracked.endpoint, view, software_version)
+            and (software_version is None or tracked.has_current_entry(view, now_ms))
             and self.availability.may_start(tracked.endpoint.endpoint_id, now_ms)
         )
         allowed = self._without_leaving(allowed)
@@ -274,11 +300,55 @@
         cold_until_ms = max(tracked.endpoint.cold_until_ms, tracked.cold_suspected_until_ms)
         return view_stale or now_ms < cold_until_ms
 
+    def software_version(self, endpoint: Endpoint, view: FleetView, now_ms: int) -> str:
+        """Return the software version of what answers at an endpoint now, empty if unknown."""
+        tracked = self._tracked.get(endpoint.endpoint_id)
+        is_known = tracked is not None and tracked.has_current_entry(view, now_ms)
+        return endpoint.software_version if is_known else ""
+
+    def record_crash(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Record that an endpoint crashed; its entry may outlive it until it has lapsed."""
+        tracked = self._tracked.get(endpoint_id)
+        if tracked is not None:
+            tracked.lost_ms = now_ms
+            tracked.crashed_until_ms = now_ms + ENTRY_LAPSE_MS
+
+    def record_connection_lost(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Record that an endpoint ended a request's connection, before the request is released.
+
+        If it ended those of all requests, it may have restarted.
+        """
+        tracked = self._tracked.get(endpoint_id)
+        if tracked is None:
+            return
+        tracked.lost_connections += 1
+        if tracked.own_load.requests > 1:
+            return
+        if tracked.lost_connections >= MIN_LOST_CONNECTIONS:
+            tracked.lost_ms = now_ms
+        tracked.lost_connections = 0
+
+    def record_liveness(self, change: LivenessChange, now_ms: int) -> None:
+        """Record that an endpoint may restart unseen, or may have done so.
+
+        A peer's word counts where this VM has no request whose connection would tell.
+        """
+        tracked = self._tracked.get(change.endpoint_id)
+        if tracked is None:
+            return
+        if change.state is Liveness.UNRESPONSIVE or tracked.was_unresponsive:
+            tracked.lost_ms = now_ms
+            tracked.was_unresponsive = change.state is Liveness.UNRESPONSIVE
+        elif change.told_by is not None and not change.in_flight:
+            tracked.lost_ms = now_ms
+            tracked.cold_suspected_until_ms = now_ms + ASSUMED_COLD_MS
+
     def record_request_success(self, endpoint_id: EndpointId, now_ms: int) -> None:
         """Record a successful request."""
         tracked = self._tracked.get(endpoint_id)
         if tracked is not None:
             tracked.consecutive_failures = 0
+            tracked.lost_connections = 0
             tracked.outcomes.add(now_ms, failed=False)
 
     def record_request_failure(self, endpoint_id: EndpointId, now_ms: int) -> None:
@@ -295,6 +365,7 @@
         """Record a failed connection; the endpoint may be cold when it is reachable again."""
         tracked = self._tracked.get(endpoint_id)
         if tracked is not None:
+            tracked.lost_ms = now_ms
             tracked.cold_suspected_until_ms = now_ms + ASSUMED_COLD_MS
             self.liveness.record_check(
                 endpoint_id, tracked.endpoint.born_ms, now_ms, is_answered=False
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -335,18 +335,16 @@
 
         Where callers may resume it, its record is told to peers before the event is written.
         """
-        endpoint = attempt.reservation.endpoint
+        version = self._dispatcher.software_version(attempt.reservation)
         terms, route = self._routed_request.terms, self._routed_request.route
         if route.may_resume:
             self._stream_versions.record_begin(
                 terms.stream_id,
                 self._routed_request.service.name,
-                endpoint.software_version,
+                version,
                 record_life_ms(route.timeout_ms),
             )
-        self._routed_request = replace(
-            self._routed_request, software_version=endpoint.software_version
-        )
+        self._routed_request = replace(self._routed_request, software_version=version)
 
     def _stream_ended(self) -> None:
         """Release what a stream holds, whether or not it was complete."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -187,7 +187,8 @@
                 has_room = fits and self._has_own_place(tracked)
             if not has_room or not self.rate_limits.may_send(endpoint_id, now_ms):
                 continue
-            is_cold = self.registry.is_cold(tracked, service, now_ms, view_stale=stale)
+            is_stale = stale or not tracked.has_current_entry(view, now_ms)
+            is_cold = self.registry.is_cold(tracked, service, now_ms, view_stale=is_stale)
             if is_cold and not self._cold_limiter.may_send(
                 endpoint_id, service.cold_requests_per_s, vm_ids, now_ms
             ):
--- a/tests/wagtailusher_gateway/test_crash_watch.py
+++ b/tests/wagtailusher_gateway/test_crash_watch.py
@@ -25,6 +25,7 @@
     async def _async_crashed(self, refusing: set[str], references: tuple[str, ...]) -> bool:
         """Return whether endpoint 1 counts as crashed while these addresses refuse connections."""
         crashed: list[Endpoint] = []
+        lost: list[str] = []
 
         async def async_is_refused(address: str) -> bool:
             return address in refusing
@@ -34,10 +35,12 @@
             other_addresses=lambda item: references,
             on_crash=lambda item, suspects: crashed.append(item),
             clock_ms=lambda: 1_000,
+            on_lost=lambda endpoint_id, now_ms: lost.append(endpoint_id),
         )
         watch.record_break(endpoint(1), (SUSPECT,))
         await watch.async_wait(endpoint(1))
         await asyncio.sleep(0)
+        self.assertEqual(lost, [item.endpoint_id for item in crashed])
         return bool(crashed)
 
     async def test_endpoint_crashed_if_it_alone_refuses_connections(self) -> None:
