--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -167,6 +167,31 @@
   peerAddress @1 :Text;
 }
 
+struct BeatQueue {
+  service @0 :Text;
+  rank @1 :UInt32;
+  waiting @2 :UInt32;
+  oldestMs @3 :UInt32;
+  started @4 :UInt32;
+  asked @5 :UInt32;
+}
+
+struct WorkspaceWork {
+  workspaceHash @0 :UInt32;
+  asked @1 :UInt32;
+  started @2 :UInt32;
+}
+
+struct BeatShares {
+  service @0 :Text;
+  rank @1 :UInt32;
+  requests @2 :UInt32;
+  asked @3 :UInt32;
+  started @4 :UInt32;
+  waited @5 :UInt32;
+  workspaces @6 :List(WorkspaceWork);
+}
+
 struct Beat {
   address @0 :Text;
   viewAddress @1 :Text;
@@ -185,7 +210,9 @@
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
   configurationVersion @16 :UInt64;
-  rates @17 :List(BeatRate);
+  queues @17 :List(BeatQueue);
+  shares @18 :List(BeatShares);
+  rates @19 :List(BeatRate);
 }
 
 struct RelayedBeat {
@@ -206,7 +233,9 @@
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
   configurationVersion @16 :UInt64;
-  rates @17 :List(BeatRate);
+  queues @17 :List(BeatQueue);
+  shares @18 :List(BeatShares);
+  rates @19 :List(BeatRate);
 }
 
 struct StreamVersionRecord {
