Prefer one endpoint of all domains for a part that is long to read

Change: what a typical engine takes to read the part again, at its observed rate, is weighed against the distance of another domain.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterator
 import random
 
 from wagtailusher_core import EndpointId, FailureDomainId, VmId
@@ -27,13 +27,10 @@
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
 from wagtailusher_gateway.outcomes import expected_failure_rate, failure_penalties_ms
 from wagtailusher_gateway.prefixes import MissingTokens, PrefixMemory
-from wagtailusher_gateway.prompt_caches import cache_doubt, rank_for_prompt
+from wagtailusher_gateway.prompt_caches import CacheRanking, cache_doubt, rank_for_prompt
 from wagtailusher_gateway.reservation import Reservation
 from wagtailusher_rate_limits import RateLimitDecider
 
-CACHED_CHANCE_BY_RANK = (0.9, 0.5)
-"""Chance that the first and the second endpoint by rendezvous rank have a shared prompt cached."""
-
 COLD_COST_MS = 60.0
 """Cost penalty of an endpoint in cold start, which serves more slowly."""
 
@@ -115,8 +112,8 @@
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties = self._penalties_ms(service, terms, usable)
-        ranked = rank_for_prompt(service, terms, usable, penalties)
-        exempt_ids = self._exempt_ids(service, ranked, penalties, now_ms)
+        ranking = self._rank_for_prompt(service, terms, usable, penalties, now_ms)
+        exempt_ids = self._exempt_ids(service, ranking, penalties, now_ms)
         candidates = [
             item
             for item in self._candidates(service, terms, usable, view, vm_ids, now_ms, rank)
@@ -127,7 +124,7 @@
         candidates = _without_excluded(candidates, excluded) or candidates
         if not candidates:
             return None
-        cached_chances = self._cached_chances(ranked, penalties, candidates)
+        cached_chances = ranking.cached_chances({_id_of(item) for item in candidates})
         fleet_factor = max(1, len(vm_ids)) / len(penalties)
         missing = self._prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
         costs = self._costs(service, penalties, candidates, cached_chances, missing, now_ms)
@@ -264,23 +261,28 @@
 
         return [cost_ms(*pair) for pair in zip(candidates, failure_penalties, strict=True)]
 
-    def _preferred_ids(
-        self, ranked: Iterable[Endpoint], penalties: dict[EndpointId, float]
-    ) -> list[EndpointId]:
-        """Return which of the endpoints, ranked for a shared prompt, probably have it cached.
-
-        While reports from other failure domains are old, each domain prefers its own endpoints.
-        """
-        preferred = list(ranked)
-        if self._remote_cost_ms() > REMOTE_DOMAIN_COST_MS:
-            preferred = [item for item in preferred if not self._is_remote(item)] or preferred
-        preferred = [item for item in preferred if not penalties[item.endpoint_id]] or preferred
-        return [item.endpoint_id for item in preferred[: len(CACHED_CHANCE_BY_RANK)]]
+    def _rank_for_prompt(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        usable: list[TrackedEndpoint],
+        penalties: dict[EndpointId, float],
+        now_ms: int,
+    ) -> CacheRanking:
+        return rank_for_prompt(
+            service,
+            terms,
+            usable,
+            penalties,
+            rate=self.engine_rates.service_rate(service.name, now_ms),
+            own_domain_id=self._failure_domain_id,
+            remote_cost_ms=self._remote_cost_ms(),
+        )
 
     def _exempt_ids(
         self,
         service: Service,
-        ranked: Iterable[Endpoint],
+        ranking: CacheRanking,
         penalties: dict[EndpointId, float],
         now_ms: int,
     ) -> Collection[EndpointId]:
@@ -291,19 +293,7 @@
         """
         if self.registry.is_brittle(service.name, now_ms):
             return penalties.keys()
-        return self._preferred_ids(ranked, penalties)
-
-    def _cached_chances(
-        self,
-        ranked: list[Endpoint],
-        penalties: dict[EndpointId, float],
-        candidates: list[Candidate],
-    ) -> dict[EndpointId, float]:
-        """Return the chance of a cached shared prompt for the candidates preferred by all VMs."""
-        candidate_ids = {_id_of(candidate) for candidate in candidates}
-        available = (endpoint for endpoint in ranked if endpoint.endpoint_id in candidate_ids)
-        preferred_ids = self._preferred_ids(available, penalties)
-        return dict(zip(preferred_ids, CACHED_CHANCE_BY_RANK, strict=False))
+        return ranking.preferred_ids(penalties.keys())
 
     def _may_compete(
         self,
