Tell which entry is newer by the store's revision

Cause: the view ignored an entry whose stated start was before that of the one it knew. An endpoint that started again after its clock was set back was so ignored until it was removed, also when it drained.

Change: entries are compared by the revision of their last change; the start counts only in an older copy of the store, whose revisions begin anew.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/older_copy.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/older_copy.py
@@ -29,13 +29,16 @@
 ) -> Endpoint | None:
     """Return an entry as it is to be believed, or None if it is to be ignored.
 
-    `revision` is that of the entry's last change.
+    `revision` is that of the entry's last change. In an older copy an entry of an earlier start is
+    outdated; behind it the revision tells which entry is newer.
     """
     if not view.first_list.number or revision > view.first_list:
         return endpoint
     known = view.endpoints.get(endpoint.endpoint_id)
     if known is None:
         return None if _is_removed(endpoint, view, now_ms) else endpoint
+    if known.born_ms > endpoint.born_ms:
+        return known
     if known.is_draining and known.born_ms == endpoint.born_ms:
         return replace(endpoint, is_draining=True)
     return endpoint
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/view_cache.py
@@ -52,6 +52,8 @@
         self._on_read = on_read
         self._unconfirmed: list[EntryChange] = []
         """Changes of entries since the view's revision."""
+        self._entry_revisions: dict[EndpointId, Revision] = {}
+        """Revision of the last change of each entry that this VM read itself."""
         self._previous_configuration: Configuration | None = None
         """The configuration of the view's revision, if there is a newer one since."""
         self._has_other_changes = False
@@ -172,17 +174,24 @@
         self._apply(replace(self.view, configuration=configuration), now_ms)
 
     def set_listed_endpoint(self, endpoint: Endpoint, revision: Revision, now_ms: int) -> None:
-        """Apply an entry that was read at its revision, unless an older copy shows it again."""
+        """Apply an entry as of its last change, unless a later one is known.
+
+        Pages of a list may show changes that the watch behind it brings again, and an older copy
+        of the store earlier ones. What endpoints state of their start does not tell which entry is
+        newer, as their clocks may be set back.
+        """
+        known = self._entry_revisions.get(endpoint.endpoint_id)
+        if known is not None and revision < known:
+            return
+        self._entry_revisions[endpoint.endpoint_id] = revision
         believed = believed_entry(endpoint, self.view, revision, now_ms)
         if believed is not None:
             self.set_endpoint(believed, now_ms)
 
     def set_endpoint(self, endpoint: Endpoint, now_ms: int) -> None:
-        """Apply an endpoint's entry; one of an earlier start is ignored."""
+        """Apply an endpoint's newest entry."""
         self._cancel_expiry(endpoint.endpoint_id, now_ms)
         previous = self.view.endpoints.get(endpoint.endpoint_id)
-        if previous is not None and previous.born_ms > endpoint.born_ms:
-            return
         self._unconfirmed.append(EntryChange(endpoint_id=endpoint.endpoint_id, endpoint=endpoint))
         if previous == endpoint:
             return
@@ -227,6 +236,8 @@
     def retain_endpoints(self, endpoint_ids: frozenset[EndpointId], now_ms: int) -> None:
         """Remove all endpoints but these, after a read of the complete list."""
         self._has_other_changes = True
+        for endpoint_id in self._entry_revisions.keys() - endpoint_ids:
+            del self._entry_revisions[endpoint_id]
         for endpoint_id in tuple(self.view.endpoints.keys() - endpoint_ids):
             self.remove_endpoint(endpoint_id, now_ms)
         self._apply_after_gap(self.view, now_ms)
@@ -286,6 +297,8 @@
             return
         self._log_differences(view, now_ms)
         endpoints = _with_known_versions(view.endpoints, self.view.endpoints)
+        for endpoint_id in self._entry_revisions.keys() - endpoints.keys():
+            del self._entry_revisions[endpoint_id]
         self._take_changes(view.store_revision)
         self._apply_after_gap(
             replace(
@@ -319,6 +332,7 @@
 
     def _remove(self, endpoint_id: EndpointId, now_ms: int) -> None:
         self._cancel_expiry(endpoint_id, now_ms)
+        self._entry_revisions.pop(endpoint_id, None)
         endpoint = self.view.endpoints.get(endpoint_id)
         if endpoint is None:
             return
--- a/tests/wagtailusher_gateway/test_older_copy.py
+++ b/tests/wagtailusher_gateway/test_older_copy.py
@@ -67,6 +67,14 @@
         self.cache.set_listed_endpoint(endpoint(1), at(41, epoch=2), 6_000)
         self.assertIn(I1, self._view.endpoints)
 
+    def test_entry_of_an_earlier_start_in_an_older_copy_is_ignored(self) -> None:
+        self.cache.set_endpoint(endpoint(1, born_ms=9, slots=3), 2_000)
+        self.cache.begin_epoch(at(40, epoch=2), 5_000)
+        self.cache.set_listed_endpoint(endpoint(1, born_ms=8, slots=7), at(30, epoch=2), 5_000)
+        self.assertEqual(self._view.endpoints[I1].slots, 3)
+        self.cache.set_listed_endpoint(endpoint(1, born_ms=8, slots=7), at(41, epoch=2), 6_000)
+        self.assertEqual(self._view.endpoints[I1].slots, 7)
+
     def test_new_start_of_a_removed_endpoint_is_believed(self) -> None:
         self.cache.remove_endpoint(I1, 2_000)
         self.cache.begin_epoch(at(40, epoch=2), 5_000)
