Give all VMs one sight of the fleet's queues

A VM of 85 sees two requests a second: its rate of starts, its expected waits and retry delays were noise, and it started less urgent requests while more urgent ones waited at others.

VMs tell each other, while requests wait, what waits by queue and rank and what started lately. From the sums come the expected wait and Retry-After; callers return one after the other, at the rate at which requests start. No VM starts a request while more urgent ones that were told can't have started yet, 300 ms at most.

A request that is pushed out of a queue by workspaces that were served less has a cause of its own. 32 bytes a queue in a heartbeat, none in calm.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 import random
 
+from wagtailusher_core import VmId
 from wagtailusher_gateway.const import (
     MAX_QUEUED,
     MIN_QUEUE_WAIT_MS,
@@ -18,7 +19,9 @@
     RETRY_AFTER_RANK_MS,
     TICK_MS,
 )
+from wagtailusher_gateway.fleet_queue import FleetQueues, QueueRank, Waiting
 from wagtailusher_gateway.workspace_shares import WORK_PER_REQUEST, Pool, WorkspaceShares
+from wagtailusher_wire import Beat, BeatQueue
 
 RATE_WINDOW_MS = 2_000
 """Window for counting started requests to estimate the wait; a burst lasts a few seconds."""
@@ -34,6 +37,10 @@
     """It would not start, or did not, in the time for which it may wait."""
     SHARE = "share"
     """Its workspace asks for more than its share while others wait."""
+    OVERTAKEN = "overtaken"
+    """It would wait too long behind those of workspaces that were served less."""
+    OUTRANKED = "outranked"
+    """It would not start in time behind more urgent requests that wait at other VMs."""
 
 
 CONTENDED_WAIT_MS = TICK_MS
@@ -72,6 +79,11 @@
         """Return with which requests it competes by its workspace's share."""
         return Pool(self.service or self.queue, self.rank)
 
+    @property
+    def queue_rank(self) -> QueueRank:
+        """Return with which requests it is counted in the sight of the fleet's queues."""
+        return QueueRank(self.queue, self.rank)
+
 
 @dataclass(slots=True)
 class _Queue:
@@ -119,6 +131,7 @@
 
     def __init__(self, seed: int, shares: WorkspaceShares | None = None) -> None:
         self.shares = shares or WorkspaceShares()
+        self.fleet_queues = FleetQueues()
         self.refusals: Counter[RefusalCause] = Counter()
         """Requests that were refused by this VM's queues, by the cause."""
         self._queues: dict[str, _Queue] = {}
@@ -139,6 +152,7 @@
 
     def submit(self, queued_request: QueuedRequest, now_ms: int) -> None:
         """Start a request, queue it, or refuse it."""
+        self.fleet_queues.record_asked(queued_request.queue_rank, now_ms)
         if self._exceeds_share(queued_request, now_ms):
             return
         queue = self._queues.setdefault(queued_request.queue, _Queue())
@@ -147,7 +161,7 @@
         if not ahead and self._try_start(queued_request, now_ms):
             return
         queued_request.queued_ms = now_ms
-        wait_ms = queue.expected_wait_ms(ahead, now_ms)
+        wait_ms = self._expected_wait_ms(queue, queued_request.queue_rank, ahead, now_ms)
         is_full = self.count >= MAX_QUEUED and order[-1] is queued_request
         if is_full or wait_ms > queued_request.expires_ms - now_ms:
             self._refuse(queued_request, now_ms)
@@ -174,6 +188,10 @@
 
     def _try_start(self, queued_request: QueuedRequest, now_ms: int) -> bool:
         """Start a request if it can, and charge its workspace unless it was refused instead."""
+        if self.fleet_queues.is_outranked(queued_request.queue_rank, now_ms):
+            queued_request.refusal_cause = RefusalCause.OUTRANKED
+            return False
+        queued_request.refusal_cause = RefusalCause.NO_ROOM
         if not queued_request.try_start(now_ms):
             return False
         pool, work = queued_request.pool, queued_request.work
@@ -182,11 +200,22 @@
             self.refusals[queued_request.refusal_cause] += 1
         else:
             self.shares.record_started(pool, queued_request.workspace, work, now_ms)
+            self.fleet_queues.record_started(queued_request.queue_rank, now_ms)
         queued_ms = queued_request.queued_ms
         if is_refused or (queued_ms is not None and now_ms - queued_ms > CONTENDED_WAIT_MS):
-            self.shares.record_waited(pool, work, now_ms)
+            self._record_waited(queued_request, now_ms)
         return True
 
+    def _record_waited(self, queued_request: QueuedRequest, now_ms: int) -> None:
+        """Note that there was no room for a request when it came."""
+        self.shares.record_waited(queued_request.pool, queued_request.work, now_ms)
+        self.fleet_queues.record_waiting(queued_request.queue, now_ms)
+
+    def _expected_wait_ms(self, queue: _Queue, key: QueueRank, ahead: int, now_ms: int) -> float:
+        """Return the expected wait in the fleet, as far as its rate is known, or at this VM."""
+        wait_ms = self.fleet_queues.expected_wait_ms(key, ahead, now_ms)
+        return queue.expected_wait_ms(ahead, now_ms) if wait_ms is None else wait_ms
+
     def _in_order(self, queue: _Queue, now_ms: int, *added: QueuedRequest) -> list[QueuedRequest]:
         """Return the requests of a queue, with an added one, in order of service.
 
@@ -220,16 +249,17 @@
             ahead, last = max(
                 (ahead, item) for ahead, item in enumerate(order) if item.rank == rank
             )
-            if queue.expected_wait_ms(ahead, now_ms) <= last.expires_ms - now_ms:
+            wait_ms = self._expected_wait_ms(queue, last.queue_rank, ahead, now_ms)
+            if wait_ms <= last.expires_ms - now_ms:
                 return
         if last.rank == rank:
-            last.refusal_cause = RefusalCause.SHARE
+            last.refusal_cause = RefusalCause.OVERTAKEN
         queue.requests.remove(last)
         self._refuse(last, now_ms)
 
     def _refuse(self, queued_request: QueuedRequest, now_ms: int) -> None:
         """Refuse a request that had to wait too long or would have to."""
-        self.shares.record_waited(queued_request.pool, queued_request.work, now_ms)
+        self._record_waited(queued_request, now_ms)
         self.refusals[queued_request.refusal_cause] += 1
         name, rank = queued_request.queue, queued_request.rank
         queued_request.refuse(self.retry_after_ms(name, rank, now_ms))
@@ -255,9 +285,33 @@
         """Return a refused caller's retry delay in ms; randomized, shorter for urgent requests."""
         queue = self._queues.get(name) or _Queue()
         ahead = sum(1 for other in queue.requests if other.rank <= rank)
-        wait_ms = queue.expected_wait_ms(ahead, now_ms) or queue.stuck_ms(now_ms)
+        key = QueueRank(name, rank)
+        wait_ms = self._expected_wait_ms(queue, key, ahead, now_ms) or queue.stuck_ms(now_ms)
         base_ms = RETRY_AFTER_MIN_MS + RETRY_AFTER_RANK_MS * rank + wait_ms
-        return int(min(RETRY_AFTER_MAX_MS, base_ms * self._random.uniform(1.0, 1.5)))
+        earliest_ms = now_ms + int(base_ms * self._random.uniform(1.0, 1.5))
+        at_ms = self.fleet_queues.next_return_ms(key, earliest_ms, now_ms)
+        return int(min(RETRY_AFTER_MAX_MS, at_ms - now_ms))
+
+    def queue_reports(self, now_ms: int) -> tuple[BeatQueue, ...]:
+        """Return what to tell peers of this VM's queues."""
+        waiting: dict[QueueRank, Waiting] = {}
+        for item in (item for queue in self._queues.values() for item in queue.requests):
+            known = waiting.get(item.queue_rank, Waiting(count=0, oldest_ms=0))
+            waited_ms = now_ms - (item.queued_ms if item.queued_ms is not None else now_ms)
+            waiting[item.queue_rank] = Waiting(
+                count=known.count + 1, oldest_ms=max(known.oldest_ms, waited_ms)
+            )
+        return self.fleet_queues.own_reports(waiting, now_ms)
+
+    def set_peer(self, vm_id: VmId, heartbeat: Beat, told_ms: int) -> None:
+        """Replace what a peer told of its queues and its work for workspaces."""
+        self.shares.set_peer(vm_id, heartbeat.shares, told_ms)
+        self.fleet_queues.set_peer(vm_id, heartbeat.queues, told_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Forget what is old."""
+        self.shares.tick(now_ms)
+        self.fleet_queues.tick(now_ms)
 
     def spread_ms(self, wait_ms: int) -> int:
         """Return a caller's retry delay if a request can start after a wait at the earliest.
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -114,7 +114,7 @@
             fleet=self.fleet,
             view_cache=self.view_cache,
             registry=self.dispatcher.placement.registry,
-            shares=self.dispatcher.admission.shares,
+            admission=self.dispatcher.admission,
             send=self.link.send,
             on_new_peer=self._greet,
         )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -279,6 +279,8 @@
 _REFUSAL_MESSAGES = {
     RefusalCause.NO_ROOM: "no endpoint had capacity within the allowed wait",
     RefusalCause.SHARE: "the workspace asks for more than its share while others wait",
+    RefusalCause.OVERTAKEN: "workspaces that were served less came, and there is no room for both",
+    RefusalCause.OUTRANKED: "more urgent requests wait for the same endpoints",
 }
 
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -8,19 +8,20 @@
 import logging
 
 from wagtailusher_core import Incarnation, Revision, VmId
+from wagtailusher_gateway.admission import Admission
 from wagtailusher_gateway.const import EARLY_HEARTBEAT_INTERVAL_MS
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load
 from wagtailusher_gateway.fleet import DueHeartbeat, FleetDecider
 from wagtailusher_gateway.heartbeat_relay import HeartbeatRelay, original_beat, relaying_heartbeats
 from wagtailusher_gateway.rate_reports import apply_rates, new_rates
 from wagtailusher_gateway.view_cache import ViewCache
-from wagtailusher_gateway.workspace_shares import WorkspaceShares
 from wagtailusher_wire import (
     MAX_PAYLOAD_BYTES,
     AuthenticatedMessage,
     Beat,
     BeatLoad,
     BeatPeer,
+    BeatQueue,
     BeatRate,
     BeatShares,
     Message,
@@ -62,11 +63,11 @@
         view_cache: ViewCache,
         registry: EndpointRegistry,
         send: Callable[[str, Message], None],
-        shares: WorkspaceShares | None = None,
+        admission: Admission | None = None,
         on_new_peer: Callable[[str, int], None] = lambda address, now_ms: None,
     ) -> None:
         """`on_new_peer` gets the address of a VM that is new or has started anew, and the time."""
-        self._shares = shares or WorkspaceShares()
+        self._admission = admission or Admission(seed=0)
         self._on_new_peer = on_new_peer
         self._fleet = fleet
         self._view_cache = view_cache
@@ -81,7 +82,7 @@
     def tick(self, now_ms: int) -> None:
         """Send the heartbeats that are due, and check who is live now and then."""
         self._relay.tick(now_ms)
-        self._shares.tick(now_ms)
+        self._admission.tick(now_ms)
         self._send_due(self._fleet.collect_due_heartbeats(now_ms), now_ms)
         if self._is_early_pending:
             self.send_early(now_ms)
@@ -194,7 +195,7 @@
         self._registry.set_peer_loads(origin.vm_id, loads, origin.sent_ms)
         apply_rates(self._registry.rates, origin.vm_id, heartbeat.rates, origin.sent_ms)
         if origin.vm_id != self._fleet.own_member.vm_id:
-            self._shares.set_peer(origin.vm_id, heartbeat.shares, origin.sent_ms)
+            self._admission.set_peer(origin.vm_id, heartbeat, now_ms)
         if is_new and origin.vm_id != self._fleet.own_member.vm_id:
             self._send(origin.peer_address, self._new_heartbeat(now_ms, with_peers=True))
             self._on_new_peer(origin.peer_address, now_ms)
@@ -233,7 +234,8 @@
             takes_forwarded=own_member.takes_forwarded,
             unreached_services=own_member.unreached_services,
             configuration_version=self._view_cache.configuration_version,
-            shares=self._shares.own_reports(now_ms),
+            queues=self._admission.queue_reports(now_ms),
+            shares=self._admission.shares.own_reports(now_ms),
             rates=new_rates(self._registry.rates, now_ms),
         )
 
@@ -255,12 +257,17 @@
 
     Each kind of names leaves some room for the next, the largest loads and the rates coming last.
     """
-    short = replace(heartbeat, unreached_services=(), shares=(), peers=(), loads=(), rates=())
+    short = replace(
+        heartbeat, unreached_services=(), queues=(), shares=(), peers=(), loads=(), rates=()
+    )
     short = fill_to_fit(
         partial(_with_unreached, short),
         heartbeat.unreached_services,
         max_bytes=MAX_PAYLOAD_BYTES // 2,
     )
+    short = fill_to_fit(
+        partial(_with_queues, short), heartbeat.queues, max_bytes=MAX_PAYLOAD_BYTES * 9 // 16
+    )
     short = fill_to_fit(
         partial(_with_shares, short), heartbeat.shares, max_bytes=MAX_PAYLOAD_BYTES * 5 // 8
     )
@@ -275,6 +282,10 @@
     return replace(heartbeat, unreached_services=services)
 
 
+def _with_queues(heartbeat: Beat, queues: tuple[BeatQueue, ...]) -> Beat:
+    return replace(heartbeat, queues=queues)
+
+
 def _with_shares(heartbeat: Beat, shares: tuple[BeatShares, ...]) -> Beat:
     return replace(heartbeat, shares=shares)
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/workspace_shares.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/workspace_shares.py
@@ -74,7 +74,7 @@
 """Most workspaces that a heartbeat tells of each pool; few exceed their share at one time."""
 
 MAX_TOLD_POOLS = 2
-"""Most pools that a heartbeat tells; with their workspaces they use a fifth of a datagram."""
+"""Most pools that a heartbeat tells; with all their workspaces they use a third of a datagram."""
 
 MAX_WORKSPACES = 8_192
 """Most workspaces of which this VM keeps sums in one pool; bounds memory use."""
@@ -210,7 +210,7 @@
         return work
 
     def set_peer(self, vm_id: VmId, reports: tuple[BeatShares, ...], told_ms: int) -> None:
-        """Replace what a peer told; `told_ms` is when."""
+        """Replace what a peer told; `told_ms` is when it arrived."""
         if reports:
             by_pool = {Pool(item.service, item.rank): item for item in reports}
             self._peers[vm_id] = (told_ms, by_pool)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/gateway_messages.py
@@ -44,9 +44,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BeatQueue:
-    """What waits at the sender for one service at one rank, and what started there lately."""
+    """What waits in one queue of the sender at one rank, and what started from it lately."""
 
-    service: str
+    queue: str
     rank: int
     waiting: int
     oldest_ms: int
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -168,7 +168,7 @@
 }
 
 struct BeatQueue {
-  service @0 :Text;
+  queue @0 :Text;
   rank @1 :UInt32;
   waiting @2 :UInt32;
   oldestMs @3 :UInt32;
