Compare beliefs in cached parts with first events; log and count them

Cause: nothing told an operator whether a part that an endpoint was believed to have was read again.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/answer_timing.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/answer_timing.py
@@ -25,7 +25,10 @@
     )
 
     def __init__(
-        self, rates: EngineRates, reservation: Reservation, queued_tokens: Callable[[int], int]
+        self,
+        rates: EngineRates,
+        reservation: Reservation,
+        queued_tokens: Callable[[int], int],
     ) -> None:
         """`queued_tokens` returns the prompt tokens believed to be queued at the endpoint."""
         self._rates = rates
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wagtailusher_daemon.metric_registry import MetricRegistry
+from wagtailusher_gateway.cache_beliefs import CacheBelief
 from wagtailusher_gateway.const import LATENCY_BUCKETS_S, MS_PER_S
 from wagtailusher_gateway.engine_rates import EngineRates
 from wagtailusher_gateway.models import FleetView, Route
@@ -78,6 +79,9 @@
         self.first_events = self.counter(
             "first_events", "First events of engines' answers, by when they were expected"
         )
+        self.shared_tokens = self.counter(
+            "shared_prompt_tokens", "Tokens of shared parts, by what was believed and found"
+        )
 
     def count_first_event(self, service: str, expected_ms: float, seen_ms: int) -> None:
         """Count the first event of an engine's answer."""
@@ -87,6 +91,11 @@
             {"service": service, "found": "sooner" if ratio < 1 / AS_EXPECTED else found}
         )
 
+    def count_shared_tokens(self, service: str, belief: CacheBelief, seen_ms: int) -> None:
+        """Count the tokens of a prompt's shared parts."""
+        labels = {"believed": str(belief.source), "found": str(belief.find(seen_ms))}
+        self.shared_tokens.add({"service": service, **labels}, belief.shared_tokens)
+
     def set_view(self, view: FleetView, rates: EngineRates, now_ms: int) -> None:
         """Set the gauges of the view of the platform, and of its engines' typical rates."""
         for service, rate in rates.service_rates(now_ms):
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -26,8 +26,12 @@
 from wagtailusher_gateway.engine_rates import EngineRate
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
 from wagtailusher_gateway.outcomes import expected_failure_rate, failure_penalties_ms
-from wagtailusher_gateway.prefixes import MissingTokens, PrefixMemory
-from wagtailusher_gateway.prompt_caches import CacheRanking, cache_doubt, rank_for_prompt
+from wagtailusher_gateway.prefixes import MissingTokens
+from wagtailusher_gateway.prompt_caches import (
+    CacheRanking,
+    PromptCaches,
+    cache_doubt,
+)
 from wagtailusher_gateway.reservation import Reservation
 from wagtailusher_rate_limits import RateLimitDecider
 
@@ -68,8 +72,8 @@
         self._contention = contention
         self.rate_limits = rate_limits
         self._failure_domain_id = failure_domain_id
-        self._prefixes = PrefixMemory()
         self.engine_rates = registry.rates
+        self.caches = PromptCaches(registry.rates, failure_domain_id)
         self._partitions: dict[str, EnginePartition] = {}
         self._prefill_caps = PrefillCaps()
         self._random = random.Random(seed)
@@ -78,7 +82,7 @@
         """Apply a view."""
         self._prefill_caps.update(view.configuration)
         for endpoint_id in self.registry.update(view, now_ms):
-            self._prefixes.remove_endpoint(endpoint_id)
+            self.caches.prefixes.remove_endpoint(endpoint_id)
         self.rate_limits.update_endpoints(
             {key: endpoint.born_ms for key, endpoint in view.endpoints.items()}
         )
@@ -112,7 +116,9 @@
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties = self._penalties_ms(service, terms, usable)
-        ranking = self._rank_for_prompt(service, terms, usable, penalties, now_ms)
+        ranking = self.caches.rank(
+            service, terms, usable, penalties, self._remote_cost_ms(), now_ms
+        )
         exempt_ids = self._exempt_ids(service, ranking, penalties, now_ms)
         candidates = [
             item
@@ -126,12 +132,14 @@
             return None
         cached_chances = ranking.cached_chances({_id_of(item) for item in candidates})
         fleet_factor = max(1, len(vm_ids)) / len(penalties)
-        missing = self._prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
+        missing = self.caches.prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
         costs = self._costs(service, penalties, candidates, cached_chances, missing, now_ms)
         cost_ms, best = min(zip(costs, candidates, strict=True), key=lambda item: item[0])
-        chance = cached_chances.get(_id_of(best), 0.0) * self._prefixes.repeat_chance(len(vm_ids))
+        chance = cached_chances.get(_id_of(best), 0.0) * self.caches.prefixes.repeat_chance(
+            len(vm_ids)
+        )
         uncached_tokens = terms.own_prompt_tokens + missing(_id_of(best), chance)
-        return self._reserve(service, terms, best, cost_ms, uncached_tokens, now_ms)
+        return self._reserve(service, terms, best, cost_ms, uncached_tokens, cached_chances, now_ms)
 
     def _has_limit(self, candidate: Candidate) -> bool:
         return self.rate_limits.has_limit(_id_of(candidate))
@@ -261,24 +269,6 @@
 
         return [cost_ms(*pair) for pair in zip(candidates, failure_penalties, strict=True)]
 
-    def _rank_for_prompt(
-        self,
-        service: Service,
-        terms: RequestTerms,
-        usable: list[TrackedEndpoint],
-        penalties: dict[EndpointId, float],
-        now_ms: int,
-    ) -> CacheRanking:
-        return rank_for_prompt(
-            service,
-            terms,
-            usable,
-            penalties,
-            rate=self.engine_rates.service_rate(service.name, now_ms),
-            own_domain_id=self._failure_domain_id,
-            remote_cost_ms=self._remote_cost_ms(),
-        )
-
     def _exempt_ids(
         self,
         service: Service,
@@ -342,6 +332,7 @@
         candidate: Candidate,
         cost_ms: float,
         uncached_tokens: int,
+        cached_chances: dict[EndpointId, float],
         now_ms: int,
     ) -> Reservation:
         """Add a request to an endpoint's load and return its reservation."""
@@ -361,6 +352,9 @@
             expected_first_ms=rate.first_event_ms + rate.prompt_ms(queued_tokens),
             output_tokens=terms.max_output_tokens,
             cache_doubt=cache_doubt(terms, uncached_tokens),
+            cache_belief=self.caches.new_belief(
+                terms, endpoint_id, cached_chances, rate, load.prefill_tokens, now_ms
+            ),
         )
         tracked.own_load.requests += 1
         tracked.own_load.prefill_tokens += reservation.prefill_tokens
@@ -368,7 +362,7 @@
         self._cold_limiter.record_sent(endpoint_id, now_ms)
         self.rate_limits.record_sent(endpoint_id, now_ms)
         self.registry.availability.record_started(endpoint_id, now_ms)
-        self._prefixes.record_use(terms.shared_parts, endpoint_id, now_ms)
+        self.caches.prefixes.record_use(terms.shared_parts, endpoint_id, now_ms)
         if is_prompt_heavy(terms):
             self._on_long_prompt(now_ms)
         return reservation
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/prefixes.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/prefixes.py
@@ -79,6 +79,10 @@
         """Return the chance that any VM recently used a last part, from this VM's own repeats."""
         return 1.0 - (1.0 - self._repeat_share) ** max(1, vm_count)
 
+    def was_used(self, parts: tuple[PromptPart, ...], endpoint_id: EndpointId, now_ms: int) -> bool:
+        """Return whether this VM recently sent the last part to the endpoint."""
+        return bool(parts) and self._is_recently_used(parts[-1], endpoint_id, now_ms)
+
     def remove_endpoint(self, endpoint_id: EndpointId) -> None:
         """Remove the uses at an endpoint whose cache was lost in a restart."""
         for key in [key for key in self._used_ms if key[1] == endpoint_id]:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/prompt_caches.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/prompt_caches.py
@@ -10,9 +10,15 @@
 from dataclasses import dataclass, field
 
 from wagtailusher_core import EndpointId, FailureDomainId, rank_by_rendezvous
+from wagtailusher_gateway.cache_beliefs import (
+    SOURCE_BY_RANK,
+    CacheBelief,
+    CacheSource,
+)
 from wagtailusher_gateway.endpoint_registry import TrackedEndpoint
-from wagtailusher_gateway.engine_rates import EngineRate
+from wagtailusher_gateway.engine_rates import EngineRate, EngineRates
 from wagtailusher_gateway.models import Endpoint, RequestTerms, Service
+from wagtailusher_gateway.prefixes import PrefixMemory
 
 CACHED_CHANCE_BY_RANK = (0.9, 0.5)
 """Chance that the first and the second endpoint by rendezvous rank have a shared prompt cached."""
@@ -81,3 +87,61 @@
         penalties_ms=penalties_ms,
         near_domain_id=None if is_worth_distance else own_domain_id,
     )
+
+
+class PromptCaches:
+    """What this VM believes of endpoints' prompt caches."""
+
+    def __init__(self, rates: EngineRates, own_domain_id: FailureDomainId) -> None:
+        self.prefixes = PrefixMemory()
+        self._rates = rates
+        self._own_domain_id = own_domain_id
+
+    def rank(
+        self,
+        service: Service,
+        terms: RequestTerms,
+        usable: list[TrackedEndpoint],
+        penalties_ms: Mapping[EndpointId, float],
+        remote_cost_ms: float,
+        now_ms: int,
+    ) -> CacheRanking:
+        """Return the endpoints by how likely they have a request's shared parts cached."""
+        return rank_for_prompt(
+            service,
+            terms,
+            usable,
+            penalties_ms,
+            rate=self._rates.service_rate(service.name, now_ms),
+            own_domain_id=self._own_domain_id,
+            remote_cost_ms=remote_cost_ms,
+        )
+
+    def new_belief(
+        self,
+        terms: RequestTerms,
+        endpoint_id: EndpointId,
+        chances: Mapping[EndpointId, float],
+        rate: EngineRate,
+        queued_tokens: int,
+        now_ms: int,
+    ) -> CacheBelief | None:
+        """Return what is believed of the shared parts at the chosen endpoint, if there are any.
+
+        To be asked before the use by the request itself is recorded.
+        """
+        if not terms.shared_parts:
+            return None
+        by_rank = dict(zip(chances, SOURCE_BY_RANK, strict=False))
+        was_used = self.prefixes.was_used(terms.shared_parts, endpoint_id, now_ms)
+        shared_tokens = sum(part.tokens for part in terms.shared_parts)
+        queue_ms = rate.prompt_ms(queued_tokens)
+        return CacheBelief(
+            source=CacheSource.USED if was_used else by_rank.get(endpoint_id, CacheSource.NONE),
+            shared_tokens=shared_tokens,
+            shared_ms=rate.prompt_ms(shared_tokens),
+            cached_first_ms=rate.first_event_ms
+            + queue_ms
+            + rate.prompt_ms(terms.own_prompt_tokens),
+            queue_ms=queue_ms,
+        )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_record.py
@@ -48,6 +48,7 @@
         self._answer_fields: dict[str, int | bool] = {}
         self._quarantine: Refusal | None = None
         self._forward_fields: dict[str, str] = {}
+        self._cache_fields: dict[str, str] = {}
 
     def record_quarantine(self, refusal: Refusal) -> None:
         """Record what the request is accused of, from which crashes, and who told them."""
@@ -124,6 +125,13 @@
         if reservation is not None and reservation.prefill_tokens:
             seen_ms = now_ms - self._reserved_ms
             self._metrics.count_first_event(self._service, reservation.expected_first_ms, seen_ms)
+            belief = reservation.cache_belief
+            if belief is not None:
+                self._metrics.count_shared_tokens(self._service, belief, seen_ms)
+                self._cache_fields = {
+                    "cache_believed": str(belief.source),
+                    "cache_found": str(belief.find(seen_ms)),
+                }
 
     def record_stream_complete(self, longest_gap_ms: int) -> None:
         """Record that a stream was complete, with its longest gap between events in ms."""
@@ -242,6 +250,7 @@
                 **self._reservation_fields(),
                 **self._answer_fields,
                 **self._forward_fields,
+                **self._cache_fields,
                 "status": self._status,
                 "sends": self._sends,
                 "wait_ms": self._reserved_ms - self._arrived_ms,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/reservation.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/reservation.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from wagtailusher_gateway.cache_beliefs import CacheBelief
 from wagtailusher_gateway.models import Endpoint
 
 
@@ -31,3 +32,5 @@
     """Largest number of tokens of the answer."""
     cache_doubt: float = 0.0
     """Between 0 and 1, how uncertain it is which tokens of the prompt the endpoint has cached."""
+    cache_belief: CacheBelief | None = None
+    """What was believed of the shared parts of the prompt; None if an engine reads none."""
--- a/tests/wagtailusher_gateway/test_prompt_caches.py
+++ b/tests/wagtailusher_gateway/test_prompt_caches.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 import unittest
 
@@ -19,6 +20,11 @@
     view,
 )
 from wagtailusher_core import EndpointId, FailureDomainId, VmId
+from wagtailusher_gateway.cache_beliefs import (
+    CacheBelief,
+    CacheFinding,
+    CacheSource,
+)
 from wagtailusher_gateway.const import PREFILL_CAP_MS
 from wagtailusher_gateway.delays import delay_ms
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load
@@ -92,6 +98,27 @@
         self.assertEqual(doubts, [0.0, 0.5, 1.0, 0.0])
 
 
+class CacheBeliefTest(unittest.TestCase):
+    """First events tell whether a part was cached, unless the queue hides it."""
+
+    def belief(self, source: CacheSource, queue_ms: float = 0.0) -> CacheBelief:
+        return CacheBelief(
+            source=source,
+            shared_tokens=6_300,
+            shared_ms=126.0,
+            cached_first_ms=100.0 + queue_ms,
+            queue_ms=queue_ms,
+        )
+
+    def test_first_event_tells_whether_the_part_was_read(self) -> None:
+        belief = self.belief(CacheSource.FIRST)
+        self.assertEqual(belief.find(110), CacheFinding.CACHED)
+        self.assertEqual(belief.find(220), CacheFinding.READ_AGAIN)
+        self.assertEqual(self.belief(CacheSource.FIRST, 300).find(220), CacheFinding.UNCLEAR)
+        short = replace(belief, shared_ms=5.0)
+        self.assertEqual(short.find(220), CacheFinding.UNCLEAR)
+
+
 class WeighedWaitTest(unittest.TestCase):
     """Properties of a choice, over random loads of all engines."""
 
