--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -179,6 +179,7 @@
                 self.view_cache.view, endpoint, self._random
             ),
             on_crash=self.quarantine.record_crash,
+            on_lost=self.dispatcher.placement.registry.record_crash,
             clock_ms=monotonic_ms,
         )
 
@@ -261,8 +262,7 @@
     async def async_start(self, reader: PlatformReader) -> None:
         """Open the sockets and start the periodic tasks and the reader."""
         options = self.options
-        host, port = split_address(options.peer_listen)
-        await self.link.async_bind(host, port)
+        await self.link.async_bind(*split_address(options.peer_listen))
         await self._async_listen()
         self._tasks.add_periodic(TICK_MS, self._tick)
         self._tasks.add_periodic_async(VIEW_PULL_MS, self.view_exchange.async_pull)
@@ -395,5 +395,5 @@
         self.metrics.answers_evicted.set({}, self._client.budget.evicted_count)
         self.metrics.set_queues(self.dispatcher.admission, now_ms)
         self.metrics.in_flight.set({}, self.dispatcher.in_flight)
-        self.metrics.members.set({}, len(self.fleet.live_members(now_ms)) + 1)
-        self.metrics.set_view(self.view_cache.view, now_ms)
+        self.metrics.set_fleet(len(self.fleet.live_members(now_ms)) + 1, self.fleet.knows_fleet)
+        self.metrics.set_view(self.view_cache.view, self.dispatcher.placement.engine_rates, now_ms)
