Don't refuse a caller that takes up a stream by its workspace's share

Its stream began within the share; a refusal breaks off what was worked on. Such a request counts as one that was sent before. The order on loopback is now checked after the requests have ended, so that a wrong one is reported as such ("/look/hot-2" where requests are ordered by arrival).

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -66,7 +66,7 @@
     work: float = WORK_PER_REQUEST
     """Estimated work, in the unit in which workspaces share a service."""
     is_repeat: bool = False
-    """Whether it was sent before; its workspace's share has been decided on."""
+    """Whether it was sent before, or takes up a stream; its share has been decided on."""
     is_refused: Callable[[], bool] = lambda: False
     """Returns whether `try_start` found that it can't be served in time, and refused it."""
     queued_ms: int | None = None
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -164,7 +164,7 @@
             rank=request.rank,
             workspace=request.workspace,
             work=estimated_work(request.service, request.terms),
-            is_repeat=bool(excluded),
+            is_repeat=bool(excluded) or request.terms.resume_after is not None,
             expires_ms=now_ms + queue_wait_ms(request.route.target_ms, request.ends_ms - now_ms),
             try_start=lambda now_ms: self._try_start(future, request, excluded, now_ms),
             refuse=refuse,
--- a/tests/wagtailusher_platform/test_workspace_shares.py
+++ b/tests/wagtailusher_platform/test_workspace_shares.py
@@ -83,8 +83,8 @@
             await self.async_until(lambda: self.app.dispatcher.admission.count == waiting)
             self.endpoint.answer()
             await self.async_until(lambda: len(self.endpoint.paths) > AT_ENDPOINT)
-            self.assertEqual(self.endpoint.paths[AT_ENDPOINT], "/look/small")
             self.endpoint.answer(6)
+        self.assertEqual(self.endpoint.paths[AT_ENDPOINT], "/look/small")
         self.assertEqual([task.result() for task in tasks], [HTTPStatus.OK] * 7)
 
 
