--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/answer_relay.py
@@ -30,6 +30,7 @@
         self._silence_timeout_ms = silence_timeout_ms
         self._stream = EventStream() if is_event_stream(answer.headers) else None
         self._rest = memoryview(b"")
+        self._held_bytes = 0
         self._unreported_events = 0
         self._ended = False
 
@@ -41,6 +42,7 @@
         """
         if self._stream is None:
             self._rest = memoryview(await self._answer.async_read(self._silence_timeout_ms))
+            self._held_bytes = len(self._rest)
             self._ended = True
             return self._take_part()
         first_parts: list[bytes] = []
@@ -86,6 +88,11 @@
                 await sink.async_drain()
         self._check_complete()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the body if it was read whole, else 0."""
+        return self._held_bytes
+
     def _take_part(self) -> bytes:
         """Return the next part of a body that was read whole."""
         part = bytes(self._rest[:RELAYED_PART_BYTES])
@@ -94,7 +101,8 @@
 
     @callback
     def abort(self) -> None:
-        """Report pending events and abort an answer that has not ended."""
+        """Report pending events, free the body and abort an answer that has not ended."""
+        self._rest = memoryview(b"")
         self._report_progress()
         if not self._ended:
             self._answer.abort()
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/app.py
@@ -79,7 +79,9 @@
         self.tracing = self._new_tracing()
         self.is_draining = False
         self.directory = Directory()
-        self._client = HttpClient(on_idle_end=lambda key: self._load_poll.observe_idle_end(key))
+        self._client = HttpClient(
+            options.client_limits, on_idle_end=lambda key: self._load_poll.observe_idle_end(key)
+        )
         self._peer_client = HttpClient(ssl_context=peer_context(options))
         self._secrets = options.fleet_secrets
         self.findings = self._new_findings()
@@ -192,19 +194,18 @@
         options = self.options
         self.peer_address = await self.link.async_bind(*split_address(options.peer_listen))
         host, port = split_address(options.listen)
-        api = self._new_caller_api()
-        self.caller_api = api
+        self.caller_api = api = self._new_caller_api()
         self.caller_server = await async_serve(
             api.async_handle,
             host=host,
             port=port,
+            limits=options.caller_limits,
             ssl_context=server_context(options),
             get_refusal_outcome=refusal_outcome,
         )
-        operator_host, operator_port = split_address(options.operator_listen)
-        self.operator_server = await async_serve(
-            OperatorApi(self).async_handle, host=operator_host, port=operator_port
-        )
+        host, port = split_address(options.operator_listen)
+        operators = OperatorApi(self).async_handle
+        self.operator_server = await async_serve(operators, host=host, port=port)
         self.fleet_sync = fleet_sync = self._new_fleet_sync()
         self.directory.attach_fleet_sync(fleet_sync)
         api.addresses = self._new_address_book()
@@ -213,9 +214,8 @@
         self._tasks.add_periodic(QUARANTINE_INTERVAL_MS, fleet_sync.gossip_quarantine)
         self._tasks.add_periodic(options.tick_interval_ms, self._tick)
         self._tasks.add_periodic_async(LIST_CONFIRM_INTERVAL_MS, self._pause_monitor.async_read)
-        self._tasks.add_periodic_async(
-            options.load_poll_interval_ms, self._load_poll.async_poll_due
-        )
+        async_poll = self._load_poll.async_poll_due
+        self._tasks.add_periodic_async(options.load_poll_interval_ms, async_poll)
         _LOGGER.info("Daemon: %s listens for callers at %s", self.vm_id, self.address)
 
     async def async_stop(self, grace_ms: int | None = None) -> bool:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/const.py
@@ -40,6 +40,14 @@
 DEFAULT_LEASE_LIFETIME_MS = 2_000
 DEFAULT_LIST_LAG_MS = 5_000
 DEFAULT_PAUSE_TOLERANCE_MS = 1_000
+DEFAULT_MEMORY_MB = 128
+"""Memory of a small VM, in units of 1,000,000 bytes."""
+BYTES_PER_MB = 1_000_000
+BUFFERED_MEMORY_SHARE = 0.15
+"""Share of the memory for answers of endpoints that are read whole."""
+HELD_MEMORY_SHARE = 0.2
+"""Share of the memory for callers' requests, and for answers that they have not read; the process
+itself takes half of a small VM."""
 RENEWALS_PER_LIFETIME = 4
 DEFAULT_HEAD_TIMEOUT_MS = 60_000
 
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/entry.py
@@ -17,6 +17,7 @@
 from wagtailusher_daemon.exceptions import OptionsError
 from wagtailusher_daemon.logs import set_up_logs
 from wagtailusher_daemon.options import EntryOptions, read_options
+from wagtailusher_http import return_large_blocks
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -42,6 +43,7 @@
     "load_poll_interval_ms": "time between load polls of an endpoint, in ms (250)",
     "lease_lifetime_ms": "lifetime of a lease on an endpoint, in ms (2000)",
     "list_lag_ms": "maximum lag of the platform's list, in ms (5000)",
+    "memory_mb": "memory of the VM in units of 1,000,000 bytes, of which callers get a share (128)",
     "pause_tolerance_ms": "longest pause after which leases stay valid, in ms (1000)",
 }
 """Help text of each flag; a flag's environment variable has the same name."""
@@ -85,6 +87,7 @@
 
 async def async_run(options: EntryOptions) -> int:
     """Run the daemon until a signal arrives; return the exit code."""
+    return_large_blocks()
     app = EntryApp(options)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/exchange.py
@@ -73,6 +73,7 @@
             headers=headers,
             body=lambda sink: self._async_body(relay, first, sink),
             on_end=self._end,
+            held_bytes=relay.held_bytes,
         )
 
     def _new_relay(self, answer: ClientAnswer) -> AnswerRelay:
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/metric_registry.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/metric_registry.py
@@ -5,7 +5,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-from wagtailusher_http import Headers, Response
+from wagtailusher_http import CallerBudget, Headers, Response
 
 
 class MetricRegistry:
@@ -14,6 +14,12 @@
     def __init__(self, prefix: str) -> None:
         self._prefix = prefix
         self.registry = Registry()
+        self._held_bytes = self.gauge(
+            "held_caller_bytes", "Bytes held for callers: requests, and answers not sent yet"
+        )
+        self._gave_way = self.counter(
+            "callers_gave_way", "Callers refused or disconnected for want of room, by phase"
+        )
 
     def counter(self, name: str, doc: str) -> Counter:
         """Register a counter; `_total` is appended to its name."""
@@ -31,3 +37,10 @@
         """Return the metrics in the format that the scraper accepts."""
         content, headers = render(self.registry, [accept])
         return Response(headers=Headers(headers.items()), body=content)
+
+    def set_callers(self, budget: CallerBudget, closed_unused_count: int) -> None:
+        """Set what callers hold, and how many gave way."""
+        self._held_bytes.set({}, budget.held_bytes)
+        for phase, count in budget.gave_way_counts.items():
+            self._gave_way.set({"phase": str(phase)}, count)
+        self._gave_way.set({"phase": "unused"}, closed_unused_count)
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_api.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/operator_api.py
@@ -27,7 +27,7 @@
 from wagtailusher_daemon.options import EntryOptions
 from wagtailusher_daemon.request_log import RequestLog
 from wagtailusher_daemon.usage import UsageStats
-from wagtailusher_http import Headers, Request, Response, error_response, json_response
+from wagtailusher_http import Headers, HttpServer, Request, Response, error_response, json_response
 from wagtailusher_operator.const import (
     PATH_BOOKS,
     PATH_DRAIN,
@@ -64,6 +64,7 @@
     node: RouterNode
     view: FleetView
     fleet_sync: FleetSync | None
+    caller_server: HttpServer | None
 
     @property
     def is_ready(self) -> bool:
@@ -92,6 +93,9 @@
         """Answer one request."""
         path = request.path
         if path == PATH_METRICS:
+            server = self._app.caller_server
+            if server is not None:
+                self._app.metrics.set_callers(server.budget, server.closed_unused_count)
             return self._app.metrics.render(request.headers.get("accept") or "text/plain")
         if path == PATH_HEALTH:
             return json_response(HTTPStatus.OK, {"status": "alive"})
--- a/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
+++ b/packages/wagtailusher_daemon/src/wagtailusher_daemon/options.py
@@ -9,17 +9,22 @@
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from wagtailusher_daemon.const import (
+    BUFFERED_MEMORY_SHARE,
+    BYTES_PER_MB,
     DEFAULT_LEASE_LIFETIME_MS,
     DEFAULT_LIST_LAG_MS,
     DEFAULT_LISTEN,
     DEFAULT_LOAD_POLL_INTERVAL_MS,
     DEFAULT_LOG_FORMAT,
     DEFAULT_LOG_LEVEL,
+    DEFAULT_MEMORY_MB,
     DEFAULT_PAUSE_TOLERANCE_MS,
     DEFAULT_TICK_INTERVAL_MS,
     ENV_PREFIX,
+    HELD_MEMORY_SHARE,
 )
 from wagtailusher_daemon.exceptions import OptionsError
+from wagtailusher_http import ClientLimits, HttpLimits
 
 MIN_SECRET_CHARS = 16
 MAX_PORT = 65535
@@ -59,6 +64,8 @@
     pause_tolerance_ms: int = Field(default=DEFAULT_PAUSE_TOLERANCE_MS, ge=50, le=60_000)
     load_poll_interval_ms: int = Field(default=DEFAULT_LOAD_POLL_INTERVAL_MS, ge=20, le=10_000)
 
+    memory_mb: int = Field(default=DEFAULT_MEMORY_MB, ge=64, le=1_048_576)
+
     @field_validator("listen", "peer_listen", "operator_listen", "config_service", "vm_list")
     @classmethod
     def check_address(cls, value: str) -> str:
@@ -76,6 +83,17 @@
             raise ValueError("expected debug, info, warning or error")
         return value.lower()
 
+    @property
+    def caller_limits(self) -> HttpLimits:
+        """Return the limits of callers' connections."""
+        return HttpLimits(max_held_bytes=round(self.memory_mb * BYTES_PER_MB * HELD_MEMORY_SHARE))
+
+    @property
+    def client_limits(self) -> ClientLimits:
+        """Return the limits of connections to endpoints."""
+        max_buffered_bytes = round(self.memory_mb * BYTES_PER_MB * BUFFERED_MEMORY_SHARE)
+        return ClientLimits(max_buffered_bytes=max_buffered_bytes)
+
     @property
     def fleet_secrets(self) -> tuple[bytes, ...]:
         """Return the fleet's secrets, the current one first."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -96,7 +96,7 @@
         self.view_spread = self._new_view_spread()
         self.view_exchange = self._new_view_exchange()
         self._forwarder = self._new_forwarder()
-        self.servers = Servers(options.max_connections)
+        self.servers = Servers(options.max_connections, options.max_held_bytes)
         self._tasks = PeriodicTasks()
 
     def _new_link(self, incarnation: Incarnation) -> PeerLink:
@@ -392,8 +392,8 @@
     def update_gauges(self) -> None:
         """Update the gauges before they are rendered."""
         now_ms = monotonic_ms()
-        self.metrics.buffered_bytes.set({}, self._client.budget.held_bytes)
-        self.metrics.answers_evicted.set({}, self._client.budget.evicted_count)
+        self.metrics.set_buffers(self._client.budget)
+        self.metrics.set_callers(self.servers.budget, self.servers.closed_unused_count)
         self.metrics.waiting.set({}, self.dispatcher.admission.count)
         self.metrics.in_flight.set({}, self.dispatcher.in_flight)
         self.metrics.members.set({}, len(self.fleet.live_members(now_ms)) + 1)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -100,6 +100,8 @@
             return await exchange.async_run(), Outcome.COMPLETED
         except RefusedError as refusal:
             record.record_refusal(refusal)
+            # What waited for a place keeps the error, whose frames keep the request's body.
+            refusal.__traceback__ = None
             return self.refusal_response(refusal), refusal.outcome
         except asyncio.CancelledError:
             record.record_caller_left()
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -321,13 +321,13 @@
         self._delivery.record_answered()
         attempt.record_prefill_done()
         self._record.record_first_event(attempt.status, self._dispatcher.clock_ms())
-        headers = attempt.headers.without_hop_headers(self._dropped_fields)
-
-        async def async_body(sink: BodySink) -> None:
-            await self._async_relay_stream(attempt, first, sink)
-
+        if not self._delivery.may_resume:
+            self._fingerprints.release_body()
         return Response(
-            status=attempt.status, headers=headers, body=async_body, on_end=self._stream_ended
+            status=attempt.status,
+            headers=attempt.headers.without_hop_headers(self._dropped_fields),
+            body=lambda sink: self._async_relay_stream(attempt, first, sink),
+            on_end=self._stream_ended,
         )
 
     def _require_version(self, attempt: Attempt) -> None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -5,6 +5,7 @@
 from wagtailusher_daemon.metric_registry import MetricRegistry
 from wagtailusher_gateway.const import LATENCY_BUCKETS_S, MS_PER_S
 from wagtailusher_gateway.models import FleetView, Route
+from wagtailusher_http import BufferBudget
 
 
 class GatewayMetrics(MetricRegistry):
@@ -64,6 +65,11 @@
             "view_changes", "Changes told by the elected reader, by what this VM did with them"
         )
 
+    def set_buffers(self, budget: BufferBudget) -> None:
+        """Set what is held of endpoints' answers."""
+        self.buffered_bytes.set({}, budget.held_bytes)
+        self.answers_evicted.set({}, budget.evicted_count)
+
     def set_view(self, view: FleetView, now_ms: int) -> None:
         """Set the gauges of the view of the platform."""
         self.store_epoch.set({}, view.epoch)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/options.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/options.py
@@ -58,6 +58,8 @@
     max_connections: int
     max_buffered_bytes: int
     """Bytes held for all endpoints' answers that are read whole."""
+    max_held_bytes: int
+    """Bytes held for all callers and peers: requests, and answers that are not sent yet."""
     grace_ms: int
     fleet_secret: bytes
     log_level: str
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_fingerprints.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/request_fingerprints.py
@@ -4,7 +4,7 @@
 
 from functools import cached_property
 
-from xxhash import xxh3_128_hexdigest
+from xxhash import xxh3_128, xxh3_128_hexdigest
 
 from wagtailusher_gateway.const import MAX_FINGERPRINT_PARTS, MAX_PART_ID_BYTES
 from wagtailusher_gateway.models import RequestTerms
@@ -38,7 +38,14 @@
             return self._known_whole
         request = self._request
         head = "\0".join((request.method, request.target, self._terms.api_key or "", ""))
-        return xxh3_128_hexdigest(head.encode() + request.body)
+        digest = xxh3_128(head.encode())
+        digest.update(request.body)
+        return digest.hexdigest()
+
+    def release_body(self) -> None:
+        """Free the body of a request that is not sent again."""
+        self._known_whole = self.whole
+        self._request.body = b""
 
     @property
     def all(self) -> tuple[str, ...]:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/servers.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/servers.py
@@ -8,6 +8,7 @@
 from wagtailusher_gateway.const import IDLE_TIMEOUT_MS, MAX_BODY_BYTES, MAX_HEAD_BYTES
 from wagtailusher_gateway.models import CallerLimits
 from wagtailusher_http import (
+    CallerBudget,
     Handler,
     HttpLimits,
     HttpServer,
@@ -25,20 +26,21 @@
 class Servers:
     """Owns all listening sockets."""
 
-    def __init__(self, max_connections: int) -> None:
-        """Initialize the servers; `max_connections` limits the callers' connections."""
+    def __init__(self, max_connections: int, max_held_bytes: int) -> None:
+        """Limit the callers' connections, and the bytes held for callers and peers together."""
         self._max_connections = max_connections
+        self.budget = CallerBudget(max_held_bytes)
         self._caller_server: HttpServer | None = None
         self._peer_server: HttpServer | None = None
         self._internal_servers: list[HttpServer] = []
 
     async def async_serve_callers(self, address: str, handler: Handler) -> None:
         """Serve callers' requests at host:port."""
-        self._caller_server = await _async_listen(address, handler, self._limits(None))
+        self._caller_server = await _async_listen(address, handler, self._limits(None), self.budget)
 
     async def async_serve_peers(self, address: str, handler: Handler) -> None:
         """Serve requests that peers hand on at host:port."""
-        self._peer_server = await _async_listen(address, handler, self._limits(None))
+        self._peer_server = await _async_listen(address, handler, self._limits(None), self.budget)
 
     async def async_serve_path(self, address: str | None, path: str, handler: Handler) -> None:
         """Serve one path at host:port; do nothing if there is no address."""
@@ -85,6 +87,12 @@
         servers = (self._caller_server, self._peer_server)
         return sum(server.active_count for server in servers if server is not None)
 
+    @property
+    def closed_unused_count(self) -> int:
+        """Return how many unused connections gave way to new ones."""
+        servers = (self._caller_server, self._peer_server)
+        return sum(server.closed_unused_count for server in servers if server is not None)
+
     def refuse_unread(self, response: Response) -> None:
         """Answer the requests of callers and peers that have not arrived completely."""
         for server in (self._caller_server, self._peer_server):
@@ -111,7 +119,9 @@
     return async_handle
 
 
-async def _async_listen(address: str, handler: Handler, limits: HttpLimits) -> HttpServer:
+async def _async_listen(
+    address: str, handler: Handler, limits: HttpLimits, budget: CallerBudget | None = None
+) -> HttpServer:
     """Serve a handler at host:port."""
     host, _, port = address.rpartition(":")
-    return await async_serve(handler, host=host, port=int(port), limits=limits)
+    return await async_serve(handler, host=host, port=int(port), limits=limits, budget=budget)
--- a/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from wagtailusher_http.buffer_budget import BufferBudget
+from wagtailusher_http.caller_budget import CallerBudget
 from wagtailusher_http.client import ClientAnswer, HttpClient
 from wagtailusher_http.const import ClientLimits, HttpLimits
 from wagtailusher_http.events import (
@@ -28,6 +30,7 @@
 )
 from wagtailusher_http.foreign_bytes import StatesRequest
 from wagtailusher_http.headers import Headers
+from wagtailusher_http.large_blocks import return_large_blocks
 from wagtailusher_http.matching import ResponseMatcher, match_identifier
 from wagtailusher_http.messages import (
     BodySink,
@@ -48,6 +51,8 @@
     "AnswerTruncatedError",
     "BodyWriter",
     "BodySink",
+    "BufferBudget",
+    "CallerBudget",
     "BodyTooLargeError",
     "ClientAnswer",
     "ClientLimits",
@@ -74,5 +79,6 @@
     "is_event_stream",
     "json_response",
     "match_identifier",
+    "return_large_blocks",
     "split_complete_events",
 ]
--- a/packages/wagtailusher_http/src/wagtailusher_http/buffer_budget.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/buffer_budget.py
@@ -2,43 +2,26 @@
 
 from __future__ import annotations
 
-from io import BytesIO
 import logging
 
 from wagtailusher_core import callback
+from wagtailusher_http.body_buffer import BodyBuffer
 from wagtailusher_http.client_connection import ClientConnection
 from wagtailusher_http.exceptions import AnswerEvictedError
 
 _LOGGER = logging.getLogger(__name__)
 
 
-class AnswerBuffer:
-    """The received part of one body."""
+class AnswerBuffer(BodyBuffer):
+    """The received part of an endpoint's answer."""
 
-    __slots__ = ("_content", "connection", "is_evicted", "size_bytes")
+    __slots__ = ("connection", "is_evicted")
 
     def __init__(self, connection: ClientConnection) -> None:
         """Start an empty buffer for the body that a connection receives."""
+        super().__init__()
         self.connection = connection
-        self.size_bytes = 0
         self.is_evicted = False
-        self._content = BytesIO()
-
-    @callback
-    def append(self, chunk: bytes) -> None:
-        """Add a chunk."""
-        self._content.write(chunk)
-        self.size_bytes += len(chunk)
-
-    @callback
-    def drop(self) -> None:
-        """Free the content."""
-        self._content = BytesIO()
-        self.size_bytes = 0
-
-    def content(self) -> bytes:
-        """Return the content, which BytesIO does not copy."""
-        return self._content.getvalue()
 
 
 class BufferBudget:
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -323,7 +323,7 @@
     @callback
     def return_connection(self, connection: ClientConnection, is_complete: bool) -> None:
         """Return a connection to the pool, or drop it when its exchange was incomplete."""
-        if not is_complete:
+        if not is_complete or connection.has_unsent_request:
             connection.abort()
             return
         idle = self._idle.setdefault(connection.address, [])
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -14,12 +14,9 @@
 from wagtailusher_http.const import (
     CHUNK_FRAME_BYTES,
     CHUNK_PAUSE_MS,
-    CHUNKS_PER_CLOCK_READ,
-    MAX_CHUNKS_PER_TURN,
     MAX_FULL_TURNS,
     MAX_INFORMATIONAL_RESPONSES,
     MAX_SKIPPED_BYTES,
-    MAX_TURN_MS,
     MS_PER_S,
     SKIP_TIMEOUT_MS,
     ClientLimits,
@@ -32,8 +29,9 @@
     ReadTimeoutError,
 )
 from wagtailusher_http.foreign_bytes import EMPTY_LINES
-from wagtailusher_http.socket_protocol import SocketProtocol
+from wagtailusher_http.socket_protocol import SocketProtocol, write_parts
 from wagtailusher_http.tcp_keepalive import set_tcp_keepalive
+from wagtailusher_http.turns import is_turn_used_up
 
 _CHUNK_END = b"\r\n"
 _KEEP_ALIVE = re.compile(r"timeout=(\d{1,6})")
@@ -99,12 +97,17 @@
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection can carry another exchange."""
-        if self._is_reuse_prevented or self.skipped_responses:
+        if self._is_reuse_prevented or self.skipped_responses or self.has_unsent_request:
             return False
         if self._socket.is_ended or self._socket.has_unread_input or self._http.trailing_data[0]:
             return False
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
+    @property
+    def has_unsent_request(self) -> bool:
+        """Return whether a part of the request has not been sent."""
+        return self._socket.has_unsent_output
+
     @callback
     def prevent_reuse(self) -> None:
         """Close the connection after its current exchange."""
@@ -156,7 +159,7 @@
             parts.append(self._http.send(h11.Data(data=body)))
         parts.append(self._http.send(h11.EndOfMessage()))
         try:
-            self._socket.write(b"".join(part for part in parts if part))
+            write_parts(self._socket, parts)
             if not self._limits.read_response_while_sending:
                 await self._socket.async_drain(self._limits.send_timeout_ms / MS_PER_S)
         except (OSError, TimeoutError) as err:
@@ -324,7 +327,7 @@
         chunks: list[bytes] = []
         started_s = thread_time()
         while True:
-            if _is_turn_used_up(len(chunks), started_s):
+            if is_turn_used_up(len(chunks), started_s):
                 self._is_turn_full = True
                 return chunks, False
             event = self._next_event()
@@ -386,15 +389,6 @@
         return AnswerTruncatedError(f"connection to {self.address} was lost: {err}")
 
 
-def _is_turn_used_up(chunk_count: int, started_s: float) -> bool:
-    """Return whether a turn parsed the most chunks, or took the most processor time."""
-    if chunk_count == 0 or chunk_count % CHUNKS_PER_CLOCK_READ:
-        return False
-    if chunk_count >= MAX_CHUNKS_PER_TURN:
-        return True
-    return (thread_time() - started_s) * MS_PER_S >= MAX_TURN_MS
-
-
 def loop_now_ms() -> int:
     """Return the event loop's time in milliseconds."""
     return int(asyncio.get_running_loop().time() * MS_PER_S)
--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -4,7 +4,12 @@
 
 from dataclasses import dataclass
 
-MAX_UNREAD_BYTES = 256 * 1024
+MAX_UNREAD_BYTES = 64 * 1024
+"""Unread input above which a socket is not read."""
+MAX_READ_BYTES = 64 * 1024
+"""Most bytes of one read; with many connections at once, larger ones hold more than the bodies."""
+WRITE_SLICE_BYTES = 64 * 1024
+"""Largest write that is passed on at once; as much as a transport buffers before it pauses."""
 CHUNK_FRAME_BYTES = 32
 MAX_CHUNKS_PER_TURN = 128
 """Chunks of one body that are parsed before the event loop runs other tasks; a multiple of
@@ -25,6 +30,26 @@
 MIN_CHUNK_BYTES = 32
 """Smallest mean size of many chunks in a body that is read whole; each costs a parser step."""
 MAX_PIPELINED_BYTES = 65536
+CONNECTION_BYTES = 8 * 1024
+"""Objects of a caller's connection; with plain TCP 5 KB were measured."""
+PAUSED_STREAM_BYTES = MAX_UNREAD_BYTES + MAX_READ_BYTES
+"""What an endpoint's connection holds at most of a stream whose caller does not read."""
+SMALL_BYTES = 64 * 1024
+"""What the connection of an ordinary request holds at most; most bodies have 1 to 55 KB."""
+SMALL_SHARE = 0.25
+"""Share of the callers' budget that is left to small requests."""
+PACE_WINDOW_MS = 1_000
+"""Time over which the pace of a caller is observed."""
+MIN_PACE_BYTES_PER_S = 65_536
+"""Pace below which a caller counts as slow; a tenth of the slowest link's, 5 Mbit/s."""
+SLOW_WEIGHT = 8
+"""How much earlier a slow caller gives way than another one that holds as much."""
+MAX_HELD_PIPELINED_BYTES = 16 * 1024
+"""Bytes sent ahead for which a caller may have to give way while its request is served."""
+LOG_INTERVAL_MS = 1_000
+"""Shortest time between two log lines about callers that gave way."""
+OVERLOAD_RETRY_MS = 1_000
+"""Wait that a refused caller is told; several times the duration of an ordinary request."""
 BACKLOG = 1024
 MS_PER_S = 1000
 
@@ -43,6 +68,8 @@
 DEFAULT_MAX_ANSWER_BYTES = 16 * 1024 * 1024
 DEFAULT_MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 """A quarter of the memory of a small VM, which has 128 MB; the process itself needs 45 MB."""
+DEFAULT_MAX_HELD_BYTES = 38 * 1024 * 1024
+"""Three tenths of the memory of a small VM."""
 DEFAULT_IDLE_PER_ADDRESS = 32
 DEFAULT_MAX_IDLE_AGE_MS = 15_000
 DEFAULT_KEEPALIVE_PROBES = 2
@@ -73,6 +100,8 @@
     idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
     receive_timeout_ms: int = DEFAULT_RECEIVE_TIMEOUT_MS
     send_timeout_ms: int = DEFAULT_SEND_TIMEOUT_MS
+    max_held_bytes: int = DEFAULT_MAX_HELD_BYTES
+    """Bytes held for all callers, requests and answers; used unless the server shares a budget."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wagtailusher_http/src/wagtailusher_http/messages.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/messages.py
@@ -67,6 +67,8 @@
     headers: Headers = field(default_factory=Headers)
     body: bytes | AsyncIterator[bytes] | BodyWriter = b""
     on_end: Callable[[], None] | None = None
+    held_bytes: int = 0
+    """Bytes that a body writer holds until its end; those of a body of bytes are known."""
 
 
 def json_response(status: int, value: Any, headers: Headers | None = None) -> Response:
--- a/packages/wagtailusher_http/src/wagtailusher_http/server.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server.py
@@ -8,9 +8,11 @@
 import ssl
 
 from wagtailusher_core import Outcome, callback
+from wagtailusher_http.caller_budget import CallerBudget
 from wagtailusher_http.const import BACKLOG, MS_PER_S, HttpLimits
 from wagtailusher_http.messages import Request, Response
-from wagtailusher_http.server_connection import GetRefusalOutcome, ServerConnection
+from wagtailusher_http.request_reader import GetRefusalOutcome
+from wagtailusher_http.server_connection import ServerConnection, ServerContext
 from wagtailusher_http.socket_protocol import SocketProtocol
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -20,10 +22,21 @@
     """A listening socket and the tasks of its connections."""
 
     def __init__(
-        self, handler: Handler, limits: HttpLimits, get_refusal_outcome: GetRefusalOutcome
+        self,
+        handler: Handler,
+        limits: HttpLimits,
+        get_refusal_outcome: GetRefusalOutcome,
+        budget: CallerBudget | None = None,
     ) -> None:
-        self._get_refusal_outcome = get_refusal_outcome
-        self._handler = handler
+        """Hold at most what a budget allows, which servers may share."""
+        self.budget = budget or CallerBudget(limits.max_held_bytes)
+        self.closed_unused_count = 0
+        self._context = ServerContext(
+            handler=handler,
+            get_refusal_outcome=get_refusal_outcome,
+            budget=self.budget,
+            flood_lane=asyncio.Lock(),
+        )
         self._limits = limits
         self._server: asyncio.Server | None = None
         self._connections: dict[ServerConnection, asyncio.Task[None]] = {}
@@ -57,18 +70,32 @@
     @callback
     def _accept(self, socket: SocketProtocol) -> None:
         """Serve a connection in a new task, or close it when draining or at the limit."""
-        if self._draining or len(self._connections) >= self._limits.max_connections:
+        if self._draining or not self._make_room():
             socket.close()
             return
-        connection = ServerConnection(
-            socket, self._handler, self._limits, self._get_refusal_outcome
-        )
+        connection = ServerConnection(socket, self._context, self._limits)
         if self._closing_after_answer:
             connection.close_after_answer()
         task = asyncio.get_running_loop().create_task(connection.async_run())
         self._connections[connection] = task
         task.add_done_callback(lambda _: self._connections.pop(connection, None))
 
+    def _make_room(self) -> bool:
+        """Return whether there is room for a connection; at the limit, an unused one is closed.
+
+        That is the one that has been without a complete head for the longest time.
+        """
+        if len(self._connections) < self._limits.max_connections:
+            return True
+        unused = [connection for connection in self._connections if connection.has_head_only]
+        if not unused:
+            return False
+        oldest = min(unused, key=lambda connection: connection.waits_since_ms)
+        self._connections.pop(oldest)
+        self.closed_unused_count += 1
+        oldest.close_unused()
+        return True
+
     @callback
     def set_max_body_bytes(self, max_body_bytes: int) -> None:
         """Set the limit of request bodies, for open connections as well."""
@@ -141,12 +168,13 @@
     limits: HttpLimits | None = None,
     ssl_context: ssl.SSLContext | None = None,
     get_refusal_outcome: GetRefusalOutcome = lambda headers: Outcome.NOT_RUN,
+    budget: CallerBudget | None = None,
 ) -> HttpServer:
-    """Start a server for the handler and return it.
+    """Start a server for the handler and return it; servers may share a budget.
 
     `get_refusal_outcome` returns, from the request headers, the outcome reported for a request
     that is refused before its handler is called.
     """
-    server = HttpServer(handler, limits or HttpLimits(), get_refusal_outcome)
+    server = HttpServer(handler, limits or HttpLimits(), get_refusal_outcome, budget)
     await server.async_start(host, port, ssl_context)
     return server
--- a/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/server_connection.py
@@ -5,55 +5,155 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from http import HTTPStatus
 import logging
 
 import h11
 
-from wagtailusher_core import ErrorCode, Outcome, WagtailusherError, callback
-from wagtailusher_http.const import MAX_PIPELINED_BYTES, MS_PER_S, REFUSED_BODY_DRAIN_MS, HttpLimits
+from wagtailusher_core import ErrorCode, WagtailusherError, callback
+from wagtailusher_http.caller_budget import CallerBudget, Phase
+from wagtailusher_http.client_connection import loop_now_ms
+from wagtailusher_http.const import (
+    CONNECTION_BYTES,
+    MAX_PIPELINED_BYTES,
+    MS_PER_S,
+    PAUSED_STREAM_BYTES,
+    REFUSED_BODY_DRAIN_MS,
+    HttpLimits,
+)
 from wagtailusher_http.exceptions import BodyTooLargeError, RequestTimeoutError
 from wagtailusher_http.headers import Headers
 from wagtailusher_http.messages import BodyWriter, Request, Response, error_response
-from wagtailusher_http.socket_protocol import SocketProtocol
+from wagtailusher_http.refusals import malformed_response, overload_response, unread_response
+from wagtailusher_http.request_reader import GetRefusalOutcome, RequestReader
+from wagtailusher_http.socket_protocol import SocketProtocol, write_parts
 
 _LOGGER = logging.getLogger(__name__)
 
-GetRefusalOutcome = Callable[[Headers], Outcome]
-"""Returns the outcome reported for a request refused before its handler is called."""
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerContext:
+    """What all connections of a server share."""
+
+    handler: Callable[[Request], Awaitable[Response]]
+    get_refusal_outcome: GetRefusalOutcome
+    budget: CallerBudget
+    flood_lane: asyncio.Lock
+    """Held while a body of very many chunks is parsed."""
 
 
 class ServerConnection:
     """Reads requests in sequence and writes their responses."""
 
-    def __init__(
-        self,
-        socket: SocketProtocol,
-        handler: Callable[[Request], Awaitable[Response]],
-        limits: HttpLimits,
-        get_refusal_outcome: GetRefusalOutcome,
-    ) -> None:
-        self._get_refusal_outcome = get_refusal_outcome
-        self._refused_outcome = Outcome.NOT_RUN
+    def __init__(self, socket: SocketProtocol, context: ServerContext, limits: HttpLimits) -> None:
         self._socket = socket
         self._task: asyncio.Task[None] | None = None
-        self._handler = handler
-        self.limits = limits
+        self._handler = context.handler
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
+        self._reader = RequestReader(
+            socket,
+            self._http,
+            limits,
+            context.get_refusal_outcome,
+            self._update_budget,
+            context.flood_lane,
+        )
         self._closing = False
         self._busy = False
-        self._receiving = False
-        """Whether a part of a request has arrived."""
+        self._request: Request | None = None
+        """The request that is served."""
+        self._answer_bytes = 0
+        """Size of the body that is sent; all of it is held until its last part was passed on."""
+        self._is_sending = False
+        self._is_streaming = False
         self._unread_response: Response | None = None
         self.interruption: Response | None = None
         """Answer to the request in progress when the connection's task is cancelled."""
         peername = socket.transport.get_extra_info("peername")
         self.peer = f"{peername[0]}:{peername[1]}" if peername else "unknown"
+        self.waits_since_ms = loop_now_ms()
+        """When the connection was accepted, or its last response sent."""
+        self._budget = context.budget
+        self._share = context.budget.open_share(self, self.waits_since_ms)
+
+    @property
+    def limits(self) -> HttpLimits:
+        """Return the limits of this connection."""
+        return self._reader.limits
+
+    @limits.setter
+    def limits(self, limits: HttpLimits) -> None:
+        self._reader.limits = limits
 
     @property
     def is_active(self) -> bool:
         """Return whether a request is being received or served, or its response being sent."""
-        return self._receiving or self._busy or self._socket.has_unsent_output
+        return self._reader.is_receiving or self._busy or self._socket.has_unsent_output
+
+    @property
+    def phase(self) -> Phase:
+        """Return what the connection does."""
+        if self._is_sending or (self._socket.has_unsent_output and not self._busy):
+            return Phase.SENDING
+        if self._busy:
+            return Phase.SERVING
+        return Phase.RECEIVING if self._reader.is_receiving else Phase.IDLE
+
+    @property
+    def held_bytes(self) -> int:
+        """Return all bytes that the process holds for the connection."""
+        request_bytes = len(self._request.body) if self._request is not None else 0
+        is_paused = self._is_streaming and self._socket.needs_drain
+        return (
+            CONNECTION_BYTES
+            + self._reader.held_bytes
+            + request_bytes
+            + max(self._answer_bytes, self._socket.unsent_bytes)
+            + (PAUSED_STREAM_BYTES if is_paused else 0)
+        )
+
+    @property
+    def input_bytes(self) -> int:
+        """Return how many received bytes are not yet part of a request."""
+        return self._reader.input_bytes
+
+    @property
+    def output_bytes(self) -> int:
+        """Return how many bytes have been written and not yet sent."""
+        return self._socket.unsent_bytes
+
+    @property
+    def moved_bytes(self) -> int:
+        """Return the bytes that were received or sent since the connection was opened."""
+        return self._socket.received_bytes + self._socket.sent_bytes
+
+    @property
+    def has_head_only(self) -> bool:
+        """Return whether at most a part of a request's head has arrived."""
+        return self.phase in (Phase.IDLE, Phase.RECEIVING) and self._http.their_state is h11.IDLE
+
+    @callback
+    def give_way(self, phase: Phase) -> None:
+        """Refuse a request that is not complete, else close the connection."""
+        if phase is Phase.RECEIVING:
+            self._reader.drop()
+            self.refuse_unread(overload_response(self._reader.refused_outcome))
+        elif phase is Phase.SERVING:
+            self._socket.read_buffered()
+            self._handle_caller_disconnect()
+        else:
+            self._socket.abort()
+
+    @callback
+    def close_unused(self) -> None:
+        """Close a connection on which at most a part of a head has arrived."""
+        self._socket.abort()
+
+    @callback
+    def _update_budget(self) -> None:
+        """Tell the budget what is held now."""
+        self._budget.update(self._share, loop_now_ms())
 
     @callback
     def close_when_idle(self) -> None:
@@ -65,7 +165,7 @@
     @callback
     def refuse_unread(self, response: Response) -> bool:
         """Answer a request that has not arrived completely, and close; return whether it does."""
-        if not self._receiving or self._task is None:
+        if not self._reader.is_receiving or self._task is None:
             return False
         if self._unread_response is None:
             self._unread_response = response
@@ -81,7 +181,7 @@
         """Serve requests until the connection ends."""
         self._task = asyncio.current_task()
         self._socket.on_end = self._handle_caller_disconnect
-        self._socket.on_data = self._limit_pipelining
+        self._socket.on_data = self._handle_data
         try:
             while await self._async_serve_one():
                 self._http.start_next_cycle()
@@ -91,11 +191,15 @@
             _LOGGER.debug("HTTP server: connection from %s was lost", self.peer)
         finally:
             self._socket.close()
+            self._budget.release(self._share)
+            # A task that was cancelled keeps its frames, and so the response: break the cycles.
+            self._task = None
+            self._socket.on_end = self._socket.on_data = None
 
     async def _async_serve_one(self) -> bool:
         """Serve one request; return whether the connection may carry another."""
         try:
-            request = await self._async_receive()
+            self._request = await self._reader.async_receive(self.peer)
         except asyncio.CancelledError:
             if self._unread_response is None or self._task is None:
                 raise
@@ -103,92 +207,42 @@
             await self._async_send_last(self._unread_response)
             return False
         except h11.RemoteProtocolError as err:
-            await self._async_refuse_malformed(err)
+            await self._async_send_last(malformed_response(err, self._reader.refused_outcome))
             return False
         except (BodyTooLargeError, RequestTimeoutError) as err:
-            await self._async_refuse(err)
+            await self._async_send_last(unread_response(err, self._reader.refused_outcome))
             return False
-        finally:
-            self._receiving = False
-        if request is None:
-            return False
-        if self._socket.is_ended:
+        if self._request is None or self._socket.is_ended:
             return False
         self._busy = True
+        self._update_budget()
         try:
-            await self._async_handle_and_send(request)
+            await self._async_send_final(await self._async_handle(self._request))
         finally:
             self._busy = False
+            self._end_request()
         if self._closing or self._http.our_state is not h11.DONE:
             return False
         return self._http.their_state is h11.DONE
 
-    async def _async_receive(self) -> Request | None:
-        """Return the next complete request, or None when the caller closed the connection."""
-        self._refused_outcome = Outcome.NOT_RUN
-        head = await self._async_receive_head()
-        if head is None:
-            return None
-        headers = Headers.from_raw(head.headers)
-        self._refused_outcome = self._get_refusal_outcome(headers)
-        if "transfer-encoding" in headers and "content-length" in headers:
-            raise h11.RemoteProtocolError("request has both Transfer-Encoding and Content-Length")
-        try:
-            async with asyncio.timeout(self.limits.receive_timeout_ms / MS_PER_S):
-                body = await self._async_receive_body()
-        except TimeoutError as err:
-            raise RequestTimeoutError("request body was not received in time") from err
-        if body is None:
-            return None
-        return Request(
-            method=head.method.decode("ascii"),
-            target=head.target.decode("ascii"),
-            headers=headers,
-            body=body,
-            peer=self.peer,
-        )
-
-    async def _async_receive_head(self) -> h11.Request | None:
-        """Return a request's head, or None when the connection closed or idled too long."""
-        try:
-            async with asyncio.timeout(self.limits.idle_timeout_ms / MS_PER_S):
-                event = await self._async_next_event()
-        except TimeoutError:
-            return None
-        return event if isinstance(event, h11.Request) else None
-
-    async def _async_receive_body(self) -> bytes | None:
-        """Return a body up to the limit, or None when the caller disconnects before its end."""
-        if self._http.they_are_waiting_for_100_continue:
-            await self._async_write(
-                h11.InformationalResponse(status_code=HTTPStatus.CONTINUE, headers=[])
-            )
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            event = await self._async_next_event()
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self.limits.max_body_bytes:
-                    raise BodyTooLargeError(
-                        f"request body exceeds {self.limits.max_body_bytes} bytes"
-                    )
-                chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
-            else:
-                return None
-
-    async def _async_next_event(self) -> h11.Event | type[h11.PAUSED]:
-        """Return the next parsed event, reading as needed."""
-        while True:
-            event = self._http.next_event()
-            if event is not h11.NEED_DATA:
-                self._receiving = isinstance(event, h11.Request | h11.Data)
-                return event  # type: ignore[return-value]
-            data = await self._socket.async_read()
-            self._receiving = bool(data)
-            self._http.receive_data(data)
+    def _end_request(self) -> None:
+        """Release what the request held."""
+        self._request = None
+        self._answer_bytes = 0
+        self._is_sending = self._is_streaming = False
+        self.waits_since_ms = loop_now_ms()
+        self._update_budget()
+
+    def _begin_sending(self, response: Response) -> None:
+        """Begin with the response; a request without further attempts is no longer needed."""
+        self._is_sending = True
+        self._answer_bytes = response.held_bytes
+        if isinstance(response.body, bytes):
+            self._answer_bytes = len(response.body)
+            self._request = None
+        else:
+            self._is_streaming = not response.held_bytes
+        self._update_budget()
 
     @callback
     def _handle_caller_disconnect(self) -> None:
@@ -199,26 +253,34 @@
             self._task.cancel()
 
     @callback
-    def _limit_pipelining(self, unread_bytes: int) -> None:
+    def _handle_data(self, unread_bytes: int) -> None:
         """Cancel the handler when the caller pipelines too much data behind a request."""
-        if self._busy and unread_bytes > MAX_PIPELINED_BYTES:
+        if not self._busy:
+            return
+        if unread_bytes > MAX_PIPELINED_BYTES:
             self._handle_caller_disconnect()
+        else:
+            self._update_budget()
 
-    async def _async_handle_and_send(self, request: Request) -> None:
-        """Send the handler's response, or an error response when the handler raises."""
+    async def _async_handle(self, request: Request) -> Response:
+        """Return the handler's response, or an error response when the handler raises."""
         try:
-            response = await self._handler(request)
+            return await self._handler(request)
         except asyncio.CancelledError:
             if self.interruption is None or self._socket.is_ended:
                 raise
-            response = self.interruption
+            return self.interruption
         except WagtailusherError as err:
-            response = error_response(HTTPStatus.INTERNAL_SERVER_ERROR, err.code, err.message)
+            return error_response(HTTPStatus.INTERNAL_SERVER_ERROR, err.code, err.message)
         except Exception:
             _LOGGER.exception("HTTP server: handler of %s failed", request.path)
-            response = error_response(
+            return error_response(
                 HTTPStatus.INTERNAL_SERVER_ERROR, ErrorCode.INTERNAL, "unexpected error"
             )
+
+    async def _async_send_final(self, response: Response) -> None:
+        """Send the response to the request that was served."""
+        self._begin_sending(response)
         try:
             await self._async_send(response)
         finally:
@@ -239,7 +301,8 @@
         )
         parts = [self._http.send(head), self._http.send(h11.Data(data=body))]
         parts.append(self._http.send(h11.EndOfMessage()))
-        self._socket.write(b"".join(part for part in parts if part))
+        write_parts(self._socket, parts)
+        self._update_budget()
         await self.async_drain()
 
     async def _async_send_stream(
@@ -299,6 +362,7 @@
         """Wait until the write buffer has room; abort the connection on a send time-out."""
         if not self._socket.needs_drain:
             return
+        self._update_budget()
         try:
             await self._socket.async_drain(self.limits.send_timeout_ms / MS_PER_S)
         except TimeoutError:
@@ -306,24 +370,6 @@
             self._socket.abort()
             raise ConnectionAbortedError from None
 
-    async def _async_refuse_malformed(self, err: h11.RemoteProtocolError) -> None:
-        """Send an error response to a malformed request."""
-        status = err.error_status_hint
-        code = ErrorCode.BAD_REQUEST
-        if status == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
-            code = ErrorCode.HEADERS_TOO_LARGE
-        await self._async_send_last(
-            error_response(status, code, str(err), outcome=self._refused_outcome)
-        )
-
-    async def _async_refuse(self, err: WagtailusherError) -> None:
-        """Send an error response to a request that was too large or too slow."""
-        too_large = err.code is ErrorCode.BODY_TOO_LARGE
-        status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE if too_large else HTTPStatus.REQUEST_TIMEOUT
-        await self._async_send_last(
-            error_response(status, err.code, err.message, outcome=self._refused_outcome)
-        )
-
     async def _async_send_last(self, response: Response) -> None:
         """Send the last response of the connection."""
         self._closing = True
--- a/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/socket_protocol.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
 from typing import cast
 
 from wagtailusher_core import callback
-from wagtailusher_http.const import MAX_TIMER_DELAY_S, MAX_UNREAD_BYTES
+from wagtailusher_http.const import (
+    MAX_READ_BYTES,
+    MAX_TIMER_DELAY_S,
+    MAX_UNREAD_BYTES,
+    WRITE_SLICE_BYTES,
+)
 
 Listener = Callable[[], bool | None]
 
@@ -22,6 +28,8 @@
     __slots__ = (
         "_deadline_s",
         "_write_waiter",
+        "_closing",
+        "_ending",
         "_eof",
         "_error",
         "_loop",
@@ -33,11 +41,15 @@
         "_received",
         "_read_timeout_s",
         "_timer",
-        "_unread_bytes",
         "_read_waiter",
+        "_unsent",
+        "_unsent_bytes",
+        "_written_bytes",
         "on_data",
         "on_end",
+        "received_bytes",
         "transport",
+        "unread_bytes",
     )
 
     def __init__(self, on_connected: Callable[[SocketProtocol], None] | None = None) -> None:
@@ -45,7 +57,14 @@
         self._loop = asyncio.get_running_loop()
         self._on_connected = on_connected
         self._received: list[bytes] = []
-        self._unread_bytes = 0
+        self.unread_bytes = 0
+        self.received_bytes = 0
+        self._unsent: deque[memoryview] = deque()
+        """Data behind what the transport buffers; it copies what it buffers."""
+        self._unsent_bytes = 0
+        self._written_bytes = 0
+        self._closing = False
+        self._ending = False
         self._eof = False
         self._lost = False
         self._error: Exception | None = None
@@ -64,7 +83,7 @@
     @property
     def is_ended(self) -> bool:
         """Return whether the peer closed or the socket is closing."""
-        return self._eof or self._lost or self.transport.is_closing()
+        return self._eof or self._lost or self._closing or self.transport.is_closing()
 
     @property
     def is_eof(self) -> bool:
@@ -85,6 +104,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and call `on_connected`."""
         self.transport = cast(asyncio.Transport, transport)
+        if hasattr(transport, "max_size"):
+            transport.max_size = MAX_READ_BYTES
         if self._on_connected is not None:
             self._on_connected(self)
 
@@ -92,17 +113,18 @@
     def data_received(self, data: bytes) -> None:
         """Buffer received data; pause reading when too much is unread."""
         self._received.append(data)
-        self._unread_bytes += len(data)
-        if self._unread_bytes > MAX_UNREAD_BYTES and not self._paused_reading:
-            self._paused_reading = True
-            self.transport.pause_reading()
+        self.unread_bytes += len(data)
+        self.received_bytes += len(data)
         if self._listener is not None:
             self._deadline_s = self._loop.time() + self._read_timeout_s
             self._notify_listener(self._listener)
         else:
             self._wake_reader()
+        if self.unread_bytes > MAX_UNREAD_BYTES and not self._paused_reading:
+            self._paused_reading = True
+            self.transport.pause_reading()
         if self.on_data is not None:
-            self.on_data(self._unread_bytes)
+            self.on_data(self.unread_bytes)
 
     @callback
     def eof_received(self) -> bool:
@@ -116,6 +138,8 @@
         """Record the loss and wake the reader and the writer."""
         self._lost = True
         self._error = exc
+        self._unsent.clear()
+        self._unsent_bytes = 0
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -139,9 +163,11 @@
 
     @callback
     def resume_writing(self) -> None:
-        """Let the writer continue."""
+        """Let the writer continue, once the rest of a large write is on its way."""
         self._paused_writing = False
-        self._wake_writer()
+        self._send_rest()
+        if not self.needs_drain:
+            self._wake_writer()
 
     @callback
     def _wake_writer(self) -> None:
@@ -162,7 +188,7 @@
             return b""
         data = received[0] if len(received) == 1 else b"".join(received)
         received.clear()
-        self._unread_bytes = 0
+        self.unread_bytes = 0
         if self._paused_reading:
             self._paused_reading = False
             if not self._lost:
@@ -247,22 +273,59 @@
 
     @callback
     def write(self, data: bytes) -> None:
-        """Write data; raise ConnectionResetError when the connection is lost."""
+        """Write data; raise ConnectionResetError when the connection is lost.
+
+        A large one is passed on in slices, so that it is not held a second time.
+        """
         if self._lost:
             raise ConnectionResetError("the connection is closed")
-        self.transport.write(data)
+        self._written_bytes += len(data)
+        if not self._unsent and len(data) <= WRITE_SLICE_BYTES:
+            self.transport.write(data)
+            return
+        self._unsent.append(memoryview(data))
+        self._unsent_bytes += len(data)
+        self._send_rest()
+
+    @callback
+    def _send_rest(self) -> None:
+        """Pass slices to the transport until it has enough, then do what waits for the last."""
+        while self._unsent and not self._paused_writing and not self.transport.is_closing():
+            data = self._unsent.popleft()
+            if len(data) > WRITE_SLICE_BYTES:
+                self._unsent.appendleft(data[WRITE_SLICE_BYTES:])
+            self._unsent_bytes -= min(len(data), WRITE_SLICE_BYTES)
+            self.transport.write(data[:WRITE_SLICE_BYTES])
+        if self._unsent:
+            return
+        if self._ending:
+            self.end_writing()
+        if self._closing and not self.transport.is_closing():
+            self.transport.close()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many written bytes the socket has not taken."""
+        if self._lost:
+            return 0
+        return self._unsent_bytes + self.transport.get_write_buffer_size()
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return how many written bytes the socket has taken."""
+        return self._written_bytes - self.unsent_bytes
 
     @property
     def needs_drain(self) -> bool:
         """Return whether to await `async_drain` before writing more."""
-        return self._paused_writing
+        return self._paused_writing or bool(self._unsent)
 
     async def async_drain(self, timeout_s: float) -> None:
         """Wait until the write buffer has room; raise TimeoutError when it stays full.
 
         Raises ConnectionResetError when the connection is lost.
         """
-        if self._paused_writing and not self._lost:
+        if self.needs_drain and not self._lost:
             self._write_waiter = self._loop.create_future()
             try:
                 async with asyncio.timeout(timeout_s):
@@ -275,7 +338,7 @@
     @property
     def has_unsent_output(self) -> bool:
         """Return whether the write buffer holds data."""
-        return not self._lost and self.transport.get_write_buffer_size() > 0
+        return self.unsent_bytes > 0
 
     async def async_flush(self, timeout_s: float) -> None:
         """Wait until a closing socket has sent its data; drop that after a time-out."""
@@ -291,16 +354,32 @@
 
     @callback
     def end_writing(self) -> None:
-        """Close the sending direction and continue reading."""
-        if not self._lost and self.transport.can_write_eof():
+        """Close the sending direction after buffered data, and continue reading."""
+        self._ending = bool(self._unsent)
+        if not self._unsent and not self._lost and self.transport.can_write_eof():
             self.transport.write_eof()
 
     @callback
     def close(self) -> None:
         """Close the socket after sending buffered data."""
-        self.transport.close()
+        if self._closing:
+            return
+        self._closing = True
+        if not self._unsent:
+            self.transport.close()
 
     @callback
     def abort(self) -> None:
         """Close the socket without sending buffered data."""
+        self._unsent.clear()
+        self._unsent_bytes = 0
         self.transport.abort()
+
+
+def write_parts(socket: SocketProtocol, parts: Iterable[bytes | None]) -> None:
+    """Write the parts of a message, joined unless they are large."""
+    kept = [part for part in parts if part]
+    if sum(map(len, kept)) <= WRITE_SLICE_BYTES:
+        kept = [b"".join(kept)]
+    for part in kept:
+        socket.write(part)
