Treat an early answer that ends before the request was sent as broken off

Cause: a success without a length ends with its connection, also while a part of the request is still to be written, so a part of it was complete; and the parser takes each status from 200 to 999. Change: such an end is a truncated answer, and a status above 599 a protocol error; one commit, as one test module shows the class of both. Callers saw: a part of an answer as a complete 200, and 600 or 999 as an answer. Failing before: test_early_answers, 4 of 36 early answers (no length, plain and stream, ended) and 2 of 10 statuses; resets, 000, 099 and the others held.

--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
 from dataclasses import replace
+from http import HTTPStatus
 import ssl
 from typing import Self
 
@@ -70,6 +71,8 @@
         self.status: int = head.status_code
         self.headers = Headers.from_raw(head.headers)
         connection.update_keep_alive(self.headers.get("keep-alive"))
+        is_success = self.status < HTTPStatus.MULTIPLE_CHOICES
+        connection.needs_whole_request = is_success and self.is_delimited_by_close
         self.connection_requests = connection.requests
         self.skipped_responses = connection.skipped_responses
 
--- a/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client_connection.py
@@ -17,6 +17,7 @@
     MAX_FULL_TURNS,
     MAX_INFORMATIONAL_RESPONSES,
     MAX_SKIPPED_BYTES,
+    MAX_STATUS,
     MS_PER_S,
     SKIP_TIMEOUT_MS,
     ClientLimits,
@@ -52,6 +53,7 @@
         self.may_be_stale = False
         self.skipped_responses = 0
         self._is_reuse_prevented = False
+        self.needs_whole_request = False  # A body that ends earlier has been broken off.
         self._socket = socket
         self._received_bytes = 0
         self._is_turn_full = False
@@ -176,6 +178,8 @@
         while informational <= MAX_INFORMATIONAL_RESPONSES:
             event = self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise AnswerProtocolError(f"{self.address} sent status {event.status_code}")
                 return event
             if event is h11.NEED_DATA:
                 if left_ms <= 0:
@@ -337,6 +341,8 @@
                 if self._is_input_exhausted(event):
                     return chunks, False
             elif isinstance(event, h11.EndOfMessage):
+                if self.needs_whole_request and self.has_unsent_request:
+                    raise AnswerTruncatedError(f"{self.address} ended before it had the request")
                 self.surplus = bytes(self._http.trailing_data[0])
                 return chunks, True
             elif event is h11.NEED_DATA:
--- a/packages/wagtailusher_http/src/wagtailusher_http/const.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/const.py
@@ -84,6 +84,8 @@
 """Wait for bytes behind a body that may end within another response's head; many gaps between the
 parts of one write."""
 MAX_STATUS_LINE_BYTES = 300
+MAX_STATUS = 599
+"""Highest status of a response; the last class of HTTP is 5xx."""
 MAX_INFORMATIONAL_RESPONSES = 16
 """Informational responses before a response; servers send one or two."""
 KEEP_ALIVE_REUSE_SHARE = 0.7
