--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -8,6 +8,7 @@
 from wagtailusher_gateway.const import LATENCY_BUCKETS_S, MS_PER_S
 from wagtailusher_gateway.engine_rates import EngineRates
 from wagtailusher_gateway.models import FleetView, Route
+from wagtailusher_http import BufferBudget
 
 AS_EXPECTED = 1.5
 """Factor up to which a first event counts as expected; by more, a queue that fits its target does
@@ -119,6 +120,11 @@
         labels = {"believed": str(belief.source), "found": str(belief.find(seen_ms))}
         self.shared_tokens.add({"service": service, **labels}, belief.shared_tokens)
 
+    def set_buffers(self, budget: BufferBudget) -> None:
+        """Set what is held of endpoints' answers."""
+        self.buffered_bytes.set({}, budget.held_bytes)
+        self.answers_evicted.set({}, budget.evicted_count)
+
     def set_view(self, view: FleetView, rates: EngineRates, now_ms: int) -> None:
         """Set the gauges of the view of the platform, and of its engines' typical rates."""
         for service, rate in rates.service_rates(now_ms):
--- a/packages/wagtailusher_http/src/wagtailusher_http/client.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/client.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
 from dataclasses import replace
+from http import HTTPStatus
 import ssl
 from typing import Self
 
@@ -70,6 +71,8 @@
         self.status: int = head.status_code
         self.headers = Headers.from_raw(head.headers)
         connection.update_keep_alive(self.headers.get("keep-alive"))
+        is_success = self.status < HTTPStatus.MULTIPLE_CHOICES
+        connection.needs_whole_request = is_success and self.is_delimited_by_close
         self.connection_requests = connection.requests
         self.skipped_responses = connection.skipped_responses
 
@@ -323,7 +326,7 @@
     @callback
     def return_connection(self, connection: ClientConnection, is_complete: bool) -> None:
         """Return a connection to the pool, or drop it when its exchange was incomplete."""
-        if not is_complete:
+        if not is_complete or connection.has_unsent_request:
             connection.abort()
             return
         idle = self._idle.setdefault(connection.address, [])
