--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -8,10 +8,12 @@
 import logging
 
 from wagtailusher_core import Incarnation, Revision, VmId
+from wagtailusher_gateway.admission import Admission
 from wagtailusher_gateway.const import EARLY_HEARTBEAT_INTERVAL_MS
 from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load
 from wagtailusher_gateway.fleet import DueHeartbeat, FleetDecider
 from wagtailusher_gateway.heartbeat_relay import HeartbeatRelay, original_beat, relaying_heartbeats
+from wagtailusher_gateway.rate_reports import apply_rates, new_rates
 from wagtailusher_gateway.view_cache import ViewCache
 from wagtailusher_wire import (
     MAX_PAYLOAD_BYTES,
@@ -19,6 +21,9 @@
     Beat,
     BeatLoad,
     BeatPeer,
+    BeatQueue,
+    BeatRate,
+    BeatShares,
     Message,
     RelayedBeat,
     fill_to_fit,
@@ -58,9 +63,11 @@
         view_cache: ViewCache,
         registry: EndpointRegistry,
         send: Callable[[str, Message], None],
+        admission: Admission | None = None,
         on_new_peer: Callable[[str, int], None] = lambda address, now_ms: None,
     ) -> None:
         """`on_new_peer` gets the address of a VM that is new or has started anew, and the time."""
+        self._admission = admission or Admission(seed=0)
         self._on_new_peer = on_new_peer
         self._fleet = fleet
         self._view_cache = view_cache
@@ -75,6 +82,7 @@
     def tick(self, now_ms: int) -> None:
         """Send the heartbeats that are due, and check who is live now and then."""
         self._relay.tick(now_ms)
+        self._admission.tick(now_ms)
         self._send_due(self._fleet.collect_due_heartbeats(now_ms), now_ms)
         if self._is_early_pending:
             self.send_early(now_ms)
@@ -185,6 +193,9 @@
             for load in heartbeat.loads
         )
         self._registry.set_peer_loads(origin.vm_id, loads, origin.sent_ms)
+        apply_rates(self._registry.rates, origin.vm_id, heartbeat.rates, origin.sent_ms)
+        if origin.vm_id != self._fleet.own_member.vm_id:
+            self._admission.set_peer(origin.vm_id, heartbeat, now_ms)
         if is_new and origin.vm_id != self._fleet.own_member.vm_id:
             self._send(origin.peer_address, self._new_heartbeat(now_ms, with_peers=True))
             self._on_new_peer(origin.peer_address, now_ms)
@@ -223,6 +234,9 @@
             takes_forwarded=own_member.takes_forwarded,
             unreached_services=own_member.unreached_services,
             configuration_version=self._view_cache.configuration_version,
+            queues=self._admission.queue_reports(now_ms),
+            shares=self._admission.shares.own_reports(now_ms),
+            rates=new_rates(self._registry.rates, now_ms),
         )
 
     def _log_change(self, live_ids: frozenset[VmId]) -> None:
@@ -241,27 +255,48 @@
 def shorten_heartbeat(heartbeat: Beat) -> Beat:
     """Return a heartbeat that fits into a datagram, without what long names leave no room for.
 
-    Each kind of names leaves some room for the next, the largest loads coming last.
+    Each kind of names leaves some room for the next, the largest loads and the rates coming last.
     """
-    short = replace(heartbeat, unreached_services=(), peers=(), loads=())
+    short = replace(
+        heartbeat, unreached_services=(), queues=(), shares=(), peers=(), loads=(), rates=()
+    )
     short = fill_to_fit(
         partial(_with_unreached, short),
         heartbeat.unreached_services,
         max_bytes=MAX_PAYLOAD_BYTES // 2,
     )
+    short = fill_to_fit(
+        partial(_with_queues, short), heartbeat.queues, max_bytes=MAX_PAYLOAD_BYTES * 9 // 16
+    )
+    short = fill_to_fit(
+        partial(_with_shares, short), heartbeat.shares, max_bytes=MAX_PAYLOAD_BYTES * 5 // 8
+    )
     short = fill_to_fit(
         partial(_with_peers, short), heartbeat.peers, max_bytes=MAX_PAYLOAD_BYTES * 3 // 4
     )
-    return fill_to_fit(partial(_with_loads, short), heartbeat.loads)
+    short = fill_to_fit(partial(_with_loads, short), heartbeat.loads)
+    return fill_to_fit(partial(_with_rates, short), heartbeat.rates)
 
 
 def _with_unreached(heartbeat: Beat, services: tuple[str, ...]) -> Beat:
     return replace(heartbeat, unreached_services=services)
 
 
+def _with_queues(heartbeat: Beat, queues: tuple[BeatQueue, ...]) -> Beat:
+    return replace(heartbeat, queues=queues)
+
+
+def _with_shares(heartbeat: Beat, shares: tuple[BeatShares, ...]) -> Beat:
+    return replace(heartbeat, shares=shares)
+
+
 def _with_peers(heartbeat: Beat, peers: tuple[BeatPeer, ...]) -> Beat:
     return replace(heartbeat, peers=peers)
 
 
 def _with_loads(heartbeat: Beat, loads: tuple[BeatLoad, ...]) -> Beat:
     return replace(heartbeat, loads=loads)
+
+
+def _with_rates(heartbeat: Beat, rates: tuple[BeatRate, ...]) -> Beat:
+    return replace(heartbeat, rates=rates)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_relay.py
@@ -31,6 +31,9 @@
     "takes_forwarded",
     "unreached_services",
     "configuration_version",
+    "queues",
+    "shares",
+    "rates",
 )
 
 
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -32,6 +32,9 @@
     Beat,
     BeatLoad,
     BeatPeer,
+    BeatQueue,
+    BeatRate,
+    BeatShares,
     EntryUpdate,
     IncarnationNotice,
     RelayedBeat,
@@ -40,6 +43,7 @@
     StreamVersionRecord,
     ViewChanges,
     VmReport,
+    WorkspaceWork,
 )
 from wagtailusher_wire.message_auth import AuthenticatedMessage, MessageAuthenticator
 from wagtailusher_wire.messages import (
@@ -90,6 +94,9 @@
     "Beat",
     "BeatLoad",
     "BeatPeer",
+    "BeatRate",
+    "BeatQueue",
+    "BeatShares",
     "ClassDemand",
     "Codec",
     "ConfigurationAnnounce",
@@ -140,6 +147,7 @@
     "TableDigest",
     "UnauthenticatedPeerError",
     "ViewChanges",
+    "WorkspaceWork",
     "VmReport",
     "WireError",
     "WireVersionError",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/messages.capnp
@@ -154,11 +154,44 @@
   recentFailures @5 :UInt32;
 }
 
+struct BeatRate {
+  endpointId @0 :Text;
+  promptTokensPerS @1 :UInt32;
+  observations @2 :UInt32;
+  quietGapMs @3 :UInt32;
+  busyGapMs @4 :UInt32;
+}
+
 struct BeatPeer {
   vmId @0 :Text;
   peerAddress @1 :Text;
 }
 
+struct BeatQueue {
+  queue @0 :Text;
+  rank @1 :UInt32;
+  waiting @2 :UInt32;
+  oldestMs @3 :UInt32;
+  started @4 :UInt32;
+  asked @5 :UInt32;
+}
+
+struct WorkspaceWork {
+  workspaceHash @0 :UInt32;
+  asked @1 :UInt32;
+  started @2 :UInt32;
+}
+
+struct BeatShares {
+  service @0 :Text;
+  rank @1 :UInt32;
+  requests @2 :UInt32;
+  asked @3 :UInt32;
+  started @4 :UInt32;
+  waited @5 :UInt32;
+  workspaces @6 :List(WorkspaceWork);
+}
+
 struct Beat {
   address @0 :Text;
   viewAddress @1 :Text;
@@ -177,6 +210,9 @@
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
   configurationVersion @16 :UInt64;
+  queues @17 :List(BeatQueue);
+  shares @18 :List(BeatShares);
+  rates @19 :List(BeatRate);
 }
 
 struct RelayedBeat {
@@ -197,6 +233,9 @@
   takesForwarded @14 :Bool;
   unreachedServices @15 :List(Text);
   configurationVersion @16 :UInt64;
+  queues @17 :List(BeatQueue);
+  shares @18 :List(BeatShares);
+  rates @19 :List(BeatRate);
 }
 
 struct StreamVersionRecord {
