--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -129,13 +129,10 @@
         """Return the exchange of a request; raise RefusedError if it can't be routed."""
         table = self._route_table()
         route = table.match(terms.host, request.path)
-        if forwarded is None:
-            workspace = table.workspace(route, terms.api_key)
-        else:
+        workspace = _find_workspace(table, route, terms, forwarded)
+        if forwarded is not None:
             record.record_forwarded_by(forwarded.vm_id)
-            workspace = table.workspace_by_id(route, forwarded.workspace_id)
-        now_ms = self._clock_ms()
-        ends_ms = now_ms + time_left_ms(terms, route)
+        ends_ms = self._clock_ms() + time_left_ms(terms, route)
         name = choose_service(route, terms)
         record.record_route(route, name, workspace, table.rank(route, workspace, name))
         fingerprints = _new_fingerprints(request, terms, forwarded)
@@ -272,6 +269,15 @@
     )
 
 
+def _find_workspace(
+    table: RouteTable, route: Route, terms: RequestTerms, forwarded: ForwardTerms | None
+) -> Workspace | None:
+    """Return a request's workspace, by its key or as the VM that handed it on states."""
+    if forwarded is None:
+        return table.workspace(route, terms.api_key)
+    return table.workspace_by_id(route, forwarded.workspace_id)
+
+
 def time_left_ms(terms: RequestTerms, route: Route) -> int:
     """Return how long, in ms, a request may take: the caller's deadline, at most the route's."""
     deadline_ms = DEFAULT_DEADLINE_MS
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher_setup.py
@@ -47,23 +47,29 @@
     return Dispatcher(
         placement=placement,
         admission=Admission(generator.randrange(1 << 32)),
-        budget=RetryBudget(
-            ratio=bounds.retry_ratio,
-            slack=bounds.retry_slack,
-            window_ms=bounds.retry_window_ms,
-            may_use_slack=new_slack_permission(
-                window_ms=bounds.retry_window_ms,
-                started_ms=monotonic_ms(),
-                is_fleet_settled=fleet.is_settled,
-                is_first_start=lambda: options.is_first_start and fleet.is_oldest(),
-            ),
-        ),
+        budget=_new_budget(options, fleet),
         clock_ms=monotonic_ms,
         vm_ids=fleet.all_vm_ids,
         read_answer=findings.read_answer,
     )
 
 
+def _new_budget(options: GatewayOptions, fleet: FleetDecider) -> RetryBudget:
+    """Return this VM's part of the fleet's budget for retries."""
+    bounds = options.bounds
+    return RetryBudget(
+        ratio=bounds.retry_ratio,
+        slack=bounds.retry_slack,
+        window_ms=bounds.retry_window_ms,
+        may_use_slack=new_slack_permission(
+            window_ms=bounds.retry_window_ms,
+            started_ms=monotonic_ms(),
+            is_fleet_settled=fleet.is_settled,
+            is_first_start=lambda: options.is_first_start and fleet.is_oldest(),
+        ),
+    )
+
+
 def _new_registry(findings: EndpointFindings) -> EndpointRegistry:
     """Return a registry that learns what the VMs find out about endpoints."""
     registry = EndpointRegistry(findings.liveness.decider, findings.availability.decider)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -75,6 +75,12 @@
     lost_connections: int = 0
     """Connections of requests that the endpoint ended since one was served, or none was left."""
 
+    def add_own(self, prefill_tokens: int, memory_tokens: int) -> None:
+        """Add one request to this VM's load."""
+        self.own_load.requests += 1
+        self.own_load.prefill_tokens += prefill_tokens
+        self.own_load.memory_tokens += memory_tokens
+
     def has_current_entry(self, view: FleetView, now_ms: int) -> bool:
         """Return whether the entry is that of the process which accepts connections now.
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -173,14 +173,9 @@
             self._dispatcher.check_stop(self._routed_request, reservation)
         self._record.record_reservation(reservation, self._dispatcher.clock_ms())
         self._attempt = attempt = self._new_attempt(reservation)
-        forward_context = ForwardContext(
-            endpoint_id=reservation.endpoint.endpoint_id,
-            left_ms=self._left_ms(),
-            workspace_id=self._workspace.workspace_id if self._workspace else None,
-            rank=self._routed_request.rank,
-            resume_after=self._position.last_id,
+        headers = self._http_mapping.request_headers(
+            self._request.headers, self._forward_context(reservation)
         )
-        headers = self._http_mapping.request_headers(self._request.headers, forward_context)
         address = reservation.endpoint.address
         # All attempts have the caller's identifier, so a connection must not carry two of them.
         new_connection = address in self._tried_addresses
@@ -203,6 +198,15 @@
             return None
         return attempt
 
+    def _forward_context(self, reservation: Reservation) -> ForwardContext:
+        return ForwardContext(
+            endpoint_id=reservation.endpoint.endpoint_id,
+            left_ms=self._left_ms(),
+            workspace_id=self._workspace.workspace_id if self._workspace else None,
+            rank=self._routed_request.rank,
+            resume_after=self._position.last_id,
+        )
+
     def _record_served(self) -> None:
         """Record how long the request took, for requests that come while this VM stops."""
         duration_ms = self._dispatcher.clock_ms() - self._began_ms
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/metrics.py
@@ -42,13 +42,7 @@
         self.answers_evicted = self.counter(
             "answers_evicted", "Answers dropped as the largest above the budget for buffered bytes"
         )
-        self.waiting = self.gauge("requests_waiting", "Requests that wait for a place")
-        self.queue_refusals = self.counter(
-            "queue_refusals", "Requests that the queues refused, by cause"
-        )
-        self.contended = self.gauge(
-            "contended_pools", "Services and ranks for which workspaces compete"
-        )
+        self._add_queue_metrics()
         self.in_flight = self.gauge("requests_in_flight", "Requests that were read, not answered")
         self.members = self.gauge("members", "VMs whose heartbeats arrive")
         self.knows_fleet = self.gauge(
@@ -62,6 +56,16 @@
         )
         self.configuration = self.gauge("configuration_version", "Configuration in force")
 
+    def _add_queue_metrics(self) -> None:
+        """Add the metrics of the queues and of workspaces' shares."""
+        self.waiting = self.gauge("requests_waiting", "Requests that wait for a place")
+        self.queue_refusals = self.counter(
+            "queue_refusals", "Requests that the queues refused, by cause"
+        )
+        self.contended = self.gauge(
+            "contended_pools", "Services and ranks for which workspaces compete"
+        )
+
     def _add_fleet_counters(self) -> None:
         """Add the counters of what VMs tell each other of endpoints and the view."""
         self.quarantine = self.counter(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -115,10 +115,11 @@
         than a required `software_version`, nor those that name a limit unless `may_use_limited`.
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
-        penalties = self._penalties_ms(service, terms, usable)
-        ranking = self.caches.rank(
-            service, terms, usable, penalties, self._remote_cost_ms(), now_ms
+        penalties, remote_cost_ms = (
+            self._penalties_ms(service, terms, usable),
+            self._remote_cost_ms(),
         )
+        ranking = self.caches.rank(service, terms, usable, penalties, remote_cost_ms, now_ms)
         exempt_ids = self._exempt_ids(service, ranking, penalties, now_ms)
         candidates = [
             item
@@ -131,13 +132,11 @@
         if not candidates:
             return None
         cached_chances = ranking.cached_chances({_id_of(item) for item in candidates})
-        fleet_factor = max(1, len(vm_ids)) / len(penalties)
-        missing = self.caches.prefixes.estimate_missing(terms.shared_parts, fleet_factor, now_ms)
+        prefixes, vm_count = self.caches.prefixes, max(1, len(vm_ids))
+        missing = prefixes.estimate_missing(terms.shared_parts, vm_count / len(penalties), now_ms)
         costs = self._costs(service, penalties, candidates, cached_chances, missing, now_ms)
         cost_ms, best = min(zip(costs, candidates, strict=True), key=lambda item: item[0])
-        chance = cached_chances.get(_id_of(best), 0.0) * self.caches.prefixes.repeat_chance(
-            len(vm_ids)
-        )
+        chance = cached_chances.get(_id_of(best), 0.0) * prefixes.repeat_chance(vm_count)
         uncached_tokens = terms.own_prompt_tokens + missing(_id_of(best), chance)
         return self._reserve(service, terms, best, cost_ms, uncached_tokens, cached_chances, now_ms)
 
@@ -357,9 +356,7 @@
                 terms, endpoint_id, cached_chances, rate, load.prefill_tokens, now_ms
             ),
         )
-        tracked.own_load.requests += 1
-        tracked.own_load.prefill_tokens += reservation.prefill_tokens
-        tracked.own_load.memory_tokens += reservation.memory_tokens
+        tracked.add_own(reservation.prefill_tokens, reservation.memory_tokens)
         self._cold_limiter.record_sent(endpoint_id, now_ms)
         self.rate_limits.record_sent(endpoint_id, now_ms)
         self.registry.availability.record_started(endpoint_id, now_ms)
