--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet_queue.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet_queue.py
@@ -40,6 +40,9 @@
 """Longest time for which a report of more urgent requests holds others back; a heartbeat interval
 and a half of a small fleet."""
 
+REFRESH_MS = 50
+"""How long the sum of the fleet's starts is used; queues are checked as often."""
+
 MIN_HELD_WAIT_MS = 50
 """Wait from which more urgent requests hold others back; queues are checked as often."""
 
@@ -80,6 +83,8 @@
         """When requests of a queue began to compete, and when they last did."""
         self._returns_ms: dict[QueueRank, float] = {}
         """When the last refused caller was told to return."""
+        self._starts_seen: dict[str, tuple[int, float]] = {}
+        """The fleet's recent starts of a queue, and when they were added up."""
 
     def record_asked(self, key: QueueRank, now_ms: int) -> None:
         """Count a request that arrived."""
@@ -153,6 +158,8 @@
 
     def is_outranked(self, key: QueueRank, now_ms: int) -> bool:
         """Return whether more urgent requests wait at peers, unless they have started by now."""
+        if not self._peers:
+            return False
         urgent = [
             (told_ms, report.waiting)
             for told_ms, report in self._reports(key.queue, now_ms)
@@ -197,7 +204,14 @@
         )
 
     def _starts(self, queue: str, now_ms: int) -> float:
-        """Return the recent starts of a queue in the fleet."""
+        """Return the recent starts of a queue in the fleet, added up a while ago at most."""
+        added_ms, starts = self._starts_seen.get(queue, (now_ms - REFRESH_MS, 0.0))
+        if now_ms - added_ms >= REFRESH_MS:
+            starts = self._add_starts(queue, now_ms)
+            self._starts_seen[queue] = (now_ms, starts)
+        return starts
+
+    def _add_starts(self, queue: str, now_ms: int) -> float:
         own: Iterable[float] = (
             flow.started.at(now_ms) for key, flow in self._flows.items() if key.queue == queue
         )
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/observations.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/observations.py
@@ -15,6 +15,9 @@
 MAX_OBSERVATIONS = 24
 """Most observations of one quantity at one VM; some minutes of a VM in a large fleet."""
 
+ESTIMATE_MS = 400
+"""How long a computed estimate is used; a heartbeat tells each engine's about as often."""
+
 QUANTILE = 0.4
 """Quantile taken of times; below a half, as unknown load and slow spells only lengthen them."""
 
@@ -37,21 +40,28 @@
 class Observations:
     """The last observations of one quantity at this VM."""
 
-    __slots__ = ("_items",)
+    __slots__ = ("_computed_ms", "_estimate", "_items")
 
     def __init__(self) -> None:
         self._items: deque[tuple[float, float, int]] = deque(maxlen=MAX_OBSERVATIONS)
+        self._estimate = NOTHING
+        self._computed_ms: int | None = None
 
     def add(self, value: float, weight: float, now_ms: int) -> None:
         """Add an observation; its weight is 1 if nothing is in doubt."""
         self._items.append((value, weight, now_ms))
 
     def estimate(self, now_ms: int) -> Weighted:
-        """Return the quantile of the observations that still count."""
-        return quantile(
-            (value, weight * remaining_share(now_ms - at_ms))
-            for value, weight, at_ms in self._items
-        )
+        """Return the quantile of the observations that still count, at most a while old."""
+        if not self._items:
+            return NOTHING
+        if self._computed_ms is None or now_ms - self._computed_ms >= ESTIMATE_MS:
+            self._computed_ms = now_ms
+            self._estimate = quantile(
+                (value, weight * remaining_share(now_ms - at_ms))
+                for value, weight, at_ms in self._items
+            )
+        return self._estimate
 
 
 class SharedEstimate:
