Encode each item of a heartbeat once when it is fitted into a datagram

Cause: under contention a heartbeat with queues, shares and rates exceeds a datagram, and the binary search encoded the whole message some twenty times. Change: items are encoded once and their sizes added up; the same items are kept.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/heartbeat_exchange.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from functools import partial
 import logging
 
 from wagtailusher_core import Incarnation, Revision, VmId
@@ -20,13 +19,9 @@
     AuthenticatedMessage,
     Beat,
     BeatLoad,
-    BeatPeer,
-    BeatQueue,
-    BeatRate,
-    BeatShares,
     Message,
     RelayedBeat,
-    fill_to_fit,
+    fill_fields_to_fit,
     fits_datagram,
 )
 
@@ -38,6 +33,16 @@
 LIVE_CHECK_MS = 250
 """Interval of the check for changes of the live members; a part of the shortest silence."""
 
+_FILL_LIMITS_BYTES = {
+    "unreached_services": MAX_PAYLOAD_BYTES // 2,
+    "queues": MAX_PAYLOAD_BYTES * 9 // 16,
+    "shares": MAX_PAYLOAD_BYTES * 5 // 8,
+    "peers": MAX_PAYLOAD_BYTES * 3 // 4,
+    "loads": MAX_PAYLOAD_BYTES,
+    "rates": MAX_PAYLOAD_BYTES,
+}
+"""Size up to which each field may fill a heartbeat that is too large, in this order."""
+
 _MAX_AGE_MS = 0xFFFFFFFF
 """Largest age that the message field can hold; stands for a view that was never confirmed."""
 
@@ -257,46 +262,4 @@
 
     Each kind of names leaves some room for the next, the largest loads and the rates coming last.
     """
-    short = replace(
-        heartbeat, unreached_services=(), queues=(), shares=(), peers=(), loads=(), rates=()
-    )
-    short = fill_to_fit(
-        partial(_with_unreached, short),
-        heartbeat.unreached_services,
-        max_bytes=MAX_PAYLOAD_BYTES // 2,
-    )
-    short = fill_to_fit(
-        partial(_with_queues, short), heartbeat.queues, max_bytes=MAX_PAYLOAD_BYTES * 9 // 16
-    )
-    short = fill_to_fit(
-        partial(_with_shares, short), heartbeat.shares, max_bytes=MAX_PAYLOAD_BYTES * 5 // 8
-    )
-    short = fill_to_fit(
-        partial(_with_peers, short), heartbeat.peers, max_bytes=MAX_PAYLOAD_BYTES * 3 // 4
-    )
-    short = fill_to_fit(partial(_with_loads, short), heartbeat.loads)
-    return fill_to_fit(partial(_with_rates, short), heartbeat.rates)
-
-
-def _with_unreached(heartbeat: Beat, services: tuple[str, ...]) -> Beat:
-    return replace(heartbeat, unreached_services=services)
-
-
-def _with_queues(heartbeat: Beat, queues: tuple[BeatQueue, ...]) -> Beat:
-    return replace(heartbeat, queues=queues)
-
-
-def _with_shares(heartbeat: Beat, shares: tuple[BeatShares, ...]) -> Beat:
-    return replace(heartbeat, shares=shares)
-
-
-def _with_peers(heartbeat: Beat, peers: tuple[BeatPeer, ...]) -> Beat:
-    return replace(heartbeat, peers=peers)
-
-
-def _with_loads(heartbeat: Beat, loads: tuple[BeatLoad, ...]) -> Beat:
-    return replace(heartbeat, loads=loads)
-
-
-def _with_rates(heartbeat: Beat, rates: tuple[BeatRate, ...]) -> Beat:
-    return replace(heartbeat, rates=rates)
+    return fill_fields_to_fit(heartbeat, _FILL_LIMITS_BYTES)
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/__init__.py
@@ -9,7 +9,12 @@
     MAX_STREAM_MESSAGE_BYTES,
     WIRE_VERSION,
 )
-from wagtailusher_wire.datagrams import fill_to_fit, fits_datagram, split_to_fit
+from wagtailusher_wire.datagrams import (
+    fill_fields_to_fit,
+    fill_to_fit,
+    fits_datagram,
+    split_to_fit,
+)
 from wagtailusher_wire.delta import DeltaStep
 from wagtailusher_wire.endpoint_messages import (
     LimitEntry,
@@ -153,6 +158,7 @@
     "WireVersionError",
     "decode",
     "encode",
+    "fill_fields_to_fit",
     "fill_to_fit",
     "fits_datagram",
     "split_to_fit",
--- a/packages/wagtailusher_wire/src/wagtailusher_wire/msgpack_rows.py
+++ b/packages/wagtailusher_wire/src/wagtailusher_wire/msgpack_rows.py
@@ -9,6 +9,11 @@
 
 MessageT = TypeVar("MessageT")
 
+_MAX_FIXED_ITEMS = 15
+"""Most items of an array whose length is part of its first byte (msgpack's fixarray)."""
+
+_MAX_ARRAY_16_ITEMS = 0xFFFF
+"""Most items of an array with a length of 16 bits."""
 
 _ROW_TYPES: dict[type[Any], type[msgspec.Struct]] = {}
 
@@ -39,6 +44,21 @@
     return msgspec.convert(row, cls, from_attributes=True)
 
 
+def item_bytes(item: Any) -> int:
+    """Return the encoded size of one item of a message's field.
+
+    Raises ValueError, TypeError or OverflowError when a value does not fit its field.
+    """
+    return len(msgspec.msgpack.encode(to_row(item) if is_dataclass(item) else item))
+
+
+def array_header_bytes(count: int) -> int:
+    """Return the encoded size of the head of an array of `count` items."""
+    if count <= _MAX_FIXED_ITEMS:
+        return 1
+    return 3 if count <= _MAX_ARRAY_16_ITEMS else 5
+
+
 def _column(field: Field[Any], hint: Any) -> tuple[str, Any] | tuple[str, Any, Any]:
     """Return a field's name, type and default, if it has one."""
     if field.default is MISSING:
--- a/tests/wagtailusher_wire/test_datagrams.py
+++ b/tests/wagtailusher_wire/test_datagrams.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import unittest
 
 from wagtailusher_core import EndpointId
@@ -13,6 +14,7 @@
     LivenessEntry,
     LivenessSummary,
     encode,
+    fill_fields_to_fit,
     fill_to_fit,
     fits_datagram,
     split_to_fit,
@@ -56,6 +58,19 @@
         self.assertGreater(len(encode(summary(entries[: kept + 1]))), MAX_PAYLOAD_BYTES)
         self.assertEqual(fill_to_fit(summary, entries[:3]), summary(entries[:3]))
 
+    def test_fields_are_filled_in_order_and_up_to_their_limits(self) -> None:
+        for length in (1, 40, 192):
+            for count in (0, 1, 15, 16, 17, 60):
+                for limit in (100, 500, MAX_PAYLOAD_BYTES):
+                    entries = tuple(entry(number, length) for number in range(count))
+                    filled = fill_fields_to_fit(summary(entries), {"entries": limit})
+                    self.assertEqual(filled, fill_to_fit(summary, entries, max_bytes=limit))
+
+    def test_field_is_filled_up_to_an_item_that_has_no_encoding(self) -> None:
+        entries = (entry(0, 9), entry(1, 9), replace(entry(2, 9), endpoint_id=EndpointId("\ud800")))
+        filled = fill_fields_to_fit(summary(entries), {"entries": MAX_PAYLOAD_BYTES})
+        self.assertEqual(filled.entries, entries[:2])
+
     def test_text_that_has_no_encoding_does_not_fit(self) -> None:
         broken = LivenessEntry(
             endpoint_id=EndpointId("\ud800"), incarnation=1, is_responsive=True, silent_ms=1
