--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/cold_start_limiter.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/cold_start_limiter.py
@@ -36,6 +36,8 @@
         self._overage = overage
         self._slack = slack
         self._sent: dict[EndpointId, deque[int]] = {}
+        self._selected: dict[EndpointId, tuple[int, tuple[VmId, ...], bool]] = {}
+        """Whether this VM is one of so many that were selected of the given VMs."""
 
     def may_send(
         self, endpoint_id: EndpointId, per_s: float, vm_ids: tuple[VmId, ...], now_ms: int
@@ -57,8 +59,16 @@
         count = max(1, len(vm_ids))
         if count <= limit:
             return limit // count
-        chosen = rank_by_rendezvous(endpoint_id, vm_ids)[:limit]
-        return 1 if self._vm_id in chosen else 0
+        return 1 if self._is_selected(endpoint_id, limit, vm_ids) else 0
+
+    def _is_selected(self, endpoint_id: EndpointId, limit: int, vm_ids: tuple[VmId, ...]) -> bool:
+        """Return whether this VM is among the `limit` VMs that may send to an endpoint."""
+        known = self._selected.get(endpoint_id)
+        if known is not None and known[:2] == (limit, vm_ids):
+            return known[2]
+        is_selected = self._vm_id in rank_by_rendezvous(endpoint_id, vm_ids)[:limit]
+        self._selected[endpoint_id] = (limit, vm_ids, is_selected)
+        return is_selected
 
     def record_sent(self, endpoint_id: EndpointId, now_ms: int) -> None:
         """Record a request sent to an endpoint, cold or not."""
@@ -68,6 +78,8 @@
         """Drop the state of all endpoints but these."""
         for endpoint_id in self._sent.keys() - endpoint_ids:
             del self._sent[endpoint_id]
+        for endpoint_id in self._selected.keys() - endpoint_ids:
+            del self._selected[endpoint_id]
 
     def _recent(self, endpoint_id: EndpointId, now_ms: int) -> deque[int]:
         """Return the times of the requests sent within the window."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/endpoint_registry.py
@@ -26,6 +26,9 @@
 """Age beyond which a peer's load report is ignored; nearly two heartbeat intervals of the largest
 fleets."""
 
+PEERS_REFRESH_MS = 10
+"""How long the sum of what peers reported is used; two decoding steps of an engine."""
+
 MIN_REPORTED_FAILURES = 0.5
 """Decayed count of recent failures from which an idle endpoint is reported to peers; a single
 failure is reported until it has decayed to half its weight."""
@@ -74,6 +77,9 @@
     was_unresponsive: bool = False
     lost_connections: int = 0
     """Connections of requests that the endpoint ended since one was served, or none was left."""
+    _peers_total: Load | None = None
+    """What peers reported, summed up at `_peers_total_ms`; None after a new report."""
+    _peers_total_ms: int = 0
 
     def add_own(self, prefill_tokens: int, memory_tokens: int) -> None:
         """Add one request to this VM's load."""
@@ -91,39 +97,52 @@
             return False
         return not self.lost_ms or view.confirmed_ms >= self.lost_ms + VIEW_DELAY_MS
 
+    def set_peer_load(self, vm_id: VmId, load: Load | None) -> None:
+        """Replace what a peer reported; None if it reports no load here any more."""
+        self._peers_total = None
+        if load is None:
+            self.peer_loads.pop(vm_id, None)
+        else:
+            self.peer_loads[vm_id] = load
+
     def total_load(self, now_ms: int) -> Load:
-        """Return the load of all VMs.
+        """Return the load of all VMs; that of the peers is summed up anew now and then."""
+        peers = self._peers_total
+        if peers is None or not 0 <= now_ms - self._peers_total_ms < PEERS_REFRESH_MS:
+            peers = self._peers_total = self._sum_peer_loads(now_ms)
+            self._peers_total_ms = now_ms
+        answers, failures = self.outcomes.recent(now_ms)
+        return Load(
+            requests=self.own_load.requests + peers.requests,
+            prefill_tokens=self.own_load.prefill_tokens + peers.prefill_tokens,
+            memory_tokens=self.own_load.memory_tokens + peers.memory_tokens,
+            answers=answers + peers.answers,
+            failures=failures + peers.failures,
+            received_ms=min(now_ms, peers.received_ms),
+        )
 
-        The queued prefill that peers reported is reduced by what the engine can have processed
-        since the report, unless they may have added to it without another one.
+    def _sum_peer_loads(self, now_ms: int) -> Load:
+        """Return the load of all peers.
+
+        The queued prefill that they reported is reduced by what the engine can have processed since
+        the report, unless they may have added to it without another one.
         """
-        requests, prefill, memory = (
-            self.own_load.requests,
-            float(self.own_load.prefill_tokens),
-            self.own_load.memory_tokens,
-        )
-        answers, failures = self.outcomes.recent(now_ms)
-        oldest_ms = now_ms
+        total = Load(received_ms=now_ms)
+        prefill = 0.0
         rate = self.rates.rate(self.endpoint.service, self.endpoint.endpoint_id, now_ms)
         for load in self.peer_loads.values():
             age_ms = now_ms - load.received_ms
             if age_ms > PEER_LOAD_AGE_MS:
                 continue
-            requests += load.requests
-            memory += load.memory_tokens
+            total.requests += load.requests
+            total.memory_tokens += load.memory_tokens
             done_tokens = age_ms * rate.prompt_tokens_per_ms if load.is_updated_early else 0.0
             prefill += max(0.0, load.prefill_tokens - done_tokens)
-            answers += load.answers
-            failures += load.failures
-            oldest_ms = min(oldest_ms, load.received_ms)
-        return Load(
-            requests=requests,
-            prefill_tokens=int(prefill),
-            memory_tokens=memory,
-            answers=answers,
-            failures=failures,
-            received_ms=oldest_ms,
-        )
+            total.answers += load.answers
+            total.failures += load.failures
+            total.received_ms = min(total.received_ms, load.received_ms)
+        total.prefill_tokens = int(prefill)
+        return total
 
 
 class EndpointRegistry:
@@ -186,12 +205,12 @@
         reported = dict(loads)
         for endpoint_id in self._reported_by.get(vm_id, frozenset()) - reported.keys():
             if endpoint_id in self._tracked:
-                self._tracked[endpoint_id].peer_loads.pop(vm_id, None)
+                self._tracked[endpoint_id].set_peer_load(vm_id, None)
         for endpoint_id, load in reported.items():
             tracked = self._tracked.get(endpoint_id)
             if tracked is not None:
                 load.received_ms = now_ms
-                tracked.peer_loads[vm_id] = load
+                tracked.set_peer_load(vm_id, load)
         if reported:
             self._reported_by[vm_id] = frozenset(reported)
         else:
