Look through peers' queues once for all waiting requests, and forget once a second

Cause: each waiting request looked through all peers' reports on each check of the queues, and each 50 ms tick computed the weight of all sums only to drop old ones.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -43,6 +43,9 @@
     """It would not start in time behind more urgent requests that wait at other VMs."""
 
 
+FORGET_INTERVAL_MS = 1_000
+"""Interval at which old sums and reports are dropped; no decision uses them until then."""
+
 CONTENDED_WAIT_MS = TICK_MS
 """Wait beyond which a request counts as competing for room; queues are checked as often."""
 
@@ -135,6 +138,7 @@
         self.refusals: Counter[RefusalCause] = Counter()
         """Requests that were refused by this VM's queues, by the cause."""
         self._queues: dict[str, _Queue] = {}
+        self._forgets_ms = 0
         self._random = random.Random(seed)
 
     @property
@@ -309,7 +313,10 @@
         self.fleet_queues.set_peer(vm_id, heartbeat.queues, told_ms)
 
     def tick(self, now_ms: int) -> None:
-        """Forget what is old."""
+        """Forget what is old, now and then."""
+        if now_ms < self._forgets_ms:
+            return
+        self._forgets_ms = now_ms + FORGET_INTERVAL_MS
         self.shares.tick(now_ms)
         self.fleet_queues.tick(now_ms)
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet_queue.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet_queue.py
@@ -85,6 +85,8 @@
         """When the last refused caller was told to return."""
         self._starts_seen: dict[str, tuple[int, float]] = {}
         """The fleet's recent starts of a queue, and when they were added up."""
+        self._reports_seen: dict[str, tuple[int, tuple[tuple[int, BeatQueue], ...]]] = {}
+        """What peers told of a queue and when, as used at one time; empty after a new report."""
 
     def record_asked(self, key: QueueRank, now_ms: int) -> None:
         """Count a request that arrived."""
@@ -103,6 +105,7 @@
 
     def set_peer(self, vm_id: VmId, reports: tuple[BeatQueue, ...], told_ms: int) -> None:
         """Replace what a peer told; `told_ms` is when it arrived."""
+        self._reports_seen.clear()
         if reports:
             self._peers[vm_id] = (told_ms, reports)
         else:
@@ -222,7 +225,15 @@
         """Return how many of the told requests its VM has started since."""
         return report.started / 1_000 * max(0, age_ms) / WINDOW_MS
 
-    def _reports(self, queue: str, now_ms: int) -> Iterator[tuple[int, BeatQueue]]:
+    def _reports(self, queue: str, now_ms: int) -> tuple[tuple[int, BeatQueue], ...]:
+        """Return what peers told of a queue, and when; all waiting requests are checked at once."""
+        seen_ms, reports = self._reports_seen.get(queue, (now_ms - 1, ()))
+        if seen_ms != now_ms:
+            reports = tuple(self._find_reports(queue, now_ms))
+            self._reports_seen[queue] = (now_ms, reports)
+        return reports
+
+    def _find_reports(self, queue: str, now_ms: int) -> Iterator[tuple[int, BeatQueue]]:
         for told_ms, reports in self._peers.values():
             if now_ms - told_ms <= REPORT_LIFETIME_MS:
                 yield from ((told_ms, report) for report in reports if report.queue == queue)
