--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
@@ -44,6 +44,9 @@
 MAX_FIXED_TOKENS = 1_000
 """Uncached and queued tokens up to which it tells the fixed part."""
 
+MAX_FIXED_GAPS = 2.0
+"""Longest fixed part, in quiet gaps between events; what is longer was spent in unknown queues."""
+
 MAX_DOUBT = 0.75
 """Part of its weight that an observation loses if its tokens were most uncertain."""
 
@@ -275,6 +278,7 @@
     busy_ms = _typical(INITIAL_BUSY_GAP_MS, busy_gaps.values())
     fixed = known.fixed.estimate(now_ms)
     fixed_ms = fixed.value if fixed.weight >= INITIAL_WEIGHT else INITIAL_FIRST_EVENT_MS
+    fixed_ms = min(fixed_ms, MAX_FIXED_GAPS * quiet_ms)
     event_tokens = known.event_tokens.estimate(now_ms)
 
     def rate(token: Weighted, quiet: Weighted, busy: Weighted) -> EngineRate:
--- a/tests/wagtailusher_gateway/test_engine_rates.py
+++ b/tests/wagtailusher_gateway/test_engine_rates.py
@@ -12,7 +12,12 @@
 from tests.wagtailusher_gateway.engine_model import SERVICE, ModelFleet
 from wagtailusher_core import EndpointId, VmId
 from wagtailusher_gateway.answer_timing import AnswerTiming
-from wagtailusher_gateway.engine_rates import INITIAL_RATE, EngineRates, FirstEvent
+from wagtailusher_gateway.engine_rates import (
+    INITIAL_RATE,
+    MAX_FIXED_GAPS,
+    EngineRates,
+    FirstEvent,
+)
 from wagtailusher_gateway.rate_reports import MAX_RATES, apply_rates, new_rates
 from wagtailusher_gateway.reservation import Reservation
 
@@ -44,6 +49,18 @@
     return rates
 
 
+class FixedPartTest(unittest.TestCase):
+    """The fixed part of the time to a first event."""
+
+    def test_unknown_queues_are_not_taken_for_the_fixed_part(self) -> None:
+        rates = new_engine(45.0)
+        for number in range(12):
+            event = FirstEvent(elapsed_ms=400, own_tokens=100, queued_tokens=0)
+            rates.record_first_event(SERVICE, EndpointId("i-0"), event, 1_200 + number * 100)
+        rate = rates.service_rate(SERVICE, 3_000)
+        self.assertLessEqual(rate.first_event_ms, MAX_FIXED_GAPS * rate.quiet_gap_ms)
+
+
 class EstimateTest(unittest.TestCase):
     """VMs find each engine's rate in spite of slow spells, unknown queues and wrong beliefs."""
 
