Send the record of callers that name no attempt to one VM of another domain

Change: the second record, which few resumes need, has one holder outside the VM's own failure domain.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/exchange.py
@@ -343,13 +343,12 @@
         terms, route = self._routed_request.terms, self._routed_request.route
         if route.may_resume:
             # Callers name the attempt that began a stream, or only repeat their request.
-            for stream_id in (terms.stream_id, self._fingerprints.stream):
-                self._stream_versions.record_begin(
-                    stream_id,
-                    self._routed_request.service.name,
-                    version,
-                    record_life_ms(route.timeout_ms),
-                )
+            service, life_ms = self._routed_request.service.name, record_life_ms(route.timeout_ms)
+            records = self._stream_versions
+            records.record_begin(terms.stream_id, service, version, life_ms)
+            records.record_begin(
+                self._fingerprints.stream, service, version, life_ms, is_spare=True
+            )
         self._routed_request = replace(self._routed_request, software_version=version)
 
     def _stream_ended(self) -> None:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/stream_version_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/stream_version_exchange.py
@@ -26,6 +26,7 @@
     StreamVersion,
     StreamVersionRecords,
     choose_holders,
+    choose_spare_holder,
     is_valid_id,
 )
 from wagtailusher_gateway.view_cache import ViewCache
@@ -106,9 +107,18 @@
         self._single_versions.observe(view, now_ms)
 
     def record_begin(
-        self, stream_id: str, service: str, software_version: str, life_ms: int
+        self,
+        stream_id: str,
+        service: str,
+        software_version: str,
+        life_ms: int,
+        *,
+        is_spare: bool = False,
     ) -> None:
-        """Keep the record of a stream whose first event arrived, and send it to its holders."""
+        """Keep the record of a stream whose first event arrived, and send it to its holders.
+
+        A spare record, for callers that name no attempt, has one holder in another failure domain.
+        """
         now_ms = self._clock_ms()
         if not software_version or not is_valid_id(stream_id):
             self._count_event("dropped")
@@ -121,7 +131,11 @@
             lifetime_ms=life_ms,
         )
         self._keep(record, self._fleet.own_member.vm_id, now_ms)
-        for holder in choose_holders(stream_id, self._fleet.live_members(now_ms), 1):
+        holders = choose_holders(stream_id, self._fleet.live_members(now_ms), 1)
+        if is_spare:
+            own_domain_id = self._fleet.own_member.failure_domain_id
+            holders = choose_spare_holder(stream_id, holders, own_domain_id)
+        for holder in holders:
             self._try_send(holder.peer_address, record)
 
     async def async_find(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/stream_versions.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/stream_versions.py
@@ -10,7 +10,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from wagtailusher_core import FailureDomainId, VmId, rank_by_rendezvous
+from wagtailusher_core import (
+    FailureDomainId,
+    VmId,
+    first_by_rendezvous,
+    rank_by_rendezvous,
+)
 from wagtailusher_gateway.const import (
     DEFAULT_DEADLINE_MS,
     MAX_STREAM_ID_BYTES,
@@ -171,5 +176,15 @@
     return chosen
 
 
+def choose_spare_holder(
+    stream_id: str, holders: list[Member], own_domain_id: FailureDomainId
+) -> list[Member]:
+    """Return the holder that survives the loss of a failure domain, if there is one."""
+    by_domain = {holder.failure_domain_id: holder for holder in holders}
+    others = by_domain.keys() - {own_domain_id} or by_domain.keys()
+    domain_id = first_by_rendezvous(stream_id, others)
+    return [by_domain[FailureDomainId(domain_id)]] if domain_id is not None else []
+
+
 def _origin(version: StreamVersion) -> tuple[str, str]:
     return version.service, version.software_version
--- a/tests/wagtailusher_gateway/test_stream_version_exchange.py
+++ b/tests/wagtailusher_gateway/test_stream_version_exchange.py
@@ -109,9 +109,11 @@
             lambda: self.vms[number].receive(message, sender, source.peer_address, self.clock_ms())
         )
 
-    def begin(self, number: int, stream_id: str = "s", version: str = "v1") -> None:
+    def begin(
+        self, number: int, stream_id: str = "s", version: str = "v1", *, is_spare: bool = False
+    ) -> None:
         """Relay the first event of a stream at a VM."""
-        self.vms[number].record_begin(stream_id, "engines", version, LIFE_MS)
+        self.vms[number].record_begin(stream_id, "engines", version, LIFE_MS, is_spare=is_spare)
 
     async def async_find(
         self, number: int, stream_id: str | None = "s", within_ms: int = FAR_MS
@@ -159,6 +161,18 @@
         known = await self.network.async_find(1)
         self.assertEqual(known and (known.service, known.software_version), ("engines", "v1"))
 
+    async def test_spare_record_is_sent_once_and_outlives_its_failure_domain(self) -> None:
+        for number in range(VM_COUNT):
+            self.network.sent.clear()
+            self.network.down = set()
+            self.network.begin(number, f"s{number}", is_spare=True)
+            await asyncio.sleep(0)
+            self.assertEqual(self.network.count_sent(StreamVersionRecord), 1)
+            domain = number % DOMAIN_COUNT
+            self.network.down = {item.vm_id for item in self.network.members[domain::DOMAIN_COUNT]}
+            known = await self.network.async_find((domain + 1) % DOMAIN_COUNT, f"s{number}")
+            self.assertEqual(known and known.software_version, "v1")
+
     async def test_lost_questions_are_repeated(self) -> None:
         self.network.begin(0)
         await asyncio.sleep(0)
