Apply told rates with fewer objects

Cause: each of three rates in a heartbeat made up to four objects, on VMs with little processor time.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
@@ -231,18 +231,20 @@
     ) -> None:
         """Apply what a peer observed of an engine that this VM knows."""
         name = self._service_of.get(endpoint_id)
-        if name is None or report == RateReport():
+        tells_gaps = report.quiet_gap_ms > 0 or report.busy_gap_ms > 0
+        if name is None or not (tells_gaps or report.prompt_tokens_per_ms > 0):
             return
-        engine = self._services.setdefault(name, _Service()).engines.setdefault(
-            endpoint_id, _Engine()
-        )
+        engines = self._services.setdefault(name, _Service()).engines
+        engine = engines.get(endpoint_id)
+        if engine is None:
+            engine = engines[endpoint_id] = _Engine()
         if report.prompt_tokens_per_ms > 0:
-            token = Weighted(value=1.0 / report.prompt_tokens_per_ms, weight=report.prompt_weight)
-            engine.token.set_peer(vm_id, token, sent_ms)
-        gaps = ((engine.quiet_gap, report.quiet_gap_ms), (engine.busy_gap, report.busy_gap_ms))
-        for estimate, gap_ms in gaps:
-            if gap_ms > 0:
-                estimate.set_peer(vm_id, Weighted(value=gap_ms, weight=1.0), sent_ms)
+            token_ms = 1.0 / report.prompt_tokens_per_ms
+            engine.token.set_peer(vm_id, token_ms, report.prompt_weight, sent_ms)
+        if report.quiet_gap_ms > 0:
+            engine.quiet_gap.set_peer(vm_id, report.quiet_gap_ms, 1.0, sent_ms)
+        if report.busy_gap_ms > 0:
+            engine.busy_gap.set_peer(vm_id, report.busy_gap_ms, 1.0, sent_ms)
 
     def _current(self, service: str, now_ms: int) -> _Service:
         """Return a service's rates, computed anew if they are no longer fresh."""
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/observations.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/observations.py
@@ -71,15 +71,16 @@
 
     def __init__(self) -> None:
         self._own = Observations()
-        self._peers: dict[VmId, tuple[Weighted, int]] = {}
+        self._peers: dict[VmId, tuple[float, float, int]] = {}
+        """Value, weight and time of the last report of each peer."""
 
     def add(self, value: float, weight: float, now_ms: int) -> None:
         """Add an observation of this VM."""
         self._own.add(value, weight, now_ms)
 
-    def set_peer(self, vm_id: VmId, report: Weighted, sent_ms: int) -> None:
+    def set_peer(self, vm_id: VmId, value: float, weight: float, sent_ms: int) -> None:
         """Replace what a peer reported."""
-        self._peers[vm_id] = (report, sent_ms)
+        self._peers[vm_id] = (value, min(MAX_VM_WEIGHT, weight), sent_ms)
 
     def own(self, now_ms: int) -> Weighted:
         """Return this VM's estimate from its own observations."""
@@ -91,12 +92,12 @@
         if not self._peers:
             return quantile(((own.value, min(MAX_VM_WEIGHT, own.weight)),))
         reports = [(own.value, min(MAX_VM_WEIGHT, own.weight))]
-        for vm_id, (report, sent_ms) in list(self._peers.items()):
+        for vm_id, (value, weight, sent_ms) in list(self._peers.items()):
             share = remaining_share(now_ms - sent_ms)
             if not share:
                 del self._peers[vm_id]
                 continue
-            reports.append((report.value, share * min(MAX_VM_WEIGHT, report.weight)))
+            reports.append((value, share * weight))
         return quantile(reports)
 
 
