Weigh what running requests and prompt reading cost a stream at each engine

Cause: decoding was assumed to grow by a hundredth of a step with each running request, and engines for long prompts cost other streams a constant of 120 ms. Change: the growth is learnt from gaps at crowded engines and used in the cost and in the partition; what prompt reading costs a stream follows from the demand of long prompts and the learnt gaps (design 0089).

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/answer_timing.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/answer_timing.py
@@ -20,6 +20,7 @@
         "_queued_tokens",
         "_rates",
         "_reservation",
+        "_running",
         "_was_busy",
         "_was_quiet",
     )
@@ -29,11 +30,16 @@
         rates: EngineRates,
         reservation: Reservation,
         queued_tokens: Callable[[int], int],
+        running: Callable[[int], int] = lambda now_ms: 0,
     ) -> None:
-        """`queued_tokens` returns the prompt tokens believed to be queued at the endpoint."""
+        """`queued_tokens` and `running` return what is believed of the endpoint's load.
+
+        These are the prompt tokens that are queued there, and all its requests.
+        """
         self._rates = rates
         self._reservation = reservation
         self._queued_tokens = queued_tokens
+        self._running = running
         self._event_ms: int | None = None
         self._event_count = 0
         self._was_quiet = False
@@ -57,7 +63,14 @@
             self._rates.record_first_event(service, endpoint_id, event, now_ms)
         elif (is_quiet and self._was_quiet) or (is_busy and self._was_busy):
             gap_ms = (now_ms - self._event_ms) / count
-            self._rates.record_gap(service, endpoint_id, gap_ms, now_ms, is_busy=is_busy)
+            self._rates.record_gap(
+                service,
+                endpoint_id,
+                gap_ms,
+                now_ms,
+                is_busy=is_busy,
+                running=self._running(now_ms),
+            )
         self._event_ms, self._was_quiet, self._was_busy = now_ms, is_quiet, is_busy
         self._event_count += count
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/attempt.py
@@ -80,6 +80,7 @@
             placement.engine_rates,
             reservation,
             lambda now_ms: placement.queued_tokens(reservation.endpoint.endpoint_id, now_ms),
+            lambda now_ms: placement.running_requests(reservation.endpoint.endpoint_id, now_ms),
         )
 
     @property
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/delays.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/delays.py
@@ -16,6 +16,9 @@
 REPREFILL_WAIT_MS = 40.0
 """Mean wait for prefill that adds 1 to that weight; about the prefill time of one shared part."""
 
+DECODE_COST_SHARE = 0.5
+"""Weight of a delay behind the first event, for which callers wait longest."""
+
 PLAIN_REQUEST_COST_MS = 60.0
 """Delay at a plain endpoint whose slots are all in use; a few service times."""
 
@@ -30,8 +33,14 @@
     return min(REPREFILL_WEIGHT_MAX, 1.0 + mean_wait_ms / REPREFILL_WAIT_MS)
 
 
-def delay_ms(service: Service, endpoint: Endpoint, load: Load, rate: EngineRate) -> float:
-    """Return by how many ms the load of an endpoint is expected to delay a new request."""
+def delay_ms(
+    service: Service, endpoint: Endpoint, load: Load, rate: EngineRate, output_tokens: int = 0
+) -> float:
+    """Return by how many ms the load of an endpoint is expected to delay a new request.
+
+    Each running request at an engine lengthens every step in which it produces its tokens.
+    """
     if service.engine is None:
         return PLAIN_REQUEST_COST_MS * load.requests / max(1, endpoint.slots)
-    return rate.prompt_ms(load.prefill_tokens) + RUNNING_COST_MS * load.requests
+    output_ms = DECODE_COST_SHARE * rate.step_ms_per_request * output_tokens
+    return rate.prompt_ms(load.prefill_tokens) + max(RUNNING_COST_MS, output_ms) * load.requests
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_partition.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_partition.py
@@ -33,8 +33,8 @@
 """Work of each kind that the estimate starts from and decays to; a few requests."""
 
 PARTITION_COST_MS = 120.0
-"""Cost penalty for other requests at engines for long prompts; the delay from which it is better
-to use them anyway."""
+"""Least cost penalty for other requests at engines for long prompts; the delay from which it is
+better to use them anyway."""
 
 _ORDER_KEY = "lanes"
 
@@ -78,6 +78,22 @@
         else:
             self._output_ms += work_ms
 
+    def reading_cost_ms(
+        self, terms: RequestTerms, rate: EngineRate, vm_count: int, engine_count: int, now_ms: int
+    ) -> float:
+        """Return by how many ms engines for long prompts lengthen another request's answer.
+
+        They read prompts for a part of the time that follows from the demand of all VMs, and
+        between two events of its answer if another one comes before the last was read.
+        """
+        decay = math.exp(-max(0, now_ms - self._updated_ms) / DEMAND_MEMORY_MS)
+        own_ms = (self._prompt_ms - INITIAL_WORK_MS) * decay / PROMPT_HEADROOM
+        engines = max(1.0, self.boundary(engine_count))
+        reading_share = min(1.0, own_ms * max(1, vm_count) / (DEMAND_MEMORY_MS * engines))
+        longer_ms = max(0.0, rate.busy_gap_ms - rate.quiet_gap_ms)
+        cost_ms = reading_share**2 * longer_ms * rate.event_count(terms.max_output_tokens)
+        return max(PARTITION_COST_MS, cost_ms)
+
     def boundary(self, engine_count: int) -> float:
         """Return the number of engines for long prompts; each kind has at least one.
 
@@ -93,6 +109,7 @@
         terms: RequestTerms,
         engine_ids: Sequence[EndpointId],
         limited_ids: frozenset[EndpointId] = frozenset(),
+        reading_cost_ms: float = PARTITION_COST_MS,
     ) -> dict[EndpointId, float]:
         """Return the engines that a request may use, with the cost penalty of each in ms.
 
@@ -101,12 +118,12 @@
         """
         free_ids = [engine_id for engine_id in engine_ids if engine_id not in limited_ids]
         if not free_ids:
-            return self._part_penalties_ms(terms, engine_ids)
+            return self._part_penalties_ms(terms, engine_ids, reading_cost_ms)
         outside = dict.fromkeys(limited_ids.intersection(engine_ids), 0.0)
-        return self._part_penalties_ms(terms, free_ids) | outside
+        return self._part_penalties_ms(terms, free_ids, reading_cost_ms) | outside
 
     def _part_penalties_ms(
-        self, terms: RequestTerms, engine_ids: Sequence[EndpointId]
+        self, terms: RequestTerms, engine_ids: Sequence[EndpointId], reading_cost_ms: float
     ) -> dict[EndpointId, float]:
         """Return the penalties by the partition of engines.
 
@@ -119,7 +136,7 @@
         if is_prompt_heavy(terms):
             return {engine_id: 0.0 for index, engine_id in enumerate(ordered) if index < boundary}
         return {
-            engine_id: PARTITION_COST_MS * min(1.0, max(0.0, boundary - index))
+            engine_id: reading_cost_ms * min(1.0, max(0.0, boundary - index))
             for index, engine_id in enumerate(ordered)
         }
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/engine_rates.py
@@ -44,6 +44,12 @@
 MAX_FIXED_TOKENS = 1_000
 """Uncached and queued tokens up to which it tells the fixed part."""
 
+LIGHT_BATCH = 4
+"""Running requests up to which a gap between events tells the time of a step without load."""
+
+CROWDED_BATCH = 8
+"""Running requests from which it tells what each of them adds."""
+
 MAX_FIXED_GAPS = 2.0
 """Longest fixed part, in quiet gaps between events; what is longer was spent in unknown queues."""
 
@@ -86,6 +92,10 @@
         """Return the time in ms in which the engine reads prompt tokens."""
         return tokens / self.prompt_tokens_per_ms
 
+    def event_count(self, tokens: int) -> float:
+        """Return in how many events an answer of some tokens arrives."""
+        return tokens * self.step_ms / self.quiet_gap_ms
+
     def token_step_ms(self, running: int) -> float:
         """Return the time in ms between two tokens of a request among `running` ones."""
         return self.step_ms + self.step_ms_per_request * running
@@ -137,6 +147,8 @@
     engines: dict[EndpointId, _Engine] = field(default_factory=dict)
     fixed: Observations = field(default_factory=Observations)
     event_tokens: Observations = field(default_factory=Observations)
+    gap_per_request: Observations = field(default_factory=Observations)
+    """By how many ms each running request lengthens the gap between events."""
     rate: EngineRate = INITIAL_RATE
     engine_rates: dict[EndpointId, EngineRate] = field(default_factory=dict)
     computed_ms: int | None = None
@@ -195,13 +207,29 @@
             engine.observed_ms = now_ms
 
     def record_gap(
-        self, service: str, endpoint_id: EndpointId, gap_ms: float, now_ms: int, *, is_busy: bool
+        self,
+        service: str,
+        endpoint_id: EndpointId,
+        gap_ms: float,
+        now_ms: int,
+        *,
+        is_busy: bool,
+        running: int = 0,
     ) -> None:
-        """Record the time between two events; `is_busy` if prompts were read all the time."""
+        """Record the time between two events of a stream among `running` requests.
+
+        `is_busy` tells that prompts were read all the time, otherwise none was.
+        """
         known = self._services.setdefault(service, _Service())
         engine = known.engines.setdefault(endpoint_id, _Engine())
-        (engine.busy_gap if is_busy else engine.quiet_gap).add(max(1.0, gap_ms), 1.0, now_ms)
         engine.observed_ms = now_ms
+        if is_busy:
+            engine.busy_gap.add(max(1.0, gap_ms), 1.0, now_ms)
+        elif running <= LIGHT_BATCH:
+            engine.quiet_gap.add(max(1.0, gap_ms), 1.0, now_ms)
+        elif running >= CROWDED_BATCH:
+            longer_ms = max(0.0, gap_ms - self.rate(service, endpoint_id, now_ms).quiet_gap_ms)
+            known.gap_per_request.add(longer_ms / running, 1.0, now_ms)
 
     def record_output(self, service: str, tokens: int, events: int, now_ms: int) -> None:
         """Record a complete answer's tokens and events."""
@@ -282,14 +310,18 @@
     fixed_ms = fixed.value if fixed.weight >= INITIAL_WEIGHT else INITIAL_FIRST_EVENT_MS
     fixed_ms = min(fixed_ms, MAX_FIXED_GAPS * quiet_ms)
     event_tokens = known.event_tokens.estimate(now_ms)
+    per_request = known.gap_per_request.estimate(now_ms)
 
     def rate(token: Weighted, quiet: Weighted, busy: Weighted) -> EngineRate:
         quiet_gap_ms = shrink(quiet_ms, SERVICE_WEIGHT, (quiet,))
         step_ms = quiet_gap_ms / event_tokens.value if event_tokens.weight else INITIAL_STEP_MS
+        growth_ms = step_ms * INITIAL_STEP_MS_PER_REQUEST / INITIAL_STEP_MS
+        if per_request.weight >= INITIAL_WEIGHT:
+            growth_ms = per_request.value * step_ms / quiet_gap_ms
         return EngineRate(
             prompt_tokens_per_ms=1.0 / shrink(token_ms, SERVICE_WEIGHT, (token,)),
             step_ms=step_ms,
-            step_ms_per_request=step_ms * INITIAL_STEP_MS_PER_REQUEST / INITIAL_STEP_MS,
+            step_ms_per_request=growth_ms,
             first_event_ms=fixed_ms,
             quiet_gap_ms=quiet_gap_ms,
             busy_gap_ms=shrink(busy_ms, SERVICE_WEIGHT, (busy,)),
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -116,7 +116,7 @@
         """
         usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
         penalties, remote_cost_ms = (
-            self._penalties_ms(service, terms, usable),
+            self._penalties_ms(service, terms, usable, len(vm_ids), now_ms),
             self._remote_cost_ms(),
         )
         ranking = self.caches.rank(service, terms, usable, penalties, remote_cost_ms, now_ms)
@@ -134,7 +134,7 @@
         cached_chances = ranking.cached_chances({_id_of(item) for item in candidates})
         prefixes, vm_count = self.caches.prefixes, max(1, len(vm_ids))
         missing = prefixes.estimate_missing(terms.shared_parts, vm_count / len(penalties), now_ms)
-        costs = self._costs(service, penalties, candidates, cached_chances, missing, now_ms)
+        costs = self._costs(service, terms, penalties, candidates, cached_chances, missing, now_ms)
         cost_ms, best = min(zip(costs, candidates, strict=True), key=lambda item: item[0])
         chance = cached_chances.get(_id_of(best), 0.0) * prefixes.repeat_chance(vm_count)
         uncached_tokens = terms.own_prompt_tokens + missing(_id_of(best), chance)
@@ -160,14 +160,21 @@
             tracked.own_load.prefill_tokens -= reservation.prefill_tokens
 
     def _penalties_ms(
-        self, service: Service, terms: RequestTerms, usable: list[TrackedEndpoint]
+        self,
+        service: Service,
+        terms: RequestTerms,
+        usable: list[TrackedEndpoint],
+        vm_count: int,
+        now_ms: int,
     ) -> dict[EndpointId, float]:
         """Return the endpoints that a request may use, with the cost penalty of each in ms."""
         ids = [tracked.endpoint.endpoint_id for tracked in usable]
         if service.engine is None:
             return dict.fromkeys(ids, 0.0)
         partition = self._partitions.setdefault(service.name, EnginePartition())
-        return partition.penalties_ms(terms, ids, self.rate_limits.limited_ids)
+        rate = self.engine_rates.service_rate(service.name, now_ms)
+        cost_ms = partition.reading_cost_ms(terms, rate, vm_count, len(ids), now_ms)
+        return partition.penalties_ms(terms, ids, self.rate_limits.limited_ids, cost_ms)
 
     def _candidates(
         self,
@@ -238,6 +245,7 @@
     def _costs(
         self,
         service: Service,
+        terms: RequestTerms,
         penalties: dict[EndpointId, float],
         candidates: list[Candidate],
         cached_chances: dict[EndpointId, float],
@@ -259,7 +267,7 @@
             missing_tokens = missing(endpoint_id, cached_chances.get(endpoint_id, 0.0))
             return (
                 self._random.random()
-                + delay_ms(service, tracked.endpoint, load, rate)
+                + delay_ms(service, tracked.endpoint, load, rate, terms.max_output_tokens)
                 + weight * rate.prompt_ms(missing_tokens)
                 + penalties[endpoint_id]
                 + failure_penalty_ms
@@ -317,6 +325,11 @@
         tracked = self.registry.get(endpoint_id)
         return tracked.total_load(now_ms).prefill_tokens if tracked is not None else 0
 
+    def running_requests(self, endpoint_id: EndpointId, now_ms: int) -> int:
+        """Return the requests believed to be at an endpoint."""
+        tracked = self.registry.get(endpoint_id)
+        return tracked.total_load(now_ms).requests if tracked is not None else 0
+
     def _is_remote(self, endpoint: Endpoint) -> bool:
         return endpoint.failure_domain_id != self._failure_domain_id
 
