Give new gateways of the platform's fixture a seed that runs

Cause: test_vm_started_anew_learns_what_crashes_endpoints_before_it_sends kills front-1 and starts front-4. Nobody tells it of the others, nor the others of it: after 6 s it knows no peer (trace of live_members, _peers and knows_fleet).

Change: the seed is the first gateway that runs, or 127.0.0.1 for the first. The bounds and waits of the tests are as before.

--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -160,7 +160,7 @@
             "zone": zone,
             "listen": {name: f"{host}:{port}" for name, port in zip(names, ports, strict=True)},
             "internal_ports": [self.peer_port, self.peer_port],
-            "seeds": ["127.0.0.1:1"],
+            "seeds": [self._live_seed()],
             "bootstrap": True,
             "platform": {"address": self.store_address},
             "bounds": {"retry_budget_slack": 50, "cold_overage": 1.5, "cold_slack": 1},
@@ -173,6 +173,11 @@
         self.apps.append(app)
         return app
 
+    def _live_seed(self) -> str:
+        """Return the seed of a new gateway: one that runs, or that of the first to start."""
+        host = self.apps[0].options.peer_listen.rpartition(":")[0] if self.apps else "127.0.0.1"
+        return f"{host}:1"
+
     async def async_endpoints_and_gateway(
         self, service: str, *behaviours: tuple[Any, ...]
     ) -> tuple[GatewayApp, list[RunnerStandin]]:
