Don't handle a request that gives way with its last part

Cause: the budget may choose the connection whose own last bytes arrived; its body was dropped and its task cancelled, but the task parsed on to the end of the body and called the handler with an empty one. Change: the reader lets the cancellation arrive first, so the caller gets the 503 and nothing runs. Measured: the new test got no answer and an entered handler before; tests.wagtailusher_http.test_server (17), test_caller_budget and test_endless (22) pass.

--- a/packages/wagtailusher_http/src/wagtailusher_http/request_reader.py
+++ b/packages/wagtailusher_http/src/wagtailusher_http/request_reader.py
@@ -180,3 +180,5 @@
         self._parser_bytes += len(data)
         self._http.receive_data(data)
         self._on_growth()
+        if self._is_dropped:
+            await asyncio.sleep(0)  # The cancellation arrives here, before the rest is parsed.
--- a/tests/wagtailusher_http/test_server.py
+++ b/tests/wagtailusher_http/test_server.py
@@ -27,6 +27,7 @@
     async_serve,
     json_response,
 )
+from wagtailusher_http.caller_budget import Phase
 
 LIMITS = HttpLimits(
     max_head_bytes=2048, max_body_bytes=4096, receive_timeout_ms=300, send_timeout_ms=100
@@ -147,6 +148,22 @@
         self.assertTrue(reply.startswith(b"HTTP/1.1 431"), reply)
         writer.close()
 
+    async def test_request_that_gives_way_with_its_last_part_is_not_handled(self) -> None:
+        """Its body has been dropped; the handler would get an empty one as if it were whole."""
+        limits = HttpLimits(max_held_bytes=200_000)
+        server = await async_serve(self._async_handle, limits=limits)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"POST /hang HTTP/1.1\r\nhost: x\r\ncontent-length: 148000\r\n\r\n")
+        for size_bytes in (60_000, 60_000, 28_000):
+            writer.write(bytes(size_bytes))
+            await asyncio.sleep(0.1)
+        reply = await reader.read()
+        writer.close()
+        await server.async_close()
+        self.assertEqual(server.budget.gave_way_counts[Phase.RECEIVING], 1)
+        self.assertTrue(reply.startswith(b"HTTP/1.1 503"), reply)
+        self.assertFalse(self.entered.is_set())
+
     async def test_requests_are_served_after_keep_alive_is_disabled(self) -> None:
         first = await self.client.async_request(self.address, "GET", "/a")
         await first.async_read()
