Let the first request of a pool pass while only repeats have waited

Cause: repeats count as waiting and not as asked, so sums up to 100 ms old could hold waited and no asked work; the share of the next request was then 0 / 0, a ZeroDivisionError. Change: a workspace that has asked for nothing passes. Measured: the new test raised before; tests.wagtailusher_gateway.test_workspace_shares and test_admission, 30 pass.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/workspace_shares.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/workspace_shares.py
@@ -179,7 +179,7 @@
             return 1.0
         work = self.fleet_work(pool, now_ms)
         asked = work.by_workspace.get(workspace_hash(workspace), 0.0)
-        if not work.is_contended or asked * work.requests < MIN_REQUESTS * work.asked:
+        if not work.is_contended or asked * work.requests < MIN_REQUESTS * work.asked or not asked:
             return 1.0
         share = fair_share(work.by_workspace.values(), work.asked, ADMITTED_PART * work.started)
         others_asked = work.asked - asked
--- a/tests/wagtailusher_gateway/test_workspace_shares.py
+++ b/tests/wagtailusher_gateway/test_workspace_shares.py
@@ -238,6 +238,15 @@
         hearing.tick(6_000)
         self.assertEqual(hearing.level(pool, "workspace", 6_000), 0)
 
+    def test_first_request_passes_while_only_repeats_have_waited(self) -> None:
+        """Repeats are not counted as asked, so the sums of a moment ago hold no asked work."""
+        shares = WorkspaceShares()
+        pool = Pool("desk", 0)
+        shares.record_waited(pool, 100.0, 1_000)
+        self.assertTrue(shares.is_contended(pool, 1_000))
+        shares.record_asked(pool, "workspace", 100.0, 1_010)
+        self.assertEqual(shares.pass_chance(pool, "workspace", 1_010), 1.0)
+
     def test_requests_without_a_workspace_are_not_refused_by_shares(self) -> None:
         vms = CompetingVms(1, 1)
         vms.run(4_000, {"": 150.0} | SMALL)
