Split the choice of an endpoint from its reservation

Change: `Placement.choose` compares the candidates and returns their terms (one frozen data class each) and why other usable endpoints are out; `try_reserve` reserves its best one. `trial` returns a copy with its own random numbers and demand estimates. The random numbers are drawn in the same order as before.

Result: 48 tests of placement, limits, outcomes, capacity, caches, versions and contention pass.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterator
+import copy
+from operator import attrgetter
 import random
 
 from wagtailusher_core import EndpointId, FailureDomainId, VmId
@@ -21,11 +23,20 @@
 )
 from wagtailusher_gateway.contention import PlaceContention
 from wagtailusher_gateway.delays import delay_ms, reprefill_weight
-from wagtailusher_gateway.endpoint_registry import EndpointRegistry, Load, TrackedEndpoint
+from wagtailusher_gateway.endpoint_registry import EndpointRegistry, TrackedEndpoint
 from wagtailusher_gateway.engine_partition import EnginePartition, is_prompt_heavy
 from wagtailusher_gateway.engine_rates import EngineRate
 from wagtailusher_gateway.models import Endpoint, FleetView, RequestTerms, Service
 from wagtailusher_gateway.outcomes import expected_failure_rate, failure_penalties_ms
+from wagtailusher_gateway.placement_choice import (
+    TIE_BREAK_MS,
+    Barrier,
+    Candidate,
+    CandidateTerms,
+    Choice,
+    PlacementQuery,
+    without_excluded,
+)
 from wagtailusher_gateway.prefixes import MissingTokens
 from wagtailusher_gateway.prompt_caches import (
     CacheRanking,
@@ -38,9 +49,6 @@
 COLD_COST_MS = 60.0
 """Cost penalty of an endpoint in cold start, which serves more slowly."""
 
-Candidate = tuple[TrackedEndpoint, Load, bool]
-"""An endpoint with capacity, its load, and whether it is in cold start."""
-
 
 class Placement:
     """Reserves and releases slots at all endpoints, as this VM sees them."""
@@ -114,31 +122,87 @@
         `excluded` endpoints are used only if no other one has capacity; not those of other versions
         than a required `software_version`, nor those that name a limit unless `may_use_limited`.
         """
-        usable = self.registry.usable_endpoints(service.name, view, now_ms, software_version)
+        query = PlacementQuery(
+            service=service,
+            terms=terms,
+            view=view,
+            vm_ids=vm_ids,
+            now_ms=now_ms,
+            rank=rank,
+            excluded=excluded,
+            software_version=software_version,
+            may_use_limited=may_use_limited,
+        )
+        choice = self.choose(query)
+        if choice.best is None:
+            return None
+        return self._reserve(query, choice, choice.best)
+
+    def choose(self, query: PlacementQuery) -> Choice:
+        """Return the endpoint with the lowest cost and what it was compared with; reserve none."""
+        service, terms, now_ms = query.service, query.terms, query.now_ms
+        usable = self.registry.usable_endpoints(
+            service.name, query.view, now_ms, query.software_version
+        )
         penalties, remote_cost_ms = (
             self._penalties_ms(service, terms, usable),
             self._remote_cost_ms(),
         )
         ranking = self.caches.rank(service, terms, usable, penalties, remote_cost_ms, now_ms)
         exempt_ids = self._exempt_ids(service, ranking, penalties, now_ms)
+        barriers: dict[EndpointId, Barrier] = {}
         candidates = [
             item
-            for item in self._candidates(service, terms, usable, view, vm_ids, now_ms, rank)
-            if _id_of(item) in penalties
-            and (may_use_limited or not self._has_limit(item))
-            and self._may_compete(service, terms, item, exempt_ids, now_ms, rank, software_version)
+            for item in self._candidates(query, usable, barriers)
+            if self._is_open(query, item, penalties, exempt_ids, barriers)
         ]
-        candidates = _without_excluded(candidates, excluded) or candidates
+        candidates = without_excluded(candidates, query.excluded)
         if not candidates:
-            return None
+            return Choice(usable=usable, barriers=barriers)
         cached_chances = ranking.cached_chances({_id_of(item) for item in candidates})
-        prefixes, vm_count = self.caches.prefixes, max(1, len(vm_ids))
+        prefixes, vm_count = self.caches.prefixes, max(1, len(query.vm_ids))
         missing = prefixes.estimate_missing(terms.shared_parts, vm_count / len(penalties), now_ms)
         costs = self._costs(service, penalties, candidates, cached_chances, missing, now_ms)
-        cost_ms, best = min(zip(costs, candidates, strict=True), key=lambda item: item[0])
-        chance = cached_chances.get(_id_of(best), 0.0) * prefixes.repeat_chance(vm_count)
-        uncached_tokens = terms.own_prompt_tokens + missing(_id_of(best), chance)
-        return self._reserve(service, terms, best, cost_ms, uncached_tokens, cached_chances, now_ms)
+        best = min(costs, key=attrgetter("cost_ms"))
+        chance = cached_chances.get(best.endpoint_id, 0.0) * prefixes.repeat_chance(vm_count)
+        return Choice(
+            usable=usable,
+            barriers=barriers,
+            candidates=costs,
+            best=best,
+            cached_chances=cached_chances,
+            uncached_tokens=terms.own_prompt_tokens + missing(best.endpoint_id, chance),
+        )
+
+    def trial(self, generator: random.Random) -> Placement:
+        """Return a copy to choose with, whose arrivals and random numbers are its own.
+
+        It shares the loads, so nothing may be reserved with it.
+        """
+        found = copy.copy(self)
+        found._random = generator
+        found._partitions = {key: copy.copy(item) for key, item in self._partitions.items()}
+        return found
+
+    def _is_open(
+        self,
+        query: PlacementQuery,
+        candidate: Candidate,
+        penalties: dict[EndpointId, float],
+        exempt_ids: Collection[EndpointId],
+        barriers: dict[EndpointId, Barrier],
+    ) -> bool:
+        """Return whether a request may take a place at an endpoint with capacity; add why not."""
+        endpoint_id = _id_of(candidate)
+        if endpoint_id not in penalties:
+            barriers[endpoint_id] = Barrier.PARTITION
+        elif not query.may_use_limited and self._has_limit(candidate):
+            barriers[endpoint_id] = Barrier.FOR_MORE_URGENT
+        elif not self._may_compete(query, candidate, exempt_ids):
+            barriers[endpoint_id] = Barrier.FOR_OTHER_VMS
+        else:
+            return True
+        return False
 
     def _has_limit(self, candidate: Candidate) -> bool:
         return self.rate_limits.has_limit(_id_of(candidate))
@@ -171,34 +235,41 @@
 
     def _candidates(
         self,
-        service: Service,
-        terms: RequestTerms,
+        query: PlacementQuery,
         usable: list[TrackedEndpoint],
-        view: FleetView,
-        vm_ids: tuple[VmId, ...],
-        now_ms: int,
-        rank: int,
+        barriers: dict[EndpointId, Barrier],
     ) -> Iterator[Candidate]:
-        """Yield the endpoints with capacity, their load and whether they are cold."""
+        """Yield the endpoints with capacity, their load and whether they are cold.
+
+        Add to `barriers` why the others have none.
+        """
+        service, view, vm_ids, now_ms = query.service, query.view, query.vm_ids, query.now_ms
         self._contention.set_vm_ids(self._sending_ids(vm_ids))
         stale = now_ms - view.confirmed_ms > STALE_VIEW_MS
         is_brittle = self.registry.is_brittle(service.name, now_ms)
         for tracked in usable:
             load, endpoint_id = tracked.total_load(now_ms), tracked.endpoint.endpoint_id
             cap_tokens = self._prefill_caps.cap_tokens(
-                service.name, rank, self._rate(tracked, now_ms)
+                service.name, query.rank, self._rate(tracked, now_ms)
             )
-            has_room = has_capacity(tracked.endpoint, service, terms, load, cap_tokens)
+            has_room = has_capacity(tracked.endpoint, service, query.terms, load, cap_tokens)
             if is_brittle:
-                fits = service.engine is None or has_room
-                has_room = fits and self._has_own_place(tracked)
-            if not has_room or not self.rate_limits.may_send(endpoint_id, now_ms):
+                has_room = service.engine is None or has_room
+            if not has_room:
+                barriers[endpoint_id] = Barrier.FULL
+                continue
+            if is_brittle and not self._has_own_place(tracked):
+                barriers[endpoint_id] = Barrier.NO_OWN_PLACE
+                continue
+            if not self.rate_limits.may_send(endpoint_id, now_ms):
+                barriers[endpoint_id] = Barrier.LIMITED
                 continue
             is_stale = stale or not tracked.has_current_entry(view, now_ms)
             is_cold = self.registry.is_cold(tracked, service, now_ms, view_stale=is_stale)
             if is_cold and not self._cold_limiter.may_send(
                 endpoint_id, service.cold_requests_per_s, vm_ids, now_ms
             ):
+                barriers[endpoint_id] = Barrier.COLD_LIMIT
                 continue
             yield tracked, load, is_cold
 
@@ -243,8 +314,8 @@
         cached_chances: dict[EndpointId, float],
         missing: MissingTokens,
         now_ms: int,
-    ) -> list[float]:
-        """Return the cost of each candidate in ms: delay and penalties, with random tie-breaks."""
+    ) -> list[CandidateTerms]:
+        """Return the terms of each candidate's cost: delay, penalties and random tie-breaks."""
         remote_cost_ms = self._remote_cost_ms()
         typical = self.engine_rates.service_rate(service.name, now_ms)
         weight = reprefill_weight((load for _, load, _ in candidates), typical)
@@ -252,22 +323,24 @@
             expected_failure_rate(load.answers, load.failures) for _, load, _ in candidates
         )
 
-        def cost_ms(candidate: Candidate, failure_penalty_ms: float) -> float:
+        def cost(candidate: Candidate, failure_penalty_ms: float) -> CandidateTerms:
             tracked, load, is_cold = candidate
             endpoint_id = tracked.endpoint.endpoint_id
             rate = self._rate(tracked, now_ms)
             missing_tokens = missing(endpoint_id, cached_chances.get(endpoint_id, 0.0))
-            return (
-                self._random.random()
-                + delay_ms(service, tracked.endpoint, load, rate)
-                + weight * rate.prompt_ms(missing_tokens)
-                + penalties[endpoint_id]
-                + failure_penalty_ms
-                + (COLD_COST_MS if is_cold else 0.0)
-                + (remote_cost_ms if self._is_remote(tracked.endpoint) else 0.0)
+            return CandidateTerms(
+                candidate=candidate,
+                delay_ms=delay_ms(service, tracked.endpoint, load, rate),
+                missing_tokens=missing_tokens,
+                missing_ms=weight * rate.prompt_ms(missing_tokens),
+                partition_ms=penalties[endpoint_id],
+                failure_ms=failure_penalty_ms,
+                cold_ms=COLD_COST_MS if is_cold else 0.0,
+                domain_ms=remote_cost_ms if self._is_remote(tracked.endpoint) else 0.0,
+                tie_break_ms=TIE_BREAK_MS * self._random.random(),
             )
 
-        return [cost_ms(*pair) for pair in zip(candidates, failure_penalties, strict=True)]
+        return [cost(*pair) for pair in zip(candidates, failure_penalties, strict=True)]
 
     def _exempt_ids(
         self,
@@ -286,27 +359,21 @@
         return ranking.preferred_ids(penalties.keys())
 
     def _may_compete(
-        self,
-        service: Service,
-        terms: RequestTerms,
-        candidate: Candidate,
-        exempt_ids: Collection[EndpointId],
-        now_ms: int,
-        rank: int,
-        software_version: str | None,
+        self, query: PlacementQuery, candidate: Candidate, exempt_ids: Collection[EndpointId]
     ) -> bool:
         """Return whether this VM may take a place at an engine, or leaves it to other VMs.
 
         Requests that require a software version are exempt, as they have few to choose from.
         """
-        tracked, load, _ = candidate
+        (tracked, load, _), service = candidate, query.service
         endpoint_id = tracked.endpoint.endpoint_id
-        if service.engine is None or software_version is not None or endpoint_id in exempt_ids:
+        is_exempt = query.software_version is not None or endpoint_id in exempt_ids
+        if service.engine is None or is_exempt:
             return True
-        rate = self._rate(tracked, now_ms)
-        cap_tokens = self._prefill_caps.cap_tokens(service.name, rank, rate)
-        free_places = count_free_places(tracked.endpoint, terms, load, cap_tokens)
-        return self._contention.may_compete(endpoint_id, free_places, rank)
+        rate = self._rate(tracked, query.now_ms)
+        cap_tokens = self._prefill_caps.cap_tokens(service.name, query.rank, rate)
+        free_places = count_free_places(tracked.endpoint, query.terms, load, cap_tokens)
+        return self._contention.may_compete(endpoint_id, free_places, query.rank)
 
     def _rate(self, tracked: TrackedEndpoint, now_ms: int) -> EngineRate:
         endpoint = tracked.endpoint
@@ -325,18 +392,11 @@
         extra_age_ms = self._remote_interval_ms() - HEARTBEAT_INTERVAL_MS
         return REMOTE_DOMAIN_COST_MS + REMOTE_LOAD_AGE_COST * max(0, extra_age_ms)
 
-    def _reserve(
-        self,
-        service: Service,
-        terms: RequestTerms,
-        candidate: Candidate,
-        cost_ms: float,
-        uncached_tokens: int,
-        cached_chances: dict[EndpointId, float],
-        now_ms: int,
-    ) -> Reservation:
+    def _reserve(self, query: PlacementQuery, choice: Choice, best: CandidateTerms) -> Reservation:
         """Add a request to an endpoint's load and return its reservation."""
-        (tracked, load, is_cold), endpoint_id = candidate, _id_of(candidate)
+        service, terms, now_ms = query.service, query.terms, query.now_ms
+        (tracked, load, is_cold), endpoint_id = best.candidate, best.endpoint_id
+        uncached_tokens = choice.uncached_tokens
         rate = self._rate(tracked, now_ms)
         queued_tokens = load.prefill_tokens + uncached_tokens
         reservation = Reservation(
@@ -344,7 +404,7 @@
             prefill_tokens=uncached_tokens if service.engine is not None else 0,
             memory_tokens=memory_tokens(terms),
             is_cold=is_cold,
-            cost_ms=cost_ms,
+            cost_ms=best.cost_ms,
             waiting_tokens=load.prefill_tokens,
             running=load.requests,
             own_running=tracked.own_load.requests,
@@ -353,7 +413,7 @@
             output_tokens=terms.max_output_tokens,
             cache_doubt=cache_doubt(terms, uncached_tokens),
             cache_belief=self.caches.new_belief(
-                terms, endpoint_id, cached_chances, rate, load.prefill_tokens, now_ms
+                terms, endpoint_id, choice.cached_chances, rate, load.prefill_tokens, now_ms
             ),
         )
         tracked.add_own(reservation.prefill_tokens, reservation.memory_tokens)
@@ -368,10 +428,3 @@
 
 def _id_of(candidate: Candidate) -> EndpointId:
     return candidate[0].endpoint.endpoint_id
-
-
-def _without_excluded(
-    candidates: list[Candidate], excluded: frozenset[EndpointId]
-) -> list[Candidate]:
-    """Return the candidates that are not excluded."""
-    return [item for item in candidates if _id_of(item) not in excluded]
