Explain where a request would go now, at the metrics address

Change: `GET /placement` beside the metrics answers for a route, prompt parts, tokens and a key or workspace: the verdict, the candidates with their terms, why the others are out, the queue, or the refusal with its retry delay. It asks the deciders of real requests through copies of the queues and of the demand estimates, with random numbers of its own. `wagtailusher placement` shows it as tables or JSON; the key is read from a file and sent in a header.

--- a/packages/wagtailusher_cli/src/wagtailusher_cli/main.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/main.py
@@ -12,6 +12,7 @@
 from wagtailusher_cli.live import advise, drains, explain, fleet, quarantine, refusals, stewards
 from wagtailusher_cli.offline import check, diff, pack, reach, show
 from wagtailusher_cli.output import write_error
+from wagtailusher_cli.placement import placement
 from wagtailusher_cli.request_log import story
 from wagtailusher_cli.watch import watch_drain
 
@@ -29,6 +30,7 @@
     explain,
     watch_drain,
     advise,
+    placement,
     story,
 ]
 
--- a/packages/wagtailusher_cli/src/wagtailusher_cli/queries.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/queries.py
@@ -11,6 +11,7 @@
 from wagtailusher_cli.const import ENV_ADDRESS
 from wagtailusher_cli.exceptions import CommandError, UsageError
 from wagtailusher_cli.output import write_error
+from wagtailusher_http import Headers
 from wagtailusher_operator.models import Answer
 
 AnswerT = TypeVar("AnswerT", bound=Answer)
@@ -32,9 +33,11 @@
     return addresses
 
 
-def query_daemons(address: str | None, path: str, model: type[AnswerT]) -> list[AnswerT]:
+def query_daemons(
+    address: str | None, path: str, model: type[AnswerT], headers: Headers | None = None
+) -> list[AnswerT]:
     """Return the answers of all daemons; report failed queries on standard error."""
-    replies = asyncio.run(async_query_all(read_addresses(address), path, model))
+    replies = asyncio.run(async_query_all(read_addresses(address), path, model, headers))
     report_failures(replies)
     answers = [reply.answer for reply in replies if reply.answer is not None]
     if not answers:
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -5,7 +5,8 @@
 from bisect import insort
 from collections import Counter, deque
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass, field
+import copy
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 import random
 
@@ -88,6 +89,24 @@
         return QueueRank(self.queue, self.rank)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueuePosition:
+    """Where in its queue a request is served, and whether it is served at all."""
+
+    queued: int
+    """Requests that wait in the queue at this VM."""
+    ahead: int
+    """Those of them that are served first."""
+    wait_ms: float
+    """Expected wait; 0 while the rate is unknown."""
+    is_outranked: bool
+    """Whether more urgent requests wait at other VMs."""
+    allowed_ms: int
+    """How long it may wait."""
+    pass_chance: float
+    """The part of its workspace's requests that is within the workspace's share."""
+
+
 @dataclass(slots=True)
 class _Queue:
     """Requests that compete for the same endpoints, and the times of recent starts."""
@@ -97,6 +116,17 @@
     busy_since_ms: int = 0
     """Since when the queue has been non-empty; undefined while it is empty."""
 
+    def trial(self) -> _Queue:
+        """Return a copy whose requests can be neither started nor refused."""
+        return _Queue(
+            requests=[
+                replace(item, try_start=lambda now_ms: False, refuse=lambda delay_ms: None)
+                for item in self.requests
+            ],
+            started_ms=self.started_ms.copy(),
+            busy_since_ms=self.busy_since_ms,
+        )
+
     def add(self, queued_request: QueuedRequest) -> None:
         """Add a request behind those of its rank that came earlier."""
         insort(self.requests, queued_request, key=lambda item: item.rank)
@@ -146,6 +176,30 @@
         """Return the number of queued requests."""
         return sum(len(queue.requests) for queue in self._queues.values())
 
+    def trial(self, generator: random.Random) -> Admission:
+        """Return a copy to try a request with; it starts and refuses none of those that wait."""
+        found = Admission(0, copy.deepcopy(self.shares))
+        found.fleet_queues = copy.deepcopy(self.fleet_queues)
+        found._random = generator
+        found._queues = {name: queue.trial() for name, queue in self._queues.items()}
+        return found
+
+    def position(self, queued_request: QueuedRequest, now_ms: int) -> QueuePosition:
+        """Return where a request that arrives now would be queued."""
+        queue = self._queues.get(queued_request.queue) or _Queue()
+        ahead = self._in_order(queue, now_ms, queued_request).index(queued_request)
+        key = queued_request.queue_rank
+        return QueuePosition(
+            queued=len(queue.requests),
+            ahead=ahead,
+            wait_ms=self._expected_wait_ms(queue, key, ahead, now_ms),
+            allowed_ms=queued_request.expires_ms - now_ms,
+            is_outranked=self.fleet_queues.is_outranked(key, now_ms),
+            pass_chance=self.shares.pass_chance(
+                queued_request.pool, queued_request.workspace, now_ms
+            ),
+        )
+
     def has_more_urgent(self, service: str, rank: int) -> bool:
         """Return whether more urgent requests for a service are queued."""
         return any(
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/app.py
@@ -39,6 +39,7 @@
 from wagtailusher_gateway.models import FleetView
 from wagtailusher_gateway.options import GatewayOptions, new_own_member, split_address
 from wagtailusher_gateway.peer_api import GatewayPeerApi
+from wagtailusher_gateway.placement_api import PATH_PLACEMENT, PlacementApi
 from wagtailusher_gateway.planned_stop import unread_error
 from wagtailusher_gateway.platform_reads import PlatformReader, ReaderContext, ReadSchedule
 from wagtailusher_gateway.quarantine_exchange import QuarantineExchange
@@ -221,6 +222,16 @@
             clock_ms=monotonic_ms,
         )
 
+    def _new_placement_api(self) -> PlacementApi:
+        return PlacementApi(
+            vm_id=self.options.vm_id,
+            dispatcher=self.dispatcher,
+            quarantine=self.quarantine,
+            clock_ms=monotonic_ms,
+            seed=self._random.randrange(1 << 32),
+            may_forward=self._forwarder is not None,
+        )
+
     async def _async_listen(self) -> None:
         """Open the sockets for all configured addresses."""
         options = self.options
@@ -229,7 +240,13 @@
         await serve(options.ready_listen, self._http_mapping.ready_path, self._async_answer_ready)
         directory_path = self._http_mapping.address_path
         await serve(options.directory_listen, directory_path, self._async_answer_addresses)
-        await serve(options.metrics_listen, PATH_METRICS, self._async_answer_metrics)
+        await self.servers.async_serve_paths(
+            options.metrics_listen,
+            {
+                PATH_METRICS: self._async_answer_metrics,
+                PATH_PLACEMENT: self._new_placement_api().async_answer,
+            },
+        )
         api = self.new_caller_api()
         if options.takes_forwarded:
             catch_up = CatchUp(self.view_cache, self._read_schedule.require, monotonic_ms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/caller_api.py
@@ -143,7 +143,7 @@
             record.record_route(route, name, workspace, table.rank(route, workspace, name))
         service = table.configuration.services.get(name)
         if service is None:
-            raise _not_ready("the route's service is not configured")
+            raise not_ready("the route's service is not configured")
         routed_request = RoutedRequest(
             terms=terms,
             route=route,
@@ -246,7 +246,7 @@
     def _route_table(self) -> RouteTable:
         """Return the current routes; raise RefusedError while there is no configuration."""
         if self._dispatcher.routes is None:
-            raise _not_ready("no configuration is known yet")
+            raise not_ready("no configuration is known yet")
         return self._dispatcher.routes
 
     def refusal_response(self, refusal: RefusedError) -> Response:
@@ -286,7 +286,7 @@
     return min(deadline_ms, route.timeout_ms) if route.timeout_ms else deadline_ms
 
 
-def _not_ready(message: str) -> RefusedError:
+def not_ready(message: str) -> RefusedError:
     """Return the refusal of a VM that has no usable configuration yet."""
     return RefusedError(
         message,
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -4,8 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
+import copy
 from dataclasses import dataclass
 from http import HTTPStatus
+from random import Random
 
 from wagtailusher_core import EndpointId, ErrorCode, VmId
 from wagtailusher_gateway.admission import (
@@ -29,6 +31,7 @@
     Service,
 )
 from wagtailusher_gateway.placement import Placement
+from wagtailusher_gateway.placement_choice import Choice, PlacementQuery
 from wagtailusher_gateway.planned_stop import PlannedStop
 from wagtailusher_gateway.reservation import Reservation
 from wagtailusher_gateway.routes import RouteTable
@@ -144,6 +147,14 @@
         """Spend one retry from the budget; return whether it allowed one."""
         return self.budget.try_spend(service.name, len(self.vm_ids()), now_ms)
 
+    def trial(self, generator: Random, now_ms: int) -> Dispatcher:
+        """Return a copy to try a request with at one moment; nothing may be reserved with it."""
+        found = copy.copy(self)
+        found.placement = self.placement.trial(generator)
+        found.admission = self.admission.trial(generator)
+        found.clock_ms = lambda: now_ms
+        return found
+
     async def async_reserve(
         self, request: RoutedRequest, excluded: frozenset[EndpointId]
     ) -> Reservation:
@@ -156,16 +167,12 @@
 
         def refuse(retry_after_ms: int) -> None:
             if not future.done():
-                future.set_exception(_refusal(queued_request.refusal_cause, retry_after_ms))
+                future.set_exception(queue_refusal(queued_request.refusal_cause, retry_after_ms))
 
-        queued_request = QueuedRequest(
-            queue=queue_name(request),
-            service=request.service.name,
-            rank=request.rank,
-            workspace=request.workspace,
-            work=estimated_work(request.service, request.terms),
-            is_repeat=bool(excluded) or request.terms.resume_after is not None,
-            expires_ms=now_ms + queue_wait_ms(request.route.target_ms, request.ends_ms - now_ms),
+        queued_request = new_queued_request(
+            request,
+            now_ms,
+            is_retry=bool(excluded),
             try_start=lambda now_ms: self._try_start(future, request, excluded, now_ms),
             refuse=refuse,
             is_refused=lambda: not future.cancelled() and future.exception() is not None,
@@ -190,7 +197,7 @@
         """Set the result of a reservation; return False if the request has to wait."""
         if future.done():
             return True
-        refusal = self._find_refusal(request, now_ms)
+        refusal = self.find_refusal(request, now_ms)
         if refusal is not None:
             future.set_exception(refusal)
             return True
@@ -222,13 +229,28 @@
             may_use_limited=not self._is_outranked(request),
         )
 
+    def choose(self, request: RoutedRequest, now_ms: int) -> Choice:
+        """Return the endpoint that a request would get now, and what it was compared with."""
+        return self.placement.choose(
+            PlacementQuery(
+                service=request.service,
+                terms=request.terms,
+                view=self.view,
+                vm_ids=self.vm_ids(),
+                now_ms=now_ms,
+                rank=request.rank,
+                software_version=request.software_version,
+                may_use_limited=not self._is_outranked(request),
+            )
+        )
+
     def _is_outranked(self, request: RoutedRequest) -> bool:
         """Return whether more urgent requests wait for what limited endpoints may still get."""
         if self.placement.rate_limits.is_empty:
             return False
         return self.admission.has_more_urgent(request.service.name, request.rank)
 
-    def _find_refusal(self, request: RoutedRequest, now_ms: int) -> RefusedError | None:
+    def find_refusal(self, request: RoutedRequest, now_ms: int) -> RefusedError | None:
         """Return why a request can't start in the time for which it may wait, if that is known."""
         if not self._has_version(request):
             return _no_endpoint_of_version()
@@ -267,6 +289,30 @@
             self.admission.process_queues(now_ms)
 
 
+def new_queued_request(
+    request: RoutedRequest,
+    now_ms: int,
+    *,
+    is_retry: bool,
+    try_start: Callable[[int], bool],
+    refuse: Callable[[int], None],
+    is_refused: Callable[[], bool],
+) -> QueuedRequest:
+    """Return what is queued for a request."""
+    return QueuedRequest(
+        queue=queue_name(request),
+        service=request.service.name,
+        rank=request.rank,
+        workspace=request.workspace,
+        work=estimated_work(request.service, request.terms),
+        is_repeat=is_retry or request.terms.resume_after is not None,
+        expires_ms=now_ms + queue_wait_ms(request.route.target_ms, request.ends_ms - now_ms),
+        try_start=try_start,
+        refuse=refuse,
+        is_refused=is_refused,
+    )
+
+
 def queue_name(request: RoutedRequest) -> str:
     """Return a request's queue.
 
@@ -289,7 +335,8 @@
 }
 
 
-def _refusal(cause: RefusalCause, retry_after_ms: int) -> RefusedError:
+def queue_refusal(cause: RefusalCause, retry_after_ms: int) -> RefusedError:
+    """Return the refusal of a request by its queue."""
     message = _REFUSAL_MESSAGES[cause]
     return _unavailable(message, ErrorCode.QUEUE_FULL, retry_after_ms)
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/quarantine_exchange.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/quarantine_exchange.py
@@ -103,6 +103,10 @@
                 return self._refusal(fingerprint, now_ms)
         return None
 
+    def refused_parts(self, fingerprints: RequestFingerprints) -> tuple[str, ...]:
+        """Return the parts of a prompt that were refused at the last tick; records nothing."""
+        return tuple(part for part in fingerprints.parts if part in self._refused)
+
     def may_send(self, fingerprints: RequestFingerprints) -> bool:
         """Return whether a request may be sent now; counts a probe right before its first byte."""
         now_ms = self._clock_ms()
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/servers.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from http import HTTPStatus
 
 from wagtailusher_core import ErrorCode
@@ -44,14 +45,16 @@
 
     async def async_serve_path(self, address: str | None, path: str, handler: Handler) -> None:
         """Serve one path at host:port; do nothing if there is no address."""
+        await self.async_serve_paths(address, {path: handler})
+
+    async def async_serve_paths(self, address: str | None, handlers: Mapping[str, Handler]) -> None:
+        """Serve some paths at host:port; do nothing if there is no address."""
         if address is None:
             return
         limits = HttpLimits(
             max_connections=MAX_INTERNAL_CONNECTIONS, idle_timeout_ms=IDLE_TIMEOUT_MS
         )
-        self._internal_servers.append(
-            await _async_listen(address, _serve_single_path(path, handler), limits)
-        )
+        self._internal_servers.append(await _async_listen(address, _serve_paths(handlers), limits))
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply a configuration's limits to callers' connections."""
@@ -106,11 +109,12 @@
                 await server.async_close()
 
 
-def _serve_single_path(path: str, handler: Handler) -> Handler:
-    """Return a handler that serves one path."""
+def _serve_paths(handlers: Mapping[str, Handler]) -> Handler:
+    """Return a handler that serves some paths."""
 
     async def async_handle(request: Request) -> Response:
-        if request.path == path:
+        handler = handlers.get(request.path)
+        if handler is not None:
             return await handler(request)
         return error_response(
             HTTPStatus.NOT_FOUND, ErrorCode.UNKNOWN_ROUTE, "this address does not serve the path"
