--- a/packages/wagtailusher_cli/src/wagtailusher_cli/placement.py
+++ b/packages/wagtailusher_cli/src/wagtailusher_cli/placement.py
@@ -67,6 +67,11 @@
     fields |= {"output_tokens": output_tokens, "deadline_ms": deadline_ms}
     fields |= {"workspace_id": workspace_id, "attempt_id": attempt_id}
     answers = _ask(address, fields | {"software_version": software_version}, key_file)
+    return _report(answers, json)
+
+
+def _report(answers: list[PlacementAnswer], json: bool) -> int:
+    """Write the answers; return a problem's exit code if any of them is a refusal."""
     if json:
         write_json({"placements": answers})
     else:
--- a/tests/wagtailusher_platform/fleet.py
+++ b/tests/wagtailusher_platform/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from random import Random
 import socket
@@ -115,6 +115,9 @@
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
     """Base class that starts the store, runners and gateways of a test and stops them."""
 
+    environment: Mapping[str, str] = {}
+    """Variables of the gateways' environment."""
+
     async def asyncSetUp(self) -> None:
         self.store = PlatformStore()
         self.store_address = await self.store.async_start()
@@ -165,7 +168,7 @@
             "platform": {"address": self.store_address},
             "bounds": {"retry_budget_slack": 50, "cold_overage": 1.5, "cold_slack": 1},
         } | settings
-        options = options_from(msgspec.convert(document, SettingsFile), {})
+        options = options_from(msgspec.convert(document, SettingsFile), self.environment)
         app = GatewayApp(options, new_http_mapping(), GatewayMetrics())
         address = store_address or self.store_address
         store = StoreClient(HttpClient(), address, lambda outcome: None)
