Compare explanations with the queues, and test what is left to others

Purpose: a verdict is only true if the queue decides the same for the next request.

Change: 6 seeds with 150 requests each compare sent, queued and refused; endpoints left to other VMs or to long prompts, and quarantined parts, have their reasons.

--- a/tests/wagtailusher_gateway/test_placement_explanation.py
+++ b/tests/wagtailusher_gateway/test_placement_explanation.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from copy import deepcopy
 from dataclasses import replace
 from random import Random
@@ -26,6 +27,7 @@
 from wagtailusher_gateway.budget import RetryBudget
 from wagtailusher_gateway.dispatcher import Dispatcher, RoutedRequest
 from wagtailusher_gateway.endpoint_registry import Load
+from wagtailusher_gateway.exceptions import RefusedError
 from wagtailusher_gateway.models import Endpoint, RequestTerms, Split, Workspace
 from wagtailusher_gateway.placement_choice import Barrier
 from wagtailusher_gateway.placement_explanation import (
@@ -34,6 +36,7 @@
     Verdict,
     explain_placement,
 )
+from wagtailusher_gateway.reservation import Reservation
 
 ROUTE = route(splits=(Split(service="engines", weight=1),), timeout_ms=4_000, target_ms=400)
 KEY = "member-secret"
@@ -71,12 +74,18 @@
             may_forward=True,
         )
 
-    def send(self, asked: RequestTerms) -> str | None:
-        """Place a real request; return its endpoint, or None if there is none."""
+    def request(self, asked: RequestTerms, workspace: str = "") -> RoutedRequest:
+        """Return a real request that has arrived."""
+        ends_ms = self.now_ms + 4_000
         request = RoutedRequest(
-            terms=asked, route=ROUTE, service=ENGINES, rank=0, ends_ms=self.now_ms + 4_000
+            terms=asked, route=ROUTE, service=ENGINES, rank=0, ends_ms=ends_ms, workspace=workspace
         )
         self.dispatcher.record_arrival(request)
+        return request
+
+    def send(self, asked: RequestTerms) -> str | None:
+        """Place a real request; return its endpoint, or None if there is none."""
+        request = self.request(asked)
         found = self.dispatcher._try_reserve(request, frozenset(), self.now_ms)
         return found.endpoint.endpoint_id if found is not None else None
 
@@ -189,6 +198,66 @@
         self.assertEqual([item.reason for item in answer.others], [Barrier.FULL])
         self.assertEqual(fixture.dispatcher.admission.count, 0)
 
+    def test_places_and_parts_for_others(self) -> None:
+        """Long prompts stay in their part; last places are left to some of the VMs."""
+        engines = [endpoint(number, slots=20) for number in range(12)]
+        fixture = Fixture(*engines)
+        reasons = {item.reason for item in fixture.explain(terms(own=9_000)).others}
+        self.assertIn(Barrier.PARTITION, reasons)
+        loads = [(item.endpoint_id, Load(requests=19)) for item in engines]
+        fixture.placement.registry.set_peer_loads(VmId("vm-2"), loads, 100)
+        asked = replace(terms(**SHORT), parts=())
+        answer = fixture.explain(asked)
+        reasons = {item.reason for item in answer.others}
+        self.assertEqual(reasons, {Barrier.FOR_OTHER_VMS})
+        self.assertIn(fixture.send(asked), answer.tied_ids)
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    """Explanations are compared with what the queues do with the next request."""
+
+    async def test_verdicts_agree_with_the_queues(self) -> None:
+        verdicts = set()
+        for seed in range(6):
+            generator = Random(seed)
+            fixture = Fixture(endpoint(0, slots=3), endpoint(3, slots=3), seed=seed)
+            running: list[asyncio.Task[Reservation]] = []
+            for number in range(150):
+                asked = terms(number, **SHORT)
+                before = fixture.state()
+                answer = fixture.explain(asked)
+                self.assertEqual(fixture.state(), before)
+                verdicts.add(answer.verdict)
+                queued = fixture.dispatcher.admission.count
+                request = fixture.request(asked, "members")
+                running.append(
+                    asyncio.create_task(fixture.dispatcher.async_reserve(request, frozenset()))
+                )
+                await asyncio.sleep(0)
+                if answer.verdict == Verdict.SENT:
+                    self.assertIn((await running[-1]).endpoint.endpoint_id, answer.tied_ids)
+                elif answer.verdict == Verdict.QUEUED:
+                    self.assertEqual(fixture.dispatcher.admission.count, queued + 1)
+                else:
+                    with self.assertRaises(RefusedError):
+                        await running[-1]
+                fixture.now_ms += generator.randrange(30)
+                self.end_one(fixture, running, generator)
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+        self.assertEqual(verdicts, {Verdict.SENT, Verdict.QUEUED, Verdict.REFUSED})
+
+    def end_one(
+        self, fixture: Fixture, running: list[asyncio.Task[Reservation]], generator: Random
+    ) -> None:
+        """End one running request now and then."""
+        started = [item for item in running if item.done() and item.exception() is None]
+        if started and generator.random() < 0.3:
+            running.remove(started[0])
+            fixture.dispatcher.release(started[0].result(), is_prefill_done=False)
+        fixture.dispatcher.process_queues(fixture.now_ms)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/wagtailusher_platform/test_placement_question.py
+++ b/tests/wagtailusher_platform/test_placement_question.py
@@ -12,8 +12,9 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from tests.wagtailusher_platform.fleet import HOST, KEY, PlatformTest, free_ports
+from tests.wagtailusher_platform.fleet import HOST, KEY, WORKSPACE, PlatformTest, free_ports
 from wagtailusher_cli.main import run
+from wagtailusher_quarantine import part_fingerprint
 
 
 def ask(*arguments: str) -> tuple[int, str]:
@@ -54,6 +55,14 @@
         answer = await self.async_ask(app, target)
         self.assertEqual(answer.status, 404)
         await answer.async_read(1_000)
+        app.quarantine._refused = frozenset({part_fingerprint("culprit")})
+        code, text = await asyncio.to_thread(ask, *asked[:4], "--workspace-id", WORKSPACE, "--json")
+        self.assertEqual(json.loads(text)["placements"][0]["verdict"], "sent")
+        parts = ("--workspace-id", WORKSPACE, "--parts", "culprit:10,own:1", "--json")
+        code, text = await asyncio.to_thread(ask, *asked[:4], *parts)
+        refusal = json.loads(text)["placements"][0]["refusal"]
+        self.assertEqual((code, refusal["code"]), (1, "quarantined"))
+        self.assertGreater(refusal["retry_after_ms"], 0)
         for listen in (app.options.ready_listen, app.options.peer_listen):
             answer = await self.client.async_request(listen or "", "GET", target, host=HOST)
             self.assertGreaterEqual(answer.status, 400)
