Copy only what a question about a placement may change

Cause: `trial` copied all that peers and workspaces told, which is thousands of objects at the design size, in a process that serves callers meanwhile.

Change: reports of peers and the sums of other workspaces are shared; only the sums of pools and of the request's workspace are copied.

--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/admission.py
@@ -5,7 +5,6 @@
 from bisect import insort
 from collections import Counter, deque
 from collections.abc import Callable, Iterator, Sequence
-import copy
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 import random
@@ -176,10 +175,13 @@
         """Return the number of queued requests."""
         return sum(len(queue.requests) for queue in self._queues.values())
 
-    def trial(self, generator: random.Random) -> Admission:
-        """Return a copy to try a request with; it starts and refuses none of those that wait."""
-        found = Admission(0, copy.deepcopy(self.shares))
-        found.fleet_queues = copy.deepcopy(self.fleet_queues)
+    def trial(self, generator: random.Random, workspace: str) -> Admission:
+        """Return a copy to try a workspace's request with.
+
+        It starts and refuses none of the requests that wait.
+        """
+        found = Admission(0, self.shares.trial(workspace))
+        found.fleet_queues = self.fleet_queues.trial()
         found._random = generator
         found._queues = {name: queue.trial() for name, queue in self._queues.items()}
         return found
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/dispatcher.py
@@ -147,11 +147,11 @@
         """Spend one retry from the budget; return whether it allowed one."""
         return self.budget.try_spend(service.name, len(self.vm_ids()), now_ms)
 
-    def trial(self, generator: Random, now_ms: int) -> Dispatcher:
-        """Return a copy to try a request with at one moment; nothing may be reserved with it."""
+    def trial(self, generator: Random, workspace: str, now_ms: int) -> Dispatcher:
+        """Return a copy to try a workspace's request with; nothing may be reserved with it."""
         found = copy.copy(self)
         found.placement = self.placement.trial(generator)
-        found.admission = self.admission.trial(generator)
+        found.admission = self.admission.trial(generator, workspace)
         found.clock_ms = lambda: now_ms
         return found
 
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet_queue.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/fleet_queue.py
@@ -18,6 +18,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
+import copy
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -88,6 +89,16 @@
         self._reports_seen: dict[str, tuple[int, tuple[tuple[int, BeatQueue], ...]]] = {}
         """What peers told of a queue and when, as used at one time; empty after a new report."""
 
+    def trial(self) -> FleetQueues:
+        """Return a copy; what peers told is shared, as it is only replaced."""
+        found = copy.copy(self)
+        found._flows = copy.deepcopy(self._flows)
+        found._peers = self._peers.copy()
+        found._waited_ms, found._returns_ms = self._waited_ms.copy(), self._returns_ms.copy()
+        found._starts_seen = self._starts_seen.copy()
+        found._reports_seen = self._reports_seen.copy()
+        return found
+
     def record_asked(self, key: QueueRank, now_ms: int) -> None:
         """Count a request that arrived."""
         self._flows[key].asked.add(1.0, now_ms)
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement_explanation.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/placement_explanation.py
@@ -136,9 +136,9 @@
     empty = PlacementAnswer(
         vm_id=vm_id, verdict=Verdict.REFUSED, view_age_ms=now_ms - dispatcher.view.confirmed_ms
     )
-    trial = dispatcher.trial(generator, now_ms)
     try:
-        request = _route(question, trial, now_ms)
+        request = _route(question, dispatcher, now_ms)
+        trial = dispatcher.trial(generator, request.workspace, now_ms)
         trial.check_stop(request)
     except RefusedError as refusal:
         return replace(empty, refusal=refusal_answer(refusal))
@@ -238,7 +238,7 @@
         refuse=refuse,
         is_refused=lambda: bool(refusals),
     )
-    position = trial.admission.trial(generator).position(queued_request, now_ms)
+    position = trial.admission.trial(generator, request.workspace).position(queued_request, now_ms)
     trial.admission.submit(queued_request, now_ms)
     if refusals:
         return Verdict.REFUSED, refusals[0], position
--- a/packages/wagtailusher_gateway/src/wagtailusher_gateway/workspace_shares.py
+++ b/packages/wagtailusher_gateway/src/wagtailusher_gateway/workspace_shares.py
@@ -21,6 +21,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Mapping
+import copy
 from dataclasses import dataclass, field
 from functools import lru_cache
 from hashlib import blake2b
@@ -138,6 +139,27 @@
         self._peers: dict[VmId, tuple[int, dict[Pool, BeatShares]]] = {}
         self._fleet: dict[Pool, tuple[int, FleetWork]] = {}
 
+    def trial(self, workspace: str) -> WorkspaceShares:
+        """Return a copy in which only this workspace's requests may be recorded.
+
+        What is known of the others is shared, as it may be much.
+        """
+        found = copy.copy(self)
+        found._fleet = self._fleet.copy()
+        found._own = defaultdict(_PoolSums)
+        key = workspace_hash(workspace)
+        for pool, sums in self._own.items():
+            copied = found._own[pool] = _PoolSums(
+                requests=copy.copy(sums.requests),
+                asked=copy.copy(sums.asked),
+                started=copy.copy(sums.started),
+                waited=copy.copy(sums.waited),
+                workspaces=sums.workspaces.copy(),
+            )
+            if key in sums.workspaces:
+                copied.workspaces[key] = copy.deepcopy(sums.workspaces[key])
+        return found
+
     def record_asked(self, pool: Pool, workspace: str, work: float, now_ms: int) -> None:
         """Add a request's estimated work when it arrives."""
         sums = self._own[pool]
