--- a/tests/standins/raw_endpoint.py
+++ b/tests/standins/raw_endpoint.py
@@ -6,10 +6,16 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 import json
+import socket
 
 from tests.standins.booking import BookingStandin
 from tests.standins.engine import EngineStandin
+from tests.standins.runner import reset_connection
 
+EARLY_BUFFER_BYTES = 65_536
+"""Receive buffer of a server that answers early, so that most of an upload is not sent then."""
+EARLY_PAUSE_S = 0.05
+EARLY_ENDS = ("reset", "reset at once", "end")
 LOAD_REPORT = json.dumps({"running": 0, "waiting": 0, "cold": False}).encode()
 
 
@@ -46,8 +52,13 @@
 
     async def async_start(self) -> None:
         """Start listening."""
-        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.set_up(listener)
+        self._server = await asyncio.start_server(self._async_serve, sock=listener)
+        self.port = listener.getsockname()[1]
+
+    def set_up(self, listener: socket.socket) -> None:
+        """Set options of the listening socket."""
 
     async def async_stop(self) -> None:
         """Stop listening and close all connections."""
@@ -81,6 +92,58 @@
             self._tasks.discard(task)
 
 
+class EarlyServer(RawServer):
+    """Answers when it has read some of a request's body, and ends the connection.
+
+    It ends by a reset after a pause, by a "reset at once", or by an "end" after a pause.
+    """
+
+    def __init__(self, answer: Callable[[RawRequest], bytes], end: str, read_bytes: int) -> None:
+        """`answer` returns the bytes of the answer, `read_bytes` are read of a body."""
+        super().__init__(self._async_reply)
+        self._answer = answer
+        self._end = end
+        self._read_bytes = read_bytes
+        self.answered = 0
+        self.ended_early = 0
+        """Answers that ended before the upload did."""
+
+    @property
+    def address(self) -> str:
+        """Return the address of the listening socket."""
+        return f"127.0.0.1:{self.port}"
+
+    def set_up(self, listener: socket.socket) -> None:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, EARLY_BUFFER_BYTES)
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve load polls and one early answer on a connection, without another read."""
+        self._writers.append(writer)
+        try:
+            while (request := await _async_read_head(reader)).target == "/load":
+                writer.write(response(LOAD_REPORT))
+            length = int(request.headers.get("content-length", "0"))
+            await reader.readexactly(min(length, self._read_bytes))
+            self.answered += 1
+            await self.reply(request, writer)
+            self.ended_early += length > self._read_bytes
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _async_reply(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(self._answer(request))
+        await writer.drain()
+        if self._end != "reset at once":
+            await asyncio.sleep(EARLY_PAUSE_S)
+        if self._end == "end":
+            writer.write_eof()
+        else:
+            reset_connection(writer)
+
+
 class RawEngine(EngineStandin):
     """An engine whose replies are written by a function."""
 
@@ -151,10 +214,16 @@
 
 async def _async_read(reader: asyncio.StreamReader) -> RawRequest:
     """Read one request with its body."""
+    request = await _async_read_head(reader)
+    request.body = await reader.readexactly(int(request.headers.get("content-length", "0")))
+    return request
+
+
+async def _async_read_head(reader: asyncio.StreamReader) -> RawRequest:
+    """Read one request up to its body."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.strip().split("\r\n")
     method, target, _ = first.split(" ")
     pairs = (line.split(":", 1) for line in lines)
     headers = {name.strip().lower(): value.strip() for name, value in pairs}
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return RawRequest(method=method, target=target, headers=headers, body=body)
+    return RawRequest(method=method, target=target, headers=headers, body=b"")
